Say "not run" of a keyed request only when its key is unused

Cause: a scenario (platform down, dispatcher killed, same keys sent again) showed 8 requests answered "not run" whose stamp had run: the second attempt was refused before or without reading the claim, which is true of that attempt and false of the request that the key stands for. Ruled out: a late or doubled dispatch (the endpoint's own count was 1 each). Change: a refusal before the claim first asks what is known of the key (state 'checking' in the chart); with no answer the outcome is unknown. An attempt that recorded "not run" frees its key, so that a retry with the same key runs.

--- a/src/admission/admission_controller.ts
+++ b/src/admission/admission_controller.ts
@@ -20,6 +20,8 @@
   configuration: ConfigurationState;
   gates: PoolGates;
   allowances: Allowances;
+  /** Whether this host takes new requests. */
+  accepts: () => boolean;
   /** Number of hosts that take new work. */
   servingHosts: () => number;
   log: Logger;
@@ -27,6 +29,14 @@
 }
 
 const LEAST_RETRY_AFTER_MS = 100;
+const RETRY_ELSEWHERE_MS = 1_000;
+
+const draining: AdmissionVerdict = {
+  admitted: false,
+  reason: Reason.Draining,
+  message: "This host takes no new requests",
+  retry_after_ms: RETRY_ELSEWHERE_MS,
+};
 
 /** Decides on new requests and orders those that wait. */
 export class AdmissionController implements Admission {
@@ -40,7 +50,8 @@
 
   /** Decides at once whether the request can meet its deadline. */
   decide(request: PipelineRequest): AdmissionVerdict {
-    const { now, allowances, log } = this.#options;
+    const { now, allowances, accepts, log } = this.#options;
+    if (!accepts()) return draining;
     const now_ms = now();
     const within = allowances.take(request.organisation, now_ms);
     if (!within) this.#excess.add(request);
--- a/src/charts/generated_charts.ts
+++ b/src/charts/generated_charts.ts
@@ -84,8 +84,31 @@
               "target": "waiting"
             }
           ],
-          "REFUSED": "refused",
-          "ABORTED": "settling"
+          "REFUSED": [
+            {
+              "guard": "needsClaim",
+              "target": "checking"
+            },
+            {
+              "target": "refused"
+            }
+          ],
+          "ABORTED": [
+            {
+              "guard": "needsClaim",
+              "target": "checking"
+            },
+            {
+              "target": "refused"
+            }
+          ]
+        }
+      },
+      "checking": {
+        "on": {
+          "UNUSED": "refused",
+          "RECORDED": "replayed",
+          "UNCERTAIN": "unknown"
         }
       },
       "claiming": {
--- a/src/claims/claim_slot.ts
+++ b/src/claims/claim_slot.ts
@@ -3,12 +3,15 @@
  * application, because each rule is applied to the slot that a conditional
  * update then replaces. No clock takes part: a key's bucket comes from the key.
  */
+import { OutcomeKind } from "../pipelines/outcome.ts";
+import { type KeyUse, KeyUseKind } from "../pipelines/pipeline_parts.ts";
 import {
   type ClaimEntry,
   type ClaimReply,
   ClaimReplyKind,
   type ClaimSlot,
   type OutcomeNote,
+  type StoredClaim,
 } from "./types.ts";
 
 /** A slot after a rule, and the reply that holds once it is committed. */
@@ -29,7 +32,7 @@
     return unchanged(current, { kind: ClaimReplyKind.Expired });
   }
   const held = current.claims[entry.claim_id];
-  if (held === undefined) return grant(current, entry);
+  if (held === undefined || wasNotRun(held)) return grant(current, entry);
   if (held.attempt_id === entry.attempt_id) {
     return unchanged(current, { kind: ClaimReplyKind.Granted });
   }
@@ -60,6 +63,27 @@
   return { slot: { ...slot, claims }, changed: true };
 }
 
+/** What a slot tells of a key's use. */
+export function readUse(
+  slot: ClaimSlot | undefined,
+  place: { claim_id: string; bucket: number },
+): KeyUse {
+  const current = slotFor(slot, place.bucket);
+  if (current.bucket > place.bucket) return { kind: KeyUseKind.InUse };
+  const held = current.claims[place.claim_id];
+  if (held === undefined || wasNotRun(held)) {
+    return { kind: KeyUseKind.Unused };
+  }
+  const { outcome } = held;
+  if (outcome === undefined) return { kind: KeyUseKind.InUse };
+  return { kind: KeyUseKind.Recorded, outcome };
+}
+
+/** Its own attempt said that it never ran, so the key is free again. */
+function wasNotRun({ outcome }: StoredClaim): boolean {
+  return outcome?.kind === OutcomeKind.NotRun;
+}
+
 function slotFor(slot: ClaimSlot | undefined, bucket: number): ClaimSlot {
   if (slot === undefined || slot.bucket < bucket) {
     return { bucket, claims: {} };
--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -4,6 +4,8 @@
   type Claims,
   type ClaimVerdict,
   ClaimVerdictKind,
+  type KeyUse,
+  KeyUseKind,
 } from "../pipelines/pipeline_parts.ts";
 import type { PipelineRequest } from "../pipelines/pipeline_request.ts";
 import type { Platform } from "../platform/types.ts";
@@ -17,6 +19,7 @@
 import { isKeepable, type Journal, JournalFind } from "./journal.ts";
 import type { JournalEntry, MintedKeys } from "./minted_keys.ts";
 import type { ShardClaims } from "./shard_claims.ts";
+import { readUse } from "./claim_slot.ts";
 import {
   type ClaimEntry,
   type ClaimReply,
@@ -35,18 +38,6 @@
   now: () => number;
 }
 
-/** Kinds of answer to a question about a key's outcome. */
-export enum LookupKind {
-  Recorded = "recorded",
-  None = "none",
-  Unavailable = "unavailable",
-}
-
-/** The answer to a question about a key's outcome. */
-export type Lookup =
-  | { kind: LookupKind.Recorded; outcome: Outcome }
-  | { kind: LookupKind.None | LookupKind.Unavailable };
-
 /** How far ahead of this host's clock a key may be issued. */
 const MAX_ISSUED_AHEAD_MS = 60_000;
 const CLAIM_RETRY_AFTER_MS = 1_000;
@@ -87,7 +78,9 @@
     const kept = isKeepable(outcome) ? outcome : notKept;
     if (key.kind === KeyKind.Minted) {
       const entry = this.#options.minted.record(key.number, kept);
-      if (entry !== undefined) this.#options.journal.add(entry);
+      // A key that was not run may run later, so "not run" is not journaled.
+      const final = outcome.kind !== OutcomeKind.NotRun;
+      if (entry !== undefined && final) this.#options.journal.add(entry);
       return;
     }
     const { claim_id, shard, bucket, attempt_id } = this.#entryFor(
@@ -98,8 +91,16 @@
     void this.#options.shards.record(note);
   }
 
-  /** The recorded outcome of an organisation's key. */
-  async lookup(organisation: string, key: IdempotencyKey): Promise<Lookup> {
+  /** Tells whether the request's key was used. */
+  async check(request: PipelineRequest): Promise<KeyUse> {
+    return await this.lookup(
+      identityText(request.organisation),
+      keyOf(request),
+    );
+  }
+
+  /** What is known of an organisation's key. */
+  async lookup(organisation: string, key: IdempotencyKey): Promise<KeyUse> {
     if (key.kind === KeyKind.Minted) {
       return await this.#lookupMinted(organisation, key);
     }
@@ -107,30 +108,32 @@
     const found = await this.#options.platform.get(
       this.#options.shards.slotKey(place),
     );
-    if (!found.ok) return { kind: LookupKind.Unavailable };
-    const slot = found.value?.value as ClaimSlot | undefined;
-    const outcome = slot?.bucket === place.bucket
-      ? slot.claims[place.claim_id]?.outcome
-      : undefined;
-    return outcomeLookup(outcome);
+    if (!found.ok) return { kind: KeyUseKind.Unavailable };
+    return readUse(found.value?.value as ClaimSlot | undefined, place);
   }
 
   async #lookupMinted(
     organisation: string,
     key: IdempotencyKey & { kind: KeyKind.Minted },
-  ): Promise<Lookup> {
+  ): Promise<KeyUse> {
     const { minted, journal } = this.#options;
-    const own = key.incarnation === minted.incarnation
-      ? minted.outcomeOf(key.number, organisation)
-      : undefined;
-    if (own !== undefined) return outcomeLookup(own);
+    if (key.incarnation === minted.incarnation) {
+      const use = minted.useOf(key.number, organisation);
+      if (use !== undefined) return use;
+    }
     const answer = await journal.find(key.incarnation, key.number);
-    if (answer.find === JournalFind.Unavailable) {
-      return { kind: LookupKind.Unavailable };
+    switch (answer.find) {
+      case JournalFind.Found:
+        return answer.entry.organisation === organisation
+          ? { kind: KeyUseKind.Recorded, outcome: answer.entry.outcome }
+          : { kind: KeyUseKind.InUse };
+      case JournalFind.NeverRun:
+        return { kind: KeyUseKind.Unused };
+      case JournalFind.Missing:
+        return { kind: KeyUseKind.InUse };
+      case JournalFind.Unavailable:
+        return { kind: KeyUseKind.Unavailable };
     }
-    const readable = answer.find === JournalFind.Found &&
-      answer.entry.organisation === organisation;
-    return outcomeLookup(readable ? answer.entry.outcome : undefined);
   }
 
   async #claimMinted(
@@ -188,11 +191,6 @@
   return key;
 }
 
-function outcomeLookup(outcome: Outcome | undefined): Lookup {
-  if (outcome === undefined) return { kind: LookupKind.None };
-  return { kind: LookupKind.Recorded, outcome };
-}
-
 function journaledVerdict(
   entry: JournalEntry,
   use: { organisation: string; body_digest: string },
@@ -227,9 +225,10 @@
         "The key is older than what is kept, or was not made for this caller",
       );
     case ClaimReplyKind.NotWritten:
-      return refused(
+      return uncertain(
         Reason.PlatformUnavailable,
-        "The key could not be claimed before the deadline",
+        "This attempt was not run; whether an earlier one with the same key " +
+          "was run cannot be told now",
         CLAIM_RETRY_AFTER_MS,
       );
     case ClaimReplyKind.Uncertain:
--- a/src/claims/journal.ts
+++ b/src/claims/journal.ts
@@ -40,11 +40,14 @@
 
 const CHUNK_KEYS = 200;
 const MAX_WAITING = 20_000;
+const CLOSE_ATTEMPTS = 10;
+const CLOSE_RETRY_MS = 200;
 
 /** Writes this process's journal, and reads those of others. */
 export class Journal {
   readonly #options: JournalOptions;
   #waiting: JournalEntry[] = [];
+  #flushing: Promise<boolean> = Promise.resolve(true);
   #chunks = new Map<
     number,
     { version: string | undefined; entries: JournalEntry[] }
@@ -70,7 +73,13 @@
   }
 
   /** Writes what waits; false if some of it could not be written. */
-  async flush(): Promise<boolean> {
+  flush(): Promise<boolean> {
+    const flushed = this.#flushing.then(() => this.#writeBatch());
+    this.#flushing = flushed;
+    return flushed;
+  }
+
+  async #writeBatch(): Promise<boolean> {
     const batch = this.#waiting.splice(0);
     const byChunk = Map.groupBy(batch, (entry) => chunkOf(entry.number));
     let complete = true;
@@ -84,10 +93,15 @@
 
   /** Says that this process has stopped and runs nothing any more. */
   async close(): Promise<void> {
-    if (!await this.flush()) return;
-    const { platform, incarnation } = this.#options;
-    const key = closedKey(incarnation);
-    await platform.put(key, { closed: true }, { absent: true });
+    const { platform, incarnation, signal } = this.#options;
+    for (let attempt = 0; attempt < CLOSE_ATTEMPTS; attempt++) {
+      if (await this.flush()) {
+        const key = closedKey(incarnation);
+        await platform.put(key, { closed: true }, { absent: true });
+        return;
+      }
+      await pause(CLOSE_RETRY_MS, signal);
+    }
   }
 
   /** Looks up a key of another process. */
--- a/src/claims/minted_keys.ts
+++ b/src/claims/minted_keys.ts
@@ -2,7 +2,8 @@
  * Keys minted by this process. Only this process may run them, so a key needs
  * no platform write before it runs; outcomes are journaled afterwards.
  */
-import type { Outcome } from "../pipelines/outcome.ts";
+import { type Outcome, OutcomeKind } from "../pipelines/outcome.ts";
+import { type KeyUse, KeyUseKind } from "../pipelines/pipeline_parts.ts";
 import { mintedKeyText } from "./idempotency_key.ts";
 import { type ClaimReply, ClaimReplyKind } from "./types.ts";
 
@@ -21,6 +22,11 @@
   outcome: Outcome;
 }
 
+/** Its own attempt said that it never ran, so the key is free again. */
+function wasNotRun({ outcome }: MintedKey): boolean {
+  return outcome?.kind === OutcomeKind.NotRun;
+}
+
 const MAX_KEYS = 100_000;
 
 /** Mints keys and decides who may run them. */
@@ -52,8 +58,9 @@
     if (key === undefined || key.organisation !== use.organisation) {
       return { kind: ClaimReplyKind.Expired };
     }
-    if (key.body_digest === undefined) {
+    if (key.body_digest === undefined || wasNotRun(key)) {
       key.body_digest = use.body_digest;
+      key.outcome = undefined;
       return { kind: ClaimReplyKind.Granted };
     }
     if (key.body_digest !== use.body_digest) {
@@ -72,10 +79,18 @@
     return { number, organisation, body_digest, outcome };
   }
 
-  /** The recorded outcome of an organisation's key. */
-  outcomeOf(number: number, organisation: string): Outcome | undefined {
+  /** What is known of a key; undefined if it was never minted or forgotten. */
+  useOf(number: number, organisation: string): KeyUse | undefined {
     const key = this.#keys.get(number);
-    return key?.organisation === organisation ? key.outcome : undefined;
+    if (key === undefined || key.organisation !== organisation) {
+      return undefined;
+    }
+    if (key.body_digest === undefined || wasNotRun(key)) {
+      return { kind: KeyUseKind.Unused };
+    }
+    const { outcome } = key;
+    if (outcome === undefined) return { kind: KeyUseKind.InUse };
+    return { kind: KeyUseKind.Recorded, outcome };
   }
 
   #forget(now_ms: number): void {
--- a/src/defaults.ts
+++ b/src/defaults.ts
@@ -14,8 +14,8 @@
 export const DEFAULT_PLATFORM_CALLS = {
   reads_per_second: 40,
   writes_per_second: 20,
-  timeout_ms: 2_000,
-  watch_ms: 20_000,
+  timeout_ms: 1_000,
+  watch_ms: 3_000,
 } as const;
 
 /** Timing of the exchange between entry hosts. */
--- a/src/http_api/caller_api.ts
+++ b/src/http_api/caller_api.ts
@@ -2,11 +2,12 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { KeyKind, parseIdempotencyKey } from "../claims/idempotency_key.ts";
-import { type KeyClaims, LookupKind } from "../claims/claims.ts";
+import type { KeyClaims } from "../claims/claims.ts";
 import type { ConfigurationState } from "../configuration/configuration_state.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { MemberTable } from "../membership/member_table.ts";
 import { type Outcome, OutcomeKind, Reason } from "../pipelines/outcome.ts";
+import { KeyUseKind } from "../pipelines/pipeline_parts.ts";
 import {
   AbortReason,
   type PipelineRequest,
@@ -111,14 +112,15 @@
     }
     const found = await claims.lookup(identityText(organisation), key);
     switch (found.kind) {
-      case LookupKind.Recorded:
+      case KeyUseKind.Recorded:
         return sendOutcome(response, found.outcome, text);
-      case LookupKind.None:
+      case KeyUseKind.Unused:
+      case KeyUseKind.InUse:
         throw new RequestError(
           RequestFault.NotFound,
           "No outcome is recorded for this key",
         );
-      case LookupKind.Unavailable:
+      case KeyUseKind.Unavailable:
         return sendJson(response, 503, {
           title: "Platform unavailable",
           status: 503,
@@ -142,7 +144,6 @@
     const request_id = randomUUID();
     if (!this.#options.accepts()) {
       exchange.response.setHeader("connection", "close");
-      return sendOutcome(exchange.response, drainingOutcome, request_id);
     }
     await this.#serve(exchange, { terms, body, request_id, arrived_ms });
   }
@@ -260,14 +261,6 @@
 
 const RETRY_ELSEWHERE_MS = 1_000;
 
-const drainingOutcome: Outcome = {
-  kind: OutcomeKind.NotRun,
-  reason: Reason.Draining,
-  message: "This host takes no new requests",
-  retry_after_ms: RETRY_ELSEWHERE_MS,
-  stages: [],
-};
-
 const lostOutcome: Outcome = {
   kind: OutcomeKind.Unknown,
   reason: Reason.KeyUndecided,
--- a/src/pipelines/pipeline_parts.ts
+++ b/src/pipelines/pipeline_parts.ts
@@ -67,8 +67,27 @@
     retry_after_ms?: number;
   };
 
+/** What is known of a key's use. */
+export enum KeyUseKind {
+  /** No attempt with the key has run. */
+  Unused = "unused",
+  /** An attempt has run and has an outcome. */
+  Recorded = "recorded",
+  /** An attempt may have run. */
+  InUse = "in_use",
+  /** The platform gave no answer. */
+  Unavailable = "unavailable",
+}
+
+/** What is known of a key's use. */
+export type KeyUse =
+  | { kind: KeyUseKind.Recorded; outcome: Outcome }
+  | { kind: Exclude<KeyUseKind, KeyUseKind.Recorded> };
+
 /** Makes keyed requests run at most once. */
 export interface Claims {
+  /** Tells whether the request's key was used, without claiming it. */
+  check(request: PipelineRequest): Promise<KeyUse>;
   claim(request: PipelineRequest): Promise<ClaimVerdict>;
   /** Notes the outcome of a claimed request. */
   record(request: PipelineRequest, outcome: Outcome): void;
--- a/src/pipelines/pipeline_run.ts
+++ b/src/pipelines/pipeline_run.ts
@@ -21,6 +21,7 @@
 import { AbortReason, type PipelineRequest } from "./pipeline_request.ts";
 import {
   ClaimVerdictKind,
+  KeyUseKind,
   type PipelineParts,
   type Route,
 } from "./pipeline_parts.ts";
@@ -28,6 +29,7 @@
 
 enum RunState {
   Admitting = "admitting",
+  Checking = "checking",
   Claiming = "claiming",
   Waiting = "waiting",
   Calling = "calling",
@@ -44,6 +46,7 @@
   Claimed = "CLAIMED",
   Recorded = "RECORDED",
   Uncertain = "UNCERTAIN",
+  Unused = "UNUSED",
   Granted = "GRANTED",
   StageDone = "STAGE_DONE",
   Retry = "RETRY",
@@ -95,6 +98,7 @@
     this.#text = request.sendText && new TextContinuation(request.sendText);
     this.#handlers = {
       [RunState.Admitting]: () => this.#admit(),
+      [RunState.Checking]: () => this.#check(),
       [RunState.Claiming]: () => this.#claim(),
       [RunState.Waiting]: () => this.#wait(),
       [RunState.Calling]: () => this.#call(),
@@ -139,6 +143,20 @@
     return RunEvent.Refused;
   }
 
+  /** A refusal before the claim says "not run" only of an unused key. */
+  async #check(): Promise<RunEvent> {
+    const use = await this.#parts.claims.check(this.#request);
+    switch (use.kind) {
+      case KeyUseKind.Unused:
+        return RunEvent.Unused;
+      case KeyUseKind.Recorded:
+        this.#recorded = use.outcome;
+        return RunEvent.Recorded;
+      default:
+        return RunEvent.Uncertain;
+    }
+  }
+
   async #claim(): Promise<RunEvent> {
     const verdict = await this.#parts.claims.claim(this.#request);
     switch (verdict.kind) {
--- a/src/platform/platform_client.ts
+++ b/src/platform/platform_client.ts
@@ -26,6 +26,8 @@
   now: () => number;
 }
 
+/** Watches that end early must not use up what other reads need. */
+const WATCHES_PER_SECOND = 10;
 const STATUS_OK = 200;
 const STATUS_NOT_MODIFIED = 304;
 const STATUS_NOT_FOUND = 404;
@@ -36,12 +38,18 @@
   const { http, timeout_ms, now } = options;
   const reads = createBudget(options.reads_per_second, now());
   const writes = createBudget(options.writes_per_second, now());
+  const watches = createBudget(WATCHES_PER_SECOND, now());
+
+  function budgetFor(call: { method: string; wait_ms?: number }): TokenBucket {
+    if (call.wait_ms !== undefined) return watches;
+    return call.method === "GET" ? reads : writes;
+  }
 
   async function send<T>(
     call: Omit<HttpCall, "timeout_ms"> & { wait_ms?: number },
     read: (answer: HttpAnswer) => T,
   ): Promise<PlatformResult<T>> {
-    const budget = call.method === "GET" ? reads : writes;
+    const budget = budgetFor(call);
     if (!budget.take(now())) return failure(overBudget);
     try {
       const limit_ms = timeout_ms + (call.wait_ms ?? 0);
--- a/src/settings/resolve_settings.ts
+++ b/src/settings/resolve_settings.ts
@@ -64,6 +64,10 @@
       callers: parseAddress(user.listen.callers),
       peers: parseAddress(user.listen.peers),
     },
+    advertise: {
+      callers: user.advertise?.callers ?? user.listen.callers,
+      peers: user.advertise?.peers ?? user.listen.peers,
+    },
     peers: {
       ...DEFAULT_PEERS,
       ...user.peers,
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -31,6 +31,10 @@
     callers: addressSchema,
     peers: addressSchema,
   }),
+  advertise: z.strictObject({
+    callers: addressSchema.optional(),
+    peers: addressSchema.optional(),
+  }).optional(),
   peers: z.strictObject({
     bootstrap: z.array(addressSchema).optional(),
     secret: secretSchema,
@@ -92,6 +96,8 @@
 export interface Settings {
   host: { name: string; availability_zone: string };
   listen: { callers: Address; peers: Address };
+  /** Addresses under which other hosts reach this one, as `ip:port`. */
+  advertise: { callers: string; peers: string };
   peers: {
     bootstrap: string[];
     secret: string;
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -84,8 +84,8 @@
   environment: EntryEnvironment,
 ): Entry {
   const { now, random, writeLine } = environment;
-  const { host, listen } = settings;
-  const self = formatAddress(listen.peers);
+  const { host, listen, advertise } = settings;
+  const self = advertise.peers;
   const incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
   const stopping = new AbortController();
   const { signal } = stopping;
@@ -134,6 +134,7 @@
     configuration,
     gates: new PoolGates(now),
     allowances,
+    accepts: () => lifecycle.accepts,
     servingHosts,
     log,
     now,
@@ -217,7 +218,7 @@
 
   const describe = (): Heartbeat => ({
     address: self,
-    callers_address: formatAddress(listen.callers),
+    callers_address: advertise.callers,
     incarnation,
     generation: configuration.generation,
     draining: lifecycle.going,
--- a/stand_ins/child_process.ts
+++ b/stand_ins/child_process.ts
@@ -17,7 +17,7 @@
 /** What to start. */
 export interface ProcessDefinition {
   name: string;
-  /** A TypeScript or JavaScript file, and its arguments. */
+  /** A source file, bundle or executable, and its arguments. */
   args: string[];
   environment?: Record<string, string>;
   /** Text on standard output that says the process is ready. */
@@ -32,7 +32,8 @@
 export async function startProcess(
   definition: ProcessDefinition,
 ): Promise<StartedProcess> {
-  const child = spawn(process.execPath, commandOf(definition.args), {
+  const [command, ...args] = commandOf(definition.args);
+  const child = spawn(command, args, {
     env: { ...process.env, ...definition.environment },
     stdio: ["ignore", "pipe", "pipe"],
   });
@@ -63,8 +64,14 @@
   });
 }
 
-function commandOf(args: string[]): string[] {
-  return args[0]?.endsWith(".ts") ? ["--import", "tsx", ...args] : args;
+/** The command for a source file, a bundle or an executable. */
+function commandOf(args: string[]): [string, ...string[]] {
+  const [program = "", ...rest] = args;
+  if (program.endsWith(".ts")) {
+    return [process.execPath, "--import", "tsx", program, ...rest];
+  }
+  if (program.endsWith("js")) return [process.execPath, program, ...rest];
+  return [program, ...rest];
 }
 
 function collectOutput(
--- a/stand_ins/endpoint.ts
+++ b/stand_ins/endpoint.ts
@@ -56,7 +56,14 @@
 let calls = 0;
 let running = 0;
 let busy_ms = 0;
-let heldAnswer: ((id: string) => string) | undefined;
+let heldAnswer: HeldAnswer | undefined;
+const CROSSING_WAIT_MS = 30;
+
+/** An answer and the id of the call that it belongs to. */
+interface IdentifiedAnswer {
+  id: string;
+  text: string;
+}
 
 createServer(handle).listen(
   Number(values.port),
@@ -138,8 +145,13 @@
   if (hits(faults.silent_every, call)) return await sleep(60_000);
   response.setHeader("content-type", "application/json");
   const output = { [String(values.name)]: input };
-  const answer = JSON.stringify({ request_id: id, output, cost: service_ms });
-  if (faults.cross_answers) response.setHeader("x-request-id", crossed(id));
+  const own = {
+    id,
+    text: JSON.stringify({ request_id: id, output, cost: service_ms }),
+  };
+  const sent = faults.cross_answers ? await crossed(own) : own;
+  const answer = sent.text;
+  response.setHeader("x-request-id", sent.id);
   if (hits(faults.cut_every, call)) {
     response.setHeader("content-length", answer.length);
     response.write(answer.slice(0, answer.length / 2));
@@ -157,11 +169,27 @@
   }
 }
 
-/** Gives the id of the call before, as an engine that mixes answers up does. */
-function crossed(id: string): string {
-  const other = heldAnswer?.("") ?? "somebody-else";
-  heldAnswer = () => id;
-  return other;
+/** An answer that waits for another to be swapped with. */
+interface HeldAnswer {
+  answer: IdentifiedAnswer;
+  swap: (other: IdentifiedAnswer) => void;
+}
+
+/** Swaps the answers of two calls that run at the same time. */
+function crossed(answer: IdentifiedAnswer): Promise<IdentifiedAnswer> {
+  const other = heldAnswer;
+  if (other !== undefined) {
+    heldAnswer = undefined;
+    other.swap(answer);
+    return Promise.resolve(other.answer);
+  }
+  return new Promise((resolve) => {
+    heldAnswer = { answer, swap: resolve };
+    setTimeout(() => {
+      if (heldAnswer?.swap === resolve) heldAnswer = undefined;
+      resolve(answer);
+    }, CROSSING_WAIT_MS);
+  });
 }
 
 async function serveCompletion(
--- a/stand_ins/fleet.ts
+++ b/stand_ins/fleet.ts
@@ -28,6 +28,7 @@
 /** A started endpoint. */
 export interface StartedEndpoint extends EndpointDefinition {
   address: string;
+  addressForHosts: string;
   process: StartedProcess;
 }
 
@@ -52,10 +53,15 @@
   program?: string;
   /** Directory for hosts' logs; kept in memory by default. */
   logDirectory?: string;
-  /** Addresses that hosts use in place of an endpoint's own. */
-  endpointAddress?: (endpoint: StartedEndpoint) => string;
-  /** Address that hosts use in place of the platform's own. */
-  platformAddress?: (address: string) => Promise<string> | string;
+  /** Address to use in place of a part's own, for faults on the way. */
+  reroute?: (part: string, address: string) => Promise<string>;
+}
+
+interface ReservedHost {
+  callers: string;
+  peers: string;
+  /** Address for peers as other hosts see it. */
+  advertised: string;
 }
 
 const SECRETS = {
@@ -76,7 +82,7 @@
   platformForHosts = "";
   #platformProcess: StartedProcess | undefined;
   #definition: FleetDefinition;
-  #reservedHosts: { callers: string; peers: string }[] = [];
+  #reservedHosts: ReservedHost[] = [];
 
   constructor(definition: FleetDefinition) {
     this.#definition = definition;
@@ -93,7 +99,10 @@
       this.endpoints.map((each) => this.endpointRecord(each)),
     );
     for (let number = 0; number < this.#definition.hosts; number++) {
-      this.#reservedHosts.push(await reserveHost());
+      const reserved = await reserveHost();
+      const part = `entry-${number + 1}`;
+      const advertised = await this.#reroute(part, reserved.peers);
+      this.#reservedHosts.push({ ...reserved, advertised });
     }
     await Promise.all(
       this.#reservedHosts.map((_, number) => this.startHost(number)),
@@ -135,9 +144,11 @@
     definition: EndpointDefinition,
   ): Promise<StartedEndpoint> {
     const port = await freePort();
+    const address = `127.0.0.1:${port}`;
     const started = {
       ...definition,
-      address: `127.0.0.1:${port}`,
+      address,
+      addressForHosts: await this.#reroute(partName(definition), address),
       process: await startProcess({
         name: definition.name,
         args: endpointArgs(definition, port),
@@ -150,15 +161,13 @@
 
   /** The record of an endpoint, in schema version 1. */
   endpointRecord(endpoint: StartedEndpoint, leaving = false): object {
-    const address = this.#definition.endpointAddress?.(endpoint) ??
-      endpoint.address;
     return {
       schema_version: 1,
       kind: "Endpoint",
       fleet: endpoint.fleet,
       name: endpoint.name,
       pool: endpoint.pool,
-      address,
+      address: endpoint.addressForHosts,
       availability_zone: endpoint.availability_zone ?? "az-1",
       slots: endpoint.slots ?? 8,
       leaving,
@@ -184,9 +193,9 @@
     await postJson(this.endpoint(name).address, "/control", faults);
   }
 
-  /** An endpoint by name. */
+  /** An endpoint by fleet and name, as in `khuree/stamp-1`. */
   endpoint(name: string): StartedEndpoint {
-    const found = this.endpoints.find((each) => each.name === name);
+    const found = this.endpoints.find((each) => partName(each) === name);
     if (found === undefined) throw new Error(`There is no endpoint ${name}`);
     return found;
   }
@@ -227,19 +236,23 @@
       args: [join(import.meta.dirname, "platform.ts"), String(port)],
       readyText: "ready",
     });
-    this.platformForHosts =
-      await this.#definition.platformAddress?.(this.platform) ?? this.platform;
+    this.platformForHosts = await this.#reroute("platform", this.platform);
+  }
+
+  async #reroute(part: string, address: string): Promise<string> {
+    return await this.#definition.reroute?.(part, address) ?? address;
   }
 
   #settingsFor(
-    host: { name: string; number: number; callers: string; peers: string },
+    host: { name: string; number: number } & ReservedHost,
   ): Record<string, object> {
     const zone = host.number % AVAILABILITY_ZONES + 1;
     const settings = {
       host: { name: host.name, availability_zone: `az-${zone}` },
       listen: { callers: host.callers, peers: host.peers },
+      advertise: { peers: host.advertised },
       peers: {
-        bootstrap: this.#reservedHosts.map((each) => each.peers),
+        bootstrap: this.#reservedHosts.map((each) => each.advertised),
         secret: { environment: "SESAMEQUAY_PEER_SECRET" },
         heartbeat_ms: 300,
       },
@@ -250,7 +263,12 @@
   }
 }
 
-async function reserveHost(): Promise<{ callers: string; peers: string }> {
+/** Names clash between fleets, so an endpoint is named with its fleet. */
+function partName({ fleet, name }: EndpointDefinition): string {
+  return `${fleet}/${name}`;
+}
+
+async function reserveHost(): Promise<Omit<ReservedHost, "advertised">> {
   const callers = `127.0.0.1:${await freePort()}`;
   const peers = `127.0.0.1:${await freePort()}`;
   return { callers, peers };
--- a/stand_ins/platform.ts
+++ b/stand_ins/platform.ts
@@ -146,7 +146,7 @@
   counts.watches += 1;
   const end_ms = Date.now() + Number(url.searchParams.get("wait_ms"));
   while (!changed() && !faults.down && Date.now() < end_ms) {
-    if (request.destroyed) return false;
+    if (request.socket.destroyed) return false;
     await new Promise<void>((resolve) => {
       const timer = setTimeout(wake, end_ms - Date.now());
       function wake() {
--- /dev/null
+++ b/test/scenarios/scenarios.test.ts
@@ -0,0 +1,24 @@
+/** Runs every scenario over real processes. */
+import assert from "node:assert/strict";
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import { test } from "node:test";
+import { formatFindings } from "../../src/findings/finding.ts";
+import { runScenario } from "../../stand_ins/scenario/run_scenario.ts";
+import { parseScenario } from "../../stand_ins/scenario/scenario.ts";
+
+const folder = join(import.meta.dirname, "../../scenarios");
+
+for (const file of readdirSync(folder).sort()) {
+  const text = readFileSync(join(folder, file), "utf8");
+  const scenario = parseScenario(file, text);
+  test(scenario.ok ? scenario.value.name : file, async (t) => {
+    assert.ok(
+      scenario.ok,
+      scenario.ok ? "" : formatFindings(scenario.findings),
+    );
+    const result = await runScenario(scenario.value);
+    assert.deepEqual(result.unmet, []);
+    t.assert.snapshot(result.verdicts);
+  });
+}
