--- a/src/routing/choose_endpoint.ts
+++ b/src/routing/choose_endpoint.ts
@@ -78,7 +78,7 @@
   const load = Math.max(1, own_load, reported);
   const near = endpoint.availability_zone === context.availability_zone;
   const penalty_ms = near ? 0 : OTHER_ZONE_PENALTY_MS;
-  return state.service_ms * load + penalty_ms;
+  return state.service_ms(context.now_ms) * load + penalty_ms;
 }
 
 function usableCandidates(
--- a/src/routing/endpoint_state.ts
+++ b/src/routing/endpoint_state.ts
@@ -10,7 +10,9 @@
   recordCall,
 } from "./endpoint_health.ts";
 
-const RECENT_CALLS = 64;
+const RECENT_CALLS = 16;
+/** An idle endpoint's estimate halves in this time, so that it is tried again. */
+const ESTIMATE_HALF_LIFE_MS = 2_000;
 const MEDIAN = 0.5;
 /** Stand-in for a service time that is not known yet; small, so it is tried. */
 const UNKNOWN_SERVICE_MS = 1;
@@ -23,12 +25,16 @@
   /** Whether the endpoint, or a peer, said that it is leaving. */
   leaving = false;
   #service = new RecentQuantiles(RECENT_CALLS);
+  #learned_ms = 0;
   #utilization = 0;
   #utilization_ms = -Infinity;
 
-  /** Median time of recent calls. */
-  get service_ms(): number {
-    return this.#service.at(MEDIAN) ?? UNKNOWN_SERVICE_MS;
+  /** Median time of recent calls, less the longer none has ended. */
+  service_ms(now_ms: number): number {
+    const median_ms = this.#service.at(MEDIAN);
+    if (median_ms === undefined) return UNKNOWN_SERVICE_MS;
+    const idle_ms = this.in_flight > 0 ? 0 : now_ms - this.#learned_ms;
+    return median_ms * 2 ** (-idle_ms / ESTIMATE_HALF_LIFE_MS);
   }
 
   /** Utilization that the endpoint reported lately, or 0. */
@@ -52,6 +58,7 @@
     const succeeded = result.end === AttemptEnd.Done;
     if (succeeded || result.end === AttemptEnd.Silent) {
       this.#service.add(result.elapsed_ms);
+      this.#learned_ms = now_ms;
     }
     recordCall(this.health, { succeeded, now_ms });
   }
--- a/stand_ins/child_process.ts
+++ b/stand_ins/child_process.ts
@@ -51,16 +51,23 @@
   };
 }
 
-/** A TCP port on the loopback address that was free a moment ago. */
-export function freePort(): Promise<number> {
-  return new Promise((resolve, reject) => {
+/** Ports below those that the system gives to outgoing connections. */
+const FIRST_PORT = 10_000;
+const PORTS_PER_PROCESS = 100;
+const PORT_RANGES = 220;
+let nextPort = FIRST_PORT + (process.pid % PORT_RANGES) * PORTS_PER_PROCESS;
+
+/** A TCP port on the loopback address that nobody listens on. */
+export async function freePort(): Promise<number> {
+  const port = nextPort++;
+  return await isFree(port) ? port : await freePort();
+}
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
     const server = createServer();
-    server.once("error", reject);
-    server.listen(0, "127.0.0.1", () => {
-      const address = server.address();
-      const port = typeof address === "object" ? address?.port ?? 0 : 0;
-      server.close(() => resolve(port));
-    });
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
   });
 }
 
--- a/stand_ins/endpoint.ts
+++ b/stand_ins/endpoint.ts
@@ -19,6 +19,8 @@
   fail_every: number;
   /** Every n-th answer is cut half-way; 0 for none. */
   cut_every: number;
+  /** Every n-th stream ends in order, but half-way; 0 for none. */
+  end_early_every: number;
   /** Every n-th call is run but never answered; 0 for none. */
   silent_every: number;
   /** Calls that come in pairs get each other's answers. */
@@ -46,6 +48,7 @@
   slowdown: 1,
   fail_every: 0,
   cut_every: 0,
+  end_early_every: 0,
   silent_every: 0,
   cross_answers: false,
   twice_every: 0,
@@ -199,10 +202,12 @@
   response.setHeader("content-type", "text/event-stream");
   response.flushHeaders();
   const cutAfter = hits(faults.cut_every, call) ? tokens / 2 : Infinity;
+  const endAfter = hits(faults.end_early_every, call) ? tokens / 2 : Infinity;
   for (let token = 0; token < tokens; token++) {
     await sleep(stepTime_ms() / tokens);
     if (response.destroyed) return;
     if (token >= cutAfter) return void response.destroy();
+    if (token >= endAfter) return void response.end();
     const text = ` ${prompt.slice(-24)}#${token}`;
     const usage = { total_tokens: token + 1 };
     writeEvent(response, { choices: [{ text, finish_reason: null }], usage });
