--- a/src/admission/admission_controller.ts
+++ b/src/admission/admission_controller.ts
@@ -12,6 +12,7 @@
 import type { PipelineRequest } from "../pipelines/pipeline_request.ts";
 import { identityText, type Stage } from "../records/types.ts";
 import type { Allowances } from "./allowances.ts";
+import { AdmissionPolicy } from "./types.ts";
 import type { Grant, PoolGate } from "./pool_gate.ts";
 import type { PoolGates } from "./pool_gates.ts";
 
@@ -20,6 +21,7 @@
   configuration: ConfigurationState;
   gates: PoolGates;
   allowances: Allowances;
+  policy: AdmissionPolicy;
   /** Whether this host takes new requests. */
   accepts: () => boolean;
   /** Number of hosts that take new work. */
@@ -70,7 +72,8 @@
       remaining_ms: Math.round(remaining_ms),
       result: admitted ? "admitted" : Reason.DeadlineTooShort,
     });
-    if (admitted) return { admitted: true };
+    const refuses = this.#options.policy === AdmissionPolicy.Ranked;
+    if (admitted || !refuses) return { admitted: true };
     return {
       admitted: false,
       reason: Reason.DeadlineTooShort,
--- /dev/null
+++ b/src/admission/fifo_queue.ts
@@ -0,0 +1,57 @@
+/** The baseline order: first in, first out. A queue class for p-queue. */
+import type { RunItem, TicketOptions } from "./stage_queue.ts";
+import type { WaitingLine } from "./waiting_line.ts";
+
+interface Item {
+  run: RunItem;
+  request_id: string;
+}
+
+/** Serves in order of arrival, whatever the ticket says. */
+export class FifoQueue implements WaitingLine {
+  #items: Item[] = [];
+
+  /** Number of waiting items. */
+  get size(): number {
+    return this.#items.length;
+  }
+
+  /** Adds an item at the end. */
+  enqueue(run: RunItem, options?: Partial<TicketOptions>): void {
+    const request_id = options?.ticket?.request_id ?? "";
+    this.#items.push({ run, request_id });
+  }
+
+  /** Takes the first item. */
+  dequeue(): RunItem | undefined {
+    return this.#items.shift()?.run;
+  }
+
+  /** Removes a waiting item; false if it is not there. */
+  remove(request_id: string): boolean {
+    const position = this.#items.findIndex((item) =>
+      item.request_id === request_id
+    );
+    if (position < 0) return false;
+    this.#items.splice(position, 1);
+    return true;
+  }
+
+  /** Ranks are not told apart. */
+  sizeOfRank(): number {
+    return this.#items.length;
+  }
+
+  /** Everything that waits is ahead. */
+  sizeAhead(): number {
+    return this.#items.length;
+  }
+
+  /** p-queue's filter; every item has the same options here. */
+  filter(): RunItem[] {
+    return [];
+  }
+
+  /** The order does not change. */
+  setPriority(): void {}
+}
--- a/src/admission/pool_gate.ts
+++ b/src/admission/pool_gate.ts
@@ -4,7 +4,10 @@
  */
 import PQueue from "p-queue";
 import { RecentQuantiles } from "../utils/recent_quantiles.ts";
+import { FifoQueue } from "./fifo_queue.ts";
 import { StageQueue, type Ticket, type TicketOptions } from "./stage_queue.ts";
+import { AdmissionPolicy } from "./types.ts";
+import type { WaitingLine } from "./waiting_line.ts";
 
 /** A place in a pool; `release` gives it back and may be called twice. */
 export interface Grant {
@@ -26,21 +29,25 @@
 
 /** Admits work to one pool. */
 export class PoolGate {
-  #queue: PQueue<StageQueue, TicketOptions>;
-  #waiting = new StageQueue();
+  #queue: PQueue<WaitingLine, TicketOptions>;
+  #waiting: WaitingLine;
   #service = new RecentQuantiles(RECENT_CALLS);
   #now: () => number;
 
-  constructor(concurrency: number, now: () => number) {
-    const waiting = this.#waiting;
-    this.#now = now;
-    this.#queue = new PQueue<StageQueue, TicketOptions>({
+  constructor(
+    concurrency: number,
+    options: { now: () => number; policy: AdmissionPolicy },
+  ) {
+    const waiting = createWaitingLine(options.policy);
+    this.#waiting = waiting;
+    this.#now = options.now;
+    this.#queue = new PQueue<WaitingLine, TicketOptions>({
       concurrency,
       queueClass: class {
         constructor() {
           return waiting;
         }
-      } as unknown as new () => StageQueue,
+      } as unknown as new () => WaitingLine,
     });
   }
 
@@ -103,3 +110,7 @@
     return Math.min(strict_ms, own * turn_ms / rank.guaranteed_share);
   }
 }
+
+function createWaitingLine(policy: AdmissionPolicy): WaitingLine {
+  return policy === AdmissionPolicy.Ranked ? new StageQueue() : new FifoQueue();
+}
--- a/src/admission/pool_gates.ts
+++ b/src/admission/pool_gates.ts
@@ -1,5 +1,6 @@
 /** The gates of all pools of this host. */
 import type { Endpoint } from "../records/types.ts";
+import type { AdmissionPolicy } from "./types.ts";
 import { PoolGate } from "./pool_gate.ts";
 
 /** This host's share of an endpoint's slots; at least one. */
@@ -10,10 +11,10 @@
 /** Keeps a gate for each pool and sizes it by its endpoints. */
 export class PoolGates {
   #gates = new Map<string, PoolGate>();
-  #now: () => number;
+  #options: { now: () => number; policy: AdmissionPolicy };
 
-  constructor(now: () => number) {
-    this.#now = now;
+  constructor(options: { now: () => number; policy: AdmissionPolicy }) {
+    this.#options = options;
   }
 
   /** The gate of a pool, sized for its present endpoints. */
@@ -33,7 +34,7 @@
       known.setConcurrency(concurrency);
       return known;
     }
-    const gate = new PoolGate(concurrency, this.#now);
+    const gate = new PoolGate(concurrency, this.#options);
     this.#gates.set(pool, gate);
     return gate;
   }
--- a/src/admission/stage_queue.ts
+++ b/src/admission/stage_queue.ts
@@ -5,6 +5,7 @@
  * that was served least, then the earliest deadline.
  */
 import type { QueueAddOptions } from "p-queue";
+import type { WaitingLine } from "./waiting_line.ts";
 
 /** Runs an item; p-queue's type. */
 export type RunItem = () => Promise<unknown>;
@@ -61,7 +62,7 @@
 const MAX_CREDIT = 4;
 
 /** A queue class for p-queue; see the module's comment for the order. */
-export class StageQueue {
+export class StageQueue implements WaitingLine {
   #ranks = new Map<string, RankLine>();
   #size = 0;
 
--- /dev/null
+++ b/src/admission/waiting_line.ts
@@ -0,0 +1,17 @@
+/** What a gate needs of the queue behind it. */
+import type { RunItem, TicketOptions } from "./stage_queue.ts";
+
+/** A queue class for p-queue that can also be asked what waits. */
+export interface WaitingLine {
+  readonly size: number;
+  enqueue(run: RunItem, options?: Partial<TicketOptions>): void;
+  dequeue(): RunItem | undefined;
+  /** Removes a waiting item; false if it is not there. */
+  remove(request_id: string): boolean;
+  /** Waiting items of a rank. */
+  sizeOfRank(rank: string): number;
+  /** Waiting items that are at least as urgent. */
+  sizeAhead(priority: number): number;
+  filter(): RunItem[];
+  setPriority(): void;
+}
--- a/src/settings/resolve_settings.ts
+++ b/src/settings/resolve_settings.ts
@@ -15,6 +15,7 @@
   type LocatedDocument,
   parseLocated,
 } from "../findings/located_document.ts";
+import { AdmissionPolicy } from "../admission/types.ts";
 import { RoutingPolicy } from "../routing/types.ts";
 import {
   parseAddress,
@@ -84,6 +85,7 @@
     routing: {
       policy: user.routing?.policy ?? RoutingPolicy.ExpectedCompletion,
     },
+    admission: { policy: user.admission?.policy ?? AdmissionPolicy.Ranked },
     limits: { ...DEFAULT_LIMITS, ...user.limits },
     drain: { ...DEFAULT_DRAIN, ...user.drain },
     log: { level: user.log?.level ?? DEFAULT_LOG_LEVEL },
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -3,6 +3,7 @@
  * that the code reads.
  */
 import { z } from "zod";
+import { AdmissionPolicy } from "../admission/types.ts";
 import { RoutingPolicy } from "../routing/types.ts";
 
 const MAX_PORT = 65_535;
@@ -59,6 +60,9 @@
   routing: z.strictObject({
     policy: z.enum(RoutingPolicy).optional(),
   }).optional(),
+  admission: z.strictObject({
+    policy: z.enum(AdmissionPolicy).optional(),
+  }).optional(),
   limits: z.strictObject({
     body_bytes: positiveInteger.optional(),
     header_bytes: positiveInteger.optional(),
@@ -120,6 +124,7 @@
     commit_interval_ms: number;
   };
   routing: { policy: RoutingPolicy };
+  admission: { policy: AdmissionPolicy };
   limits: {
     body_bytes: number;
     header_bytes: number;
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -132,7 +132,8 @@
   });
   const admission = new AdmissionController({
     configuration,
-    gates: new PoolGates(now),
+    gates: new PoolGates({ now, policy: settings.admission.policy }),
+    policy: settings.admission.policy,
     allowances,
     accepts: () => lifecycle.accepts,
     servingHosts,
--- a/stand_ins/child_process.ts
+++ b/stand_ins/child_process.ts
@@ -1,6 +1,6 @@
 /** Starts and ends the processes of tests, demos and measurements. */
 import { type ChildProcess, spawn } from "node:child_process";
-import { createWriteStream } from "node:fs";
+import { openSync, readFileSync } from "node:fs";
 import { createServer } from "node:net";
 
 /** A started process. */
@@ -35,7 +35,7 @@
   const [command, ...args] = commandOf(definition.args);
   const child = spawn(command, args, {
     env: { ...process.env, ...definition.environment },
-    stdio: ["ignore", "pipe", "pipe"],
+    stdio: ["ignore", standardOutput(definition.logFile), "pipe"],
   });
   const output = collectOutput(child, definition.logFile);
   const exited = new Promise<number | undefined>((resolve) =>
@@ -86,14 +86,16 @@
   logFile: string | undefined,
 ): () => string {
   let text = "";
-  const file = logFile === undefined ? undefined : createWriteStream(logFile);
-  const take = (chunk: Buffer) => {
-    if (file === undefined || text.length < 10_000) text += chunk.toString();
-    file?.write(chunk);
-  };
+  const take = (chunk: Buffer) => void (text += chunk.toString());
   child.stdout?.on("data", take);
   child.stderr?.on("data", take);
-  return () => text;
+  if (logFile === undefined) return () => text;
+  return () => text + readFileSync(logFile, "utf8");
+}
+
+/** The log file itself, so that this process does not copy what is written. */
+function standardOutput(logFile: string | undefined): "pipe" | number {
+  return logFile === undefined ? "pipe" : openSync(logFile, "w");
 }
 
 async function waitUntilReady(
--- a/stand_ins/endpoint.ts
+++ b/stand_ins/endpoint.ts
@@ -59,6 +59,7 @@
 let calls = 0;
 let running = 0;
 let busy_ms = 0;
+let cost = 0;
 let heldAnswer: HeldAnswer | undefined;
 const CROSSING_WAIT_MS = 30;
 
@@ -94,7 +95,7 @@
 function counts(response: ServerResponse): void {
   const most = Math.max(0, ...executions.values());
   const inputs = Object.fromEntries(executions);
-  response.end(JSON.stringify({ calls, busy_ms, most, inputs }));
+  response.end(JSON.stringify({ calls, busy_ms, cost, most, inputs }));
 }
 
 async function serve(
@@ -119,6 +120,7 @@
     return void response.end("{}");
   }
   running += 1;
+  cost += service_ms;
   const started_ms = performance.now();
   try {
     if (values.protocol === "json") {
@@ -209,7 +211,7 @@
     if (token >= cutAfter) return void response.destroy();
     if (token >= endAfter) return void response.end();
     const text = ` ${prompt.slice(-24)}#${token}`;
-    const usage = { total_tokens: token + 1 };
+    const usage = { total_tokens: service_ms };
     writeEvent(response, { choices: [{ text, finish_reason: null }], usage });
   }
   if (hits(faults.silent_every, call)) return await sleep(60_000);
