--- a/scripts/generate_charts.ts
+++ b/scripts/generate_charts.ts
@@ -8,16 +8,19 @@
 const folder = new URL("../charts/", import.meta.url);
 const target = new URL("../src/charts/generated_charts.ts", import.meta.url);
 
-/** Renders the module's text. */
-export function renderCharts(): string {
+/** Reads every chart, by name. */
+export function readCharts(): Record<string, unknown> {
   const files = readdirSync(folder).filter((file) => file.endsWith(".yaml"));
-  const charts = Object.fromEntries(
+  return Object.fromEntries(
     files.sort().map((file) => [
       file.replace(".yaml", ""),
       parse(readFileSync(new URL(file, folder), "utf8")) as unknown,
     ]),
   );
-  const json = JSON.stringify(charts, null, 2);
+}
+
+function renderModule(): string {
+  const json = JSON.stringify(readCharts(), null, 2);
   return `// deno-fmt-ignore-file
 /** Generated from charts/*.yaml by \`npm run generate\`; do not edit. */
 export const CHARTS = ${json} as const;
@@ -25,5 +28,5 @@
 }
 
 if (process.argv[1] === import.meta.filename) {
-  writeFileSync(target, renderCharts());
+  writeFileSync(target, renderModule());
 }
--- a/src/findings/located_document.ts
+++ b/src/findings/located_document.ts
@@ -112,13 +112,23 @@
       )
     );
   }
+  if (valueAt(document.content, path) === undefined) {
+    return [document.findingAt(path, "The field is missing", hintFor(issue))];
+  }
   return [document.findingAt(path, describeIssue(issue), hintFor(issue))];
 }
 
+function valueAt(content: unknown, path: FieldPath): unknown {
+  return path.reduce(
+    (value, key) => (value as Record<string, unknown> | undefined)?.[key],
+    content,
+  );
+}
+
 function describeIssue(issue: z.core.$ZodIssue): string {
-  const missing = issue.code === "invalid_type" &&
-    issue.message.includes("received undefined");
-  return missing ? "The field is missing" : issue.message;
+  return issue.code === "invalid_union"
+    ? "The value has none of the forms allowed here"
+    : issue.message;
 }
 
 function hintFor(issue: z.core.$ZodIssue): string {
@@ -126,7 +136,11 @@
     case "invalid_type":
       return `Write a value of type ${issue.expected}`;
     case "too_small":
-      return `Use at least ${issue.minimum}`;
+      return issue.inclusive
+        ? `Use at least ${issue.minimum}`
+        : `Use more than ${issue.minimum}`;
+    case "invalid_union":
+      return "Write one of the forms in docs/SETTINGS.md";
     case "too_big":
       return `Use at most ${issue.maximum}`;
     case "invalid_value":
--- a/stand_ins/load/load.ts
+++ b/stand_ins/load/load.ts
@@ -2,6 +2,7 @@
  * An open-loop load: requests leave at random times with a given mean rate,
  * whether or not earlier ones have been answered.
  */
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type JsonAnswer, postJson } from "../json_call.ts";
@@ -46,7 +47,7 @@
 /** A seeded generator of numbers from 0 to 1. */
 export function createRandom(seed: number): () => number {
   const generator = xoroshiro128plus(seed);
-  return () => (generator.next() >>> 0) / 2 ** 32;
+  return () => uniformFloat64(generator);
 }
 
 /** Runs a load to its end and gives every request's sample. */
--- /dev/null
+++ b/test/admission/stage_queue.test.ts
@@ -0,0 +1,168 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { Allowances } from "../../src/admission/allowances.ts";
+import { PoolGate, WaitAborted } from "../../src/admission/pool_gate.ts";
+import { StageQueue, type Ticket } from "../../src/admission/stage_queue.ts";
+import { AdmissionPolicy } from "../../src/admission/types.ts";
+import { type Organisation, RecordKind } from "../../src/records/types.ts";
+
+const RANKS = {
+  urgent: { rank: "urgent", priority: 0, guaranteed_share: 0.5 },
+  normal: { rank: "normal", priority: 1, guaranteed_share: 0.2 },
+  bulk: { rank: "bulk", priority: 2, guaranteed_share: 0.1 },
+};
+let number = 0;
+
+function ticket(change: Partial<Ticket>): Ticket {
+  number += 1;
+  return {
+    request_id: `r${number}`,
+    ...RANKS.normal,
+    organisation: "khuree/docks",
+    weight: 1,
+    excess: false,
+    started: false,
+    deadline_ms: number,
+    ...change,
+  };
+}
+
+/** Fills a queue and gives what `label` says of each item in served order. */
+async function served(
+  tickets: Ticket[],
+  label: (ticket: Ticket) => string,
+): Promise<string[]> {
+  const queue = new StageQueue();
+  const order: string[] = [];
+  for (const each of tickets) {
+    queue.enqueue(() => Promise.resolve(order.push(label(each))), {
+      ticket: each,
+    });
+  }
+  while (queue.size > 0) await queue.dequeue()?.();
+  return order;
+}
+
+test("urgent work goes first and every rank keeps its share", async (t) => {
+  const tickets = Object.values(RANKS).flatMap((rank) =>
+    Array.from({ length: 40 }, () => ticket(rank))
+  );
+  const order = await served(tickets, ({ rank }) => rank);
+  const count = (rank: string) =>
+    order.slice(0, 40).filter((each) => each === rank).length;
+  t.assert.snapshot(Object.keys(RANKS).map((rank) => [rank, count(rank)]));
+});
+
+test("started work, then the allowance, then the earliest deadline", async (t) => {
+  const order = await served([
+    ticket({ request_id: "excess", excess: true, deadline_ms: 1 }),
+    ticket({ request_id: "late", deadline_ms: 90 }),
+    ticket({ request_id: "early", deadline_ms: 10 }),
+    ticket({ request_id: "started", started: true, deadline_ms: 99 }),
+  ], ({ request_id }) => request_id);
+  t.assert.snapshot(order);
+});
+
+test("organisations are served in proportion to their allowance", async () => {
+  const many = (organisation: string, weight: number, count: number) =>
+    Array.from({ length: count }, () => ticket({ organisation, weight }));
+  const order = await served(
+    [...many("large", 3, 300), ...many("small", 1, 30)],
+    ({ organisation }) => organisation,
+  );
+  const small = order.slice(0, 80).filter((each) => each === "small").length;
+  assert.equal(small, 20);
+});
+
+test("no item is lost or served twice, whatever is removed", () => {
+  const step = fc.record({
+    rank: fc.constantFrom(...Object.values(RANKS)),
+    organisation: fc.constantFrom("a", "b", "c"),
+    started: fc.boolean(),
+    excess: fc.boolean(),
+    remove: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(fc.array(step), (steps) => {
+      const queue = new StageQueue();
+      const expected = new Set<string>();
+      const run = new Set<string>();
+      for (const { rank, remove, ...rest } of steps) {
+        const each = ticket({ ...rank, ...rest });
+        expected.add(each.request_id);
+        queue.enqueue(() => Promise.resolve(run.add(each.request_id)), {
+          ticket: each,
+        });
+        if (remove) {
+          assert.ok(queue.remove(each.request_id));
+          expected.delete(each.request_id);
+        }
+      }
+      assert.equal(queue.size, expected.size);
+      while (queue.size > 0) void queue.dequeue()?.();
+      assert.deepEqual(run, expected);
+    }),
+    { seed: 7 },
+  );
+});
+
+test("a gate holds back work and lets go of what is aborted", async () => {
+  const policy = AdmissionPolicy.Ranked;
+  const gate = new PoolGate(1, { now: () => 0, policy });
+  const open = new AbortController();
+  const aborted = new AbortController();
+  const first = await gate.acquire(ticket({}), open.signal);
+  const second = gate.acquire(ticket({}), aborted.signal);
+  const third = gate.acquire(ticket({}), open.signal);
+  assert.equal(gate.waiting, 2);
+  aborted.abort();
+  await assert.rejects(second, WaitAborted);
+  first.release();
+  (await third).release();
+  assert.equal(gate.waiting, 0);
+});
+
+const LARGE: Organisation = {
+  kind: RecordKind.Organisation,
+  fleet: "khuree",
+  name: "large",
+  key_hashes: [],
+  requests_per_second: 100,
+  burst_requests: 10,
+  fleets: ["khuree"],
+};
+
+test("an allowance holds over two hosts with uneven demand", () => {
+  const hosts: Allowances[] = [0, 1].map((own): Allowances =>
+    new Allowances({
+      servingHosts: () => 2,
+      otherDemand: () =>
+        hosts[1 - own]?.demand(now_ms)[0]?.requests_per_second ?? 0,
+    })
+  );
+  let now_ms = 0;
+  let granted = 0;
+  for (; now_ms < 20_000; now_ms++) {
+    const measured = now_ms >= 10_000;
+    const asked = [hosts[0], hosts[0], hosts[0], hosts[1]];
+    for (const host of asked) {
+      const within = host?.take(LARGE, now_ms) ?? false;
+      if (within && measured) granted += 1;
+    }
+  }
+  assert.ok(Math.abs(granted - 1_000) <= 100, `granted ${granted}`);
+});
+
+test("a host that hears of no peer grants no more than its share", () => {
+  const alone = new Allowances({
+    servingHosts: () => 4,
+    otherDemand: () => 300,
+  });
+  let granted = 0;
+  for (let now_ms = 0; now_ms < 10_000; now_ms += 10) {
+    if (alone.take(LARGE, now_ms)) granted += 1;
+  }
+  assert.ok(granted >= 10_000 / 1_000 * 100 / 16, `granted ${granted}`);
+  assert.ok(granted <= 10_000 / 1_000 * 100 / 2, `granted ${granted}`);
+});
--- /dev/null
+++ b/test/configuration/plan_publication.test.ts
@@ -0,0 +1,94 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ConfigurationState } from "../../src/configuration/configuration_state.ts";
+import { ConfigurationSource } from "../../src/configuration/configuration_state.ts";
+import {
+  PlanKind,
+  planPublication,
+} from "../../src/configuration/plan_publication.ts";
+import type { PlatformListing } from "../../src/platform/types.ts";
+
+const POOL = {
+  schema_version: 1,
+  kind: "EndpointPool",
+  fleet: "khuree",
+  name: "encode",
+  protocol: "json",
+  path: "/encode",
+};
+const PIPELINE = {
+  schema_version: 1,
+  kind: "Pipeline",
+  fleet: "khuree",
+  name: "p",
+  deadline_ms: 100,
+  stages: [{ name: "a", pool: "encode" }],
+};
+
+function listing(
+  revision: number,
+  ...records: { kind: string; fleet: string; name: string }[]
+): PlatformListing {
+  const objects = records.map((value) => ({
+    key: `records/${value.kind}/${value.fleet}/${value.name}`,
+    version: String(revision),
+    value,
+  }));
+  return { revision, objects };
+}
+
+function published(...args: Parameters<typeof planPublication>) {
+  const plan = planPublication(...args);
+  assert.ok(plan.kind === PlanKind.Publish);
+  return plan;
+}
+
+test("valid records are published with the next generation", (t) => {
+  const plan = published(undefined, listing(3, POOL, PIPELINE));
+  t.assert.snapshot(plan);
+  const again = planPublication(plan.next, listing(4, POOL, PIPELINE));
+  assert.equal(again.kind, PlanKind.Unchanged);
+});
+
+test("an invalid record leaves the accepted one in force", (t) => {
+  const first = published(undefined, listing(3, POOL, PIPELINE)).next;
+  const broken = { ...PIPELINE, deadline_ms: -1 };
+  const plan = planPublication(first, listing(5, POOL, broken));
+  assert.equal(plan.kind, PlanKind.Unchanged);
+  t.assert.snapshot(plan.findings);
+});
+
+test("a pool that is deleted while in use stays in force", (t) => {
+  const first = published(undefined, listing(3, POOL, PIPELINE)).next;
+  const plan = planPublication(first, listing(5, PIPELINE));
+  assert.equal(plan.kind, PlanKind.Unchanged);
+  t.assert.snapshot(plan.findings);
+});
+
+test("a record under another record's key is a finding", (t) => {
+  const misplaced = listing(3, POOL);
+  misplaced.objects[0] = {
+    key: "records/EndpointPool/khuree/other",
+    version: "3",
+    value: POOL,
+  };
+  t.assert.snapshot(planPublication(undefined, misplaced).findings);
+});
+
+test("a listing older than the accepted configuration is not used", () => {
+  const first = published(undefined, listing(3, POOL)).next;
+  const plan = planPublication(first, listing(2, POOL, PIPELINE));
+  assert.equal(plan.kind, PlanKind.StaleListing);
+});
+
+test("a host takes only higher generations", () => {
+  const seen: number[] = [];
+  const state = new ConfigurationState((generation) => seen.push(generation));
+  const offer = (generation: number) =>
+    state.offer(
+      { generation, records_revision: 0, records: [] },
+      ConfigurationSource.Peer,
+    );
+  [2, 1, 2, 5, 3].forEach(offer);
+  assert.deepEqual(seen, [2, 5]);
+});
--- /dev/null
+++ b/test/membership/member_table.test.ts
@@ -0,0 +1,93 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { MemberTable } from "../../src/membership/member_table.ts";
+import { rankCandidates } from "../../src/membership/rendezvous.ts";
+import type { Heartbeat, KnownMember } from "../../src/membership/types.ts";
+import { HostState } from "../../src/platform/types.ts";
+import { createRandom } from "../../stand_ins/load/load.ts";
+
+const SELF = "10.0.0.1:1";
+const OTHER = "10.0.0.2:1";
+const THIRD = "10.0.0.3:1";
+const SUSPECT_AFTER_MS = 10_000;
+
+function table(bootstrap: string[] = []): MemberTable {
+  const options = { self: SELF, suspect_after_ms: SUSPECT_AFTER_MS };
+  return new MemberTable(options, bootstrap);
+}
+
+function heartbeat(address: string, known: KnownMember[] = []): Heartbeat {
+  return {
+    address,
+    callers_address: address,
+    incarnation: `incarnation of ${address}`,
+    generation: 1,
+    draining: false,
+    demand: [],
+    known,
+  };
+}
+
+function addresses(members: MemberTable, now_ms: number): string[] {
+  return members.live(now_ms).map((member) => member.address);
+}
+
+test("direct evidence goes before a list that is wrong for a minute", () => {
+  const members = table();
+  members.heard(heartbeat(OTHER), 0);
+  for (let now_ms = 0; now_ms <= 60_000; now_ms += 5_000) {
+    members.heard(heartbeat(OTHER), now_ms);
+    members.listed([{ address: THIRD, state: HostState.Live }], now_ms);
+    assert.deepEqual(addresses(members, now_ms), [OTHER]);
+  }
+});
+
+test("a listed host counts as live once it has been heard", () => {
+  const members = table();
+  members.listed([{ address: OTHER, state: HostState.Live }], 0);
+  assert.deepEqual(addresses(members, 0), []);
+  assert.equal(members.nextToContact(createRandom(1)), OTHER);
+  members.heard(heartbeat(OTHER), 100);
+  assert.deepEqual(addresses(members, 200), [OTHER]);
+});
+
+test("a host is suspect after two failed calls or a long silence", () => {
+  const members = table([OTHER, THIRD]);
+  members.heard(heartbeat(OTHER), 0);
+  members.heard(heartbeat(THIRD), 0);
+  members.failed(OTHER);
+  assert.equal(members.serving(1), 3);
+  members.failed(OTHER);
+  assert.deepEqual(addresses(members, 1), [THIRD]);
+  assert.deepEqual(addresses(members, SUSPECT_AFTER_MS), []);
+});
+
+test("hearsay brings members and never makes one younger than it is", () => {
+  const members = table();
+  const known = { ...heartbeat(THIRD), age_ms: 4_000 };
+  const { address, callers_address, incarnation, age_ms } = known;
+  const hearsay = [{ address, callers_address, incarnation, age_ms }];
+  members.heard(heartbeat(OTHER, hearsay), 0);
+  assert.deepEqual(addresses(members, 0), [OTHER, THIRD]);
+  assert.deepEqual(addresses(members, 7_000), [OTHER]);
+});
+
+test("every member is contacted once in a round", () => {
+  const members = table([OTHER, THIRD]);
+  const random = createRandom(5);
+  const round = () => [0, 1].map(() => members.nextToContact(random)).sort();
+  assert.deepEqual(round(), [OTHER, THIRD]);
+  assert.deepEqual(round(), [OTHER, THIRD]);
+});
+
+test("a lost host moves only its own shards", () => {
+  const hosts = ["a", "b", "c", "d"];
+  const shards = Array.from({ length: 64 }, (_, n) => `claims/${n}`);
+  const ownerOf = (shard: string, live: string[]) =>
+    rankCandidates(shard, live)[0];
+  for (const shard of shards) {
+    const before = ownerOf(shard, hosts);
+    const after = ownerOf(shard, ["a", "b", "d"]);
+    if (before !== "c") assert.equal(after, before);
+  }
+});
--- /dev/null
+++ b/test/routing/routing.test.ts
@@ -0,0 +1,186 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { AttemptEnd, type AttemptResult } from "../../src/endpoints/attempt.ts";
+import { parseLoadReport } from "../../src/endpoints/load_report.ts";
+import { type Endpoint, RecordKind } from "../../src/records/types.ts";
+import {
+  type Candidate,
+  ChoiceReason,
+  chooseEndpoint,
+} from "../../src/routing/choose_endpoint.ts";
+import {
+  createHealth,
+  HealthState,
+  isUsable,
+  recordCall,
+  startProbe,
+} from "../../src/routing/endpoint_health.ts";
+import { EndpointState } from "../../src/routing/endpoint_state.ts";
+import { RETRY_SHARE, RetryBudget } from "../../src/routing/retry_budget.ts";
+import { RoutingPolicy } from "../../src/routing/types.ts";
+import { createRandom } from "../../stand_ins/load/load.ts";
+
+function endpoint(name: string): Endpoint {
+  return {
+    kind: RecordKind.Endpoint,
+    fleet: "khuree",
+    name,
+    pool: { fleet: "khuree", name: "encode" },
+    address: "127.0.0.1:1",
+    availability_zone: "az-1",
+    slots: 4,
+    leaving: false,
+  };
+}
+
+function result(end: AttemptEnd, elapsed_ms: number): AttemptResult {
+  return {
+    end,
+    sent: true,
+    output: undefined,
+    cost: 0,
+    elapsed_ms,
+    first_byte_ms: 0,
+    load: undefined,
+    leaving: false,
+    message: "",
+  };
+}
+
+function candidate(name: string, service_ms: number): Candidate {
+  const state = new EndpointState();
+  for (let call = 0; call < 16; call++) {
+    state.record(result(AttemptEnd.Done, service_ms), 0);
+  }
+  return { endpoint: endpoint(name), state, slots: 4 };
+}
+
+function context(policy: RoutingPolicy, now_ms = 0) {
+  return {
+    policy,
+    availability_zone: "az-1",
+    tried: new Set<string>(),
+    turn: 0,
+    now_ms,
+    random: createRandom(1),
+  };
+}
+
+test("work goes where it is expected to complete first", (t) => {
+  const candidates = [
+    candidate("fast", 10),
+    candidate("medium", 20),
+    candidate("slow", 40),
+  ];
+  const ours = context(RoutingPolicy.ExpectedCompletion);
+  const counts = new Map<string, number>();
+  for (let call = 0; call < 24; call++) {
+    const choice = chooseEndpoint(candidates, ours);
+    assert.ok(choice !== undefined);
+    choice.candidate.state.in_flight += 1;
+    const { name } = choice.candidate.endpoint;
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  t.assert.snapshot([...counts]);
+});
+
+test("leaving endpoints and tried ones are passed over", () => {
+  const [first, second] = [candidate("first", 1), candidate("second", 90)];
+  const tried = {
+    ...context(RoutingPolicy.ExpectedCompletion),
+    tried: new Set(["first"]),
+  };
+  const choose = (candidates: Candidate[]) =>
+    chooseEndpoint(candidates, tried)?.candidate.endpoint.name;
+  assert.equal(choose([first, second]), "second");
+  assert.equal(choose([first]), "first");
+  first.state.leaving = true;
+  assert.equal(choose([first]), undefined);
+});
+
+test("an idle endpoint with a bad first sample is tried again", () => {
+  const bad = candidate("bad", 500);
+  const good = candidate("good", 20);
+  const later = context(RoutingPolicy.ExpectedCompletion, 20_000);
+  good.state.record(result(AttemptEnd.Done, 20), 20_000);
+  const choice = chooseEndpoint([bad, good], later);
+  assert.equal(choice?.candidate.endpoint.name, "bad");
+  assert.equal(choice?.reason, ChoiceReason.ExpectedFirst);
+});
+
+test("failures eject for a doubling time, and one call probes", (t) => {
+  const health = createHealth();
+  const states: string[] = [];
+  const note = (what: string) =>
+    states.push(`${what}: ${health.state} until ${health.ejected_until_ms}`);
+  for (let call = 0; call < 4; call++) {
+    recordCall(health, { succeeded: false, now_ms: 0 });
+  }
+  note("four failures");
+  assert.ok(!isUsable(health, 499));
+  assert.ok(isUsable(health, 500));
+  startProbe(health);
+  assert.ok(!isUsable(health, 500));
+  recordCall(health, { succeeded: false, now_ms: 600 });
+  note("failed probe");
+  startProbe(health);
+  recordCall(health, { succeeded: true, now_ms: 2_000 });
+  note("good probe");
+  t.assert.snapshot(states);
+});
+
+test("a cancelled probe does not block the endpoint for ever", () => {
+  const state = new EndpointState();
+  for (let call = 0; call < 4; call++) {
+    state.record(result(AttemptEnd.Cut, 1), 0);
+  }
+  startProbe(state.health);
+  state.record(result(AttemptEnd.Cancelled, 1), 600);
+  assert.equal(state.health.state, HealthState.Ejected);
+  assert.ok(isUsable(state.health, 600 + 1_000));
+});
+
+test("at most half of a pool is passed over as ejected", () => {
+  const candidates = ["a", "b", "c"].map((name) => candidate(name, 10));
+  for (const { state } of candidates.slice(0, 2)) {
+    for (let call = 0; call < 4; call++) {
+      state.record(result(AttemptEnd.Failed, 10), 0);
+    }
+  }
+  const chosen = new Set<string>();
+  const ours = context(RoutingPolicy.RoundRobin);
+  for (let turn = 0; turn < 3; turn++) {
+    const choice = chooseEndpoint(candidates, { ...ours, turn });
+    chosen.add(choice?.candidate.endpoint.name ?? "");
+  }
+  assert.equal(chosen.size, 3);
+});
+
+test("retries stay within their share of fresh work", () => {
+  fc.assert(
+    fc.property(fc.array(fc.boolean(), { maxLength: 2_000 }), (steps) => {
+      const budget = new RetryBudget();
+      let fresh = 0;
+      let retries = 0;
+      for (const isRetry of steps) {
+        if (!isRetry) {
+          fresh += 1;
+          budget.deposit();
+        } else if (budget.withdraw()) retries += 1;
+      }
+      assert.ok(retries <= 3 + fresh * RETRY_SHARE + 1e-6);
+    }),
+    { seed: 3 },
+  );
+});
+
+test("load reports are read in both forms, and only when well formed", (t) => {
+  t.assert.snapshot([
+    "TEXT cpu_utilization=0.1, application_utilization=0.75",
+    'JSON {"application_utilization": 1.25}',
+    "JSON {",
+    "TEXT nothing",
+    undefined,
+  ].map((header) => parseLoadReport(header)?.utilization ?? "none"));
+});
