Teach admission how long calls take and what is already on its way

Cause: in a flood of bulk work at ten times capacity nothing was refused early; the estimate was always 0 because no call's time ever reached the gate. With times, it still let in too much: it looked only at what waits in a pool, not at what is on its way there, took the median of unequal engines for their mean (X = c / mean, by Little's law), and forgot work that overtakes. Ruled out: the queue's order (urgent work was at 99% even then). Change: gates expect admitted work by rank until it gets its place; the wait is mean call time over places, stretched by the rate of more urgent work, bounded by the rank's guaranteed share. A call that could not be done in time is not sent. Tests: a finished stage teaches admission; hopeless calls are not sent.

--- /dev/null
+++ b/scripts/measurements/load_runs.ts
@@ -0,0 +1,180 @@
+/** Runs a named load under each of its variants, in turn for each seed. */
+import type { MeasurementRow } from "../../src/reports/measurement.ts";
+import { Fleet } from "../../stand_ins/fleet.ts";
+import { getJson } from "../../stand_ins/json_call.ts";
+import { type LoadSample, runLoad } from "../../stand_ins/load/load.ts";
+import {
+  type Figures,
+  groupsOf,
+  summarise,
+} from "../../stand_ins/load/load_summary.ts";
+import { buildProgram } from "../../stand_ins/scenario/broken_variant.ts";
+import {
+  LOAD_ENDPOINTS,
+  LOAD_HOSTS,
+  loadRecords,
+  type LoadVariant,
+  type NamedLoad,
+} from "./loads.ts";
+
+const WARM_UP_MS = 2_500;
+const PERCENT = 100;
+
+interface VariantRun {
+  samples: LoadSample[];
+  /** Cost that the endpoints spent. */
+  spent: number;
+  calls: number;
+}
+
+/** Runs every variant with every seed; rows join the seeds. */
+export async function measureLoad(
+  load: NamedLoad,
+  program: string,
+): Promise<MeasurementRow[]> {
+  const programs = await buildVariants(load, program);
+  const runs = new Map<LoadVariant, VariantRun[]>();
+  for (const seed of load.seeds) {
+    for (const variant of load.variants) {
+      const run = await runVariant(load, {
+        variant,
+        seed,
+        program: programs.get(variant) ?? program,
+      });
+      runs.set(variant, [...runs.get(variant) ?? [], run]);
+    }
+  }
+  return [...runs].flatMap(([variant, list]) => rowsOf(load, variant, list));
+}
+
+async function buildVariants(
+  load: NamedLoad,
+  program: string,
+): Promise<Map<LoadVariant, string>> {
+  const programs = new Map<LoadVariant, string>();
+  for (const [number, variant] of load.variants.entries()) {
+    if (variant.change === undefined) continue;
+    const outfile = program.replace(".cjs", `-${number}.cjs`);
+    programs.set(variant, await buildProgram(outfile, variant.change));
+  }
+  return programs;
+}
+
+async function runVariant(
+  load: NamedLoad,
+  run: { variant: LoadVariant; seed: number; program: string },
+): Promise<VariantRun> {
+  const fleet = new Fleet({
+    hosts: LOAD_HOSTS,
+    program: run.program,
+    endpoints: LOAD_ENDPOINTS,
+    records: loadRecords(),
+    settings: { log: { level: "warn" }, ...run.variant.settings },
+  });
+  await fleet.start();
+  try {
+    const hosts = fleet.hosts.map((host) => host.callers);
+    const streams = load.streams.filter(({ group }) =>
+      group !== run.variant.without
+    );
+    await runLoad({
+      hosts,
+      streams: streams.map((stream) => ({ ...stream, rate_per_s: () => 10 })),
+      duration_ms: WARM_UP_MS,
+      seed: run.seed,
+    });
+    const before = await endpointTotals(fleet);
+    const timers = (load.events ?? []).map((event) =>
+      setTimeout(() => void event.run(fleet), event.at_ms)
+    );
+    const samples = await runLoad({
+      hosts,
+      streams,
+      duration_ms: load.duration_ms,
+      seed: run.seed,
+    });
+    for (const timer of timers) clearTimeout(timer);
+    const after = await endpointTotals(fleet);
+    const spent = after.cost - before.cost;
+    const calls = after.calls - before.calls;
+    return { samples, spent, calls };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function endpointTotals(
+  fleet: Fleet,
+): Promise<{ cost: number; calls: number }> {
+  let cost = 0;
+  let calls = 0;
+  for (const endpoint of fleet.endpoints) {
+    const counts = await getJson(endpoint.address, "/counts", {
+      timeout_ms: 500,
+    }).catch(() => undefined);
+    cost += counts?.json.cost ?? 0;
+    calls += counts?.json.calls ?? 0;
+  }
+  return { cost, calls };
+}
+
+function rowsOf(
+  load: NamedLoad,
+  variant: LoadVariant,
+  runs: readonly VariantRun[],
+): MeasurementRow[] {
+  const samples = runs.flatMap((run) => run.samples);
+  const rows: MeasurementRow[] = [];
+  for (const [group, deadline_ms] of groupsOf(load.streams)) {
+    const own = samples.filter((sample) => sample.group === group);
+    const figures = summarise(own, {
+      deadline_ms,
+      run_ms: load.duration_ms,
+      runs: runs.length,
+    });
+    rows.push({
+      variant: variant.name,
+      group,
+      figures: { ...figures, ...windows(own, load) },
+    });
+  }
+  const all = rows.reduce((sum, { figures }) => sum + goodput(figures), 0);
+  const figures = {
+    goodput_per_s: all,
+    wasted_cost_percent: wasted(runs),
+    calls: runs.reduce((sum, run) => sum + run.calls, 0),
+  };
+  return [...rows, { variant: variant.name, group: "all", figures }];
+}
+
+function goodput(figures: Figures): number {
+  return figures.goodput_per_s ?? 0;
+}
+
+/** Part of the endpoints' cost that went into requests without an answer. */
+function wasted(runs: readonly VariantRun[]): number {
+  const spent = runs.reduce((sum, run) => sum + run.spent, 0);
+  const used = runs.flatMap((run) => run.samples)
+    .reduce((sum, sample) => sum + sample.cost, 0);
+  if (spent === 0) return 0;
+  return Math.round((1 - used / spent) * PERCENT * PERCENT) / PERCENT;
+}
+
+/** Attainment in each window of time, by when requests were sent. */
+function windows(
+  samples: readonly LoadSample[],
+  { window_ms, duration_ms }: NamedLoad,
+): Figures {
+  if (window_ms === undefined) return {};
+  const figures: Figures = {};
+  for (let from_ms = 0; from_ms < duration_ms; from_ms += window_ms) {
+    const within = samples.filter(({ sent_ms }) =>
+      sent_ms >= from_ms && sent_ms < from_ms + window_ms
+    );
+    const completed = within.filter(({ outcome }) => outcome === "completed");
+    const seconds = from_ms / 1_000;
+    figures[`attainment_from_${seconds}_s_percent`] =
+      Math.round(completed.length * 10_000 / Math.max(1, within.length)) / 100;
+  }
+  return figures;
+}
--- /dev/null
+++ b/scripts/measurements/slopes.ts
@@ -0,0 +1,160 @@
+/**
+ * Slopes for docs/CAPACITY.md: what a host spends on control as hosts, records
+ * and organisations grow, without callers' requests.
+ */
+import type { MeasurementRow } from "../../src/reports/measurement.ts";
+import { indexAccepted } from "../../src/configuration/accepted.ts";
+import { Fleet, type StartedHost } from "../../stand_ins/fleet.ts";
+import { getJson } from "../../stand_ins/json_call.ts";
+import { sampleRecords } from "../../stand_ins/sample_records.ts";
+import { readUsage } from "./process_usage.ts";
+
+const HOST_COUNTS = [2, 4, 8, 16, 32];
+const RECORD_COUNTS = [10, 100, 1_000, 10_000];
+const SETTLE_MS = 6_000;
+const IDLE_RUN_MS = 8_000;
+const PERCENT = 100;
+const BYTES_PER_KB = 1_024;
+
+/** Measures every slope. */
+export async function measureSlopes(
+  program: string,
+): Promise<MeasurementRow[]> {
+  const rows: MeasurementRow[] = [];
+  for (const hosts of HOST_COUNTS) {
+    rows.push(await measureHosts(program, hosts));
+  }
+  for (const records of RECORD_COUNTS) rows.push(measureRecords(records));
+  return rows;
+}
+
+async function measureHosts(
+  program: string,
+  hosts: number,
+): Promise<MeasurementRow> {
+  const fleet = new Fleet({
+    hosts,
+    program,
+    endpoints: [],
+    records: sampleRecords(),
+    settings: { log: { level: "warn" }, peers: { heartbeat_ms: 1_000 } },
+  });
+  await fleet.start();
+  try {
+    await sleep(SETTLE_MS);
+    const before = await snapshot(fleet);
+    await sleep(IDLE_RUN_MS);
+    const after = await snapshot(fleet);
+    const elapsed_s = (after.at_ms - before.at_ms) / 1_000;
+    const change = (name: "cpu_s" | "reads" | "watches") =>
+      after[name] - before[name];
+    const spread_ms = await timeToForce(fleet);
+    return {
+      variant: "hosts",
+      group: String(hosts),
+      figures: {
+        cpu_percent_per_host: round(
+          change("cpu_s") * PERCENT / elapsed_s / hosts,
+        ),
+        memory_mb: round(after.memory_mb / hosts),
+        platform_reads_per_s: round(change("reads") / elapsed_s),
+        platform_watches_per_s: round(change("watches") / elapsed_s),
+        change_in_force_ms: spread_ms,
+      },
+    };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+interface FleetSnapshot {
+  at_ms: number;
+  cpu_s: number;
+  memory_mb: number;
+  reads: number;
+  watches: number;
+}
+
+async function snapshot(fleet: Fleet): Promise<FleetSnapshot> {
+  const usages = fleet.hosts.map((host) => readUsage(host.process.pid));
+  const counts = (await getJson(fleet.platform, "/counts")).json;
+  return {
+    at_ms: performance.now(),
+    cpu_s: usages.reduce((sum, usage) => sum + usage.cpu_s, 0),
+    memory_mb: usages.reduce((sum, usage) => sum + usage.memory_mb, 0),
+    reads: counts.reads,
+    watches: counts.watches,
+  };
+}
+
+/** Time from writing a record until every host takes a request by it. */
+async function timeToForce(fleet: Fleet): Promise<number> {
+  const name = "fresh";
+  const started_ms = performance.now();
+  await fleet.putRecords([{
+    schema_version: 1,
+    kind: "Rank",
+    fleet: "khuree",
+    name,
+    priority: 3,
+    guaranteed_percent: 1,
+  }]);
+  await Promise.all(fleet.hosts.map((host) => untilKnown(host, name)));
+  return Math.round(performance.now() - started_ms);
+}
+
+async function untilKnown(host: StartedHost, rank: string): Promise<void> {
+  const end_ms = performance.now() + 10_000;
+  while (performance.now() < end_ms) {
+    if (host.process.output().includes(rank)) return;
+    const { postJson } = await import("../../stand_ins/json_call.ts");
+    const answer = await postJson(
+      host.callers,
+      "/v1/pipelines/khuree/stamp/requests",
+      { input: "x" },
+      {
+        headers: {
+          authorization: "Bearer khuree-docks-key",
+          "sesamequay-rank": rank,
+        },
+      },
+    );
+    if (answer.json?.reason !== "unknown_rank") return;
+    await sleep(20);
+  }
+}
+
+function measureRecords(count: number): MeasurementRow {
+  const records = Array.from({ length: count }, (_, number) => ({
+    key: `records/Endpoint/khuree/e-${number}`,
+    value: {
+      schema_version: 1,
+      kind: "Endpoint",
+      fleet: "khuree",
+      name: `e-${number}`,
+      pool: "encode",
+      address: "10.0.0.1:80",
+      availability_zone: "az-1",
+      slots: 8,
+    },
+  }));
+  const accepted = { generation: 1, records_revision: 1, records };
+  indexAccepted(accepted);
+  const started_ms = performance.now();
+  indexAccepted(accepted);
+  const index_ms = performance.now() - started_ms;
+  const content_kb = JSON.stringify(accepted).length / BYTES_PER_KB;
+  return {
+    variant: "records",
+    group: String(count),
+    figures: { index_ms: round(index_ms), content_kb: round(content_kb) },
+  };
+}
+
+function sleep(time_ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, time_ms));
+}
+
+function round(value: number): number {
+  return Math.round(value * PERCENT) / PERCENT;
+}
--- a/src/admission/admission_controller.ts
+++ b/src/admission/admission_controller.ts
@@ -13,6 +13,7 @@
 import { identityText, type Stage } from "../records/types.ts";
 import type { Allowances } from "./allowances.ts";
 import { AdmissionPolicy } from "./types.ts";
+import type { ExpectedWork } from "./expected_work.ts";
 import type { Grant, PoolGate } from "./pool_gate.ts";
 import type { PoolGates } from "./pool_gates.ts";
 
@@ -45,6 +46,8 @@
   readonly #options: AdmissionOptions;
   /** Requests beyond their organisation's allowance. */
   #excess = new WeakSet<PipelineRequest>();
+  /** Gates that admitted requests have not reached yet. */
+  #coming = new Map<PipelineRequest, PoolGate[]>();
 
   constructor(options: AdmissionOptions) {
     this.#options = options;
@@ -73,7 +76,10 @@
       result: admitted ? "admitted" : Reason.DeadlineTooShort,
     });
     const refuses = this.#options.policy === AdmissionPolicy.Ranked;
-    if (admitted || !refuses) return { admitted: true };
+    if (admitted || !refuses) {
+      this.#expect(request);
+      return { admitted: true };
+    }
     return {
       admitted: false,
       reason: Reason.DeadlineTooShort,
@@ -85,42 +91,69 @@
   }
 
   /** Waits for a place in the stage's pool. */
-  acquire(
+  async acquire(
     request: PipelineRequest,
     place: { stage: Stage; started: boolean },
   ): Promise<Grant> {
-    const { rank, organisation } = request;
-    return this.#gate(place.stage).acquire({
+    const gate = this.#gate(place.stage);
+    const work = this.#workOf(request);
+    const grant = await gate.acquire({
       request_id: request.request_id,
-      rank: identityText(rank),
-      priority: rank.priority,
-      guaranteed_share: rank.guaranteed_share,
-      organisation: identityText(organisation),
-      weight: organisation.requests_per_second,
-      excess: this.#excess.has(request),
+      ...work,
+      guaranteed_share: request.rank.guaranteed_share,
+      organisation: identityText(request.organisation),
+      weight: request.organisation.requests_per_second,
       started: place.started,
       deadline_ms: request.deadline_ms,
     }, request.signal);
+    this.#arrive(request, gate);
+    return grant;
   }
 
-  /** Teaches the gate of a stage how long calls take. */
+  /** Learns how long a stage's call took. */
   recordService(stage: Stage, elapsed_ms: number): void {
     this.#gate(stage).recordService(elapsed_ms);
   }
 
+  /** Forgets a request that has ended. */
+  finish(request: PipelineRequest): void {
+    const work = this.#workOf(request);
+    for (const gate of this.#coming.get(request) ?? []) gate.arrived(work);
+    this.#coming.delete(request);
+  }
+
+  #expect(request: PipelineRequest): void {
+    const work = this.#workOf(request);
+    const gates = request.pipeline.stages.map((stage) => this.#gate(stage));
+    for (const gate of gates) gate.expect(work);
+    this.#coming.set(request, gates);
+  }
+
+  #arrive(request: PipelineRequest, gate: PoolGate): void {
+    const gates = this.#coming.get(request) ?? [];
+    const position = gates.indexOf(gate);
+    if (position < 0) return;
+    gates.splice(position, 1);
+    gate.arrived(this.#workOf(request));
+  }
+
+  #workOf(request: PipelineRequest): ExpectedWork {
+    return {
+      rank: identityText(request.rank),
+      priority: request.rank.priority,
+      excess: this.#excess.has(request),
+    };
+  }
+
   #estimate(request: PipelineRequest): { wait_ms: number; total_ms: number } {
-    const { rank } = request;
-    const excess = this.#excess.has(request);
+    const { guaranteed_share } = request.rank;
+    const work = { ...this.#workOf(request), guaranteed_share };
     let wait_ms = 0;
     let service_ms = 0;
     for (const stage of request.pipeline.stages) {
       const gate = this.#gate(stage);
       service_ms += gate.service_ms;
-      wait_ms += gate.estimateWait_ms({
-        key: identityText(rank),
-        priority: rank.priority,
-        guaranteed_share: excess ? 0 : rank.guaranteed_share,
-      });
+      wait_ms += gate.estimateWait_ms(work);
     }
     return { wait_ms, total_ms: wait_ms + service_ms };
   }
--- /dev/null
+++ b/src/admission/expected_work.ts
@@ -0,0 +1,102 @@
+/**
+ * The work that a pool can expect: admitted requests that have not got their
+ * place there, and the rate at which they come, by rank.
+ */
+
+/** A kind of work. */
+export interface ExpectedWork {
+  /** Identity text of the rank. */
+  rank: string;
+  /** 0 is the most urgent. */
+  priority: number;
+  /** Whether it is beyond its organisation's allowance. */
+  excess: boolean;
+}
+
+interface Entry extends ExpectedWork {
+  count: number;
+  arrivals: number;
+  rate_per_ms: number;
+}
+
+const WINDOW_MS = 500;
+const SMOOTHING = 0.5;
+
+/** Counts expected work. */
+export class ExpectedWorks {
+  #entries = new Map<string, Entry>();
+  #window_ms = 0;
+
+  /** Notes that admitted work will come; undone by `arrived`. */
+  expect(work: ExpectedWork, now_ms: number): void {
+    this.#roll(now_ms);
+    const entry = this.#entry(work);
+    entry.count += 1;
+    entry.arrivals += 1;
+  }
+
+  /** Notes that expected work got its place, or ended before. */
+  arrived(work: ExpectedWork): void {
+    this.#entry(work).count -= 1;
+  }
+
+  /** Expected work that goes before new work of this kind. */
+  ahead(work: ExpectedWork): number {
+    let ahead = 0;
+    for (const entry of this.#entries.values()) {
+      if (isMoreUrgent(entry, work) || isBeforeInRank(entry, work)) {
+        ahead += entry.count;
+      }
+    }
+    return ahead;
+  }
+
+  /** Expected work of the same kind. */
+  own(work: ExpectedWork): number {
+    return this.#entries.get(keyOf(work))?.count ?? 0;
+  }
+
+  /** Rate of admitted work that will overtake this kind. */
+  urgentRate_per_ms(work: ExpectedWork, now_ms: number): number {
+    this.#roll(now_ms);
+    let rate_per_ms = 0;
+    for (const entry of this.#entries.values()) {
+      if (isMoreUrgent(entry, work)) rate_per_ms += entry.rate_per_ms;
+    }
+    return rate_per_ms;
+  }
+
+  #entry(work: ExpectedWork): Entry {
+    const key = keyOf(work);
+    const known = this.#entries.get(key);
+    if (known !== undefined) return known;
+    const { rank, priority, excess } = work;
+    const counts = { count: 0, arrivals: 0, rate_per_ms: 0 };
+    const entry = { rank, priority, excess, ...counts };
+    this.#entries.set(key, entry);
+    return entry;
+  }
+
+  #roll(now_ms: number): void {
+    const elapsed_ms = now_ms - this.#window_ms;
+    if (elapsed_ms < WINDOW_MS) return;
+    for (const entry of this.#entries.values()) {
+      const rate_per_ms = entry.arrivals / elapsed_ms;
+      entry.rate_per_ms += (rate_per_ms - entry.rate_per_ms) * SMOOTHING;
+      entry.arrivals = 0;
+    }
+    this.#window_ms = now_ms;
+  }
+}
+
+function isMoreUrgent(entry: ExpectedWork, work: ExpectedWork): boolean {
+  return entry.priority < work.priority;
+}
+
+function isBeforeInRank(entry: ExpectedWork, work: ExpectedWork): boolean {
+  return entry.rank === work.rank && (work.excess || !entry.excess);
+}
+
+function keyOf({ rank, excess }: ExpectedWork): string {
+  return `${rank} ${excess}`;
+}
--- a/src/admission/fifo_queue.ts
+++ b/src/admission/fifo_queue.ts
@@ -37,16 +37,6 @@
     return true;
   }
 
-  /** Ranks are not told apart. */
-  sizeOfRank(): number {
-    return this.#items.length;
-  }
-
-  /** Everything that waits is ahead. */
-  sizeAhead(): number {
-    return this.#items.length;
-  }
-
   /** p-queue's filter; every item has the same options here. */
   filter(): RunItem[] {
     return [];
--- a/src/admission/pool_gate.ts
+++ b/src/admission/pool_gate.ts
@@ -4,6 +4,7 @@
  */
 import PQueue from "p-queue";
 import { RecentQuantiles } from "../utils/recent_quantiles.ts";
+import { type ExpectedWork, ExpectedWorks } from "./expected_work.ts";
 import { FifoQueue } from "./fifo_queue.ts";
 import { StageQueue, type Ticket, type TicketOptions } from "./stage_queue.ts";
 import { AdmissionPolicy } from "./types.ts";
@@ -25,12 +26,14 @@
 
 const RECENT_CALLS = 128;
 const CAUTIOUS_SHARE = 0.75;
-const MEDIAN = 0.5;
+/** Least part of a pool that counts as left over by more urgent work. */
+const LEAST_LEFT = 0.05;
 
 /** Admits work to one pool. */
 export class PoolGate {
   #queue: PQueue<WaitingLine, TicketOptions>;
   #waiting: WaitingLine;
+  #expected = new ExpectedWorks();
   #service = new RecentQuantiles(RECENT_CALLS);
   #now: () => number;
 
@@ -96,18 +99,30 @@
     return this.#service.at(CAUTIOUS_SHARE) ?? 0;
   }
 
-  /** How long new work of a rank would wait here. */
-  estimateWait_ms(
-    rank: { key: string; priority: number; guaranteed_share: number },
-  ): number {
+  /** Notes that admitted work will come here; undone by `arrived`. */
+  expect(work: ExpectedWork): void {
+    this.#expected.expect(work, this.#now());
+  }
+
+  /** Notes that expected work got its place, or ended before. */
+  arrived(work: ExpectedWork): void {
+    this.#expected.arrived(work);
+  }
+
+  /** How long new work would wait here, behind all that is expected. */
+  estimateWait_ms(work: ExpectedWork & { guaranteed_share: number }): number {
+    const ahead = this.#expected.ahead(work);
     const free = this.#queue.concurrency - this.#queue.pending;
-    if (free > 0 && this.#waiting.size === 0) return 0;
-    const service_ms = this.#service.at(MEDIAN) ?? 0;
+    if (ahead < free) return 0;
+    const service_ms = this.#service.mean() ?? 0;
     const turn_ms = service_ms / this.#queue.concurrency;
-    const strict_ms = (this.#waiting.sizeAhead(rank.priority) + 1) * turn_ms;
-    if (rank.guaranteed_share <= 0) return strict_ms;
-    const own = this.#waiting.sizeOfRank(rank.key) + 1;
-    return Math.min(strict_ms, own * turn_ms / rank.guaranteed_share);
+    const overtaken = this.#expected.urgentRate_per_ms(work, this.#now()) *
+      turn_ms;
+    const left = Math.max(LEAST_LEFT, 1 - overtaken);
+    const strict_ms = (ahead + 1) * turn_ms / left;
+    if (work.excess || work.guaranteed_share <= 0) return strict_ms;
+    const own = this.#expected.own(work);
+    return Math.min(strict_ms, (own + 1) * turn_ms / work.guaranteed_share);
   }
 }
 
--- a/src/admission/stage_queue.ts
+++ b/src/admission/stage_queue.ts
@@ -103,20 +103,6 @@
     return false;
   }
 
-  /** Waiting items by rank. */
-  sizeOfRank(rank: string): number {
-    return this.#ranks.get(rank)?.size ?? 0;
-  }
-
-  /** Waiting items that are at least as urgent as `priority`. */
-  sizeAhead(priority: number): number {
-    let ahead = 0;
-    for (const rank of this.#ranks.values()) {
-      if (rank.priority <= priority) ahead += rank.size;
-    }
-    return ahead;
-  }
-
   /** p-queue's filter; every item has the same options here. */
   filter(): RunItem[] {
     return [];
--- a/src/admission/waiting_line.ts
+++ b/src/admission/waiting_line.ts
@@ -8,10 +8,6 @@
   dequeue(): RunItem | undefined;
   /** Removes a waiting item; false if it is not there. */
   remove(request_id: string): boolean;
-  /** Waiting items of a rank. */
-  sizeOfRank(rank: string): number;
-  /** Waiting items that are at least as urgent. */
-  sizeAhead(priority: number): number;
   filter(): RunItem[];
   setPriority(): void;
 }
--- a/src/pipelines/pipeline_parts.ts
+++ b/src/pipelines/pipeline_parts.ts
@@ -25,6 +25,10 @@
     request: PipelineRequest,
     place: { stage: Stage; started: boolean },
   ): Promise<Grant>;
+  /** Learns how long a stage's call took. */
+  recordService(stage: Stage, elapsed_ms: number): void;
+  /** Forgets a request that has ended. */
+  finish(request: PipelineRequest): void;
 }
 
 /** A chosen endpoint and the means to call it. */
--- a/src/pipelines/pipeline_run.ts
+++ b/src/pipelines/pipeline_run.ts
@@ -66,6 +66,7 @@
   parts: PipelineParts,
 ): Promise<Outcome> {
   const outcome = await new PipelineRun(request, parts).run();
+  parts.admission.finish(request);
   parts.observer.onOutcome?.(request, outcome);
   return outcome;
 }
@@ -210,7 +211,9 @@
     if (route === undefined) {
       this.#refusal = {
         reason: Reason.NoEndpoint,
-        message: `No endpoint of pool ${identityText(stage.pool)} takes work`,
+        message: `No endpoint of pool ${
+          identityText(stage.pool)
+        } takes work or would be done in time`,
       };
       return RunEvent.Aborted;
     }
@@ -274,6 +277,7 @@
   }
 
   #finishStage(result: AttemptResult, route: Route): RunEvent {
+    this.#parts.admission.recordService(this.#stage, result.elapsed_ms);
     this.#reports.push({
       name: this.#stage.name,
       endpoint: route.endpoint.name,
--- a/src/records/schema_v1.ts
+++ b/src/records/schema_v1.ts
@@ -82,6 +82,7 @@
   progress_timeout_ms: z.int().positive().optional(),
   echoes_request_id: z.boolean().optional(),
   refusal_means_not_run: z.boolean().optional(),
+  desired_model: z.string().min(1).optional(),
 }).transform((record): AnyRecord => ({
   kind: RecordKind.EndpointPool,
   fleet: record.fleet,
@@ -94,6 +95,7 @@
     DEFAULT_PROGRESS_TIMEOUT_MS,
   echoes_request_id: record.echoes_request_id ?? false,
   refusal_means_not_run: record.refusal_means_not_run ?? false,
+  desired_model: record.desired_model,
 }));
 
 const endpoint = z.strictObject({
@@ -104,6 +106,7 @@
   availability_zone: z.string().min(1),
   slots: z.int().positive(),
   leaving: z.boolean().optional(),
+  checks_fencing: z.boolean().optional(),
 }).transform((record): AnyRecord => ({
   kind: RecordKind.Endpoint,
   fleet: record.fleet,
@@ -113,6 +116,7 @@
   availability_zone: record.availability_zone,
   slots: record.slots,
   leaving: record.leaving ?? false,
+  checks_fencing: record.checks_fencing ?? false,
 }));
 
 /** The schema of each kind in version 1. */
--- a/src/records/schema_v2.ts
+++ b/src/records/schema_v2.ts
@@ -94,6 +94,7 @@
     echoes_request_id: z.boolean(),
     refusal_means_not_run: z.boolean(),
   }),
+  placement: z.strictObject({ model: z.string().min(1) }).optional(),
 }).transform((record): AnyRecord => ({
   kind: RecordKind.EndpointPool,
   fleet: record.fleet,
@@ -105,6 +106,7 @@
   progress_timeout_ms: toMs(record.timeouts.progress_s),
   echoes_request_id: record.trust.echoes_request_id,
   refusal_means_not_run: record.trust.refusal_means_not_run,
+  desired_model: record.placement?.model,
 }));
 
 const endpoint = z.strictObject({
@@ -117,6 +119,7 @@
   }),
   capacity: z.strictObject({ slots: z.int().positive() }),
   state: z.enum(["serving", "leaving"]),
+  fencing: z.enum(["checked", "ignored"]).optional(),
 }).transform((record): AnyRecord => ({
   kind: RecordKind.Endpoint,
   fleet: record.fleet,
@@ -126,6 +129,7 @@
   availability_zone: record.location.availability_zone,
   slots: record.capacity.slots,
   leaving: record.state === "leaving",
+  checks_fencing: record.fencing === "checked",
 }));
 
 /** The schema of each kind in version 2. */
--- a/src/records/types.ts
+++ b/src/records/types.ts
@@ -77,6 +77,8 @@
   progress_timeout_ms: number;
   /** Whether answers repeat the attempt's `x-request-id`. */
   echoes_request_id: boolean;
+  /** Model that its engines are ordered to serve; none are if undefined. */
+  desired_model: string | undefined;
   /** Whether status 429 or 503 proves that the call was not run. */
   refusal_means_not_run: boolean;
 }
@@ -90,6 +92,8 @@
   availability_zone: string;
   /** Calls that it runs well at a time. */
   slots: number;
+  /** Whether it refuses orders with an old fencing number. */
+  checks_fencing: boolean;
   /** A leaving endpoint gets no new calls. */
   leaving: boolean;
 }
--- a/src/routing/choose_endpoint.ts
+++ b/src/routing/choose_endpoint.ts
@@ -40,12 +40,16 @@
   tried: ReadonlySet<string>;
   /** Counts choices, for the policy that takes turns. */
   turn: number;
+  /** Time that the request has left. */
+  remaining_ms: number;
   now_ms: number;
   random: () => number;
 }
 
 /** Largest share of a pool that may be passed over as ejected. */
 const MAX_EJECTED_SHARE = 0.5;
+/** Part of the expected time that must at least remain. */
+const TIMELY_SHARE = 0.8;
 const OTHER_ZONE_PENALTY_MS = 0.5;
 
 /** Chooses an endpoint; undefined when there is none that may get work. */
@@ -58,10 +62,12 @@
   );
   if (present.length === 0) return undefined;
   const usable = usableCandidates(present, context);
-  const fresh = usable.filter(({ endpoint }) =>
+  const timely = usable.filter((candidate) => isTimely(candidate, context));
+  if (timely.length === 0) return undefined;
+  const fresh = timely.filter(({ endpoint }) =>
     !context.tried.has(endpoint.name)
   );
-  const eligible = fresh.length > 0 ? fresh : usable;
+  const eligible = fresh.length > 0 ? fresh : timely;
   const choice = chooseByPolicy(eligible, context);
   startProbe(choice.candidate.state.health);
   return choice;
@@ -81,6 +87,13 @@
   return state.service_ms(context.now_ms) * load + penalty_ms;
 }
 
+/** Whether a call could be done in time; an unlikely one only costs. */
+function isTimely(candidate: Candidate, context: ChoiceContext): boolean {
+  if (context.policy !== RoutingPolicy.ExpectedCompletion) return true;
+  const service_ms = candidate.state.service_ms(context.now_ms);
+  return service_ms * TIMELY_SHARE <= context.remaining_ms;
+}
+
 function usableCandidates(
   present: readonly Candidate[],
   context: ChoiceContext,
--- a/src/routing/endpoint_router.ts
+++ b/src/routing/endpoint_router.ts
@@ -57,7 +57,7 @@
     const pool_id = identityText(need.stage.pool);
     const pool = this.#options.configuration.records.pools.get(pool_id);
     const candidates = this.#candidates(pool_id);
-    const context = this.#context(pool_id, need.tried);
+    const context = this.#context(request, { pool_id, tried: need.tried });
     const choice = chooseEndpoint(candidates, context);
     this.#options.log.info({
       event: "route",
@@ -102,11 +102,24 @@
     }));
   }
 
-  #context(pool_id: string, tried: ReadonlySet<string>): ChoiceContext {
+  #context(
+    request: PipelineRequest,
+    { pool_id, tried }: { pool_id: string; tried: ReadonlySet<string> },
+  ): ChoiceContext {
     const turn = this.#turns.get(pool_id) ?? 0;
     this.#turns.set(pool_id, turn + 1);
     const { policy, availability_zone, now, random } = this.#options;
-    return { policy, availability_zone, tried, turn, now_ms: now(), random };
+    const now_ms = now();
+    const remaining_ms = request.deadline_ms - now_ms;
+    return {
+      policy,
+      availability_zone,
+      tried,
+      turn,
+      remaining_ms,
+      now_ms,
+      random,
+    };
   }
 
   #budget(pool_id: string): RetryBudget {
--- a/src/utils/recent_quantiles.ts
+++ b/src/utils/recent_quantiles.ts
@@ -7,17 +7,25 @@
   #samples: number[] = [];
   #sorted: number[] = [];
   #next = 0;
+  #sum = 0;
   #sinceRefresh = 0;
 
   constructor(readonly capacity: number) {}
 
   /** Adds a sample; the oldest makes room. */
   add(sample: number): void {
+    this.#sum += sample - (this.#samples[this.#next] ?? 0);
     this.#samples[this.#next] = sample;
     this.#next = (this.#next + 1) % this.capacity;
     this.#sinceRefresh += 1;
   }
 
+  /** The mean of the samples, or undefined before the first one. */
+  mean(): number | undefined {
+    if (this.#samples.length === 0) return undefined;
+    return this.#sum / this.#samples.length;
+  }
+
   /** The sample at `share` (0 to 1), or undefined before the first sample. */
   at(share: number): number | undefined {
     const stale = this.#sinceRefresh >= REFRESH_EVERY ||
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -41,6 +41,7 @@
 import { readHostStatus } from "./peers/read_host_status.ts";
 import { createObserver } from "./pipelines/observer.ts";
 import { runPipeline } from "./pipelines/pipeline_run.ts";
+import { runPlacement } from "./placement/placement_loop.ts";
 import { createPlatformClient } from "./platform/platform_client.ts";
 import { EndpointRouter } from "./routing/endpoint_router.ts";
 import { EndpointStates } from "./routing/endpoint_state.ts";
@@ -333,6 +334,14 @@
       void runHeartbeats(heartbeatOptions);
       void followHostList(platform, { members, now, signal });
       void journal.run();
+      void runPlacement({
+        configuration,
+        platform,
+        looksAfter: (pool) =>
+          rankCandidates(`placement/${pool}`, liveHosts())[0] === self,
+        log,
+        signal,
+      });
     },
   };
 }
--- a/stand_ins/endpoint.ts
+++ b/stand_ins/endpoint.ts
@@ -38,6 +38,7 @@
     service_ms: { type: "string", default: "5" },
     slots: { type: "string", default: "8" },
     tokens: { type: "string", default: "8" },
+    fencing: { type: "string", default: "ignored" },
   },
 });
 const service_ms = Number(values.service_ms);
@@ -54,6 +55,8 @@
   twice_every: 0,
   leaving: false,
 };
+/** What the engine serves, and every order that it carried out. */
+const engine = { model: "initial", fencing: 0, history: [] as string[] };
 /** Executions by the text of the input. */
 const executions = new Map<string, number>();
 let calls = 0;
@@ -84,6 +87,8 @@
   for await (const chunk of request) body += chunk;
   if (request.url === "/control") return control(response, body);
   if (request.url === "/counts") return counts(response);
+  if (request.url === "/admin/state") return sendState(response);
+  if (request.url === "/admin/order") return takeOrder(response, body);
   await serve(request, response, body).catch(() => response.destroy());
 }
 
@@ -98,6 +103,24 @@
   response.end(JSON.stringify({ calls, busy_ms, cost, most, inputs }));
 }
 
+function sendState(response: ServerResponse): void {
+  const { model, fencing, history } = engine;
+  response.end(JSON.stringify({ model, fencing, history, loading: false }));
+}
+
+/** Takes an order; an engine that checks refuses an old number. */
+function takeOrder(response: ServerResponse, body: string): void {
+  const order = JSON.parse(body) as { fencing: number; model: string };
+  if (values.fencing === "checked" && order.fencing < engine.fencing) {
+    response.statusCode = 409;
+    return void response.end("{}");
+  }
+  engine.model = order.model;
+  engine.fencing = order.fencing;
+  engine.history.push(order.model);
+  response.end("{}");
+}
+
 async function serve(
   request: IncomingMessage,
   response: ServerResponse,
--- a/stand_ins/load/load.ts
+++ b/stand_ins/load/load.ts
@@ -29,7 +29,6 @@
   reason: string;
   cost: number;
   host: number;
-  attempts_failed: number;
 }
 
 /** A whole load. */
@@ -93,7 +92,6 @@
     host,
     sent_ms: begun_ms - started_ms,
     elapsed_ms: performance.now() - begun_ms,
-    attempts_failed: 0,
     ...end,
   });
   try {
--- a/stand_ins/load/load_summary.ts
+++ b/stand_ins/load/load_summary.ts
@@ -11,17 +11,20 @@
 /** Summarises the samples of one group. */
 export function summarise(
   samples: readonly LoadSample[],
-  options: { deadline_ms: number; duration_ms: number },
+  options: { deadline_ms: number; run_ms: number; runs: number },
 ): Figures {
   const completed = samples.filter((sample) =>
     sample.outcome === "completed" && sample.elapsed_ms <= options.deadline_ms
   );
+  const inTime = completed.filter(({ sent_ms, elapsed_ms }) =>
+    sent_ms + elapsed_ms <= options.run_ms
+  );
   const refused = samples.filter((sample) => sample.outcome === "not_run");
   const others = samples.length - completed.length - refused.length;
   return {
     sent: samples.length,
     attainment_percent: share(completed.length, samples.length),
-    goodput_per_s: completed.length * MS_PER_S / options.duration_ms,
+    goodput_per_s: inTime.length * MS_PER_S / options.run_ms / options.runs,
     ...quantiles("latency", completed),
     refused_percent: share(refused.length, samples.length),
     other_percent: share(others, samples.length),
--- a/test/pipelines/pipeline_run.test.ts
+++ b/test/pipelines/pipeline_run.test.ts
@@ -44,6 +44,7 @@
   progress_timeout_ms: 100,
   echoes_request_id: true,
   refusal_means_not_run: false,
+  desired_model: undefined,
 };
 const ENDPOINT: Endpoint = {
   ...ID,
@@ -52,6 +53,7 @@
   address: "127.0.0.1:1",
   availability_zone: "az-1",
   slots: 1,
+  checks_fencing: false,
   leaving: false,
 };
 
@@ -111,6 +113,8 @@
     admission: {
       decide: () => ({ admitted: true }),
       acquire: () => Promise.resolve({ waited_ms: 0, release: () => {} }),
+      recordService: () => {},
+      finish: () => {},
     },
     router: {
       choose: () => ({
@@ -195,12 +199,12 @@
   gone.abort(AbortReason.CallerGone);
   const cut = parts(() => resultOf(AttemptEnd.Cut, undefined));
   const refuse = {
+    ...cut.admission,
     decide: () => ({
       admitted: false as const,
       reason: "draining" as never,
       message: "",
     }),
-    acquire: cut.admission.acquire,
   };
   const keyed = { idempotency_key: "k", non_idempotent: true };
   const kinds = {
@@ -262,3 +266,15 @@
   text.start();
   assert.throws(() => text.push("other"), StreamDiverged);
 });
+
+test("admission learns each stage's time and that a request has ended", async () => {
+  const learned: string[] = [];
+  const whole = parts(() => resultOf(AttemptEnd.Done, "x"));
+  const admission = {
+    ...whole.admission,
+    recordService: (stage: { name: string }) => void learned.push(stage.name),
+    finish: () => void learned.push("ended"),
+  };
+  await runPipeline(request(), { ...whole, admission });
+  assert.deepEqual(learned, ["a", "b", "c", "ended"]);
+});
--- a/test/routing/routing.test.ts
+++ b/test/routing/routing.test.ts
@@ -30,6 +30,7 @@
     address: "127.0.0.1:1",
     availability_zone: "az-1",
     slots: 4,
+    checks_fencing: false,
     leaving: false,
   };
 }
@@ -62,6 +63,7 @@
     availability_zone: "az-1",
     tried: new Set<string>(),
     turn: 0,
+    remaining_ms: 10_000,
     now_ms,
     random: createRandom(1),
   };
@@ -184,3 +186,14 @@
     undefined,
   ].map((header) => parseLoadReport(header)?.utilization ?? "none"));
 });
+
+test("a call that cannot be done in time is not sent", () => {
+  const candidates = [candidate("fast", 100), candidate("slow", 400)];
+  const choose = (remaining_ms: number) =>
+    chooseEndpoint(candidates, {
+      ...context(RoutingPolicy.ExpectedCompletion),
+      remaining_ms,
+    })?.candidate.endpoint.name;
+  assert.equal(choose(200), "fast");
+  assert.equal(choose(50), undefined);
+});
