--- a/stand_ins/fleet.ts
+++ b/stand_ins/fleet.ts
@@ -23,6 +23,8 @@
   slots?: number;
   tokens?: number;
   availability_zone?: string;
+  /** Whether it refuses orders with an old fencing number. */
+  fencing?: "checked" | "ignored";
 }
 
 /** A started endpoint. */
@@ -169,6 +171,7 @@
       address: endpoint.addressForHosts,
       availability_zone: endpoint.availability_zone ?? "az-1",
       slots: endpoint.slots ?? 8,
+      checks_fencing: endpoint.fencing === "checked",
       leaving,
     };
   }
@@ -277,8 +280,8 @@
 }
 
 function endpointArgs(definition: EndpointDefinition, port: number): string[] {
-  const { name, protocol, service_ms, slots, tokens } = definition;
-  const options = { port, name, protocol, service_ms, slots, tokens };
+  const { fleet: _, pool: __, availability_zone: ___, ...own } = definition;
+  const options = { port, ...own };
   return [
     join(import.meta.dirname, "endpoint.ts"),
     ...Object.entries(options).flatMap(([key, value]) =>
--- a/stand_ins/sample_records.ts
+++ b/stand_ins/sample_records.ts
@@ -28,7 +28,13 @@
   const engine = { protocol: "completions" as const, pool: "generate" };
   return [
     ...json,
-    { ...engine, name: "engine-1", fleet: "khuree", service_ms: 30 },
+    {
+      ...engine,
+      name: "engine-1",
+      fleet: "khuree",
+      service_ms: 30,
+      fencing: "checked",
+    },
     { ...engine, name: "engine-2", fleet: "khuree", service_ms: 60 },
     { name: "stamp-1", fleet: "khuree", pool: "stamp", service_ms: 5 },
     { name: "encode-1", fleet: "hooghly", pool: "encode", service_ms: 4 },
--- a/stand_ins/scenario/expectations.ts
+++ b/stand_ins/scenario/expectations.ts
@@ -33,6 +33,7 @@
     () => checkNoNewCalls(expectation, context),
     () => checkExited(expectation, context),
     () => checkFinding(expectation, context),
+    () => checkModels(expectation, context),
   ];
   const problems: string[] = [];
   for (const check of checks) problems.push(...await check());
@@ -164,3 +165,16 @@
   const present = found.text.includes(finding);
   return present ? [] : [`no finding names "${finding}"`];
 }
+
+async function checkModels(
+  { models }: Expectation,
+  { fleet }: ExpectationContext,
+): Promise<string[]> {
+  const problems: string[] = [];
+  for (const [name, wanted] of Object.entries(models ?? {})) {
+    const { address } = fleet.endpoint(name);
+    const { model } = (await getJson(address, "/admin/state")).json;
+    if (model !== wanted) problems.push(`${name} serves ${model}`);
+  }
+  return problems;
+}
--- a/stand_ins/scenario/scenario.ts
+++ b/stand_ins/scenario/scenario.ts
@@ -65,6 +65,8 @@
   no_new_calls: z.string().optional(),
   /** The host has exited with this code. */
   exited: z.strictObject({ host: z.int(), code: z.int() }).optional(),
+  /** Engines and the model that each serves. */
+  models: z.record(z.string(), z.string()).optional(),
   /** Findings about the records name this text. */
   finding: z.string().optional(),
 });
