--- a/scripts/measure.ts
+++ b/scripts/measure.ts
@@ -6,7 +6,7 @@
 import { join } from "node:path";
 import type { Measurement } from "../src/reports/measurement.ts";
 import { buildProgram } from "../stand_ins/scenario/broken_variant.ts";
-import { measureClaims } from "./measurements/claims.ts";
+import { measureClaims, measureOutage } from "./measurements/claims.ts";
 import { measureLoad } from "./measurements/load_runs.ts";
 import { LOADS } from "./measurements/loads.ts";
 import { measureOverhead } from "./measurements/overhead.ts";
@@ -18,6 +18,7 @@
 const others = new Map([
   ["overhead", measureOverhead],
   ["claims", measureClaims],
+  ["outage", measureOutage],
   ["slopes", measureSlopes],
 ]);
 const names = [...others.keys(), ...LOADS.map((load) => load.name)];
--- a/scripts/measurements/claims.ts
+++ b/scripts/measurements/claims.ts
@@ -1,23 +1,59 @@
 /**
- * What claims cost: platform writes a second and added time, for keys made by
- * the caller, keys minted by a host, and no key, at several request rates.
+ * What claims cost, and what is left of keyed work in an outage: platform
+ * writes a second and added time for each form of key.
  */
-import { v7 as uuidv7 } from "uuid";
 import type { MeasurementRow } from "../../src/reports/measurement.ts";
 import { Fleet } from "../../stand_ins/fleet.ts";
-import { getJson, postJson } from "../../stand_ins/json_call.ts";
-import { SampleKey, sampleRecords } from "../../stand_ins/sample_records.ts";
+import { getJson } from "../../stand_ins/json_call.ts";
+import { sampleRecords } from "../../stand_ins/sample_records.ts";
+import { KeyForm, type OrderSample, sendOrders } from "./keyed_requests.ts";
 
 const RATES_PER_S = [20, 80, 240];
 const RUN_MS = 4_000;
+const SETTLE_MS = 3_000;
+const JOURNAL_MS = 1_200;
 const HOSTS = 8;
-const PATH = "/v1/pipelines/hooghly/print/requests";
-
-type KeyForm = "none" | "minted" | "caller";
+const OUTAGE_MS = 60_000;
+const OUTAGE_RATE_PER_S = 10;
+const PERCENT = 100;
+const BYTES_PER_KB = 1_024;
 
 /** Measures each form of key at each rate. */
 export async function measureClaims(
   program: string,
+): Promise<MeasurementRow[]> {
+  return await withFleet(program, async (fleet) => {
+    const rows: MeasurementRow[] = [];
+    for (const form of Object.values(KeyForm)) {
+      for (const rate_per_s of RATES_PER_S) {
+        rows.push(await measureForm(fleet, form, rate_per_s));
+      }
+    }
+    return rows;
+  });
+}
+
+/** Measures how much of each form survives an outage of the platform. */
+export async function measureOutage(
+  program: string,
+): Promise<MeasurementRow[]> {
+  return await withFleet(program, async (fleet) => {
+    await fleet.setPlatform({ down: true });
+    const hosts = fleet.hosts.map((host) => host.callers);
+    const run = { rate_per_s: OUTAGE_RATE_PER_S, duration_ms: OUTAGE_MS };
+    return await Promise.all(
+      Object.values(KeyForm).map(async (form) => {
+        const samples = await sendOrders(hosts, { form, ...run });
+        const figures = figuresOf(samples);
+        return { variant: form, group: "platform down for 60 s", figures };
+      }),
+    );
+  });
+}
+
+async function withFleet(
+  program: string,
+  measure: (fleet: Fleet) => Promise<MeasurementRow[]>,
 ): Promise<MeasurementRow[]> {
   const fleet = new Fleet({
     hosts: HOSTS,
@@ -33,15 +69,9 @@
     settings: { log: { level: "warn" } },
   });
   await fleet.start();
-  const rows: MeasurementRow[] = [];
   try {
-    await new Promise((resolve) => setTimeout(resolve, 3_000));
-    for (const form of ["none", "minted", "caller"] as const) {
-      for (const rate_per_s of RATES_PER_S) {
-        rows.push(await measureForm(fleet, form, rate_per_s));
-      }
-    }
-    return rows;
+    await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+    return await measure(fleet);
   } finally {
     await fleet.stop();
   }
@@ -53,74 +83,51 @@
   rate_per_s: number,
 ): Promise<MeasurementRow> {
   const before = await platformCounts(fleet);
-  const times_ms: number[] = [];
-  let failed = 0;
-  const sent: Promise<void>[] = [];
-  const requests = rate_per_s * RUN_MS / 1_000;
   const started_ms = performance.now();
-  for (let number = 0; number < requests; number++) {
-    const due_ms = number * 1_000 / rate_per_s;
-    const wait_ms = due_ms - (performance.now() - started_ms);
-    if (wait_ms > 1) await new Promise((next) => setTimeout(next, wait_ms));
-    const host = fleet.hosts[number % fleet.hosts.length]?.callers ?? "";
-    sent.push(
-      sendOne(host, form, `${form}-${rate_per_s}-${number}`)
-        .then(({ elapsed_ms, done }) => {
-          if (done) times_ms.push(elapsed_ms);
-          else failed += 1;
-        }),
-    );
-  }
-  await Promise.all(sent);
-  await new Promise((resolve) => setTimeout(resolve, 1_200));
+  const hosts = fleet.hosts.map((host) => host.callers);
+  const run = { form, rate_per_s, duration_ms: RUN_MS };
+  const samples = await sendOrders(hosts, run);
+  await new Promise((resolve) => setTimeout(resolve, JOURNAL_MS));
   const after = await platformCounts(fleet);
   const elapsed_s = (performance.now() - started_ms) / 1_000;
-  times_ms.sort((a, b) => a - b);
+  const rate = (name: keyof PlatformCounts) =>
+    (after[name] - before[name]) / elapsed_s;
   return {
-    variant: `${form} key`,
+    variant: form,
     group: `${rate_per_s} requests/s`,
     figures: {
-      writes_per_s: round((after.writes - before.writes) / elapsed_s),
-      reads_per_s: round((after.reads - before.reads) / elapsed_s),
-      written_kb_per_s: round(
-        (after.bytes_written - before.bytes_written) / elapsed_s / 1_024,
-      ),
-      p50_ms: round(times_ms[Math.floor(times_ms.length * 0.5)] ?? 0),
-      p99_ms: round(times_ms[Math.floor(times_ms.length * 0.99)] ?? 0),
-      failed,
+      ...figuresOf(samples),
+      writes_per_s: round(rate("writes")),
+      reads_per_s: round(rate("reads")),
+      written_kb_per_s: round(rate("bytes_written") / BYTES_PER_KB),
     },
   };
 }
 
-async function sendOne(
-  host: string,
-  form: KeyForm,
-  input: string,
-): Promise<{ elapsed_ms: number; done: boolean }> {
-  const headers: Record<string, string> = {
-    authorization: `Bearer ${SampleKey.HooghlyDocks}`,
-    "sesamequay-rank": "urgent",
-    "sesamequay-non-idempotent": "true",
-  };
-  if (form === "caller") headers["idempotency-key"] = uuidv7();
-  if (form === "minted") {
-    const minted = await postJson(host, "/v1/keys", {}, { headers });
-    headers["idempotency-key"] = minted.json.idempotency_key;
-  }
-  const started_ms = performance.now();
-  const answer = await postJson(host, PATH, { input }, { headers });
-  const elapsed_ms = performance.now() - started_ms;
-  return { elapsed_ms, done: answer.status === 200 };
-}
-
-async function platformCounts(fleet: Fleet): Promise<{
+interface PlatformCounts {
   writes: number;
   reads: number;
   bytes_written: number;
-}> {
+}
+
+async function platformCounts(fleet: Fleet): Promise<PlatformCounts> {
   return (await getJson(fleet.platform, "/counts")).json;
 }
 
+function figuresOf(samples: readonly OrderSample[]): Record<string, number> {
+  const completed = samples.filter((sample) => sample.completed);
+  const times_ms = completed.map((sample) => sample.elapsed_ms)
+    .sort((a, b) => a - b);
+  const at = (share: number) =>
+    round(times_ms[Math.floor(times_ms.length * share)] ?? 0);
+  return {
+    sent: samples.length,
+    completed_percent: round(completed.length * PERCENT / samples.length),
+    p50_ms: at(0.5),
+    p99_ms: at(0.99),
+  };
+}
+
 function round(value: number): number {
   return Math.round(value * 10) / 10;
 }
--- a/scripts/measurements/slopes.ts
+++ b/scripts/measurements/slopes.ts
@@ -5,7 +5,7 @@
 import type { MeasurementRow } from "../../src/reports/measurement.ts";
 import { indexAccepted } from "../../src/configuration/accepted.ts";
 import { Fleet, type StartedHost } from "../../stand_ins/fleet.ts";
-import { getJson } from "../../stand_ins/json_call.ts";
+import { getJson, postJson } from "../../stand_ins/json_call.ts";
 import { sampleRecords } from "../../stand_ins/sample_records.ts";
 import { readUsage } from "./process_usage.ts";
 
@@ -106,8 +106,6 @@
 async function untilKnown(host: StartedHost, rank: string): Promise<void> {
   const end_ms = performance.now() + 10_000;
   while (performance.now() < end_ms) {
-    if (host.process.output().includes(rank)) return;
-    const { postJson } = await import("../../stand_ins/json_call.ts");
     const answer = await postJson(
       host.callers,
       "/v1/pipelines/khuree/stamp/requests",
