Wait at a drain until the last answer has left the host

Cause: a request counted as done when its answer was given to Node, and a drain then closed 'idle' connections; Node calls a connection idle whose answer has been given to it, though 20 MB of it may still wait for a slow reader. Ruled out: the time for the whole drain (30 s); the kernel's buffers, which hid the fault with an answer of 0.9 MB. Change: a request is done when its answer has left; a drain closes nothing before everything is done. Gates are sized anew only when records or hosts change; addresses are taken apart once. Before: the test (20 MB, reader paused for 1.5 s, SIGTERM) failed with a cut answer; waiting for the answer alone did not help; after: it holds. Conclusion: no request is cut off by a drain within its time.

--- a/src/admission/admission_controller.ts
+++ b/src/admission/admission_controller.ts
@@ -160,9 +160,9 @@
 
   #gate(stage: Stage): PoolGate {
     const { configuration, gates, servingHosts } = this.#options;
-    const pool = identityText(stage.pool);
-    const endpoints = configuration.records.endpointsByPool.get(pool) ?? [];
-    const live = endpoints.filter((endpoint) => !endpoint.leaving);
-    return gates.gate(pool, { endpoints: live, live_hosts: servingHosts() });
+    return gates.gate(identityText(stage.pool), {
+      records: configuration.records,
+      live_hosts: servingHosts(),
+    });
   }
 }
--- a/src/admission/pool_gates.ts
+++ b/src/admission/pool_gates.ts
@@ -1,5 +1,5 @@
 /** The gates of all pools of this host. */
-import type { Endpoint } from "../records/types.ts";
+import type { RecordSet } from "../records/record_set.ts";
 import type { AdmissionPolicy } from "./types.ts";
 import { PoolGate } from "./pool_gate.ts";
 
@@ -8,34 +8,46 @@
   return Math.max(1, Math.ceil(slots / live_hosts));
 }
 
+/** What a gate's size follows from. */
+interface GateBasis {
+  records: RecordSet;
+  live_hosts: number;
+}
+
+interface SizedGate extends GateBasis {
+  gate: PoolGate;
+}
+
 /** Keeps a gate for each pool and sizes it by its endpoints. */
 export class PoolGates {
-  #gates = new Map<string, PoolGate>();
+  #gates = new Map<string, SizedGate>();
   #options: { now: () => number; policy: AdmissionPolicy };
 
   constructor(options: { now: () => number; policy: AdmissionPolicy }) {
     this.#options = options;
   }
 
-  /** The gate of a pool, sized for its present endpoints. */
-  gate(
-    pool: string,
-    size: { endpoints: readonly Endpoint[]; live_hosts: number },
-  ): PoolGate {
-    const shares = size.endpoints.map((endpoint) =>
-      slotShare(endpoint.slots, size.live_hosts)
-    );
-    const concurrency = Math.max(
-      1,
-      shares.reduce((sum, share) => sum + share, 0),
-    );
+  /** The gate of a pool, sized anew when records or hosts have changed. */
+  gate(pool: string, basis: GateBasis): PoolGate {
     const known = this.#gates.get(pool);
-    if (known !== undefined) {
-      known.setConcurrency(concurrency);
-      return known;
-    }
-    const gate = new PoolGate(concurrency, this.#options);
-    this.#gates.set(pool, gate);
+    const unchanged = known?.records === basis.records &&
+      known.live_hosts === basis.live_hosts;
+    if (known !== undefined && unchanged) return known.gate;
+    const concurrency = concurrencyOf(pool, basis);
+    const gate = known?.gate ?? new PoolGate(concurrency, this.#options);
+    gate.setConcurrency(concurrency);
+    this.#gates.set(pool, { ...basis, gate });
     return gate;
   }
 }
+
+function concurrencyOf(
+  pool: string,
+  { records, live_hosts }: GateBasis,
+): number {
+  const endpoints = records.endpointsByPool.get(pool) ?? [];
+  const total = endpoints
+    .filter((endpoint) => !endpoint.leaving)
+    .reduce((sum, { slots }) => sum + slotShare(slots, live_hosts), 0);
+  return Math.max(1, total);
+}
--- a/src/endpoints/endpoint_client.ts
+++ b/src/endpoints/endpoint_client.ts
@@ -5,7 +5,6 @@
  */
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import { EndpointProtocol } from "../records/types.ts";
-import { parseAddress } from "../settings/settings.ts";
 import { type Attempt, AttemptEnd, type AttemptResult } from "./attempt.ts";
 import { readCompletions } from "./completions.ts";
 import type { EndpointConnections } from "./endpoint_connections.ts";
@@ -91,7 +90,9 @@
   #open(): ClientRequest {
     const { endpoint, pool, idempotent } = this.#attempt;
     const body = requestBody(this.#attempt);
-    const { ip, port } = parseAddress(endpoint.address);
+    const { ip, port } = this.#connections.target(
+      endpoint.address,
+    );
     const outgoing = request({
       agent: this.#connections.agentFor(endpoint.address, idempotent),
       host: ip,
--- a/src/endpoints/endpoint_connections.ts
+++ b/src/endpoints/endpoint_connections.ts
@@ -4,10 +4,21 @@
  * died unnoticed and would leave the call's fate unknown.
  */
 import { Agent } from "node:http";
+import { type Address, parseAddress } from "../settings/settings.ts";
 
 /** Keeps an agent for each endpoint address. */
 export class EndpointConnections {
   #agents = new Map<string, Agent>();
+  #targets = new Map<string, Address>();
+
+  /** The IP and port of an address, taken apart once. */
+  target(address: string): Address {
+    const known = this.#targets.get(address);
+    if (known !== undefined) return known;
+    const target = parseAddress(address);
+    this.#targets.set(address, target);
+    return target;
+  }
 
   /** The agent for a call; false means a connection of its own. */
   agentFor(address: string, idempotent: boolean): Agent | false {
--- a/src/http_api/caller_api.ts
+++ b/src/http_api/caller_api.ts
@@ -1,6 +1,7 @@
 /** The API for callers: pipeline requests, keys, recorded outcomes, health. */
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { finished } from "node:stream/promises";
 import { KeyKind, parseIdempotencyKey } from "../claims/idempotency_key.ts";
 import type { KeyClaims } from "../claims/claims.ts";
 import type { ConfigurationState } from "../configuration/configuration_state.ts";
@@ -181,6 +182,7 @@
       response.off("close", onClose);
       if (stream === undefined) sendOutcome(response, outcome, request_id);
       else stream.finish(outcome, request_id);
+      await finished(response).catch(() => {});
     } finally {
       entry.finish();
     }
--- a/src/lifecycle/drain_host.ts
+++ b/src/lifecycle/drain_host.ts
@@ -1,5 +1,4 @@
 /** Takes a host out of service without cutting off a request. */
-import type { Server } from "node:http";
 import type { RunningRequests } from "../http_api/running_requests.ts";
 import { AbortReason } from "../pipelines/pipeline_request.ts";
 import { pause } from "../utils/loop.ts";
@@ -9,7 +8,6 @@
 export interface DrainOptions {
   lifecycle: HostLifecycle;
   running: RunningRequests;
-  callerServer: Server;
   /** Stores what must outlive this process. */
   settle: () => Promise<void>;
   /** How long the balancer may need to notice. */
@@ -24,10 +22,9 @@
 
 /** Drains; resolves when nothing runs, or the time is up. */
 export async function drainHost(options: DrainOptions): Promise<void> {
-  const { lifecycle, running, callerServer, signal } = options;
+  const { lifecycle, running, signal } = options;
   await pause(options.readiness_delay_ms, signal);
   lifecycle.handle(HostLifecycleEvent.GraceOver);
-  callerServer.closeIdleConnections();
   const idle = await idleWithin(running, options.timeout_ms);
   if (!idle) {
     running.abortAll(AbortReason.HostStopping);
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -116,7 +116,6 @@
     void drainHost({
       lifecycle: base.lifecycle,
       running: requestPath.running,
-      callerServer: requestPath.callerServer,
       settle: () => settleClaims(claimParts, base.signal),
       ...settings.drain,
       signal: base.signal,
