--- a/src/reports/render_report.ts
+++ b/src/reports/render_report.ts
@@ -68,5 +68,6 @@
 
 function escapeText(text: string): string {
   return text.replaceAll("&", "&amp;").replaceAll("<", "&lt;")
+    .replaceAll(">", "&gt;")
     .replaceAll('"', "&quot;");
 }
