Measure slopes for tokens and heartbeats

Cause: CAPACITY.md needs the cost of a streamed token and the size of a heartbeat. Change: npm run measure -- slopes gives both. Conclusion: none yet.

--- a/scripts/measurements/slopes.ts
+++ b/scripts/measurements/slopes.ts
@@ -11,6 +11,11 @@
 
 const HOST_COUNTS = [2, 4, 8, 16, 32];
 const RECORD_COUNTS = [10, 100, 1_000, 10_000];
+const ORGANISATION_COUNTS = [5, 50, 210];
+const TOKEN_COUNTS = [10, 100, 400];
+const STREAMS = 20;
+const STREAM_MS = 1_000;
+const STREAM_ROUNDS = 4;
 const SETTLE_MS = 6_000;
 const IDLE_RUN_MS = 8_000;
 const PERCENT = 100;
@@ -25,6 +30,10 @@
     rows.push(await measureHosts(program, hosts));
   }
   for (const records of RECORD_COUNTS) rows.push(measureRecords(records));
+  for (const count of ORGANISATION_COUNTS) rows.push(measureHeartbeat(count));
+  for (const tokens of TOKEN_COUNTS) {
+    rows.push(await measureTokens(program, tokens));
+  }
   return rows;
 }
 
@@ -149,6 +158,91 @@
   };
 }
 
+/** Size of a heartbeat that tells the demand of every organisation. */
+function measureHeartbeat(organisations: number): MeasurementRow {
+  const known = {
+    address: "10.0.0.1:7201",
+    callers_address: "10.0.0.1:7101",
+    incarnation: "0123456789abcdef",
+  };
+  const heartbeat = {
+    ...known,
+    generation: 1_000,
+    draining: false,
+    demand: Array.from({ length: organisations }, (_, number) => ({
+      organisation: `khuree/organisation-${number}`,
+      requests_per_second: 12.3,
+    })),
+    known: Array.from({ length: 3 }, () => ({ ...known, age_ms: 1_234 })),
+  };
+  const kb = JSON.stringify(heartbeat).length / BYTES_PER_KB;
+  return {
+    variant: "organisations in a heartbeat",
+    group: String(organisations),
+    figures: { heartbeat_kb: round(kb) },
+  };
+}
+
+/** Processor time of streams with this many tokens each. */
+async function measureTokens(
+  program: string,
+  tokens: number,
+): Promise<MeasurementRow> {
+  const fleet = new Fleet({
+    hosts: 1,
+    program,
+    endpoints: [
+      {
+        name: "encode-1",
+        fleet: "hooghly",
+        pool: "encode",
+        service_ms: 0,
+        slots: 64,
+      },
+      {
+        name: "engine-1",
+        fleet: "hooghly",
+        pool: "generate",
+        protocol: "completions",
+        service_ms: STREAM_MS,
+        slots: 64,
+        tokens,
+      },
+    ],
+    records: sampleRecords(),
+    settings: { log: { level: "warn" } },
+  });
+  await fleet.start();
+  try {
+    const [host] = fleet.hosts;
+    if (host === undefined) throw new Error("No host was started");
+    await streamRound(host);
+    const before = readUsage(host.process.pid);
+    for (let number = 0; number < STREAM_ROUNDS; number++) {
+      await streamRound(host);
+    }
+    const cpu_s = readUsage(host.process.pid).cpu_s - before.cpu_s;
+    const requests = STREAMS * STREAM_ROUNDS;
+    return {
+      variant: "tokens in a stream",
+      group: String(tokens),
+      figures: { cpu_ms_per_request: round(cpu_s * 1_000 / requests) },
+    };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function streamRound(host: StartedHost): Promise<void> {
+  const path = "/v1/pipelines/hooghly/review/requests";
+  const headers = { authorization: "Bearer hooghly-docks-key" };
+  const body = { input: "x", stream: true };
+  await Promise.all(Array.from({ length: STREAMS }, async () => {
+    const answer = await postJson(host.callers, path, body, { headers });
+    if (!answer.text.includes("event: done")) throw new Error(answer.text);
+  }));
+}
+
 function sleep(time_ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, time_ms));
 }
