Do not wait for a caller that is gone

Cause: text for a stream whose caller had gone waited for an event that had already happened; the run never ended and kept its place in the pool's gate. Ruled out: the attempt's own cancellation, which ends the reading but not the wait inside it. Change: text for a closed answer is dropped; a place that is granted in the same moment as its request is aborted is given back. Conclusion: a caller that goes away leaves nothing behind.

--- a/src/admission/pool_gate.ts
+++ b/src/admission/pool_gate.ts
@@ -82,6 +82,7 @@
       signal.addEventListener("abort", abort, { once: true });
       void this.#queue.add(() => {
         signal.removeEventListener("abort", abort);
+        if (signal.aborted) return Promise.resolve();
         return new Promise<void>((release) => {
           resolve({ waited_ms: this.#now() - asked_ms, release });
         });
--- a/src/http_api/answer.ts
+++ b/src/http_api/answer.ts
@@ -76,6 +76,7 @@
 }
 
 function writable(response: ServerResponse): Promise<void> {
+  if (response.closed) return Promise.resolve();
   return new Promise((resolve) => {
     const done = () => {
       response.off("drain", done);
--- a/test/http_api/answer.test.ts
+++ b/test/http_api/answer.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { createServer, get, type ServerResponse } from "node:http";
-import { test } from "node:test";
+import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { StreamAnswer } from "../../src/http_api/answer.ts";
 
@@ -10,21 +10,7 @@
 const HELD_MS = 100;
 
 test("a slow reader holds back the sender until it reads or goes away", async (t) => {
-  const server = createServer().listen(0, "127.0.0.1");
-  t.after(() => {
-    server.close();
-    server.closeAllConnections();
-  });
-  await once(server, "listening");
-  const address = server.address();
-  assert.ok(address !== null && typeof address === "object");
-  const reader = get({ host: "127.0.0.1", port: address.port });
-  reader.on("error", () => {});
-  const responded = once(reader, "response");
-  const [, response] = await once(server, "request") as [
-    unknown,
-    ServerResponse,
-  ];
+  const { reader, responded, response } = await openExchange(t);
   const answer = new StreamAnswer(response);
   const held = await sendUntilHeld(answer);
   const [incoming] = await responded;
@@ -48,3 +34,34 @@
   }
   assert.fail("nothing held the sender back");
 }
+
+test("text for a reader that is gone holds nobody back", async (t) => {
+  const { reader, response } = await openExchange(t);
+  reader.destroy();
+  await once(response, "close");
+  const answer = new StreamAnswer(response);
+  const sent = answer.sendText(PIECE);
+  const held = Symbol("held");
+  const first = await Promise.race([sent, sleep(HELD_MS, held)]);
+  assert.notEqual(first, held);
+});
+
+async function openExchange(t: TestContext) {
+  const server = createServer().listen(0, "127.0.0.1");
+  t.after(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  await once(server, "listening");
+  const address = server.address();
+  assert.ok(address !== null && typeof address === "object");
+  const reader = get({ host: "127.0.0.1", port: address.port });
+  reader.on("error", () => {});
+  const responded = once(reader, "response");
+  responded.catch(() => {});
+  const [, response] = await once(server, "request") as [
+    unknown,
+    ServerResponse,
+  ];
+  return { reader, responded, response };
+}
