--- a/src/http_api/caller_api.ts
+++ b/src/http_api/caller_api.ts
@@ -195,19 +195,15 @@
   ): Promise<boolean> {
     const { key } = terms;
     if (key?.kind !== KeyKind.Minted || terms.forwarded) return false;
-    const { incarnation, members, host, log } = this.#options;
+    const { incarnation, members, log } = this.#options;
     if (key.incarnation === incarnation) return false;
     const minter = members.byIncarnation(key.incarnation);
     if (minter === undefined) return false;
-    const end = await forwardRequest(
-      { request, body: JSON.stringify(body) },
-      response,
-      {
-        address: minter.callers_address,
-        self: host,
-        timeout_ms: terms.remaining_ms + FORWARD_GRACE_MS,
-      },
-    );
+    const end = await this.#forward({ request, response }, {
+      address: minter.callers_address,
+      body: JSON.stringify(body),
+      timeout_ms: terms.remaining_ms + FORWARD_GRACE_MS,
+    });
     log.info({
       event: "forward",
       organisation: identityText(terms.organisation),
@@ -220,6 +216,26 @@
     return end !== ForwardEnd.NotSent;
   }
 
+  /** A forwarded request runs here too, so that a drain waits for it. */
+  async #forward(
+    { request, response }: Exchange,
+    target: { address: string; body: string; timeout_ms: number },
+  ): Promise<ForwardEnd> {
+    const { running, host } = this.#options;
+    const entry = running.start(target.timeout_ms);
+    try {
+      const end = await forwardRequest(
+        { request, body: target.body },
+        response,
+        { ...target, self: host },
+      );
+      if (end === ForwardEnd.Answered) await finished(response).catch(() => {});
+      return end;
+    } finally {
+      entry.finish();
+    }
+  }
+
   #fail(response: ServerResponse, error: unknown): void {
     if (error instanceof RequestError) {
       if (error.fault === RequestFault.BodyTooLarge) {
