Keep allowances and fairness to the last stage

Cause: beside a caller asking 20 times its allowance, small callers kept 45% of their requests. Work that had passed a stage went before everything else in its rank; in the last stage all work has, so allowances ended before the stage that matters. Then 92%: small callers were taken for excess, because their burst was split by hosts like their rate, and a host's part of demand was smoothed over two seconds only. Change: within a rank, the allowance comes before what was paid for; the burst is split by the square root of the share; demand is smoothed over five seconds. The expected wait also counts what less urgent ranks are guaranteed, and work within the allowance for work beyond it. Time from arrival to outcome is a metric; two metrics that nothing sent are gone.

--- a/src/admission/admission_controller.ts
+++ b/src/admission/admission_controller.ts
@@ -100,7 +100,6 @@
     const grant = await gate.acquire({
       request_id: request.request_id,
       ...work,
-      guaranteed_share: request.rank.guaranteed_share,
       organisation: identityText(request.organisation),
       weight: request.organisation.requests_per_second,
       started: place.started,
@@ -142,12 +141,12 @@
       rank: identityText(request.rank),
       priority: request.rank.priority,
       excess: this.#excess.has(request),
+      guaranteed_share: request.rank.guaranteed_share,
     };
   }
 
   #estimate(request: PipelineRequest): { wait_ms: number; total_ms: number } {
-    const { guaranteed_share } = request.rank;
-    const work = { ...this.#workOf(request), guaranteed_share };
+    const work = this.#workOf(request);
     let wait_ms = 0;
     let service_ms = 0;
     for (const stage of request.pipeline.stages) {
--- a/src/admission/allowances.ts
+++ b/src/admission/allowances.ts
@@ -26,7 +26,7 @@
 /** Smallest part of an even split that a host keeps. */
 const FLOOR_OF_EVEN_SHARE = 0.25;
 const WINDOW_MS = 1_000;
-const SMOOTHING = 0.5;
+const SMOOTHING = 0.2;
 const MS_PER_S = 1_000;
 
 /** Tells whether a request is within its organisation's allowance. */
@@ -100,9 +100,13 @@
   }
 }
 
+/**
+ * The rate is split by share. The burst is split by its square root, because
+ * the arrivals of a small share vary more, in proportion, than those of all.
+ */
 function limitsFor(organisation: Organisation, share: number) {
   return {
     tokens_per_second: organisation.requests_per_second * share,
-    burst_tokens: Math.max(1, organisation.burst_requests * share),
+    burst_tokens: Math.max(1, organisation.burst_requests * Math.sqrt(share)),
   };
 }
--- a/src/admission/expected_work.ts
+++ b/src/admission/expected_work.ts
@@ -11,6 +11,8 @@
   priority: number;
   /** Whether it is beyond its organisation's allowance. */
   excess: boolean;
+  /** Share of service that the rank keeps, 0 to 1. */
+  guaranteed_share: number;
 }
 
 interface Entry extends ExpectedWork {
@@ -56,23 +58,33 @@
     return this.#entries.get(keyOf(work))?.count ?? 0;
   }
 
-  /** Rate of admitted work that will overtake this kind. */
-  urgentRate_per_ms(work: ExpectedWork, now_ms: number): number {
-    this.#roll(now_ms);
-    let rate_per_ms = 0;
+  /**
+   * Share of the pool, 0 to 1, that other work takes while this kind waits:
+   * all that is more urgent, and of less urgent work what it is guaranteed.
+   */
+  takenShare(
+    work: ExpectedWork,
+    pool: { turn_ms: number; now_ms: number },
+  ): number {
+    this.#roll(pool.now_ms);
+    let taken = 0;
     for (const entry of this.#entries.values()) {
-      if (isMoreUrgent(entry, work)) rate_per_ms += entry.rate_per_ms;
+      const overtakes = isMoreUrgent(entry, work) || isWithin(entry, work);
+      if (entry.rank === work.rank && !overtakes) continue;
+      const wanted = entry.rate_per_ms * pool.turn_ms;
+      const most = overtakes ? 1 : entry.guaranteed_share;
+      taken += Math.min(wanted, most);
     }
-    return rate_per_ms;
+    return taken;
   }
 
   #entry(work: ExpectedWork): Entry {
     const key = keyOf(work);
     const known = this.#entries.get(key);
     if (known !== undefined) return known;
-    const { rank, priority, excess } = work;
+    const { rank, priority, excess, guaranteed_share } = work;
     const counts = { count: 0, arrivals: 0, rate_per_ms: 0 };
-    const entry = { rank, priority, excess, ...counts };
+    const entry = { rank, priority, excess, guaranteed_share, ...counts };
     this.#entries.set(key, entry);
     return entry;
   }
@@ -93,6 +105,11 @@
   return entry.priority < work.priority;
 }
 
+/** Whether it overtakes excess work of its own rank. */
+function isWithin(entry: ExpectedWork, work: ExpectedWork): boolean {
+  return entry.rank === work.rank && work.excess && !entry.excess;
+}
+
 function isBeforeInRank(entry: ExpectedWork, work: ExpectedWork): boolean {
   return entry.rank === work.rank && (work.excess || !entry.excess);
 }
--- a/src/admission/pool_gate.ts
+++ b/src/admission/pool_gate.ts
@@ -26,7 +26,7 @@
 
 const RECENT_CALLS = 128;
 const CAUTIOUS_SHARE = 0.75;
-/** Least part of a pool that counts as left over by more urgent work. */
+/** Least part of a pool that counts as left over by other work. */
 const LEAST_LEFT = 0.05;
 
 /** Admits work to one pool. */
@@ -111,15 +111,15 @@
   }
 
   /** How long new work would wait here, behind all that is expected. */
-  estimateWait_ms(work: ExpectedWork & { guaranteed_share: number }): number {
+  estimateWait_ms(work: ExpectedWork): number {
     const ahead = this.#expected.ahead(work);
     const free = this.#queue.concurrency - this.#queue.pending;
     if (ahead < free) return 0;
     const service_ms = this.#service.mean() ?? 0;
     const turn_ms = service_ms / this.#queue.concurrency;
-    const overtaken = this.#expected.urgentRate_per_ms(work, this.#now()) *
-      turn_ms;
-    const left = Math.max(LEAST_LEFT, 1 - overtaken);
+    const now_ms = this.#now();
+    const taken = this.#expected.takenShare(work, { turn_ms, now_ms });
+    const left = Math.max(LEAST_LEFT, 1 - taken);
     const strict_ms = (ahead + 1) * turn_ms / left;
     if (work.excess || work.guaranteed_share <= 0) return strict_ms;
     const own = this.#expected.own(work);
--- a/src/admission/stage_queue.ts
+++ b/src/admission/stage_queue.ts
@@ -1,7 +1,7 @@
 /**
  * The order in which work waits for a pool. It is p-queue's queue class: ranks
- * by urgency with a guaranteed share each, then work that has already been
- * paid for, then organisations within their allowance, then the organisation
+ * by urgency with a guaranteed share each, then work within its organisation's
+ * allowance, then work that has already been paid for, then the organisation
  * that was served least, then the earliest deadline.
  */
 import type { QueueAddOptions } from "p-queue";
@@ -40,9 +40,24 @@
   ticket: Ticket;
 }
 
-interface OrganisationLine {
-  within: Item[];
-  excess: Item[];
+/** The lines of a rank, in the order in which they are served. */
+enum LineKind {
+  WithinStarted,
+  WithinFresh,
+  ExcessStarted,
+  ExcessFresh,
+}
+
+const LINE_KINDS = [
+  LineKind.WithinStarted,
+  LineKind.WithinFresh,
+  LineKind.ExcessStarted,
+  LineKind.ExcessFresh,
+];
+
+interface OrganisationLines {
+  /** One line for each kind. */
+  lines: Item[][];
   /** Service received, divided by the weight. */
   virtual_time: number;
 }
@@ -52,8 +67,7 @@
   guaranteed_share: number;
   credit: number;
   size: number;
-  started: Item[];
-  organisations: Map<string, OrganisationLine>;
+  organisations: Map<string, OrganisationLines>;
   /** Virtual time of the organisation served last. */
   virtual_time: number;
 }
@@ -77,8 +91,7 @@
     const { ticket } = options;
     const rank = this.#rankOf(ticket);
     const item = { run, ticket };
-    if (ticket.started) insertByDeadline(rank.started, item);
-    else addToOrganisation(rank, item);
+    addToOrganisation(rank, item);
     rank.size += 1;
     this.#size += 1;
   }
@@ -123,7 +136,6 @@
       guaranteed_share: ticket.guaranteed_share,
       credit: 0,
       size: 0,
-      started: [],
       organisations: new Map(),
       virtual_time: 0,
     };
@@ -152,49 +164,55 @@
 }
 
 function addToOrganisation(rank: RankLine, item: Item): void {
-  const { organisation, excess } = item.ticket;
-  let line = rank.organisations.get(organisation);
-  if (line === undefined) {
-    line = { within: [], excess: [], virtual_time: rank.virtual_time };
-    rank.organisations.set(organisation, line);
-  }
-  if (isEmpty(line)) {
-    line.virtual_time = Math.max(line.virtual_time, rank.virtual_time);
+  const { organisation } = item.ticket;
+  const known = rank.organisations.get(organisation);
+  const own = known ?? createLines(rank.virtual_time);
+  if (known === undefined) rank.organisations.set(organisation, own);
+  if (isEmpty(own)) {
+    own.virtual_time = Math.max(own.virtual_time, rank.virtual_time);
   }
-  insertByDeadline(excess ? line.excess : line.within, item);
+  insertByDeadline(lineOf(own, lineKindOf(item.ticket)), item);
+}
+
+function createLines(virtual_time: number): OrganisationLines {
+  return { lines: LINE_KINDS.map(() => []), virtual_time };
+}
+
+function lineKindOf({ excess, started }: Ticket): LineKind {
+  if (excess) return started ? LineKind.ExcessStarted : LineKind.ExcessFresh;
+  return started ? LineKind.WithinStarted : LineKind.WithinFresh;
+}
+
+function lineOf(own: OrganisationLines, kind: LineKind): Item[] {
+  return own.lines[kind] ?? [];
 }
 
 function takeFromRank(rank: RankLine): Item | undefined {
-  const started = rank.started.shift();
-  if (started !== undefined) return started;
-  return takeFairly(rank, "within") ?? takeFairly(rank, "excess");
-}
-
-function takeFairly(
-  rank: RankLine,
-  line: "within" | "excess",
-): Item | undefined {
-  let chosen: OrganisationLine | undefined;
-  for (const organisation of rank.organisations.values()) {
-    if (organisation[line].length === 0) continue;
+  for (const kind of LINE_KINDS) {
+    const item = takeFairly(rank, kind);
+    if (item !== undefined) return item;
+  }
+  return undefined;
+}
+
+function takeFairly(rank: RankLine, kind: LineKind): Item | undefined {
+  let chosen: OrganisationLines | undefined;
+  for (const own of rank.organisations.values()) {
+    if (lineOf(own, kind).length === 0) continue;
     const served = chosen?.virtual_time ?? Infinity;
-    if (organisation.virtual_time < served) chosen = organisation;
+    if (own.virtual_time < served) chosen = own;
   }
-  const item = chosen?.[line].shift();
-  if (chosen === undefined || item === undefined) return undefined;
+  if (chosen === undefined) return undefined;
+  const item = lineOf(chosen, kind).shift();
+  if (item === undefined) return undefined;
   rank.virtual_time = Math.max(rank.virtual_time, chosen.virtual_time);
   chosen.virtual_time += 1 / item.ticket.weight;
-  if (isEmpty(chosen) && chosen.virtual_time <= rank.virtual_time) {
-    rank.organisations.delete(item.ticket.organisation);
-  }
   return item;
 }
 
 function removeFromRank(rank: RankLine, request_id: string): boolean {
-  if (removeItem(rank.started, request_id)) return true;
-  for (const line of rank.organisations.values()) {
-    if (removeItem(line.within, request_id)) return true;
-    if (removeItem(line.excess, request_id)) return true;
+  for (const { lines } of rank.organisations.values()) {
+    if (lines.some((line) => removeItem(line, request_id))) return true;
   }
   return false;
 }
@@ -219,6 +237,6 @@
   items.splice(position, 0, item);
 }
 
-function isEmpty(line: OrganisationLine): boolean {
-  return line.within.length === 0 && line.excess.length === 0;
+function isEmpty({ lines }: OrganisationLines): boolean {
+  return lines.every((line) => line.length === 0);
 }
--- a/src/http_api/caller_api.ts
+++ b/src/http_api/caller_api.ts
@@ -173,6 +173,7 @@
         pipeline: terms.pipeline,
         rank: terms.rank,
         input: body.input,
+        arrived_ms,
         deadline_ms: arrived_ms + terms.remaining_ms,
         non_idempotent: terms.non_idempotent,
         idempotency_key: claimedKey(terms),
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -26,9 +26,7 @@
   StageCost = "stage_cost",
   Attempts = "attempts",
   ClaimCommits = "claim_commits",
-  PlatformCalls = "platform_calls",
   Generation = "configuration_generation",
-  LiveHosts = "live_hosts",
 }
 
 /** Creates the metrics; without an address nothing is sent. */
--- a/src/pipelines/observer.ts
+++ b/src/pipelines/observer.ts
@@ -41,8 +41,9 @@
     },
     onOutcome(request, outcome) {
       const tags = tagsOf(request, { outcome: outcome.kind });
-      const left_ms = request.deadline_ms - now();
+      const elapsed_ms = now() - request.arrived_ms;
       metrics.count(MetricName.Requests, tags);
+      metrics.timing(MetricName.RequestTime, elapsed_ms, tags);
       const completed = outcome.kind === OutcomeKind.Completed;
       log.info({
         event: "outcome",
@@ -51,7 +52,7 @@
         reason: completed ? undefined : outcome.reason,
         detail: completed ? undefined : outcome.message,
         stages: outcome.stages.length,
-        left_ms: Math.round(left_ms),
+        elapsed_ms: Math.round(elapsed_ms),
       });
     },
   };
--- a/src/pipelines/pipeline_request.ts
+++ b/src/pipelines/pipeline_request.ts
@@ -16,6 +16,8 @@
   pipeline: Pipeline;
   rank: Rank;
   input: unknown;
+  /** When it arrived, on the clock of `now`. */
+  arrived_ms: number;
   /** Absolute, on the clock of `now`. */
   deadline_ms: number;
   /** Whether the caller marked the request as non-idempotent. */
--- a/test/admission/stage_queue.test.ts
+++ b/test/admission/stage_queue.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import { Allowances } from "../../src/admission/allowances.ts";
+import { ExpectedWorks } from "../../src/admission/expected_work.ts";
 import { PoolGate, WaitAborted } from "../../src/admission/pool_gate.ts";
 import { StageQueue, type Ticket } from "../../src/admission/stage_queue.ts";
 import { AdmissionPolicy } from "../../src/admission/types.ts";
@@ -54,12 +55,13 @@
   t.assert.snapshot(Object.keys(RANKS).map((rank) => [rank, count(rank)]));
 });
 
-test("started work, then the allowance, then the earliest deadline", async (t) => {
+test("the allowance, then started work, then the earliest deadline", async (t) => {
   const order = await served([
     ticket({ request_id: "excess", excess: true, deadline_ms: 1 }),
     ticket({ request_id: "late", deadline_ms: 90 }),
     ticket({ request_id: "early", deadline_ms: 10 }),
     ticket({ request_id: "started", started: true, deadline_ms: 99 }),
+    ticket({ request_id: "paid excess", started: true, excess: true }),
   ], ({ request_id }) => request_id);
   t.assert.snapshot(order);
 });
@@ -166,3 +168,22 @@
   assert.ok(granted >= 10_000 / 1_000 * 100 / 16, `granted ${granted}`);
   assert.ok(granted <= 10_000 / 1_000 * 100 / 2, `granted ${granted}`);
 });
+
+test("the expected wait counts what is ahead and what others take", () => {
+  const works = new ExpectedWorks();
+  const work = (rank: keyof typeof RANKS) => ({
+    ...RANKS[rank],
+    excess: false,
+  });
+  for (let call = 0; call < 100; call++) {
+    works.expect(work("urgent"), 1_000);
+    works.expect(work("bulk"), 1_000);
+  }
+  const pool = { turn_ms: 4, now_ms: 2_000 };
+  assert.equal(works.ahead(work("normal")), 100);
+  assert.equal(works.ahead(work("bulk")), 200);
+  assert.equal(works.takenShare(work("urgent"), pool).toFixed(2), "0.10");
+  assert.equal(works.takenShare(work("normal"), pool).toFixed(2), "0.30");
+  works.arrived(work("urgent"));
+  assert.equal(works.ahead(work("normal")), 99);
+});
--- a/test/pipelines/pipeline_run.test.ts
+++ b/test/pipelines/pipeline_run.test.ts
@@ -94,6 +94,7 @@
     pipeline: { ...ID, kind: RecordKind.Pipeline, deadline_ms: 1, stages },
     rank: { ...ID, kind: RecordKind.Rank, priority: 0, guaranteed_share: 0 },
     input: "input",
+    arrived_ms: 0,
     deadline_ms: 1_000,
     non_idempotent: false,
     idempotency_key: undefined,
