Let a keyed order finish after its deadline

Cause: at the deadline every call was cancelled. Ruled out: waiting at the endpoint's pace (the caller must hear at its deadline); doing so without a key (nobody could ask for the answer). Change: a claimed call that must not be repeated goes on until the pool's attempt time-out; the caller is told 'unknown' at the deadline, and the same key gives the recorded outcome. A drain waits for it. Text that comes after the end of an answer is dropped. Before: the new black-box test got no output for the key; after: it gets the whole one, and the endpoint ran the order once. Without the drop, text after the end raises an error on the answer (seen with the line taken out).

--- a/src/http_api/answer.ts
+++ b/src/http_api/answer.ts
@@ -36,8 +36,9 @@
     this.#response = response;
   }
 
-  /** Sends text; the promise holds back the sender while the caller is slow. */
+  /** Sends text unless the answer has ended; the promise holds back the sender while the caller is slow. */
   sendText = (text: string): Promise<void> | void => {
+    if (this.#response.writableEnded) return;
     this.#begin();
     if (this.#write(StreamEvent.Text, { text })) return;
     return writable(this.#response);
--- a/src/http_api/caller_api.ts
+++ b/src/http_api/caller_api.ts
@@ -13,6 +13,7 @@
   AbortReason,
   type PipelineRequest,
 } from "../pipelines/pipeline_request.ts";
+import { abortRefusal } from "../pipelines/run_refusal.ts";
 import { identityText } from "../records/types.ts";
 import { sendOutcome, StreamAnswer } from "./answer.ts";
 import { ForwardEnd, forwardRequest } from "./forward.ts";
@@ -57,6 +58,9 @@
 }
 
 const FORWARD_GRACE_MS = 200;
+/** How long a run that ends by itself at the deadline may take to say so. */
+const OWN_OUTCOME_MS = 50;
+const RETRY_LATER_MS = 1_000;
 
 /** Handles callers' HTTP requests. */
 export class CallerApi {
@@ -166,24 +170,30 @@
       if (!response.writableFinished) entry.abort(AbortReason.CallerGone);
     };
     response.once("close", onClose);
+    const key = claimedKey(terms);
+    const ending = run({
+      request_id,
+      organisation: terms.organisation,
+      pipeline: terms.pipeline,
+      rank: terms.rank,
+      input: body.input,
+      arrived_ms,
+      deadline_ms: arrived_ms + terms.remaining_ms,
+      non_idempotent: terms.non_idempotent,
+      idempotency_key: key,
+      signal: entry.signal,
+      stop_signal: entry.stop_signal,
+      sendText: stream?.sendText,
+    });
     try {
-      const outcome = await run({
-        request_id,
-        organisation: terms.organisation,
-        pipeline: terms.pipeline,
-        rank: terms.rank,
-        input: body.input,
-        arrived_ms,
-        deadline_ms: arrived_ms + terms.remaining_ms,
-        non_idempotent: terms.non_idempotent,
-        idempotency_key: claimedKey(terms),
-        signal: entry.signal,
-        sendText: stream?.sendText,
-      });
+      const outcome = key === undefined
+        ? await ending
+        : await Promise.race([ending, lateOutcome(entry.signal)]);
       response.off("close", onClose);
       if (stream === undefined) sendOutcome(response, outcome, request_id);
       else stream.finish(outcome, request_id);
       await finished(response).catch(() => {});
+      await ending;
     } finally {
       entry.finish();
     }
@@ -260,6 +270,21 @@
   return nonIdempotent ? terms.key?.text : undefined;
 }
 
+/** The outcome of a keyed request whose call goes on after its deadline. */
+function lateOutcome(signal: AbortSignal): Promise<Outcome> {
+  return new Promise((resolve) => {
+    const answer = () =>
+      setTimeout(resolve, OWN_OUTCOME_MS, {
+        kind: OutcomeKind.Unknown,
+        ...abortRefusal(signal),
+        retry_after_ms: RETRY_LATER_MS,
+        stages: [],
+      });
+    if (signal.aborted) answer();
+    else signal.addEventListener("abort", answer, { once: true });
+  });
+}
+
 function sendJson(
   response: ServerResponse,
   status: number,
--- a/src/http_api/running_requests.ts
+++ b/src/http_api/running_requests.ts
@@ -4,6 +4,8 @@
 /** One running request. */
 export interface RunningRequest {
   signal: AbortSignal;
+  /** Aborted only when the host stops. */
+  stop_signal: AbortSignal;
   abort(reason: AbortReason): void;
   /** Must be called once the answer has been written. */
   finish(): void;
@@ -12,6 +14,7 @@
 /** Keeps count of running requests and can end them all. */
 export class RunningRequests {
   #running = new Set<AbortController>();
+  #stopping = new AbortController();
   #onIdle: (() => void) | undefined;
 
   /** Number of running requests. */
@@ -27,6 +30,7 @@
     const timer = setTimeout(abort, remaining_ms, AbortReason.DeadlinePassed);
     return {
       signal: controller.signal,
+      stop_signal: this.#stopping.signal,
       abort,
       finish: () => {
         clearTimeout(timer);
@@ -44,6 +48,7 @@
 
   /** Aborts every running request. */
   abortAll(reason: AbortReason): void {
+    this.#stopping.abort(reason);
     for (const controller of this.#running) controller.abort(reason);
   }
 }
--- a/src/pipelines/pipeline_request.ts
+++ b/src/pipelines/pipeline_request.ts
@@ -26,6 +26,8 @@
   idempotency_key: string | undefined;
   /** Aborted with an {@linkcode AbortReason}. */
   signal: AbortSignal;
+  /** Aborted only when the host stops before its requests are done. */
+  stop_signal: AbortSignal;
   /** Receives the text of the last stage, when the caller asked for it. */
   sendText: SendText | undefined;
 }
--- a/src/pipelines/pipeline_run.ts
+++ b/src/pipelines/pipeline_run.ts
@@ -4,7 +4,7 @@
  */
 import type { Grant } from "../admission/pool_gate.ts";
 import type { AttemptResult } from "../endpoints/attempt.ts";
-import type { Stage } from "../records/types.ts";
+import type { EndpointPool, Stage } from "../records/types.ts";
 import {
   decideAfterAttempt,
   mayHaveRun,
@@ -32,15 +32,18 @@
 } from "./run_refusal.ts";
 import { StreamDiverged, TextContinuation } from "./text_continuation.ts";
 
-/** Runs a request to its one outcome; never rejects. */
+/** Runs a request to its one outcome. */
 export async function runPipeline(
   request: PipelineRequest,
   parts: PipelineParts,
 ): Promise<Outcome> {
-  const outcome = await new PipelineRun(request, parts).run();
-  parts.admission.finish(request);
-  parts.observer.onOutcome?.(request, outcome);
-  return outcome;
+  try {
+    const outcome = await new PipelineRun(request, parts).run();
+    parts.observer.onOutcome?.(request, outcome);
+    return outcome;
+  } finally {
+    parts.admission.finish(request);
+  }
 }
 
 class PipelineRun implements RunFacts {
@@ -201,8 +204,7 @@
   }
 
   async #send(stage: Stage, route: Route): Promise<AttemptResult> {
-    const { request_id, signal } = this.#request;
-    const remaining_ms = this.#remaining_ms;
+    const { request_id } = this.#request;
     this.#text?.start();
     return await route.call({
       request_id,
@@ -211,12 +213,27 @@
       pool: route.pool,
       input: this.#value,
       idempotent: this.#isIdempotent(stage),
-      timeout_ms: Math.min(remaining_ms, route.pool.attempt_timeout_ms),
-      signal,
+      ...this.#limitsOf(stage, route.pool),
       onText: this.#isLastStage ? this.#onText : undefined,
     });
   }
 
+  /**
+   * A claimed call that must not be repeated goes on after the deadline, so
+   * that its answer can be asked for with the key.
+   */
+  #limitsOf(
+    stage: Stage,
+    { attempt_timeout_ms }: EndpointPool,
+  ): { timeout_ms: number; signal: AbortSignal } {
+    const { signal, stop_signal } = this.#request;
+    if (this.#claimed && !this.#isIdempotent(stage)) {
+      return { timeout_ms: attempt_timeout_ms, signal: stop_signal };
+    }
+    const timeout_ms = Math.min(this.#remaining_ms, attempt_timeout_ms);
+    return { timeout_ms, signal };
+  }
+
   #afterAttempt(
     stage: Stage,
     { result, route }: { result: AttemptResult; route: Route },
--- a/test/http_api/answer.test.ts
+++ b/test/http_api/answer.test.ts
@@ -4,6 +4,7 @@
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { StreamAnswer } from "../../src/http_api/answer.ts";
+import { OutcomeKind } from "../../src/pipelines/outcome.ts";
 
 const PIECE = "x".repeat(65_536);
 const MOST_PIECES = 1_000;
@@ -46,6 +47,18 @@
   assert.notEqual(first, held);
 });
 
+test("text after the end of an answer is dropped", async (t) => {
+  const { response } = await openExchange(t);
+  const answer = new StreamAnswer(response);
+  const stages: [] = [];
+  answer.finish({ kind: OutcomeKind.Completed, output: "x", stages }, "r");
+  let failed = false;
+  response.on("error", () => failed = true);
+  await answer.sendText("late");
+  await sleep(HELD_MS);
+  assert.equal(failed, false);
+});
+
 async function openExchange(t: TestContext) {
   const server = createServer().listen(0, "127.0.0.1");
   t.after(() => {
--- a/test/http_api/caller_api.test.ts
+++ b/test/http_api/caller_api.test.ts
@@ -5,6 +5,7 @@
 import { writeFileSync } from "node:fs";
 import { connect } from "node:net";
 import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
 import { after, before, test } from "node:test";
 import { Fleet } from "../../stand_ins/fleet.ts";
 import {
@@ -192,6 +193,29 @@
   assert.equal(stolen.json.outcome, "unknown");
 });
 
+test("the answer of a keyed order that came too late can be asked for", async () => {
+  await fleet.setEndpoint("hooghly/print-1", { slowdown: 120 });
+  const minted = await postJson(host(0), "/v1/keys", {}, { headers: HOOGHLY });
+  const headers = {
+    ...HOOGHLY,
+    "idempotency-key": minted.json.idempotency_key,
+    "sesamequay-non-idempotent": "true",
+    "sesamequay-deadline-ms": "200",
+  };
+  const late = await postJson(host(0), PRINT, { input: "late" }, { headers });
+  assert.equal(late.json.outcome, "unknown");
+  assert.equal(late.json.reason, "deadline_passed");
+  await fleet.setEndpoint("hooghly/print-1", { slowdown: 1 });
+  await sleep(1_000);
+  const again = await postJson(host(0), PRINT, { input: "late" }, { headers });
+  assert.deepEqual(again.json.output, { "print-1": { "encode-1": "late" } });
+  const counts = await getJson(
+    fleet.endpoint("hooghly/print-1").address,
+    "/counts",
+  );
+  assert.equal(counts.json.inputs['{"encode-1":"late"}'], 1);
+});
+
 test("a key with another body is refused as not run", async () => {
   const minted = await postJson(host(0), "/v1/keys", {}, { headers: HOOGHLY });
   const headers = {
--- a/test/pipelines/pipeline_run.test.ts
+++ b/test/pipelines/pipeline_run.test.ts
@@ -99,6 +99,7 @@
     non_idempotent: false,
     idempotency_key: undefined,
     signal: new AbortController().signal,
+    stop_signal: new AbortController().signal,
     sendText: undefined,
     ...change,
   };
