Take passing on out of the callers' API

Change: pass_on.ts decides whether a request is for the host that minted its key, and forwards it. Measured: same_key_everywhere holds as before. Conclusion: no behaviour changed.

--- a/src/http_api/caller_api.ts
+++ b/src/http_api/caller_api.ts
@@ -2,12 +2,11 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { finished } from "node:stream/promises";
-import { KeyKind, parseIdempotencyKey } from "../claims/idempotency_key.ts";
+import { parseIdempotencyKey } from "../claims/idempotency_key.ts";
 import type { KeyClaims } from "../claims/claims.ts";
 import type { ConfigurationState } from "../configuration/configuration_state.ts";
 import type { Logger } from "../logging/logger.ts";
-import type { MemberTable } from "../membership/member_table.ts";
-import { type Outcome, OutcomeKind, Reason } from "../pipelines/outcome.ts";
+import { type Outcome, OutcomeKind } from "../pipelines/outcome.ts";
 import { KeyUseKind } from "../pipelines/pipeline_parts.ts";
 import {
   AbortReason,
@@ -16,7 +15,6 @@
 import { abortRefusal } from "../pipelines/run_refusal.ts";
 import { identityText } from "../records/types.ts";
 import { sendOutcome, StreamAnswer } from "./answer.ts";
-import { ForwardEnd, forwardRequest } from "./forward.ts";
 import {
   faultProblem,
   type Problem,
@@ -32,32 +30,26 @@
   type RequestTerms,
 } from "./read_request.ts";
 import { matchRoute, RouteName } from "./routes.ts";
+import type { Exchange, PassOn } from "./pass_on.ts";
 import type { RunningRequests } from "./running_requests.ts";
 
 /** What the API needs. */
 export interface CallerApiOptions {
   configuration: ConfigurationState;
   claims: KeyClaims;
-  members: MemberTable;
   running: RunningRequests;
   run: (request: PipelineRequest) => Promise<Outcome>;
   /** Whether new requests are taken. */
   accepts: () => boolean;
   /** Whether the balancer should send requests here. */
   ready: () => boolean;
-  incarnation: string;
-  host: string;
+  /** Passes a request on to the host that minted its key. */
+  passOn: PassOn;
   limits: { body_bytes: number; deadline_ms: number };
   log: Logger;
   now: () => number;
 }
 
-interface Exchange {
-  request: IncomingMessage;
-  response: ServerResponse;
-}
-
-const FORWARD_GRACE_MS = 200;
 /** How long a run that ends by itself at the deadline may take to say so. */
 const OWN_OUTCOME_MS = 50;
 const RETRY_LATER_MS = 1_000;
@@ -145,7 +137,8 @@
       most_deadline_ms: limits.deadline_ms,
     });
     const body = await readBody(exchange.request, limits.body_bytes);
-    if (await this.#passedOn(exchange, { terms, body })) return;
+    const { passOn } = this.#options;
+    if (await passOn(exchange, { terms, body })) return;
     const request_id = randomUUID();
     if (!this.#options.accepts()) {
       exchange.response.setHeader("connection", "close");
@@ -199,54 +192,6 @@
     }
   }
 
-  /** Passes the request on if another host minted its key and answers. */
-  async #passedOn(
-    { request, response }: Exchange,
-    { terms, body }: { terms: RequestTerms; body: RequestBody },
-  ): Promise<boolean> {
-    const { key } = terms;
-    if (key?.kind !== KeyKind.Minted || terms.forwarded) return false;
-    const { incarnation, members, log } = this.#options;
-    if (key.incarnation === incarnation) return false;
-    const minter = members.byIncarnation(key.incarnation);
-    if (minter === undefined) return false;
-    const end = await this.#forward({ request, response }, {
-      address: minter.callers_address,
-      body: JSON.stringify(body),
-      timeout_ms: terms.remaining_ms + FORWARD_GRACE_MS,
-    });
-    log.info({
-      event: "forward",
-      organisation: identityText(terms.organisation),
-      minter: minter.address,
-      result: end,
-    });
-    if (end === ForwardEnd.Lost) {
-      sendOutcome(response, lostOutcome, randomUUID());
-    }
-    return end !== ForwardEnd.NotSent;
-  }
-
-  /** A forwarded request runs here too, so that a drain waits for it. */
-  async #forward(
-    { request, response }: Exchange,
-    target: { address: string; body: string; timeout_ms: number },
-  ): Promise<ForwardEnd> {
-    const { running, host } = this.#options;
-    const entry = running.start(target.timeout_ms);
-    try {
-      const end = await forwardRequest(
-        { request, body: target.body },
-        response,
-        { ...target, self: host },
-      );
-      if (end === ForwardEnd.Answered) await finished(response).catch(() => {});
-      return end;
-    } finally {
-      entry.finish();
-    }
-  }
-
   #fail(response: ServerResponse, error: unknown): void {
     if (error instanceof RequestError) {
       if (error.fault === RequestFault.BodyTooLarge) {
@@ -302,13 +247,3 @@
   outcome: OutcomeKind.Unknown,
   reason: "internal_error",
 };
-
-const RETRY_ELSEWHERE_MS = 1_000;
-
-const lostOutcome: Outcome = {
-  kind: OutcomeKind.Unknown,
-  reason: Reason.KeyUndecided,
-  message: "The host that minted the key gave no answer",
-  retry_after_ms: RETRY_ELSEWHERE_MS,
-  stages: [],
-};
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -16,6 +16,7 @@
 import { EndpointConnections } from "./endpoints/endpoint_connections.ts";
 import { CallerApi } from "./http_api/caller_api.ts";
 import { createCallerServer } from "./http_api/caller_server.ts";
+import { createPassOn } from "./http_api/pass_on.ts";
 import { RunningRequests } from "./http_api/running_requests.ts";
 import { drainHost } from "./lifecycle/drain_host.ts";
 import {
@@ -304,13 +305,17 @@
   const api = new CallerApi({
     configuration,
     claims,
-    members,
     running,
     run: (request) => runPipeline(request, parts),
     accepts: () => lifecycle.accepts,
     ready: () => lifecycle.state === HostLifecycleState.Ready,
-    incarnation: base.incarnation,
-    host: settings.host.name,
+    passOn: createPassOn({
+      members,
+      running,
+      incarnation: base.incarnation,
+      host: settings.host.name,
+      log,
+    }),
     limits: settings.limits,
     log,
     now,
