--- a/src/claims/journal.ts
+++ b/src/claims/journal.ts
@@ -15,6 +15,7 @@
   incarnation: string;
   /** Time between two batches. */
   interval_ms: () => number;
+  now: () => number;
   signal: AbortSignal;
 }
 
@@ -36,6 +37,8 @@
 
 interface JournalChunk {
   entries: JournalEntry[];
+  /** When the chunk was written last, for the cleaner. */
+  written_ms: number;
 }
 
 const CHUNK_KEYS = 200;
@@ -93,11 +96,13 @@
 
   /** Says that this process has stopped and runs nothing any more. */
   async close(): Promise<void> {
-    const { platform, incarnation, signal } = this.#options;
+    const { platform, incarnation, now, signal } = this.#options;
     for (let attempt = 0; attempt < CLOSE_ATTEMPTS; attempt++) {
       if (await this.flush()) {
         const key = closedKey(incarnation);
-        await platform.put(key, { closed: true }, { absent: true });
+        await platform.put(key, { closed: true, written_ms: now() }, {
+          absent: true,
+        });
         return;
       }
       await pause(CLOSE_RETRY_MS, signal);
@@ -119,14 +124,18 @@
   }
 
   async #append(chunk: number, fresh: JournalEntry[]): Promise<boolean> {
-    const { platform, incarnation } = this.#options;
+    const { platform, incarnation, now } = this.#options;
     const known = this.#chunks.get(chunk);
     const entries = [...known?.entries ?? [], ...fresh];
     const condition = known?.version === undefined
       ? { absent: true as const }
       : { version: known.version };
     const key = chunkKey(incarnation, chunk);
-    const written = await platform.put(key, { entries }, condition);
+    const written = await platform.put(
+      key,
+      { entries, written_ms: now() },
+      condition,
+    );
     if (written.ok) {
       this.#chunks.set(chunk, { version: written.value, entries });
       return true;
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -6,6 +6,7 @@
 import { PoolGates } from "./admission/pool_gates.ts";
 import { KeyClaims } from "./claims/claims.ts";
 import { Journal } from "./claims/journal.ts";
+import { runJournalCleaner } from "./claims/journal_cleaner.ts";
 import { MintedKeys } from "./claims/minted_keys.ts";
 import type { ClaimReply } from "./claims/types.ts";
 import { ShardClaims } from "./claims/shard_claims.ts";
@@ -242,6 +243,7 @@
         LEAST_JOURNAL_INTERVAL_MS,
         base.servingHosts() * JOURNAL_SPACING_MS,
       ),
+    now,
     signal,
   });
   const shards = new ShardClaims({
@@ -431,6 +433,10 @@
   void runHeartbeats(peerSide.heartbeatOptions);
   void followHostList(platform, base);
   void claimParts.journal.run();
+  void runJournalCleaner({
+    ...base,
+    isCleaner: () => ranksBefore("journal cleaner", 1),
+  });
 }
 
 const SETTLE_POLL_MS = 20;
--- a/test/claims/claims.test.ts
+++ b/test/claims/claims.test.ts
@@ -4,6 +4,7 @@
 import { v7 as uuidv7 } from "uuid";
 import { applyClaim, applyOutcome } from "../../src/claims/claim_slot.ts";
 import { parseIdempotencyKey } from "../../src/claims/idempotency_key.ts";
+import { cleanJournals } from "../../src/claims/journal_cleaner.ts";
 import { Journal, JournalFind } from "../../src/claims/journal.ts";
 import { MintedKeys } from "../../src/claims/minted_keys.ts";
 import { SlotCommitter } from "../../src/claims/slot_committer.ts";
@@ -162,6 +163,7 @@
     platform,
     incarnation: "a",
     interval_ms: () => 1,
+    now: () => 0,
     signal: new AbortController().signal,
   });
   const found = async (number: number) =>
@@ -182,6 +184,20 @@
   assert.equal(await found(1), JournalFind.Unavailable);
 });
 
+test("journals of the day before are deleted, and only those", async () => {
+  const platform = new FakePlatform();
+  const put = (key: string, written_ms: number) =>
+    platform.put(key, { entries: [], written_ms }, { absent: true });
+  await put("journal/a1/0", 0);
+  await put("journal/a1/1", 90_000_000);
+  await put("journal/b1/0", 0);
+  await cleanJournals("journal/a", { platform, now: () => 100_000_000 });
+  assert.deepEqual(
+    [...platform.objects.keys()],
+    ["journal/a1/1", "journal/b1/0"],
+  );
+});
+
 test("keys are minted ones or UUIDs of version 7", () => {
   assert.equal(parseIdempotencyKey("order-7"), undefined);
   assert.equal(
