--- a/src/configuration/accepted.ts
+++ b/src/configuration/accepted.ts
@@ -2,7 +2,7 @@
  * The accepted configuration: one platform object that holds every record in
  * force and a generation that only rises.
  */
-import { parseRecord } from "../records/parse_record.ts";
+import { parseRecordValue } from "../records/parse_record.ts";
 import { createRecordSet, type RecordSet } from "../records/record_set.ts";
 
 /** Platform key of the accepted configuration. */
@@ -26,7 +26,7 @@
 /** Indexes the records of an accepted configuration. */
 export function indexAccepted(accepted: AcceptedConfiguration): RecordSet {
   const records = accepted.records.flatMap(({ key, value }) => {
-    const parsed = parseRecord(key, JSON.stringify(value));
+    const parsed = parseRecordValue(key, value);
     return parsed.ok ? [parsed.value.record] : [];
   });
   return createRecordSet(records);
--- a/src/configuration/plan_publication.ts
+++ b/src/configuration/plan_publication.ts
@@ -5,7 +5,10 @@
  */
 import { isDeepStrictEqual } from "node:util";
 import type { Finding } from "../findings/finding.ts";
-import { type ParsedRecord, parseRecord } from "../records/parse_record.ts";
+import {
+  type ParsedRecord,
+  parseRecordValue,
+} from "../records/parse_record.ts";
 import { crossFindings } from "../records/record_set.ts";
 import { recordKey, RecordKind } from "../records/types.ts";
 import type { PlatformListing } from "../platform/types.ts";
@@ -94,7 +97,7 @@
 }
 
 function ownFindings({ key, value }: AcceptedRecord): Finding[] {
-  const parsed = parseRecord(key, JSON.stringify(value, null, 2));
+  const parsed = parseRecordValue(key, value);
   if (!parsed.ok) return parsed.findings;
   const { record, document } = parsed.value;
   if (recordKey(record.kind, record) === key) return [];
@@ -150,7 +153,7 @@
 
 function parseAll(records: Iterable<AcceptedRecord>): ParsedRecord[] {
   return [...records].flatMap(({ key, value }) => {
-    const parsed = parseRecord(key, JSON.stringify(value, null, 2));
+    const parsed = parseRecordValue(key, value);
     return parsed.ok ? [parsed.value] : [];
   });
 }
--- a/src/findings/located_document.ts
+++ b/src/findings/located_document.ts
@@ -41,6 +41,22 @@
   return { ok: true, value: createLocated(file, document, lineCounter) };
 }
 
+/**
+ * A document of a value that has been parsed before. Its text, as indented
+ * JSON, is made and read only if a finding needs a place in it.
+ */
+export function documentOf(file: string, content: unknown): LocatedDocument {
+  let located: LocatedDocument | undefined;
+  return {
+    file,
+    content,
+    findingAt(path, message, hint) {
+      located ??= locateJson(file, content);
+      return located.findingAt(path, message, hint);
+    },
+  };
+}
+
 /** Checks a document against a schema; every complaint becomes a finding. */
 export function checkAgainst<T>(
   document: LocatedDocument,
@@ -54,6 +70,13 @@
   return { ok: false, findings };
 }
 
+function locateJson(file: string, content: unknown): LocatedDocument {
+  const lineCounter = new LineCounter();
+  const text = JSON.stringify(content, null, 2) ?? "null";
+  const document = parseDocument(text, { lineCounter });
+  return createLocated(file, document, lineCounter);
+}
+
 function createLocated(
   file: string,
   document: Document,
--- a/src/records/parse_record.ts
+++ b/src/records/parse_record.ts
@@ -2,6 +2,7 @@
 import type { Checked, Finding } from "../findings/finding.ts";
 import {
   checkAgainst,
+  documentOf,
   type LocatedDocument,
   parseLocated,
 } from "../findings/located_document.ts";
@@ -18,8 +19,18 @@
 /** Parses a record's text; `file` names it in findings. */
 export function parseRecord(file: string, text: string): Checked<ParsedRecord> {
   const located = parseLocated(file, text);
-  if (!located.ok) return located;
-  const document = located.value;
+  return located.ok ? parseDocumentRecord(located.value) : located;
+}
+
+/** Parses a record from the value that the platform keeps under `key`. */
+export function parseRecordValue(
+  key: string,
+  value: unknown,
+): Checked<ParsedRecord> {
+  return parseDocumentRecord(documentOf(key, value));
+}
+
+function parseDocumentRecord(document: LocatedDocument): Checked<ParsedRecord> {
   const findings = headFindings(document);
   if (findings.length > 0) return { ok: false, findings };
   const { kind, schema_version } = document.content as RecordHead;
--- a/src/routing/choose_endpoint.ts
+++ b/src/routing/choose_endpoint.ts
@@ -73,7 +73,11 @@
   return choice;
 }
 
-/** When a call given to this candidate now is expected to be done. */
+/**
+ * When a call given to this candidate now is expected to be done. The share of
+ * calls that succeed counts twice: a failed one takes its own time, and a retry
+ * from the pool's budget.
+ */
 export function expectedCompletion_ms(
   candidate: Candidate,
   context: ChoiceContext,
@@ -84,7 +88,8 @@
   const load = Math.max(1, own_load, reported);
   const near = endpoint.availability_zone === context.availability_zone;
   const penalty_ms = near ? 0 : OTHER_ZONE_PENALTY_MS;
-  return state.service_ms(context.now_ms) * load + penalty_ms;
+  const service_ms = state.service_ms(context.now_ms) * load;
+  return service_ms / state.success_share ** 2 + penalty_ms;
 }
 
 /** Whether a call could be done in time; an unlikely one only costs. */
--- a/src/routing/endpoint_state.ts
+++ b/src/routing/endpoint_state.ts
@@ -14,6 +14,8 @@
 /** An idle endpoint's estimate halves in this time, so that it is tried again. */
 const ESTIMATE_HALF_LIFE_MS = 2_000;
 const MEDIAN = 0.5;
+const FAILURE_SMOOTHING = 0.1;
+const LEAST_SUCCESS_SHARE = 0.1;
 /** Stand-in for a service time that is not known yet; small, so it is tried. */
 const UNKNOWN_SERVICE_MS = 1;
 const LOAD_REPORT_LIFE_MS = 5_000;
@@ -26,6 +28,8 @@
   leaving = false;
   #service = new RecentQuantiles(RECENT_CALLS);
   #learned_ms = 0;
+  /** Smoothed share of recent calls that failed, 0 to 1. */
+  #failing_share = 0;
   #utilization = 0;
   #utilization_ms = -Infinity;
 
@@ -37,6 +41,11 @@
     return median_ms * 2 ** (-idle_ms / ESTIMATE_HALF_LIFE_MS);
   }
 
+  /** Smoothed share of recent calls that succeeded, above 0. */
+  get success_share(): number {
+    return Math.max(LEAST_SUCCESS_SHARE, 1 - this.#failing_share);
+  }
+
   /** Utilization that the endpoint reported lately, or 0. */
   utilization(now_ms: number): number {
     const fresh = now_ms - this.#utilization_ms < LOAD_REPORT_LIFE_MS;
@@ -58,8 +67,10 @@
     const succeeded = result.end === AttemptEnd.Done;
     if (succeeded || result.end === AttemptEnd.Silent) {
       this.#service.add(result.elapsed_ms);
-      this.#learned_ms = now_ms;
     }
+    this.#learned_ms = now_ms;
+    const failed = succeeded ? 0 : 1;
+    this.#failing_share += (failed - this.#failing_share) * FAILURE_SMOOTHING;
     recordCall(this.health, { succeeded, now_ms });
   }
 }
--- a/stand_ins/load/load.ts
+++ b/stand_ins/load/load.ts
@@ -5,7 +5,11 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { setTimeout as sleep } from "node:timers/promises";
-import { type JsonAnswer, postJson } from "../json_call.ts";
+import {
+  type JsonAnswer,
+  type JsonCallOptions,
+  postJson,
+} from "../json_call.ts";
 
 /** One kind of work in a load. */
 export interface LoadStream {
@@ -75,6 +79,25 @@
   return samples;
 }
 
+/** Sends to a host, or to the next one if it refuses connections. */
+async function postBalanced(
+  hosts: readonly string[],
+  first: number,
+  ...[path, options]: [string, JsonCallOptions]
+): Promise<JsonAnswer> {
+  const body = { input: "measure" };
+  for (let tried = 0; tried < hosts.length; tried++) {
+    const host = hosts[(first + tried) % hosts.length] ?? "";
+    try {
+      return await postJson(host, path, body, options);
+    } catch (error) {
+      const { code } = error as NodeJS.ErrnoException;
+      if (code !== "ECONNREFUSED") throw error;
+    }
+  }
+  throw new Error("Every host refuses connections");
+}
+
 async function sendSample(
   load: LoadDefinition,
   { stream, host, started_ms }: {
@@ -95,10 +118,10 @@
     ...end,
   });
   try {
-    const answer = await postJson(
-      load.hosts[host] ?? "",
+    const answer = await postBalanced(
+      load.hosts,
+      host,
       path,
-      { input: "measure" },
       {
         headers: {
           authorization: `Bearer ${stream.key}`,
--- a/test/routing/routing.test.ts
+++ b/test/routing/routing.test.ts
@@ -211,3 +211,19 @@
   states.follow([serving]);
   assert.ok(!states.of(serving).leaving);
 });
+
+test("an endpoint that fails half its calls is passed over, and tried later", () => {
+  const [sick, well] = [candidate("sick", 10), candidate("well", 10)];
+  for (let call = 0; call < 20; call++) {
+    const end = call % 2 === 0 ? AttemptEnd.Done : AttemptEnd.Failed;
+    sick.state.record(result(end, 10), 0);
+  }
+  const choose = (now_ms: number) =>
+    chooseEndpoint(
+      [sick, well],
+      context(RoutingPolicy.ExpectedCompletion, now_ms),
+    )?.candidate.endpoint.name;
+  assert.equal(choose(0), "well");
+  well.state.record(result(AttemptEnd.Done, 10), 10_000);
+  assert.equal(choose(10_000), "sick");
+});
