--- a/src/admission/admission_controller.ts
+++ b/src/admission/admission_controller.ts
@@ -31,6 +31,8 @@
   now: () => number;
 }
 
+/** Waits vary; work that is let in should mostly be done in time. */
+const WAIT_MARGIN = 1.15;
 const LEAST_RETRY_AFTER_MS = 100;
 const RETRY_ELSEWHERE_MS = 1_000;
 
@@ -154,7 +156,7 @@
       service_ms += gate.service_ms;
       wait_ms += gate.estimateWait_ms(work);
     }
-    return { wait_ms, total_ms: wait_ms + service_ms };
+    return { wait_ms, total_ms: wait_ms * WAIT_MARGIN + service_ms };
   }
 
   #gate(stage: Stage): PoolGate {
--- a/src/http_api/caller_api.ts
+++ b/src/http_api/caller_api.ts
@@ -1,7 +1,6 @@
 /** The API for callers: pipeline requests, keys, recorded outcomes, health. */
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { finished } from "node:stream/promises";
 import { parseIdempotencyKey } from "../claims/idempotency_key.ts";
 import type { KeyClaims } from "../claims/claims.ts";
 import type { ConfigurationState } from "../configuration/configuration_state.ts";
@@ -14,6 +13,7 @@
 } from "../pipelines/pipeline_request.ts";
 import { abortRefusal } from "../pipelines/run_refusal.ts";
 import { identityText } from "../records/types.ts";
+import { responseClosed } from "../utils/response_closed.ts";
 import { sendOutcome, StreamAnswer } from "./answer.ts";
 import {
   faultProblem,
@@ -185,7 +185,7 @@
       response.off("close", onClose);
       if (stream === undefined) sendOutcome(response, outcome, request_id);
       else stream.finish(outcome, request_id);
-      await finished(response).catch(() => {});
+      await responseClosed(response);
       await ending;
     } finally {
       entry.finish();
--- a/src/http_api/pass_on.ts
+++ b/src/http_api/pass_on.ts
@@ -1,12 +1,12 @@
 /** Decides whether a request is for the host that minted its key. */
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { finished } from "node:stream/promises";
 import { KeyKind } from "../claims/idempotency_key.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { MemberTable } from "../membership/member_table.ts";
 import { type Outcome, OutcomeKind, Reason } from "../pipelines/outcome.ts";
 import { identityText } from "../records/types.ts";
+import { responseClosed } from "../utils/response_closed.ts";
 import { sendOutcome } from "./answer.ts";
 import { ForwardEnd, forwardRequest } from "./forward.ts";
 import type { RequestBody, RequestTerms } from "./read_request.ts";
@@ -77,7 +77,7 @@
       response,
       { ...target, self: host },
     );
-    if (end === ForwardEnd.Answered) await finished(response).catch(() => {});
+    if (end === ForwardEnd.Answered) await responseClosed(response);
     return end;
   } finally {
     entry.finish();
