--- a/stand_ins/endpoint.ts
+++ b/stand_ins/endpoint.ts
@@ -19,6 +19,8 @@
   fail_every: number;
   /** Every n-th answer is cut half-way; 0 for none. */
   cut_every: number;
+  /** Every n-th stream is cut within its headers; 0 for none. */
+  cut_headers_every: number;
   /** Every n-th stream ends in order, but half-way; 0 for none. */
   end_early_every: number;
   /** Every n-th call is run but never answered; 0 for none. */
@@ -49,6 +51,7 @@
   slowdown: 1,
   fail_every: 0,
   cut_every: 0,
+  cut_headers_every: 0,
   end_early_every: 0,
   silent_every: 0,
   cross_answers: false,
@@ -224,6 +227,9 @@
   response: ServerResponse,
   { prompt, call }: { prompt: string; call: number },
 ): Promise<void> {
+  if (hits(faults.cut_headers_every, call)) {
+    return void response.socket?.end("HTTP/1.1 200 OK\r\ncontent-ty");
+  }
   response.setHeader("content-type", "text/event-stream");
   response.flushHeaders();
   const cutAfter = hits(faults.cut_every, call) ? tokens / 2 : Infinity;
