--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -1,6 +1,6 @@
 /**
- * Builds dist/sesamequay: one executable that needs no node_modules. The
- * program is bundled by esbuild and put into a copy of Node as a single
+ * Builds dist/sesamequay, or the same in the folder given as an argument: one
+ * executable that needs no node_modules. The program is bundled by esbuild and put into a copy of Node as a single
  * executable application.
  */
 import { execFileSync } from "node:child_process";
@@ -16,7 +16,8 @@
 import { inject } from "postject";
 
 const root = join(import.meta.dirname, "..");
-const dist = join(root, "dist");
+const FIRST_ARGUMENT = 2;
+const dist = join(root, process.argv[FIRST_ARGUMENT] ?? "dist");
 const bundle = join(dist, "sesamequay.cjs");
 const blob = join(dist, "sesamequay.blob");
 const executable = join(dist, "sesamequay");
@@ -42,6 +43,7 @@
     main: bundle,
     output: blob,
     disableExperimentalSEAWarning: true,
+    useCodeCache: true,
   }),
 );
 execFileSync(process.execPath, ["--experimental-sea-config", configuration]);
--- a/specs/configuration_protocol.ts
+++ b/specs/configuration_protocol.ts
@@ -8,7 +8,7 @@
   PlanKind,
   planPublication,
 } from "../src/configuration/plan_publication.ts";
-import type { PlatformListing } from "../src/platform/types.ts";
+import type { PlatformListing } from "../src/object_api/types.ts";
 import { recordKey, RecordKind } from "../src/records/types.ts";
 import type { Specification } from "./explore.ts";
 
--- /dev/null
+++ b/src/batching/batch_gatherer.ts
@@ -0,0 +1,401 @@
+/**
+ * Gathers pieces of all hosts for the pools that this host looks after, and
+ * makes the calls. A piece may be made again, so looking after a pool is for
+ * speed alone: two gatherers for a moment cost half-empty calls, nothing else.
+ */
+import type { Logger } from "../logging/logger.ts";
+import {
+  type BatchLimits,
+  EndpointState,
+  type RouteEndpoint,
+  type RoutePool,
+} from "../routes/types.ts";
+import { EndpointCalls } from "./endpoint_calls.ts";
+import { expectedJobMs } from "./expected_wait.ts";
+import { planCall, type PlannedShare, type WaitingJob } from "./plan_call.ts";
+import {
+  JobEnd,
+  type JobOutcome,
+  type Piece,
+  type PieceAnswer,
+  PieceFault,
+  type PieceOrder,
+  type StageJob,
+  type StageResult,
+} from "./types.ts";
+
+/** How a call to an endpoint ended. */
+export type PieceCallResult =
+  | { kind: PieceCallEnd.Answered; answers: PieceAnswer[] }
+  /** The endpoint said that it is full. */
+  | { kind: PieceCallEnd.Full }
+  | { kind: PieceCallEnd.Failed; reason: string };
+
+/** The ways in which a call ends. */
+export enum PieceCallEnd {
+  Answered = "answered",
+  Full = "full",
+  Failed = "failed",
+}
+
+/** Makes the calls that the gatherer decides on. */
+export interface PieceCaller {
+  make(
+    endpoint: RouteEndpoint,
+    orders: PieceOrder[],
+    timeout_ms: number,
+  ): Promise<PieceCallResult>;
+  /** Gives results up; failures are logged, since results expire anyway. */
+  free(address: string, handles: string[]): void;
+}
+
+/** What the gatherer needs. */
+export interface GathererOptions {
+  pool: (name: string) => RoutePool | undefined;
+  endpoints: (pool: string) => readonly RouteEndpoint[];
+  caller: PieceCaller;
+  log: Logger;
+  /** Milliseconds of the steady clock. */
+  now: () => number;
+}
+
+/** How often a piece is tried before its job fails. */
+const MOST_TRIES = 4;
+/** How soon an endpoint that was full, or had no room, is asked again. */
+const FULL_RETRY_MS = 40;
+
+interface QueuedJob extends WaitingJob {
+  job: StageJob;
+  waiting: Piece[];
+  results: (StageResult | undefined)[];
+  missing: number;
+  tries: number;
+  ended: boolean;
+  end: (outcome: JobOutcome) => void;
+}
+
+interface PoolWork {
+  jobs: Set<QueuedJob>;
+  endpoints: Map<string, EndpointCalls>;
+  timer: NodeJS.Timeout | undefined;
+}
+
+/** See the module's comment. */
+export class BatchGatherer {
+  #pools = new Map<string, PoolWork>();
+  #options: GathererOptions;
+
+  constructor(options: GathererOptions) {
+    this.#options = options;
+  }
+
+  /** Makes all pieces of a job; dropped when the signal fires. */
+  run(job: StageJob, signal: AbortSignal): Promise<JobOutcome> {
+    const limits = this.#options.pool(job.pool)?.batch;
+    if (limits === undefined) {
+      return Promise.resolve({ kind: JobEnd.Failed, reason: "unknown_pool" });
+    }
+    const work = this.#workOf(job.pool);
+    const refusal = this.#refusal(job, work, limits);
+    if (refusal !== undefined) return Promise.resolve(refusal);
+    return new Promise((resolve) => {
+      const queued = this.#enqueue(job, work, resolve);
+      signal.addEventListener("abort", () => {
+        this.#end(queued, work, { kind: JobEnd.Failed, reason: "cancelled" });
+      });
+      this.#dispatch(job.pool);
+    });
+  }
+
+  /** Gives up results at one address. */
+  free(pool: string, address: string, handles: string[]): void {
+    const work = this.#workOf(pool);
+    for (const calls of work.endpoints.values()) {
+      if (calls.endpoint.address !== address) continue;
+      for (const handle of handles) calls.release(handle);
+    }
+    this.#options.caller.free(address, handles);
+    this.#dispatch(pool);
+  }
+
+  /** Jobs that wait or are being made. */
+  get running(): number {
+    let jobs = 0;
+    for (const work of this.#pools.values()) jobs += work.jobs.size;
+    return jobs;
+  }
+
+  /** Takes note that endpoints have changed. */
+  endpointsChanged(): void {
+    for (const pool of this.#pools.keys()) this.#dispatch(pool);
+  }
+
+  #workOf(pool: string): PoolWork {
+    const known = this.#pools.get(pool);
+    if (known !== undefined) return known;
+    const created: PoolWork = {
+      jobs: new Set(),
+      endpoints: new Map(),
+      timer: undefined,
+    };
+    this.#pools.set(pool, created);
+    return created;
+  }
+
+  #refusal(
+    job: StageJob,
+    work: PoolWork,
+    limits: BatchLimits,
+  ): JobOutcome | undefined {
+    const now_ms = this.#options.now();
+    const taking = this.#refresh(job.pool, work)
+      .filter((calls) => calls.takesCalls(now_ms));
+    const due_ms = now_ms + job.due_in_ms;
+    let piecesAhead = 0;
+    for (const other of work.jobs) {
+      if (other.due_ms <= due_ms) piecesAhead += other.waiting.length;
+    }
+    const slowness = taking.reduce((sum, each) => sum + each.slowness, 0) /
+      Math.max(1, taking.length);
+    const load = { endpoints: taking.length, slowness, piecesAhead };
+    const expected_ms = expectedJobMs(job.pieces.length, load, limits);
+    if (expected_ms <= job.expires_in_ms) return undefined;
+    const excess_ms = expected_ms - job.expires_in_ms;
+    return {
+      kind: JobEnd.Refused,
+      retry_after_ms: Number.isFinite(excess_ms) ? excess_ms : limits.call_ms,
+    };
+  }
+
+  #enqueue(
+    job: StageJob,
+    work: PoolWork,
+    end: (outcome: JobOutcome) => void,
+  ): QueuedJob {
+    const now_ms = this.#options.now();
+    const queued: QueuedJob = {
+      job,
+      priority: job.priority,
+      due_ms: now_ms + job.due_in_ms,
+      expires_ms: now_ms + job.expires_in_ms,
+      since_ms: now_ms,
+      home_zone: job.home_zone,
+      result_bytes: job.result_bytes,
+      waiting: [...job.pieces],
+      get waiting_pieces() {
+        return this.waiting.length;
+      },
+      results: job.pieces.map(() => undefined),
+      missing: job.pieces.length,
+      tries: 0,
+      ended: false,
+      end,
+    };
+    work.jobs.add(queued);
+    return queued;
+  }
+
+  /** The pool's ready endpoints, with what is known of each. */
+  #refresh(pool: string, work: PoolWork): EndpointCalls[] {
+    const ready: EndpointCalls[] = [];
+    const seen = new Set<string>();
+    for (const endpoint of this.#options.endpoints(pool)) {
+      const key = `${endpoint.id}/${endpoint.born_ms}`;
+      seen.add(key);
+      let calls = work.endpoints.get(key);
+      if (calls === undefined) {
+        calls = new EndpointCalls(endpoint);
+        work.endpoints.set(key, calls);
+      }
+      calls.endpoint = endpoint;
+      if (endpoint.state === EndpointState.Ready) ready.push(calls);
+    }
+    for (const key of work.endpoints.keys()) {
+      if (!seen.has(key)) work.endpoints.delete(key);
+    }
+    return ready;
+  }
+
+  #dispatch(pool: string): void {
+    const work = this.#workOf(pool);
+    const limits = this.#options.pool(pool)?.batch;
+    if (limits === undefined) return;
+    const now_ms = this.#options.now();
+    this.#dropExpired(work, now_ms);
+    if (work.jobs.size === 0) return;
+    const ready = this.#refresh(pool, work);
+    const servedZones = new Set(
+      ready.filter((calls) => calls.takesCalls(now_ms))
+        .map((calls) => calls.endpoint.availability_zone),
+    );
+    const free = ready.filter((calls) => calls.free(now_ms, limits))
+      .sort((a, b) => a.slowness - b.slowness);
+    for (const calls of free) {
+      const shares = planCall(work.jobs, {
+        availability_zone: calls.endpoint.availability_zone,
+        room_bytes: calls.roomBytes(now_ms, limits),
+        slowness: calls.slowness,
+      }, { now_ms, limits, servedZones });
+      if (shares.length > 0) {
+        void this.#call(pool, work, { calls, shares, limits });
+      }
+    }
+    this.#dispatchLater(pool, work);
+  }
+
+  /** Looks again soon while something waits: rests end, zones are left. */
+  #dispatchLater(pool: string, work: PoolWork): void {
+    if (work.timer !== undefined) return;
+    const waits = [...work.jobs].some((queued) => queued.waiting.length > 0);
+    if (!waits) return;
+    work.timer = setTimeout(() => {
+      work.timer = undefined;
+      this.#dispatch(pool);
+    }, FULL_RETRY_MS);
+  }
+
+  #dropExpired(work: PoolWork, now_ms: number): void {
+    for (const queued of work.jobs) {
+      if (queued.expires_ms > now_ms) continue;
+      this.#end(queued, work, { kind: JobEnd.Failed, reason: "expired" });
+    }
+  }
+
+  async #call(
+    pool: string,
+    work: PoolWork,
+    { calls, shares, limits }: {
+      calls: EndpointCalls;
+      shares: PlannedShare<QueuedJob>[];
+      limits: BatchLimits;
+    },
+  ): Promise<void> {
+    const { now, caller, log } = this.#options;
+    const began_ms = now();
+    const taken = shares.flatMap(({ job: queued, pieces }) =>
+      queued.waiting.splice(0, pieces).map((piece) => ({ queued, piece }))
+    );
+    const bytes = taken.reduce(
+      (sum, { queued }) => sum + queued.result_bytes,
+      0,
+    );
+    calls.begin(bytes);
+    const result = await caller.make(
+      calls.endpoint,
+      taken.map(({ queued, piece }) => ({
+        ...piece,
+        attempt_id: queued.job.attempt_id,
+        stage: queued.job.stage,
+        remaining_ms: Math.max(1, Math.round(queued.expires_ms - began_ms)),
+      })),
+      calls.patienceMs(taken.length, limits),
+    );
+    const now_ms = now();
+    const elapsed_ms = now_ms - began_ms;
+    log.info({
+      event: "stage_call",
+      pool,
+      endpoint: calls.endpoint.id,
+      zone: calls.endpoint.availability_zone,
+      pieces: taken.length,
+      jobs: shares.length,
+      waiting: [...work.jobs].reduce((sum, j) => sum + j.waiting.length, 0),
+      room_bytes: calls.roomBytes(now_ms, limits),
+      slowness: Number(calls.slowness.toFixed(2)),
+      elapsed_ms: Math.round(elapsed_ms),
+      outcome: result.kind,
+      reason: result.kind === PieceCallEnd.Failed ? result.reason : undefined,
+    });
+    switch (result.kind) {
+      case PieceCallEnd.Answered:
+        calls.succeed({ bytes, pieces: taken.length, elapsed_ms }, limits);
+        taken.forEach((each, index) =>
+          this.#settle({ ...each, work, calls, limits }, result.answers[index])
+        );
+        break;
+      case PieceCallEnd.Full:
+        calls.turnedAway(bytes, now_ms + FULL_RETRY_MS);
+        for (const { queued, piece } of taken) queued.waiting.unshift(piece);
+        break;
+      case PieceCallEnd.Failed:
+        calls.fail(bytes, now_ms);
+        for (const { queued, piece } of taken) {
+          this.#tryAgain(queued, piece, work);
+        }
+        break;
+    }
+    this.#dispatch(pool);
+  }
+
+  #settle(
+    { queued, piece, work, calls, limits }: {
+      queued: QueuedJob;
+      piece: Piece;
+      work: PoolWork;
+      calls: EndpointCalls;
+      limits: BatchLimits;
+    },
+    answer: PieceAnswer | undefined,
+  ): void {
+    if (answer === undefined) return this.#tryAgain(queued, piece, work);
+    if (answer.ok) {
+      const { handle } = answer;
+      const { address, availability_zone } = calls.endpoint;
+      calls.hold(handle, {
+        bytes: queued.result_bytes,
+        until_ms: this.#options.now() + limits.retention_ms,
+      });
+      if (queued.ended) {
+        calls.release(handle);
+        this.#options.caller.free(address, [handle]);
+        return;
+      }
+      const place = queued.job.pieces.indexOf(piece);
+      queued.results[place] = { handle, address, availability_zone };
+      queued.missing -= 1;
+      if (queued.missing > 0) return;
+      const results = queued.results as StageResult[];
+      this.#end(queued, work, { kind: JobEnd.Made, results });
+      return;
+    }
+    switch (answer.fault) {
+      case PieceFault.Late:
+        return this.#end(queued, work, {
+          kind: JobEnd.Failed,
+          reason: "expired",
+        });
+      case PieceFault.InputsGone:
+        return this.#end(queued, work, { kind: JobEnd.InputsGone });
+      case PieceFault.NoRoom:
+        calls.rest(this.#options.now() + FULL_RETRY_MS);
+        queued.waiting.unshift(piece);
+        return;
+      case PieceFault.Error:
+        return this.#tryAgain(queued, piece, work);
+    }
+  }
+
+  #tryAgain(queued: QueuedJob, piece: Piece, work: PoolWork): void {
+    queued.tries += 1;
+    if (queued.tries <= MOST_TRIES * queued.job.pieces.length) {
+      queued.waiting.unshift(piece);
+      return;
+    }
+    this.#end(queued, work, { kind: JobEnd.Failed, reason: "endpoints_fail" });
+  }
+
+  /** Ends a job; results that nobody will read are given up. */
+  #end(queued: QueuedJob, work: PoolWork, outcome: JobOutcome): void {
+    if (queued.ended) return;
+    queued.ended = true;
+    work.jobs.delete(queued);
+    queued.waiting = [];
+    if (outcome.kind !== JobEnd.Made) {
+      for (const result of queued.results) {
+        if (result === undefined) continue;
+        this.free(queued.job.pool, result.address, [result.handle]);
+      }
+    }
+    queued.end(outcome);
+  }
+}
--- /dev/null
+++ b/src/batching/endpoint_calls.ts
@@ -0,0 +1,122 @@
+/**
+ * What the gatherer of a pool knows of one endpoint: its calls, the memory that
+ * results take there, and how it keeps its times. Pure: time comes in.
+ */
+import type { BatchLimits, RouteEndpoint } from "../routes/types.ts";
+
+/** Weight of the newest call in the learned slowness. */
+const SLOWNESS_GAIN = 0.3;
+/** First and longest rest of an endpoint that failed, in milliseconds. */
+const FIRST_REST_MS = 300;
+const LONGEST_REST_MS = 4_000;
+/** A call that takes this many times its time counts as lost. */
+const LOST_AFTER_TIMES = 2.5;
+const LOST_AFTER_EXTRA_MS = 300;
+
+interface HeldResult {
+  bytes: number;
+  until_ms: number;
+}
+
+/** See the module's comment. */
+export class EndpointCalls {
+  endpoint: RouteEndpoint;
+  /** Learned ratio of a call's time to what the pool promises. */
+  slowness = 1;
+  #calls = 0;
+  #failures = 0;
+  #restsUntil_ms = 0;
+  #heldBytes = 0;
+  #held = new Map<string, HeldResult>();
+
+  constructor(endpoint: RouteEndpoint) {
+    this.endpoint = endpoint;
+  }
+
+  /** Whether it can take a call now. */
+  free(now_ms: number, limits: BatchLimits): boolean {
+    return this.#calls < limits.concurrent_calls &&
+      now_ms >= this.#restsUntil_ms;
+  }
+
+  /** Whether it takes calls at all, now or when the present ones end. */
+  takesCalls(now_ms: number): boolean {
+    return now_ms >= this.#restsUntil_ms;
+  }
+
+  /** Memory that further results may take, in bytes. */
+  roomBytes(now_ms: number, limits: BatchLimits): number {
+    for (const [handle, { until_ms }] of this.#held) {
+      if (until_ms > now_ms) break;
+      this.release(handle);
+    }
+    return limits.room_bytes - this.#heldBytes;
+  }
+
+  /** How long a call may take before it counts as lost, in milliseconds. */
+  patienceMs(pieces: number, limits: BatchLimits): number {
+    const promised_ms = limits.call_ms + pieces * limits.piece_ms;
+    const times = Math.max(LOST_AFTER_TIMES, this.slowness * 2);
+    return promised_ms * times + LOST_AFTER_EXTRA_MS;
+  }
+
+  /** A call begins; its results take `bytes` from now on. */
+  begin(bytes: number): void {
+    this.#calls += 1;
+    this.#heldBytes += bytes;
+  }
+
+  /** A call of `pieces` ended well after `elapsed_ms`. */
+  succeed(
+    call: { bytes: number; pieces: number; elapsed_ms: number },
+    limits: BatchLimits,
+  ): void {
+    this.#end(call.bytes);
+    this.#failures = 0;
+    const promised_ms = limits.call_ms + call.pieces * limits.piece_ms;
+    const ratio = call.elapsed_ms / promised_ms;
+    this.slowness += SLOWNESS_GAIN * (Math.max(ratio, 0.5) - this.slowness);
+  }
+
+  /** A call failed; the endpoint rests, longer each time. */
+  fail(bytes: number, now_ms: number): number {
+    this.#end(bytes);
+    const rest_ms = Math.min(
+      LONGEST_REST_MS,
+      FIRST_REST_MS * 2 ** this.#failures,
+    );
+    this.#failures += 1;
+    this.#restsUntil_ms = now_ms + rest_ms;
+    return rest_ms;
+  }
+
+  /** The endpoint turned a call away, since calls of others are there. */
+  turnedAway(bytes: number, until_ms: number): void {
+    this.#end(bytes);
+    this.rest(until_ms);
+  }
+
+  /** No call goes there until then. */
+  rest(until_ms: number): void {
+    this.#restsUntil_ms = Math.max(this.#restsUntil_ms, until_ms);
+  }
+
+  /** A result stays there until it is released or expires. */
+  hold(handle: string, held: HeldResult): void {
+    this.#held.set(handle, held);
+    this.#heldBytes += held.bytes;
+  }
+
+  /** A result takes no memory any more. */
+  release(handle: string): void {
+    const held = this.#held.get(handle);
+    if (held === undefined) return;
+    this.#held.delete(handle);
+    this.#heldBytes -= held.bytes;
+  }
+
+  #end(bytes: number): void {
+    this.#calls -= 1;
+    this.#heldBytes -= bytes;
+  }
+}
--- /dev/null
+++ b/src/batching/expected_wait.ts
@@ -0,0 +1,36 @@
+/**
+ * How long a new job will take in a pool that gathers pieces. Pure. Whoever
+ * admits work asks this before it waits, so that a job with no chance is
+ * refused at once and told when there will be room.
+ */
+import type { BatchLimits } from "../routes/types.ts";
+import { fullCallMs } from "./plan_call.ts";
+
+/** The pool's load as its gatherer sees it. */
+export interface PoolLoad {
+  /** Endpoints that take calls. */
+  endpoints: number;
+  /** Mean learned slowness of these. */
+  slowness: number;
+  /** Pieces that wait and go before the new job's. */
+  piecesAhead: number;
+}
+
+/** Time until a job's last piece is made, in milliseconds. */
+export function expectedJobMs(
+  pieces: number,
+  load: PoolLoad,
+  limits: BatchLimits,
+): number {
+  if (load.endpoints === 0) return Infinity;
+  const full_ms = fullCallMs(limits) * load.slowness;
+  const calls = limits.concurrent_calls * load.endpoints;
+  const perCall = limits.pieces_per_call * calls;
+  const wait_ms = (load.piecesAhead + pieces) / perCall * full_ms;
+  const shared = Math.min(
+    limits.pieces_per_call,
+    pieces + load.piecesAhead / calls,
+  );
+  const own_ms = (limits.call_ms + shared * limits.piece_ms) * load.slowness;
+  return wait_ms + own_ms;
+}
--- /dev/null
+++ b/src/batching/job_router.ts
@@ -0,0 +1,181 @@
+/**
+ * Brings stage jobs to the host that gathers for their pool. That host is the
+ * first of a rendezvous ranking over the live hosts; if it stays silent, the
+ * next one takes its place, in the end this host itself. Nothing has to agree:
+ * a job that two hosts make costs work, not correctness.
+ */
+import type { Logger } from "../logging/logger.ts";
+import { rankCandidates } from "../membership/rendezvous.ts";
+import { pause } from "../utils/loop.ts";
+import type { BatchGatherer } from "./batch_gatherer.ts";
+import {
+  JobEnd,
+  type JobOutcome,
+  type StageJob,
+  type StageResult,
+} from "./types.ts";
+
+/** Calls to the gatherers on other hosts; each rejects if there is no answer. */
+export interface GathererPeers {
+  run(
+    address: string,
+    job: StageJob,
+    signal: AbortSignal,
+  ): Promise<JobOutcome>;
+  free(address: string, freed: FreedResults): Promise<void>;
+  /** Resolves if the host gathers; rejects if it is silent or leaving. */
+  ping(address: string): Promise<void>;
+}
+
+/** Results of one endpoint that are given up. */
+export interface FreedResults {
+  pool: string;
+  address: string;
+  handles: string[];
+}
+
+/** What the router needs. */
+export interface JobRouterOptions {
+  /** This host's address for peers. */
+  self: string;
+  /** Addresses of the hosts that may gather, this one included. */
+  gatherers: () => string[];
+  local: BatchGatherer;
+  peers: GathererPeers;
+  log: Logger;
+  now: () => number;
+  signal: AbortSignal;
+}
+
+/** How often a host that owes an answer is asked whether it is there. */
+const PING_EVERY_MS = 400;
+/** How long a host that did not answer is passed over. */
+const SUSPECT_MS = 3_000;
+
+interface Owner {
+  pending: Set<AbortController>;
+  suspectUntil_ms: number;
+}
+
+/** See the module's comment. */
+export class JobRouter {
+  #owners = new Map<string, Owner>();
+  #options: JobRouterOptions;
+
+  constructor(options: JobRouterOptions) {
+    this.#options = options;
+  }
+
+  /** Has a job made somewhere. */
+  async run(job: StageJob, signal: AbortSignal): Promise<JobOutcome> {
+    const { now, self, local, log } = this.#options;
+    const expires_ms = now() + job.expires_in_ms;
+    const due_ms = now() + job.due_in_ms;
+    while (!signal.aborted) {
+      const owner = this.gathererOf(job.pool);
+      const now_ms = now();
+      const current = {
+        ...job,
+        due_in_ms: due_ms - now_ms,
+        expires_in_ms: expires_ms - now_ms,
+      };
+      if (current.expires_in_ms <= 0) break;
+      if (owner === self) return await local.run(current, signal);
+      const outcome = await this.#runAt(owner, current, signal);
+      if (outcome !== undefined) return outcome;
+      log.warn({
+        event: "gatherer_lost",
+        pool: job.pool,
+        peer: owner,
+        attempt: job.attempt_id,
+      });
+    }
+    return { kind: JobEnd.Failed, reason: "expired" };
+  }
+
+  /** Gives up results, at the host that counts the memory they take. */
+  free(pool: string, results: readonly StageResult[]): void {
+    const byAddress = Map.groupBy(results, (result) => result.address);
+    const { self, local, peers, log } = this.#options;
+    const owner = this.gathererOf(pool);
+    for (const [address, group] of byAddress) {
+      const handles = group.map((result) => result.handle);
+      if (owner === self) {
+        local.free(pool, address, handles);
+        continue;
+      }
+      peers.free(owner, { pool, address, handles }).catch((error: Error) => {
+        log.warn({ event: "free_failed", peer: owner, error: error.message });
+        local.free(pool, address, handles);
+      });
+    }
+  }
+
+  /** The host that gathers for a pool, as this host sees it. */
+  gathererOf(pool: string): string {
+    const { gatherers, self, now } = this.#options;
+    const now_ms = now();
+    const trusted = gatherers().filter((address) =>
+      address === self ||
+      (this.#owners.get(address)?.suspectUntil_ms ?? 0) <= now_ms
+    );
+    return rankCandidates(pool, trusted)[0] ?? self;
+  }
+
+  async #runAt(
+    address: string,
+    job: StageJob,
+    signal: AbortSignal,
+  ): Promise<JobOutcome | undefined> {
+    const owner = this.#ownerAt(address);
+    const lost = new AbortController();
+    owner.pending.add(lost);
+    if (owner.pending.size === 1) void this.#watch(address, owner);
+    try {
+      return await this.#options.peers.run(
+        address,
+        job,
+        AbortSignal.any([lost.signal, signal]),
+      );
+    } catch (error) {
+      if (signal.aborted) return { kind: JobEnd.Failed, reason: "cancelled" };
+      this.#suspect(address, owner, (error as Error).message);
+      return undefined;
+    } finally {
+      owner.pending.delete(lost);
+    }
+  }
+
+  #ownerAt(address: string): Owner {
+    const known = this.#owners.get(address);
+    if (known !== undefined) return known;
+    const created = { pending: new Set<AbortController>(), suspectUntil_ms: 0 };
+    this.#owners.set(address, created);
+    return created;
+  }
+
+  /** Pings a host for as long as it owes an answer. */
+  async #watch(address: string, owner: Owner): Promise<void> {
+    const { signal, peers } = this.#options;
+    while (!signal.aborted) {
+      await pause(PING_EVERY_MS, signal);
+      if (owner.pending.size === 0) return;
+      try {
+        await peers.ping(address);
+      } catch (error) {
+        this.#suspect(address, owner, (error as Error).message);
+        return;
+      }
+    }
+  }
+
+  #suspect(address: string, owner: Owner, reason: string): void {
+    const { now, log } = this.#options;
+    const now_ms = now();
+    if (owner.suspectUntil_ms <= now_ms) {
+      log.warn({ event: "peer_suspected", peer: address, reason });
+    }
+    owner.suspectUntil_ms = now_ms + SUSPECT_MS;
+    for (const lost of [...owner.pending]) lost.abort();
+  }
+}
--- /dev/null
+++ b/src/batching/piece_caller.ts
@@ -0,0 +1,121 @@
+/** Makes the calls of gathered pieces over HTTP. */
+import type { EndpointAgents } from "../endpoints/endpoint_agents.ts";
+import {
+  dropAnswer,
+  exchange,
+  ExchangeEnd,
+  readWhole,
+} from "../endpoints/exchange.ts";
+import type { Dialect, OutgoingCall } from "../forwarding/dialect.ts";
+import type { Logger } from "../logging/logger.ts";
+import type { RouteEndpoint, RoutePool } from "../routes/types.ts";
+import {
+  PieceCallEnd,
+  type PieceCaller,
+  type PieceCallResult,
+} from "./batch_gatherer.ts";
+import type { PieceOrder } from "./types.ts";
+
+const HTTP_OK = 200;
+/** Longest answer to a call: handles only. */
+const ANSWER_LIMIT_BYTES = 1_048_576;
+/** How long giving up results may take, in milliseconds. */
+const FREE_TIMEOUT_MS = 1_000;
+
+/** What the calls need. */
+export interface PieceCallerOptions {
+  dialect: Dialect;
+  agents: EndpointAgents;
+  pool: (name: string) => RoutePool | undefined;
+  /** The pool of the endpoint at an address, for its connection limit. */
+  poolAt: (address: string) => RoutePool | undefined;
+  log: Logger;
+}
+
+/** Creates the caller. */
+export function createPieceCaller(options: PieceCallerOptions): PieceCaller {
+  return {
+    make: (endpoint, orders, timeout_ms) =>
+      makePieces(endpoint, orders, { ...options, timeout_ms }),
+    free: (address, handles) => void freeResults(address, handles, options),
+  };
+}
+
+async function makePieces(
+  endpoint: RouteEndpoint,
+  orders: PieceOrder[],
+  options: PieceCallerOptions & { timeout_ms: number },
+): Promise<PieceCallResult> {
+  const { dialect, timeout_ms } = options;
+  const answer = await callEndpoint({
+    address: endpoint.address,
+    call: dialect.pieceCall(endpoint, orders),
+    max_connections: options.pool(endpoint.pool)?.max_connections ?? 1,
+    timeout_ms,
+  }, options);
+  if (answer.kind === "failed") return failed(answer.reason);
+  const marks = dialect.readAnswer(answer.status, answer.headers);
+  if (marks.wrong_endpoint) return failed("wrong_endpoint");
+  if (marks.not_run) return { kind: PieceCallEnd.Full };
+  if (answer.status !== HTTP_OK) return failed(`status_${answer.status}`);
+  const answers = dialect.readPieces(answer.body, orders.length);
+  if (answers === undefined) return failed("unreadable");
+  return { kind: PieceCallEnd.Answered, answers };
+}
+
+async function freeResults(
+  address: string,
+  handles: string[],
+  options: PieceCallerOptions,
+): Promise<void> {
+  const answer = await callEndpoint({
+    address,
+    call: options.dialect.freeCall(address, handles),
+    max_connections: options.poolAt(address)?.max_connections ?? 1,
+    timeout_ms: FREE_TIMEOUT_MS,
+  }, options);
+  if (answer.kind === "whole" && answer.status === HTTP_OK) return;
+  options.log.warn({
+    event: "free_failed",
+    endpoint_address: address,
+    results: handles.length,
+    reason: answer.kind === "whole" ? answer.status : answer.reason,
+  });
+}
+
+type WholeAnswer =
+  | { kind: "whole"; status: number; headers: string[]; body: Buffer }
+  | { kind: "failed"; reason: string };
+
+async function callEndpoint(
+  { address, call, max_connections, timeout_ms }: {
+    address: string;
+    call: OutgoingCall;
+    max_connections: number;
+    timeout_ms: number;
+  },
+  { agents }: PieceCallerOptions,
+): Promise<WholeAnswer> {
+  const lost = (reason: string): WholeAnswer => {
+    agents.distrust(address);
+    return { kind: "failed", reason };
+  };
+  const result = await exchange({
+    address,
+    agent: agents.to(address, max_connections),
+    ...call,
+    signal: AbortSignal.timeout(Math.ceil(timeout_ms)),
+  });
+  if (result.kind !== ExchangeEnd.Answered) return lost(result.reason);
+  const { status, headers, body } = result.answer;
+  const whole = await readWhole(body, ANSWER_LIMIT_BYTES);
+  if (whole !== undefined) {
+    return { kind: "whole", status, headers, body: whole };
+  }
+  dropAnswer(result.answer);
+  return lost("cut");
+}
+
+function failed(reason: string): PieceCallResult {
+  return { kind: PieceCallEnd.Failed, reason };
+}
--- /dev/null
+++ b/src/batching/stage_graph.ts
@@ -0,0 +1,210 @@
+/**
+ * Runs the stages of one request as a graph: a stage starts when the stages it
+ * needs have their results, and results are given up as soon as the last stage
+ * that reads them is done. Results stay at their makers and travel as handles.
+ */
+import type { PieceStage, Route } from "../routes/types.ts";
+import {
+  JobEnd,
+  type JobOutcome,
+  type Piece,
+  type StageJob,
+  type StageResult,
+} from "./types.ts";
+
+/** A request's stages and what limits them. */
+export interface GraphRequest {
+  attempt_id: string;
+  route: Route;
+  priority: number;
+  /** Number of pieces of each stage; 0 leaves the stage out. */
+  pieces: readonly number[];
+  /** What stages without inputs make their pieces from. */
+  piece_key: string;
+  home_zone: string | undefined;
+  /** When the request is on time, on the steady clock. */
+  due_ms: number;
+  /** When it is of no use any more. */
+  expires_ms: number;
+  signal: AbortSignal;
+}
+
+/** How the stages ended. */
+export type GraphOutcome =
+  | { kind: JobEnd.Made; results: StageResult[]; giveUp: () => void }
+  | Exclude<JobOutcome, { kind: JobEnd.Made }>;
+
+/** What running a graph needs. */
+export interface GraphParts {
+  run: (job: StageJob, signal: AbortSignal) => Promise<JobOutcome>;
+  free: (pool: string, results: readonly StageResult[]) => void;
+  /** Time that a stage's call takes at best, in milliseconds. */
+  callMs: (pool: string) => number;
+  now: () => number;
+}
+
+/** Runs all stages; on success the caller gives up the last results. */
+export async function runStages(
+  request: GraphRequest,
+  parts: GraphParts,
+): Promise<GraphOutcome> {
+  const run = new GraphRun(request, parts);
+  return await run.finish();
+}
+
+class GraphRun {
+  #request: GraphRequest;
+  #parts: GraphParts;
+  #stages: PieceStage[];
+  #results: (StageResult[] | undefined)[];
+  #freed = new Set<number>();
+  #abort = new AbortController();
+
+  constructor(request: GraphRequest, parts: GraphParts) {
+    this.#request = request;
+    this.#parts = parts;
+    this.#stages = request.route.stages;
+    this.#results = this.#stages.map(() => undefined);
+  }
+
+  async finish(): Promise<GraphOutcome> {
+    const running = new Map<number, Promise<JobOutcome | undefined>>();
+    const stageDone = (index: number): Promise<JobOutcome | undefined> => {
+      const known = running.get(index);
+      if (known !== undefined) return known;
+      const started = this.#runStage(index, stageDone);
+      running.set(index, started);
+      return started;
+    };
+    const ends = await Promise.all(
+      this.#stages.map((_, index) => stageDone(index)),
+    );
+    const failed = ends.find((end) => end !== undefined);
+    if (failed !== undefined && failed.kind !== JobEnd.Made) {
+      this.#freeAll();
+      return failed;
+    }
+    const results = this.#lastStages().flatMap((index) =>
+      this.#results[index] ?? []
+    );
+    return { kind: JobEnd.Made, results, giveUp: () => this.#freeAll() };
+  }
+
+  /** Runs one stage after those it needs; undefined if it went well. */
+  async #runStage(
+    index: number,
+    stageDone: (index: number) => Promise<JobOutcome | undefined>,
+  ): Promise<JobOutcome | undefined> {
+    const stage = this.#stages[index] as PieceStage;
+    const before = await Promise.all(stage.after.map(stageDone));
+    const failed = before.find((end) => end !== undefined);
+    if (failed !== undefined) return failed;
+    const pieces = this.#piecesOf(index, stage);
+    if (pieces.length === 0) {
+      this.#results[index] = [];
+      return undefined;
+    }
+    const { signal } = this.#request;
+    const outcome = await this.#parts.run(
+      this.#job(index, stage, pieces),
+      AbortSignal.any([signal, this.#abort.signal]),
+    );
+    if (outcome.kind !== JobEnd.Made) {
+      this.#abort.abort();
+      return outcome;
+    }
+    this.#results[index] = outcome.results;
+    if (this.#abort.signal.aborted) this.#free(index);
+    for (const earlier of stage.after) this.#freeIfRead(earlier);
+    return undefined;
+  }
+
+  #piecesOf(index: number, stage: PieceStage): Piece[] {
+    const inputs = stage.after.flatMap((earlier) =>
+      (this.#results[earlier] ?? []).map((result) => result.handle)
+    );
+    const root = inputs.length === 0;
+    return Array.from(
+      { length: this.#request.pieces[index] ?? 0 },
+      (_, piece) => ({
+        index: piece,
+        key: root ? this.#request.piece_key : undefined,
+        inputs: root ? undefined : inputs,
+      }),
+    );
+  }
+
+  #job(index: number, stage: PieceStage, pieces: Piece[]): StageJob {
+    const { attempt_id, priority, due_ms, expires_ms } = this.#request;
+    const now_ms = this.#parts.now();
+    const later_ms = this.#timeAfter(index);
+    return {
+      attempt_id,
+      pool: stage.pool,
+      stage: index,
+      pieces,
+      result_bytes: stage.result_bytes,
+      priority,
+      due_in_ms: due_ms - now_ms - later_ms,
+      expires_in_ms: expires_ms - now_ms - later_ms,
+      home_zone: this.#zoneOfInputs(stage) ?? this.#request.home_zone,
+    };
+  }
+
+  /** The zone in which most bytes of a stage's inputs lie. */
+  #zoneOfInputs(stage: PieceStage): string | undefined {
+    const counts = new Map<string, number>();
+    for (const earlier of stage.after) {
+      const bytes = this.#stages[earlier]?.result_bytes ?? 0;
+      for (const { availability_zone } of this.#results[earlier] ?? []) {
+        const sum = (counts.get(availability_zone) ?? 0) + bytes;
+        counts.set(availability_zone, sum);
+      }
+    }
+    return [...counts].sort(([, a], [, b]) => b - a)[0]?.[0];
+  }
+
+  /** The least time that the stages after this one take. */
+  #timeAfter(index: number): number {
+    return this.#followers(index).reduce(
+      (longest_ms, follower) =>
+        Math.max(
+          longest_ms,
+          (this.#request.pieces[follower] ?? 0) === 0
+            ? 0
+            : this.#parts.callMs(this.#stages[follower]?.pool ?? "") +
+              this.#timeAfter(follower),
+        ),
+      0,
+    );
+  }
+
+  #followers(index: number): number[] {
+    return this.#stages.flatMap((stage, other) =>
+      stage.after.includes(index) ? [other] : []
+    );
+  }
+
+  #lastStages(): number[] {
+    return this.#stages.flatMap((_, index) =>
+      this.#followers(index).length === 0 ? [index] : []
+    );
+  }
+
+  #freeIfRead(index: number): void {
+    const unread = this.#followers(index)
+      .some((follower) => this.#results[follower] === undefined);
+    if (!unread) this.#free(index);
+  }
+
+  #free(index: number): void {
+    const results = this.#results[index] ?? [];
+    if (results.length === 0 || this.#freed.has(index)) return;
+    this.#freed.add(index);
+    this.#parts.free(this.#stages[index]?.pool ?? "", results);
+  }
+
+  #freeAll(): void {
+    for (const index of this.#stages.keys()) this.#free(index);
+  }
+}
--- /dev/null
+++ b/src/batching/types.ts
@@ -0,0 +1,78 @@
+/** Pieces, and the jobs and calls in which they are made. */
+
+/** One piece of a stage of one request. */
+export interface Piece {
+  /** Counts from 0 within the stage. */
+  index: number;
+  /** What to make it from, in a stage that needs no results. */
+  key: string | undefined;
+  /** Handles of the results it needs, else. */
+  inputs: string[] | undefined;
+}
+
+/** All pieces of one stage of one request. */
+export interface StageJob {
+  /** Id of the caller's attempt. */
+  attempt_id: string;
+  /** Name of the pool whose endpoints make the pieces. */
+  pool: string;
+  /** Index of the stage within its route. */
+  stage: number;
+  pieces: Piece[];
+  /** Approximate size of one result, in bytes. */
+  result_bytes: number;
+  /** 0 is the most urgent. */
+  priority: number;
+  /** Time left to be on time after this stage, in milliseconds. */
+  due_in_ms: number;
+  /** Time left until a result is of no use, in milliseconds. */
+  expires_in_ms: number;
+  /** Where its results will be read; undefined if that is open. */
+  home_zone: string | undefined;
+}
+
+/** A result that stays at its maker. */
+export interface StageResult {
+  handle: string;
+  /** Address of the endpoint that keeps it. */
+  address: string;
+  availability_zone: string;
+}
+
+/** How a job ended. */
+export type JobOutcome =
+  | { kind: JobEnd.Made; results: StageResult[] }
+  /** There is no room for it in time. */
+  | { kind: JobEnd.Refused; retry_after_ms: number }
+  /** A result that it needs is gone. */
+  | { kind: JobEnd.InputsGone }
+  /** Its time ran out, or endpoints failed it too often. */
+  | { kind: JobEnd.Failed; reason: string };
+
+/** The ways in which a job ends. */
+export enum JobEnd {
+  Made = "made",
+  Refused = "refused",
+  InputsGone = "inputs_gone",
+  Failed = "failed",
+}
+
+/** One piece as an endpoint is asked for it. */
+export interface PieceOrder extends Piece {
+  attempt_id: string;
+  stage: number;
+  remaining_ms: number;
+}
+
+/** Why an endpoint did not make a piece. */
+export enum PieceFault {
+  Late = "late",
+  InputsGone = "inputs_gone",
+  NoRoom = "no_room",
+  Error = "error",
+}
+
+/** What became of one piece of a call. */
+export type PieceAnswer =
+  | { ok: true; handle: string }
+  | { ok: false; fault: PieceFault };
--- /dev/null
+++ b/src/beliefs/endpoint_belief.ts
@@ -0,0 +1,122 @@
+/**
+ * Which endpoints this host believes in. Pure: time comes in.
+ *
+ * An entry that vanishes while its source is well means that the endpoint
+ * leaves: it gets nothing new from then on. An entry that vanished while the
+ * source was away may only have lapsed, so the endpoint is kept until live
+ * endpoints have had time to write their entries again.
+ */
+import { EndpointState, type RouteEndpoint } from "../routes/types.ts";
+import type { FeedChange, FeedItem } from "./object_feed.ts";
+
+/**
+ * How long after the source's return a missing entry still means nothing.
+ * Endpoints that live are back within about two seconds.
+ */
+export const RETURN_GRACE_MS = 2_200;
+
+interface Known {
+  endpoint: RouteEndpoint;
+  /** When it stops counting; undefined while its entry is there. */
+  missingUntil_ms: number | undefined;
+}
+
+/** See the module's comment. */
+export class EndpointBelief {
+  #known = new Map<string, Known>();
+  /** A host that has read nothing yet has no source either. */
+  #lost = true;
+  #graceUntil_ms = 0;
+
+  /** Whether the source answers. */
+  get sourceIsWell(): boolean {
+    return !this.#lost;
+  }
+
+  /** The source does not answer. */
+  sourceLost(): void {
+    this.#lost = true;
+  }
+
+  /** The source answers again. */
+  sourceBack(now_ms: number): void {
+    this.#lost = false;
+    this.#graceUntil_ms = now_ms + RETURN_GRACE_MS;
+  }
+
+  /** Every entry, as of now. */
+  replaceAll(items: FeedItem<RouteEndpoint>[], now_ms: number): void {
+    this.#lost = false;
+    const present = new Set(items.map((item) => item.name));
+    for (const item of items) this.#put(item);
+    for (const name of this.#known.keys()) {
+      if (!present.has(name)) this.#remove(name, now_ms);
+    }
+  }
+
+  /** Entries as a peer sees them, which may be a little old. */
+  replaceFromPeer(items: FeedItem<RouteEndpoint>[]): void {
+    const present = new Set(items.map((item) => item.name));
+    for (const item of items) this.#put(item);
+    for (const name of this.#known.keys()) {
+      if (!present.has(name)) this.#known.delete(name);
+    }
+  }
+
+  /** Entries that changed. */
+  apply(changes: FeedChange<RouteEndpoint>[], now_ms: number): void {
+    for (const change of changes) {
+      if (change.deleted) this.#remove(change.name, now_ms);
+      else this.#put(change);
+    }
+  }
+
+  /** The endpoints of a pool, those that leave included. */
+  ofPool(pool: string, now_ms: number): RouteEndpoint[] {
+    const found: RouteEndpoint[] = [];
+    for (const [name, { endpoint, missingUntil_ms }] of this.#known) {
+      if (this.#over(missingUntil_ms, now_ms)) this.#known.delete(name);
+      else if (endpoint.pool === pool) found.push(endpoint);
+    }
+    return found;
+  }
+
+  /** The endpoints of a pool that take new work. */
+  readyOf(pool: string, now_ms: number): RouteEndpoint[] {
+    return this.ofPool(pool, now_ms)
+      .filter((endpoint) => endpoint.state === EndpointState.Ready);
+  }
+
+  /** The pool of the endpoint at an address. */
+  poolAt(address: string): string | undefined {
+    for (const { endpoint } of this.#known.values()) {
+      if (endpoint.address === address) return endpoint.pool;
+    }
+    return undefined;
+  }
+
+  /** Every endpoint, for peers that can't reach the source. */
+  all(now_ms: number): RouteEndpoint[] {
+    return [...this.#known.values()]
+      .filter(({ missingUntil_ms }) => !this.#over(missingUntil_ms, now_ms))
+      .map(({ endpoint }) => endpoint);
+  }
+
+  #over(missingUntil_ms: number | undefined, now_ms: number): boolean {
+    return missingUntil_ms !== undefined && !this.#lost &&
+      now_ms >= missingUntil_ms;
+  }
+
+  #put({ name, value }: FeedItem<RouteEndpoint>): void {
+    if (value === undefined) this.#known.delete(name);
+    else this.#known.set(name, { endpoint: value, missingUntil_ms: undefined });
+  }
+
+  #remove(name: string, now_ms: number): void {
+    const known = this.#known.get(name);
+    if (known === undefined) return;
+    if (this.#lost || now_ms < this.#graceUntil_ms) {
+      known.missingUntil_ms ??= this.#graceUntil_ms;
+    } else this.#known.delete(name);
+  }
+}
--- /dev/null
+++ b/src/beliefs/follow_beliefs.ts
@@ -0,0 +1,159 @@
+/**
+ * Keeps this host's beliefs fresh: from the object store, and from peers while
+ * the store does not answer.
+ */
+import type { GatewayStore } from "../forwarding/adapter.ts";
+import type { Logger } from "../logging/logger.ts";
+import type { GatewayMembers } from "../membership/gateway_members.ts";
+import type { GatewayClients } from "../peers/gateway_clients.ts";
+import type { RouteTable } from "../routes/route_table.ts";
+import { pause } from "../utils/loop.ts";
+import type { ConfigurationBelief } from "./configuration_belief.ts";
+import type { EndpointBelief } from "./endpoint_belief.ts";
+import { followFeed, type FollowOptions } from "./follow_feed.ts";
+import type { FeedItem } from "./object_feed.ts";
+import { readSharedConfiguration } from "./shared_beliefs.ts";
+
+/** Beliefs and where they come from. */
+export interface Sources {
+  store: GatewayStore;
+  peers: GatewayClients;
+  configuration: ConfigurationBelief;
+  endpoints: EndpointBelief;
+  members: GatewayMembers;
+  /** Hosts to ask before any others are known. */
+  seeds: string[];
+  onConfigured: ((table: RouteTable) => void)[];
+  onEndpoints: (() => void)[];
+  /** How long one watch waits, in milliseconds. */
+  watch_ms: number;
+  log: Logger;
+  now: () => number;
+  random: () => number;
+  signal: AbortSignal;
+}
+
+/** How often a peer is asked while the store does not answer. */
+const PEER_POLL_MS = 400;
+/** Gateway hosts change seldom, and a stale list costs little. */
+const MEMBER_WATCH_MS = 20_000;
+
+/** Follows every source until the process stops. */
+export async function followBeliefs(sources: Sources): Promise<void> {
+  const state = { configurationLost: false };
+  await Promise.all([
+    followConfiguration(sources, state),
+    followEndpoints(sources),
+    followMembers(sources),
+    askPeers(sources, state),
+  ]);
+}
+
+interface SourceState {
+  configurationLost: boolean;
+}
+
+function followConfiguration(
+  sources: Sources,
+  state: SourceState,
+): Promise<void> {
+  const { store, configuration, log } = sources;
+  const take = (
+    items: FeedItem<Parameters<typeof configuration.accept>[0]>[],
+  ) => {
+    for (const { name, value } of items) {
+      if (value !== undefined) configuration.accept(value, "store");
+      else log.warn({ event: "unreadable", source: "configuration", name });
+    }
+  };
+  return followFeed(store.configuration, {
+    onList: take,
+    onChanges: take,
+    onLost: () => state.configurationLost = true,
+    onBack: () => state.configurationLost = false,
+  }, optionsFor("configuration", sources));
+}
+
+function followEndpoints(sources: Sources): Promise<void> {
+  const { store, endpoints, onEndpoints, log, now } = sources;
+  const changed = () => {
+    for (const each of onEndpoints) each();
+  };
+  return followFeed(store.endpoints, {
+    onList(items) {
+      endpoints.replaceAll(items, now());
+      log.info({ event: "endpoints", count: items.length });
+      changed();
+    },
+    onChanges(changes) {
+      endpoints.apply(changes, now());
+      for (const { name, value, deleted } of changes) {
+        log.info({
+          event: "endpoint",
+          endpoint: name,
+          pool: value?.pool,
+          state: deleted ? "removed" : value?.state ?? "unreadable",
+        });
+      }
+      changed();
+    },
+    onLost: () => endpoints.sourceLost(),
+    onBack: () => endpoints.sourceBack(now()),
+  }, optionsFor("endpoints", sources));
+}
+
+function followMembers(sources: Sources): Promise<void> {
+  const { store, members, log } = sources;
+  const tell = () => log.info({ event: "members", count: members.count });
+  return followFeed(store.gateways, {
+    onList(items) {
+      members.replaceAll(items);
+      tell();
+    },
+    onChanges(changes) {
+      members.apply(changes);
+      tell();
+    },
+  }, { ...optionsFor("gateways", sources), wait_ms: MEMBER_WATCH_MS });
+}
+
+function optionsFor(name: string, sources: Sources): FollowOptions {
+  const { watch_ms, log, random, signal } = sources;
+  return { name, wait_ms: watch_ms, log, random, signal };
+}
+
+/** Asks a peer at random while the store does not answer. */
+async function askPeers(sources: Sources, state: SourceState): Promise<void> {
+  const { configuration, endpoints, signal } = sources;
+  while (!signal.aborted) {
+    await pause(PEER_POLL_MS, signal);
+    const needed = state.configurationLost || !endpoints.sourceIsWell ||
+      configuration.table === undefined;
+    if (needed && !signal.aborted) await askOnePeer(sources);
+  }
+}
+
+async function askOnePeer(sources: Sources): Promise<void> {
+  const { members, seeds, peers, configuration, endpoints } = sources;
+  const others = members.others();
+  const known = others.length > 0 ? others : seeds;
+  const peer = known[Math.floor(sources.random() * known.length)];
+  if (peer === undefined) return;
+  try {
+    const shared = await peers.beliefs(peer);
+    if (shared.configuration !== undefined) {
+      const read = readSharedConfiguration(shared.configuration);
+      configuration.accept(read, peer);
+    }
+    if (shared.endpoints === undefined || endpoints.sourceIsWell) return;
+    const items = shared.endpoints.map((endpoint) => ({
+      name: endpoint.id,
+      value: endpoint,
+    }));
+    endpoints.replaceFromPeer(items);
+    for (const each of sources.onEndpoints) each();
+  } catch (error) {
+    const { message } = error as Error;
+    sources.log.info({ event: "peer_silent", peer, error: message });
+  }
+}
--- /dev/null
+++ b/src/beliefs/object_feed.ts
@@ -0,0 +1,42 @@
+/**
+ * A kind of object that others write and this host follows: read whole, then
+ * watched from the revision of that reading.
+ */
+
+/** One object; its value is undefined if it can't be read. */
+export interface FeedItem<T> {
+  name: string;
+  value: T | undefined;
+}
+
+/** A change of one object. */
+export interface FeedChange<T> extends FeedItem<T> {
+  deleted: boolean;
+}
+
+/** What a read or a watch brings. */
+export type FeedRead<T> =
+  | { kind: FeedReadKind.Listed; items: FeedItem<T>[]; revision: number }
+  | { kind: FeedReadKind.Changed; changes: FeedChange<T>[]; revision: number }
+  /** Changes since that revision are not kept any more: read it whole. */
+  | { kind: FeedReadKind.HistoryLost }
+  | { kind: FeedReadKind.Unavailable; reason: string };
+
+/** The kinds of {@linkcode FeedRead}. */
+export enum FeedReadKind {
+  Listed = "listed",
+  Changed = "changed",
+  HistoryLost = "history_lost",
+  Unavailable = "unavailable",
+}
+
+/** Reads and watches one kind of object. */
+export interface ObjectFeed<T> {
+  list(signal: AbortSignal): Promise<FeedRead<T>>;
+  /** Waits up to `wait_ms` for changes after `revision`. */
+  watch(
+    revision: number,
+    wait_ms: number,
+    signal: AbortSignal,
+  ): Promise<FeedRead<T>>;
+}
--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -8,7 +8,7 @@
   KeyUseKind,
 } from "../pipelines/pipeline_parts.ts";
 import type { PipelineRequest } from "../pipelines/pipeline_request.ts";
-import type { Platform } from "../platform/types.ts";
+import type { Platform } from "../object_api/types.ts";
 import { identityText } from "../records/types.ts";
 import { sha256 } from "../utils/sha256.ts";
 import {
--- a/src/claims/journal.ts
+++ b/src/claims/journal.ts
@@ -4,7 +4,7 @@
  * object of the process that minted them; a closing object says that the
  * process has stopped and runs nothing any more.
  */
-import { type Platform, PlatformFailureKind } from "../platform/types.ts";
+import { type Platform, PlatformFailureKind } from "../object_api/types.ts";
 import type { Outcome } from "../pipelines/outcome.ts";
 import { pause } from "../utils/loop.ts";
 import type { JournalEntry } from "./minted_keys.ts";
--- a/src/claims/journal_cleaner.ts
+++ b/src/claims/journal_cleaner.ts
@@ -2,7 +2,7 @@
  * Deletes journals that nobody will ask for any more. A key whose journal is
  * gone is answered `unknown`, so deleting early costs an answer and is safe.
  */
-import type { Platform, PlatformObject } from "../platform/types.ts";
+import type { Platform, PlatformObject } from "../object_api/types.ts";
 import { pause } from "../utils/loop.ts";
 
 /** What the cleaner needs. */
--- a/src/claims/shard_claims.ts
+++ b/src/claims/shard_claims.ts
@@ -4,7 +4,7 @@
  * preferred host commits for all; when it is silent, anyone commits directly.
  */
 import { rankCandidates } from "../membership/rendezvous.ts";
-import type { Platform } from "../platform/types.ts";
+import type { Platform } from "../object_api/types.ts";
 import { SlotCommitter } from "./slot_committer.ts";
 import {
   type ClaimEntry,
--- a/src/claims/slot_committer.ts
+++ b/src/claims/slot_committer.ts
@@ -7,7 +7,7 @@
   type Platform,
   PlatformFailureKind,
   type PlatformObject,
-} from "../platform/types.ts";
+} from "../object_api/types.ts";
 import { pause } from "../utils/loop.ts";
 import { applyClaim, applyOutcome } from "./claim_slot.ts";
 import {
--- a/src/cli/command_line.ts
+++ b/src/cli/command_line.ts
@@ -1,10 +1,12 @@
 /** Builds the command line from the commands' definitions, with sade. */
 import sade from "sade";
+import type { GatewayAdapter } from "../forwarding/adapter.ts";
 import { VERSION } from "../version.ts";
 import { checkCommand } from "./commands/check.ts";
 import { checkRecordsCommand } from "./commands/check_records.ts";
 import { drainCommand } from "./commands/drain.ts";
 import { entryCommand } from "./commands/entry.ts";
+import { createGatewayCommand } from "./commands/gateway.ts";
 import { deleteCommand, getCommand, putCommand } from "./commands/records.ts";
 import { reportCommand } from "./commands/report.ts";
 import { statusCommand } from "./commands/status.ts";
@@ -27,9 +29,13 @@
 const FIRST_ARGUMENT = 2;
 
 /** Parses the arguments and runs one command. */
-export async function runCommandLine(argv: string[]): Promise<void> {
+export async function runCommandLine(
+  argv: string[],
+  adapter: GatewayAdapter,
+): Promise<void> {
   const program = sade(PROGRAM).version(VERSION);
-  for (const command of COMMANDS) addCommand(program, command);
+  const commands = [...COMMANDS, createGatewayCommand(adapter)];
+  for (const command of commands) addCommand(program, command);
   if (argv.length <= FIRST_ARGUMENT) {
     program.help();
     process.exitCode = ExitCode.WrongUsage;
--- /dev/null
+++ b/src/cli/commands/gateway.ts
@@ -0,0 +1,56 @@
+/** `gateway`: runs a gateway host. */
+import type { GatewayAdapter } from "../../forwarding/adapter.ts";
+import { formatFindings } from "../../findings/finding.ts";
+import { createGateway, type Gateway } from "../../gateway_wiring.ts";
+import { createStdoutWriter } from "../../logging/logger.ts";
+import { loadGatewaySettings } from "../../settings/gateway_settings.ts";
+import {
+  type CommandDefinition,
+  defineCommand,
+  requiredOption,
+  settingsOption,
+} from "../define_command.ts";
+import { ExitCode } from "../exit_code.ts";
+
+/** The command, for a deployment's adapter. */
+export function createGatewayCommand(
+  adapter: GatewayAdapter,
+): CommandDefinition {
+  return defineCommand({
+    usage: "gateway",
+    description: "Run a gateway host until SIGTERM or SIGINT",
+    options: [settingsOption],
+    example: "gateway --settings gateway-1.yaml",
+    async run(call) {
+      const checked = loadGatewaySettings(requiredOption(call, "settings"));
+      if (!checked.ok) {
+        call.printError(formatFindings(checked.findings));
+        return ExitCode.Findings;
+      }
+      const writer = createStdoutWriter();
+      const gateway = createGateway(checked.value, {
+        adapter,
+        now: () => performance.now(),
+        random: Math.random,
+        writeLine: writer.writeLine,
+      });
+      stopOnSignals(gateway);
+      try {
+        await gateway.start();
+      } catch (error) {
+        call.printError(`Cannot listen: ${(error as Error).message}`);
+        gateway.stop();
+        return ExitCode.Findings;
+      }
+      await gateway.stopped;
+      writer.flush();
+      return ExitCode.Fine;
+    },
+  });
+}
+
+function stopOnSignals(gateway: Gateway): void {
+  process.on("SIGTERM", () => gateway.drain());
+  process.on("SIGINT", () => gateway.stop());
+  process.on("SIGHUP", () => gateway.log.info({ event: "reload" }));
+}
--- a/src/cli/commands/records.ts
+++ b/src/cli/commands/records.ts
@@ -1,12 +1,12 @@
 /** `get`, `put` and `delete`: records on the platform. */
 import { formatFindings } from "../../findings/finding.ts";
-import { createPlatformClient } from "../../platform/platform_client.ts";
+import { createPlatformClient } from "../../object_api/platform_client.ts";
 import type {
   Platform,
   PlatformFailure,
   PlatformResult,
   WriteCondition,
-} from "../../platform/types.ts";
+} from "../../object_api/types.ts";
 import type { ParsedRecord } from "../../records/parse_record.ts";
 import { recordKey, RecordKind } from "../../records/types.ts";
 import type { Settings } from "../../settings/settings.ts";
--- a/src/configuration/configuration_watch.ts
+++ b/src/configuration/configuration_watch.ts
@@ -1,5 +1,5 @@
 /** Follows the accepted configuration on the platform. */
-import type { Platform } from "../platform/types.ts";
+import type { Platform } from "../object_api/types.ts";
 import { Backoff, pause } from "../utils/loop.ts";
 import { ACCEPTED_KEY, type AcceptedConfiguration } from "./accepted.ts";
 import {
--- a/src/configuration/plan_publication.ts
+++ b/src/configuration/plan_publication.ts
@@ -11,7 +11,7 @@
 } from "../records/parse_record.ts";
 import { crossFindings } from "../records/record_set.ts";
 import { recordKey, RecordKind } from "../records/types.ts";
-import type { PlatformListing } from "../platform/types.ts";
+import type { PlatformListing } from "../object_api/types.ts";
 import type { AcceptedConfiguration, AcceptedRecord } from "./accepted.ts";
 
 /** What a publisher should do. */
--- a/src/configuration/publisher.ts
+++ b/src/configuration/publisher.ts
@@ -5,7 +5,7 @@
  */
 import type { Finding } from "../findings/finding.ts";
 import type { Logger } from "../logging/logger.ts";
-import { type Platform, PlatformFailureKind } from "../platform/types.ts";
+import { type Platform, PlatformFailureKind } from "../object_api/types.ts";
 import { Backoff, pause } from "../utils/loop.ts";
 import { ACCEPTED_KEY, type AcceptedConfiguration } from "./accepted.ts";
 import {
--- /dev/null
+++ b/src/forwarding/refusal.ts
@@ -0,0 +1,87 @@
+/**
+ * Answers of this host's own. A refusal says that the request has not run and
+ * never will; a failure promises nothing.
+ */
+import type { ServerResponse } from "node:http";
+
+/** Why a request got no answer from an endpoint. */
+export enum Denial {
+  Malformed = "malformed",
+  UnknownKey = "unknown_key",
+  NoRoute = "no_route",
+  BodyTooLarge = "body_too_large",
+  HeadersTooLarge = "headers_too_large",
+  /** Not run: this host knows no configuration yet, or is about to stop. */
+  NotReady = "not_ready",
+  /** Not run: there is no room in time. */
+  NoRoom = "no_room",
+  /** Not run: its time ran out while it waited. */
+  TooLate = "too_late",
+  /** Not run: no endpoint can be reached. */
+  NoEndpoint = "no_endpoint",
+  /** It may have run: its endpoint was lost. */
+  EndpointLost = "endpoint_lost",
+  /** It may have run: its time ran out. */
+  TimedOut = "timed_out",
+}
+
+const STATUS: Record<Denial, number> = {
+  [Denial.Malformed]: 400,
+  [Denial.UnknownKey]: 401,
+  [Denial.NoRoute]: 404,
+  [Denial.BodyTooLarge]: 413,
+  [Denial.HeadersTooLarge]: 431,
+  [Denial.NotReady]: 503,
+  [Denial.NoRoom]: 503,
+  [Denial.TooLate]: 503,
+  [Denial.NoEndpoint]: 503,
+  [Denial.EndpointLost]: 502,
+  [Denial.TimedOut]: 504,
+};
+
+/** A request that this host answers itself. */
+export interface Denied {
+  denial: Denial;
+  message: string;
+  /** When to come back, if that can help, in milliseconds. */
+  retry_after_ms?: number;
+}
+
+const MS_PER_S = 1_000;
+
+/** The status with which a denial is answered. */
+export function statusOf(denial: Denial): number {
+  return STATUS[denial];
+}
+
+/** Answers with a denial as problem+json (RFC 9457). */
+export function answerDenied(
+  response: ServerResponse,
+  denied: Denied,
+  keepConnection: boolean,
+): void {
+  if (response.headersSent || response.destroyed) {
+    response.destroy();
+    return;
+  }
+  const status = STATUS[denied.denial];
+  const body = JSON.stringify({
+    type: "about:blank",
+    status,
+    title: denied.denial,
+    detail: denied.message,
+  });
+  const headers = [
+    "Content-Type",
+    "application/problem+json",
+    "Content-Length",
+    String(Buffer.byteLength(body)),
+  ];
+  if (denied.retry_after_ms !== undefined) {
+    const seconds = (denied.retry_after_ms / MS_PER_S).toFixed(3);
+    headers.push("Retry-After", seconds);
+  }
+  if (!keepConnection) headers.push("Connection", "close");
+  response.writeHead(status, headers);
+  response.end(body);
+}
--- /dev/null
+++ b/src/gateway_wiring.ts
@@ -0,0 +1,296 @@
+/** Builds the parts of a gateway host and joins them. */
+import type { Server } from "node:http";
+import { createServer } from "node:http";
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import { BatchGatherer } from "./batching/batch_gatherer.ts";
+import { JobRouter } from "./batching/job_router.ts";
+import { createPieceCaller } from "./batching/piece_caller.ts";
+import { ConfigurationBelief } from "./beliefs/configuration_belief.ts";
+import { EndpointBelief } from "./beliefs/endpoint_belief.ts";
+import { followBeliefs, type Sources } from "./beliefs/follow_beliefs.ts";
+import { shareBeliefs } from "./beliefs/shared_beliefs.ts";
+import { EndpointAgents } from "./endpoints/endpoint_agents.ts";
+import type { GatewayAdapter, GatewayStore } from "./forwarding/adapter.ts";
+import {
+  createReadinessServer,
+  FrontServer,
+} from "./forwarding/front_server.ts";
+import type { ForwardParts } from "./forwarding/parts.ts";
+import { drainGateway } from "./lifecycle/drain_gateway.ts";
+import {
+  HostLifecycle,
+  HostLifecycleEvent,
+  HostLifecycleState,
+} from "./lifecycle/host_lifecycle.ts";
+import { createLogger, type Logger, type WriteLine } from "./logging/logger.ts";
+import { GatewayMembers } from "./membership/gateway_members.ts";
+import { announceSelf } from "./membership/announce_self.ts";
+import { ForwardMetrics } from "./metrics/forward_metrics.ts";
+import { createMetricsServer } from "./metrics/metrics_server.ts";
+import { GatewayClients } from "./peers/gateway_clients.ts";
+import { createGatewayRouter } from "./peers/gateway_router.ts";
+import type { RoutePool } from "./routes/types.ts";
+import { ObservedLoad } from "./routing/observed_load.ts";
+import { RepeatBudget } from "./routing/repeat_budget.ts";
+import type { GatewaySettings } from "./settings/gateway_settings.ts";
+import { type Address, formatAddress } from "./settings/settings.ts";
+
+/** What the outside world gives a gateway host. */
+export interface GatewayEnvironment {
+  adapter: GatewayAdapter;
+  /** Milliseconds of the steady clock. */
+  now: () => number;
+  random: () => number;
+  writeLine: WriteLine;
+}
+
+/** A running gateway host. */
+export interface Gateway {
+  log: Logger;
+  start(): Promise<void>;
+  /** Finishes running requests, then stops. */
+  drain(): void;
+  /** Stops at once. */
+  stop(): void;
+  /** Resolves when the host has stopped. */
+  stopped: Promise<void>;
+}
+
+/** Builds a gateway host. */
+export function createGateway(
+  settings: GatewaySettings,
+  environment: GatewayEnvironment,
+): Gateway {
+  const base = createBase(settings, environment);
+  const batching = createBatching(base);
+  const front = new FrontServer(createForwardParts(base, batching));
+  base.onConfigured.push((table) => front.follow(table.configuration.limits));
+  base.onEndpoints.push(() => batching.gatherer.endpointsChanged());
+  const servers = createServers(base, batching);
+  const { promise: stopped, resolve } = Promise.withResolvers<void>();
+
+  function stop(): void {
+    base.lifecycle.handle(HostLifecycleEvent.Stop);
+    base.stopping.abort();
+    front.close();
+    for (const [server] of servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+    base.agents.close();
+    base.peers.close();
+    base.store.close();
+    resolve();
+  }
+
+  function drain(): void {
+    if (!base.lifecycle.handle(HostLifecycleEvent.Drain)) return;
+    void drainGateway({
+      lifecycle: base.lifecycle,
+      front,
+      gathering: () => batching.gatherer.running,
+      withdraw: () => base.store.withdraw(settings.host.name),
+      timeout_ms: settings.drain.timeout_ms,
+      log: base.log,
+      now: base.now,
+      signal: base.signal,
+    }).then(stop);
+  }
+
+  async function start(): Promise<void> {
+    for (const [server, address] of servers) await listenOn(server, address);
+    await listenOn(front.server, settings.listen.callers);
+    base.log.info({
+      event: "start",
+      callers: formatAddress(settings.listen.callers),
+      peers: base.self,
+      availability_zone: settings.host.availability_zone,
+    });
+    void followBeliefs(base.sources);
+    void announceSelf({
+      ...base,
+      name: settings.host.name,
+      announce: base.store.announce,
+    });
+  }
+
+  return { log: base.log, stopped, stop, drain, start };
+}
+
+type Base = ReturnType<typeof createBase>;
+
+function createBase(
+  settings: GatewaySettings,
+  environment: GatewayEnvironment,
+) {
+  const { adapter, now, random, writeLine } = environment;
+  const { host, listen } = settings;
+  const self = formatAddress(listen.peers);
+  const member = {
+    address: self,
+    availability_zone: host.availability_zone,
+    cores: host.cores,
+  };
+  const stopping = new AbortController();
+  const log = createLogger({
+    level: settings.log.level,
+    host: host.name,
+    writeLine,
+  });
+  const lifecycle = new HostLifecycle((state) =>
+    log.info({ event: "lifecycle", state })
+  );
+  const metrics = new ForwardMetrics();
+  const onConfigured: Sources["onConfigured"] = [];
+  const onEndpoints: Sources["onEndpoints"] = [];
+  const configuration = new ConfigurationBelief((table, source) => {
+    const { version } = table.configuration;
+    log.info({ event: "configuration", version, source });
+    metrics.version.set(version);
+    for (const each of onConfigured) each(table);
+    lifecycle.handle(HostLifecycleEvent.Configured);
+  });
+  const endpoints = new EndpointBelief();
+  const members = new GatewayMembers(member);
+  const peers = new GatewayClients();
+  const store: GatewayStore = adapter.openStore(settings.object_store.address);
+  const signal = stopping.signal;
+  const sources: Sources = {
+    store,
+    peers,
+    configuration,
+    endpoints,
+    members,
+    seeds: settings.seeds.filter((seed) => seed !== self),
+    onConfigured,
+    onEndpoints,
+    watch_ms: settings.object_store.watch_ms,
+    log,
+    now,
+    random,
+    signal,
+  };
+  return {
+    settings,
+    adapter,
+    self,
+    member,
+    stopping,
+    signal,
+    log,
+    lifecycle,
+    metrics,
+    configuration,
+    endpoints,
+    members,
+    peers,
+    store,
+    sources,
+    onConfigured,
+    onEndpoints,
+    agents: new EndpointAgents(() => members.count),
+    now,
+    random,
+  };
+}
+
+interface Batching {
+  gatherer: BatchGatherer;
+  jobs: JobRouter;
+  pool: (name: string) => RoutePool | undefined;
+}
+
+function createBatching(base: Base): Batching {
+  const { configuration, endpoints, members, peers, log, now } = base;
+  const pool = (name: string) =>
+    configuration.table?.configuration.pools.get(name);
+  const gatherer = new BatchGatherer({
+    pool,
+    endpoints: (name) => endpoints.ofPool(name, now()),
+    caller: createPieceCaller({
+      dialect: base.adapter.dialect,
+      agents: base.agents,
+      pool,
+      poolAt: (address) => pool(endpoints.poolAt(address) ?? ""),
+      log,
+    }),
+    log,
+    now,
+  });
+  const jobs = new JobRouter({
+    self: base.self,
+    gatherers: () => members.gatherers(),
+    local: gatherer,
+    peers,
+    log,
+    now,
+    signal: base.signal,
+  });
+  return { gatherer, jobs, pool };
+}
+
+function createForwardParts(
+  base: Base,
+  { jobs, pool }: Batching,
+): ForwardParts {
+  const { settings, members, lifecycle } = base;
+  return {
+    dialect: base.adapter.dialect,
+    configuration: base.configuration,
+    endpoints: base.endpoints,
+    agents: base.agents,
+    load: new ObservedLoad(),
+    budget: new RepeatBudget(settings.repeats, () => members.count),
+    stages: {
+      run: (job, signal) => jobs.run(job, signal),
+      free: (name, results) => jobs.free(name, results),
+      callMs: (name) => pool(name)?.batch?.call_ms ?? 0,
+      now: base.now,
+    },
+    metrics: base.metrics,
+    leaving: () => lifecycle.going,
+    log: base.log,
+    now: base.now,
+    random: base.random,
+  };
+}
+
+function createServers(
+  base: Base,
+  { gatherer }: Batching,
+): [Server, Address][] {
+  const { lifecycle, settings, adapter, sources } = base;
+  const router = createGatewayRouter({
+    gathers: () => lifecycle.state === HostLifecycleState.Ready,
+    run: (job, signal) => gatherer.run(job, signal),
+    free: ({ pool, address, handles }) => gatherer.free(pool, address, handles),
+    beliefs: () => shareBeliefs(sources),
+  });
+  const peerServer = createServer(
+    { keepAliveTimeout: PEER_IDLE_MS, noDelay: true },
+    createHTTPHandler({ router }),
+  );
+  const readiness = createReadinessServer(
+    adapter.dialect.readinessPath,
+    () => lifecycle.state === HostLifecycleState.Ready,
+  );
+  const servers: [Server, Address][] = [
+    [peerServer, settings.listen.peers],
+    [readiness, settings.listen.readiness],
+  ];
+  if (settings.listen.metrics !== undefined) {
+    const server = createMetricsServer(base.metrics.registry);
+    servers.push([server, settings.listen.metrics]);
+  }
+  return servers;
+}
+
+/** Idle time after which a peer's connection is closed, in milliseconds. */
+const PEER_IDLE_MS = 60_000;
+
+function listenOn(server: Server, { ip, port }: Address): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, ip, resolve);
+  });
+}
--- /dev/null
+++ b/src/lifecycle/drain_gateway.ts
@@ -0,0 +1,48 @@
+/** Takes a gateway host out of service without cutting off a request. */
+import type { FrontServer } from "../forwarding/front_server.ts";
+import type { Logger } from "../logging/logger.ts";
+import { pause } from "../utils/loop.ts";
+import { type HostLifecycle, HostLifecycleEvent } from "./host_lifecycle.ts";
+
+/** What a drain needs. */
+export interface DrainGatewayOptions {
+  lifecycle: HostLifecycle;
+  front: FrontServer;
+  /** Stage jobs of other hosts that run here. */
+  gathering: () => number;
+  /** Removes this host's entry, so that peers choose another host. */
+  withdraw: () => Promise<void>;
+  /** How long running requests may take. */
+  timeout_ms: number;
+  log: Logger;
+  now: () => number;
+  signal: AbortSignal;
+}
+
+/** Time in which the balancer notices that the host is not ready. */
+const BALANCER_NOTICE_MS = 2_500;
+const POLL_MS = 50;
+/** Time to close what is left before the process is killed. */
+const RESERVE_MS = 500;
+
+/** Drains; resolves when nothing runs, or the time is up. */
+export async function drainGateway(
+  options: DrainGatewayOptions,
+): Promise<void> {
+  const { lifecycle, front, gathering, log, now, signal } = options;
+  const end_ms = now() + options.timeout_ms - RESERVE_MS;
+  options.withdraw().catch((error: Error) =>
+    log.warn({ event: "withdraw_failed", error: error.message })
+  );
+  await pause(BALANCER_NOTICE_MS, signal);
+  front.closeIdle();
+  lifecycle.handle(HostLifecycleEvent.GraceOver);
+  const busy = () => front.running > 0 || gathering() > 0;
+  while (busy() && now() < end_ms && !signal.aborted) {
+    await pause(POLL_MS, signal);
+  }
+  log.info({ event: "drained", running: front.running, jobs: gathering() });
+  lifecycle.handle(
+    busy() ? HostLifecycleEvent.Timeout : HostLifecycleEvent.Idle,
+  );
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,4 +1,5 @@
 /** Entry point of the one program. */
+import { usersPlatform } from "../platform/adapter.ts";
 import { runCommandLine } from "./cli/command_line.ts";
 
-void runCommandLine(process.argv);
+void runCommandLine(process.argv, usersPlatform);
--- /dev/null
+++ b/src/membership/announce_self.ts
@@ -0,0 +1,32 @@
+/** Writes this host's entry, so that other gateway hosts find it. */
+import type { Logger } from "../logging/logger.ts";
+import { Backoff, pause } from "../utils/loop.ts";
+import type { GatewayMember } from "./gateway_members.ts";
+
+/** What announcing needs. */
+export interface AnnounceOptions {
+  name: string;
+  member: GatewayMember;
+  announce: (name: string, member: GatewayMember) => Promise<void>;
+  log: Logger;
+  random: () => number;
+  signal: AbortSignal;
+}
+
+const RETRY = { first_ms: 100, most_ms: 2_000 };
+
+/** Tries until the entry is written or the process stops. */
+export async function announceSelf(options: AnnounceOptions): Promise<void> {
+  const { name, member, announce, log, random, signal } = options;
+  const backoff = new Backoff(RETRY, random);
+  while (!signal.aborted) {
+    try {
+      await announce(name, member);
+      log.info({ event: "announced", address: member.address });
+      return;
+    } catch (error) {
+      log.warn({ event: "announce_failed", error: (error as Error).message });
+      await pause(backoff.next_ms(), signal);
+    }
+  }
+}
--- a/src/membership/member_table.ts
+++ b/src/membership/member_table.ts
@@ -3,7 +3,7 @@
  * heartbeats) and the platform's lagging list. Pure: time comes in. The result
  * serves speed only; no promise rests on two hosts agreeing on it.
  */
-import { HostState, type PlatformHost } from "../platform/types.ts";
+import { HostState, type PlatformHost } from "../object_api/types.ts";
 import type { Demand, Heartbeat, KnownMember } from "./types.ts";
 
 /** What is known of one other host. */
--- /dev/null
+++ b/src/metrics/forward_metrics.ts
@@ -0,0 +1,40 @@
+/** Counters and histograms of forwarded requests, as text for a scraper. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const MS_BUCKETS = [5, 10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400];
+
+/** See the module's comment. */
+export class ForwardMetrics {
+  readonly registry = new Registry();
+  readonly requests = new Counter({
+    name: "sesamequay_forwarded_requests_total",
+    help: "Requests by kind and outcome",
+    labelNames: ["kind", "outcome"],
+    registers: [this.registry],
+  });
+  readonly requestTime = new Histogram({
+    name: "sesamequay_forwarded_request_ms",
+    help: "Time to the end of the answer",
+    labelNames: ["kind"],
+    buckets: MS_BUCKETS,
+    registers: [this.registry],
+  });
+  readonly stagesTime = new Histogram({
+    name: "sesamequay_stages_ms",
+    help: "Time until the results of all stages were made",
+    labelNames: ["outcome"],
+    buckets: MS_BUCKETS,
+    registers: [this.registry],
+  });
+  readonly sends = new Counter({
+    name: "sesamequay_sends_total",
+    help: "Requests sent to endpoints by how the exchange ended",
+    labelNames: ["outcome"],
+    registers: [this.registry],
+  });
+  readonly version = new Gauge({
+    name: "sesamequay_configuration_version",
+    help: "Version of the configuration in force",
+    registers: [this.registry],
+  });
+}
--- a/src/peers/heartbeats.ts
+++ b/src/peers/heartbeats.ts
@@ -9,7 +9,7 @@
 import type { Logger } from "../logging/logger.ts";
 import type { MemberTable } from "../membership/member_table.ts";
 import type { Heartbeat } from "../membership/types.ts";
-import type { Platform } from "../platform/types.ts";
+import type { Platform } from "../object_api/types.ts";
 import { pause } from "../utils/loop.ts";
 import type { PeerClients } from "./peer_client.ts";
 
--- a/src/placement/placement_loop.ts
+++ b/src/placement/placement_loop.ts
@@ -4,7 +4,7 @@
  */
 import type { ConfigurationState } from "../configuration/configuration_state.ts";
 import type { Logger } from "../logging/logger.ts";
-import type { Platform, PlatformObject } from "../platform/types.ts";
+import type { Platform, PlatformObject } from "../object_api/types.ts";
 import {
   type Endpoint,
   type EndpointPool,
--- /dev/null
+++ b/src/settings/gateway_settings.ts
@@ -0,0 +1,123 @@
+/** Settings of a gateway host: the form that users write, and the resolved. */
+import { readFileSync } from "node:fs";
+import { z } from "zod";
+import { DEFAULT_GATEWAY, DEFAULT_LOG_LEVEL } from "../defaults.ts";
+import type { Checked } from "../findings/finding.ts";
+import { checkAgainst, parseLocated } from "../findings/located_document.ts";
+import { unreadable } from "./resolve_settings.ts";
+import {
+  type Address,
+  addressSchema,
+  formatAddress,
+  parseAddress,
+} from "./settings.ts";
+
+const gatewaySchema = z.strictObject({
+  host: z.strictObject({
+    name: z.string().min(1),
+    availability_zone: z.string().min(1),
+    cores: z.number().positive().optional(),
+  }),
+  listen: z.strictObject({
+    callers: addressSchema,
+    readiness: addressSchema,
+    peers: addressSchema,
+    metrics: addressSchema.optional(),
+  }),
+  seeds: z.array(addressSchema).optional(),
+  object_store: z.strictObject({
+    address: addressSchema,
+    watch_ms: z.int().positive().optional(),
+  }),
+  repeats: z.strictObject({
+    ratio: z.number().nonnegative().optional(),
+    slack: z.number().nonnegative().optional(),
+    window_s: z.number().positive().optional(),
+  }).optional(),
+  drain: z.strictObject({
+    timeout_s: z.number().positive().optional(),
+  }).optional(),
+  log: z.strictObject({
+    level: z.enum(["debug", "info", "warn", "error"]).optional(),
+  }).optional(),
+});
+
+/** Gateway settings as a user writes them. */
+export type UserGatewaySettings = z.infer<typeof gatewaySchema>;
+
+/** Gateway settings with every default filled in. */
+export interface GatewaySettings {
+  host: { name: string; availability_zone: string; cores: number };
+  listen: {
+    callers: Address;
+    readiness: Address;
+    peers: Address;
+    metrics: Address | undefined;
+  };
+  /** Addresses of hosts that may tell what this one can't read, for peers. */
+  seeds: string[];
+  object_store: { address: Address; watch_ms: number };
+  /** Bound on repeats over all hosts. */
+  repeats: { ratio: number; slack: number; window_ms: number };
+  drain: { timeout_ms: number };
+  log: { level: string };
+}
+
+const MS_PER_S = 1_000;
+
+/** Reads and checks the gateway settings in `file`. */
+export function loadGatewaySettings(file: string): Checked<GatewaySettings> {
+  let text: string;
+  try {
+    text = readFileSync(file, "utf8");
+  } catch (error) {
+    return { ok: false, findings: [unreadable(file, error)] };
+  }
+  return checkGatewaySettings(file, text);
+}
+
+/** Checks settings text; every finding is reported at once. */
+export function checkGatewaySettings(
+  file: string,
+  text: string,
+): Checked<GatewaySettings> {
+  const located = parseLocated(file, text);
+  if (!located.ok) return located;
+  const checked = checkAgainst(located.value, gatewaySchema);
+  if (!checked.ok) return checked;
+  return { ok: true, value: resolveGatewaySettings(checked.value) };
+}
+
+/** Fills in defaults. */
+export function resolveGatewaySettings(
+  user: UserGatewaySettings,
+): GatewaySettings {
+  const { callers, readiness, peers, metrics } = user.listen;
+  const { cores, watch_ms, repeats, drain_timeout_s } = DEFAULT_GATEWAY;
+  const window_s = user.repeats?.window_s ?? repeats.window_s;
+  const timeout_s = user.drain?.timeout_s ?? drain_timeout_s;
+  const peersAddress = parseAddress(peers);
+  return {
+    host: { cores, ...user.host },
+    listen: {
+      callers: parseAddress(callers),
+      readiness: parseAddress(readiness),
+      peers: peersAddress,
+      metrics: metrics === undefined ? undefined : parseAddress(metrics),
+    },
+    seeds: (user.seeds ?? []).map((seed) =>
+      formatAddress({ ip: parseAddress(seed).ip, port: peersAddress.port })
+    ),
+    object_store: {
+      address: parseAddress(user.object_store.address),
+      watch_ms: user.object_store.watch_ms ?? watch_ms,
+    },
+    repeats: {
+      ratio: user.repeats?.ratio ?? repeats.ratio,
+      slack: user.repeats?.slack ?? repeats.slack,
+      window_ms: window_s * MS_PER_S,
+    },
+    drain: { timeout_ms: timeout_s * MS_PER_S },
+    log: { level: user.log?.level ?? DEFAULT_LOG_LEVEL },
+  };
+}
--- a/src/settings/resolve_settings.ts
+++ b/src/settings/resolve_settings.ts
@@ -135,7 +135,8 @@
   return value;
 }
 
-function unreadable(file: string, error: unknown): Finding {
+/** The finding for a file that cannot be read. */
+export function unreadable(file: string, error: unknown): Finding {
   const message = `Cannot read the file: ${(error as Error).message}`;
   const hint = "Check the path given with --settings";
   return { file, path: "", line: 1, column: 1, message, hint };
--- a/src/utils/http_fetch.ts
+++ b/src/utils/http_fetch.ts
@@ -5,7 +5,12 @@
 /** The subset of `fetch` that tRPC's links use. */
 export type FetchText = (
   url: string,
-  init?: { method?: string; headers?: unknown; body?: unknown },
+  init?: {
+    method?: string;
+    headers?: unknown;
+    body?: unknown;
+    signal?: AbortSignal | null;
+  },
 ) => Promise<Response>;
 
 /** Creates a `fetch` bound to one address. */
@@ -26,6 +31,7 @@
         ),
         body: typeof init?.body === "string" ? init.body : undefined,
         timeout_ms,
+        signal: init?.signal ?? undefined,
       });
       return new Response(answer.body, { status: answer.status });
     },
--- a/test/configuration/plan_publication.test.ts
+++ b/test/configuration/plan_publication.test.ts
@@ -6,7 +6,7 @@
   PlanKind,
   planPublication,
 } from "../../src/configuration/plan_publication.ts";
-import type { PlatformListing } from "../../src/platform/types.ts";
+import type { PlatformListing } from "../../src/object_api/types.ts";
 
 const POOL = {
   schema_version: 1,
--- a/test/fake_platform.ts
+++ b/test/fake_platform.ts
@@ -6,7 +6,7 @@
   type PlatformObject,
   type PlatformResult,
   type WriteCondition,
-} from "../src/platform/types.ts";
+} from "../src/object_api/types.ts";
 
 function failed<T>(
   kind: PlatformFailureKind,
--- a/test/membership/member_table.test.ts
+++ b/test/membership/member_table.test.ts
@@ -3,7 +3,7 @@
 import { MemberTable } from "../../src/membership/member_table.ts";
 import { rankCandidates } from "../../src/membership/rendezvous.ts";
 import type { Heartbeat, KnownMember } from "../../src/membership/types.ts";
-import { HostState } from "../../src/platform/types.ts";
+import { HostState } from "../../src/object_api/types.ts";
 import { createRandom } from "../../stand_ins/load/load.ts";
 
 const SELF = "10.0.0.1:1";
