Do not pass on an answer without a length whose connection was reset

Ruled out: a short content-length (the answer had none). Test first: 'an unsafe request is never sent again once it may have run' got 200 for a reset answer, now 502. Also: a refusal because inputs are gone no longer counts against the model engine that said so.

--- a/src/batching/piece_caller.ts
+++ b/src/batching/piece_caller.ts
@@ -107,8 +107,8 @@
     signal: AbortSignal.timeout(Math.ceil(timeout_ms)),
   });
   if (result.kind !== ExchangeEnd.Answered) return lost(result.reason);
-  const { status, headers, body } = result.answer;
-  const whole = await readWhole(body, ANSWER_LIMIT_BYTES);
+  const { status, headers } = result.answer;
+  const whole = await readWhole(result.answer, ANSWER_LIMIT_BYTES);
   if (whole !== undefined) {
     return { kind: "whole", status, headers, body: whole };
   }
--- a/src/endpoints/exchange.ts
+++ b/src/endpoints/exchange.ts
@@ -4,6 +4,7 @@
  * what may have run without an answer.
  */
 import { type IncomingMessage, request } from "node:http";
+import type { Socket } from "node:net";
 import { parseAddress } from "../settings/settings.ts";
 import type { GuardedAgent } from "./guarded_agent.ts";
 
@@ -45,6 +46,8 @@
   status_text: string;
   headers: RawHeaders;
   body: IncomingMessage;
+  /** The connection; the body forgets it when it ends. */
+  socket: Socket;
 }
 
 /** Longest time to open a connection, in milliseconds. */
@@ -101,6 +104,7 @@
           status_text: incoming.statusMessage ?? "",
           headers: incoming.rawHeaders,
           body: incoming,
+          socket: incoming.socket,
         },
       });
     });
@@ -110,9 +114,10 @@
 
 /** The whole body of an answer, or undefined if it was cut. */
 export function readWhole(
-  body: IncomingMessage,
+  answer: EndpointAnswer,
   limit_bytes: number,
 ): Promise<Buffer | undefined> {
+  const { body } = answer;
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let size = 0;
@@ -123,13 +128,21 @@
     });
     body.on(
       "end",
-      () => resolve(body.complete ? Buffer.concat(chunks) : undefined),
+      () => resolve(isWhole(answer) ? Buffer.concat(chunks) : undefined),
     );
     body.on("error", () => resolve(undefined));
     body.on("close", () => resolve(undefined));
   });
 }
 
+/**
+ * Whether an answer that has ended is whole. One without a length ends with its
+ * connection; Node counts it as complete even if the connection was reset.
+ */
+export function isWhole({ body, socket }: EndpointAnswer): boolean {
+  return body.complete && socket.errored === null;
+}
+
 /** Drops an answer together with its connection. */
 export function dropAnswer(answer: EndpointAnswer): void {
   answer.body.on("error", () => {});
--- a/src/forwarding/forward_request.ts
+++ b/src/forwarding/forward_request.ts
@@ -412,14 +412,7 @@
     }
     if (marks.not_run) {
       answer.body.resume();
-      return {
-        next: marks.inputs_gone ? Next.InputsGone : Next.Elsewhere,
-        verdict: marks.wrong_endpoint
-          ? ExchangeVerdict.Broken
-          : ExchangeVerdict.Full,
-        first_ms,
-        reason: `refused_${answer.status}`,
-      };
+      return { ...afterRefusal(marks), first_ms, reason: `${answer.status}` };
     }
     context.firstByte();
     const relayed = marks.stream
@@ -590,6 +583,19 @@
   reason: string;
 }
 
+/** What follows when an endpoint says that it did not run the request. */
+function afterRefusal(
+  marks: AnswerMarks,
+): { next: Next; verdict: ExchangeVerdict } {
+  if (marks.inputs_gone) {
+    return { next: Next.InputsGone, verdict: ExchangeVerdict.Well };
+  }
+  const verdict = marks.wrong_endpoint
+    ? ExchangeVerdict.Broken
+    : ExchangeVerdict.Full;
+  return { next: Next.Elsewhere, verdict };
+}
+
 function drawPool({ route }: Admitted, random: () => number): string {
   const total = route.pools.reduce((sum, each) => sum + each.weight, 0);
   let drawn = random() * total;
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -3,6 +3,7 @@
 import {
   dropAnswer,
   type EndpointAnswer,
+  isWhole,
   type RawHeaders,
   readWhole,
 } from "../endpoints/exchange.ts";
@@ -49,7 +50,7 @@
   answer: EndpointAnswer,
   options: RelayOptions & { hold: boolean },
 ): Promise<RelayEnd> {
-  const body = await readWhole(answer.body, WHOLE_LIMIT_BYTES);
+  const body = await readWhole(answer, WHOLE_LIMIT_BYTES);
   if (body === undefined) return { whole: false, delivered: false };
   const { status, status_text } = answer;
   const held = { status, status_text, headers: options.headers, body };
@@ -115,7 +116,7 @@
       answer.body.pause();
       response.once("drain", () => answer.body.resume());
     });
-    answer.body.on("end", () => finish(answer.body.complete));
+    answer.body.on("end", () => finish(isWhole(answer)));
     answer.body.on("error", () => finish(false));
     answer.body.on("close", () => finish(false));
     response.once("close", () => finish(false));
--- /dev/null
+++ b/test/forwarding/gateway.test.ts
@@ -0,0 +1,321 @@
+/** Whole requests through a gateway, against stand-ins of the platform. */
+import assert from "node:assert/strict";
+import { connect } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { after, afterEach, before, test } from "node:test";
+import { callJson, getJson } from "../../stand_ins/json_call.ts";
+import { EngineFault } from "../../stand_ins/users_platform/engine.ts";
+import {
+  FleetKey,
+  GatewayFleet,
+  Service,
+  until,
+} from "../../stand_ins/users_platform/gateway_fleet.ts";
+
+const fleet = new GatewayFleet({ gateways: 2 });
+
+before(() => fleet.start());
+after(() => fleet.stop());
+afterEach(() => {
+  for (const engine of [...fleet.engines.values()].flat()) {
+    engine.fault = EngineFault.None;
+    engine.faults = Infinity;
+    engine.seen = [];
+    engine.calls = [];
+    engine.freed = [];
+  }
+});
+
+let attempts = 0;
+
+interface CallOptions {
+  body?: string;
+  method?: string;
+  headers?: Record<string, string>;
+  gateway?: number;
+}
+
+function call(path: string, options: CallOptions = {}) {
+  const { body, method = "POST", headers, gateway = 0 } = options;
+  return callJson(fleet.gateways[gateway]?.callers ?? "", path, {
+    method,
+    text: body,
+    headers: {
+      host: "fleet.example",
+      "x-attempt-id": `attempt-${attempts++}`,
+      "x-key": FleetKey.Docks,
+      "x-deadline-ms": "1500",
+      ...headers,
+    },
+  });
+}
+
+const STAGED = {
+  "x-pieces": "2,3",
+  "x-piece-key": "cafe",
+  "x-prompt-prefix": "aa:100,bb:50,cc:10",
+};
+
+function seenBy(service: Service) {
+  return (fleet.engines.get(service) ?? []).flatMap((each) => each.seen);
+}
+
+function fail(service: Service, fault: EngineFault, faults = Infinity): void {
+  for (const engine of fleet.engines.get(service) ?? []) {
+    engine.fault = fault;
+    engine.faults = faults;
+  }
+}
+
+test("an unsafe request goes through unchanged, with the host's marks", async (t) => {
+  const answer = await call("/stamp/41?serial=a%20b", {
+    body: "serial 41",
+    headers: {
+      "x-attempt-id": "attempt-fixed",
+      "x-tenant": "forged",
+      "x-hold": "forged",
+      "x-expect-instance": "forged",
+      "kv-from": "forged",
+      "x-custom": "kept",
+    },
+  });
+  assert.equal(answer.status, 200);
+  assert.match(answer.text, /^desk-\d:serial 41$/);
+  assert.match(answer.headers["x-response-signature"] as string, /^signed-by/);
+  const [seen] = seenBy(Service.Desk);
+  assert.ok(seen);
+  const { host: _host, "x-deadline-ms": left, ...headers } = seen.headers;
+  assert.ok(Number(left) > 1_000 && Number(left) <= 1_500);
+  headers["x-expect-instance"] = "the chosen one";
+  t.assert.snapshot({ ...seen, headers });
+});
+
+test("a request with stages gets the handles of its last stage", async () => {
+  const answer = await call("/review/x", { body: "log", headers: STAGED });
+  assert.equal(answer.status, 200);
+  assert.equal(answer.text.match(/^id: \d$/gm)?.length, 5);
+  const encoded = fleet.engines.get(Service.Encode)?.flatMap((e) => e.calls);
+  assert.deepEqual(
+    encoded?.flat().map(({ stage, piece, key }) => ({ stage, piece, key })),
+    [{ stage: 0, piece: 0, key: "cafe" }, { stage: 0, piece: 1, key: "cafe" }],
+  );
+  const ranked = fleet.engines.get(Service.Rank)?.flatMap((e) => e.calls);
+  for (const piece of ranked?.flat() ?? []) {
+    assert.equal(piece.inputs?.length, 2);
+    assert.equal(piece.key, undefined);
+  }
+  const [seen] = seenBy(Service.Model);
+  assert.equal(seen?.headers["x-inputs"]?.split(",").length, 3);
+  await until(() =>
+    [Service.Encode, Service.Rank].flatMap((service) =>
+      fleet.engines.get(service)?.flatMap((each) => each.freed) ?? []
+    ).length === 5
+  );
+});
+
+test("pieces of requests at two hosts share calls", async () => {
+  const answers = await Promise.all(
+    Array.from({ length: 12 }, (_, n) =>
+      call("/review/x", {
+        body: "log",
+        gateway: n % 2,
+        headers: { ...STAGED, "x-prompt-prefix": "aa:100,bb:50,cc:10" },
+      })),
+  );
+  assert.ok(answers.every(({ status }) => status === 200));
+  const calls = fleet.engines.get(Service.Rank)?.flatMap((e) => e.calls) ?? [];
+  assert.ok(calls.length < 12, `${calls.length} calls for 12 requests`);
+});
+
+test("requests that can't be served are answered at once and not sent", async (t) => {
+  const cases: Record<string, () => Promise<{ status: number }>> = {
+    "no key": () => call("/stamp/x", { headers: { "x-key": "" } }),
+    "unknown key": () => call("/stamp/x", { headers: { "x-key": "what" } }),
+    "no route": () => call("/nowhere/x"),
+    "other host": () => call("/stamp/x", { headers: { host: "else.example" } }),
+    "no attempt id": () => call("/stamp/x", { headers: { "x-attempt-id": "" } }),
+    "deadline in words": () =>
+      call("/stamp/x", { headers: { "x-deadline-ms": "soon" } }),
+    "pieces in words": () =>
+      call("/review/x", { headers: { ...STAGED, "x-pieces": "two" } }),
+    "broken prefix": () =>
+      call("/review/x", { headers: { ...STAGED, "x-prompt-prefix": "zz" } }),
+    "body too large": () => call("/stamp/x", { body: "x".repeat(20_001) }),
+    "headers too large": () =>
+      call("/stamp/x", { headers: { "x-custom": "x".repeat(9_000) } }),
+  };
+  const statuses: Record<string, number> = {};
+  for (const [name, run] of Object.entries(cases)) {
+    statuses[name] = (await run()).status;
+  }
+  t.assert.snapshot(statuses);
+  assert.equal(seenBy(Service.Desk).length, 0);
+});
+
+test("a public route needs no key", async () => {
+  const { status } = await call("/open/x", { headers: { "x-key": "" } });
+  assert.equal(status, 200);
+});
+
+const SMUGGLED = {
+  "both lengths": "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+  "two lengths": "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+  "odd chunk size": "Transfer-Encoding: chunked\r\n\r\n4;\u0000\r\nabcd\r\n0x0\r\n\r\n",
+  "header without colon": "Content-Length 4\r\n\r\nabcd",
+};
+
+test("smuggled requests get 400 and a closed connection", async (t) => {
+  const answers: Record<string, string> = {};
+  for (const [name, rest] of Object.entries(SMUGGLED)) {
+    answers[name] = await raw(
+      "POST /stamp/x HTTP/1.1\r\nHost: fleet.example\r\n" +
+        `X-Attempt-Id: smuggled\r\nX-Key: ${FleetKey.Docks}\r\n${rest}`,
+    );
+  }
+  t.assert.snapshot(answers);
+  assert.equal(seenBy(Service.Desk).length, 0);
+});
+
+/** The status line that raw bytes are answered with. */
+function raw(bytes: string): Promise<string> {
+  const [ip, port] = (fleet.gateways[0]?.callers ?? "").split(":");
+  return new Promise((resolve, reject) => {
+    let text = "";
+    const socket = connect(Number(port), ip, () => socket.write(bytes));
+    socket.setTimeout(3_000, () => reject(new Error("No answer")));
+    socket.on("data", (chunk) => text += chunk);
+    socket.on("error", reject);
+    socket.on("close", () => resolve(text.split("\r\n")[0] ?? ""));
+  });
+}
+
+test("an unsafe request is never sent again once it may have run", async () => {
+  for (
+    const fault of [
+      EngineFault.AnswerLost,
+      EngineFault.Foreign,
+      EngineFault.UnframedReset,
+    ]
+  ) {
+    fail(Service.Desk, fault);
+    const { status } = await call("/stamp/x", { body: "41" });
+    assert.equal(status, 502, fault);
+    assert.equal(seenBy(Service.Desk).length, 1, fault);
+    for (const engine of fleet.engines.get(Service.Desk) ?? []) {
+      engine.seen = [];
+    }
+    await sleep(300);
+  }
+});
+
+test("a refused unsafe request goes to another endpoint", async () => {
+  fleet.engine(Service.Desk).fault = EngineFault.Full;
+  for (let n = 0; n < 4; n++) {
+    const { status } = await call("/stamp/x", { body: "41" });
+    assert.equal(status, 200);
+  }
+  assert.equal(fleet.engine(Service.Desk).seen.length, 0);
+});
+
+test("when all endpoints are full the refusal says when to return", async () => {
+  fail(Service.Desk, EngineFault.Full);
+  const answer = await call("/stamp/x", { body: "41" });
+  assert.equal(answer.status, 503);
+  assert.ok(Number(answer.headers["retry-after"]) > 0);
+});
+
+test("a safe request is tried elsewhere after a lost or failed answer", async () => {
+  for (
+    const fault of [
+      EngineFault.AnswerLost,
+      EngineFault.Error,
+      EngineFault.Foreign,
+      EngineFault.UnframedReset,
+    ]
+  ) {
+    fleet.engine(Service.Desk, 0).fault = fault;
+    fleet.engine(Service.Desk, 0).faults = 1;
+    fleet.engine(Service.Desk, 1).fault = fault;
+    fleet.engine(Service.Desk, 1).faults = 0;
+    for (let n = 0; n < 3; n++) {
+      const { status } = await call("/lookup/x", { method: "GET" });
+      assert.equal(status, 200, fault);
+    }
+    await sleep(300);
+  }
+});
+
+test("an endpoint's failure is passed on when no other does better", async () => {
+  fail(Service.Desk, EngineFault.Error);
+  const answer = await call("/lookup/x", { method: "GET" });
+  assert.equal(answer.status, 500);
+  assert.equal(answer.text, "failed");
+});
+
+test("bytes after an answer belong to nobody", async () => {
+  fail(Service.Desk, EngineFault.Extra);
+  for (let n = 0; n < 6; n++) {
+    const answer = await call("/stamp/x", { body: `${n}` });
+    assert.match(answer.text, new RegExp(`:${n}$`));
+    await sleep(20);
+  }
+});
+
+test("a cut stream that may be resumed goes on at another endpoint", async () => {
+  fleet.engine(Service.Model).fault = EngineFault.Cut;
+  for (let n = 0; n < 6; n++) {
+    const answer = await call("/draft/x", {
+      body: "note",
+      headers: { "x-prompt-prefix": `aa:100,b${n}:50,cc:10` },
+    });
+    assert.equal(answer.status, 200);
+    const ids = answer.text.match(/^id: (\d)$/gm);
+    assert.deepEqual(ids, ["id: 1", "id: 2", "id: 3", "id: 4", "id: 5"]);
+  }
+  assert.ok(fleet.engine(Service.Model).seen.length > 0);
+});
+
+test("a cut stream that may not be resumed does not look complete", async () => {
+  fail(Service.Model, EngineFault.Cut, 1);
+  await assert.rejects(call("/review/x", { body: "log", headers: STAGED }));
+  assert.equal(seenBy(Service.Model).length, 1);
+});
+
+test("stages run again when their results are gone", async () => {
+  fail(Service.Model, EngineFault.InputsGone, 1);
+  const answer = await call("/review/x", { body: "log", headers: STAGED });
+  assert.equal(answer.status, 200);
+});
+
+test("a mute endpoint does not hold a request beyond its time", async () => {
+  fail(Service.Desk, EngineFault.Mute);
+  const began_ms = performance.now();
+  const { status } = await call("/stamp/x", {
+    body: "41",
+    headers: { "x-deadline-ms": "400" },
+  });
+  assert.equal(status, 504);
+  assert.ok(performance.now() - began_ms < 450);
+});
+
+test("work stops when the caller leaves", async () => {
+  fail(Service.Desk, EngineFault.Mute);
+  const engines = fleet.engines.get(Service.Desk) ?? [];
+  const before = engines.reduce((sum, each) => sum + each.dropped, 0);
+  const [ip, port] = (fleet.gateways[0]?.callers ?? "").split(":");
+  const socket = connect(Number(port), ip);
+  socket.write(
+    "POST /stamp/x HTTP/1.1\r\nHost: fleet.example\r\nX-Attempt-Id: gone\r\n" +
+      `X-Key: ${FleetKey.Docks}\r\nContent-Length: 2\r\n\r\n41`,
+  );
+  await until(() => seenBy(Service.Desk).length === 1);
+  socket.destroy();
+  await until(() =>
+    engines.reduce((sum, each) => sum + each.dropped, 0) === before + 1
+  );
+});
+
+test("metrics are served as text", async () => {
+  const { text } = await getJson(fleet.gateways[0]?.metrics ?? "", "/metrics");
+  assert.match(text, /sesamequay_forwarded_requests_total\{/);
+});
