--- a/scripts/profile_gateway.ts
+++ b/scripts/profile_gateway.ts
@@ -39,7 +39,9 @@
 const used = process.cpuUsage(began);
 for (const [status, all] of statuses) console.log(status, all.length);
 console.log(
-  `${((used.user + used.system) / REQUESTS / 1_000).toFixed(2)} ms a request, ` +
+  `${
+    ((used.user + used.system) / REQUESTS / 1_000).toFixed(2)
+  } ms a request, ` +
     "callers, engines and two gateways together",
 );
 fleet.stop();
--- a/src/batching/batch_gatherer.ts
+++ b/src/batching/batch_gatherer.ts
@@ -224,10 +224,7 @@
     this.#dropExpired(work, now_ms);
     if (work.jobs.size === 0) return;
     const ready = this.#refresh(pool, work);
-    const servedZones = new Set(
-      ready.filter((calls) => calls.takesCalls(now_ms))
-        .map((calls) => calls.endpoint.availability_zone),
-    );
+    const zoneFree_ms = zonesOf(ready, limits, now_ms);
     const free = ready.filter((calls) => calls.free(now_ms, limits))
       .sort((a, b) => a.slowness - b.slowness);
     for (const calls of free) {
@@ -235,7 +232,7 @@
         availability_zone: calls.endpoint.availability_zone,
         room_bytes: calls.roomBytes(now_ms, limits),
         slowness: calls.slowness,
-      }, { now_ms, limits, servedZones });
+      }, { now_ms, limits, zoneFree_ms });
       if (shares.length > 0) {
         void this.#call(pool, work, { calls, shares, limits });
       }
@@ -279,7 +276,7 @@
       (sum, { queued }) => sum + queued.result_bytes,
       0,
     );
-    calls.begin(bytes);
+    calls.begin({ bytes, pieces: taken.length, now_ms: began_ms }, limits);
     const result = await caller.make(
       calls.endpoint,
       taken.map(({ queued, piece }) => ({
@@ -399,3 +396,19 @@
     queued.end(outcome);
   }
 }
+
+/** Time until each zone has an endpoint that takes a call. */
+function zonesOf(
+  ready: readonly EndpointCalls[],
+  limits: BatchLimits,
+  now_ms: number,
+): Map<string, number> {
+  const zones = new Map<string, number>();
+  for (const calls of ready) {
+    const { availability_zone } = calls.endpoint;
+    const known_ms = zones.get(availability_zone) ?? Infinity;
+    const free_ms = calls.freeInMs(now_ms, limits);
+    zones.set(availability_zone, Math.min(known_ms, free_ms));
+  }
+  return zones;
+}
--- a/src/batching/endpoint_calls.ts
+++ b/src/batching/endpoint_calls.ts
@@ -26,6 +26,7 @@
   #calls = 0;
   #failures = 0;
   #restsUntil_ms = 0;
+  #expectedEnd_ms = 0;
   #heldBytes = 0;
   #held = new Map<string, HeldResult>();
 
@@ -44,6 +45,13 @@
     return now_ms >= this.#restsUntil_ms;
   }
 
+  /** Time until it can take a call, in milliseconds, by what it promised. */
+  freeInMs(now_ms: number, limits: BatchLimits): number {
+    const rest_ms = Math.max(0, this.#restsUntil_ms - now_ms);
+    if (this.#calls < limits.concurrent_calls) return rest_ms;
+    return Math.max(rest_ms, this.#expectedEnd_ms - now_ms, 0);
+  }
+
   /** Memory that further results may take, in bytes. */
   roomBytes(now_ms: number, limits: BatchLimits): number {
     for (const [handle, { until_ms }] of this.#held) {
@@ -61,9 +69,14 @@
   }
 
   /** A call begins; its results take `bytes` from now on. */
-  begin(bytes: number): void {
+  begin(
+    call: { bytes: number; pieces: number; now_ms: number },
+    limits: BatchLimits,
+  ): void {
     this.#calls += 1;
-    this.#heldBytes += bytes;
+    this.#heldBytes += call.bytes;
+    const promised_ms = limits.call_ms + call.pieces * limits.piece_ms;
+    this.#expectedEnd_ms = call.now_ms + promised_ms * this.slowness;
   }
 
   /** A call of `pieces` ended well after `elapsed_ms`. */
--- a/src/batching/plan_call.ts
+++ b/src/batching/plan_call.ts
@@ -6,8 +6,9 @@
  * run one call at a time, where a call costs much and a further piece little.
  * A free endpoint takes what waits at once, so calls fill up by themselves as
  * the load grows. Work that can still be on time goes before work that is late,
- * the earliest due first; a piece stays in the zone in which its inputs lie and
- * its result will be read for as long as it can be on time there.
+ * the earliest due first. A job leaves the zone in which its results are read
+ * as soon as waiting for an endpoint there would use up more than its share of
+ * the time that it can spare.
  */
 import type { BatchLimits } from "../routes/types.ts";
 
@@ -39,8 +40,8 @@
 export interface PlanContext {
   now_ms: number;
   limits: BatchLimits;
-  /** Zones that have an endpoint of the pool which takes calls. */
-  servedZones: ReadonlySet<string>;
+  /** Time until an endpoint of a zone takes a call; absent if none does. */
+  zoneFree_ms: ReadonlyMap<string, number>;
 }
 
 /** A job's share of a call. */
@@ -49,8 +50,8 @@
   pieces: number;
 }
 
-/** The part of a call's time for which a piece waits for its own zone. */
-const STAY_SHARE = 0.6;
+/** Share of the time that a job can spare which it waits for its own zone. */
+const STAY_SHARE = 0.2;
 
 /** The pieces of the next call, in order; empty if none should go there. */
 export function planCall<Job extends WaitingJob>(
@@ -61,7 +62,8 @@
   const { limits } = context;
   const call_ms = fullCallMs(limits) * endpoint.slowness;
   const welcome = [...jobs].filter((job) =>
-    job.waiting_pieces > 0 && mayLeaveHome(job, endpoint, context)
+    job.waiting_pieces > 0 &&
+    mayRunAt(endpoint.availability_zone, job, context)
   );
   welcome.sort(byUrgency(context.now_ms + call_ms, endpoint.availability_zone));
   const shares: PlannedShare<Job>[] = [];
@@ -89,19 +91,18 @@
   return limits.call_ms + limits.pieces_per_call * limits.piece_ms;
 }
 
-function mayLeaveHome(
+function mayRunAt(
+  zone: string,
   job: WaitingJob,
-  { availability_zone }: FreeEndpoint,
-  { now_ms, limits, servedZones }: PlanContext,
+  { now_ms, limits, zoneFree_ms }: PlanContext,
 ): boolean {
   const { home_zone } = job;
-  if (home_zone === undefined || home_zone === availability_zone) return true;
-  if (!servedZones.has(home_zone)) return true;
-  const call_ms = fullCallMs(limits);
-  const slack_ms = job.due_ms - now_ms - call_ms;
-  if (slack_ms < 0) return now_ms - job.since_ms > call_ms;
-  const patience_ms = Math.min(STAY_SHARE * call_ms, slack_ms);
-  return now_ms - job.since_ms >= patience_ms;
+  if (home_zone === undefined || home_zone === zone) return true;
+  const freeIn_ms = zoneFree_ms.get(home_zone);
+  if (freeIn_ms === undefined) return true;
+  const spare_ms = job.due_ms - job.since_ms - fullCallMs(limits);
+  const patience_ms = STAY_SHARE * Math.max(0, spare_ms);
+  return now_ms - job.since_ms + freeIn_ms > patience_ms;
 }
 
 /** Orders jobs: on time before late, then by rank among the late, then due. */
--- a/src/batching/stage_graph.ts
+++ b/src/batching/stage_graph.ts
@@ -22,9 +22,9 @@
   /** What stages without inputs make their pieces from. */
   piece_key: string;
   home_zone: string | undefined;
-  /** When the request is on time, on the steady clock. */
+  /** When the last results are on time, on the steady clock. */
   due_ms: number;
-  /** When it is of no use any more. */
+  /** When they are of no use any more. */
   expires_ms: number;
   signal: AbortSignal;
 }
@@ -34,12 +34,18 @@
   | { kind: JobEnd.Made; results: StageResult[]; giveUp: () => void }
   | Exclude<JobOutcome, { kind: JobEnd.Made }>;
 
+/** How long a stage takes, in milliseconds. */
+export interface StageTime {
+  least_ms: number;
+  expected_ms: number;
+}
+
 /** What running a graph needs. */
 export interface GraphParts {
   run: (job: StageJob, signal: AbortSignal) => Promise<JobOutcome>;
   free: (pool: string, results: readonly StageResult[]) => void;
-  /** Time that a stage's call takes at best, in milliseconds. */
-  callMs: (pool: string) => number;
+  /** Time that a stage of a pool takes, in milliseconds. */
+  stageMs: (pool: string) => StageTime;
   now: () => number;
 }
 
@@ -137,7 +143,7 @@
   #job(index: number, stage: PieceStage, pieces: Piece[]): StageJob {
     const { attempt_id, priority, due_ms, expires_ms } = this.#request;
     const now_ms = this.#parts.now();
-    const later_ms = this.#timeAfter(index);
+    const later = this.#timeAfter(index);
     return {
       attempt_id,
       pool: stage.pool,
@@ -145,8 +151,8 @@
       pieces,
       result_bytes: stage.result_bytes,
       priority,
-      due_in_ms: due_ms - now_ms - later_ms,
-      expires_in_ms: expires_ms - now_ms - later_ms,
+      due_in_ms: due_ms - now_ms - later.expected_ms,
+      expires_in_ms: expires_ms - now_ms - later.least_ms,
       home_zone: this.#zoneOfInputs(stage) ?? this.#request.home_zone,
     };
   }
@@ -164,19 +170,22 @@
     return [...counts].sort(([, a], [, b]) => b - a)[0]?.[0];
   }
 
-  /** The least time that the stages after this one take. */
-  #timeAfter(index: number): number {
-    return this.#followers(index).reduce(
-      (longest_ms, follower) =>
-        Math.max(
-          longest_ms,
-          (this.#request.pieces[follower] ?? 0) === 0
-            ? 0
-            : this.#parts.callMs(this.#stages[follower]?.pool ?? "") +
-              this.#timeAfter(follower),
+  /** The time that the stages after this one take. */
+  #timeAfter(index: number): StageTime {
+    let longest: StageTime = { least_ms: 0, expected_ms: 0 };
+    for (const follower of this.#followers(index)) {
+      if ((this.#request.pieces[follower] ?? 0) === 0) continue;
+      const own = this.#parts.stageMs(this.#stages[follower]?.pool ?? "");
+      const after = this.#timeAfter(follower);
+      longest = {
+        least_ms: Math.max(longest.least_ms, own.least_ms + after.least_ms),
+        expected_ms: Math.max(
+          longest.expected_ms,
+          own.expected_ms + after.expected_ms,
         ),
-      0,
-    );
+      };
+    }
+    return longest;
   }
 
   #followers(index: number): number[] {
--- a/src/forwarding/forward_request.ts
+++ b/src/forwarding/forward_request.ts
@@ -15,7 +15,6 @@
 import { CallKind, type RouteEndpoint } from "../routes/types.ts";
 import {
   chooseByPrefix,
-  chooseHomeZone,
   chooseOfTwo,
   sharedPrefix,
 } from "../routing/choose_route_endpoint.ts";
@@ -55,6 +54,8 @@
 const FULL_RETRY_MS = 250;
 /** An idempotent call without an answer for this many targets goes elsewhere. */
 const PATIENCE_TARGETS = 2;
+/** Why an attempt's connection is given up; a constant costs no stack trace. */
+const ATTEMPT_OVER = "attempt_over";
 /** Stages are run again if their results got lost, but not for ever. */
 const MOST_STAGE_RUNS = 2;
 
@@ -147,7 +148,7 @@
 
   #end(stop: Stop): void {
     this.#stop ??= stop;
-    this.#stopping.abort();
+    this.#stopping.abort(this.#stop);
   }
 
   #left(): number {
@@ -184,7 +185,7 @@
     { results: StageResult[]; giveUp: () => void } | undefined
   > {
     const { route, marks, priority } = this.#admitted;
-    const { stages, metrics, now, log } = this.#parts;
+    const { stages, metrics, load, now, log } = this.#parts;
     const began_ms = now();
     const home_zone = this.#homeZone();
     const outcome = await runStages({
@@ -194,7 +195,8 @@
       pieces: marks.pieces,
       piece_key: marks.piece_key,
       home_zone,
-      due_ms: this.#inbound.arrived_ms + route.target_latency_ms,
+      due_ms: this.#inbound.arrived_ms + route.target_latency_ms -
+        load.typicalMs(this.#pool),
       expires_ms: this.#expires_ms,
       signal: this.#stopping.signal,
     }, stages);
@@ -233,27 +235,17 @@
     return undefined;
   }
 
+  /** The zone of the endpoint that the request will go to, as of now. */
   #homeZone(): string | undefined {
-    const { endpoints, now } = this.#parts;
-    const { route, marks } = this.#admitted;
     if (this.#prefix === undefined) return undefined;
-    const pools = new Set([
-      this.#pool,
-      ...route.stages
-        .filter((_, index) => (marks.pieces[index] ?? 0) > 0)
-        .map((stage) => stage.pool),
-    ]);
-    return chooseHomeZone(
-      this.#prefix,
-      [...pools].map((pool) => endpoints.readyOf(pool, now())),
-    );
+    return this.#choose()?.availability_zone;
   }
 
   /** Sends until there is an answer; true if inputs are gone. */
   async #send(inputs: StageResult[], giveUp: () => void): Promise<boolean> {
     let attempts = 0;
     while (this.#sends < MOST_SENDS && this.#stop === undefined) {
-      const endpoint = this.#choose(inputs);
+      const endpoint = this.#choose();
       if (endpoint === undefined) break;
       if (!this.#mayRepeat()) break;
       this.#sends += 1;
@@ -289,7 +281,7 @@
       this.#parts.budget.take(this.#pool, this.#parts.now());
   }
 
-  #choose(inputs: StageResult[]): RouteEndpoint | undefined {
+  #choose(): RouteEndpoint | undefined {
     const { endpoints, configuration, load, now, random } = this.#parts;
     const now_ms = now();
     const ready = endpoints.readyOf(this.#pool, now_ms);
@@ -298,8 +290,7 @@
     const choice = { candidates, load, now_ms, random };
     const pool = configuration.table?.configuration.pools.get(this.#pool);
     if (pool?.model_engine === true && this.#prefix !== undefined) {
-      const zone = inputs[0]?.availability_zone ?? this.#homeZone();
-      return chooseByPrefix(this.#prefix, zone, choice);
+      return chooseByPrefix(this.#prefix, choice);
     }
     return chooseOfTwo(choice);
   }
@@ -323,7 +314,10 @@
         attempt,
         firstByte: () => clearTimeout(patience),
       });
-      view.judge(outcome.verdict, now(), outcome.first_ms - began_ms);
+      view.judge(outcome.verdict, now());
+      if (outcome.verdict === ExchangeVerdict.Well) {
+        load.learnTime(endpoint, outcome.first_ms - began_ms);
+      }
       if (outcome.verdict === ExchangeVerdict.Broken) {
         agents.distrust(endpoint.address);
       }
@@ -332,7 +326,7 @@
       return outcome;
     } finally {
       clearTimeout(patience);
-      attempt.abort();
+      attempt.abort(ATTEMPT_OVER);
       view.inFlight -= 1;
     }
   }
@@ -342,7 +336,7 @@
     const { kind, target_latency_ms, max_attempts } = this.#admitted.route;
     if (kind !== CallKind.Safe || this.#sends >= max_attempts) return undefined;
     return setTimeout(
-      () => attempt.abort(),
+      () => attempt.abort(ATTEMPT_OVER),
       PATIENCE_TARGETS * target_latency_ms,
     );
   }
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -4,6 +4,8 @@
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { BatchGatherer } from "./batching/batch_gatherer.ts";
 import { JobRouter } from "./batching/job_router.ts";
+import { fullCallMs } from "./batching/plan_call.ts";
+import type { StageTime } from "./batching/stage_graph.ts";
 import { createPieceCaller } from "./batching/piece_caller.ts";
 import { ConfigurationBelief } from "./beliefs/configuration_belief.ts";
 import { EndpointBelief } from "./beliefs/endpoint_belief.ts";
@@ -29,7 +31,7 @@
 import { createMetricsServer } from "./metrics/metrics_server.ts";
 import { GatewayClients } from "./peers/gateway_clients.ts";
 import { createGatewayRouter } from "./peers/gateway_router.ts";
-import type { RoutePool } from "./routes/types.ts";
+import type { BatchLimits, RoutePool } from "./routes/types.ts";
 import { ObservedLoad } from "./routing/observed_load.ts";
 import { RepeatBudget } from "./routing/repeat_budget.ts";
 import type { GatewaySettings } from "./settings/gateway_settings.ts";
@@ -244,7 +246,7 @@
     stages: {
       run: (job, signal) => jobs.run(job, signal),
       free: (name, results) => jobs.free(name, results),
-      callMs: (name) => pool(name)?.batch?.call_ms ?? 0,
+      stageMs: (name) => stageTime(pool(name)?.batch),
       now: base.now,
     },
     metrics: base.metrics,
@@ -285,6 +287,13 @@
   return servers;
 }
 
+/** A stage's call is half full as a rule, and waits for a part of a call. */
+function stageTime(limits: BatchLimits | undefined): StageTime {
+  if (limits === undefined) return { least_ms: 0, expected_ms: 0 };
+  const expected_ms = (limits.call_ms + fullCallMs(limits)) / 2;
+  return { least_ms: limits.call_ms, expected_ms };
+}
+
 /** Idle time after which a peer's connection is closed, in milliseconds. */
 const PEER_IDLE_MS = 60_000;
 
--- a/src/routing/choose_route_endpoint.ts
+++ b/src/routing/choose_route_endpoint.ts
@@ -3,12 +3,11 @@
  * out.
  *
  * Model engines: requests with one shared prompt prefix go to one engine, for
- * as long as it has places, so that the prefix is read once. Zones share the
- * prefixes by the number of stage endpoints they have, so that results are read
- * where they were made. Plain endpoints: the least loaded of two at random.
+ * as long as it has places, so that the prefix is read once. Plain endpoints:
+ * the least loaded of two at random.
  */
 import type { PromptPart, RouteEndpoint } from "../routes/types.ts";
-import { sha256 } from "../utils/sha256.ts";
+import { rankCandidates } from "../membership/rendezvous.ts";
 import type { ObservedLoad } from "./observed_load.ts";
 
 /** What the choice is made from. */
@@ -31,46 +30,20 @@
   return prompt.at(-2)?.id ?? prompt.at(-1)?.id;
 }
 
-/**
- * Where a request's stages should run, by its prefix: each zone's chance is its
- * scarcest share of the endpoints of the pools that the request needs.
- */
-export function chooseHomeZone(
-  prefix: string,
-  pools: readonly (readonly RouteEndpoint[])[],
-): string | undefined {
-  const zones = new Set(pools.flat().map((each) => each.availability_zone));
-  let best: { zone: string; score: number } | undefined;
-  for (const zone of zones) {
-    const weight = Math.min(
-      ...pools.map((pool) => shareOf(zone, pool)),
-    );
-    if (weight === 0) continue;
-    const score = weightedScore(`${prefix}|${zone}`, weight);
-    if (best === undefined || score > best.score) best = { zone, score };
-  }
-  return best?.zone;
-}
-
-/** The endpoint for a request with a prefix, in its zone if that has one. */
+/** The endpoint that keeps a prefix, or the next one while it is full. */
 export function chooseByPrefix(
   prefix: string,
-  zone: string | undefined,
   choice: RouteChoice,
 ): RouteEndpoint | undefined {
   const usable = usableOf(choice);
-  const near = usable.filter((each) => each.availability_zone === zone);
-  const ranked = (near.length > 0 ? near : usable)
-    .map((endpoint) => ({
-      endpoint,
-      score: weightedScore(`${prefix}|${endpoint.id}`, 1),
-    }))
-    .sort((a, b) => b.score - a.score)
-    .map(({ endpoint }) => endpoint);
+  const byId = new Map(usable.map((endpoint) => [endpoint.id, endpoint]));
   const { load, now_ms } = choice;
-  return ranked.find((each) =>
-    load.of(each).expectedRequests(now_ms) < each.slots * FULL_SHARE
-  ) ?? leastLoaded(usable, choice);
+  for (const id of rankCandidates(prefix, [...byId.keys()])) {
+    const endpoint = byId.get(id) as RouteEndpoint;
+    const busy = load.of(endpoint).expectedRequests(now_ms);
+    if (busy < endpoint.slots * FULL_SHARE) return endpoint;
+  }
+  return leastLoaded(usable, choice);
 }
 
 /** The better of two endpoints at random. */
@@ -109,19 +82,3 @@
   }
   return best?.endpoint;
 }
-
-function shareOf(zone: string, pool: readonly RouteEndpoint[]): number {
-  if (pool.length === 0) return 0;
-  const inZone = pool.filter((each) => each.availability_zone === zone);
-  return inZone.length / pool.length;
-}
-
-/** Digits of a digest that make a fraction without loss. */
-const FRACTION_DIGITS = 12;
-
-/** Rendezvous score with a weight (Schindelhauer and Schomaker, 2005). */
-function weightedScore(key: string, weight: number): number {
-  const digits = sha256(key).slice(0, FRACTION_DIGITS);
-  const fraction = (parseInt(digits, 16) + 1) / (16 ** FRACTION_DIGITS + 1);
-  return -weight / Math.log(fraction);
-}
--- a/src/routing/observed_load.ts
+++ b/src/routing/observed_load.ts
@@ -68,8 +68,8 @@
     return this.inFlight + others * weight;
   }
 
-  /** Takes note of how an exchange ended, `elapsed_ms` after its start. */
-  judge(verdict: ExchangeVerdict, now_ms: number, elapsed_ms?: number): void {
+  /** Takes note of how an exchange ended. */
+  judge(verdict: ExchangeVerdict, now_ms: number): void {
     const failed = verdict === ExchangeVerdict.Broken ||
       verdict === ExchangeVerdict.Error;
     this.failureShare += FAILURE_GAIN * (Number(failed) - this.failureShare);
@@ -81,16 +81,26 @@
       this.#brokenInARow += 1;
       this.#restsUntil_ms = now_ms + Math.min(LONGEST_REST_MS, rest_ms);
     } else this.#brokenInARow = 0;
-    if (verdict === ExchangeVerdict.Well && elapsed_ms !== undefined) {
-      const gain = this.typical_ms === 0 ? 1 : TIME_GAIN;
-      this.typical_ms += gain * (elapsed_ms - this.typical_ms);
-    }
   }
 }
 
 /** The views of all endpoints, one for each incarnation. */
 export class ObservedLoad {
   #views = new Map<string, EndpointView>();
+  #typical_ms = new Map<string, number>();
+
+  /** Learns from the time until the first bytes of a good answer. */
+  learnTime(endpoint: RouteEndpoint, elapsed_ms: number): void {
+    const view = this.of(endpoint);
+    view.typical_ms = smoothed(view.typical_ms, elapsed_ms);
+    const ofPool_ms = smoothed(this.typicalMs(endpoint.pool), elapsed_ms);
+    this.#typical_ms.set(endpoint.pool, ofPool_ms);
+  }
+
+  /** Learned time until the first bytes of a pool's answers; 0 if unknown. */
+  typicalMs(pool: string): number {
+    return this.#typical_ms.get(pool) ?? 0;
+  }
 
   /** The view of one endpoint. */
   of(endpoint: RouteEndpoint): EndpointView {
@@ -102,3 +112,8 @@
     return created;
   }
 }
+
+function smoothed(known_ms: number, sample_ms: number): number {
+  if (known_ms === 0) return sample_ms;
+  return known_ms + TIME_GAIN * (sample_ms - known_ms);
+}
--- a/stand_ins/users_platform/engine.ts
+++ b/stand_ins/users_platform/engine.ts
@@ -115,7 +115,9 @@
       response.writeHead(421, { "x-instance-id": this.id });
       return void response.end();
     }
-    if (request.url === "/v1/stage-run") return this.#makePieces(response, body);
+    if (request.url === "/v1/stage-run") {
+      return this.#makePieces(response, body);
+    }
     if (request.url === "/v1/stage-free") {
       this.freed.push(...JSON.parse(body).handles);
       return void response.writeHead(200).end("{}");
--- a/test/forwarding/gateway.test.ts
+++ b/test/forwarding/gateway.test.ts
@@ -133,7 +133,8 @@
     "unknown key": () => call("/stamp/x", { headers: { "x-key": "what" } }),
     "no route": () => call("/nowhere/x"),
     "other host": () => call("/stamp/x", { headers: { host: "else.example" } }),
-    "no attempt id": () => call("/stamp/x", { headers: { "x-attempt-id": "" } }),
+    "no attempt id": () =>
+      call("/stamp/x", { headers: { "x-attempt-id": "" } }),
     "deadline in words": () =>
       call("/stamp/x", { headers: { "x-deadline-ms": "soon" } }),
     "pieces in words": () =>
@@ -158,9 +159,11 @@
 });
 
 const SMUGGLED = {
-  "both lengths": "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+  "both lengths":
+    "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
   "two lengths": "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
-  "odd chunk size": "Transfer-Encoding: chunked\r\n\r\n4;\u0000\r\nabcd\r\n0x0\r\n\r\n",
+  "odd chunk size":
+    "Transfer-Encoding: chunked\r\n\r\n4;\u0000\r\nabcd\r\n0x0\r\n\r\n",
   "header without colon": "Content-Length 4\r\n\r\nabcd",
 };
 
