--- a/src/batching/batch_gatherer.ts
+++ b/src/batching/batch_gatherer.ts
@@ -14,6 +14,7 @@
 import { expectedJobMs } from "./expected_wait.ts";
 import { planCall, type PlannedShare, type WaitingJob } from "./plan_call.ts";
 import {
+  type FreedResults,
   JobEnd,
   type JobOutcome,
   type Piece,
@@ -54,6 +55,8 @@
   pool: (name: string) => RoutePool | undefined;
   endpoints: (pool: string) => readonly RouteEndpoint[];
   caller: PieceCaller;
+  /** Gives up results of other pools, wherever they are counted. */
+  release: (freed: FreedResults) => void;
   log: Logger;
   /** Milliseconds of the steady clock. */
   now: () => number;
@@ -63,6 +66,9 @@
 const MOST_TRIES = 4;
 /** How soon an endpoint that was full, or had no room, is asked again. */
 const FULL_RETRY_MS = 40;
+/** Reading inputs may share its links with other reads, and starts late. */
+const READ_TIMES = 2;
+const READ_EXTRA_MS = 40;
 
 interface QueuedJob extends WaitingJob {
   job: StageJob;
@@ -71,6 +77,8 @@
   missing: number;
   tries: number;
   ended: boolean;
+  /** Whether its inputs were given up. */
+  released: boolean;
   end: (outcome: JobOutcome) => void;
 }
 
@@ -108,7 +116,7 @@
   }
 
   /** Gives up results at one address. */
-  free(pool: string, address: string, handles: string[]): void {
+  free({ pool, address, handles }: FreedResults): void {
     const work = this.#workOf(pool);
     for (const calls of work.endpoints.values()) {
       if (calls.endpoint.address !== address) continue;
@@ -189,6 +197,7 @@
       missing: job.pieces.length,
       tries: 0,
       ended: false,
+      released: false,
       end,
     };
     work.jobs.add(queued);
@@ -277,6 +286,7 @@
       0,
     );
     calls.begin({ bytes, pieces: taken.length, now_ms: began_ms }, limits);
+    this.#releaseLater(shares, limits);
     const result = await caller.make(
       calls.endpoint,
       taken.map(({ queued, piece }) => ({
@@ -324,6 +334,33 @@
     this.#dispatch(pool);
   }
 
+  /** Gives up inputs once the endpoint has had time to read them. */
+  #releaseLater(
+    shares: PlannedShare<QueuedJob>[],
+    limits: BatchLimits,
+  ): void {
+    const bytes = shares.reduce(
+      (sum, { job, pieces }) => sum + pieces * job.job.input_bytes,
+      0,
+    );
+    const read_ms = READ_TIMES * bytes / limits.link_bytes_per_ms +
+      READ_EXTRA_MS;
+    const whole = shares.map(({ job }) => job)
+      .filter((job) => job.waiting.length === 0 && !job.released);
+    if (whole.length === 0) return;
+    setTimeout(() => {
+      for (const job of whole) {
+        if (job.waiting.length === 0) this.#releaseInputs(job);
+      }
+    }, read_ms);
+  }
+
+  #releaseInputs(queued: QueuedJob): void {
+    if (queued.released) return;
+    queued.released = true;
+    for (const freed of queued.job.last_read) this.#options.release(freed);
+  }
+
   #settle(
     { queued, piece, work, calls, limits }: {
       queued: QueuedJob;
@@ -352,6 +389,7 @@
       queued.missing -= 1;
       if (queued.missing > 0) return;
       const results = queued.results as StageResult[];
+      this.#releaseInputs(queued);
       this.#end(queued, work, { kind: JobEnd.Made, results });
       return;
     }
@@ -390,7 +428,8 @@
     if (outcome.kind !== JobEnd.Made) {
       for (const result of queued.results) {
         if (result === undefined) continue;
-        this.free(queued.job.pool, result.address, [result.handle]);
+        const { address, handle } = result;
+        this.free({ pool: queued.job.pool, address, handles: [handle] });
       }
     }
     queued.end(outcome);
--- a/src/batching/job_router.ts
+++ b/src/batching/job_router.ts
@@ -9,10 +9,10 @@
 import { pause } from "../utils/loop.ts";
 import type { BatchGatherer } from "./batch_gatherer.ts";
 import {
+  type FreedResults,
   JobEnd,
   type JobOutcome,
   type StageJob,
-  type StageResult,
 } from "./types.ts";
 
 /** Calls to the gatherers on other hosts; each rejects if there is no answer. */
@@ -27,13 +27,6 @@
   ping(address: string): Promise<void>;
 }
 
-/** Results of one endpoint that are given up. */
-export interface FreedResults {
-  pool: string;
-  address: string;
-  handles: string[];
-}
-
 /** What the router needs. */
 export interface JobRouterOptions {
   /** This host's address for peers. */
@@ -94,21 +87,14 @@
   }
 
   /** Gives up results, at the host that counts the memory they take. */
-  free(pool: string, results: readonly StageResult[]): void {
-    const byAddress = Map.groupBy(results, (result) => result.address);
+  free(freed: FreedResults): void {
     const { self, local, peers, log } = this.#options;
-    const owner = this.gathererOf(pool);
-    for (const [address, group] of byAddress) {
-      const handles = group.map((result) => result.handle);
-      if (owner === self) {
-        local.free(pool, address, handles);
-        continue;
-      }
-      peers.free(owner, { pool, address, handles }).catch((error: Error) => {
-        log.warn({ event: "free_failed", peer: owner, error: error.message });
-        local.free(pool, address, handles);
-      });
-    }
+    const owner = this.gathererOf(freed.pool);
+    if (owner === self) return local.free(freed);
+    peers.free(owner, freed).catch((error: Error) => {
+      log.warn({ event: "free_failed", peer: owner, error: error.message });
+      local.free(freed);
+    });
   }
 
   /** The host that gathers for a pool, as this host sees it. */
--- a/src/batching/stage_graph.ts
+++ b/src/batching/stage_graph.ts
@@ -5,6 +5,7 @@
  */
 import type { PieceStage, Route } from "../routes/types.ts";
 import {
+  type FreedResults,
   JobEnd,
   type JobOutcome,
   type Piece,
@@ -43,7 +44,7 @@
 /** What running a graph needs. */
 export interface GraphParts {
   run: (job: StageJob, signal: AbortSignal) => Promise<JobOutcome>;
-  free: (pool: string, results: readonly StageResult[]) => void;
+  free: (freed: FreedResults) => void;
   /** Time that a stage of a pool takes, in milliseconds. */
   stageMs: (pool: string) => StageTime;
   now: () => number;
@@ -111,8 +112,9 @@
       return undefined;
     }
     const { signal } = this.#request;
+    const lastRead = stage.after.filter((each) => this.#readBy(each, index));
     const outcome = await this.#parts.run(
-      this.#job(index, stage, pieces),
+      this.#job(index, pieces, lastRead),
       AbortSignal.any([signal, this.#abort.signal]),
     );
     if (outcome.kind !== JobEnd.Made) {
@@ -121,7 +123,7 @@
     }
     this.#results[index] = outcome.results;
     if (this.#abort.signal.aborted) this.#free(index);
-    for (const earlier of stage.after) this.#freeIfRead(earlier);
+    for (const earlier of lastRead) this.#freed.add(earlier);
     return undefined;
   }
 
@@ -140,7 +142,8 @@
     );
   }
 
-  #job(index: number, stage: PieceStage, pieces: Piece[]): StageJob {
+  #job(index: number, pieces: Piece[], lastRead: number[]): StageJob {
+    const stage = this.#stages[index] as PieceStage;
     const { attempt_id, priority, due_ms, expires_ms } = this.#request;
     const now_ms = this.#parts.now();
     const later = this.#timeAfter(index);
@@ -154,6 +157,13 @@
       due_in_ms: due_ms - now_ms - later.expected_ms,
       expires_in_ms: expires_ms - now_ms - later.least_ms,
       home_zone: this.#zoneOfInputs(stage) ?? this.#request.home_zone,
+      input_bytes: stage.after.reduce(
+        (sum, earlier) =>
+          sum + (this.#results[earlier]?.length ?? 0) *
+            (this.#stages[earlier]?.result_bytes ?? 0),
+        0,
+      ),
+      last_read: lastRead.flatMap((earlier) => this.#freedOf(earlier)),
     };
   }
 
@@ -200,17 +210,29 @@
     );
   }
 
-  #freeIfRead(index: number): void {
-    const unread = this.#followers(index)
-      .some((follower) => this.#results[follower] === undefined);
-    if (!unread) this.#free(index);
+  /** Whether `reader` is the only stage that still reads the results. */
+  #readBy(index: number, reader: number): boolean {
+    return this.#followers(index)
+      .every((each) => each === reader || this.#results[each] !== undefined);
+  }
+
+  #freedOf(index: number): FreedResults[] {
+    const pool = this.#stages[index]?.pool ?? "";
+    const byAddress = Map.groupBy(
+      this.#results[index] ?? [],
+      (result) => result.address,
+    );
+    return [...byAddress].map(([address, results]) => ({
+      pool,
+      address,
+      handles: results.map((result) => result.handle),
+    }));
   }
 
   #free(index: number): void {
-    const results = this.#results[index] ?? [];
-    if (results.length === 0 || this.#freed.has(index)) return;
+    if (this.#freed.has(index) || this.#results[index] === undefined) return;
     this.#freed.add(index);
-    this.#parts.free(this.#stages[index]?.pool ?? "", results);
+    for (const freed of this.#freedOf(index)) this.#parts.free(freed);
   }
 
   #freeAll(): void {
--- a/src/batching/types.ts
+++ b/src/batching/types.ts
@@ -29,6 +29,17 @@
   expires_in_ms: number;
   /** Where its results will be read; undefined if that is open. */
   home_zone: string | undefined;
+  /** Bytes that are read for each piece. */
+  input_bytes: number;
+  /** Results that nobody else reads: given up once they were read. */
+  last_read: FreedResults[];
+}
+
+/** Results of one endpoint that are given up. */
+export interface FreedResults {
+  pool: string;
+  address: string;
+  handles: string[];
 }
 
 /** A result that stays at its maker. */
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -206,7 +206,7 @@
   const { configuration, endpoints, members, peers, log, now } = base;
   const pool = (name: string) =>
     configuration.table?.configuration.pools.get(name);
-  const gatherer = new BatchGatherer({
+  const gatherer: BatchGatherer = new BatchGatherer({
     pool,
     endpoints: (name) => endpoints.ofPool(name, now()),
     caller: createPieceCaller({
@@ -216,10 +216,11 @@
       poolAt: (address) => pool(endpoints.poolAt(address) ?? ""),
       log,
     }),
+    release: (freed) => jobs.free(freed),
     log,
     now,
   });
-  const jobs = new JobRouter({
+  const jobs: JobRouter = new JobRouter({
     self: base.self,
     gatherers: () => members.gatherers(),
     local: gatherer,
@@ -245,7 +246,7 @@
     budget: new RepeatBudget(settings.repeats, () => members.count),
     stages: {
       run: (job, signal) => jobs.run(job, signal),
-      free: (name, results) => jobs.free(name, results),
+      free: (freed) => jobs.free(freed),
       stageMs: (name) => stageTime(pool(name)?.batch),
       now: base.now,
     },
@@ -265,7 +266,7 @@
   const router = createGatewayRouter({
     gathers: () => lifecycle.state === HostLifecycleState.Ready,
     run: (job, signal) => gatherer.run(job, signal),
-    free: ({ pool, address, handles }) => gatherer.free(pool, address, handles),
+    free: (freed) => gatherer.free(freed),
     beliefs: () => shareBeliefs(sources),
   });
   const peerServer = createServer(
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -1,7 +1,7 @@
 /** Calls other gateway hosts over tRPC; one client for each address. */
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
-import type { FreedResults, GathererPeers } from "../batching/job_router.ts";
-import type { JobOutcome, StageJob } from "../batching/types.ts";
+import type { GathererPeers } from "../batching/job_router.ts";
+import type { FreedResults, JobOutcome, StageJob } from "../batching/types.ts";
 import type { SharedBeliefs } from "../beliefs/shared_beliefs.ts";
 import { formatAddress, parseAddress } from "../settings/settings.ts";
 import { createHttpFetch } from "../utils/http_fetch.ts";
--- a/src/peers/gateway_router.ts
+++ b/src/peers/gateway_router.ts
@@ -1,8 +1,7 @@
 /** The procedures that gateway hosts call on one another. */
 import { initTRPC, TRPCError } from "@trpc/server";
 import { z } from "zod";
-import type { FreedResults } from "../batching/job_router.ts";
-import type { JobOutcome, StageJob } from "../batching/types.ts";
+import type { FreedResults, JobOutcome, StageJob } from "../batching/types.ts";
 import type { SharedBeliefs } from "../beliefs/shared_beliefs.ts";
 
 /** What a host does when it is called. */
@@ -20,6 +19,12 @@
   inputs: z.array(z.string()).optional(),
 });
 
+const freedSchema = z.object({
+  pool: z.string(),
+  address: z.string(),
+  handles: z.array(z.string()),
+});
+
 const jobSchema = z.object({
   attempt_id: z.string(),
   pool: z.string(),
@@ -30,12 +35,8 @@
   due_in_ms: z.number(),
   expires_in_ms: z.number(),
   home_zone: z.string().optional(),
-});
-
-const freedSchema = z.object({
-  pool: z.string(),
-  address: z.string(),
-  handles: z.array(z.string()),
+  input_bytes: z.number(),
+  last_read: z.array(freedSchema),
 });
 
 const trpc = initTRPC.create();
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -64,6 +64,8 @@
   room_bytes: number;
   /** How long a result is kept if nobody frees it, in milliseconds. */
   retention_ms: number;
+  /** Rate at which results are read, in bytes a millisecond. */
+  link_bytes_per_ms: number;
 }
 
 /** Endpoints that can stand in for one another. */
