--- a/src/batching/plan_call.ts
+++ b/src/batching/plan_call.ts
@@ -52,6 +52,8 @@
 
 /** Share of the time that a job can spare which it waits for its own zone. */
 const STAY_SHARE = 0.2;
+/** Full calls that must fit into a job's time before it waits for its zone. */
+const CALLS_KEPT_SPARE = 2;
 
 /** The pieces of the next call, in order; empty if none should go there. */
 export function planCall<Job extends WaitingJob>(
@@ -60,12 +62,12 @@
   context: PlanContext,
 ): PlannedShare<Job>[] {
   const { limits } = context;
-  const call_ms = fullCallMs(limits) * endpoint.slowness;
+  const soonest_ms = context.now_ms + limits.call_ms * endpoint.slowness;
   const welcome = [...jobs].filter((job) =>
     job.waiting_pieces > 0 &&
     mayRunAt(endpoint.availability_zone, job, context)
   );
-  welcome.sort(byUrgency(context.now_ms + call_ms, endpoint.availability_zone));
+  welcome.sort(byUrgency(soonest_ms));
   const shares: PlannedShare<Job>[] = [];
   let places = limits.pieces_per_call;
   let room_bytes = endpoint.room_bytes;
@@ -100,24 +102,21 @@
   if (home_zone === undefined || home_zone === zone) return true;
   const freeIn_ms = zoneFree_ms.get(home_zone);
   if (freeIn_ms === undefined) return true;
-  const spare_ms = job.due_ms - job.since_ms - fullCallMs(limits);
+  const spare_ms = job.due_ms - job.since_ms -
+    CALLS_KEPT_SPARE * fullCallMs(limits);
   const patience_ms = STAY_SHARE * Math.max(0, spare_ms);
   return now_ms - job.since_ms + freeIn_ms > patience_ms;
 }
 
 /** Orders jobs: on time before late, then by rank among the late, then due. */
 function byUrgency(
-  done_ms: number,
-  zone: string,
+  soonest_ms: number,
 ): (a: WaitingJob, b: WaitingJob) => number {
   return (a, b) => {
-    const lateA = a.due_ms < done_ms;
-    const lateB = b.due_ms < done_ms;
+    const lateA = a.due_ms < soonest_ms;
+    const lateB = b.due_ms < soonest_ms;
     if (lateA !== lateB) return lateA ? 1 : -1;
     if (lateA && a.priority !== b.priority) return a.priority - b.priority;
-    const awayA = a.home_zone !== undefined && a.home_zone !== zone;
-    const awayB = b.home_zone !== undefined && b.home_zone !== zone;
-    if (awayA !== awayB) return awayA ? 1 : -1;
     return a.due_ms - b.due_ms;
   };
 }
--- a/src/forwarding/forward_request.ts
+++ b/src/forwarding/forward_request.ts
@@ -4,7 +4,7 @@
  * that is true, or a connection that visibly broke.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { runStages } from "../batching/stage_graph.ts";
+import { type GraphOutcome, runStages } from "../batching/stage_graph.ts";
 import { JobEnd, type StageResult } from "../batching/types.ts";
 import {
   dropAnswer,
@@ -168,10 +168,11 @@
     );
     if (!needed) return void await this.#send([], () => {});
     for (let round = 1; round <= MOST_STAGE_RUNS; round++) {
-      const inputs = await this.#makeInputs();
-      if (inputs === undefined) return;
-      const gone = await this.#send(inputs.results, inputs.giveUp);
-      inputs.giveUp();
+      const outcome = await this.#runStages();
+      if (outcome.kind === JobEnd.InputsGone) continue;
+      if (outcome.kind !== JobEnd.Made) return this.#denyUnmade(outcome);
+      const gone = await this.#send(outcome.results, outcome.giveUp);
+      outcome.giveUp();
       if (!gone) return;
     }
     this.#deny({
@@ -181,9 +182,7 @@
     });
   }
 
-  async #makeInputs(): Promise<
-    { results: StageResult[]; giveUp: () => void } | undefined
-  > {
+  async #runStages(): Promise<GraphOutcome> {
     const { route, marks, priority } = this.#admitted;
     const { stages, metrics, load, now, log } = this.#parts;
     const began_ms = now();
@@ -216,23 +215,28 @@
       outcome: outcome.kind,
       reason: outcome.kind === JobEnd.Failed ? outcome.reason : undefined,
     });
-    if (outcome.kind === JobEnd.Made) return outcome;
+    return outcome;
+  }
+
+  /** Says that the request has not run, since its stages could not be made. */
+  #denyUnmade(
+    outcome: Exclude<GraphOutcome, { kind: JobEnd.Made | JobEnd.InputsGone }>,
+  ): void {
     if (outcome.kind === JobEnd.Refused) {
       this.#deny({
         denial: Denial.NoRoom,
         message: "Its stages can't be made in time",
         retry_after_ms: outcome.retry_after_ms,
       });
-      return undefined;
+      return;
     }
     const expired = this.#stop === Stop.TimedOut ||
-      (outcome.kind === JobEnd.Failed && outcome.reason === "expired");
+      outcome.reason === "expired";
     this.#deny({
       denial: expired ? Denial.TooLate : Denial.NoEndpoint,
       message: "Its stages could not be made",
       retry_after_ms: expired ? undefined : FULL_RETRY_MS,
     });
-    return undefined;
   }
 
   /** The zone of the endpoint that the request will go to, as of now. */
