--- a/src/batching/batch_gatherer.ts
+++ b/src/batching/batch_gatherer.ts
@@ -77,8 +77,6 @@
   missing: number;
   tries: number;
   ended: boolean;
-  /** Whether its inputs were given up. */
-  released: boolean;
   end: (outcome: JobOutcome) => void;
 }
 
@@ -115,17 +113,29 @@
     });
   }
 
-  /** Gives up results at one address. */
-  free({ pool, address, handles }: FreedResults): void {
+  /** Gives up results at one address, or lets them be given up. */
+  free({ pool, address, handles, spare }: FreedResults): void {
     const work = this.#workOf(pool);
-    for (const calls of work.endpoints.values()) {
-      if (calls.endpoint.address !== address) continue;
-      for (const handle of handles) calls.release(handle);
+    const calls = [...work.endpoints.values()]
+      .find((each) => each.endpoint.address === address);
+    if (spare === true) {
+      for (const handle of handles) calls?.offer(handle);
+      if (calls !== undefined) this.#freeSpare(pool, calls);
+    } else {
+      for (const handle of handles) calls?.release(handle);
+      this.#options.caller.free(address, handles);
     }
-    this.#options.caller.free(address, handles);
     this.#dispatch(pool);
   }
 
+  #freeSpare(pool: string, calls: EndpointCalls): void {
+    const limits = this.#options.pool(pool)?.batch;
+    if (limits === undefined) return;
+    const handles = calls.takeSpare(this.#options.now(), limits);
+    if (handles.length === 0) return;
+    this.#options.caller.free(calls.endpoint.address, handles);
+  }
+
   /** Jobs that wait or are being made. */
   get running(): number {
     let jobs = 0;
@@ -197,7 +207,6 @@
       missing: job.pieces.length,
       tries: 0,
       ended: false,
-      released: false,
       end,
     };
     work.jobs.add(queued);
@@ -286,7 +295,8 @@
       0,
     );
     calls.begin({ bytes, pieces: taken.length, now_ms: began_ms }, limits);
-    this.#releaseLater(shares, limits);
+    this.#offerLater(shares, limits);
+    this.#freeSpare(pool, calls);
     const result = await caller.make(
       calls.endpoint,
       taken.map(({ queued, piece }) => ({
@@ -334,8 +344,8 @@
     this.#dispatch(pool);
   }
 
-  /** Gives up inputs once the endpoint has had time to read them. */
-  #releaseLater(
+  /** Lets inputs be given up once the endpoint has had time to read them. */
+  #offerLater(
     shares: PlannedShare<QueuedJob>[],
     limits: BatchLimits,
   ): void {
@@ -346,21 +356,20 @@
     const read_ms = READ_TIMES * bytes / limits.link_bytes_per_ms +
       READ_EXTRA_MS;
     const whole = shares.map(({ job }) => job)
-      .filter((job) => job.waiting.length === 0 && !job.released);
+      .filter(({ job, waiting }) =>
+        waiting.length === 0 && job.last_read.length > 0
+      );
     if (whole.length === 0) return;
     setTimeout(() => {
-      for (const job of whole) {
-        if (job.waiting.length === 0) this.#releaseInputs(job);
+      for (const { job, waiting, ended } of whole) {
+        if (waiting.length > 0 || ended) continue;
+        for (const freed of job.last_read) {
+          this.#options.release({ ...freed, spare: true });
+        }
       }
     }, read_ms);
   }
 
-  #releaseInputs(queued: QueuedJob): void {
-    if (queued.released) return;
-    queued.released = true;
-    for (const freed of queued.job.last_read) this.#options.release(freed);
-  }
-
   #settle(
     { queued, piece, work, calls, limits }: {
       queued: QueuedJob;
@@ -389,7 +398,7 @@
       queued.missing -= 1;
       if (queued.missing > 0) return;
       const results = queued.results as StageResult[];
-      this.#releaseInputs(queued);
+      for (const freed of queued.job.last_read) this.#options.release(freed);
       this.#end(queued, work, { kind: JobEnd.Made, results });
       return;
     }
--- a/src/batching/endpoint_calls.ts
+++ b/src/batching/endpoint_calls.ts
@@ -9,6 +9,8 @@
 /** First and longest rest of an endpoint that failed, in milliseconds. */
 const FIRST_REST_MS = 300;
 const LONGEST_REST_MS = 4_000;
+/** Share of the memory for results that is kept free for the next call. */
+const ROOM_KEPT_SHARE = 0.5;
 /** A call that takes this many times its time counts as lost. */
 const LOST_AFTER_TIMES = 2.5;
 const LOST_AFTER_EXTRA_MS = 300;
@@ -16,6 +18,8 @@
 interface HeldResult {
   bytes: number;
   until_ms: number;
+  /** Whether it was read and may be given up. */
+  spare?: boolean;
 }
 
 /** See the module's comment. */
@@ -120,6 +124,23 @@
     this.#heldBytes += held.bytes;
   }
 
+  /** A result may be given up when its memory is needed. */
+  offer(handle: string): void {
+    const held = this.#held.get(handle);
+    if (held !== undefined) held.spare = true;
+  }
+
+  /** Releases and returns what may be given up, if memory is short. */
+  takeSpare(now_ms: number, limits: BatchLimits): string[] {
+    const wanted_bytes = limits.room_bytes * ROOM_KEPT_SHARE;
+    if (this.roomBytes(now_ms, limits) >= wanted_bytes) return [];
+    const handles = [...this.#held]
+      .filter(([, held]) => held.spare)
+      .map(([handle]) => handle);
+    for (const handle of handles) this.release(handle);
+    return handles;
+  }
+
   /** A result takes no memory any more. */
   release(handle: string): void {
     const held = this.#held.get(handle);
--- a/src/batching/job_router.ts
+++ b/src/batching/job_router.ts
@@ -22,7 +22,7 @@
     job: StageJob,
     signal: AbortSignal,
   ): Promise<JobOutcome>;
-  free(address: string, freed: FreedResults): Promise<void>;
+  free(address: string, freed: FreedResults[]): Promise<void>;
   /** Resolves if the host gathers; rejects if it is silent or leaving. */
   ping(address: string): Promise<void>;
 }
@@ -42,6 +42,8 @@
 
 /** How often a host that owes an answer is asked whether it is there. */
 const PING_EVERY_MS = 400;
+/** Results that are given up within this time share a message. */
+const FREE_EVERY_MS = 8;
 /** How long a host that did not answer is passed over. */
 const SUSPECT_MS = 3_000;
 
@@ -53,6 +55,7 @@
 /** See the module's comment. */
 export class JobRouter {
   #owners = new Map<string, Owner>();
+  #freed: FreedResults[] = [];
   #options: JobRouterOptions;
 
   constructor(options: JobRouterOptions) {
@@ -88,13 +91,27 @@
 
   /** Gives up results, at the host that counts the memory they take. */
   free(freed: FreedResults): void {
+    this.#freed.push(freed);
+    if (this.#freed.length > 1) return;
+    setTimeout(() => this.#flushFreed(), FREE_EVERY_MS);
+  }
+
+  #flushFreed(): void {
     const { self, local, peers, log } = this.#options;
-    const owner = this.gathererOf(freed.pool);
-    if (owner === self) return local.free(freed);
-    peers.free(owner, freed).catch((error: Error) => {
-      log.warn({ event: "free_failed", peer: owner, error: error.message });
-      local.free(freed);
-    });
+    const owners = Map.groupBy(
+      this.#freed.splice(0),
+      ({ pool }) => this.gathererOf(pool),
+    );
+    for (const [owner, freed] of owners) {
+      if (owner === self) {
+        for (const each of freed) local.free(each);
+        continue;
+      }
+      peers.free(owner, freed).catch((error: Error) => {
+        log.warn({ event: "free_failed", peer: owner, error: error.message });
+        for (const each of freed) local.free(each);
+      });
+    }
   }
 
   /** The host that gathers for a pool, as this host sees it. */
--- a/src/batching/plan_call.ts
+++ b/src/batching/plan_call.ts
@@ -52,6 +52,8 @@
 
 /** Share of the time that a job can spare which it waits for its own zone. */
 const STAY_SHARE = 0.2;
+/** How much more urgent a job of another zone must be to go first. */
+const AWAY_MS = 300;
 /** Full calls that must fit into a job's time before it waits for its zone. */
 const CALLS_KEPT_SPARE = 2;
 
@@ -67,7 +69,7 @@
     job.waiting_pieces > 0 &&
     mayRunAt(endpoint.availability_zone, job, context)
   );
-  welcome.sort(byUrgency(soonest_ms));
+  welcome.sort(byUrgency(soonest_ms, endpoint.availability_zone));
   const shares: PlannedShare<Job>[] = [];
   let places = limits.pieces_per_call;
   let room_bytes = endpoint.room_bytes;
@@ -111,12 +113,19 @@
 /** Orders jobs: on time before late, then by rank among the late, then due. */
 function byUrgency(
   soonest_ms: number,
+  zone: string,
 ): (a: WaitingJob, b: WaitingJob) => number {
   return (a, b) => {
     const lateA = a.due_ms < soonest_ms;
     const lateB = b.due_ms < soonest_ms;
     if (lateA !== lateB) return lateA ? 1 : -1;
     if (lateA && a.priority !== b.priority) return a.priority - b.priority;
-    return a.due_ms - b.due_ms;
+    return rankedDueMs(a, zone) - rankedDueMs(b, zone);
   };
 }
+
+/** When a job is due, as if later where it would be away from its zone. */
+function rankedDueMs({ due_ms, home_zone }: WaitingJob, zone: string): number {
+  const away = home_zone !== undefined && home_zone !== zone;
+  return away ? due_ms + AWAY_MS : due_ms;
+}
--- a/src/batching/types.ts
+++ b/src/batching/types.ts
@@ -40,6 +40,11 @@
   pool: string;
   address: string;
   handles: string[];
+  /**
+   * They were read, but may be read again if a call fails: they are given up
+   * only where their memory is needed.
+   */
+  spare?: boolean;
 }
 
 /** A result that stays at its maker. */
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -266,7 +266,9 @@
   const router = createGatewayRouter({
     gathers: () => lifecycle.state === HostLifecycleState.Ready,
     run: (job, signal) => gatherer.run(job, signal),
-    free: (freed) => gatherer.free(freed),
+    free(all) {
+      for (const freed of all) gatherer.free(freed);
+    },
     beliefs: () => shareBeliefs(sources),
   });
   const peerServer = createServer(
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -33,7 +33,7 @@
   }
 
   /** Gives up results that another host counts. */
-  async free(address: string, freed: FreedResults): Promise<void> {
+  async free(address: string, freed: FreedResults[]): Promise<void> {
     await this.#to(address).prompt.free.mutate(freed);
   }
 
--- a/src/peers/gateway_router.ts
+++ b/src/peers/gateway_router.ts
@@ -9,7 +9,7 @@
   /** Whether the host gathers pieces; a leaving one does not. */
   gathers: () => boolean;
   run: (job: StageJob, signal: AbortSignal) => Promise<JobOutcome>;
-  free: (freed: FreedResults) => void;
+  free: (freed: FreedResults[]) => void;
   beliefs: () => SharedBeliefs;
 }
 
@@ -23,6 +23,7 @@
   pool: z.string(),
   address: z.string(),
   handles: z.array(z.string()),
+  spare: z.boolean().optional(),
 });
 
 const jobSchema = z.object({
@@ -61,7 +62,7 @@
       };
       return handlers.run(job, signal ?? new AbortController().signal);
     }),
-    free: trpc.procedure.input(freedSchema).mutation(({ input }) =>
+    free: trpc.procedure.input(z.array(freedSchema)).mutation(({ input }) =>
       handlers.free(input)
     ),
     ping: trpc.procedure.query(() => assertGathers()),
