Give inputs up early where memory is short; run stages again when inputs are gone

Cause 2: a job whose inputs were gone was refused instead of run again. Cause 3: jobs waited for their own zone by a fixed share of a call, also when that made them late. Cause 4: the decoder took 'draining' for unreadable. Ruled out: too few calls (engines were busy 3.9 of 4).

--- /dev/null
+++ b/test/batching/endpoint_calls.test.ts
@@ -0,0 +1,72 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { EndpointCalls } from "../../src/batching/endpoint_calls.ts";
+import { type BatchLimits, EndpointState } from "../../src/routes/types.ts";
+
+const limits: BatchLimits = {
+  concurrent_calls: 1,
+  pieces_per_call: 10,
+  call_ms: 200,
+  piece_ms: 10,
+  room_bytes: 1_000,
+  retention_ms: 4_000,
+  link_bytes_per_ms: 1_000,
+};
+
+function endpointCalls(): EndpointCalls {
+  return new EndpointCalls({
+    id: "one",
+    pool: "encode",
+    address: "127.0.0.1:1",
+    availability_zone: "a",
+    slots: 1,
+    state: EndpointState.Ready,
+    born_ms: 1,
+  });
+}
+
+test("results take memory from the call's start until they are released", () => {
+  const calls = endpointCalls();
+  calls.begin({ bytes: 600, pieces: 2, now_ms: 0 }, limits);
+  assert.equal(calls.roomBytes(0, limits), 400);
+  calls.succeed({ bytes: 600, pieces: 2, elapsed_ms: 220 }, limits);
+  calls.hold("first", { bytes: 300, until_ms: 4_220 });
+  calls.hold("second", { bytes: 300, until_ms: 4_220 });
+  assert.equal(calls.roomBytes(220, limits), 400);
+  calls.release("first");
+  calls.release("first");
+  assert.equal(calls.roomBytes(220, limits), 700);
+  assert.equal(calls.roomBytes(4_220, limits), 1_000);
+});
+
+test("results that were read are given up only while memory is short", () => {
+  const calls = endpointCalls();
+  calls.hold("read", { bytes: 400, until_ms: 4_000 });
+  calls.offer("read");
+  assert.deepEqual(calls.takeSpare(0, limits), []);
+  calls.hold("unread", { bytes: 200, until_ms: 4_000 });
+  assert.deepEqual(calls.takeSpare(0, limits), ["read"]);
+  assert.equal(calls.roomBytes(0, limits), 800);
+});
+
+test("an endpoint that fails rests, longer each time, and comes back", () => {
+  const calls = endpointCalls();
+  const rests_ms = [1, 2, 3, 4, 5, 6].map(() => {
+    calls.begin({ bytes: 0, pieces: 1, now_ms: 0 }, limits);
+    return calls.fail(0, 0);
+  });
+  assert.deepEqual(rests_ms, [300, 600, 1_200, 2_400, 4_000, 4_000]);
+  assert.equal(calls.free(3_999, limits), false);
+  assert.equal(calls.free(4_000, limits), true);
+});
+
+test("slowness is learned from calls and stretches the patience", () => {
+  const calls = endpointCalls();
+  const before_ms = calls.patienceMs(10, limits);
+  for (let n = 0; n < 10; n++) {
+    calls.begin({ bytes: 0, pieces: 10, now_ms: 0 }, limits);
+    calls.succeed({ bytes: 0, pieces: 10, elapsed_ms: 1_500 }, limits);
+  }
+  assert.ok(calls.slowness > 4);
+  assert.ok(calls.patienceMs(10, limits) > 2 * before_ms);
+});
--- /dev/null
+++ b/test/batching/plan_call.test.ts
@@ -0,0 +1,139 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { expectedJobMs } from "../../src/batching/expected_wait.ts";
+import {
+  fullCallMs,
+  planCall,
+  type WaitingJob,
+} from "../../src/batching/plan_call.ts";
+import type { BatchLimits } from "../../src/routes/types.ts";
+
+const limits: BatchLimits = {
+  concurrent_calls: 1,
+  pieces_per_call: 10,
+  call_ms: 200,
+  piece_ms: 10,
+  room_bytes: 1_000,
+  retention_ms: 4_000,
+  link_bytes_per_ms: 1_000,
+};
+
+interface NamedJob extends WaitingJob {
+  name: string;
+}
+
+function job(name: string, change: Partial<WaitingJob> = {}): NamedJob {
+  return {
+    name,
+    priority: 1,
+    due_ms: 2_000,
+    expires_ms: 6_000,
+    since_ms: 0,
+    home_zone: undefined,
+    result_bytes: 10,
+    waiting_pieces: 2,
+    ...change,
+  };
+}
+
+function plan(
+  jobs: NamedJob[],
+  change: { zone?: string; room_bytes?: number; now_ms?: number } = {},
+  zoneFree_ms = new Map([["a", 0], ["b", 200]]),
+): string[] {
+  const endpoint = {
+    availability_zone: change.zone ?? "a",
+    room_bytes: change.room_bytes ?? limits.room_bytes,
+    slowness: 1,
+  };
+  const { now_ms = 0 } = change;
+  return planCall(jobs, endpoint, { now_ms, limits, zoneFree_ms })
+    .map((share) => `${share.job.name}:${share.pieces}`);
+}
+
+test("a free endpoint takes what waits, the earliest due first", () => {
+  const jobs = [job("later", { due_ms: 3_000 }), job("sooner")];
+  assert.deepEqual(plan(jobs), ["sooner:2", "later:2"]);
+});
+
+test("work that is late yields, and goes by rank among itself", () => {
+  const jobs = [
+    job("late", { due_ms: 100 }),
+    job("late and urgent", { due_ms: 150, priority: 0 }),
+    job("on time"),
+  ];
+  assert.deepEqual(plan(jobs), ["on time:2", "late and urgent:2", "late:2"]);
+});
+
+test("a call is full at its number of pieces; a job may be split", () => {
+  const jobs = [
+    job("first", { waiting_pieces: 7 }),
+    job("second", { waiting_pieces: 7, due_ms: 2_500 }),
+  ];
+  assert.deepEqual(plan(jobs), ["first:7", "second:3"]);
+});
+
+test("results must fit into the memory that is left", () => {
+  const jobs = [
+    job("large", { result_bytes: 400, waiting_pieces: 3 }),
+    job("small", { due_ms: 2_500 }),
+  ];
+  assert.deepEqual(plan(jobs, { room_bytes: 900 }), ["large:2", "small:2"]);
+  assert.deepEqual(plan(jobs, { room_bytes: 300 }), ["small:2"]);
+});
+
+test("a job with time to spare waits for its own zone", () => {
+  const patient = job("patient", { home_zone: "b", due_ms: 3_000 });
+  assert.deepEqual(plan([patient]), []);
+  assert.deepEqual(plan([patient], { zone: "b" }), ["patient:2"]);
+});
+
+test("a job leaves its zone when waiting would make it late", () => {
+  const pressed = job("pressed", { home_zone: "b", due_ms: 700 });
+  assert.deepEqual(plan([pressed]), ["pressed:2"]);
+  const waited = job("waited", { home_zone: "b", due_ms: 3_000 });
+  assert.deepEqual(plan([waited], { now_ms: 400 }), ["waited:2"]);
+});
+
+test("a zone without endpoints holds nobody", () => {
+  const stranded = job("stranded", { home_zone: "c", due_ms: 5_000 });
+  assert.deepEqual(plan([stranded]), ["stranded:2"]);
+});
+
+test("no plan exceeds the places or the memory of an endpoint", () => {
+  const anyJob = fc.record({
+    priority: fc.nat(3),
+    due_ms: fc.integer({ min: -500, max: 4_000 }),
+    result_bytes: fc.nat(400),
+    waiting_pieces: fc.nat(25),
+    home_zone: fc.constantFrom("a", "b", undefined),
+  });
+  fc.assert(fc.property(fc.array(anyJob), fc.nat(1_500), (changes, room) => {
+    const jobs = changes.map((change, n) => job(`${n}`, change));
+    const shares = planCall(jobs, {
+      availability_zone: "a",
+      room_bytes: room,
+      slowness: 1,
+    }, { now_ms: 0, limits, zoneFree_ms: new Map([["a", 0], ["b", 50]]) });
+    const pieces = shares.reduce((sum, share) => sum + share.pieces, 0);
+    const bytes = shares.reduce(
+      (sum, share) => sum + share.pieces * share.job.result_bytes,
+      0,
+    );
+    assert.ok(pieces <= limits.pieces_per_call);
+    assert.ok(bytes <= room);
+    assert.ok(shares.every(({ job, pieces }) => pieces <= job.waiting_pieces));
+    const names = shares.map((share) => share.job.name);
+    assert.equal(new Set(names).size, names.length);
+  }));
+});
+
+test("the expected time grows with what goes before, and is endless alone", () => {
+  const load = { endpoints: 2, slowness: 1, piecesAhead: 0 };
+  const idle_ms = expectedJobMs(2, load, limits);
+  assert.ok(idle_ms >= limits.call_ms && idle_ms < 2 * fullCallMs(limits));
+  const busy_ms = expectedJobMs(2, { ...load, piecesAhead: 200 }, limits);
+  assert.ok(busy_ms > 10 * fullCallMs(limits));
+  assert.equal(expectedJobMs(2, { ...load, endpoints: 0 }, limits), Infinity);
+});
--- a/test/forwarding/gateway.test.ts
+++ b/test/forwarding/gateway.test.ts
@@ -26,6 +26,8 @@
   }
 });
 
+/** After this, an endpoint that failed once is used again. */
+const ENDPOINT_REST_MS = 300;
 let attempts = 0;
 
 interface CallOptions {
@@ -207,7 +209,7 @@
     for (const engine of fleet.engines.get(Service.Desk) ?? []) {
       engine.seen = [];
     }
-    await sleep(300);
+    await sleep(ENDPOINT_REST_MS);
   }
 });
 
@@ -244,7 +246,7 @@
       const { status } = await call("/lookup/x", { method: "GET" });
       assert.equal(status, 200, fault);
     }
-    await sleep(300);
+    await sleep(ENDPOINT_REST_MS);
   }
 });
 
@@ -285,6 +287,7 @@
 });
 
 test("stages run again when their results are gone", async () => {
+  await sleep(ENDPOINT_REST_MS);
   fail(Service.Model, EngineFault.InputsGone, 1);
   const answer = await call("/review/x", { body: "log", headers: STAGED });
   assert.equal(answer.status, 200);
--- /dev/null
+++ b/test/platform/store.test.ts
@@ -0,0 +1,117 @@
+/** The store's client and decoders, against the stand-in. */
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import fc from "fast-check";
+import { usersPlatform } from "../../platform/adapter.ts";
+import {
+  decodeConfiguration,
+  decodeEndpoint,
+} from "../../platform/decode_objects.ts";
+import { FeedReadKind } from "../../src/beliefs/object_feed.ts";
+import type { GatewayStore } from "../../src/forwarding/adapter.ts";
+import { parseAddress } from "../../src/settings/settings.ts";
+import {
+  ObjectStore,
+  StoreFault,
+} from "../../stand_ins/users_platform/object_store.ts";
+
+const server = new ObjectStore();
+let store: GatewayStore;
+const { signal } = new AbortController();
+
+before(async () => {
+  await server.start();
+  store = usersPlatform.openStore(parseAddress(server.address));
+});
+after(() => {
+  store.close();
+  server.stop();
+});
+
+const ENTRY = {
+  service: "desk",
+  address: "10.0.0.1:80",
+  zone: "a",
+  version: "v1",
+  slots: 6,
+  state: "ready",
+  sequence: 1,
+  born: 5,
+};
+
+test("a list is read over all of its pages", async () => {
+  for (let n = 0; n < 120; n++) {
+    server.put("servers", `i-${String(n).padStart(3, "0")}`, ENTRY);
+  }
+  const read = await store.endpoints.list(signal);
+  assert.ok(read.kind === FeedReadKind.Listed);
+  assert.equal(read.items.length, 120);
+});
+
+test("a watch brings changes and removals after its revision", async () => {
+  const read = await store.endpoints.list(signal);
+  assert.ok(read.kind === FeedReadKind.Listed);
+  const watching = store.endpoints.watch(read.revision, 1_000, signal);
+  server.put("servers", "i-000", { ...ENTRY, state: "draining" });
+  const first = await watching;
+  assert.ok(first.kind === FeedReadKind.Changed);
+  assert.equal(first.changes[0]?.value?.state, "leaving");
+  server.remove("servers", "i-001");
+  const second = await store.endpoints.watch(first.revision, 1_000, signal);
+  assert.ok(second.kind === FeedReadKind.Changed);
+  assert.deepEqual(
+    second.changes.map(({ name, deleted }) => ({ name, deleted })),
+    [{ name: "i-001", deleted: true }],
+  );
+});
+
+test("a lost history, a busy and a silent store are told apart", async () => {
+  server.put("servers", "i-002", ENTRY);
+  server.forget();
+  const lost = await store.endpoints.watch(1, 100, signal);
+  assert.equal(lost.kind, FeedReadKind.HistoryLost);
+  for (const fault of [StoreFault.Busy, StoreFault.Silent, StoreFault.Reset]) {
+    server.fault = fault;
+    const read = await store.endpoints.list(signal);
+    assert.equal(read.kind, FeedReadKind.Unavailable, fault);
+  }
+  server.fault = StoreFault.None;
+  const back = await store.endpoints.list(signal);
+  assert.equal(back.kind, FeedReadKind.Listed);
+});
+
+test("a host's entry is written, replaced and removed", async () => {
+  const member = { address: "10.0.0.9:7000", availability_zone: "a", cores: 1 };
+  await store.announce("gateway-1", member);
+  await store.announce("gateway-1", { ...member, cores: 2 });
+  const read = await store.gateways.list(signal);
+  assert.ok(read.kind === FeedReadKind.Listed);
+  assert.deepEqual(read.items[0]?.value, { ...member, cores: 2 });
+  await store.withdraw("gateway-1");
+  await store.withdraw("gateway-1");
+  assert.deepEqual(server.names("gateways"), []);
+});
+
+test("entries of other writers name no endpoint", () => {
+  const broken: unknown[] = [
+    undefined,
+    null,
+    "text",
+    { ...ENTRY, state: "napping" },
+    { ...ENTRY, address: "nowhere" },
+    { ...ENTRY, slots: "six" },
+    { ...ENTRY, service: undefined },
+    { ...ENTRY, born: 1.5 },
+  ];
+  for (const spec of broken) {
+    assert.equal(decodeEndpoint("i-1", spec), undefined);
+  }
+  assert.equal(decodeEndpoint("i-1", ENTRY)?.born_ms, 5);
+});
+
+test("no bytes in the store can make a decoder throw", () => {
+  fc.assert(fc.property(fc.anything(), (spec) => {
+    decodeEndpoint("i-1", spec);
+    decodeConfiguration("main", spec);
+  }));
+});
--- /dev/null
+++ b/test/routing/repeat_budget.test.ts
@@ -0,0 +1,42 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { RepeatBudget } from "../../src/routing/repeat_budget.ts";
+
+const bound = { ratio: 0.2, slack: 50, window_ms: 10_000 };
+
+test("all hosts together keep repeats within the bound in every window", () => {
+  const event = fc.record({
+    host: fc.nat(7),
+    wait_ms: fc.nat(200),
+    repeat: fc.boolean(),
+  });
+  fc.assert(fc.property(fc.array(event, { maxLength: 600 }), (events) => {
+    const hosts = Array.from(
+      { length: 8 },
+      () => new RepeatBudget(bound, () => 8),
+    );
+    const fresh_ms: number[] = [];
+    const repeats_ms: number[] = [];
+    let now_ms = 0;
+    for (const { host, wait_ms, repeat } of events) {
+      now_ms += wait_ms;
+      if (!repeat) {
+        hosts[host]?.fresh("desk", now_ms);
+        fresh_ms.push(now_ms);
+      } else if (hosts[host]?.take("desk", now_ms)) repeats_ms.push(now_ms);
+      const within = (times: number[]) =>
+        times.filter((time_ms) => time_ms >= now_ms - bound.window_ms).length;
+      const allowed = bound.ratio * within(fresh_ms) + bound.slack;
+      assert.ok(within(repeats_ms) <= allowed);
+    }
+  }));
+});
+
+test("a pool without fresh requests still has its share of the slack", () => {
+  const budget = new RepeatBudget(bound, () => 1);
+  let taken = 0;
+  while (budget.take("desk", 0)) taken += 1;
+  assert.equal(taken, 30);
+  assert.equal(budget.take("desk", bound.window_ms + 1), true);
+});
--- /dev/null
+++ b/test/settings/gateway_settings.test.ts
@@ -0,0 +1,54 @@
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
+import { test } from "node:test";
+import { formatFindings } from "../../src/findings/finding.ts";
+import { checkGatewaySettings } from "../../src/settings/gateway_settings.ts";
+
+const GOOD = `
+host: { name: gateway-1, availability_zone: az-1 }
+listen:
+  callers: "10.0.0.1:80"
+  readiness: "10.0.0.1:81"
+  peers: "10.0.0.1:7000"
+seeds: ["10.0.0.2:90"]
+object_store: { address: "10.0.0.9:99" }
+`;
+
+test("missing gateway settings get their defaults", (t) => {
+  const checked = checkGatewaySettings("gateway.yaml", GOOD);
+  assert.ok(checked.ok);
+  t.assert.snapshot(checked.value);
+});
+
+test("every fault of gateway settings is reported with its place", (t) => {
+  const checked = checkGatewaySettings(
+    "gateway.yaml",
+    `
+host: { name: "", cores: -1 }
+listen: { callers: "host:80", readiness: "10.0.0.1:81" }
+object_store: { address: 5, watch_ms: 0 }
+repeats: { ratio: much }
+colour: blue
+`,
+  );
+  assert.ok(!checked.ok);
+  t.assert.snapshot(formatFindings(checked.findings).split("\n"));
+});
+
+test("the deployment's template fills every required setting", () => {
+  const root = join(import.meta.dirname, "../..");
+  const template = readFileSync(
+    join(root, "deploy/gateway.yaml.template"),
+    "utf8",
+  );
+  const filled = template
+    .replaceAll("{{seeds|json}}", '["10.0.0.2:90"]')
+    .replaceAll("{{internal_ports.0}}", "7000")
+    .replaceAll(/\{\{(bind\.\w+|platform\.address)\}\}/g, "10.0.0.1:80")
+    .replaceAll("{{ip}}", "10.0.0.1")
+    .replaceAll(/\{\{(node_name|zone)\}\}/g, "text")
+    .replaceAll(/\{\{[^}]+\}\}/g, "2");
+  const checked = checkGatewaySettings("template", filled);
+  assert.ok(checked.ok, checked.ok ? "" : formatFindings(checked.findings));
+});
