Test beliefs, planning, the store and lifecycles; ask stale peers at a cold start

Cause: a host that started while the store was away for all took no endpoints from peers, as their own were stale; found by a test that failed first (503). Peers listen on the address that seeds name, so no port is guessed. Ruled out: the seeds' list (it was right).

--- a/src/beliefs/endpoint_belief.ts
+++ b/src/beliefs/endpoint_belief.ts
@@ -33,6 +33,11 @@
     return !this.#lost;
   }
 
+  /** Whether no endpoint is known. */
+  get empty(): boolean {
+    return this.#known.size === 0;
+  }
+
   /** The source does not answer. */
   sourceLost(): void {
     this.#lost = true;
--- a/src/beliefs/follow_beliefs.ts
+++ b/src/beliefs/follow_beliefs.ts
@@ -145,7 +145,8 @@
       const read = readSharedConfiguration(shared.configuration);
       configuration.accept(read, peer);
     }
-    if (shared.endpoints === undefined || endpoints.sourceIsWell) return;
+    const better = shared.endpoints_fresh || endpoints.empty;
+    if (endpoints.sourceIsWell || !better) return;
     const items = shared.endpoints.map((endpoint) => ({
       name: endpoint.id,
       value: endpoint,
--- a/src/beliefs/shared_beliefs.ts
+++ b/src/beliefs/shared_beliefs.ts
@@ -9,8 +9,9 @@
 /** What a host believes. */
 export interface SharedBeliefs {
   configuration: SharedConfiguration | undefined;
-  /** Undefined if the host itself does not hear of endpoints now. */
-  endpoints: RouteEndpoint[] | undefined;
+  endpoints: RouteEndpoint[];
+  /** Whether the host itself hears of endpoints now. */
+  endpoints_fresh: boolean;
 }
 
 /** A configuration in a form that JSON can carry. */
@@ -31,7 +32,8 @@
   const known = configuration.table?.configuration;
   return {
     configuration: known && { ...known, pools: [...known.pools] },
-    endpoints: endpoints.sourceIsWell ? endpoints.all(now()) : undefined,
+    endpoints: endpoints.all(now()),
+    endpoints_fresh: endpoints.sourceIsWell,
   };
 }
 
--- a/src/settings/gateway_settings.ts
+++ b/src/settings/gateway_settings.ts
@@ -5,12 +5,7 @@
 import type { Checked } from "../findings/finding.ts";
 import { checkAgainst, parseLocated } from "../findings/located_document.ts";
 import { unreadable } from "./resolve_settings.ts";
-import {
-  type Address,
-  addressSchema,
-  formatAddress,
-  parseAddress,
-} from "./settings.ts";
+import { type Address, addressSchema, parseAddress } from "./settings.ts";
 
 const gatewaySchema = z.strictObject({
   host: z.strictObject({
@@ -54,7 +49,7 @@
     peers: Address;
     metrics: Address | undefined;
   };
-  /** Addresses of hosts that may tell what this one can't read, for peers. */
+  /** Addresses for peers of hosts to ask before any others are known. */
   seeds: string[];
   object_store: { address: Address; watch_ms: number };
   /** Bound on repeats over all hosts. */
@@ -96,18 +91,15 @@
   const { cores, watch_ms, repeats, drain_timeout_s } = DEFAULT_GATEWAY;
   const window_s = user.repeats?.window_s ?? repeats.window_s;
   const timeout_s = user.drain?.timeout_s ?? drain_timeout_s;
-  const peersAddress = parseAddress(peers);
   return {
     host: { cores, ...user.host },
     listen: {
       callers: parseAddress(callers),
       readiness: parseAddress(readiness),
-      peers: peersAddress,
+      peers: parseAddress(peers),
       metrics: metrics === undefined ? undefined : parseAddress(metrics),
     },
-    seeds: (user.seeds ?? []).map((seed) =>
-      formatAddress({ ip: parseAddress(seed).ip, port: peersAddress.port })
-    ),
+    seeds: user.seeds ?? [],
     object_store: {
       address: parseAddress(user.object_store.address),
       watch_ms: user.object_store.watch_ms ?? watch_ms,
--- a/stand_ins/users_platform/gateway_fleet.ts
+++ b/stand_ins/users_platform/gateway_fleet.ts
@@ -115,7 +115,10 @@
   }
 
   /** Starts one more gateway. */
-  async startGateway(number: number): Promise<RunningGateway> {
+  async startGateway(
+    number: number,
+    seeds: string[] = [],
+  ): Promise<RunningGateway> {
     const ports = [];
     for (let n = 0; n < 4; n++) ports.push(await freePort());
     const [callers, readiness, peers, metrics] = ports.map((port) =>
@@ -129,7 +132,7 @@
           availability_zone: ZONES[(number - 1) % ZONES.length] ?? "",
         },
         listen: { callers, readiness, peers, metrics },
-        seeds: this.gateways.map((each) => each.callers),
+        seeds,
         object_store: {
           address: this.store.address,
           watch_ms: this.#options.watch_ms ?? 300,
--- a/stand_ins/users_platform/object_store.ts
+++ b/stand_ins/users_platform/object_store.ts
@@ -149,6 +149,7 @@
       await this.#nextEvent(end_ms - Date.now());
     }
     if (this.fault !== StoreFault.None) return void response.destroy();
+    if (since < this.#oldest) return send(response, 410, {});
     const events = news().map(({ object, deleted }) => ({ object, deleted }));
     send(response, 200, { events, as_of: this.#revision });
   }
--- /dev/null
+++ b/test/forwarding/gateway_faults.test.ts
@@ -0,0 +1,177 @@
+/** What gateway hosts believe and do while parts of the deployment fail. */
+import assert from "node:assert/strict";
+import { setTimeout as sleep } from "node:timers/promises";
+import { afterEach, test } from "node:test";
+import { callJson, getJson } from "../../stand_ins/json_call.ts";
+import {
+  defaultEngines,
+  FleetKey,
+  GatewayFleet,
+  type GatewayFleetOptions,
+  Service,
+  until,
+} from "../../stand_ins/users_platform/gateway_fleet.ts";
+import { StoreFault } from "../../stand_ins/users_platform/object_store.ts";
+
+let fleet: GatewayFleet;
+let attempts = 0;
+
+afterEach(() => fleet.stop());
+
+async function startFleet(options: GatewayFleetOptions = {}): Promise<void> {
+  fleet = new GatewayFleet(options);
+  await fleet.start();
+}
+
+function call(path: string, gateway = 0, key: string = FleetKey.Docks) {
+  return callJson(fleet.gateways[gateway]?.callers ?? "", path, {
+    method: "POST",
+    text: "body",
+    headers: {
+      host: "fleet.example",
+      "x-attempt-id": `attempt-${attempts++}`,
+      "x-key": key,
+      "x-deadline-ms": "2000",
+      "x-pieces": "2,3",
+      "x-piece-key": "cafe",
+      "x-prompt-prefix": `aa:100,b${attempts % 9}:50,cc:10`,
+    },
+  });
+}
+
+async function status(path: string, gateway = 0, key?: string) {
+  return (await call(path, gateway, key)).status;
+}
+
+async function ready(gateway: number): Promise<number> {
+  const { readiness } = fleet.gateways[gateway] ?? { readiness: "" };
+  return (await getJson(readiness, "/v1/ready")).status;
+}
+
+function says(gateway: number, text: string): boolean {
+  return fleet.gateways[gateway]?.lines.some((line) => line.includes(text)) ??
+    false;
+}
+
+test("a drain finishes what runs, and is not ready from its start", async () => {
+  const engines = defaultEngines();
+  engines[Service.Model] = [{ id: "model-1", events: 10, work_ms: 60 }];
+  await startFleet({ gateways: 2, engines });
+  assert.equal(await ready(0), 200);
+  const running = call("/draft/x");
+  await until(() => fleet.engine(Service.Model).seen.length === 1);
+  fleet.gateways[0]?.gateway.drain();
+  assert.equal(await ready(0), 503);
+  await until(() => !fleet.store.names("gateways").includes("gateway-1"));
+  const late = await call("/stamp/x");
+  assert.equal(late.status, 200);
+  assert.equal(late.headers.connection, "close");
+  const answer = await running;
+  assert.equal(answer.text.match(/^id: /gm)?.length, 10);
+  await fleet.gateways[0]?.gateway.stopped;
+  assert.equal(await status("/review/x", 1), 200);
+});
+
+test("requests are served when the host that gathers is lost", async () => {
+  await startFleet({ gateways: 3 });
+  await until(() =>
+    fleet.gateways.every((_, n) => says(n, "event=members count=3"))
+  );
+  assert.equal(await status("/review/x"), 200);
+  for (const lost of [1, 2]) {
+    fleet.gateways[lost]?.gateway.stop();
+    const answers = await Promise.all(
+      Array.from({ length: 6 }, () => status("/review/x")),
+    );
+    assert.deepEqual(answers, Array(6).fill(200));
+  }
+});
+
+test("a dark store changes nothing for requests", async () => {
+  await startFleet({ gateways: 1 });
+  for (const fault of [StoreFault.Silent, StoreFault.Busy, StoreFault.Reset]) {
+    fleet.store.fault = fault;
+    await until(() => says(0, "event=source_lost source=endpoints"));
+    assert.equal(await status("/review/x"), 200);
+    assert.equal(await status("/stamp/x"), 200);
+    fleet.store.fault = StoreFault.None;
+    await until(() => says(0, "event=source_back source=endpoints"));
+    fleet.gateways[0]?.lines.splice(0);
+  }
+});
+
+test("a host that starts while the store is away asks its seeds", async () => {
+  await startFleet({ gateways: 1 });
+  fleet.store.fault = StoreFault.Busy;
+  const peers = fleet.gateways[0]?.lines
+    .find((line) => line.includes("event=start"))
+    ?.match(/peers=(\S+)/)?.[1] ?? "";
+  await fleet.startGateway(2, [peers]);
+  await until(() => says(1, "state=ready"));
+  assert.equal(await status("/stamp/x", 1), 200);
+  assert.equal(await status("/review/x", 1), 200);
+});
+
+test("a host that knows no configuration refuses and is not ready", async () => {
+  await startFleet({ gateways: 0 });
+  fleet.store.fault = StoreFault.Busy;
+  await fleet.startGateway(1);
+  assert.equal(await ready(0), 503);
+  const answer = await call("/stamp/x");
+  assert.equal(answer.status, 503);
+  assert.ok(Number(answer.headers["retry-after"]) > 0);
+  fleet.store.fault = StoreFault.None;
+  await until(() => says(0, "state=ready"));
+  assert.equal(await ready(0), 200);
+});
+
+test("a new configuration is in force at once and never reverts", async () => {
+  await startFleet({ gateways: 1 });
+  assert.equal(await status("/stamp/x", 0, FleetKey.Mills), 200);
+  const docks = { name: "docks", api_keys: [FleetKey.Docks] };
+  fleet.configure({ tenants: [docks] });
+  await until(() => says(0, "event=configuration version=2"));
+  assert.equal(await status("/stamp/x", 0, FleetKey.Mills), 401);
+  fleet.version = 1;
+  fleet.configure({});
+  await sleep(100);
+  assert.equal(await status("/stamp/x", 0, FleetKey.Mills), 401);
+});
+
+test("an unreadable manifest leaves the last good one in force", async () => {
+  await startFleet({ gateways: 1 });
+  fleet.configure({ routes: "none" });
+  await until(() => says(0, "event=unreadable"));
+  assert.equal(await status("/stamp/x"), 200);
+});
+
+test("an endpoint that leaves, or vanishes, gets nothing new", async () => {
+  await startFleet({ gateways: 1 });
+  const [first, second] = [0, 1].map((n) => fleet.engine(Service.Desk, n));
+  assert.ok(first !== undefined && second !== undefined);
+  fleet.register(Service.Desk, first, { state: "draining" });
+  await until(() => says(0, `endpoint=${first.id} pool=desk state=leaving`));
+  for (let n = 0; n < 6; n++) assert.equal(await status("/stamp/x"), 200);
+  assert.equal(first.seen.length, 0);
+  fleet.store.remove("servers", second.id);
+  await until(() => says(0, `endpoint=${second.id} pool=desk state=removed`));
+  assert.equal(await status("/stamp/x"), 503);
+  assert.equal(second.seen.length, 6);
+});
+
+test("changes that were made in a lost history are found", async () => {
+  await startFleet({ gateways: 1 });
+  fleet.store.forget();
+  fleet.store.fault = StoreFault.Reset;
+  await until(() => says(0, "event=source_lost"));
+  fleet.gateways[0]?.lines.splice(0);
+  const [first] = fleet.engines.get(Service.Desk) ?? [];
+  assert.ok(first !== undefined);
+  fleet.register(Service.Desk, first, { state: "draining" });
+  fleet.store.forget();
+  fleet.store.fault = StoreFault.None;
+  await until(() => says(0, "event=history_lost"));
+  await until(() => says(0, "event=endpoints"));
+  for (let n = 0; n < 4; n++) assert.equal(await status("/stamp/x"), 200);
+  assert.equal(first.seen.length, 0);
+});
--- a/test/settings/gateway_settings.test.ts
+++ b/test/settings/gateway_settings.test.ts
@@ -44,7 +44,6 @@
   );
   const filled = template
     .replaceAll("{{seeds|json}}", '["10.0.0.2:90"]')
-    .replaceAll("{{internal_ports.0}}", "7000")
     .replaceAll(/\{\{(bind\.\w+|platform\.address)\}\}/g, "10.0.0.1:80")
     .replaceAll("{{ip}}", "10.0.0.1")
     .replaceAll(/\{\{(node_name|zone)\}\}/g, "text")
