Bind a stage to a zone by the bytes that it reads there

Cause: every stage waited for the zone of its inputs or of the model engine, also where a few kilobytes were at stake; where megabytes were at stake, jobs left after a fixed share of their spare time. Now: no zone below 250 kB; above, a job stays as long as it can be on time.

--- a/src/batching/batch_gatherer.ts
+++ b/src/batching/batch_gatherer.ts
@@ -12,7 +12,12 @@
 } from "../routes/types.ts";
 import { EndpointCalls } from "./endpoint_calls.ts";
 import { expectedJobMs } from "./expected_wait.ts";
-import { planCall, type PlannedShare, type WaitingJob } from "./plan_call.ts";
+import {
+  fullCallMs,
+  planCall,
+  type PlannedShare,
+  type WaitingJob,
+} from "./plan_call.ts";
 import {
   type FreedResults,
   JobEnd,
@@ -196,7 +201,6 @@
       priority: job.priority,
       due_ms: now_ms + job.due_in_ms,
       expires_ms: now_ms + job.expires_in_ms,
-      since_ms: now_ms,
       home_zone: job.home_zone,
       result_bytes: job.result_bytes,
       waiting: [...job.pieces],
@@ -242,7 +246,7 @@
     this.#dropExpired(work, now_ms);
     if (work.jobs.size === 0) return;
     const ready = this.#refresh(pool, work);
-    const zoneFree_ms = zonesOf(ready, limits, now_ms);
+    const zoneWait_ms = zoneWaits(ready, work.jobs, { limits, now_ms });
     const free = ready.filter((calls) => calls.free(now_ms, limits))
       .sort((a, b) => a.slowness - b.slowness);
     for (const calls of free) {
@@ -250,7 +254,7 @@
         availability_zone: calls.endpoint.availability_zone,
         room_bytes: calls.roomBytes(now_ms, limits),
         slowness: calls.slowness,
-      }, { now_ms, limits, zoneFree_ms });
+      }, { now_ms, limits, zoneWait_ms });
       if (shares.length > 0) {
         void this.#call(pool, work, { calls, shares, limits });
       }
@@ -445,18 +449,34 @@
   }
 }
 
-/** Time until each zone has an endpoint that takes a call. */
-function zonesOf(
+/**
+ * Time until each zone takes a further job: until its first endpoint is free,
+ * and a call for each callful of pieces that wait for the zone.
+ */
+function zoneWaits(
   ready: readonly EndpointCalls[],
-  limits: BatchLimits,
-  now_ms: number,
+  jobs: Iterable<QueuedJob>,
+  { limits, now_ms }: { limits: BatchLimits; now_ms: number },
 ): Map<string, number> {
-  const zones = new Map<string, number>();
+  const zones = new Map<string, { free_ms: number; places: number }>();
   for (const calls of ready) {
     const { availability_zone } = calls.endpoint;
-    const known_ms = zones.get(availability_zone) ?? Infinity;
+    const known = zones.get(availability_zone);
     const free_ms = calls.freeInMs(now_ms, limits);
-    zones.set(availability_zone, Math.min(known_ms, free_ms));
+    zones.set(availability_zone, {
+      free_ms: Math.min(known?.free_ms ?? Infinity, free_ms),
+      places: (known?.places ?? 0) + limits.pieces_per_call,
+    });
+  }
+  const pieces = new Map<string, number>();
+  for (const { home_zone, waiting } of jobs) {
+    if (home_zone === undefined) continue;
+    pieces.set(home_zone, (pieces.get(home_zone) ?? 0) + waiting.length);
+  }
+  const waits = new Map<string, number>();
+  for (const [zone, { free_ms, places }] of zones) {
+    const calls = Math.floor((pieces.get(zone) ?? 0) / (places + 1));
+    waits.set(zone, free_ms + calls * fullCallMs(limits));
   }
-  return zones;
+  return waits;
 }
--- a/src/batching/plan_call.ts
+++ b/src/batching/plan_call.ts
@@ -6,9 +6,8 @@
  * run one call at a time, where a call costs much and a further piece little.
  * A free endpoint takes what waits at once, so calls fill up by themselves as
  * the load grows. Work that can still be on time goes before work that is late,
- * the earliest due first. A job leaves the zone in which its results are read
- * as soon as waiting for an endpoint there would use up more than its share of
- * the time that it can spare.
+ * the earliest due first. A job with much to read stays in the zone where that
+ * lies, unless waiting for an endpoint there would make it late.
  */
 import type { BatchLimits } from "../routes/types.ts";
 
@@ -19,8 +18,6 @@
   due_ms: number;
   /** When a result is of no use any more. */
   expires_ms: number;
-  /** When it began to wait. */
-  since_ms: number;
   home_zone: string | undefined;
   result_bytes: number;
   /** Pieces that are in no call yet. */
@@ -40,8 +37,8 @@
 export interface PlanContext {
   now_ms: number;
   limits: BatchLimits;
-  /** Time until an endpoint of a zone takes a call; absent if none does. */
-  zoneFree_ms: ReadonlyMap<string, number>;
+  /** Time until a zone takes a further job; absent if it has no endpoint. */
+  zoneWait_ms: ReadonlyMap<string, number>;
 }
 
 /** A job's share of a call. */
@@ -50,12 +47,10 @@
   pieces: number;
 }
 
-/** Share of the time that a job can spare which it waits for its own zone. */
-const STAY_SHARE = 0.2;
 /** How much more urgent a job of another zone must be to go first. */
 const AWAY_MS = 300;
-/** Full calls that must fit into a job's time before it waits for its zone. */
-const CALLS_KEPT_SPARE = 2;
+/** Time that a job keeps in reserve when it waits for its own zone. */
+const RESERVE_MS = 50;
 
 /** The pieces of the next call, in order; empty if none should go there. */
 export function planCall<Job extends WaitingJob>(
@@ -98,16 +93,16 @@
 function mayRunAt(
   zone: string,
   job: WaitingJob,
-  { now_ms, limits, zoneFree_ms }: PlanContext,
+  { now_ms, limits, zoneWait_ms }: PlanContext,
 ): boolean {
   const { home_zone } = job;
   if (home_zone === undefined || home_zone === zone) return true;
-  const freeIn_ms = zoneFree_ms.get(home_zone);
-  if (freeIn_ms === undefined) return true;
-  const spare_ms = job.due_ms - job.since_ms -
-    CALLS_KEPT_SPARE * fullCallMs(limits);
-  const patience_ms = STAY_SHARE * Math.max(0, spare_ms);
-  return now_ms - job.since_ms + freeIn_ms > patience_ms;
+  const wait_ms = zoneWait_ms.get(home_zone);
+  if (wait_ms === undefined) return true;
+  const call_ms = fullCallMs(limits);
+  const late = now_ms + call_ms > job.due_ms;
+  if (late) return wait_ms > call_ms;
+  return now_ms + wait_ms + call_ms + RESERVE_MS > job.due_ms;
 }
 
 /** Orders jobs: on time before late, then by rank among the late, then due. */
--- a/src/batching/stage_graph.ts
+++ b/src/batching/stage_graph.ts
@@ -35,6 +35,9 @@
   | { kind: JobEnd.Made; results: StageResult[]; giveUp: () => void }
   | Exclude<JobOutcome, { kind: JobEnd.Made }>;
 
+/** What a stage reads below this may come from another zone. */
+const ZONE_BYTES = 250_000;
+
 /** How long a stage takes, in milliseconds. */
 export interface StageTime {
   least_ms: number;
@@ -156,17 +159,33 @@
       priority,
       due_in_ms: due_ms - now_ms - later.expected_ms,
       expires_in_ms: expires_ms - now_ms - later.least_ms,
-      home_zone: this.#zoneOfInputs(stage) ?? this.#request.home_zone,
-      input_bytes: stage.after.reduce(
-        (sum, earlier) =>
-          sum + (this.#results[earlier]?.length ?? 0) *
-            (this.#stages[earlier]?.result_bytes ?? 0),
-        0,
-      ),
+      home_zone: this.#homeOf(index, pieces.length),
+      input_bytes: this.#inputBytes(stage),
       last_read: lastRead.flatMap((earlier) => this.#freedOf(earlier)),
     };
   }
 
+  /** Where a stage should run; undefined if little is read either way. */
+  #homeOf(index: number, pieces: number): string | undefined {
+    const stage = this.#stages[index] as PieceStage;
+    if (pieces * this.#inputBytes(stage) >= ZONE_BYTES) {
+      return this.#zoneOfInputs(stage);
+    }
+    const last = this.#followers(index).length === 0;
+    const read = last ? pieces * stage.result_bytes : 0;
+    return read >= ZONE_BYTES ? this.#request.home_zone : undefined;
+  }
+
+  /** Bytes that are read for each piece of a stage. */
+  #inputBytes(stage: PieceStage): number {
+    return stage.after.reduce(
+      (sum, earlier) =>
+        sum + (this.#results[earlier]?.length ?? 0) *
+          (this.#stages[earlier]?.result_bytes ?? 0),
+      0,
+    );
+  }
+
   /** The zone in which most bytes of a stage's inputs lie. */
   #zoneOfInputs(stage: PieceStage): string | undefined {
     const counts = new Map<string, number>();
