Refuse new work late in a drain, reload settings, pass slow stage endpoints over

Causes: a request taken after the balancer's notice could not end within the grace period; a changed settings file was logged and not read; a call that timed out at a slow endpoint was repeated there with the same patience; a stream on a silent connection waited for its whole deadline although it may be resumed. Tests first: reload, the cold host's readiness, learned slowness.

--- a/src/batching/batch_gatherer.ts
+++ b/src/batching/batch_gatherer.ts
@@ -250,6 +250,7 @@
     const free = ready.filter((calls) => calls.free(now_ms, limits))
       .sort((a, b) => a.slowness - b.slowness);
     for (const calls of free) {
+      if (!worthUsing(calls, ready, work.jobs, { limits, now_ms })) continue;
       const shares = planCall(work.jobs, {
         availability_zone: calls.endpoint.availability_zone,
         room_bytes: calls.roomBytes(now_ms, limits),
@@ -339,7 +340,10 @@
         for (const { queued, piece } of taken) queued.waiting.unshift(piece);
         break;
       case PieceCallEnd.Failed:
-        calls.fail(bytes, now_ms);
+        calls.fail({ bytes, pieces: taken.length, elapsed_ms }, {
+          limits,
+          now_ms,
+        });
         for (const { queued, piece } of taken) {
           this.#tryAgain(queued, piece, work);
         }
@@ -449,6 +453,30 @@
   }
 }
 
+/** Above this, an endpoint counts as slow. */
+const SLOW = 1.5;
+
+/**
+ * Whether a job gains by a call here: a slow endpoint is used only while the
+ * others have so much to do that waiting for them takes longer.
+ */
+function worthUsing(
+  calls: EndpointCalls,
+  ready: readonly EndpointCalls[],
+  jobs: Iterable<QueuedJob>,
+  { limits, now_ms }: { limits: BatchLimits; now_ms: number },
+): boolean {
+  if (calls.slowness < SLOW) return true;
+  const sound = ready.filter((each) =>
+    each.slowness < SLOW && each.takesCalls(now_ms)
+  );
+  if (sound.length === 0) return true;
+  let pieces = 0;
+  for (const { waiting } of jobs) pieces += waiting.length;
+  const load = { endpoints: sound.length, slowness: 1, piecesAhead: pieces };
+  return expectedJobMs(0, load, limits) > fullCallMs(limits) * calls.slowness;
+}
+
 /**
  * Time until each zone takes a further job: until its first endpoint is free,
  * and a call for each callful of pieces that wait for the zone.
--- a/src/batching/endpoint_calls.ts
+++ b/src/batching/endpoint_calls.ts
@@ -11,9 +11,9 @@
 const LONGEST_REST_MS = 4_000;
 /** Share of the memory for results that is kept free for the next call. */
 const ROOM_KEPT_SHARE = 0.5;
-/** A call that takes this many times its time counts as lost. */
-const LOST_AFTER_TIMES = 2.5;
-const LOST_AFTER_EXTRA_MS = 300;
+/** A call that takes this many times what was learned counts as lost. */
+const LOST_AFTER_TIMES = 1.8;
+const LOST_AFTER_EXTRA_MS = 150;
 
 interface HeldResult {
   bytes: number;
@@ -22,6 +22,13 @@
   spare?: boolean;
 }
 
+/** A call that has ended, well or not. */
+export interface EndedCall {
+  bytes: number;
+  pieces: number;
+  elapsed_ms: number;
+}
+
 /** See the module's comment. */
 export class EndpointCalls {
   endpoint: RouteEndpoint;
@@ -68,8 +75,8 @@
   /** How long a call may take before it counts as lost, in milliseconds. */
   patienceMs(pieces: number, limits: BatchLimits): number {
     const promised_ms = limits.call_ms + pieces * limits.piece_ms;
-    const times = Math.max(LOST_AFTER_TIMES, this.slowness * 2);
-    return promised_ms * times + LOST_AFTER_EXTRA_MS;
+    const learned = Math.max(1, this.slowness);
+    return promised_ms * learned * LOST_AFTER_TIMES + LOST_AFTER_EXTRA_MS;
   }
 
   /** A call begins; its results take `bytes` from now on. */
@@ -83,27 +90,27 @@
     this.#expectedEnd_ms = call.now_ms + promised_ms * this.slowness;
   }
 
-  /** A call of `pieces` ended well after `elapsed_ms`. */
-  succeed(
-    call: { bytes: number; pieces: number; elapsed_ms: number },
-    limits: BatchLimits,
-  ): void {
+  /** A call ended well. */
+  succeed(call: EndedCall, limits: BatchLimits): void {
     this.#end(call.bytes);
     this.#failures = 0;
-    const promised_ms = limits.call_ms + call.pieces * limits.piece_ms;
-    const ratio = call.elapsed_ms / promised_ms;
+    const ratio = slownessOf(call, limits);
     this.slowness += SLOWNESS_GAIN * (Math.max(ratio, 0.5) - this.slowness);
   }
 
   /** A call failed; the endpoint rests, longer each time. */
-  fail(bytes: number, now_ms: number): number {
-    this.#end(bytes);
+  fail(
+    call: EndedCall,
+    { limits, now_ms }: { limits: BatchLimits; now_ms: number },
+  ): number {
+    this.#end(call.bytes);
     const rest_ms = Math.min(
       LONGEST_REST_MS,
       FIRST_REST_MS * 2 ** this.#failures,
     );
     this.#failures += 1;
     this.#restsUntil_ms = now_ms + rest_ms;
+    this.slowness = Math.max(this.slowness, slownessOf(call, limits));
     return rest_ms;
   }
 
@@ -154,3 +161,11 @@
     this.#heldBytes -= bytes;
   }
 }
+
+/** How much longer than promised a call took. */
+function slownessOf(
+  { pieces, elapsed_ms }: EndedCall,
+  { call_ms, piece_ms }: BatchLimits,
+): number {
+  return elapsed_ms / (call_ms + pieces * piece_ms);
+}
--- a/src/cli/commands/gateway.ts
+++ b/src/cli/commands/gateway.ts
@@ -22,7 +22,8 @@
     options: [settingsOption],
     example: "gateway --settings gateway-1.yaml",
     async run(call) {
-      const checked = loadGatewaySettings(requiredOption(call, "settings"));
+      const file = requiredOption(call, "settings");
+      const checked = loadGatewaySettings(file);
       if (!checked.ok) {
         call.printError(formatFindings(checked.findings));
         return ExitCode.Findings;
@@ -34,7 +35,7 @@
         random: Math.random,
         writeLine: writer.writeLine,
       });
-      stopOnSignals(gateway);
+      followSignals(gateway, file);
       try {
         await gateway.start();
       } catch (error) {
@@ -49,8 +50,8 @@
   });
 }
 
-function stopOnSignals(gateway: Gateway): void {
+function followSignals(gateway: Gateway, file: string): void {
   process.on("SIGTERM", () => gateway.drain());
   process.on("SIGINT", () => gateway.stop());
-  process.on("SIGHUP", () => gateway.log.info({ event: "reload" }));
+  process.on("SIGHUP", () => gateway.reload(loadGatewaySettings(file)));
 }
--- a/src/forwarding/forward_request.ts
+++ b/src/forwarding/forward_request.ts
@@ -54,11 +54,21 @@
 const FULL_RETRY_MS = 250;
 /** An idempotent call without an answer for this many targets goes elsewhere. */
 const PATIENCE_TARGETS = 2;
+/** A stream without its first event for this long goes elsewhere. */
+const PATIENCE_TIMES = 5;
+const PATIENCE_EXTRA_MS = 600;
 /** Why an attempt's connection is given up; a constant costs no stack trace. */
 const ATTEMPT_OVER = "attempt_over";
 /** Stages are run again if their results got lost, but not for ever. */
 const MOST_STAGE_RUNS = 2;
 
+/** What a host says that stops before a new request could end. */
+const LEAVING: Denied = {
+  denial: Denial.NotReady,
+  message: "This host is stopping",
+  retry_after_ms: 20,
+};
+
 /** Serves one request to its end. */
 export async function forwardRequest(
   inbound: Inbound,
@@ -66,6 +76,10 @@
 ): Promise<void> {
   const { request, response } = inbound;
   const head = { url: request.url ?? "/", headers: request.rawHeaders };
+  if (!parts.accepts()) {
+    answerDenied(response, LEAVING, false);
+    return;
+  }
   const admission = admit(head, parts.configuration.table, parts.dialect);
   if (!admission.ok) {
     logDenied(parts, inbound, admission.denied);
@@ -338,11 +352,12 @@
   /** Gives an idempotent call up, if there is time for another one. */
   #patience(attempt: AbortController): NodeJS.Timeout | undefined {
     const { kind, target_latency_ms, max_attempts } = this.#admitted.route;
-    if (kind !== CallKind.Safe || this.#sends >= max_attempts) return undefined;
-    return setTimeout(
-      () => attempt.abort(ATTEMPT_OVER),
-      PATIENCE_TARGETS * target_latency_ms,
-    );
+    if (!this.#idempotent || this.#sends >= max_attempts) return undefined;
+    const typical_ms = this.#parts.load.typicalMs(this.#pool);
+    const patience_ms = kind === CallKind.Safe
+      ? PATIENCE_TARGETS * target_latency_ms
+      : PATIENCE_TIMES * typical_ms + PATIENCE_EXTRA_MS;
+    return setTimeout(() => attempt.abort(ATTEMPT_OVER), patience_ms);
   }
 
   async #exchange(
--- a/src/forwarding/parts.ts
+++ b/src/forwarding/parts.ts
@@ -19,6 +19,8 @@
   budget: RepeatBudget;
   stages: GraphParts;
   metrics: ForwardMetrics;
+  /** Whether new requests are served. */
+  accepts: () => boolean;
   /** Whether callers should use another connection for what follows. */
   leaving: () => boolean;
   log: Logger;
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -11,6 +11,7 @@
 import { EndpointBelief } from "./beliefs/endpoint_belief.ts";
 import { followBeliefs, type Sources } from "./beliefs/follow_beliefs.ts";
 import { shareBeliefs } from "./beliefs/shared_beliefs.ts";
+import { type Checked, formatFindings } from "./findings/finding.ts";
 import { EndpointAgents } from "./endpoints/endpoint_agents.ts";
 import type { GatewayAdapter, GatewayStore } from "./forwarding/adapter.ts";
 import {
@@ -54,6 +55,8 @@
   drain(): void;
   /** Stops at once. */
   stop(): void;
+  /** Applies settings that were read again, as far as a running host can. */
+  reload(checked: Checked<GatewaySettings>): void;
   /** Resolves when the host has stopped. */
   stopped: Promise<void>;
 }
@@ -92,13 +95,26 @@
       front,
       gathering: () => batching.gatherer.running,
       withdraw: () => base.store.withdraw(settings.host.name),
-      timeout_ms: settings.drain.timeout_ms,
+      timeout_ms: base.settings.drain.timeout_ms,
       log: base.log,
       now: base.now,
       signal: base.signal,
     }).then(stop);
   }
 
+  function reload(checked: Checked<GatewaySettings>): void {
+    if (!checked.ok) {
+      const findings = formatFindings(checked.findings);
+      base.log.error({ event: "reload", outcome: "rejected", findings });
+      return;
+    }
+    const { repeats, drain, log } = checked.value;
+    base.settings.drain = drain;
+    base.budget.setBound(repeats);
+    base.log.info({ event: "reload", outcome: "applied", level: log.level });
+    base.log.level = log.level;
+  }
+
   async function start(): Promise<void> {
     for (const [server, address] of servers) await listenOn(server, address);
     await listenOn(front.server, settings.listen.callers);
@@ -116,7 +132,7 @@
     });
   }
 
-  return { log: base.log, stopped, stop, drain, start };
+  return { log: base.log, stopped, stop, drain, reload, start };
 }
 
 type Base = ReturnType<typeof createBase>;
@@ -173,7 +189,7 @@
     signal,
   };
   return {
-    settings,
+    settings: { ...settings },
     adapter,
     self,
     member,
@@ -191,6 +207,7 @@
     onConfigured,
     onEndpoints,
     agents: new EndpointAgents(() => members.count),
+    budget: new RepeatBudget(settings.repeats, () => members.count),
     now,
     random,
   };
@@ -236,14 +253,14 @@
   base: Base,
   { jobs, pool }: Batching,
 ): ForwardParts {
-  const { settings, members, lifecycle } = base;
+  const { lifecycle } = base;
   return {
     dialect: base.adapter.dialect,
     configuration: base.configuration,
     endpoints: base.endpoints,
     agents: base.agents,
     load: new ObservedLoad(),
-    budget: new RepeatBudget(settings.repeats, () => members.count),
+    budget: base.budget,
     stages: {
       run: (job, signal) => jobs.run(job, signal),
       free: (freed) => jobs.free(freed),
@@ -251,6 +268,7 @@
       now: base.now,
     },
     metrics: base.metrics,
+    accepts: () => lifecycle.state !== HostLifecycleState.Draining,
     leaving: () => lifecycle.going,
     log: base.log,
     now: base.now,
@@ -277,7 +295,7 @@
   );
   const readiness = createReadinessServer(
     adapter.dialect.readinessPath,
-    () => lifecycle.state === HostLifecycleState.Ready,
+    () => lifecycle.state === HostLifecycleState.Ready && !base.endpoints.empty,
   );
   const servers: [Server, Address][] = [
     [peerServer, settings.listen.peers],
--- a/src/routing/repeat_budget.ts
+++ b/src/routing/repeat_budget.ts
@@ -32,6 +32,11 @@
     this.#hosts = hosts;
   }
 
+  /** Changes the bound; what was counted stays. */
+  setBound(bound: RepeatBound): void {
+    this.#bound = bound;
+  }
+
   /** A fresh request for a pool. */
   fresh(pool: string, now_ms: number): void {
     this.#counts(pool, now_ms).fresh_ms.push(now_ms);
--- a/test/batching/endpoint_calls.test.ts
+++ b/test/batching/endpoint_calls.test.ts
@@ -53,7 +53,10 @@
   const calls = endpointCalls();
   const rests_ms = [1, 2, 3, 4, 5, 6].map(() => {
     calls.begin({ bytes: 0, pieces: 1, now_ms: 0 }, limits);
-    return calls.fail(0, 0);
+    return calls.fail({ bytes: 0, pieces: 1, elapsed_ms: 0 }, {
+      limits,
+      now_ms: 0,
+    });
   });
   assert.deepEqual(rests_ms, [300, 600, 1_200, 2_400, 4_000, 4_000]);
   assert.equal(calls.free(3_999, limits), false);
@@ -70,3 +73,14 @@
   assert.ok(calls.slowness > 4);
   assert.ok(calls.patienceMs(10, limits) > 2 * before_ms);
 });
+
+test("a call that was given up counts as slow, so that the next gets longer", () => {
+  const calls = endpointCalls();
+  const first_ms = calls.patienceMs(10, limits);
+  calls.begin({ bytes: 0, pieces: 10, now_ms: 0 }, limits);
+  calls.fail({ bytes: 0, pieces: 10, elapsed_ms: first_ms }, {
+    limits,
+    now_ms: first_ms,
+  });
+  assert.ok(calls.patienceMs(10, limits) > 1.8 * first_ms);
+});
--- a/test/forwarding/gateway_faults.test.ts
+++ b/test/forwarding/gateway_faults.test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, test } from "node:test";
+import { checkGatewaySettings } from "../../src/settings/gateway_settings.ts";
 import { callJson, getJson } from "../../stand_ins/json_call.ts";
 import {
   defaultEngines,
@@ -121,7 +122,7 @@
   assert.equal(answer.status, 503);
   assert.ok(Number(answer.headers["retry-after"]) > 0);
   fleet.store.fault = StoreFault.None;
-  await until(() => says(0, "state=ready"));
+  await until(() => says(0, "state=ready") && says(0, "event=endpoints"));
   assert.equal(await ready(0), 200);
 });
 
@@ -175,3 +176,22 @@
   for (let n = 0; n < 4; n++) assert.equal(await status("/stamp/x"), 200);
   assert.equal(first.seen.length, 0);
 });
+
+test("settings that change are applied; bad ones change nothing", async () => {
+  await startFleet({ gateways: 1 });
+  const { gateway } = fleet.gateways[0] ?? {};
+  assert.ok(gateway !== undefined);
+  const text = (level: string) => `
+host: { name: gateway-1, availability_zone: az-1 }
+listen: { callers: "127.0.0.1:1", readiness: "127.0.0.1:2", peers: "127.0.0.1:3" }
+object_store: { address: "127.0.0.1:4" }
+log: { level: ${level} }
+`;
+  gateway.reload(checkGatewaySettings("gateway.yaml", text("loud")));
+  assert.ok(says(0, "event=reload outcome=rejected"));
+  assert.equal(await status("/stamp/x"), 200);
+  gateway.reload(checkGatewaySettings("gateway.yaml", text("error")));
+  const before = fleet.gateways[0]?.lines.length;
+  assert.equal(await status("/stamp/x"), 200);
+  assert.equal(fleet.gateways[0]?.lines.length, before);
+});
