--- a/src/beliefs/follow_beliefs.ts
+++ b/src/beliefs/follow_beliefs.ts
@@ -10,7 +10,7 @@
 import { pause } from "../utils/loop.ts";
 import type { ConfigurationBelief } from "./configuration_belief.ts";
 import type { EndpointBelief } from "./endpoint_belief.ts";
-import { followFeed, type FollowOptions } from "./follow_feed.ts";
+import { FeedProgress, followFeed, type FollowOptions } from "./follow_feed.ts";
 import type { FeedItem } from "./object_feed.ts";
 import { readSharedConfiguration } from "./shared_beliefs.ts";
 
@@ -27,13 +27,16 @@
   onEndpoints: (() => void)[];
   /** How long one watch waits, in milliseconds. */
   watch_ms: number;
+  progress: { configuration: FeedProgress; endpoints: FeedProgress };
   log: Logger;
   now: () => number;
   random: () => number;
   signal: AbortSignal;
 }
 
-/** How often a peer is asked while the store does not answer. */
+/** How often a peer is asked how far it has read. */
+const COMPARE_MS = 1_000;
+/** How often a peer is asked what it believes while the store is silent. */
 const PEER_POLL_MS = 400;
 /** Gateway hosts change seldom, and a stale list costs little. */
 const MEMBER_WATCH_MS = 20_000;
@@ -46,6 +49,7 @@
     followEndpoints(sources),
     followMembers(sources),
     askPeers(sources, state),
+    compareWithPeers(sources),
   ]);
 }
 
@@ -71,7 +75,10 @@
     onChanges: take,
     onLost: () => state.configurationLost = true,
     onBack: () => state.configurationLost = false,
-  }, optionsFor("configuration", sources));
+  }, {
+    ...optionsFor("configuration", sources),
+    progress: sources.progress.configuration,
+  });
 }
 
 function followEndpoints(sources: Sources): Promise<void> {
@@ -99,7 +106,10 @@
     },
     onLost: () => endpoints.sourceLost(),
     onBack: () => endpoints.sourceBack(now()),
-  }, optionsFor("endpoints", sources));
+  }, {
+    ...optionsFor("endpoints", sources),
+    progress: sources.progress.endpoints,
+  });
 }
 
 function followMembers(sources: Sources): Promise<void> {
@@ -119,7 +129,8 @@
 
 function optionsFor(name: string, sources: Sources): FollowOptions {
   const { watch_ms, log, random, signal } = sources;
-  return { name, wait_ms: watch_ms, log, random, signal };
+  const progress = new FeedProgress();
+  return { name, wait_ms: watch_ms, progress, log, random, signal };
 }
 
 /** Asks a peer at random while the store does not answer. */
@@ -133,11 +144,36 @@
   }
 }
 
-async function askOnePeer(sources: Sources): Promise<void> {
-  const { members, seeds, peers, configuration, endpoints } = sources;
+/** Finds out from a peer at random that a watch of this host is silent. */
+async function compareWithPeers(sources: Sources): Promise<void> {
+  const { progress, peers, log, random, signal } = sources;
+  while (!signal.aborted) {
+    await pause(COMPARE_MS * (0.5 + random()), signal);
+    const peer = anyPeer(sources);
+    if (peer === undefined || signal.aborted) continue;
+    try {
+      const theirs = await peers.progress(peer);
+      progress.configuration.compare(theirs.configuration);
+      progress.endpoints.compare(theirs.endpoints);
+    } catch (error) {
+      log.debug({
+        event: "peer_silent",
+        peer,
+        error: (error as Error).message,
+      });
+    }
+  }
+}
+
+function anyPeer({ members, seeds, random }: Sources): string | undefined {
   const others = members.others();
   const known = others.length > 0 ? others : seeds;
-  const peer = known[Math.floor(sources.random() * known.length)];
+  return known[Math.floor(random() * known.length)];
+}
+
+async function askOnePeer(sources: Sources): Promise<void> {
+  const { peers, configuration, endpoints } = sources;
+  const peer = anyPeer(sources);
   if (peer === undefined) return;
   try {
     const shared = await peers.beliefs(peer);
--- a/src/beliefs/follow_feed.ts
+++ b/src/beliefs/follow_feed.ts
@@ -18,12 +18,46 @@
   onBack?: () => void;
 }
 
+/**
+ * How far a feed was followed. Hosts compare these to find out that a watch
+ * stays silent although there are changes.
+ */
+export class FeedProgress {
+  /** Revision up to which this host has read. */
+  revision = 0;
+  /** Revision at which it last read a change. */
+  changed = 0;
+  #watching = new AbortController();
+
+  /** Gives the present watch up, if somebody has read a later change. */
+  compare(changed: number): boolean {
+    if (changed <= this.revision) return false;
+    this.#watching.abort(OVERTAKEN);
+    return true;
+  }
+
+  /** A signal that ends the next watch early. */
+  next(signal: AbortSignal): AbortSignal {
+    this.#watching = new AbortController();
+    return AbortSignal.any([signal, this.#watching.signal]);
+  }
+
+  /** Takes note of what was read. */
+  read(revision: number, changes: boolean): void {
+    this.revision = Math.max(this.revision, revision);
+    if (changes) this.changed = Math.max(this.changed, revision);
+  }
+}
+
+const OVERTAKEN = "overtaken";
+
 /** What following needs. */
 export interface FollowOptions {
   /** For the log. */
   name: string;
   /** How long one watch waits, in milliseconds. */
   wait_ms: number;
+  progress: FeedProgress;
   log: Logger;
   random: () => number;
   signal: AbortSignal;
@@ -37,15 +71,20 @@
   follower: FeedFollower<T>,
   options: FollowOptions,
 ): Promise<void> {
-  const { name, wait_ms, log, signal } = options;
+  const { name, wait_ms, progress, log, signal } = options;
   const backoff = new Backoff(RETRY, options.random);
   let revision: number | undefined;
   let lost = false;
   while (!signal.aborted) {
+    const reading = progress.next(signal);
     const read = revision === undefined
-      ? await feed.list(signal)
-      : await feed.watch(revision, wait_ms, signal);
+      ? await feed.list(reading)
+      : await feed.watch(revision, wait_ms, reading);
     if (signal.aborted) return;
+    if (reading.aborted) {
+      log.info({ event: "watch_overtaken", source: name, revision });
+      continue;
+    }
     if (read.kind === FeedReadKind.Unavailable) {
       if (!lost) {
         lost = true;
@@ -64,10 +103,12 @@
     switch (read.kind) {
       case FeedReadKind.Listed:
         revision = read.revision;
+        progress.read(revision, true);
         follower.onList(read.items);
         break;
       case FeedReadKind.Changed:
         revision = read.revision;
+        progress.read(revision, read.changes.length > 0);
         if (read.changes.length > 0) follower.onChanges(read.changes);
         break;
       case FeedReadKind.HistoryLost:
--- a/src/beliefs/shared_beliefs.ts
+++ b/src/beliefs/shared_beliefs.ts
@@ -14,6 +14,12 @@
   endpoints_fresh: boolean;
 }
 
+/** Revisions at which a host last read a change of each feed. */
+export interface SharedProgress {
+  configuration: number;
+  endpoints: number;
+}
+
 /** A configuration in a form that JSON can carry. */
 export interface SharedConfiguration extends Omit<RouteConfiguration, "pools"> {
   pools: RouteConfiguration["pools"] extends Map<infer Name, infer Pool>
--- a/src/cli/command_line.ts
+++ b/src/cli/command_line.ts
@@ -6,7 +6,10 @@
 import { checkRecordsCommand } from "./commands/check_records.ts";
 import { drainCommand } from "./commands/drain.ts";
 import { entryCommand } from "./commands/entry.ts";
-import { createGatewayCommand } from "./commands/gateway.ts";
+import {
+  checkGatewayCommand,
+  createGatewayCommand,
+} from "./commands/gateway.ts";
 import { deleteCommand, getCommand, putCommand } from "./commands/records.ts";
 import { reportCommand } from "./commands/report.ts";
 import { statusCommand } from "./commands/status.ts";
@@ -16,6 +19,7 @@
 const COMMANDS: CommandDefinition[] = [
   entryCommand,
   checkCommand,
+  checkGatewayCommand,
   checkRecordsCommand,
   getCommand,
   putCommand,
--- a/src/cli/commands/gateway.ts
+++ b/src/cli/commands/gateway.ts
@@ -1,4 +1,4 @@
-/** `gateway`: runs a gateway host. */
+/** `gateway` runs a gateway host; `check-gateway` checks its settings. */
 import type { GatewayAdapter } from "../../forwarding/adapter.ts";
 import { formatFindings } from "../../findings/finding.ts";
 import { createGateway, type Gateway } from "../../gateway_wiring.ts";
@@ -12,6 +12,24 @@
 } from "../define_command.ts";
 import { ExitCode } from "../exit_code.ts";
 
+/** Checks a gateway host's settings and prints every finding. */
+export const checkGatewayCommand = defineCommand({
+  usage: "check-gateway",
+  description: "Check the settings of a gateway host",
+  options: [settingsOption],
+  example: "check-gateway --settings gateway-1.yaml",
+  run(call) {
+    const file = requiredOption(call, "settings");
+    const checked = loadGatewaySettings(file);
+    if (!checked.ok) {
+      call.printError(formatFindings(checked.findings));
+      return ExitCode.Findings;
+    }
+    call.print(`${file} is fine`);
+    return ExitCode.Fine;
+  },
+});
+
 /** The command, for a deployment's adapter. */
 export function createGatewayCommand(
   adapter: GatewayAdapter,
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -7,6 +7,7 @@
 import { createPieceCaller } from "./batching/piece_caller.ts";
 import { ConfigurationBelief } from "./beliefs/configuration_belief.ts";
 import { EndpointBelief } from "./beliefs/endpoint_belief.ts";
+import { FeedProgress } from "./beliefs/follow_feed.ts";
 import { followBeliefs, type Sources } from "./beliefs/follow_beliefs.ts";
 import { shareBeliefs } from "./beliefs/shared_beliefs.ts";
 import { type Checked, formatFindings } from "./findings/finding.ts";
@@ -181,6 +182,10 @@
     onConfigured,
     onEndpoints,
     watch_ms: settings.object_store.watch_ms,
+    progress: {
+      configuration: new FeedProgress(),
+      endpoints: new FeedProgress(),
+    },
     log,
     now,
     random,
@@ -286,6 +291,10 @@
       for (const freed of all) gatherer.free(freed);
     },
     beliefs: () => shareBeliefs(sources),
+    progress: () => ({
+      configuration: sources.progress.configuration.changed,
+      endpoints: sources.progress.endpoints.changed,
+    }),
     log: base.log,
   });
   const readiness = createReadinessServer(
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -2,7 +2,10 @@
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
 import type { GathererPeers } from "../batching/job_router.ts";
 import type { FreedResults, JobOutcome, StageJob } from "../batching/types.ts";
-import type { SharedBeliefs } from "../beliefs/shared_beliefs.ts";
+import type {
+  SharedBeliefs,
+  SharedProgress,
+} from "../beliefs/shared_beliefs.ts";
 import { formatAddress, parseAddress } from "../settings/settings.ts";
 import { HttpClient } from "../utils/http_client.ts";
 import { createHttpFetch } from "../utils/http_fetch.ts";
@@ -47,6 +50,11 @@
     await this.#to(address).trpc.ping.query();
   }
 
+  /** How far another host has read. */
+  async progress(address: string): Promise<SharedProgress> {
+    return await this.#to(address).trpc.progress.query();
+  }
+
   /** What another host believes. */
   async beliefs(address: string): Promise<SharedBeliefs> {
     return await this.#to(address).trpc.beliefs.query() as SharedBeliefs;
--- a/src/peers/gateway_router.ts
+++ b/src/peers/gateway_router.ts
@@ -1,12 +1,16 @@
 /** The procedures that gateway hosts call on one another, but for jobs. */
 import { initTRPC, TRPCError } from "@trpc/server";
-import type { SharedBeliefs } from "../beliefs/shared_beliefs.ts";
+import type {
+  SharedBeliefs,
+  SharedProgress,
+} from "../beliefs/shared_beliefs.ts";
 
 /** What a host does when it is called. */
 export interface GatewayHandlers {
   /** Whether the host gathers pieces; a leaving one does not. */
   gathers: () => boolean;
   beliefs: () => SharedBeliefs;
+  progress: () => SharedProgress;
 }
 
 const trpc = initTRPC.create();
@@ -18,6 +22,7 @@
       if (handlers.gathers()) return;
       throw new TRPCError({ code: "PRECONDITION_FAILED", message: "leaving" });
     }),
+    progress: trpc.procedure.query(() => handlers.progress()),
     beliefs: trpc.procedure.query(() => handlers.beliefs()),
   });
 }
--- a/stand_ins/users_platform/object_store.ts
+++ b/stand_ins/users_platform/object_store.ts
@@ -87,6 +87,12 @@
     this.#events = [];
   }
 
+  /** Lets the oldest watches that wait now go silent for good. */
+  muteWaiting(count: number): void {
+    const waiting = [...this.#waiting].slice(0, count);
+    for (const wake of waiting) this.#waiting.delete(wake);
+  }
+
   /** Names of a kind's objects. */
   names(kind: string): string[] {
     return [...this.#of(kind).keys()];
--- a/test/forwarding/gateway_faults.test.ts
+++ b/test/forwarding/gateway_faults.test.ts
@@ -195,3 +195,14 @@
   assert.equal(await status("/stamp/x"), 200);
   assert.equal(fleet.gateways[0]?.lines.length, before);
 });
+
+test("a host whose watch went silent learns of changes from a peer", async () => {
+  await startFleet({ gateways: 2, watch_ms: 15_000 });
+  await until(() => says(0, "event=members count=2"));
+  fleet.store.muteWaiting(2);
+  fleet.configure({ tenants: [{ name: "docks", api_keys: [FleetKey.Docks] }] });
+  await until(() =>
+    [0, 1].every((n) => says(n, "event=configuration version=2"))
+  );
+  assert.ok([0, 1].some((n) => says(n, "event=watch_overtaken")));
+});
