Bound the log's lines and say what was left out; log why a job is refused

Cause: a flood wrote a line for each decision without bound, and a refused job left no trace of the load that decided it. Tests first; figures of bytes and time a request are still to be measured.

--- a/src/batching/batch_gatherer.ts
+++ b/src/batching/batch_gatherer.ts
@@ -183,6 +183,15 @@
     const load = { endpoints: taking.length, slowness, piecesAhead };
     const expected_ms = expectedJobMs(job.pieces.length, load, limits);
     if (expected_ms <= job.expires_in_ms) return undefined;
+    this.#options.log.info({
+      event: "job_refused",
+      attempt: job.attempt_id,
+      pool: job.pool,
+      pieces: job.pieces.length,
+      ...load,
+      expected_ms: Math.round(expected_ms),
+      expires_in_ms: Math.round(job.expires_in_ms),
+    });
     const excess_ms = expected_ms - job.expires_in_ms;
     return {
       kind: JobEnd.Refused,
--- a/src/defaults.ts
+++ b/src/defaults.ts
@@ -51,4 +51,5 @@
   watch_ms: 15_000,
   repeats: { ratio: 0.1, slack: 10, window_s: 10 },
   drain_timeout_s: 30,
+  log_lines_per_s: 500,
 } as const;
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -24,7 +24,12 @@
   HostLifecycleEvent,
   HostLifecycleState,
 } from "./lifecycle/host_lifecycle.ts";
-import { createLogger, type Logger, type WriteLine } from "./logging/logger.ts";
+import {
+  createLogger,
+  LineLimit,
+  type Logger,
+  type WriteLine,
+} from "./logging/logger.ts";
 import { GatewayMembers } from "./membership/gateway_members.ts";
 import { announceSelf } from "./membership/announce_self.ts";
 import { ForwardMetrics } from "./metrics/forward_metrics.ts";
@@ -153,6 +158,7 @@
     level: settings.log.level,
     host: host.name,
     writeLine,
+    limit: new LineLimit(settings.log.lines_per_s, now),
   });
   const lifecycle = new HostLifecycle((state) =>
     log.info({ event: "lifecycle", state })
--- a/src/logging/logger.ts
+++ b/src/logging/logger.ts
@@ -1,5 +1,6 @@
 /** The process's log: pino, written as key=value lines. */
 import { type Logger, pino } from "pino";
+import { TokenBucket } from "../utils/token_bucket.ts";
 import { keyValueLine, type LogEvent } from "./key_value_line.ts";
 
 export type { Logger } from "pino";
@@ -12,24 +13,69 @@
  * level; its hook writes the line, since its own lines are JSON.
  */
 export function createLogger(
-  options: { level: string; host: string; writeLine: WriteLine },
+  options: {
+    level: string;
+    host: string;
+    writeLine: WriteLine;
+    /** Bounds the lines below a warning; without it nothing is dropped. */
+    limit?: LineLimit;
+  },
 ): Logger {
   const time = createTimestamp();
+  const { limit } = options;
+  const write = (level: number, event: LogEvent) =>
+    options.writeLine(keyValueLine({
+      time: time(),
+      level: pino.levels.labels[level],
+      host: options.host,
+      ...event,
+    }));
   return pino({
     level: options.level,
     hooks: {
       logMethod([event], _method, level) {
-        options.writeLine(keyValueLine({
-          time: time(),
-          level: pino.levels.labels[level],
-          host: options.host,
-          ...event as unknown as LogEvent,
-        }));
+        const kept = level >= WARNING || limit === undefined || limit.take();
+        if (!kept) return;
+        const dropped = limit?.takeDropped() ?? 0;
+        if (dropped > 0) write(WARNING, { event: "log_dropped", dropped });
+        write(level, event as unknown as LogEvent);
       },
     },
   });
 }
 
+const WARNING = pino.levels.values.warn ?? 0;
+
+/** Bounds the lines of a second and counts those that were left out. */
+export class LineLimit {
+  #bucket: TokenBucket;
+  #now: () => number;
+  #dropped = 0;
+
+  constructor(lines_per_second: number, now: () => number) {
+    const limits = {
+      tokens_per_second: lines_per_second,
+      burst_tokens: lines_per_second,
+    };
+    this.#bucket = new TokenBucket(limits, now());
+    this.#now = now;
+  }
+
+  /** Whether one more line may be written. */
+  take(): boolean {
+    if (this.#bucket.take(this.#now())) return true;
+    this.#dropped += 1;
+    return false;
+  }
+
+  /** The number of lines that were left out since the last call. */
+  takeDropped(): number {
+    const dropped = this.#dropped;
+    this.#dropped = 0;
+    return dropped;
+  }
+}
+
 /** ISO time, made once for all events of a millisecond. */
 function createTimestamp(): () => string {
   let made_ms = 0;
--- a/src/settings/gateway_settings.ts
+++ b/src/settings/gateway_settings.ts
@@ -34,6 +34,7 @@
   }).optional(),
   log: z.strictObject({
     level: z.enum(["debug", "info", "warn", "error"]).optional(),
+    lines_per_s: z.number().positive().optional(),
   }).optional(),
 });
 
@@ -55,7 +56,8 @@
   /** Bound on repeats over all hosts. */
   repeats: { ratio: number; slack: number; window_ms: number };
   drain: { timeout_ms: number };
-  log: { level: string };
+  /** Lines below a warning are bounded. */
+  log: { level: string; lines_per_s: number };
 }
 
 const MS_PER_S = 1_000;
@@ -88,7 +90,8 @@
   user: UserGatewaySettings,
 ): GatewaySettings {
   const { callers, readiness, peers, metrics } = user.listen;
-  const { cores, watch_ms, repeats, drain_timeout_s } = DEFAULT_GATEWAY;
+  const { cores, watch_ms, repeats, drain_timeout_s, log_lines_per_s } =
+    DEFAULT_GATEWAY;
   const window_s = user.repeats?.window_s ?? repeats.window_s;
   const timeout_s = user.drain?.timeout_s ?? drain_timeout_s;
   return {
@@ -110,6 +113,9 @@
       window_ms: window_s * MS_PER_S,
     },
     drain: { timeout_ms: timeout_s * MS_PER_S },
-    log: { level: user.log?.level ?? DEFAULT_LOG_LEVEL },
+    log: {
+      level: user.log?.level ?? DEFAULT_LOG_LEVEL,
+      lines_per_s: user.log?.lines_per_s ?? log_lines_per_s,
+    },
   };
 }
--- a/test/logging/logging.test.ts
+++ b/test/logging/logging.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { keyValueLine } from "../../src/logging/key_value_line.ts";
-import { createLogger } from "../../src/logging/logger.ts";
+import { createLogger, LineLimit } from "../../src/logging/logger.ts";
 
 test("an event is one line, whatever its values hold", (t) => {
   const line = keyValueLine({
@@ -32,3 +32,22 @@
   assert.equal(lines.length, 1);
   assert.match(lines[0] ?? "", /level=warn host=entry-1 event=loud$/);
 });
+
+test("a flood of lines is bounded; what was left out is counted", () => {
+  const lines: string[] = [];
+  let now_ms = 0;
+  const log = createLogger({
+    level: "info",
+    host: "gateway-1",
+    writeLine: (line) => void lines.push(line),
+    limit: new LineLimit(5, () => now_ms),
+  });
+  for (let n = 0; n < 100; n++) log.info({ event: "request", n });
+  log.error({ event: "fault" });
+  assert.equal(lines.length, 7);
+  assert.match(lines[5] ?? "", /event=log_dropped dropped=95/);
+  assert.match(lines[6] ?? "", /event=fault/);
+  now_ms = 1_000;
+  log.info({ event: "request" });
+  assert.equal(lines.length, 8);
+});
