--- a/src/batching/batch_gatherer.ts
+++ b/src/batching/batch_gatherer.ts
@@ -174,13 +174,13 @@
     const taking = this.#refresh(job.pool, work)
       .filter((calls) => calls.takesCalls(now_ms));
     const due_ms = now_ms + job.due_in_ms;
-    let piecesAhead = 0;
+    let pieces_ahead = 0;
     for (const other of work.jobs) {
-      if (other.due_ms <= due_ms) piecesAhead += other.waiting.length;
+      if (other.due_ms <= due_ms) pieces_ahead += other.waiting.length;
     }
     const slowness = taking.reduce((sum, each) => sum + each.slowness, 0) /
       Math.max(1, taking.length);
-    const load = { endpoints: taking.length, slowness, piecesAhead };
+    const load = { endpoints: taking.length, slowness, pieces_ahead };
     const expected_ms = expectedJobMs(job.pieces.length, load, limits);
     if (expected_ms <= job.expires_in_ms) return undefined;
     this.#options.log.info({
@@ -482,7 +482,7 @@
   if (sound.length === 0) return true;
   let pieces = 0;
   for (const { waiting } of jobs) pieces += waiting.length;
-  const load = { endpoints: sound.length, slowness: 1, piecesAhead: pieces };
+  const load = { endpoints: sound.length, slowness: 1, pieces_ahead: pieces };
   return expectedJobMs(0, load, limits) > fullCallMs(limits) * calls.slowness;
 }
 
--- a/src/batching/expected_wait.ts
+++ b/src/batching/expected_wait.ts
@@ -13,7 +13,7 @@
   /** Mean learned slowness of these. */
   slowness: number;
   /** Pieces that wait and go before the new job's. */
-  piecesAhead: number;
+  pieces_ahead: number;
 }
 
 /** Time until a job's last piece is made, in milliseconds. */
@@ -26,10 +26,10 @@
   const full_ms = fullCallMs(limits) * load.slowness;
   const calls = limits.concurrent_calls * load.endpoints;
   const perCall = limits.pieces_per_call * calls;
-  const wait_ms = (load.piecesAhead + pieces) / perCall * full_ms;
+  const wait_ms = (load.pieces_ahead + pieces) / perCall * full_ms;
   const shared = Math.min(
     limits.pieces_per_call,
-    pieces + load.piecesAhead / calls,
+    pieces + load.pieces_ahead / calls,
   );
   const own_ms = (limits.call_ms + shared * limits.piece_ms) * load.slowness;
   return wait_ms + own_ms;
--- a/test/batching/plan_call.test.ts
+++ b/test/batching/plan_call.test.ts
@@ -134,10 +134,10 @@
 });
 
 test("the expected time grows with what goes before, and is endless alone", () => {
-  const load = { endpoints: 2, slowness: 1, piecesAhead: 0 };
+  const load = { endpoints: 2, slowness: 1, pieces_ahead: 0 };
   const idle_ms = expectedJobMs(2, load, limits);
   assert.ok(idle_ms >= limits.call_ms && idle_ms < 2 * fullCallMs(limits));
-  const busy_ms = expectedJobMs(2, { ...load, piecesAhead: 200 }, limits);
+  const busy_ms = expectedJobMs(2, { ...load, pieces_ahead: 200 }, limits);
   assert.ok(busy_ms > 10 * fullCallMs(limits));
   assert.equal(expectedJobMs(2, { ...load, endpoints: 0 }, limits), Infinity);
 });
--- a/test/cli/examples.test.ts
+++ b/test/cli/examples.test.ts
@@ -21,6 +21,11 @@
 test("the example settings and records are fine", () => {
   const settings = run("check", "--settings", "docs/examples/entry-1.yaml");
   assert.equal(settings, "The settings of host entry-1 are fine");
+  const gateway = "docs/examples/gateway-1.yaml";
+  assert.equal(
+    run("check-gateway", "--settings", gateway),
+    `${gateway} is fine`,
+  );
   const records = ["records-v1.yaml", "records-v2.yaml"]
     .map((file) => `docs/examples/${file}`);
   assert.equal(run("check-records", ...records), "10 records are fine");
