Let a leaving gatherer end what it began; hand back the rest

A new gatherer knows nothing of the memory that older results take: what turns out to be taken now counts for a while. Ruled out: engines (133 calls found one full); the slow store. Tests first: test/batching/batch_gatherer.test.ts.

--- a/src/batching/batch_gatherer.ts
+++ b/src/batching/batch_gatherer.ts
@@ -95,13 +95,20 @@
 export class BatchGatherer {
   #pools = new Map<string, PoolWork>();
   #options: GathererOptions;
+  #leaving = false;
 
   constructor(options: GathererOptions) {
     this.#options = options;
   }
 
-  /** Makes all pieces of a job; dropped when the signal fires. */
+  /** Makes all pieces of another host's job; a leaving host hands it back. */
   run(job: StageJob, signal: AbortSignal): Promise<JobOutcome> {
+    if (this.#leaving) return Promise.resolve({ kind: JobEnd.HandedBack });
+    return this.runOwn(job, signal);
+  }
+
+  /** Makes all pieces of a job; dropped when the signal fires. */
+  runOwn(job: StageJob, signal: AbortSignal): Promise<JobOutcome> {
     const limits = this.#options.pool(job.pool)?.batch;
     if (limits === undefined) {
       return Promise.resolve({ kind: JobEnd.Failed, reason: "unknown_pool" });
@@ -141,6 +148,17 @@
     this.#options.caller.free(calls.endpoint.address, handles);
   }
 
+  /** Hands back the jobs that are not begun, and takes no more. */
+  leave(): void {
+    this.#leaving = true;
+    for (const work of this.#pools.values()) {
+      for (const queued of work.jobs) {
+        if (queued.waiting.length < queued.job.pieces.length) continue;
+        this.#end(queued, work, { kind: JobEnd.HandedBack });
+      }
+    }
+  }
+
   /** Jobs that wait or are being made. */
   get running(): number {
     let jobs = 0;
@@ -428,7 +446,7 @@
       case PieceFault.InputsGone:
         return this.#end(queued, work, { kind: JobEnd.InputsGone });
       case PieceFault.NoRoom:
-        calls.rest(this.#options.now() + FULL_RETRY_MS);
+        calls.foundFull(queued.result_bytes, this.#options.now());
         queued.waiting.unshift(piece);
         return;
       case PieceFault.Error:
--- a/src/batching/endpoint_calls.ts
+++ b/src/batching/endpoint_calls.ts
@@ -9,6 +9,8 @@
 /** First and longest rest of an endpoint that failed, in milliseconds. */
 const FIRST_REST_MS = 300;
 const LONGEST_REST_MS = 4_000;
+/** How long results of which nothing is known are taken to stay. */
+const UNKNOWN_RESULT_MS = 600;
 /** Share of the memory for results that is kept free for the next call. */
 const ROOM_KEPT_SHARE = 0.5;
 /** A call that takes this many times what was learned counts as lost. */
@@ -40,6 +42,8 @@
   #expectedEnd_ms = 0;
   #heldBytes = 0;
   #held = new Map<string, HeldResult>();
+  /** Results that this host knows nothing of but the room they take. */
+  #unknown = 0;
 
   constructor(endpoint: RouteEndpoint) {
     this.endpoint = endpoint;
@@ -66,8 +70,7 @@
   /** Memory that further results may take, in bytes. */
   roomBytes(now_ms: number, limits: BatchLimits): number {
     for (const [handle, { until_ms }] of this.#held) {
-      if (until_ms > now_ms) break;
-      this.release(handle);
+      if (until_ms <= now_ms) this.release(handle);
     }
     return limits.room_bytes - this.#heldBytes;
   }
@@ -117,12 +120,14 @@
   /** The endpoint turned a call away, since calls of others are there. */
   turnedAway(bytes: number, until_ms: number): void {
     this.#end(bytes);
-    this.rest(until_ms);
+    this.#restsUntil_ms = Math.max(this.#restsUntil_ms, until_ms);
   }
 
-  /** No call goes there until then. */
-  rest(until_ms: number): void {
-    this.#restsUntil_ms = Math.max(this.#restsUntil_ms, until_ms);
+  /** Memory that was counted as free is taken by results of another host. */
+  foundFull(bytes: number, now_ms: number): void {
+    this.#unknown += 1;
+    const until_ms = now_ms + UNKNOWN_RESULT_MS;
+    this.hold(`unknown ${this.#unknown}`, { bytes, until_ms });
   }
 
   /** A result stays there until it is released or expires. */
--- a/src/batching/job_router.ts
+++ b/src/batching/job_router.ts
@@ -9,6 +9,7 @@
 import { pause } from "../utils/loop.ts";
 import type { BatchGatherer } from "./batch_gatherer.ts";
 import {
+  type FinalOutcome,
   type FreedResults,
   JobEnd,
   type JobOutcome,
@@ -23,8 +24,8 @@
     signal: AbortSignal,
   ): Promise<JobOutcome>;
   free(address: string, freed: FreedResults[]): Promise<void>;
-  /** Resolves if the host gathers; rejects if it is silent or leaving. */
-  ping(address: string): Promise<void>;
+  /** Whether the host gathers; rejects if it is silent. */
+  ping(address: string): Promise<boolean>;
 }
 
 /** What the router needs. */
@@ -63,7 +64,7 @@
   }
 
   /** Has a job made somewhere. */
-  async run(job: StageJob, signal: AbortSignal): Promise<JobOutcome> {
+  async run(job: StageJob, signal: AbortSignal): Promise<FinalOutcome> {
     const { now, self, local, log } = this.#options;
     const expires_ms = now() + job.expires_in_ms;
     const due_ms = now() + job.due_in_ms;
@@ -76,8 +77,13 @@
         expires_in_ms: expires_ms - now_ms,
       };
       if (current.expires_in_ms <= 0) break;
-      if (owner === self) return await local.run(current, signal);
-      const outcome = await this.#runAt(owner, current, signal);
+      const outcome = owner === self
+        ? await local.runOwn(current, signal)
+        : await this.#runAt(owner, current, signal);
+      if (outcome?.kind === JobEnd.HandedBack) {
+        this.#passOver(owner);
+        continue;
+      }
       if (outcome !== undefined) return outcome;
       log.warn({
         event: "gatherer_lost",
@@ -119,7 +125,6 @@
     const { gatherers, self, now } = this.#options;
     const now_ms = now();
     const trusted = gatherers().filter((address) =>
-      address === self ||
       (this.#owners.get(address)?.suspectUntil_ms ?? 0) <= now_ms
     );
     return rankCandidates(pool, trusted)[0] ?? self;
@@ -164,7 +169,7 @@
       await pause(PING_EVERY_MS, signal);
       if (owner.pending.size === 0) return;
       try {
-        await peers.ping(address);
+        if (!await peers.ping(address)) this.#passOver(address);
       } catch (error) {
         this.#suspect(address, owner, (error as Error).message);
         return;
@@ -172,13 +177,19 @@
     }
   }
 
+  /** Sends no further jobs to a host for a while; what it has, it ends. */
+  #passOver(address: string): void {
+    const { now } = this.#options;
+    this.#ownerAt(address).suspectUntil_ms = now() + SUSPECT_MS;
+  }
+
   #suspect(address: string, owner: Owner, reason: string): void {
     const { now, log } = this.#options;
     const now_ms = now();
     if (owner.suspectUntil_ms <= now_ms) {
       log.warn({ event: "peer_suspected", peer: address, reason });
     }
-    owner.suspectUntil_ms = now_ms + SUSPECT_MS;
+    this.#passOver(address);
     for (const lost of [...owner.pending]) lost.abort();
   }
 }
--- a/src/batching/stage_graph.ts
+++ b/src/batching/stage_graph.ts
@@ -5,9 +5,9 @@
  */
 import type { PieceStage, Route } from "../routes/types.ts";
 import {
+  type FinalOutcome,
   type FreedResults,
   JobEnd,
-  type JobOutcome,
   type Piece,
   type StageJob,
   type StageResult,
@@ -33,7 +33,7 @@
 /** How the stages ended. */
 export type GraphOutcome =
   | { kind: JobEnd.Made; results: StageResult[]; giveUp: () => void }
-  | Exclude<JobOutcome, { kind: JobEnd.Made }>;
+  | Exclude<FinalOutcome, { kind: JobEnd.Made }>;
 
 /** What a stage reads below this may come from another zone. */
 const ZONE_BYTES = 250_000;
@@ -46,7 +46,7 @@
 
 /** What running a graph needs. */
 export interface GraphParts {
-  run: (job: StageJob, signal: AbortSignal) => Promise<JobOutcome>;
+  run: (job: StageJob, signal: AbortSignal) => Promise<FinalOutcome>;
   free: (freed: FreedResults) => void;
   /** Time that a stage of a pool takes, in milliseconds. */
   stageMs: (pool: string) => StageTime;
@@ -78,8 +78,8 @@
   }
 
   async finish(): Promise<GraphOutcome> {
-    const running = new Map<number, Promise<JobOutcome | undefined>>();
-    const stageDone = (index: number): Promise<JobOutcome | undefined> => {
+    const running = new Map<number, Promise<FinalOutcome | undefined>>();
+    const stageDone = (index: number): Promise<FinalOutcome | undefined> => {
       const known = running.get(index);
       if (known !== undefined) return known;
       const started = this.#runStage(index, stageDone);
@@ -103,8 +103,8 @@
   /** Runs one stage after those it needs; undefined if it went well. */
   async #runStage(
     index: number,
-    stageDone: (index: number) => Promise<JobOutcome | undefined>,
-  ): Promise<JobOutcome | undefined> {
+    stageDone: (index: number) => Promise<FinalOutcome | undefined>,
+  ): Promise<FinalOutcome | undefined> {
     const stage = this.#stages[index] as PieceStage;
     const before = await Promise.all(stage.after.map(stageDone));
     const failed = before.find((end) => end !== undefined);
--- a/src/batching/types.ts
+++ b/src/batching/types.ts
@@ -62,14 +62,20 @@
   | { kind: JobEnd.Refused; retry_after_ms: number }
   /** A result that it needs is gone. */
   | { kind: JobEnd.InputsGone }
+  /** Its gatherer leaves and has not begun it: another one should make it. */
+  | { kind: JobEnd.HandedBack }
   /** Its time ran out, or endpoints failed it too often. */
   | { kind: JobEnd.Failed; reason: string };
 
+/** How a job ended for good, whoever made it. */
+export type FinalOutcome = Exclude<JobOutcome, { kind: JobEnd.HandedBack }>;
+
 /** The ways in which a job ends. */
 export enum JobEnd {
   Made = "made",
   Refused = "refused",
   InputsGone = "inputs_gone",
+  HandedBack = "handed_back",
   Failed = "failed",
 }
 
--- a/src/forwarding/forward_request.ts
+++ b/src/forwarding/forward_request.ts
@@ -234,7 +234,7 @@
 
   /** Says that the request has not run, since its stages could not be made. */
   #denyUnmade(
-    outcome: Exclude<GraphOutcome, { kind: JobEnd.Made | JobEnd.InputsGone }>,
+    outcome: Extract<GraphOutcome, { kind: JobEnd.Refused | JobEnd.Failed }>,
   ): void {
     if (outcome.kind === JobEnd.Refused) {
       this.#deny({
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -94,6 +94,7 @@
 
   function drain(): void {
     if (!base.lifecycle.handle(HostLifecycleEvent.Drain)) return;
+    batching.gatherer.leave();
     void drainGateway({
       lifecycle: base.lifecycle,
       front,
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -45,9 +45,9 @@
     await this.#post(address, freed, call);
   }
 
-  /** Rejects if the host is silent or leaving. */
-  async ping(address: string): Promise<void> {
-    await this.#to(address).trpc.ping.query();
+  /** Whether the host gathers; rejects if it is silent. */
+  async ping(address: string): Promise<boolean> {
+    return await this.#to(address).trpc.ping.query();
   }
 
   /** How far another host has read. */
--- a/src/peers/gateway_router.ts
+++ b/src/peers/gateway_router.ts
@@ -1,5 +1,5 @@
 /** The procedures that gateway hosts call on one another, but for jobs. */
-import { initTRPC, TRPCError } from "@trpc/server";
+import { initTRPC } from "@trpc/server";
 import type {
   SharedBeliefs,
   SharedProgress,
@@ -18,10 +18,7 @@
 /** Creates the router over a host's handlers. */
 export function createGatewayRouter(handlers: GatewayHandlers) {
   return trpc.router({
-    ping: trpc.procedure.query(() => {
-      if (handlers.gathers()) return;
-      throw new TRPCError({ code: "PRECONDITION_FAILED", message: "leaving" });
-    }),
+    ping: trpc.procedure.query(() => handlers.gathers()),
     progress: trpc.procedure.query(() => handlers.progress()),
     beliefs: trpc.procedure.query(() => handlers.beliefs()),
   });
--- a/src/peers/job_endpoint.ts
+++ b/src/peers/job_endpoint.ts
@@ -13,8 +13,6 @@
 
 /** What a host does with jobs of others. */
 export interface JobHandlers {
-  /** Whether the host gathers pieces; a leaving one does not. */
-  gathers: () => boolean;
   run: (job: StageJob, signal: AbortSignal) => Promise<JobOutcome>;
   free: (freed: FreedResults[]) => void;
   log: Logger;
@@ -22,7 +20,6 @@
 
 const HTTP_OK = 200;
 const HTTP_BAD_REQUEST = 400;
-const HTTP_UNAVAILABLE = 503;
 /** Largest message that is read; handles of many pieces fit many times. */
 const MESSAGE_LIMIT_BYTES = 4_194_304;
 
@@ -71,9 +68,6 @@
   }
   const job = jobSchema.safeParse(content);
   if (!job.success) return reject(request, response, handlers.log);
-  if (!handlers.gathers()) {
-    return answer(response, HTTP_UNAVAILABLE, { error: "leaving" });
-  }
   const left = new AbortController();
   response.once("close", () => {
     if (!response.writableFinished) left.abort(CALLER_LEFT);
--- /dev/null
+++ b/test/batching/batch_gatherer.test.ts
@@ -0,0 +1,225 @@
+/** The gatherer with a caller that the test answers by hand. */
+import assert from "node:assert/strict";
+import { afterEach, beforeEach, test } from "node:test";
+import {
+  BatchGatherer,
+  PieceCallEnd,
+  type PieceCallResult,
+} from "../../src/batching/batch_gatherer.ts";
+import {
+  JobEnd,
+  PieceFault,
+  type PieceOrder,
+  type StageJob,
+} from "../../src/batching/types.ts";
+import { createLogger } from "../../src/logging/logger.ts";
+import {
+  EndpointState,
+  type RouteEndpoint,
+  type RoutePool,
+} from "../../src/routes/types.ts";
+
+interface MadeCall {
+  endpoint: string;
+  orders: PieceOrder[];
+  answer: (result: PieceCallResult) => void;
+}
+
+let stopping: AbortController;
+let now_ms: number;
+let calls: MadeCall[];
+let freed: string[];
+let gatherer: BatchGatherer;
+
+const pool: RoutePool = {
+  name: "encode",
+  max_connections: 10,
+  model_engine: false,
+  batch: {
+    concurrent_calls: 1,
+    pieces_per_call: 4,
+    call_ms: 100,
+    piece_ms: 10,
+    room_bytes: 1_000,
+    retention_ms: 4_000,
+    link_bytes_per_ms: 1_000,
+  },
+};
+
+function endpoint(id: string): RouteEndpoint {
+  return {
+    id,
+    pool: pool.name,
+    address: `10.0.0.1:${id}`,
+    availability_zone: "a",
+    slots: 1,
+    state: EndpointState.Ready,
+    born_ms: 1,
+  };
+}
+
+let endpoints: RouteEndpoint[];
+
+afterEach(() => stopping.abort());
+
+beforeEach(() => {
+  stopping = new AbortController();
+  now_ms = 0;
+  calls = [];
+  freed = [];
+  endpoints = [endpoint("1")];
+  gatherer = new BatchGatherer({
+    pool: () => pool,
+    endpoints: () => endpoints,
+    caller: {
+      make: (at, orders) =>
+        new Promise((answer) =>
+          void calls.push({ endpoint: at.id, orders, answer })
+        ),
+      free: (_address, handles) => void freed.push(...handles),
+    },
+    release: () => {},
+    log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
+    now: () => now_ms,
+  });
+});
+
+function job(attempt_id: string, change: Partial<StageJob> = {}): StageJob {
+  return {
+    attempt_id,
+    pool: pool.name,
+    stage: 0,
+    pieces: [0, 1].map((index) => ({ index, key: "k", inputs: undefined })),
+    result_bytes: 10,
+    priority: 0,
+    due_in_ms: 1_000,
+    expires_in_ms: 5_000,
+    home_zone: undefined,
+    input_bytes: 0,
+    last_read: [],
+    ...change,
+  };
+}
+
+function run(attempt_id: string, signal = stopping.signal) {
+  return gatherer.run(job(attempt_id), signal);
+}
+
+function made({ orders }: MadeCall): PieceCallResult {
+  const answers = orders.map(({ attempt_id, index }) => ({
+    ok: true as const,
+    handle: `${attempt_id}/${index}`,
+  }));
+  return { kind: PieceCallEnd.Answered, answers };
+}
+
+async function answer(number: number, result?: PieceCallResult) {
+  const call = calls[number];
+  assert.ok(call !== undefined);
+  now_ms += 120;
+  call.answer(result ?? made(call));
+  await new Promise((resolve) => setImmediate(resolve));
+}
+
+test("jobs that wait together share the next call, each gets its own", async () => {
+  const first = run("a");
+  const second = run("b");
+  const third = run("c");
+  assert.equal(calls.length, 1);
+  await answer(0);
+  assert.deepEqual(
+    calls[1]?.orders.map(({ attempt_id, index }) => `${attempt_id}/${index}`),
+    ["b/0", "b/1", "c/0", "c/1"],
+  );
+  await answer(1);
+  for (const [name, outcome] of [["a", first], ["b", second], ["c", third]]) {
+    const end = await (outcome as typeof first);
+    assert.ok(end.kind === JobEnd.Made);
+    assert.deepEqual(
+      end.results.map(({ handle }) => handle),
+      [`${name}/0`, `${name}/1`],
+    );
+  }
+});
+
+test("pieces of a failed call are made elsewhere", async () => {
+  endpoints.push(endpoint("2"));
+  const outcome = run("a");
+  const failedAt = calls[0]?.endpoint;
+  await answer(0, { kind: PieceCallEnd.Failed, reason: "reset" });
+  assert.notEqual(calls[1]?.endpoint, failedAt);
+  await answer(1);
+  assert.equal((await outcome).kind, JobEnd.Made);
+});
+
+test("one failed piece does not cost the others", async () => {
+  const outcome = run("a");
+  await answer(0, {
+    kind: PieceCallEnd.Answered,
+    answers: [{ ok: true, handle: "a/0" }, {
+      ok: false,
+      fault: PieceFault.Error,
+    }],
+  });
+  assert.deepEqual(calls[1]?.orders.map(({ index }) => index), [1]);
+  await answer(1);
+  const end = await outcome;
+  assert.ok(end.kind === JobEnd.Made);
+  assert.deepEqual(end.results.map(({ handle }) => handle), ["a/0", "a/1"]);
+});
+
+test("results of a job whose caller left are given up", async () => {
+  const caller = new AbortController();
+  const outcome = run("a", caller.signal);
+  caller.abort();
+  assert.equal((await outcome).kind, JobEnd.Failed);
+  await answer(0);
+  assert.deepEqual(freed, ["a/0", "a/1"]);
+});
+
+test("inputs that are gone end the job, so that they are made again", async () => {
+  const outcome = run("a");
+  const gone = { ok: false as const, fault: PieceFault.InputsGone };
+  await answer(0, { kind: PieceCallEnd.Answered, answers: [gone, gone] });
+  assert.equal((await outcome).kind, JobEnd.InputsGone);
+});
+
+test("a leaving host ends what it began and hands the rest back", async () => {
+  const begun = run("a");
+  const waiting = run("b");
+  gatherer.leave();
+  assert.equal((await waiting).kind, JobEnd.HandedBack);
+  assert.equal((await run("c")).kind, JobEnd.HandedBack);
+  await answer(0);
+  assert.equal((await begun).kind, JobEnd.Made);
+  const own = gatherer.runOwn(job("d"), stopping.signal);
+  await answer(1);
+  assert.equal((await own).kind, JobEnd.Made);
+});
+
+test("a job with no chance is refused at once with a time to return", async () => {
+  for (let n = 0; n < 10; n++) void run(`${n}`);
+  const outcome = await gatherer.run(
+    job("late", { expires_in_ms: 300 }),
+    stopping.signal,
+  );
+  assert.ok(outcome.kind === JobEnd.Refused);
+  assert.ok(outcome.retry_after_ms > 0);
+});
+
+test("memory that turns out to be taken is not planned with again", async () => {
+  const large = { result_bytes: 300 };
+  const outcome = gatherer.run(job("a", large), stopping.signal);
+  const noRoom = { ok: false as const, fault: PieceFault.NoRoom };
+  await answer(0, {
+    kind: PieceCallEnd.Answered,
+    answers: [{ ok: true, handle: "a/0" }, noRoom],
+  });
+  assert.equal(calls.length, 2);
+  await answer(1, { kind: PieceCallEnd.Answered, answers: [noRoom] });
+  assert.equal(calls.length, 2);
+  now_ms += 1_000;
+  gatherer.endpointsChanged();
+  await answer(2);
+  assert.equal((await outcome).kind, JobEnd.Made);
+});
