--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -153,6 +153,7 @@
     address: self,
     availability_zone: host.availability_zone,
     cores: host.cores,
+    started_ms: Date.now(),
   };
   const stopping = new AbortController();
   const log = createLogger({
@@ -249,7 +250,7 @@
   });
   const jobs: JobRouter = new JobRouter({
     self: base.self,
-    gatherers: () => members.gatherers(),
+    gatherers: () => members.gatherers(base.lifecycle.going),
     local: gatherer,
     peers,
     log,
--- a/src/membership/gateway_members.ts
+++ b/src/membership/gateway_members.ts
@@ -11,6 +11,8 @@
   availability_zone: string;
   /** Processor cores, fractions included. */
   cores: number;
+  /** Unix millisecond of its start by its own clock; for ranking only. */
+  started_ms: number;
 }
 
 /** See the module's comment. */
@@ -50,14 +52,26 @@
       .filter((address) => address !== this.#self.address);
   }
 
-  /** Addresses of the larger half of the hosts: those that may gather. */
-  gatherers(): string[] {
+  /**
+   * Addresses of the hosts that may gather: the older half of the larger half,
+   * so that a host which has just started does not take over what others do. A
+   * leaving host leaves itself out while there are others.
+   */
+  gatherers(leaving: boolean): string[] {
     const all = [...this.#members.values()]
       .filter((member) => member.address !== this.#self.address);
-    all.push(this.#self);
-    const cores = all.map((member) => member.cores).sort((a, b) => b - a);
-    const least = cores[Math.floor((cores.length - 1) / 2)] ?? 0;
-    return all.filter((member) => member.cores >= least)
+    if (!leaving || all.length === 0) all.push(this.#self);
+    const larger = all.filter((member) =>
+      member.cores >= middle(all.map(({ cores }) => -cores)) * -1
+    );
+    const limit_ms = middle(larger.map(({ started_ms }) => started_ms));
+    return larger.filter(({ started_ms }) => started_ms <= limit_ms)
       .map((member) => member.address);
   }
 }
+
+/** The value in the middle of the sorted values, the lower one of two. */
+function middle(values: number[]): number {
+  const sorted = values.sort((a, b) => a - b);
+  return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
+}
--- /dev/null
+++ b/test/membership/gateway_members.test.ts
@@ -0,0 +1,55 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  type GatewayMember,
+  GatewayMembers,
+} from "../../src/membership/gateway_members.ts";
+
+function member(name: string, change: Partial<GatewayMember> = {}) {
+  const value = {
+    address: name,
+    availability_zone: "a",
+    cores: 1,
+    started_ms: 100,
+    ...change,
+  };
+  return { name, value };
+}
+
+function membersOf(self: string, others: ReturnType<typeof member>[]) {
+  const members = new GatewayMembers(member(self).value);
+  members.replaceAll([member(self), ...others]);
+  return members;
+}
+
+test("hosts that have just started do not gather while older ones do", () => {
+  const members = membersOf("self", [
+    member("old", { started_ms: 50 }),
+    member("new", { started_ms: 900 }),
+    member("newer", { started_ms: 950 }),
+  ]);
+  assert.deepEqual(members.gatherers(false).sort(), ["old", "self"]);
+});
+
+test("the smaller half of the hosts does not gather", () => {
+  const members = membersOf("self", [
+    member("large", { cores: 2 }),
+    member("small", { cores: 0.2 }),
+    member("tiny", { cores: 0.1 }),
+  ]);
+  assert.deepEqual(members.gatherers(false).sort(), ["large", "self"]);
+});
+
+test("a leaving host leaves itself out, unless it is alone", () => {
+  const members = membersOf("self", [member("other")]);
+  assert.deepEqual(members.gatherers(true), ["other"]);
+  assert.deepEqual(membersOf("self", []).gatherers(true), ["self"]);
+});
+
+test("changes of entries are followed", () => {
+  const members = membersOf("self", [member("other")]);
+  members.apply([{ ...member("other"), deleted: true }]);
+  assert.equal(members.count, 1);
+  members.apply([{ ...member("third"), deleted: false }]);
+  assert.deepEqual(members.others(), ["third"]);
+});
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -81,7 +81,12 @@
 });
 
 test("a host's entry is written, replaced and removed", async () => {
-  const member = { address: "10.0.0.9:7000", availability_zone: "a", cores: 1 };
+  const member = {
+    address: "10.0.0.9:7000",
+    availability_zone: "a",
+    cores: 1,
+    started_ms: 5,
+  };
   await store.announce("gateway-1", member);
   await store.announce("gateway-1", { ...member, cores: 2 });
   const read = await store.gateways.list(signal);
