--- a/src/admission/fifo_queue.ts
+++ b/src/admission/fifo_queue.ts
@@ -1,5 +1,5 @@
 /** The baseline order: first in, first out. A queue class for p-queue. */
-import type { RunItem, TicketOptions } from "./stage_queue.ts";
+import type { RunItem, TicketOptions } from "./ticket.ts";
 import type { WaitingLine } from "./waiting_line.ts";
 
 interface Item {
--- a/src/admission/pool_gate.ts
+++ b/src/admission/pool_gate.ts
@@ -6,7 +6,8 @@
 import { RecentQuantiles } from "../utils/recent_quantiles.ts";
 import { type ExpectedWork, ExpectedWorks } from "./expected_work.ts";
 import { FifoQueue } from "./fifo_queue.ts";
-import { StageQueue, type Ticket, type TicketOptions } from "./stage_queue.ts";
+import { StageQueue } from "./stage_queue.ts";
+import type { Ticket, TicketOptions } from "./ticket.ts";
 import { AdmissionPolicy } from "./types.ts";
 import type { WaitingLine } from "./waiting_line.ts";
 
--- a/src/admission/waiting_line.ts
+++ b/src/admission/waiting_line.ts
@@ -1,5 +1,5 @@
 /** What a gate needs of the queue behind it. */
-import type { RunItem, TicketOptions } from "./stage_queue.ts";
+import type { RunItem, TicketOptions } from "./ticket.ts";
 
 /** A queue class for p-queue that can also be asked what waits. */
 export interface WaitingLine {
--- a/src/batching/batch_gatherer.ts
+++ b/src/batching/batch_gatherer.ts
@@ -6,18 +6,21 @@
 import type { Logger } from "../logging/logger.ts";
 import {
   type BatchLimits,
-  EndpointState,
   type RouteEndpoint,
   type RoutePool,
 } from "../routes/types.ts";
 import { EndpointCalls } from "./endpoint_calls.ts";
 import { expectedJobMs } from "./expected_wait.ts";
+import { planCall, type PlannedShare } from "./plan_call.ts";
 import {
-  fullCallMs,
-  planCall,
-  type PlannedShare,
-  type WaitingJob,
-} from "./plan_call.ts";
+  createQueuedJob,
+  type PoolWork,
+  type QueuedJob,
+  readyEndpoints,
+  waitingPieces,
+  worthUsing,
+  zoneWaits,
+} from "./pool_work.ts";
 import {
   type FreedResults,
   JobEnd,
@@ -75,22 +78,6 @@
 const READ_TIMES = 2;
 const READ_EXTRA_MS = 40;
 
-interface QueuedJob extends WaitingJob {
-  job: StageJob;
-  waiting: Piece[];
-  results: (StageResult | undefined)[];
-  missing: number;
-  tries: number;
-  ended: boolean;
-  end: (outcome: JobOutcome) => void;
-}
-
-interface PoolWork {
-  jobs: Set<QueuedJob>;
-  endpoints: Map<string, EndpointCalls>;
-  timer: NodeJS.Timeout | undefined;
-}
-
 /** See the module's comment. */
 export class BatchGatherer {
   #pools = new Map<string, PoolWork>();
@@ -117,7 +104,8 @@
     const refusal = this.#refusal(job, work, limits);
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((resolve) => {
-      const queued = this.#enqueue(job, work, resolve);
+      const queued = createQueuedJob(job, this.#options.now(), resolve);
+      work.jobs.add(queued);
       signal.addEventListener("abort", () => {
         this.#end(queued, work, { kind: JobEnd.Failed, reason: "cancelled" });
       });
@@ -189,7 +177,7 @@
     limits: BatchLimits,
   ): JobOutcome | undefined {
     const now_ms = this.#options.now();
-    const taking = this.#refresh(job.pool, work)
+    const taking = this.#ready(job.pool, work)
       .filter((calls) => calls.takesCalls(now_ms));
     const due_ms = now_ms + job.due_in_ms;
     let pieces_ahead = 0;
@@ -217,52 +205,8 @@
     };
   }
 
-  #enqueue(
-    job: StageJob,
-    work: PoolWork,
-    end: (outcome: JobOutcome) => void,
-  ): QueuedJob {
-    const now_ms = this.#options.now();
-    const queued: QueuedJob = {
-      job,
-      priority: job.priority,
-      due_ms: now_ms + job.due_in_ms,
-      expires_ms: now_ms + job.expires_in_ms,
-      home_zone: job.home_zone,
-      result_bytes: job.result_bytes,
-      waiting: [...job.pieces],
-      get waiting_pieces() {
-        return this.waiting.length;
-      },
-      results: job.pieces.map(() => undefined),
-      missing: job.pieces.length,
-      tries: 0,
-      ended: false,
-      end,
-    };
-    work.jobs.add(queued);
-    return queued;
-  }
-
-  /** The pool's ready endpoints, with what is known of each. */
-  #refresh(pool: string, work: PoolWork): EndpointCalls[] {
-    const ready: EndpointCalls[] = [];
-    const seen = new Set<string>();
-    for (const endpoint of this.#options.endpoints(pool)) {
-      const key = `${endpoint.id}/${endpoint.born_ms}`;
-      seen.add(key);
-      let calls = work.endpoints.get(key);
-      if (calls === undefined) {
-        calls = new EndpointCalls(endpoint);
-        work.endpoints.set(key, calls);
-      }
-      calls.endpoint = endpoint;
-      if (endpoint.state === EndpointState.Ready) ready.push(calls);
-    }
-    for (const key of work.endpoints.keys()) {
-      if (!seen.has(key)) work.endpoints.delete(key);
-    }
-    return ready;
+  #ready(pool: string, work: PoolWork): EndpointCalls[] {
+    return readyEndpoints(work, this.#options.endpoints(pool));
   }
 
   #dispatch(pool: string): void {
@@ -272,7 +216,7 @@
     const now_ms = this.#options.now();
     this.#dropExpired(work, now_ms);
     if (work.jobs.size === 0) return;
-    const ready = this.#refresh(pool, work);
+    const ready = this.#ready(pool, work);
     const zoneWait_ms = zoneWaits(ready, work.jobs, { limits, now_ms });
     const free = ready.filter((calls) => calls.free(now_ms, limits))
       .sort((a, b) => a.slowness - b.slowness);
@@ -348,7 +292,7 @@
       zone: calls.endpoint.availability_zone,
       pieces: taken.length,
       jobs: shares.length,
-      waiting: [...work.jobs].reduce((sum, j) => sum + j.waiting.length, 0),
+      waiting: waitingPieces(work.jobs),
       room_bytes: calls.roomBytes(now_ms, limits),
       slowness: Number(calls.slowness.toFixed(2)),
       elapsed_ms: Math.round(elapsed_ms),
@@ -479,59 +423,3 @@
     queued.end(outcome);
   }
 }
-
-/** Above this, an endpoint counts as slow. */
-const SLOW = 1.5;
-
-/**
- * Whether a job gains by a call here: a slow endpoint is used only while the
- * others have so much to do that waiting for them takes longer.
- */
-function worthUsing(
-  calls: EndpointCalls,
-  ready: readonly EndpointCalls[],
-  jobs: Iterable<QueuedJob>,
-  { limits, now_ms }: { limits: BatchLimits; now_ms: number },
-): boolean {
-  if (calls.slowness < SLOW) return true;
-  const sound = ready.filter((each) =>
-    each.slowness < SLOW && each.takesCalls(now_ms)
-  );
-  if (sound.length === 0) return true;
-  let pieces = 0;
-  for (const { waiting } of jobs) pieces += waiting.length;
-  const load = { endpoints: sound.length, slowness: 1, pieces_ahead: pieces };
-  return expectedJobMs(0, load, limits) > fullCallMs(limits) * calls.slowness;
-}
-
-/**
- * Time until each zone takes a further job: until its first endpoint is free,
- * and a call for each callful of pieces that wait for the zone.
- */
-function zoneWaits(
-  ready: readonly EndpointCalls[],
-  jobs: Iterable<QueuedJob>,
-  { limits, now_ms }: { limits: BatchLimits; now_ms: number },
-): Map<string, number> {
-  const zones = new Map<string, { free_ms: number; places: number }>();
-  for (const calls of ready) {
-    const { availability_zone } = calls.endpoint;
-    const known = zones.get(availability_zone);
-    const free_ms = calls.freeInMs(now_ms, limits);
-    zones.set(availability_zone, {
-      free_ms: Math.min(known?.free_ms ?? Infinity, free_ms),
-      places: (known?.places ?? 0) + limits.pieces_per_call,
-    });
-  }
-  const pieces = new Map<string, number>();
-  for (const { home_zone, waiting } of jobs) {
-    if (home_zone === undefined) continue;
-    pieces.set(home_zone, (pieces.get(home_zone) ?? 0) + waiting.length);
-  }
-  const waits = new Map<string, number>();
-  for (const [zone, { free_ms, places }] of zones) {
-    const calls = Math.floor((pieces.get(zone) ?? 0) / (places + 1));
-    waits.set(zone, free_ms + calls * fullCallMs(limits));
-  }
-  return waits;
-}
--- a/src/batching/expected_wait.ts
+++ b/src/batching/expected_wait.ts
@@ -34,3 +34,16 @@
   const own_ms = (limits.call_ms + shared * limits.piece_ms) * load.slowness;
   return wait_ms + own_ms;
 }
+
+/** How long a stage takes, in milliseconds. */
+export interface StageTime {
+  least_ms: number;
+  expected_ms: number;
+}
+
+/** A stage's call is half full as a rule, and waits for a part of a call. */
+export function stageTime(limits: BatchLimits | undefined): StageTime {
+  if (limits === undefined) return { least_ms: 0, expected_ms: 0 };
+  const expected_ms = (limits.call_ms + fullCallMs(limits)) / 2;
+  return { least_ms: limits.call_ms, expected_ms };
+}
--- a/src/batching/stage_graph.ts
+++ b/src/batching/stage_graph.ts
@@ -3,6 +3,7 @@
  * needs have their results, and results are given up as soon as the last stage
  * that reads them is done. Results stay at their makers and travel as handles.
  */
+import type { StageTime } from "./expected_wait.ts";
 import type { PieceStage, Route } from "../routes/types.ts";
 import {
   type FinalOutcome,
@@ -38,12 +39,6 @@
 /** What a stage reads below this may come from another zone. */
 const ZONE_BYTES = 250_000;
 
-/** How long a stage takes, in milliseconds. */
-export interface StageTime {
-  least_ms: number;
-  expected_ms: number;
-}
-
 /** What running a graph needs. */
 export interface GraphParts {
   run: (job: StageJob, signal: AbortSignal) => Promise<FinalOutcome>;
--- a/src/endpoints/attempt.ts
+++ b/src/endpoints/attempt.ts
@@ -56,3 +56,17 @@
   /** 0 to 1, may exceed 1 when work queues. */
   utilization: number;
 }
+
+/** The part of an answer that the protocol readers produce. */
+export interface StageAnswer {
+  output: unknown;
+  cost: number;
+}
+
+/** A failure with a known end; everything else counts as cut. */
+export class AttemptError extends Error {
+  constructor(readonly end: AttemptEnd, message: string) {
+    super(message);
+    this.name = "AttemptError";
+  }
+}
--- a/src/endpoints/completions.ts
+++ b/src/endpoints/completions.ts
@@ -4,8 +4,7 @@
  */
 import type { IncomingMessage } from "node:http";
 import { createParser } from "eventsource-parser";
-import { AttemptEnd } from "./attempt.ts";
-import { AttemptError, type StageAnswer } from "./endpoint_client.ts";
+import { AttemptEnd, AttemptError, type StageAnswer } from "./attempt.ts";
 
 /** What the reader tells while it reads. */
 export interface CompletionHooks {
--- a/src/endpoints/endpoint_client.ts
+++ b/src/endpoints/endpoint_client.ts
@@ -5,7 +5,13 @@
  */
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import { EndpointProtocol } from "../records/types.ts";
-import { type Attempt, AttemptEnd, type AttemptResult } from "./attempt.ts";
+import {
+  type Attempt,
+  AttemptEnd,
+  AttemptError,
+  type AttemptResult,
+  type StageAnswer,
+} from "./attempt.ts";
 import { readCompletions } from "./completions.ts";
 import type { EndpointConnections } from "./endpoint_connections.ts";
 import { LOAD_HEADER, parseLoadReport } from "./load_report.ts";
@@ -13,20 +19,6 @@
 /** Runs attempts. */
 export type CallEndpoint = (attempt: Attempt) => Promise<AttemptResult>;
 
-/** The part of an answer that the protocol readers produce. */
-export interface StageAnswer {
-  output: unknown;
-  cost: number;
-}
-
-/** A failure with a known end; everything else counts as cut. */
-export class AttemptError extends Error {
-  constructor(readonly end: AttemptEnd, message: string) {
-    super(message);
-    this.name = "AttemptError";
-  }
-}
-
 /** How long an endpoint may take to end an answer that is whole. */
 const REST_LIMIT_MS = 1_000;
 const STATUS_OK = 200;
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -2,8 +2,7 @@
 import type { Server } from "node:http";
 import { BatchGatherer } from "./batching/batch_gatherer.ts";
 import { JobRouter } from "./batching/job_router.ts";
-import { fullCallMs } from "./batching/plan_call.ts";
-import type { StageTime } from "./batching/stage_graph.ts";
+import { stageTime } from "./batching/expected_wait.ts";
 import { createPieceCaller } from "./batching/piece_caller.ts";
 import { ConfigurationBelief } from "./beliefs/configuration_belief.ts";
 import { EndpointBelief } from "./beliefs/endpoint_belief.ts";
@@ -36,7 +35,7 @@
 import { createMetricsServer } from "./metrics/metrics_server.ts";
 import { GatewayClients } from "./peers/gateway_clients.ts";
 import { createGatewayPeerServer } from "./peers/gateway_peer_server.ts";
-import type { BatchLimits, RoutePool } from "./routes/types.ts";
+import type { RoutePool } from "./routes/types.ts";
 import { ObservedLoad } from "./routing/observed_load.ts";
 import { RepeatBudget } from "./routing/repeat_budget.ts";
 import type { GatewaySettings } from "./settings/gateway_settings.ts";
@@ -320,13 +319,6 @@
   return servers;
 }
 
-/** A stage's call is half full as a rule, and waits for a part of a call. */
-function stageTime(limits: BatchLimits | undefined): StageTime {
-  if (limits === undefined) return { least_ms: 0, expected_ms: 0 };
-  const expected_ms = (limits.call_ms + fullCallMs(limits)) / 2;
-  return { least_ms: limits.call_ms, expected_ms };
-}
-
 function listenOn(server: Server, { ip, port }: Address): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once("error", reject);
--- a/test/admission/stage_queue.test.ts
+++ b/test/admission/stage_queue.test.ts
@@ -4,7 +4,8 @@
 import { Allowances } from "../../src/admission/allowances.ts";
 import { ExpectedWorks } from "../../src/admission/expected_work.ts";
 import { PoolGate, WaitAborted } from "../../src/admission/pool_gate.ts";
-import { StageQueue, type Ticket } from "../../src/admission/stage_queue.ts";
+import { StageQueue } from "../../src/admission/stage_queue.ts";
+import type { Ticket } from "../../src/admission/ticket.ts";
 import { AdmissionPolicy } from "../../src/admission/types.ts";
 import { type Organisation, RecordKind } from "../../src/records/types.ts";
 
