Read a list whole after a cut watch

Comparing with peers did not help, as all were deaf. Ruled out: the length of the watch (a renewed one is as deaf). Test first: 'after a cut watch everything is read again'.

--- a/src/beliefs/follow_feed.ts
+++ b/src/beliefs/follow_feed.ts
@@ -83,9 +83,12 @@
     if (signal.aborted) return;
     if (reading.aborted) {
       log.info({ event: "watch_overtaken", source: name, revision });
+      revision = undefined;
       continue;
     }
     if (read.kind === FeedReadKind.Unavailable) {
+      // A watch that resumes after a cut may never hear of what it missed.
+      revision = undefined;
       if (!lost) {
         lost = true;
         log.warn({ event: "source_lost", source: name, reason: read.reason });
--- a/stand_ins/users_platform/object_store.ts
+++ b/stand_ins/users_platform/object_store.ts
@@ -46,6 +46,9 @@
   #oldest = 0;
   #revision = 1;
   #waiting = new Set<() => void>();
+  #watchers = new Set<ServerResponse>();
+  /** Watches from this revision or before it hear of nothing. */
+  #deafBefore = 0;
   #server = createServer((request, response) => {
     void this.#handle(request, response);
   });
@@ -81,6 +84,12 @@
     this.#tell({ kind, revision: this.#revision, object, deleted: true });
   }
 
+  /** Cuts the watches that wait now; those that follow hear nothing. */
+  cutAndDeafen(): void {
+    this.#deafBefore = this.#revision;
+    for (const response of this.#watchers) response.destroy();
+  }
+
   /** Drops the history: older watches get 410. */
   forget(): void {
     this.#oldest = this.#revision;
@@ -147,9 +156,13 @@
     const since = Number(query.get("watch"));
     if (since < this.#oldest) return send(response, 410, {});
     const news = () =>
-      this.#events.filter((event) =>
-        event.kind === kind && event.revision > since
-      );
+      since <= this.#deafBefore
+        ? []
+        : this.#events.filter((event) =>
+          event.kind === kind && event.revision > since
+        );
+    this.#watchers.add(response);
+    response.once("close", () => this.#watchers.delete(response));
     const end_ms = Date.now() + Number(query.get("wait_ms") ?? 0);
     while (news().length === 0 && Date.now() < end_ms) {
       await this.#nextEvent(end_ms - Date.now());
--- a/test/forwarding/gateway_faults.test.ts
+++ b/test/forwarding/gateway_faults.test.ts
@@ -206,3 +206,12 @@
   );
   assert.ok([0, 1].some((n) => says(n, "event=watch_overtaken")));
 });
+
+test("after a cut watch everything is read again, since watches may be deaf", async () => {
+  await startFleet({ gateways: 2, watch_ms: 15_000 });
+  fleet.configure({ tenants: [{ name: "docks", api_keys: [FleetKey.Docks] }] });
+  fleet.store.cutAndDeafen();
+  await until(() =>
+    [0, 1].every((n) => says(n, "event=configuration version=2"))
+  );
+});
