Make the configuration scenario wait for the record that it then uses

So the requests could come before the rank was in force. Ruled out: the product (the rank was in force a moment later, and no generation went back). The check is replaced by a stricter one: the record is accepted and every live host has that generation; both conditions count when both are given.

--- a/stand_ins/scenario/expectations.ts
+++ b/stand_ins/scenario/expectations.ts
@@ -1,5 +1,8 @@
 /** Checks the expectations of a scenario against a running fleet. */
-import { ACCEPTED_KEY } from "../../src/configuration/accepted.ts";
+import {
+  ACCEPTED_KEY,
+  type AcceptedConfiguration,
+} from "../../src/configuration/accepted.ts";
 import { FINDINGS_KEY } from "../../src/configuration/publisher.ts";
 import { PeerClients } from "../../src/peers/peer_client.ts";
 import type { Fleet, StartedHost } from "../fleet.ts";
@@ -83,25 +86,30 @@
 }
 
 async function checkGenerations(
-  { same_generation, generation_at_least }: Expectation,
+  { same_generation, generation_at_least = 0, in_force }: Expectation,
   context: ExpectationContext,
 ): Promise<string[]> {
-  if (same_generation === undefined && generation_at_least === undefined) {
-    return [];
-  }
+  const asked = same_generation ?? in_force ?? generation_at_least;
+  if (asked === 0) return [];
   const generations = await readGenerations(context);
-  if (generation_at_least !== undefined) {
-    return generations
-      .filter((generation) => generation < generation_at_least)
-      .map((generation) => `a host is at generation ${generation}`);
-  }
-  const accepted = await getJson(
+  const behind = generations
+    .filter((generation) => generation < generation_at_least)
+    .map((generation) => `a host is at generation ${generation}`);
+  if (same_generation === undefined && in_force === undefined) return behind;
+  const answer = await getJson(
     context.fleet.platform,
     `/objects/${ACCEPTED_KEY}`,
   );
-  const wanted = accepted.json.value.generation;
+  const accepted = answer.json.value as AcceptedConfiguration;
+  const wanted = accepted.generation;
   const same = generations.every((generation) => generation === wanted);
-  return same ? [] : [`generations ${generations} where ${wanted} is accepted`];
+  const differing = same
+    ? []
+    : [`generations ${generations} where ${wanted} is accepted`];
+  const known = in_force === undefined ||
+    accepted.records.some(({ key }) => key === in_force);
+  const missing = known ? [] : [`${in_force} is not accepted`];
+  return [...behind, ...differing, ...missing];
 }
 
 async function readGenerations(
--- a/stand_ins/scenario/scenario.ts
+++ b/stand_ins/scenario/scenario.ts
@@ -59,6 +59,8 @@
   same_generation: z.boolean().optional(),
   /** The generation of every live host reaches this. */
   generation_at_least: z.int().optional(),
+  /** A record's key: accepted, and every live host has that generation. */
+  in_force: z.string().optional(),
   /** A stage ran nowhere for this group's requests. */
   never_run: z.string().optional(),
   /** The endpoint's calls since it was marked. */
