--- /dev/null
+++ b/test/batching/job_router.test.ts
@@ -0,0 +1,120 @@
+/** Which host gathers, and what happens when it does not answer. */
+import assert from "node:assert/strict";
+import { afterEach, beforeEach, test } from "node:test";
+import { BatchGatherer } from "../../src/batching/batch_gatherer.ts";
+import {
+  type GathererPeers,
+  JobRouter,
+} from "../../src/batching/job_router.ts";
+import {
+  JobEnd,
+  type JobOutcome,
+  type StageJob,
+} from "../../src/batching/types.ts";
+import { createLogger } from "../../src/logging/logger.ts";
+
+const MADE: JobOutcome = { kind: JobEnd.Made, results: [] };
+const HANDED_BACK: JobOutcome = { kind: JobEnd.HandedBack };
+
+let asked: string[];
+let answers: Record<string, () => Promise<JobOutcome>>;
+let stopping: AbortController;
+let hosts: string[];
+
+beforeEach(() => {
+  asked = [];
+  answers = {};
+  hosts = ["peer-1", "peer-2"];
+  stopping = new AbortController();
+});
+afterEach(() => stopping.abort());
+
+const log = createLogger({ level: "error", host: "h", writeLine: () => {} });
+
+function router(): JobRouter {
+  const peers: GathererPeers = {
+    run(address, _job, signal) {
+      asked.push(address);
+      const given_up = new Promise<never>((_, reject) =>
+        signal.addEventListener("abort", () => reject(new Error("given up")))
+      );
+      const answer = answers[address]?.() ?? Promise.resolve(MADE);
+      return Promise.race([answer, given_up]);
+    },
+    free: () => Promise.resolve(),
+    ping: (address) => Promise.reject(new Error(`${address} is silent`)),
+  };
+  const local = new BatchGatherer({
+    pool: () => undefined,
+    endpoints: () => [],
+    caller: {
+      make: () => Promise.reject(new Error("not here")),
+      free: () => {},
+    },
+    release: () => {},
+    log,
+    now: () => performance.now(),
+  });
+  return new JobRouter({
+    self: "self",
+    gatherers: () => hosts,
+    local,
+    peers,
+    log,
+    now: () => performance.now(),
+    signal: stopping.signal,
+  });
+}
+
+const JOB: StageJob = {
+  attempt_id: "a",
+  pool: "encode",
+  stage: 0,
+  pieces: [],
+  result_bytes: 0,
+  priority: 0,
+  due_in_ms: 1_000,
+  expires_in_ms: 5_000,
+  home_zone: undefined,
+  input_bytes: 0,
+  last_read: [],
+};
+
+test("every host sends a pool's jobs to the same gatherer", () => {
+  const first = router().gathererOf("encode");
+  hosts = [...hosts].reverse();
+  assert.equal(router().gathererOf("encode"), first);
+});
+
+test("a gatherer that can't be reached is passed over", async () => {
+  const jobs = router();
+  const first = jobs.gathererOf("encode");
+  answers[first] = () => Promise.reject(new Error("reset"));
+  assert.equal((await jobs.run(JOB, stopping.signal)).kind, JobEnd.Made);
+  assert.deepEqual(asked.length, 2);
+  await jobs.run(JOB, stopping.signal);
+  assert.equal(asked.filter((address) => address === first).length, 1);
+});
+
+test("a gatherer that stays silent is given up after a ping", async () => {
+  const jobs = router();
+  answers[jobs.gathererOf("encode")] = () => new Promise(() => {});
+  const began_ms = performance.now();
+  assert.equal((await jobs.run(JOB, stopping.signal)).kind, JobEnd.Made);
+  assert.ok(performance.now() - began_ms < 1_000);
+});
+
+test("a job that is handed back goes to another host", async () => {
+  const jobs = router();
+  answers[jobs.gathererOf("encode")] = () => Promise.resolve(HANDED_BACK);
+  assert.equal((await jobs.run(JOB, stopping.signal)).kind, JobEnd.Made);
+  assert.equal(new Set(asked).size, 2);
+});
+
+test("a host whose peers are all lost makes the job itself", async () => {
+  for (const peer of hosts) {
+    answers[peer] = () => Promise.reject(new Error("reset"));
+  }
+  const outcome = await router().run(JOB, stopping.signal);
+  assert.deepEqual(outcome, { kind: JobEnd.Failed, reason: "unknown_pool" });
+});
--- /dev/null
+++ b/test/batching/stage_graph.test.ts
@@ -0,0 +1,159 @@
+import assert from "node:assert/strict";
+import { beforeEach, test } from "node:test";
+import { runStages } from "../../src/batching/stage_graph.ts";
+import {
+  type FinalOutcome,
+  type FreedResults,
+  JobEnd,
+  type StageJob,
+} from "../../src/batching/types.ts";
+import {
+  CallKind,
+  type PieceStage,
+  type Route,
+} from "../../src/routes/types.ts";
+
+let jobs: StageJob[];
+let freed: string[];
+let failAt: number | undefined;
+
+beforeEach(() => {
+  jobs = [];
+  freed = [];
+  failAt = undefined;
+});
+
+const CHAIN: PieceStage[] = [
+  { pool: "heavy", after: [], result_bytes: 1_500_000 },
+  { pool: "encode", after: [], result_bytes: 8_000 },
+  { pool: "rerank", after: [1], result_bytes: 60_000 },
+  { pool: "rank", after: [2], result_bytes: 6_000 },
+];
+
+function routeOf(stages: PieceStage[]): Route {
+  return {
+    name: "review",
+    hostname: "h",
+    path_prefix: "/",
+    kind: CallKind.Streaming,
+    timeout_ms: 6_000,
+    target_latency_ms: 1_500,
+    priority: 1,
+    pools: [],
+    max_attempts: 1,
+    stages,
+    public: true,
+    resumable: false,
+  };
+}
+
+function make(job: StageJob): Promise<FinalOutcome> {
+  jobs.push(job);
+  if (job.stage === failAt) {
+    return Promise.resolve({ kind: JobEnd.Refused, retry_after_ms: 70 });
+  }
+  return Promise.resolve({
+    kind: JobEnd.Made,
+    results: job.pieces.map(({ index }) => ({
+      handle: `${job.pool}/${index}`,
+      address: "10.0.0.1:80",
+      availability_zone: `zone of ${job.pool}`,
+    })),
+  });
+}
+
+function run(pieces: number[], stages = CHAIN) {
+  return runStages({
+    attempt_id: "a",
+    route: routeOf(stages),
+    priority: 1,
+    pieces,
+    piece_key: "cafe",
+    home_zone: "home",
+    due_ms: 1_400,
+    expires_ms: 6_000,
+    signal: new AbortController().signal,
+  }, {
+    run: make,
+    free: ({ handles }: FreedResults) => void freed.push(...handles),
+    stageMs: () => ({ least_ms: 200, expected_ms: 300 }),
+    now: () => 0,
+  });
+}
+
+function jobOf(pool: string): StageJob {
+  const job = jobs.find((each) => each.pool === pool);
+  assert.ok(job !== undefined);
+  return job;
+}
+
+test("stages get all results of those before them, roots get the key", async () => {
+  const outcome = await run([2, 1, 2, 3]);
+  assert.ok(outcome.kind === JobEnd.Made);
+  assert.deepEqual(jobOf("heavy").pieces.map(({ key }) => key), [
+    "cafe",
+    "cafe",
+  ]);
+  for (const { inputs, key } of jobOf("rank").pieces) {
+    assert.deepEqual(inputs, ["rerank/0", "rerank/1"]);
+    assert.equal(key, undefined);
+  }
+  assert.deepEqual(
+    outcome.results.map(({ handle }) => handle),
+    ["heavy/0", "heavy/1", "rank/0", "rank/1", "rank/2"],
+  );
+});
+
+test("each stage leaves time for those that follow", async () => {
+  await run([2, 1, 2, 3]);
+  assert.deepEqual(
+    ["encode", "rerank", "rank"].map((pool) => jobOf(pool).due_in_ms),
+    [800, 1_100, 1_400],
+  );
+  assert.deepEqual(
+    ["encode", "rerank", "rank"].map((pool) => jobOf(pool).expires_in_ms),
+    [5_600, 5_800, 6_000],
+  );
+});
+
+test("a stage is bound to a zone only where much is read", async () => {
+  await run([2, 1, 4, 10]);
+  assert.equal(jobOf("heavy").home_zone, "home");
+  assert.equal(jobOf("encode").home_zone, undefined);
+  assert.equal(jobOf("rerank").home_zone, undefined);
+  assert.equal(jobOf("rank").home_zone, "zone of rerank");
+});
+
+test("results are given up by their last reader, the last ones by the caller", async () => {
+  const outcome = await run([2, 1, 2, 3]);
+  assert.deepEqual(
+    jobOf("rank").last_read.flatMap(({ handles }) => handles),
+    ["rerank/0", "rerank/1"],
+  );
+  assert.deepEqual(freed, []);
+  assert.ok(outcome.kind === JobEnd.Made);
+  outcome.giveUp();
+  outcome.giveUp();
+  assert.deepEqual(freed.sort(), [
+    "heavy/0",
+    "heavy/1",
+    "rank/0",
+    "rank/1",
+    "rank/2",
+  ]);
+});
+
+test("a stage that fails ends the request and frees what was made", async () => {
+  failAt = 2;
+  const outcome = await run([2, 1, 2, 3]);
+  assert.deepEqual(outcome, { kind: JobEnd.Refused, retry_after_ms: 70 });
+  assert.deepEqual(freed.sort(), ["encode/0", "heavy/0", "heavy/1"]);
+  assert.ok(jobs.every(({ pool }) => pool !== "rank"));
+});
+
+test("a stage without pieces is left out", async () => {
+  const outcome = await run([0, 1, 2, 3]);
+  assert.ok(outcome.kind === JobEnd.Made);
+  assert.equal(outcome.results.length, 3);
+  assert.ok(jobs.every(({ pool }) => pool !== "heavy"));
+});
--- /dev/null
+++ b/test/forwarding/event_splitter.test.ts
@@ -0,0 +1,29 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { EventSplitter } from "../../src/forwarding/event_splitter.ts";
+
+const STREAM =
+  "id: 1\ndata: a\n\nversions: 3\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+
+test("however a stream is cut into chunks, the bytes and ids are the same", () => {
+  fc.assert(fc.property(fc.array(fc.nat(STREAM.length)), (cuts) => {
+    const splitter = new EventSplitter();
+    const edges = [0, ...cuts.sort((a, b) => a - b), STREAM.length];
+    let passed = "";
+    for (let n = 1; n < edges.length; n++) {
+      const chunk = Buffer.from(STREAM.slice(edges[n - 1], edges[n]));
+      passed += splitter.push(chunk).toString();
+    }
+    assert.equal(passed + splitter.rest.toString(), STREAM);
+    assert.equal(splitter.lastEventId, "3");
+  }));
+});
+
+test("half an event is held back and does not count", () => {
+  const splitter = new EventSplitter();
+  const whole = splitter.push(Buffer.from("id: 1\ndata: a\n\nid: 2\nda"));
+  assert.equal(whole.toString(), "id: 1\ndata: a\n\n");
+  assert.equal(splitter.lastEventId, "1");
+  assert.equal(splitter.rest.toString(), "id: 2\nda");
+});
--- /dev/null
+++ b/test/routing/choose_route_endpoint.test.ts
@@ -0,0 +1,101 @@
+import assert from "node:assert/strict";
+import { beforeEach, test } from "node:test";
+import { EndpointState, type RouteEndpoint } from "../../src/routes/types.ts";
+import {
+  chooseByPrefix,
+  chooseOfTwo,
+  sharedPrefix,
+} from "../../src/routing/choose_route_endpoint.ts";
+import {
+  ExchangeVerdict,
+  ObservedLoad,
+} from "../../src/routing/observed_load.ts";
+
+let load: ObservedLoad;
+
+beforeEach(() => {
+  load = new ObservedLoad();
+});
+
+function endpoint(id: string): RouteEndpoint {
+  return {
+    id,
+    pool: "model",
+    address: `10.0.0.1:${id.length}`,
+    availability_zone: "a",
+    slots: 4,
+    state: EndpointState.Ready,
+    born_ms: 1,
+  };
+}
+
+const five = ["v", "w", "x", "y", "z"].map(endpoint);
+
+function choice(candidates = five, now_ms = 0) {
+  let step = 0;
+  const random = () => [0.1, 0.6, 0.3, 0.9][step++ % 4] ?? 0;
+  return { candidates, load, now_ms, random };
+}
+
+test("the prefix that others share decides, not the request's own part", () => {
+  const prompt = (own: string) => [
+    { id: "system", tokens: 10 },
+    { id: "subject", tokens: 10 },
+    { id: own, tokens: 10 },
+  ];
+  assert.equal(sharedPrefix(prompt("one")), sharedPrefix(prompt("two")));
+  assert.equal(sharedPrefix([]), undefined);
+});
+
+test("a prefix stays at one endpoint, whoever asks and whoever leaves", () => {
+  const first = chooseByPrefix("subject", choice());
+  assert.ok(first !== undefined);
+  assert.equal(chooseByPrefix("subject", choice([...five].reverse())), first);
+  const others = five.filter((each) => each !== first);
+  const without = others.slice(1);
+  const kept = [first, ...without];
+  assert.equal(chooseByPrefix("subject", choice(kept)), first);
+});
+
+test("prefixes spread over the endpoints", () => {
+  const used = new Set(
+    Array.from(
+      { length: 60 },
+      (_, n) => chooseByPrefix(`subject-${n}`, choice())?.id,
+    ),
+  );
+  assert.equal(used.size, five.length);
+});
+
+test("a full endpoint gives its prefixes to the next one", () => {
+  const first = chooseByPrefix("subject", choice());
+  assert.ok(first !== undefined);
+  load.of(first).inFlight = first.slots;
+  assert.notEqual(chooseByPrefix("subject", choice()), first);
+});
+
+test("an endpoint that broke rests and comes back", () => {
+  const first = chooseByPrefix("subject", choice());
+  assert.ok(first !== undefined);
+  load.of(first).judge(ExchangeVerdict.Broken, 0);
+  assert.notEqual(chooseByPrefix("subject", choice(five, 100)), first);
+  assert.equal(chooseByPrefix("subject", choice(five, 300)), first);
+});
+
+test("an endpoint that often fails is avoided while others don't", () => {
+  const [bad, good] = five as [RouteEndpoint, RouteEndpoint];
+  for (let n = 0; n < 5; n++) load.of(bad).judge(ExchangeVerdict.Error, 0);
+  for (let n = 0; n < 10; n++) {
+    assert.equal(chooseOfTwo(choice([bad, good])), good);
+  }
+  for (let n = 0; n < 5; n++) load.of(good).judge(ExchangeVerdict.Error, 0);
+  assert.ok(chooseOfTwo(choice([bad, good])) !== undefined);
+});
+
+test("the emptier of two gets the request; reports of others fade", () => {
+  const [busy, idle] = five as [RouteEndpoint, RouteEndpoint];
+  load.of(busy).report({ running: 4, waiting: 3 }, 0);
+  assert.equal(chooseOfTwo(choice([busy, idle])), idle);
+  assert.ok(load.of(busy).expectedRequests(0) > 6);
+  assert.ok(load.of(busy).expectedRequests(3_000) < 0.1);
+});
