--- a/src/batching/batch_gatherer.ts
+++ b/src/batching/batcher.ts
@@ -1,7 +1,7 @@
 /**
- * Gathers pieces of all hosts for the pools that this host looks after, and
+ * Batches pieces of all hosts for the pools that this host looks after, and
  * makes the calls. A piece may be made again, so looking after a pool is for
- * speed alone: two gatherers for a moment cost half-empty calls, nothing else.
+ * speed alone: two batchers for a moment cost half-empty calls, nothing else.
  */
 import type { Logger } from "../logging/logger.ts";
 import {
@@ -47,7 +47,7 @@
   Failed = "failed",
 }
 
-/** Makes the calls that the gatherer decides on. */
+/** Makes the calls that the batcher decides on. */
 export interface PieceCaller {
   make(
     endpoint: RouteEndpoint,
@@ -58,8 +58,8 @@
   free(address: string, handles: string[]): void;
 }
 
-/** What the gatherer needs. */
-export interface GathererOptions {
+/** What the batcher needs. */
+export interface BatcherOptions {
   pool: (name: string) => RoutePool | undefined;
   endpoints: (pool: string) => readonly RouteEndpoint[];
   caller: PieceCaller;
@@ -79,12 +79,12 @@
 const READ_EXTRA_MS = 40;
 
 /** See the module's comment. */
-export class BatchGatherer {
+export class Batcher {
   #pools = new Map<string, PoolWork>();
-  #options: GathererOptions;
+  #options: BatcherOptions;
   #leaving = false;
 
-  constructor(options: GathererOptions) {
+  constructor(options: BatcherOptions) {
     this.#options = options;
   }
 
--- a/src/batching/endpoint_calls.ts
+++ b/src/batching/endpoint_calls.ts
@@ -1,5 +1,5 @@
 /**
- * What the gatherer of a pool knows of one endpoint: its calls, the memory that
+ * What the batcher of a pool knows of one endpoint: its calls, the memory that
  * results take there, and how it keeps its times. Pure: time comes in.
  */
 import type { BatchLimits, RouteEndpoint } from "../routes/types.ts";
--- a/src/batching/expected_wait.ts
+++ b/src/batching/expected_wait.ts
@@ -1,12 +1,12 @@
 /**
- * How long a new job will take in a pool that gathers pieces. Pure. Whoever
+ * How long a new job will take in a pool that batches pieces. Pure. Whoever
  * admits work asks this before it waits, so that a job with no chance is
  * refused at once and told when there will be room.
  */
 import type { BatchLimits } from "../routes/types.ts";
 import { fullCallMs } from "./plan_call.ts";
 
-/** The pool's load as its gatherer sees it. */
+/** The pool's load as its batcher sees it. */
 export interface PoolLoad {
   /** Endpoints that take calls. */
   endpoints: number;
--- a/src/batching/job_router.ts
+++ b/src/batching/job_router.ts
@@ -1,5 +1,5 @@
 /**
- * Brings stage jobs to the host that gathers for their pool. That host is the
+ * Brings stage jobs to the host that batches for their pool. That host is the
  * first of a rendezvous ranking over the live hosts; if it stays silent, the
  * next one takes its place, in the end this host itself. Nothing has to agree:
  * a job that two hosts make costs work, not correctness.
@@ -7,7 +7,7 @@
 import type { Logger } from "../logging/logger.ts";
 import { rankCandidates } from "../membership/rendezvous.ts";
 import { pause } from "../utils/loop.ts";
-import type { BatchGatherer } from "./batch_gatherer.ts";
+import type { Batcher } from "./batcher.ts";
 import {
   type FinalOutcome,
   type FreedResults,
@@ -16,15 +16,15 @@
   type StageJob,
 } from "./types.ts";
 
-/** Calls to the gatherers on other hosts; each rejects if there is no answer. */
-export interface GathererPeers {
+/** Calls to the batchers on other hosts; each rejects if there is no answer. */
+export interface BatcherPeers {
   run(
     address: string,
     job: StageJob,
     signal: AbortSignal,
   ): Promise<JobOutcome>;
   free(address: string, freed: FreedResults[]): Promise<void>;
-  /** Whether the host gathers; rejects if it is silent. */
+  /** Whether the host batches; rejects if it is silent. */
   ping(address: string): Promise<boolean>;
 }
 
@@ -32,10 +32,10 @@
 export interface JobRouterOptions {
   /** This host's address for peers. */
   self: string;
-  /** Addresses of the hosts that may gather, this one included. */
-  gatherers: () => string[];
-  local: BatchGatherer;
-  peers: GathererPeers;
+  /** Addresses of the hosts that may batch, this one included. */
+  batchers: () => string[];
+  local: Batcher;
+  peers: BatcherPeers;
   log: Logger;
   now: () => number;
   signal: AbortSignal;
@@ -69,7 +69,7 @@
     const expires_ms = now() + job.expires_in_ms;
     const due_ms = now() + job.due_in_ms;
     while (!signal.aborted) {
-      const owner = this.gathererOf(job.pool);
+      const owner = this.batcherOf(job.pool);
       const now_ms = now();
       const current = {
         ...job,
@@ -86,7 +86,7 @@
       }
       if (outcome !== undefined) return outcome;
       log.warn({
-        event: "gatherer_lost",
+        event: "batcher_lost",
         pool: job.pool,
         peer: owner,
         attempt: job.attempt_id,
@@ -106,7 +106,7 @@
     const { self, local, peers, log } = this.#options;
     const owners = Map.groupBy(
       this.#freed.splice(0),
-      ({ pool }) => this.gathererOf(pool),
+      ({ pool }) => this.batcherOf(pool),
     );
     for (const [owner, freed] of owners) {
       if (owner === self) {
@@ -120,11 +120,11 @@
     }
   }
 
-  /** The host that gathers for a pool, as this host sees it. */
-  gathererOf(pool: string): string {
-    const { gatherers, self, now } = this.#options;
+  /** The host that batches for a pool, as this host sees it. */
+  batcherOf(pool: string): string {
+    const { batchers, self, now } = this.#options;
     const now_ms = now();
-    const trusted = gatherers().filter((address) =>
+    const trusted = batchers().filter((address) =>
       (this.#owners.get(address)?.suspectUntil_ms ?? 0) <= now_ms
     );
     return rankCandidates(pool, trusted)[0] ?? self;
--- a/src/batching/piece_caller.ts
+++ b/src/batching/piece_caller.ts
@@ -1,4 +1,4 @@
-/** Makes the calls of gathered pieces over HTTP. */
+/** Makes the calls of batched pieces over HTTP. */
 import type { EndpointAgents } from "../endpoints/endpoint_agents.ts";
 import {
   dropAnswer,
@@ -13,7 +13,7 @@
   PieceCallEnd,
   type PieceCaller,
   type PieceCallResult,
-} from "./batch_gatherer.ts";
+} from "./batcher.ts";
 import type { PieceOrder } from "./types.ts";
 
 const HTTP_OK = 200;
--- a/src/batching/pool_work.ts
+++ b/src/batching/pool_work.ts
@@ -1,4 +1,4 @@
-/** The queue of one pool at its gatherer, and what it shows. Pure. */
+/** The queue of one pool at its batcher, and what it shows. Pure. */
 import {
   type BatchLimits,
   EndpointState,
@@ -20,7 +20,7 @@
   end: (outcome: JobOutcome) => void;
 }
 
-/** What a gatherer has to do for one pool. */
+/** What a batcher has to do for one pool. */
 export interface PoolWork {
   jobs: Set<QueuedJob>;
   endpoints: Map<string, EndpointCalls>;
--- a/src/batching/types.ts
+++ b/src/batching/types.ts
@@ -62,7 +62,7 @@
   | { kind: JobEnd.Refused; retry_after_ms: number }
   /** A result that it needs is gone. */
   | { kind: JobEnd.InputsGone }
-  /** Its gatherer leaves and has not begun it: another one should make it. */
+  /** Its batcher leaves and has not begun it: another one should make it. */
   | { kind: JobEnd.HandedBack }
   /** Its time ran out, or endpoints failed it too often. */
   | { kind: JobEnd.Failed; reason: string };
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -1,6 +1,6 @@
 /** Builds the parts of a gateway host and joins them. */
 import type { Server } from "node:http";
-import { BatchGatherer } from "./batching/batch_gatherer.ts";
+import { Batcher } from "./batching/batcher.ts";
 import { JobRouter } from "./batching/job_router.ts";
 import { stageTime } from "./batching/expected_wait.ts";
 import { createPieceCaller } from "./batching/piece_caller.ts";
@@ -73,7 +73,7 @@
   const batching = createBatching(base);
   const front = new FrontServer(createForwardParts(base, batching));
   base.onConfigured.push((table) => front.follow(table.configuration.limits));
-  base.onEndpoints.push(() => batching.gatherer.endpointsChanged());
+  base.onEndpoints.push(() => batching.batcher.endpointsChanged());
   const servers = createServers(base, batching);
   const { promise: stopped, resolve } = Promise.withResolvers<void>();
 
@@ -93,11 +93,11 @@
 
   function drain(): void {
     if (!base.lifecycle.handle(HostLifecycleEvent.Drain)) return;
-    batching.gatherer.leave();
+    batching.batcher.leave();
     void drainGateway({
       lifecycle: base.lifecycle,
       front,
-      gathering: () => batching.gatherer.running,
+      batching: () => batching.batcher.running,
       withdraw: () => base.store.withdraw(settings.host.name),
       timeout_ms: base.settings.drain.timeout_ms,
       log: base.log,
@@ -224,7 +224,7 @@
 }
 
 interface Batching {
-  gatherer: BatchGatherer;
+  batcher: Batcher;
   jobs: JobRouter;
   pool: (name: string) => RoutePool | undefined;
 }
@@ -233,7 +233,7 @@
   const { configuration, endpoints, members, peers, log, now } = base;
   const pool = (name: string) =>
     configuration.table?.configuration.pools.get(name);
-  const gatherer: BatchGatherer = new BatchGatherer({
+  const batcher: Batcher = new Batcher({
     pool,
     endpoints: (name) => endpoints.ofPool(name, now()),
     caller: createPieceCaller({
@@ -249,14 +249,14 @@
   });
   const jobs: JobRouter = new JobRouter({
     self: base.self,
-    gatherers: () => members.gatherers(base.lifecycle.going),
-    local: gatherer,
+    batchers: () => members.batchers(base.lifecycle.going),
+    local: batcher,
     peers,
     log,
     now,
     signal: base.signal,
   });
-  return { gatherer, jobs, pool };
+  return { batcher, jobs, pool };
 }
 
 function createForwardParts(
@@ -288,14 +288,14 @@
 
 function createServers(
   base: Base,
-  { gatherer }: Batching,
+  { batcher }: Batching,
 ): [Server, Address][] {
   const { lifecycle, settings, adapter, sources } = base;
   const peerServer = createGatewayPeerServer({
-    gathers: () => lifecycle.state === HostLifecycleState.Ready,
-    run: (job, signal) => gatherer.run(job, signal),
+    batches: () => lifecycle.state === HostLifecycleState.Ready,
+    run: (job, signal) => batcher.run(job, signal),
     free(all) {
-      for (const freed of all) gatherer.free(freed);
+      for (const freed of all) batcher.free(freed);
     },
     beliefs: () => shareBeliefs(sources),
     progress: () => ({
--- a/src/lifecycle/drain_gateway.ts
+++ b/src/lifecycle/drain_gateway.ts
@@ -9,7 +9,7 @@
   lifecycle: HostLifecycle;
   front: FrontServer;
   /** Stage jobs of other hosts that run here. */
-  gathering: () => number;
+  batching: () => number;
   /** Removes this host's entry, so that peers choose another host. */
   withdraw: () => Promise<void>;
   /** How long running requests may take. */
@@ -29,7 +29,7 @@
 export async function drainGateway(
   options: DrainGatewayOptions,
 ): Promise<void> {
-  const { lifecycle, front, gathering, log, now, signal } = options;
+  const { lifecycle, front, batching, log, now, signal } = options;
   const end_ms = now() + options.timeout_ms - RESERVE_MS;
   options.withdraw().catch((error: Error) =>
     log.warn({ event: "withdraw_failed", error: error.message })
@@ -37,11 +37,11 @@
   await pause(BALANCER_NOTICE_MS, signal);
   front.closeIdle();
   lifecycle.handle(HostLifecycleEvent.GraceOver);
-  const busy = () => front.running > 0 || gathering() > 0;
+  const busy = () => front.running > 0 || batching() > 0;
   while (busy() && now() < end_ms && !signal.aborted) {
     await pause(POLL_MS, signal);
   }
-  log.info({ event: "drained", running: front.running, jobs: gathering() });
+  log.info({ event: "drained", running: front.running, jobs: batching() });
   lifecycle.handle(
     busy() ? HostLifecycleEvent.Timeout : HostLifecycleEvent.Idle,
   );
--- a/src/membership/gateway_members.ts
+++ b/src/membership/gateway_members.ts
@@ -53,11 +53,11 @@
   }
 
   /**
-   * Addresses of the hosts that may gather: the older half of the larger half,
+   * Addresses of the hosts that may batch: the older half of the larger half,
    * so that a host which has just started does not take over what others do. A
    * leaving host leaves itself out while there are others.
    */
-  gatherers(leaving: boolean): string[] {
+  batchers(leaving: boolean): string[] {
     const all = [...this.#members.values()]
       .filter((member) => member.address !== this.#self.address);
     if (!leaving || all.length === 0) all.push(this.#self);
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -1,6 +1,6 @@
 /** Calls other gateway hosts; one client for each address. */
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
-import type { GathererPeers } from "../batching/job_router.ts";
+import type { BatcherPeers } from "../batching/job_router.ts";
 import type { FreedResults, JobOutcome, StageJob } from "../batching/types.ts";
 import type {
   SharedBeliefs,
@@ -26,7 +26,7 @@
 }
 
 /** Keeps the clients of all gateway hosts. */
-export class GatewayClients implements GathererPeers {
+export class GatewayClients implements BatcherPeers {
   #open = new Map<string, OpenClients>();
 
   /** Has a job made at another host. */
@@ -45,7 +45,7 @@
     await this.#post(address, freed, call);
   }
 
-  /** Whether the host gathers; rejects if it is silent. */
+  /** Whether the host batches; rejects if it is silent. */
   async ping(address: string): Promise<boolean> {
     return await this.#to(address).trpc.ping.query();
   }
--- a/src/peers/gateway_router.ts
+++ b/src/peers/gateway_router.ts
@@ -7,8 +7,8 @@
 
 /** What a host does when it is called. */
 export interface GatewayHandlers {
-  /** Whether the host gathers pieces; a leaving one does not. */
-  gathers: () => boolean;
+  /** Whether the host batches pieces; a leaving one does not. */
+  batches: () => boolean;
   beliefs: () => SharedBeliefs;
   progress: () => SharedProgress;
 }
@@ -18,7 +18,7 @@
 /** Creates the router over a host's handlers. */
 export function createGatewayRouter(handlers: GatewayHandlers) {
   return trpc.router({
-    ping: trpc.procedure.query(() => handlers.gathers()),
+    ping: trpc.procedure.query(() => handlers.batches()),
     progress: trpc.procedure.query(() => handlers.progress()),
     beliefs: trpc.procedure.query(() => handlers.beliefs()),
   });
--- a/src/peers/read_host_status.ts
+++ b/src/peers/read_host_status.ts
@@ -1,4 +1,4 @@
-/** Gathers this host's status for operators. */
+/** Batches this host's status for operators. */
 import type { ConfigurationState } from "../configuration/configuration_state.ts";
 import type { RunningRequests } from "../http_api/running_requests.ts";
 import type { MemberTable } from "../membership/member_table.ts";
--- a/test/batching/batch_gatherer.test.ts
+++ b/test/batching/batcher.test.ts
@@ -1,11 +1,11 @@
-/** The gatherer with a caller that the test answers by hand. */
+/** The batcher with a caller that the test answers by hand. */
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, test } from "node:test";
 import {
-  BatchGatherer,
+  Batcher,
   PieceCallEnd,
   type PieceCallResult,
-} from "../../src/batching/batch_gatherer.ts";
+} from "../../src/batching/batcher.ts";
 import {
   JobEnd,
   PieceFault,
@@ -29,7 +29,7 @@
 let now_ms: number;
 let calls: MadeCall[];
 let freed: string[];
-let gatherer: BatchGatherer;
+let batcher: Batcher;
 
 const pool: RoutePool = {
   name: "encode",
@@ -68,7 +68,7 @@
   calls = [];
   freed = [];
   endpoints = [endpoint("1")];
-  gatherer = new BatchGatherer({
+  batcher = new Batcher({
     pool: () => pool,
     endpoints: () => endpoints,
     caller: {
@@ -102,7 +102,7 @@
 }
 
 function run(attempt_id: string, signal = stopping.signal) {
-  return gatherer.run(job(attempt_id), signal);
+  return batcher.run(job(attempt_id), signal);
 }
 
 function made({ orders }: MadeCall): PieceCallResult {
@@ -187,19 +187,19 @@
 test("a leaving host ends what it began and hands the rest back", async () => {
   const begun = run("a");
   const waiting = run("b");
-  gatherer.leave();
+  batcher.leave();
   assert.equal((await waiting).kind, JobEnd.HandedBack);
   assert.equal((await run("c")).kind, JobEnd.HandedBack);
   await answer(0);
   assert.equal((await begun).kind, JobEnd.Made);
-  const own = gatherer.runOwn(job("d"), stopping.signal);
+  const own = batcher.runOwn(job("d"), stopping.signal);
   await answer(1);
   assert.equal((await own).kind, JobEnd.Made);
 });
 
 test("a job with no chance is refused at once with a time to return", async () => {
   for (let n = 0; n < 10; n++) void run(`${n}`);
-  const outcome = await gatherer.run(
+  const outcome = await batcher.run(
     job("late", { expires_in_ms: 300 }),
     stopping.signal,
   );
@@ -209,7 +209,7 @@
 
 test("memory that turns out to be taken is not planned with again", async () => {
   const large = { result_bytes: 300 };
-  const outcome = gatherer.run(job("a", large), stopping.signal);
+  const outcome = batcher.run(job("a", large), stopping.signal);
   const noRoom = { ok: false as const, fault: PieceFault.NoRoom };
   await answer(0, {
     kind: PieceCallEnd.Answered,
@@ -219,7 +219,7 @@
   await answer(1, { kind: PieceCallEnd.Answered, answers: [noRoom] });
   assert.equal(calls.length, 2);
   now_ms += 1_000;
-  gatherer.endpointsChanged();
+  batcher.endpointsChanged();
   await answer(2);
   assert.equal((await outcome).kind, JobEnd.Made);
 });
--- a/test/batching/job_router.test.ts
+++ b/test/batching/job_router.test.ts
@@ -1,11 +1,8 @@
-/** Which host gathers, and what happens when it does not answer. */
+/** Which host batches, and what happens when it does not answer. */
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, test } from "node:test";
-import { BatchGatherer } from "../../src/batching/batch_gatherer.ts";
-import {
-  type GathererPeers,
-  JobRouter,
-} from "../../src/batching/job_router.ts";
+import { Batcher } from "../../src/batching/batcher.ts";
+import { type BatcherPeers, JobRouter } from "../../src/batching/job_router.ts";
 import {
   JobEnd,
   type JobOutcome,
@@ -32,7 +29,7 @@
 const log = createLogger({ level: "error", host: "h", writeLine: () => {} });
 
 function router(): JobRouter {
-  const peers: GathererPeers = {
+  const peers: BatcherPeers = {
     run(address, _job, signal) {
       asked.push(address);
       const given_up = new Promise<never>((_, reject) =>
@@ -44,7 +41,7 @@
     free: () => Promise.resolve(),
     ping: (address) => Promise.reject(new Error(`${address} is silent`)),
   };
-  const local = new BatchGatherer({
+  const local = new Batcher({
     pool: () => undefined,
     endpoints: () => [],
     caller: {
@@ -57,7 +54,7 @@
   });
   return new JobRouter({
     self: "self",
-    gatherers: () => hosts,
+    batchers: () => hosts,
     local,
     peers,
     log,
@@ -80,15 +77,15 @@
   last_read: [],
 };
 
-test("every host sends a pool's jobs to the same gatherer", () => {
-  const first = router().gathererOf("encode");
+test("every host sends a pool's jobs to the same batcher", () => {
+  const first = router().batcherOf("encode");
   hosts = [...hosts].reverse();
-  assert.equal(router().gathererOf("encode"), first);
+  assert.equal(router().batcherOf("encode"), first);
 });
 
-test("a gatherer that can't be reached is passed over", async () => {
+test("a batcher that can't be reached is passed over", async () => {
   const jobs = router();
-  const first = jobs.gathererOf("encode");
+  const first = jobs.batcherOf("encode");
   answers[first] = () => Promise.reject(new Error("reset"));
   assert.equal((await jobs.run(JOB, stopping.signal)).kind, JobEnd.Made);
   assert.deepEqual(asked.length, 2);
@@ -96,9 +93,9 @@
   assert.equal(asked.filter((address) => address === first).length, 1);
 });
 
-test("a gatherer that stays silent is given up after a ping", async () => {
+test("a batcher that stays silent is given up after a ping", async () => {
   const jobs = router();
-  answers[jobs.gathererOf("encode")] = () => new Promise(() => {});
+  answers[jobs.batcherOf("encode")] = () => new Promise(() => {});
   const began_ms = performance.now();
   assert.equal((await jobs.run(JOB, stopping.signal)).kind, JobEnd.Made);
   assert.ok(performance.now() - began_ms < 1_000);
@@ -106,7 +103,7 @@
 
 test("a job that is handed back goes to another host", async () => {
   const jobs = router();
-  answers[jobs.gathererOf("encode")] = () => Promise.resolve(HANDED_BACK);
+  answers[jobs.batcherOf("encode")] = () => Promise.resolve(HANDED_BACK);
   assert.equal((await jobs.run(JOB, stopping.signal)).kind, JobEnd.Made);
   assert.equal(new Set(asked).size, 2);
 });
--- a/test/forwarding/gateway_faults.test.ts
+++ b/test/forwarding/gateway_faults.test.ts
@@ -73,7 +73,7 @@
   assert.equal(await status("/review/x", 1), 200);
 });
 
-test("requests are served when the host that gathers is lost", async () => {
+test("requests are served when the host that batches is lost", async () => {
   await startFleet({ gateways: 3 });
   await until(() =>
     fleet.gateways.every((_, n) => says(n, "event=members count=3"))
--- a/test/membership/gateway_members.test.ts
+++ b/test/membership/gateway_members.test.ts
@@ -22,28 +22,28 @@
   return members;
 }
 
-test("hosts that have just started do not gather while older ones do", () => {
+test("hosts that have just started do not batch while older ones do", () => {
   const members = membersOf("self", [
     member("old", { started_ms: 50 }),
     member("new", { started_ms: 900 }),
     member("newer", { started_ms: 950 }),
   ]);
-  assert.deepEqual(members.gatherers(false).sort(), ["old", "self"]);
+  assert.deepEqual(members.batchers(false).sort(), ["old", "self"]);
 });
 
-test("the smaller half of the hosts does not gather", () => {
+test("the smaller half of the hosts does not batch", () => {
   const members = membersOf("self", [
     member("large", { cores: 2 }),
     member("small", { cores: 0.2 }),
     member("tiny", { cores: 0.1 }),
   ]);
-  assert.deepEqual(members.gatherers(false).sort(), ["large", "self"]);
+  assert.deepEqual(members.batchers(false).sort(), ["large", "self"]);
 });
 
 test("a leaving host leaves itself out, unless it is alone", () => {
   const members = membersOf("self", [member("other")]);
-  assert.deepEqual(members.gatherers(true), ["other"]);
-  assert.deepEqual(membersOf("self", []).gatherers(true), ["self"]);
+  assert.deepEqual(members.batchers(true), ["other"]);
+  assert.deepEqual(membersOf("self", []).batchers(true), ["self"]);
 });
 
 test("changes of entries are followed", () => {
