--- a/stand_ins/scenario/run_scenario.ts
+++ b/stand_ins/scenario/run_scenario.ts
@@ -26,6 +26,9 @@
 function ignoreLostAnswer(): void {}
 
 const EVENTUALLY_POLL_MS = 50;
+const CALLS_POLL_MS = 10;
+/** Longest time for `until_called`. */
+const CALLS_LIMIT_MS = 20_000;
 
 /** Runs a scenario; `program` replaces the sources as what hosts run. */
 export async function runScenario(
@@ -93,6 +96,7 @@
     if ("send" in step) return await this.#startSending(step.send);
     if ("join" in step) return await this.#background.get(step.join);
     if ("wait_ms" in step) return await sleep(step.wait_ms);
+    if ("until_called" in step) return await this.#waitForCalls(step);
     if ("platform" in step) {
       return await this.#fleet.setPlatform(step.platform);
     }
@@ -248,6 +252,17 @@
     await this.#fleet.putRecords([this.#fleet.endpointRecord(endpoint, true)]);
   }
 
+  async #waitForCalls(
+    { until_called }: { until_called: { name: string; times: number } },
+  ): Promise<void> {
+    const { name, times } = until_called;
+    const end_ms = performance.now() + CALLS_LIMIT_MS;
+    while (await callsOf(this.#fleet, name) < times) {
+      if (performance.now() > end_ms) throw new Error(`${name} is not called`);
+      await sleep(CALLS_POLL_MS);
+    }
+  }
+
   async #mark(name: string): Promise<void> {
     this.#marks.set(name, await callsOf(this.#fleet, name));
   }
--- a/stand_ins/scenario/scenario.ts
+++ b/stand_ins/scenario/scenario.ts
@@ -77,6 +77,13 @@
   z.strictObject({ send: sendSchema }),
   z.strictObject({ join: z.string() }),
   z.strictObject({ wait_ms: z.int().positive() }),
+  /** Waits until the endpoint has been called that often. */
+  z.strictObject({
+    until_called: z.strictObject({
+      name: z.string(),
+      times: z.int().positive(),
+    }),
+  }),
   z.strictObject({ platform: z.record(z.string(), z.unknown()) }),
   z.strictObject({
     endpoint: z.strictObject({
--- a/test/lifecycle/drain.test.ts
+++ b/test/lifecycle/drain.test.ts
@@ -19,11 +19,20 @@
 };
 const LARGE = "x".repeat(20_000_000);
 
+/** A large answer may take longer than the samples' deadline beside load. */
+const LONG_DEADLINE_MS = 60_000;
+
+function withLongDeadline<Sample extends object>(record: Sample): Sample {
+  return "deadline_ms" in record
+    ? { ...record, deadline_ms: LONG_DEADLINE_MS }
+    : record;
+}
+
 async function startHost(t: TestContext) {
   const fleet = new Fleet({
     hosts: 1,
     endpoints: sampleEndpoints(),
-    records: sampleRecords(),
+    records: sampleRecords().map(withLongDeadline),
     settings: {
       drain: { readiness_delay_ms: 100 },
       limits: { body_bytes: 30_000_000 },
