--- a/src/beliefs/endpoint_belief.ts
+++ b/src/beliefs/endpoint_belief.ts
@@ -7,14 +7,9 @@
  * endpoints have had time to write their entries again.
  */
 import { EndpointState, type RouteEndpoint } from "../routes/types.ts";
+import { RETURN_GRACE_MS } from "./feed_history.ts";
 import type { FeedChange, FeedItem } from "./object_feed.ts";
 
-/**
- * How long after the source's return a missing entry still means nothing.
- * Endpoints that live are back within about two seconds.
- */
-export const RETURN_GRACE_MS = 2_200;
-
 interface Known {
   endpoint: RouteEndpoint;
   /** When it stops counting; undefined while its entry is there. */
@@ -49,6 +44,11 @@
     this.#graceUntil_ms = now_ms + RETURN_GRACE_MS;
   }
 
+  /** The source was away for the host that told this one. */
+  unsettled(until_ms: number): void {
+    this.#graceUntil_ms = Math.max(this.#graceUntil_ms, until_ms);
+  }
+
   /** Every entry, as of now. */
   replaceAll(items: FeedItem<RouteEndpoint>[], now_ms: number): void {
     this.#lost = false;
--- a/src/beliefs/follow_beliefs.ts
+++ b/src/beliefs/follow_beliefs.ts
@@ -2,7 +2,6 @@
  * Keeps this host's beliefs fresh: from the object store, and from peers while
  * the store does not answer.
  */
-import type { GatewayStore } from "../forwarding/adapter.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { GatewayMembers } from "../membership/gateway_members.ts";
 import type { GatewayClients } from "../peers/gateway_clients.ts";
@@ -10,13 +9,26 @@
 import { pause } from "../utils/loop.ts";
 import type { ConfigurationBelief } from "./configuration_belief.ts";
 import type { EndpointBelief } from "./endpoint_belief.ts";
-import { FeedProgress, followFeed, type FollowOptions } from "./follow_feed.ts";
-import type { FeedItem } from "./object_feed.ts";
+import type { FeedReaders } from "../membership/feed_readers.ts";
+import type { GatewayMember } from "../membership/gateway_members.ts";
+import type { FeedHistories, FeedName } from "../peers/peer_feeds.ts";
+import type { RouteConfiguration, RouteEndpoint } from "../routes/types.ts";
+import { FeedProgress, followFeed } from "./follow_feed.ts";
+import type { FeedItem, ObjectFeed } from "./object_feed.ts";
 import { readSharedConfiguration } from "./shared_beliefs.ts";
 
+/** The feeds, wherever they are read from. */
+export interface Feeds {
+  configuration: ObjectFeed<RouteConfiguration>;
+  endpoints: ObjectFeed<RouteEndpoint>;
+  gateways: ObjectFeed<GatewayMember>;
+}
+
 /** Beliefs and where they come from. */
 export interface Sources {
-  store: GatewayStore;
+  feeds: Feeds;
+  histories: FeedHistories;
+  readers: FeedReaders;
   peers: GatewayClients;
   configuration: ConfigurationBelief;
   endpoints: EndpointBelief;
@@ -40,6 +52,8 @@
 const PEER_POLL_MS = 400;
 /** Gateway hosts change seldom, and a stale list costs little. */
 const MEMBER_WATCH_MS = 20_000;
+/** Hosts start and stop many at a time. */
+const MEMBER_GATHER_MS = 1_000;
 
 /** Follows every source until the process stops. */
 export async function followBeliefs(sources: Sources): Promise<void> {
@@ -61,7 +75,7 @@
   sources: Sources,
   state: SourceState,
 ): Promise<void> {
-  const { store, configuration, log } = sources;
+  const { feeds, configuration, log } = sources;
   const take = (
     items: FeedItem<Parameters<typeof configuration.accept>[0]>[],
   ) => {
@@ -70,7 +84,7 @@
       else log.warn({ event: "unreadable", source: "configuration", name });
     }
   };
-  return followFeed(store.configuration, {
+  return followFeed(feeds.configuration, {
     onList: take,
     onChanges: take,
     onLost: () => state.configurationLost = true,
@@ -82,11 +96,11 @@
 }
 
 function followEndpoints(sources: Sources): Promise<void> {
-  const { store, endpoints, onEndpoints, log, now } = sources;
+  const { feeds, endpoints, onEndpoints, log, now } = sources;
   const changed = () => {
     for (const each of onEndpoints) each();
   };
-  return followFeed(store.endpoints, {
+  return followFeed(feeds.endpoints, {
     onList(items) {
       endpoints.replaceAll(items, now());
       log.info({ event: "endpoints", count: items.length });
@@ -106,6 +120,7 @@
     },
     onLost: () => endpoints.sourceLost(),
     onBack: () => endpoints.sourceBack(now()),
+    onUnsettled: (unsettled_ms) => endpoints.unsettled(now() + unsettled_ms),
   }, {
     ...optionsFor("endpoints", sources),
     progress: sources.progress.endpoints,
@@ -113,9 +128,9 @@
 }
 
 function followMembers(sources: Sources): Promise<void> {
-  const { store, members, log } = sources;
+  const { feeds, members, log } = sources;
   const tell = () => log.info({ event: "members", count: members.count });
-  return followFeed(store.gateways, {
+  return followFeed(feeds.gateways, {
     onList(items) {
       members.replaceAll(items);
       tell();
@@ -124,13 +139,28 @@
       members.apply(changes);
       tell();
     },
-  }, { ...optionsFor("gateways", sources), wait_ms: MEMBER_WATCH_MS });
+  }, {
+    ...optionsFor("gateways", sources),
+    wait_ms: MEMBER_WATCH_MS,
+    gather_ms: MEMBER_GATHER_MS,
+  });
 }
 
-function optionsFor(name: string, sources: Sources): FollowOptions {
-  const { watch_ms, log, random, signal } = sources;
-  const progress = new FeedProgress();
-  return { name, wait_ms: watch_ms, progress, log, random, signal };
+function optionsFor<Name extends `${FeedName}`>(
+  name: Name,
+  { watch_ms, histories, log, now, random, signal }: Sources,
+) {
+  return {
+    name,
+    wait_ms: watch_ms,
+    gather_ms: 0,
+    progress: new FeedProgress(),
+    history: histories[name],
+    log,
+    now,
+    random,
+    signal,
+  };
 }
 
 /** Asks a peer at random while the store does not answer. */
@@ -146,9 +176,10 @@
 
 /** Finds out from a peer at random that a watch of this host is silent. */
 async function compareWithPeers(sources: Sources): Promise<void> {
-  const { progress, peers, log, random, signal } = sources;
+  const { progress, peers, readers, log, random, signal } = sources;
   while (!signal.aborted) {
     await pause(COMPARE_MS * (0.5 + random()), signal);
+    if (!readers.selfReads) continue;
     const peer = anyPeer(sources);
     if (peer === undefined || signal.aborted) continue;
     try {
--- a/src/beliefs/follow_feed.ts
+++ b/src/beliefs/follow_feed.ts
@@ -1,6 +1,7 @@
 /** Follows a feed for as long as the process lives. */
 import type { Logger } from "../logging/logger.ts";
 import { Backoff, pause } from "../utils/loop.ts";
+import type { FeedHistory } from "./feed_history.ts";
 import {
   type FeedChange,
   type FeedItem,
@@ -16,6 +17,8 @@
   onLost?: () => void;
   /** The source answers again; told before what it said. */
   onBack?: () => void;
+  /** Entries may be missing for that long; told before what was read. */
+  onUnsettled?: (unsettled_ms: number) => void;
 }
 
 /**
@@ -52,13 +55,18 @@
 const OVERTAKEN = "overtaken";
 
 /** What following needs. */
-export interface FollowOptions {
+export interface FollowOptions<T> {
   /** For the log. */
   name: string;
   /** How long one watch waits, in milliseconds. */
   wait_ms: number;
+  /** Pause after a change, in which further ones gather; 0 for none. */
+  gather_ms: number;
   progress: FeedProgress;
+  /** What was read, for hosts that follow this one. */
+  history: FeedHistory<T>;
   log: Logger;
+  now: () => number;
   random: () => number;
   signal: AbortSignal;
 }
@@ -69,9 +77,9 @@
 export async function followFeed<T>(
   feed: ObjectFeed<T>,
   follower: FeedFollower<T>,
-  options: FollowOptions,
+  options: FollowOptions<T>,
 ): Promise<void> {
-  const { name, wait_ms, progress, log, signal } = options;
+  const { name, wait_ms, gather_ms, progress, history, log, signal } = options;
   const backoff = new Backoff(RETRY, options.random);
   let revision: number | undefined;
   let lost = false;
@@ -92,6 +100,7 @@
       if (!lost) {
         lost = true;
         log.warn({ event: "source_lost", source: name, reason: read.reason });
+        history.sourceLost();
         follower.onLost?.();
       }
       await pause(backoff.next_ms(), signal);
@@ -100,19 +109,26 @@
     if (lost) {
       lost = false;
       log.info({ event: "source_back", source: name });
+      history.sourceBack(options.now());
       follower.onBack?.();
     }
     backoff.reset();
+    if ("unsettled_ms" in read && (read.unsettled_ms ?? 0) > 0) {
+      follower.onUnsettled?.(read.unsettled_ms ?? 0);
+    }
     switch (read.kind) {
       case FeedReadKind.Listed:
         revision = read.revision;
-        progress.read(revision, true);
+        progress.read(revision, history.replaceAll(read.items, revision));
         follower.onList(read.items);
         break;
       case FeedReadKind.Changed:
         revision = read.revision;
         progress.read(revision, read.changes.length > 0);
-        if (read.changes.length > 0) follower.onChanges(read.changes);
+        history.apply(read.changes, revision);
+        if (read.changes.length === 0) break;
+        follower.onChanges(read.changes);
+        if (gather_ms > 0) await pause(gather_ms, signal);
         break;
       case FeedReadKind.HistoryLost:
         log.info({ event: "history_lost", source: name, revision });
--- a/src/beliefs/object_feed.ts
+++ b/src/beliefs/object_feed.ts
@@ -16,8 +16,19 @@
 
 /** What a read or a watch brings. */
 export type FeedRead<T> =
-  | { kind: FeedReadKind.Listed; items: FeedItem<T>[]; revision: number }
-  | { kind: FeedReadKind.Changed; changes: FeedChange<T>[]; revision: number }
+  | {
+    kind: FeedReadKind.Listed;
+    items: FeedItem<T>[];
+    revision: number;
+    /** How long entries may still be missing after an outage of the source. */
+    unsettled_ms?: number;
+  }
+  | {
+    kind: FeedReadKind.Changed;
+    changes: FeedChange<T>[];
+    revision: number;
+    unsettled_ms?: number;
+  }
   /** Changes since that revision are not kept any more: read it whole. */
   | { kind: FeedReadKind.HistoryLost }
   | { kind: FeedReadKind.Unavailable; reason: string };
--- /dev/null
+++ b/src/beliefs/relayed_feed.ts
@@ -0,0 +1,141 @@
+/**
+ * A feed that is read from the object store by some hosts and from these by all
+ * others, so that a change costs the store as many calls as there are readers,
+ * not hosts. The readers are asked in turn: one that hears of nothing is made
+ * up for by the next.
+ */
+import type { Logger } from "../logging/logger.ts";
+import type { FeedReaders } from "../membership/feed_readers.ts";
+import { type FeedRead, FeedReadKind, type ObjectFeed } from "./object_feed.ts";
+
+/** Follows a feed at another host; each call rejects if there is no answer. */
+export interface PeerFeed<T> {
+  list(address: string, least_revision: number): Promise<FeedRead<T>>;
+  watch(address: string, revision: number): Promise<FeedRead<T>>;
+}
+
+/** What following needs. */
+export interface RelayOptions<T> {
+  /** For the log. */
+  name: string;
+  store: ObjectFeed<T>;
+  peers: PeerFeed<T>;
+  readers: FeedReaders;
+  /** This host's address for peers. */
+  self: string;
+  log: Logger;
+}
+
+/** Hosts that are asked before a read counts as failed. */
+const MOST_SOURCES = 3;
+/** How long a watch of the store waits at a host that others follow. */
+const SERVED_WATCH_MS = 2_500;
+
+/** Creates the feed. */
+export function createRelayedFeed<T>(options: RelayOptions<T>): ObjectFeed<T> {
+  const { store, peers, readers } = options;
+  let newest = 0;
+  /** A watch of the store goes on only from what the store itself said. */
+  let following = false;
+  const fromStore = async (ask: () => Promise<FeedRead<T>>) => {
+    const read = await ask();
+    following = "revision" in read;
+    return read;
+  };
+  const fromPeer = (ask: () => Promise<FeedRead<T>>) => {
+    following = false;
+    return ask();
+  };
+  /** A peer that does not know that far back gives its list at once. */
+  const watchPeer = async (address: string, revision: number) => {
+    const read = await peers.watch(address, revision);
+    return read.kind === FeedReadKind.HistoryLost
+      ? await peers.list(address, newest)
+      : read;
+  };
+  const remember = (read: FeedRead<T>): FeedRead<T> => {
+    if ("revision" in read) newest = Math.max(newest, read.revision);
+    return read;
+  };
+  return {
+    async list(signal) {
+      return remember(
+        await readFromAny({
+          fromStore: () => fromStore(() => store.list(signal)),
+          fromPeer: (address) => fromPeer(() => peers.list(address, newest)),
+        }, { ...options, signal }),
+      );
+    },
+    async watch(revision, wait_ms, signal) {
+      const storeWait_ms = readers.served
+        ? Math.min(wait_ms, SERVED_WATCH_MS)
+        : wait_ms;
+      return remember(
+        await readFromAny({
+          fromStore: () =>
+            fromStore(() =>
+              following
+                ? store.watch(revision, storeWait_ms, signal)
+                : store.list(signal)
+            ),
+          fromPeer: (address) => fromPeer(() => watchPeer(address, revision)),
+        }, { ...options, signal }),
+      );
+    },
+  };
+}
+
+interface Sources<T> {
+  fromStore: () => Promise<FeedRead<T>>;
+  fromPeer: (address: string) => Promise<FeedRead<T>>;
+}
+
+async function readFromAny<T>(
+  { fromStore, fromPeer }: Sources<T>,
+  options: RelayOptions<T> & { signal: AbortSignal },
+): Promise<FeedRead<T>> {
+  const { readers, self, signal } = options;
+  let storeFailed = false;
+  for (let tried = 0; tried < MOST_SOURCES && !signal.aborted; tried++) {
+    if (readers.selfReads) {
+      if (storeFailed) break;
+      const read = await fromStore();
+      if (signal.aborted || read.kind !== FeedReadKind.Unavailable) {
+        readers.answered(self);
+        return read;
+      }
+      noteFailure(self, read.reason, options);
+      storeFailed = true;
+      continue;
+    }
+    const peer = readers.next();
+    if (peer === undefined) break;
+    const read = await askPeer(() => fromPeer(peer));
+    if (read.kind !== FeedReadKind.Unavailable) {
+      readers.answered(peer);
+      return read;
+    }
+    noteFailure(peer, read.reason, options);
+  }
+  return { kind: FeedReadKind.Unavailable, reason: "no source answers" };
+}
+
+async function askPeer<T>(
+  ask: () => Promise<FeedRead<T>>,
+): Promise<FeedRead<T>> {
+  try {
+    return await ask();
+  } catch (error) {
+    const { message } = error as Error;
+    return { kind: FeedReadKind.Unavailable, reason: message };
+  }
+}
+
+function noteFailure<T>(
+  address: string,
+  reason: string,
+  { readers, log, name }: RelayOptions<T>,
+): void {
+  readers.failed(address);
+  log.info({ event: "reader_failed", source: name, reader: address, reason });
+}
--- a/src/beliefs/shared_beliefs.ts
+++ b/src/beliefs/shared_beliefs.ts
@@ -37,12 +37,19 @@
 ): SharedBeliefs {
   const known = configuration.table?.configuration;
   return {
-    configuration: known && { ...known, pools: [...known.pools] },
+    configuration: known && shareConfiguration(known),
     endpoints: endpoints.all(now()),
     endpoints_fresh: endpoints.sourceIsWell,
   };
 }
 
+/** A configuration as JSON can carry it. */
+export function shareConfiguration(
+  configuration: RouteConfiguration,
+): SharedConfiguration {
+  return { ...configuration, pools: [...configuration.pools] };
+}
+
 /** A configuration as another host told it. */
 export function readSharedConfiguration(
   shared: SharedConfiguration,
--- a/src/defaults.ts
+++ b/src/defaults.ts
@@ -49,6 +49,7 @@
 export const DEFAULT_GATEWAY = {
   cores: 1,
   watch_ms: 8_000,
+  readers: 8,
   repeats: { ratio: 0.1, slack: 10, window_s: 10 },
   drain_timeout_s: 30,
   log_lines_per_s: 500,
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -7,8 +7,18 @@
 import { ConfigurationBelief } from "./beliefs/configuration_belief.ts";
 import { EndpointBelief } from "./beliefs/endpoint_belief.ts";
 import { FeedProgress } from "./beliefs/follow_feed.ts";
-import { followBeliefs, type Sources } from "./beliefs/follow_beliefs.ts";
-import { shareBeliefs } from "./beliefs/shared_beliefs.ts";
+import { FeedHistory } from "./beliefs/feed_history.ts";
+import {
+  type Feeds,
+  followBeliefs,
+  type Sources,
+} from "./beliefs/follow_beliefs.ts";
+import type { FeedRead } from "./beliefs/object_feed.ts";
+import { createRelayedFeed } from "./beliefs/relayed_feed.ts";
+import {
+  shareBeliefs,
+  type SharedConfiguration,
+} from "./beliefs/shared_beliefs.ts";
 import { type Checked, formatFindings } from "./findings/finding.ts";
 import { EndpointAgents } from "./endpoints/endpoint_agents.ts";
 import type { GatewayAdapter, GatewayStore } from "./forwarding/adapter.ts";
@@ -29,13 +39,22 @@
   type Logger,
   type WriteLine,
 } from "./logging/logger.ts";
-import { GatewayMembers } from "./membership/gateway_members.ts";
+import { FeedReaders } from "./membership/feed_readers.ts";
+import {
+  type GatewayMember,
+  GatewayMembers,
+} from "./membership/gateway_members.ts";
 import { announceSelf } from "./membership/announce_self.ts";
 import { ForwardMetrics } from "./metrics/forward_metrics.ts";
 import { createMetricsServer } from "./metrics/metrics_server.ts";
 import { GatewayClients } from "./peers/gateway_clients.ts";
 import { createGatewayPeerServer } from "./peers/gateway_peer_server.ts";
-import type { RoutePool } from "./routes/types.ts";
+import {
+  answerFollower,
+  FeedName,
+  readConfigurationAnswer,
+} from "./peers/peer_feeds.ts";
+import type { RouteEndpoint, RoutePool } from "./routes/types.ts";
 import { ObservedLoad } from "./routing/observed_load.ts";
 import { RepeatBudget } from "./routing/repeat_budget.ts";
 import type { GatewaySettings } from "./settings/gateway_settings.ts";
@@ -179,8 +198,20 @@
   const peers = new GatewayClients();
   const store: GatewayStore = adapter.openStore(settings.object_store.address);
   const signal = stopping.signal;
+  const readers = new FeedReaders({
+    self,
+    hosts: () => members.addresses(),
+    readers: settings.object_store.readers,
+    now,
+  });
   const sources: Sources = {
-    store,
+    feeds: createFeeds(store, { peers, readers, self, log }),
+    histories: {
+      configuration: new FeedHistory(),
+      endpoints: new FeedHistory(),
+      gateways: new FeedHistory(),
+    },
+    readers,
     peers,
     configuration,
     endpoints,
@@ -223,6 +254,47 @@
   };
 }
 
+function createFeeds(
+  store: GatewayStore,
+  { peers, ...options }: {
+    peers: GatewayClients;
+    readers: FeedReaders;
+    self: string;
+    log: Logger;
+  },
+): Feeds {
+  return {
+    configuration: createRelayedFeed({
+      ...options,
+      name: FeedName.Configuration,
+      store: store.configuration,
+      peers: peers.feed(
+        FeedName.Configuration,
+        (answer) =>
+          readConfigurationAnswer(answer as FeedRead<SharedConfiguration>),
+      ),
+    }),
+    endpoints: createRelayedFeed({
+      ...options,
+      name: FeedName.Endpoints,
+      store: store.endpoints,
+      peers: peers.feed(
+        FeedName.Endpoints,
+        (answer) => answer as FeedRead<RouteEndpoint>,
+      ),
+    }),
+    gateways: createRelayedFeed({
+      ...options,
+      name: FeedName.Gateways,
+      store: store.gateways,
+      peers: peers.feed(
+        FeedName.Gateways,
+        (answer) => answer as FeedRead<GatewayMember>,
+      ),
+    }),
+  };
+}
+
 interface Batching {
   batcher: Batcher;
   jobs: JobRouter;
@@ -302,6 +374,12 @@
       configuration: sources.progress.configuration.changed,
       endpoints: sources.progress.endpoints.changed,
     }),
+    follow: (question) =>
+      answerFollower(question, {
+        histories: sources.histories,
+        reads: () => sources.readers.selfReads,
+        now: base.now,
+      }),
     log: base.log,
   });
   const readiness = createReadinessServer(
--- a/src/membership/gateway_members.ts
+++ b/src/membership/gateway_members.ts
@@ -45,6 +45,11 @@
     return this.others().length + 1;
   }
 
+  /** Addresses of all hosts, this one included. */
+  addresses(): string[] {
+    return [this.#self.address, ...this.others()].sort();
+  }
+
   /** Addresses of the other hosts. */
   others(): string[] {
     return [...this.#members.values()]
--- a/src/settings/gateway_settings.ts
+++ b/src/settings/gateway_settings.ts
@@ -23,6 +23,7 @@
   object_store: z.strictObject({
     address: addressSchema,
     watch_ms: z.int().positive().optional(),
+    readers: z.int().positive().optional(),
   }),
   repeats: z.strictObject({
     ratio: z.number().nonnegative().optional(),
@@ -52,7 +53,12 @@
   };
   /** Addresses for peers of hosts to ask before any others are known. */
   seeds: string[];
-  object_store: { address: Address; watch_ms: number };
+  object_store: {
+    address: Address;
+    watch_ms: number;
+    /** Hosts that read the store; the others follow these. */
+    readers: number;
+  };
   /** Bound on repeats over all hosts. */
   repeats: { ratio: number; slack: number; window_ms: number };
   drain: { timeout_ms: number };
@@ -90,8 +96,14 @@
   user: UserGatewaySettings,
 ): GatewaySettings {
   const { callers, readiness, peers, metrics } = user.listen;
-  const { cores, watch_ms, repeats, drain_timeout_s, log_lines_per_s } =
-    DEFAULT_GATEWAY;
+  const {
+    cores,
+    watch_ms,
+    readers,
+    repeats,
+    drain_timeout_s,
+    log_lines_per_s,
+  } = DEFAULT_GATEWAY;
   const window_s = user.repeats?.window_s ?? repeats.window_s;
   const timeout_s = user.drain?.timeout_s ?? drain_timeout_s;
   return {
@@ -106,6 +118,7 @@
     object_store: {
       address: parseAddress(user.object_store.address),
       watch_ms: user.object_store.watch_ms ?? watch_ms,
+      readers: user.object_store.readers ?? readers,
     },
     repeats: {
       ratio: user.repeats?.ratio ?? repeats.ratio,
--- a/test/beliefs/beliefs.test.ts
+++ b/test/beliefs/beliefs.test.ts
@@ -1,10 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { ConfigurationBelief } from "../../src/beliefs/configuration_belief.ts";
-import {
-  EndpointBelief,
-  RETURN_GRACE_MS,
-} from "../../src/beliefs/endpoint_belief.ts";
+import { EndpointBelief } from "../../src/beliefs/endpoint_belief.ts";
+import { RETURN_GRACE_MS } from "../../src/beliefs/feed_history.ts";
 import {
   EndpointState,
   type RouteConfiguration,
