Follow the store's feeds over streams from the hosts that read it

Change: the first 8 hosts of a ranking read the store, the others follow two of these over one stream each; a host whose readers fail reads the store itself. Fleets of up to 8 hosts read as before.

--- a/src/beliefs/feed_history.ts
+++ b/src/beliefs/feed_history.ts
@@ -35,6 +35,11 @@
   #unsettledUntil_ms = 0;
   #waiting = new Set<() => void>();
 
+  /** Revision up to which the feed was read. */
+  get revision(): number {
+    return this.#revision;
+  }
+
   /** Takes a whole reading; true if it differs from what was known. */
   replaceAll(items: readonly FeedItem<T>[], revision: number): boolean {
     const before = this.#entries;
@@ -68,6 +73,16 @@
     this.#unsettledUntil_ms = now_ms + RETURN_GRACE_MS;
   }
 
+  /** Entries may be missing until then, as somebody else tells. */
+  unsettled(until_ms: number): void {
+    this.#unsettledUntil_ms = Math.max(this.#unsettledUntil_ms, until_ms);
+  }
+
+  /** Nothing is new up to this revision. */
+  confirm(revision: number): void {
+    if (!this.#lost) this.#revision = Math.max(this.#revision, revision);
+  }
+
   /** Every entry, for a follower that has read up to `least_revision`. */
   list(least_revision: number, now_ms: number): FeedRead<T> {
     if (this.#lost || this.#revision < least_revision) return UNAVAILABLE;
@@ -115,6 +130,20 @@
     });
   }
 
+  /** Resolves when something was read, or is known not to come. */
+  async firstReading(wait_ms: number): Promise<void> {
+    if (this.#base !== Infinity) return;
+    await new Promise<void>((resolve) => {
+      const done = () => {
+        clearTimeout(timer);
+        this.#waiting.delete(done);
+        resolve();
+      };
+      const timer = setTimeout(done, wait_ms);
+      this.#waiting.add(done);
+    });
+  }
+
   #hasNews(revision: number): boolean {
     if (revision < this.#base) return true;
     for (const entry of this.#entries.values()) {
--- a/src/beliefs/follow_beliefs.ts
+++ b/src/beliefs/follow_beliefs.ts
@@ -11,7 +11,7 @@
 import type { EndpointBelief } from "./endpoint_belief.ts";
 import type { FeedReaders } from "../membership/feed_readers.ts";
 import type { GatewayMember } from "../membership/gateway_members.ts";
-import type { FeedHistories, FeedName } from "../peers/peer_feeds.ts";
+import type { FeedHistories, FeedName } from "../peers/feed_stream.ts";
 import type { RouteConfiguration, RouteEndpoint } from "../routes/types.ts";
 import { FeedProgress, followFeed } from "./follow_feed.ts";
 import type { FeedItem, ObjectFeed } from "./object_feed.ts";
--- a/src/beliefs/relayed_feed.ts
+++ b/src/beliefs/relayed_feed.ts
@@ -1,8 +1,8 @@
 /**
  * A feed that is read from the object store by some hosts and from these by all
  * others, so that a change costs the store as many calls as there are readers,
- * not hosts. The readers are asked in turn: one that hears of nothing is made
- * up for by the next.
+ * not hosts. A host follows two of them: one that hears of nothing is made up for
+ * by the other.
  */
 import type { Logger } from "../logging/logger.ts";
 import type { FeedReaders } from "../membership/feed_readers.ts";
@@ -11,7 +11,12 @@
 /** Follows a feed at another host; each call rejects if there is no answer. */
 export interface PeerFeed<T> {
   list(address: string, least_revision: number): Promise<FeedRead<T>>;
-  watch(address: string, revision: number): Promise<FeedRead<T>>;
+  /** Waits up to `wait_ms` for changes after `revision`. */
+  watch(
+    address: string,
+    revision: number,
+    wait_ms: number,
+  ): Promise<FeedRead<T>>;
 }
 
 /** What following needs. */
@@ -29,7 +34,9 @@
 /** Hosts that are asked before a read counts as failed. */
 const MOST_SOURCES = 3;
 /** How long a watch of the store waits at a host that others follow. */
-const SERVED_WATCH_MS = 2_500;
+const SERVED_WATCH_MS = 1_500;
+/** How long a host waits for news from those that it follows. */
+const FOLLOW_MS = 5_000;
 
 /** Creates the feed. */
 export function createRelayedFeed<T>(options: RelayOptions<T>): ObjectFeed<T> {
@@ -48,7 +55,7 @@
   };
   /** A peer that does not know that far back gives its list at once. */
   const watchPeer = async (address: string, revision: number) => {
-    const read = await peers.watch(address, revision);
+    const read = await peers.watch(address, revision, FOLLOW_MS);
     return read.kind === FeedReadKind.HistoryLost
       ? await peers.list(address, newest)
       : read;
@@ -108,18 +115,34 @@
       storeFailed = true;
       continue;
     }
-    const peer = readers.next();
-    if (peer === undefined) break;
-    const read = await askPeer(() => fromPeer(peer));
-    if (read.kind !== FeedReadKind.Unavailable) {
-      readers.answered(peer);
-      return read;
-    }
-    noteFailure(peer, read.reason, options);
+    const followed = readers.followed();
+    if (followed.length === 0) break;
+    const read = await firstAnswer(followed, { fromPeer, options });
+    if (read !== undefined) return read;
   }
   return { kind: FeedReadKind.Unavailable, reason: "no source answers" };
 }
 
+/** What the first of several hosts has to tell; undefined if none does. */
+async function firstAnswer<T>(
+  addresses: readonly string[],
+  { fromPeer, options }: {
+    fromPeer: Sources<T>["fromPeer"];
+    options: RelayOptions<T>;
+  },
+): Promise<FeedRead<T> | undefined> {
+  const ask = async (address: string) => {
+    const read = await askPeer(() => fromPeer(address));
+    if (read.kind === FeedReadKind.Unavailable) {
+      noteFailure(address, read.reason, options);
+      throw new Error(read.reason);
+    }
+    options.readers.answered(address);
+    return read;
+  };
+  return await Promise.any(addresses.map(ask)).catch(() => undefined);
+}
+
 async function askPeer<T>(
   ask: () => Promise<FeedRead<T>>,
 ): Promise<FeedRead<T>> {
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -13,12 +13,9 @@
   followBeliefs,
   type Sources,
 } from "./beliefs/follow_beliefs.ts";
-import type { FeedRead } from "./beliefs/object_feed.ts";
+import type { ObjectFeed } from "./beliefs/object_feed.ts";
 import { createRelayedFeed } from "./beliefs/relayed_feed.ts";
-import {
-  shareBeliefs,
-  type SharedConfiguration,
-} from "./beliefs/shared_beliefs.ts";
+import { shareBeliefs } from "./beliefs/shared_beliefs.ts";
 import { type Checked, formatFindings } from "./findings/finding.ts";
 import { EndpointAgents } from "./endpoints/endpoint_agents.ts";
 import type { GatewayAdapter, GatewayStore } from "./forwarding/adapter.ts";
@@ -40,21 +37,15 @@
   type WriteLine,
 } from "./logging/logger.ts";
 import { FeedReaders } from "./membership/feed_readers.ts";
-import {
-  type GatewayMember,
-  GatewayMembers,
-} from "./membership/gateway_members.ts";
+import { GatewayMembers } from "./membership/gateway_members.ts";
 import { announceSelf } from "./membership/announce_self.ts";
 import { ForwardMetrics } from "./metrics/forward_metrics.ts";
 import { createMetricsServer } from "./metrics/metrics_server.ts";
 import { GatewayClients } from "./peers/gateway_clients.ts";
 import { createGatewayPeerServer } from "./peers/gateway_peer_server.ts";
-import {
-  answerFollower,
-  FeedName,
-  readConfigurationAnswer,
-} from "./peers/peer_feeds.ts";
-import type { RouteEndpoint, RoutePool } from "./routes/types.ts";
+import { FeedMirrors } from "./peers/feed_mirrors.ts";
+import { FeedName } from "./peers/feed_stream.ts";
+import type { RoutePool } from "./routes/types.ts";
 import { ObservedLoad } from "./routing/observed_load.ts";
 import { RepeatBudget } from "./routing/repeat_budget.ts";
 import type { GatewaySettings } from "./settings/gateway_settings.ts";
@@ -106,6 +97,7 @@
     }
     base.agents.close();
     base.peers.close();
+    base.mirrors.close();
     base.store.close();
     resolve();
   }
@@ -198,6 +190,7 @@
   const peers = new GatewayClients();
   const store: GatewayStore = adapter.openStore(settings.object_store.address);
   const signal = stopping.signal;
+  const mirrors = new FeedMirrors({ log, now });
   const readers = new FeedReaders({
     self,
     hosts: () => members.addresses(),
@@ -205,7 +198,7 @@
     now,
   });
   const sources: Sources = {
-    feeds: createFeeds(store, { peers, readers, self, log }),
+    feeds: createFeeds(store, { mirrors, readers, self, log }),
     histories: {
       configuration: new FeedHistory(),
       endpoints: new FeedHistory(),
@@ -243,6 +236,7 @@
     endpoints,
     members,
     peers,
+    mirrors,
     store,
     sources,
     onConfigured,
@@ -256,42 +250,24 @@
 
 function createFeeds(
   store: GatewayStore,
-  { peers, ...options }: {
-    peers: GatewayClients;
+  { mirrors, ...options }: {
+    mirrors: FeedMirrors;
     readers: FeedReaders;
     self: string;
     log: Logger;
   },
 ): Feeds {
-  return {
-    configuration: createRelayedFeed({
+  const relay = <T>(name: FeedName, feed: ObjectFeed<T>) =>
+    createRelayedFeed({
       ...options,
-      name: FeedName.Configuration,
-      store: store.configuration,
-      peers: peers.feed(
-        FeedName.Configuration,
-        (answer) =>
-          readConfigurationAnswer(answer as FeedRead<SharedConfiguration>),
-      ),
-    }),
-    endpoints: createRelayedFeed({
-      ...options,
-      name: FeedName.Endpoints,
-      store: store.endpoints,
-      peers: peers.feed(
-        FeedName.Endpoints,
-        (answer) => answer as FeedRead<RouteEndpoint>,
-      ),
-    }),
-    gateways: createRelayedFeed({
-      ...options,
-      name: FeedName.Gateways,
-      store: store.gateways,
-      peers: peers.feed(
-        FeedName.Gateways,
-        (answer) => answer as FeedRead<GatewayMember>,
-      ),
-    }),
+      name,
+      store: feed,
+      peers: mirrors.feed<T>(name),
+    });
+  return {
+    configuration: relay(FeedName.Configuration, store.configuration),
+    endpoints: relay(FeedName.Endpoints, store.endpoints),
+    gateways: relay(FeedName.Gateways, store.gateways),
   };
 }
 
@@ -374,12 +350,11 @@
       configuration: sources.progress.configuration.changed,
       endpoints: sources.progress.endpoints.changed,
     }),
-    follow: (question) =>
-      answerFollower(question, {
-        histories: sources.histories,
-        reads: () => sources.readers.selfReads,
-        now: base.now,
-      }),
+    feeds: {
+      histories: sources.histories,
+      reads: () => sources.readers.selfReads,
+      now: base.now,
+    },
     log: base.log,
   });
   const readiness = createReadinessServer(
--- a/src/membership/feed_readers.ts
+++ b/src/membership/feed_readers.ts
@@ -10,6 +10,9 @@
 const FIRST_PASS_OVER_MS = 3_000;
 const LONGEST_PASS_OVER_MS = 6_000;
 
+/** Readers that a host follows at a time: one may be cut off and not know. */
+const FOLLOWED = 2;
+
 /** What the choice needs. */
 export interface FeedReadersOptions {
   /** This host's address for peers. */
@@ -30,7 +33,6 @@
 export class FeedReaders {
   #failed = new Map<string, Failed>();
   #ranked: { hosts: string; order: string[] } = { hosts: "", order: [] };
-  #turn = 0;
   #options: FeedReadersOptions;
 
   constructor(options: FeedReadersOptions) {
@@ -49,12 +51,11 @@
     return readers.length === 0 || readers.includes(this.#options.self);
   }
 
-  /** The next of the other readers in turn. */
-  next(): string | undefined {
-    const others = this.#readers()
-      .filter((address) => address !== this.#options.self);
-    this.#turn += 1;
-    return others[this.#turn % others.length];
+  /** The readers that this host follows, the preferred one first. */
+  followed(): string[] {
+    const { self } = this.#options;
+    const others = this.#readers().filter((address) => address !== self);
+    return rankCandidates(self, others).slice(0, FOLLOWED);
   }
 
   /** Passes a host over for a while, this one included. */
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -2,22 +2,15 @@
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
 import type { BatcherPeers } from "../batching/job_router.ts";
 import type { FreedResults, JobOutcome, StageJob } from "../batching/types.ts";
-import type { FeedRead } from "../beliefs/object_feed.ts";
-import type { PeerFeed } from "../beliefs/relayed_feed.ts";
 import type {
   SharedBeliefs,
   SharedProgress,
 } from "../beliefs/shared_beliefs.ts";
-import {
-  type Address,
-  formatAddress,
-  parseAddress,
-} from "../settings/settings.ts";
+import { formatAddress, parseAddress } from "../settings/settings.ts";
 import { HttpClient } from "../utils/http_client.ts";
 import { createHttpFetch } from "../utils/http_fetch.ts";
 import { FREED_PATH, JOB_PATH } from "./job_endpoint.ts";
 import type { GatewayRouter } from "./gateway_router.ts";
-import { type FeedName, PEER_WATCH_MS } from "./peer_feeds.ts";
 
 /** How long a host may take for an answer that it has at hand. */
 const PROMPT_TIMEOUT_MS = 400;
@@ -28,8 +21,6 @@
 
 interface OpenClients {
   trpc: TRPCClient<GatewayRouter>;
-  /** For answers that a host may wait with. */
-  watches: TRPCClient<GatewayRouter>;
   jobs: HttpClient;
   close: () => void;
 }
@@ -69,22 +60,6 @@
     return await this.#to(address).trpc.beliefs.query() as SharedBeliefs;
   }
 
-  /** A feed as other hosts tell it. */
-  feed<T>(
-    feed: FeedName,
-    read: (answer: FeedRead<unknown>) => FeedRead<T>,
-  ): PeerFeed<T> {
-    const ask = async (address: string, revision: number, whole: boolean) => {
-      const { watches } = this.#to(address);
-      const answer = await watches.follow.query({ feed, revision, whole });
-      return read(answer as FeedRead<unknown>);
-    };
-    return {
-      list: (address, revision) => ask(address, revision, true),
-      watch: (address, revision) => ask(address, revision, false),
-    };
-  }
-
   /** Closes every client. */
   close(): void {
     for (const { close } of this.#open.values()) close();
@@ -109,16 +84,18 @@
     const known = this.#open.get(address);
     if (known !== undefined) return known;
     const target = parseAddress(address);
-    const prompt = openTrpc(target, PROMPT_TIMEOUT_MS);
-    const watches = openTrpc(target, PEER_WATCH_MS + PROMPT_TIMEOUT_MS);
+    const { fetch, close } = createHttpFetch(target, PROMPT_TIMEOUT_MS);
     const jobs = new HttpClient(target);
     const created = {
-      trpc: prompt.client,
-      watches: watches.client,
+      trpc: createTRPCClient<GatewayRouter>({
+        links: [httpLink({
+          url: `http://${formatAddress(target)}`,
+          fetch: fetch as unknown as typeof globalThis.fetch,
+        })],
+      }),
       jobs,
       close() {
-        prompt.close();
-        watches.close();
+        close();
         jobs.close();
       },
     };
@@ -126,17 +103,3 @@
     return created;
   }
 }
-
-function openTrpc(
-  target: Address,
-  timeout_ms: number,
-): { client: TRPCClient<GatewayRouter>; close: () => void } {
-  const { fetch, close } = createHttpFetch(target, timeout_ms);
-  const client = createTRPCClient<GatewayRouter>({
-    links: [httpLink({
-      url: `http://${formatAddress(target)}`,
-      fetch: fetch as unknown as typeof globalThis.fetch,
-    })],
-  });
-  return { client, close };
-}
--- a/src/peers/gateway_peer_server.ts
+++ b/src/peers/gateway_peer_server.ts
@@ -1,6 +1,11 @@
 /** Serves the messages of other gateway hosts. */
 import { createServer, type Server } from "node:http";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import {
+  type FeedStreamOptions,
+  isFeedRequest,
+  serveFeeds,
+} from "./feed_stream.ts";
 import { createGatewayRouter, type GatewayHandlers } from "./gateway_router.ts";
 import {
   isJobMessage,
@@ -13,7 +18,7 @@
 
 /** Creates the server; the caller makes it listen. */
 export function createGatewayPeerServer(
-  handlers: GatewayHandlers & JobHandlers,
+  handlers: GatewayHandlers & JobHandlers & { feeds: FeedStreamOptions },
 ): Server {
   const trpc = createHTTPHandler({ router: createGatewayRouter(handlers) });
   return createServer(
@@ -21,7 +26,8 @@
     (request, response) => {
       if (isJobMessage(request)) {
         void serveJobMessage(request, response, handlers);
-      } else void trpc(request, response);
+      } else if (isFeedRequest(request)) serveFeeds(response, handlers.feeds);
+      else void trpc(request, response);
     },
   );
 }
--- a/src/peers/gateway_router.ts
+++ b/src/peers/gateway_router.ts
@@ -1,12 +1,9 @@
 /** The procedures that gateway hosts call on one another, but for jobs. */
 import { initTRPC } from "@trpc/server";
-import { z } from "zod";
-import type { FeedRead } from "../beliefs/object_feed.ts";
 import type {
   SharedBeliefs,
   SharedProgress,
 } from "../beliefs/shared_beliefs.ts";
-import { FeedName, type FeedQuestion } from "./peer_feeds.ts";
 
 /** What a host does when it is called. */
 export interface GatewayHandlers {
@@ -14,15 +11,8 @@
   batches: () => boolean;
   beliefs: () => SharedBeliefs;
   progress: () => SharedProgress;
-  follow: (question: FeedQuestion) => Promise<FeedRead<unknown>>;
 }
 
-const questionSchema = z.object({
-  feed: z.enum(FeedName),
-  revision: z.number(),
-  whole: z.boolean(),
-});
-
 const trpc = initTRPC.create();
 
 /** Creates the router over a host's handlers. */
@@ -31,8 +21,6 @@
     ping: trpc.procedure.query(() => handlers.batches()),
     progress: trpc.procedure.query(() => handlers.progress()),
     beliefs: trpc.procedure.query(() => handlers.beliefs()),
-    follow: trpc.procedure.input(questionSchema)
-      .query(({ input }) => handlers.follow(input)),
   });
 }
 
