--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -14,6 +14,7 @@
 import { planCall, type PlannedShare } from "./plan_call.ts";
 import {
   createQueuedJob,
+  hasWaiting,
   type PoolWork,
   type QueuedJob,
   readyEndpoints,
@@ -74,6 +75,8 @@
 const MOST_TRIES = 4;
 /** How soon an endpoint that was full, or had no room, is asked again. */
 const FULL_RETRY_MS = 40;
+/** Least pause between two looks at the queue that place nothing. */
+const IN_VAIN_MS = 10;
 /** Reading inputs may share its links with other reads, and starts late. */
 const READ_TIMES = 2;
 const READ_EXTRA_MS = 40;
@@ -109,7 +112,7 @@
       signal.addEventListener("abort", () => {
         this.#end(queued, work, { kind: JobEnd.Failed, reason: "cancelled" });
       });
-      this.#dispatch(job.pool);
+      this.#dispatchSoon(job.pool);
     });
   }
 
@@ -125,7 +128,7 @@
       for (const handle of handles) calls?.release(handle);
       this.#options.caller.free(address, handles);
     }
-    this.#dispatch(pool);
+    this.#dispatchSoon(pool);
   }
 
   #freeSpare(pool: string, calls: EndpointCalls): void {
@@ -156,7 +159,7 @@
 
   /** Takes note that endpoints have changed. */
   endpointsChanged(): void {
-    for (const pool of this.#pools.keys()) this.#dispatch(pool);
+    for (const pool of this.#pools.keys()) this.#dispatchSoon(pool);
   }
 
   #workOf(pool: string): PoolWork {
@@ -166,6 +169,8 @@
       jobs: new Set(),
       endpoints: new Map(),
       timer: undefined,
+      timer_at_ms: Infinity,
+      placedNothing_ms: -Infinity,
     };
     this.#pools.set(pool, created);
     return created;
@@ -209,17 +214,51 @@
     return readyEndpoints(work, this.#options.endpoints(pool));
   }
 
+  /** Dispatches now, or soon if a moment ago there was nothing to place. */
+  #dispatchSoon(pool: string): void {
+    const work = this.#workOf(pool);
+    if (work.jobs.size === 0) return;
+    const since_ms = this.#options.now() - work.placedNothing_ms;
+    this.#dispatchWithin(pool, work, Math.max(0, IN_VAIN_MS - since_ms));
+  }
+
+  #dispatchWithin(pool: string, work: PoolWork, wait_ms: number): void {
+    if (wait_ms <= 0) return this.#dispatch(pool);
+    const at_ms = this.#options.now() + wait_ms;
+    if (work.timer_at_ms <= at_ms) return;
+    clearTimeout(work.timer);
+    work.timer_at_ms = at_ms;
+    work.timer = setTimeout(() => this.#dispatch(pool), wait_ms);
+  }
+
   #dispatch(pool: string): void {
     const work = this.#workOf(pool);
+    clearTimeout(work.timer);
+    work.timer_at_ms = Infinity;
     const limits = this.#options.pool(pool)?.batch;
     if (limits === undefined) return;
     const now_ms = this.#options.now();
     this.#dropExpired(work, now_ms);
     if (work.jobs.size === 0) return;
+    if (!this.#placeWork(pool, work, { limits, now_ms })) {
+      work.placedNothing_ms = now_ms;
+    }
+    // Rests end, and zones are left: look again while something waits.
+    if (hasWaiting(work)) this.#dispatchWithin(pool, work, FULL_RETRY_MS);
+  }
+
+  /** Makes the calls that can begin now; false if there are none. */
+  #placeWork(
+    pool: string,
+    work: PoolWork,
+    { limits, now_ms }: { limits: BatchLimits; now_ms: number },
+  ): boolean {
     const ready = this.#ready(pool, work);
-    const zoneWait_ms = zoneWaits(ready, work.jobs, { limits, now_ms });
     const free = ready.filter((calls) => calls.free(now_ms, limits))
       .sort((a, b) => a.slowness - b.slowness);
+    if (free.length === 0 || !hasWaiting(work)) return false;
+    const zoneWait_ms = zoneWaits(ready, work.jobs, { limits, now_ms });
+    let placed = false;
     for (const calls of free) {
       if (!worthUsing(calls, ready, work.jobs, { limits, now_ms })) continue;
       const shares = planCall(work.jobs, {
@@ -227,22 +266,11 @@
         room_bytes: calls.roomBytes(now_ms, limits),
         slowness: calls.slowness,
       }, { now_ms, limits, zoneWait_ms });
-      if (shares.length > 0) {
-        void this.#call(pool, work, { calls, shares, limits });
-      }
+      if (shares.length === 0) continue;
+      placed = true;
+      void this.#call(pool, work, { calls, shares, limits });
     }
-    this.#dispatchLater(pool, work);
-  }
-
-  /** Looks again soon while something waits: rests end, zones are left. */
-  #dispatchLater(pool: string, work: PoolWork): void {
-    if (work.timer !== undefined) return;
-    const waits = [...work.jobs].some((queued) => queued.waiting.length > 0);
-    if (!waits) return;
-    work.timer = setTimeout(() => {
-      work.timer = undefined;
-      this.#dispatch(pool);
-    }, FULL_RETRY_MS);
+    return placed;
   }
 
   #dropExpired(work: PoolWork, now_ms: number): void {
@@ -320,7 +348,7 @@
         }
         break;
     }
-    this.#dispatch(pool);
+    this.#dispatchWithin(pool, work, 0);
   }
 
   /** Lets inputs be given up once the endpoint has had time to read them. */
--- a/src/batching/job_router.ts
+++ b/src/batching/job_router.ts
@@ -44,13 +44,15 @@
 /** How often a host that owes an answer is asked whether it is there. */
 const PING_EVERY_MS = 400;
 /** Results that are given up within this time share a message. */
-const FREE_EVERY_MS = 8;
+const FREE_EVERY_MS = 15;
 /** How long a host that did not answer is passed over. */
 const SUSPECT_MS = 3_000;
 
 interface Owner {
   pending: Set<AbortController>;
   suspectUntil_ms: number;
+  /** When it last answered, on the steady clock. */
+  answered_ms: number;
 }
 
 /** See the module's comment. */
@@ -140,11 +142,13 @@
     owner.pending.add(lost);
     if (owner.pending.size === 1) void this.#watch(address, owner);
     try {
-      return await this.#options.peers.run(
+      const outcome = await this.#options.peers.run(
         address,
         job,
         AbortSignal.any([lost.signal, signal]),
       );
+      owner.answered_ms = this.#options.now();
+      return outcome;
     } catch (error) {
       if (signal.aborted) return { kind: JobEnd.Failed, reason: "cancelled" };
       this.#suspect(address, owner, (error as Error).message);
@@ -157,17 +161,22 @@
   #ownerAt(address: string): Owner {
     const known = this.#owners.get(address);
     if (known !== undefined) return known;
-    const created = { pending: new Set<AbortController>(), suspectUntil_ms: 0 };
+    const created = {
+      pending: new Set<AbortController>(),
+      suspectUntil_ms: 0,
+      answered_ms: -Infinity,
+    };
     this.#owners.set(address, created);
     return created;
   }
 
-  /** Pings a host for as long as it owes an answer. */
+  /** Pings a host that owes an answer and has given none of late. */
   async #watch(address: string, owner: Owner): Promise<void> {
-    const { signal, peers } = this.#options;
+    const { signal, peers, now } = this.#options;
     while (!signal.aborted) {
       await pause(PING_EVERY_MS, signal);
       if (owner.pending.size === 0) return;
+      if (now() - owner.answered_ms < PING_EVERY_MS) continue;
       try {
         if (!await peers.ping(address)) this.#passOver(address);
       } catch (error) {
--- a/src/batching/piece_caller.ts
+++ b/src/batching/piece_caller.ts
@@ -19,6 +19,10 @@
 const HTTP_OK = 200;
 /** Longest answer to a call: handles only. */
 const ANSWER_LIMIT_BYTES = 1_048_576;
+/** Results at one endpoint that are given up within this time share a call. */
+const FREE_GATHER_MS = 30;
+/** Why a call is given up; a constant costs no stack trace. */
+const CALL_EXPIRED = "call_expired";
 /** How long giving up results may take, in milliseconds. */
 const FREE_TIMEOUT_MS = 1_000;
 
@@ -34,10 +38,21 @@
 
 /** Creates the caller. */
 export function createPieceCaller(options: PieceCallerOptions): PieceCaller {
+  const gathered = new Map<string, string[]>();
+  const free = (address: string, handles: string[]) => {
+    const waiting = gathered.get(address);
+    if (waiting !== undefined) return void waiting.push(...handles);
+    gathered.set(address, [...handles]);
+    setTimeout(() => {
+      const all = gathered.get(address) ?? [];
+      gathered.delete(address);
+      void freeResults(address, all, options);
+    }, FREE_GATHER_MS);
+  };
   return {
     make: (endpoint, orders, timeout_ms) =>
       makePieces(endpoint, orders, { ...options, timeout_ms }),
-    free: (address, handles) => void freeResults(address, handles, options),
+    free,
   };
 }
 
@@ -100,20 +115,26 @@
     agents.distrust(address);
     return { kind: "failed", reason };
   };
-  const result = await exchange({
-    address,
-    agent: agents.to(address, max_connections),
-    ...call,
-    signal: AbortSignal.timeout(Math.ceil(timeout_ms)),
-  });
-  if (result.kind !== ExchangeEnd.Answered) return lost(result.reason);
-  const { status, headers } = result.answer;
-  const whole = await readWhole(result.answer, ANSWER_LIMIT_BYTES);
-  if (whole !== undefined) {
-    return { kind: "whole", status, headers, body: whole };
+  const expiry = new AbortController();
+  const timer = setTimeout(() => expiry.abort(CALL_EXPIRED), timeout_ms);
+  try {
+    const result = await exchange({
+      address,
+      agent: agents.to(address, max_connections),
+      ...call,
+      signal: expiry.signal,
+    });
+    if (result.kind !== ExchangeEnd.Answered) return lost(result.reason);
+    const { status, headers } = result.answer;
+    const whole = await readWhole(result.answer, ANSWER_LIMIT_BYTES);
+    if (whole !== undefined) {
+      return { kind: "whole", status, headers, body: whole };
+    }
+    dropAnswer(result.answer);
+    return lost("cut");
+  } finally {
+    clearTimeout(timer);
   }
-  dropAnswer(result.answer);
-  return lost("cut");
 }
 
 function failed(reason: string): PieceCallResult {
--- a/src/batching/pool_work.ts
+++ b/src/batching/pool_work.ts
@@ -25,6 +25,10 @@
   jobs: Set<QueuedJob>;
   endpoints: Map<string, EndpointCalls>;
   timer: NodeJS.Timeout | undefined;
+  /** When the timer fires, on the steady clock; Infinity if it does not. */
+  timer_at_ms: number;
+  /** When the queue was last looked at in vain, on the steady clock. */
+  placedNothing_ms: number;
 }
 
 /** A job as it enters the queue. */
@@ -76,6 +80,12 @@
   return ready;
 }
 
+/** Whether a piece is in no call yet. */
+export function hasWaiting({ jobs }: PoolWork): boolean {
+  for (const { waiting } of jobs) if (waiting.length > 0) return true;
+  return false;
+}
+
 /** Pieces that are in no call yet. */
 export function waitingPieces(jobs: Iterable<QueuedJob>): number {
   let pieces = 0;
--- a/src/beliefs/follow_beliefs.ts
+++ b/src/beliefs/follow_beliefs.ts
@@ -48,6 +48,8 @@
 
 /** How often a peer is asked how far it has read. */
 const COMPARE_MS = 1_000;
+/** How often a host that follows others looks whether it still does. */
+const FOLLOWER_LOOK_MS = 5_000;
 /** How often a peer is asked what it believes while the store is silent. */
 const PEER_POLL_MS = 400;
 /** Gateway hosts change seldom, and a stale list costs little. */
@@ -57,18 +59,20 @@
 
 /** Follows every source until the process stops. */
 export async function followBeliefs(sources: Sources): Promise<void> {
-  const state = { configurationLost: false };
+  const state = { configurationLost: false, asking: false };
+  void askPeers(sources, state);
   await Promise.all([
     followConfiguration(sources, state),
-    followEndpoints(sources),
+    followEndpoints(sources, state),
     followMembers(sources),
-    askPeers(sources, state),
     compareWithPeers(sources),
   ]);
 }
 
 interface SourceState {
   configurationLost: boolean;
+  /** Whether peers are being asked. */
+  asking: boolean;
 }
 
 function followConfiguration(
@@ -87,7 +91,10 @@
   return followFeed(feeds.configuration, {
     onList: take,
     onChanges: take,
-    onLost: () => state.configurationLost = true,
+    onLost() {
+      state.configurationLost = true;
+      void askPeers(sources, state);
+    },
     onBack: () => state.configurationLost = false,
   }, {
     ...optionsFor("configuration", sources),
@@ -95,7 +102,10 @@
   });
 }
 
-function followEndpoints(sources: Sources): Promise<void> {
+function followEndpoints(
+  sources: Sources,
+  state: SourceState,
+): Promise<void> {
   const { feeds, endpoints, onEndpoints, log, now } = sources;
   const changed = () => {
     for (const each of onEndpoints) each();
@@ -118,7 +128,10 @@
       }
       changed();
     },
-    onLost: () => endpoints.sourceLost(),
+    onLost() {
+      endpoints.sourceLost();
+      void askPeers(sources, state);
+    },
     onBack: () => endpoints.sourceBack(now()),
     onUnsettled: (unsettled_ms) => endpoints.unsettled(now() + unsettled_ms),
   }, {
@@ -163,22 +176,28 @@
   };
 }
 
-/** Asks a peer at random while the store does not answer. */
+/** Asks peers at random for as long as a source does not answer. */
 async function askPeers(sources: Sources, state: SourceState): Promise<void> {
   const { configuration, endpoints, signal } = sources;
-  while (!signal.aborted) {
+  if (state.asking) return;
+  state.asking = true;
+  const needed = () =>
+    state.configurationLost || !endpoints.sourceIsWell ||
+    configuration.table === undefined;
+  while (needed()) {
     await pause(PEER_POLL_MS, signal);
-    const needed = state.configurationLost || !endpoints.sourceIsWell ||
-      configuration.table === undefined;
-    if (needed && !signal.aborted) await askOnePeer(sources);
+    if (signal.aborted) return;
+    if (needed()) await askOnePeer(sources);
   }
+  state.asking = false;
 }
 
 /** Finds out from a peer at random that a watch of this host is silent. */
 async function compareWithPeers(sources: Sources): Promise<void> {
   const { progress, peers, readers, log, random, signal } = sources;
   while (!signal.aborted) {
-    await pause(COMPARE_MS * (0.5 + random()), signal);
+    const every_ms = readers.selfReads ? COMPARE_MS : FOLLOWER_LOOK_MS;
+    await pause(every_ms * (0.5 + random()), signal);
     if (!readers.selfReads) continue;
     const peer = anyPeer(sources);
     if (peer === undefined || signal.aborted) continue;
--- a/src/forwarding/front_server.ts
+++ b/src/forwarding/front_server.ts
@@ -13,7 +13,7 @@
 /** Largest header section that is parsed at all, in bytes. */
 const PARSED_HEADER_BYTES = 65_536;
 /** How often idle connections are looked at, in milliseconds. */
-const SWEEP_MS = 1_000;
+const SWEEP_MS = 5_000;
 /** How much longer than promised an idle connection is kept. */
 const IDLE_EXTRA_SHARE = 1.25;
 /** Idle time before the first configuration is known. */
--- a/src/logging/logger.ts
+++ b/src/logging/logger.ts
@@ -98,7 +98,7 @@
 
 const STANDARD_OUTPUT = 1;
 const BATCH_BYTES = 8_192;
-const FLUSH_EVERY_MS = 100;
+const FLUSH_AFTER_MS = 250;
 
 /** Writes lines to standard output in batches, without holding up the loop. */
 export function createStdoutWriter(): LineWriter {
@@ -106,10 +106,19 @@
     dest: STANDARD_OUTPUT,
     sync: false,
     minLength: BATCH_BYTES,
-    periodicFlush: FLUSH_EVERY_MS,
   });
+  let timer: NodeJS.Timeout | undefined;
+  const flushSoon = () => {
+    timer ??= setTimeout(() => {
+      timer = undefined;
+      output.flush();
+    }, FLUSH_AFTER_MS);
+  };
   return {
-    writeLine: (line) => void output.write(line + "\n"),
+    writeLine(line) {
+      output.write(line + "\n");
+      flushSoon();
+    },
     flush: () => output.flushSync(),
   };
 }
--- a/src/peers/feed_stream.ts
+++ b/src/peers/feed_stream.ts
@@ -50,7 +50,7 @@
 }
 
 /** How often a line comes, in milliseconds. */
-export const HEARTBEAT_MS = 700;
+export const HEARTBEAT_MS = 1_000;
 
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
