--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -10,10 +10,11 @@
   type RoutePool,
 } from "../routes/types.ts";
 import { EndpointCalls } from "./endpoint_calls.ts";
-import { expectedJobMs } from "./expected_wait.ts";
+import { expectedJobMs, type PoolLoad, waitMs } from "./expected_wait.ts";
 import { planCall, type PlannedShare } from "./plan_call.ts";
 import {
   createQueuedJob,
+  endpointAt,
   hasWaiting,
   type PoolWork,
   type QueuedJob,
@@ -119,8 +120,7 @@
   /** Gives up results at one address, or lets them be given up. */
   free({ pool, address, handles, spare }: FreedResults): void {
     const work = this.#workOf(pool);
-    const calls = [...work.endpoints.values()]
-      .find((each) => each.endpoint.address === address);
+    const calls = endpointAt(work, address);
     if (spare === true) {
       for (const handle of handles) calls?.offer(handle);
       if (calls !== undefined) this.#freeSpare(pool, calls);
@@ -181,17 +181,7 @@
     work: PoolWork,
     limits: BatchLimits,
   ): JobOutcome | undefined {
-    const now_ms = this.#options.now();
-    const taking = this.#ready(job.pool, work)
-      .filter((calls) => calls.takesCalls(now_ms));
-    const due_ms = now_ms + job.due_in_ms;
-    let pieces_ahead = 0;
-    for (const other of work.jobs) {
-      if (other.due_ms <= due_ms) pieces_ahead += other.waiting.length;
-    }
-    const slowness = taking.reduce((sum, each) => sum + each.slowness, 0) /
-      Math.max(1, taking.length);
-    const load = { endpoints: taking.length, slowness, pieces_ahead };
+    const load = this.#loadBefore(job, work);
     const expected_ms = expectedJobMs(job.pieces.length, load, limits);
     if (expected_ms <= job.expires_in_ms) return undefined;
     this.#options.log.info({
@@ -207,9 +197,31 @@
     return {
       kind: JobEnd.Refused,
       retry_after_ms: Number.isFinite(excess_ms) ? excess_ms : limits.call_ms,
+      wait_ms: this.#waitOf(load, limits),
     };
   }
 
+  /** The load that goes before a job which comes now. */
+  #loadBefore(job: StageJob, work: PoolWork): PoolLoad {
+    const now_ms = this.#options.now();
+    const taking = this.#ready(job.pool, work)
+      .filter((calls) => calls.takesCalls(now_ms));
+    const due_ms = now_ms + job.due_in_ms;
+    let pieces_ahead = 0;
+    for (const other of work.jobs) {
+      if (other.due_ms <= due_ms) pieces_ahead += other.waiting.length;
+    }
+    const slowness = taking.reduce((sum, each) => sum + each.slowness, 0) /
+      Math.max(1, taking.length);
+    return { endpoints: taking.length, slowness, pieces_ahead };
+  }
+
+  /** A wait that a message can carry. */
+  #waitOf(load: PoolLoad, limits: BatchLimits): number {
+    const wait_ms = waitMs(load.pieces_ahead, load, limits);
+    return Number.isFinite(wait_ms) ? Math.round(wait_ms) : limits.retention_ms;
+  }
+
   #ready(pool: string, work: PoolWork): EndpointCalls[] {
     return readyEndpoints(work, this.#options.endpoints(pool));
   }
@@ -406,7 +418,9 @@
       if (queued.missing > 0) return;
       const results = queued.results as StageResult[];
       for (const freed of queued.job.last_read) this.#options.release(freed);
-      this.#end(queued, work, { kind: JobEnd.Made, results });
+      const load = this.#loadBefore(queued.job, work);
+      const wait_ms = this.#waitOf(load, limits);
+      this.#end(queued, work, { kind: JobEnd.Made, results, wait_ms });
       return;
     }
     switch (answer.fault) {
--- a/src/batching/expected_wait.ts
+++ b/src/batching/expected_wait.ts
@@ -23,10 +23,8 @@
   limits: BatchLimits,
 ): number {
   if (load.endpoints === 0) return Infinity;
-  const full_ms = fullCallMs(limits) * load.slowness;
   const calls = limits.concurrent_calls * load.endpoints;
-  const perCall = limits.pieces_per_call * calls;
-  const wait_ms = (load.pieces_ahead + pieces) / perCall * full_ms;
+  const wait_ms = waitMs(load.pieces_ahead + pieces, load, limits);
   const shared = Math.min(
     limits.pieces_per_call,
     pieces + load.pieces_ahead / calls,
@@ -35,15 +33,29 @@
   return wait_ms + own_ms;
 }
 
+/** Time until as many pieces have gone into calls, in milliseconds. */
+export function waitMs(
+  pieces: number,
+  { endpoints, slowness }: PoolLoad,
+  limits: BatchLimits,
+): number {
+  if (endpoints === 0) return Infinity;
+  const perCall = limits.pieces_per_call * limits.concurrent_calls * endpoints;
+  return pieces / perCall * fullCallMs(limits) * slowness;
+}
+
 /** How long a stage takes, in milliseconds. */
 export interface StageTime {
   least_ms: number;
   expected_ms: number;
 }
 
-/** A stage's call is half full as a rule, and waits for a part of a call. */
-export function stageTime(limits: BatchLimits | undefined): StageTime {
+/** A stage's call is half full as a rule, and waits as the batcher said. */
+export function stageTime(
+  limits: BatchLimits | undefined,
+  wait_ms = 0,
+): StageTime {
   if (limits === undefined) return { least_ms: 0, expected_ms: 0 };
-  const expected_ms = (limits.call_ms + fullCallMs(limits)) / 2;
+  const expected_ms = wait_ms + (limits.call_ms + fullCallMs(limits)) / 2;
   return { least_ms: limits.call_ms, expected_ms };
 }
--- a/src/batching/job_router.ts
+++ b/src/batching/job_router.ts
@@ -6,6 +6,7 @@
  */
 import type { Logger } from "../logging/logger.ts";
 import { rankCandidates } from "../membership/rendezvous.ts";
+import type { PoolWaits } from "./pool_waits.ts";
 import { pause } from "../utils/loop.ts";
 import type { Batcher } from "./batcher.ts";
 import {
@@ -33,9 +34,11 @@
   /** This host's address for peers. */
   self: string;
   /** Addresses of the hosts that may batch, this one included. */
-  batchers: () => string[];
+  batchers: () => readonly string[];
   local: Batcher;
   peers: BatcherPeers;
+  /** Is told what batchers say of their queues. */
+  waits: PoolWaits;
   log: Logger;
   now: () => number;
   signal: AbortSignal;
@@ -55,10 +58,17 @@
   answered_ms: number;
 }
 
+/** The hosts that may batch for a pool, the preferred one first. */
+interface Ranked {
+  batchers: readonly string[];
+  order: readonly string[];
+}
+
 /** See the module's comment. */
 export class JobRouter {
   #owners = new Map<string, Owner>();
   #freed: FreedResults[] = [];
+  #ranked = new Map<string, Ranked>();
   #options: JobRouterOptions;
 
   constructor(options: JobRouterOptions) {
@@ -86,7 +96,12 @@
         this.#passOver(owner);
         continue;
       }
-      if (outcome !== undefined) return outcome;
+      if (outcome !== undefined) {
+        if ("wait_ms" in outcome) {
+          this.#options.waits.note(job, outcome.wait_ms, now());
+        }
+        return outcome;
+      }
       log.warn({
         event: "batcher_lost",
         pool: job.pool,
@@ -124,12 +139,19 @@
 
   /** The host that batches for a pool, as this host sees it. */
   batcherOf(pool: string): string {
-    const { batchers, self, now } = this.#options;
-    const now_ms = now();
-    const trusted = batchers().filter((address) =>
+    const now_ms = this.#options.now();
+    return this.#rankedFor(pool).find((address) =>
       (this.#owners.get(address)?.suspectUntil_ms ?? 0) <= now_ms
-    );
-    return rankCandidates(pool, trusted)[0] ?? self;
+    ) ?? this.#options.self;
+  }
+
+  #rankedFor(pool: string): readonly string[] {
+    const batchers = this.#options.batchers();
+    const known = this.#ranked.get(pool);
+    if (known?.batchers === batchers) return known.order;
+    const order = rankCandidates(pool, batchers);
+    this.#ranked.set(pool, { batchers, order });
+    return order;
   }
 
   async #runAt(
--- a/src/batching/pool_work.ts
+++ b/src/batching/pool_work.ts
@@ -80,6 +80,17 @@
   return ready;
 }
 
+/** What is known of the endpoint at an address. */
+export function endpointAt(
+  { endpoints }: PoolWork,
+  address: string,
+): EndpointCalls | undefined {
+  for (const calls of endpoints.values()) {
+    if (calls.endpoint.address === address) return calls;
+  }
+  return undefined;
+}
+
 /** Whether a piece is in no call yet. */
 export function hasWaiting({ jobs }: PoolWork): boolean {
   for (const { waiting } of jobs) if (waiting.length > 0) return true;
--- a/src/batching/stage_graph.ts
+++ b/src/batching/stage_graph.ts
@@ -43,8 +43,8 @@
 export interface GraphParts {
   run: (job: StageJob, signal: AbortSignal) => Promise<FinalOutcome>;
   free: (freed: FreedResults) => void;
-  /** Time that a stage of a pool takes, in milliseconds. */
-  stageMs: (pool: string) => StageTime;
+  /** Time that a stage takes, in milliseconds, its wait included. */
+  stageMs: (stage: { pool: string; priority: number }) => StageTime;
   now: () => number;
 }
 
@@ -73,6 +73,14 @@
   }
 
   async finish(): Promise<GraphOutcome> {
+    const excess_ms = this.#excessMs();
+    if (excess_ms > 0) {
+      return {
+        kind: JobEnd.Refused,
+        retry_after_ms: excess_ms,
+        wait_ms: excess_ms,
+      };
+    }
     const running = new Map<number, Promise<FinalOutcome | undefined>>();
     const stageDone = (index: number): Promise<FinalOutcome | undefined> => {
       const known = running.get(index);
@@ -199,7 +207,7 @@
     let longest: StageTime = { least_ms: 0, expected_ms: 0 };
     for (const follower of this.#followers(index)) {
       if ((this.#request.pieces[follower] ?? 0) === 0) continue;
-      const own = this.#parts.stageMs(this.#stages[follower]?.pool ?? "");
+      const own = this.#stageMs(follower);
       const after = this.#timeAfter(follower);
       longest = {
         least_ms: Math.max(longest.least_ms, own.least_ms + after.least_ms),
@@ -212,6 +220,23 @@
     return longest;
   }
 
+  #stageMs(index: number): StageTime {
+    const pool = this.#stages[index]?.pool ?? "";
+    return this.#parts.stageMs({ pool, priority: this.#request.priority });
+  }
+
+  /** By how much all stages together would be too late; 0 if they are not. */
+  #excessMs(): number {
+    const { expires_ms, pieces } = this.#request;
+    const left_ms = expires_ms - this.#parts.now();
+    const paths_ms = this.#stages.map((_, index) =>
+      (pieces[index] ?? 0) === 0
+        ? 0
+        : this.#stageMs(index).expected_ms + this.#timeAfter(index).expected_ms
+    );
+    return Math.max(0, Math.max(...paths_ms) - left_ms);
+  }
+
   #followers(index: number): number[] {
     return this.#stages.flatMap((stage, other) =>
       stage.after.includes(index) ? [other] : []
--- a/src/batching/types.ts
+++ b/src/batching/types.ts
@@ -57,9 +57,14 @@
 
 /** How a job ended. */
 export type JobOutcome =
-  | { kind: JobEnd.Made; results: StageResult[] }
+  | {
+    kind: JobEnd.Made;
+    results: StageResult[];
+    /** How long a job of its kind that came now would wait. */
+    wait_ms: number;
+  }
   /** There is no room for it in time. */
-  | { kind: JobEnd.Refused; retry_after_ms: number }
+  | { kind: JobEnd.Refused; retry_after_ms: number; wait_ms: number }
   /** A result that it needs is gone. */
   | { kind: JobEnd.InputsGone }
   /** Its batcher leaves and has not begun it: another one should make it. */
--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -32,6 +32,8 @@
   readonly parts: ForwardParts;
   /** When the request is of no use any more, on the steady clock. */
   readonly expires_ms: number;
+  /** When the caller gives up if there is no byte of an answer yet. */
+  readonly first_by_ms: number;
   /** The part of its prompt that others share; undefined if it has none. */
   readonly prefix: string | undefined;
   /** Pool that it goes to; drawn once by the route's weights. */
@@ -58,6 +60,11 @@
     const { route, marks } = admitted;
     const limit_ms = Math.min(marks.deadline_ms ?? Infinity, route.timeout_ms);
     this.expires_ms = inbound.arrived_ms + limit_ms - ANSWER_MARGIN_MS;
+    const patience_ms = Math.min(
+      limit_ms,
+      route.first_event_within_ms ?? Infinity,
+    );
+    this.first_by_ms = inbound.arrived_ms + patience_ms - ANSWER_MARGIN_MS;
     this.prefix = sharedPrefix(marks.prompt);
     this.pool = drawPool(admitted, parts.random);
   }
--- a/src/forwarding/serve_run.ts
+++ b/src/forwarding/serve_run.ts
@@ -74,7 +74,7 @@
     home_zone,
     due_ms: run.inbound.arrived_ms + route.target_latency_ms -
       load.typicalMs(run.pool),
-    expires_ms: run.expires_ms,
+    expires_ms: run.first_by_ms,
     signal: run.signal,
   }, stages);
   const elapsed_ms = now() - began_ms;
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -2,6 +2,7 @@
 import type { Server } from "node:http";
 import { Batcher } from "./batching/batcher.ts";
 import { JobRouter } from "./batching/job_router.ts";
+import { PoolWaits } from "./batching/pool_waits.ts";
 import { stageTime } from "./batching/expected_wait.ts";
 import { createPieceCaller } from "./batching/piece_caller.ts";
 import { ConfigurationBelief } from "./beliefs/configuration_belief.ts";
@@ -274,6 +275,7 @@
 interface Batching {
   batcher: Batcher;
   jobs: JobRouter;
+  waits: PoolWaits;
   pool: (name: string) => RoutePool | undefined;
 }
 
@@ -295,21 +297,23 @@
     log,
     now,
   });
+  const waits = new PoolWaits();
   const jobs: JobRouter = new JobRouter({
     self: base.self,
     batchers: () => members.batchers(base.lifecycle.going),
     local: batcher,
     peers,
+    waits,
     log,
     now,
     signal: base.signal,
   });
-  return { batcher, jobs, pool };
+  return { batcher, jobs, waits, pool };
 }
 
 function createForwardParts(
   base: Base,
-  { jobs, pool }: Batching,
+  { jobs, pool, waits }: Batching,
 ): ForwardParts {
   const { lifecycle } = base;
   return {
@@ -322,7 +326,8 @@
     stages: {
       run: (job, signal) => jobs.run(job, signal),
       free: (freed) => jobs.free(freed),
-      stageMs: (name) => stageTime(pool(name)?.batch),
+      stageMs: (stage) =>
+        stageTime(pool(stage.pool)?.batch, waits.expect(stage, base.now())),
       now: base.now,
     },
     metrics: base.metrics,
--- a/src/membership/gateway_members.ts
+++ b/src/membership/gateway_members.ts
@@ -19,6 +19,8 @@
 export class GatewayMembers {
   #members = new Map<string, GatewayMember>();
   #self: GatewayMember;
+  /** Hosts that may batch, kept until the members change. */
+  #batchers = new Map<boolean, string[]>();
 
   constructor(self: GatewayMember) {
     this.#self = self;
@@ -27,6 +29,7 @@
   /** Every entry, as of now. */
   replaceAll(items: FeedItem<GatewayMember>[]): void {
     this.#members.clear();
+    this.#batchers.clear();
     for (const { name, value } of items) {
       if (value !== undefined) this.#members.set(name, value);
     }
@@ -34,6 +37,7 @@
 
   /** Entries that changed. */
   apply(changes: FeedChange<GatewayMember>[]): void {
+    this.#batchers.clear();
     for (const { name, value, deleted } of changes) {
       if (deleted || value === undefined) this.#members.delete(name);
       else this.#members.set(name, value);
@@ -60,9 +64,19 @@
   /**
    * Addresses of the hosts that may batch: the older half of the larger half,
    * so that a host which has just started does not take over what others do. A
-   * leaving host leaves itself out while there are others.
+   * leaving host leaves itself out while there are others. The same array is
+   * returned until the members change.
    */
-  batchers(leaving: boolean): string[] {
+  batchers(leaving: boolean): readonly string[] {
+    let batchers = this.#batchers.get(leaving);
+    if (batchers === undefined) {
+      batchers = this.#findBatchers(leaving);
+      this.#batchers.set(leaving, batchers);
+    }
+    return batchers;
+  }
+
+  #findBatchers(leaving: boolean): string[] {
     const all = [...this.#members.values()]
       .filter((member) => member.address !== this.#self.address);
     if (!leaving || all.length === 0) all.push(this.#self);
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -40,6 +40,8 @@
   timeout_ms: number;
   /** Time within which an answer is on time, in milliseconds. */
   target_latency_ms: number;
+  /** Callers give up a stream whose first event takes longer. */
+  first_event_within_ms: number | undefined;
   /** 0 is the most urgent. */
   priority: number;
   pools: WeightedPool[];
--- a/test/batching/job_router.test.ts
+++ b/test/batching/job_router.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, beforeEach, test } from "node:test";
 import { Batcher } from "../../src/batching/batcher.ts";
 import { type BatcherPeers, JobRouter } from "../../src/batching/job_router.ts";
+import { PoolWaits } from "../../src/batching/pool_waits.ts";
 import {
   JobEnd,
   type JobOutcome,
@@ -10,7 +11,7 @@
 } from "../../src/batching/types.ts";
 import { createLogger } from "../../src/logging/logger.ts";
 
-const MADE: JobOutcome = { kind: JobEnd.Made, results: [] };
+const MADE: JobOutcome = { kind: JobEnd.Made, results: [], wait_ms: 120 };
 const HANDED_BACK: JobOutcome = { kind: JobEnd.HandedBack };
 
 let asked: string[];
@@ -28,6 +29,8 @@
 
 const log = createLogger({ level: "error", host: "h", writeLine: () => {} });
 
+const waits = new PoolWaits();
+
 function router(): JobRouter {
   const peers: BatcherPeers = {
     run(address, _job, signal) {
@@ -57,6 +60,7 @@
     batchers: () => hosts,
     local,
     peers,
+    waits,
     log,
     now: () => performance.now(),
     signal: stopping.signal,
@@ -83,6 +87,13 @@
   assert.equal(router().batcherOf("encode"), first);
 });
 
+test("what a batcher says of its queue is kept for the next request", async () => {
+  await router().run(JOB, stopping.signal);
+  assert.equal(waits.expect(JOB, performance.now()), 120);
+  assert.equal(waits.expect(JOB, performance.now() + 1_100), 0);
+  assert.equal(waits.expect({ ...JOB, priority: 7 }, performance.now()), 0);
+});
+
 test("a batcher that can't be reached is passed over", async () => {
   const jobs = router();
   const first = jobs.batcherOf("encode");
--- a/test/batching/stage_graph.test.ts
+++ b/test/batching/stage_graph.test.ts
@@ -16,11 +16,13 @@
 let jobs: StageJob[];
 let freed: string[];
 let failAt: number | undefined;
+let wait_ms: Record<string, number>;
 
 beforeEach(() => {
   jobs = [];
   freed = [];
   failAt = undefined;
+  wait_ms = {};
 });
 
 const CHAIN: PieceStage[] = [
@@ -38,6 +40,7 @@
     kind: CallKind.Streaming,
     timeout_ms: 6_000,
     target_latency_ms: 1_500,
+    first_event_within_ms: 6_000,
     priority: 1,
     pools: [],
     max_attempts: 1,
@@ -50,10 +53,15 @@
 function make(job: StageJob): Promise<FinalOutcome> {
   jobs.push(job);
   if (job.stage === failAt) {
-    return Promise.resolve({ kind: JobEnd.Refused, retry_after_ms: 70 });
+    return Promise.resolve({
+      kind: JobEnd.Refused,
+      retry_after_ms: 70,
+      wait_ms: 0,
+    });
   }
   return Promise.resolve({
     kind: JobEnd.Made,
+    wait_ms: 0,
     results: job.pieces.map(({ index }) => ({
       handle: `${job.pool}/${index}`,
       address: "10.0.0.1:80",
@@ -76,7 +84,10 @@
   }, {
     run: make,
     free: ({ handles }: FreedResults) => void freed.push(...handles),
-    stageMs: () => ({ least_ms: 200, expected_ms: 300 }),
+    stageMs: ({ pool }) => ({
+      least_ms: 200,
+      expected_ms: 300 + (wait_ms[pool] ?? 0),
+    }),
     now: () => 0,
   });
 }
@@ -146,11 +157,34 @@
 test("a stage that fails ends the request and frees what was made", async () => {
   failAt = 2;
   const outcome = await run([2, 1, 2, 3]);
-  assert.deepEqual(outcome, { kind: JobEnd.Refused, retry_after_ms: 70 });
+  assert.deepEqual(outcome, {
+    kind: JobEnd.Refused,
+    retry_after_ms: 70,
+    wait_ms: 0,
+  });
   assert.deepEqual(freed.sort(), ["encode/0", "heavy/0", "heavy/1"]);
   assert.ok(jobs.every(({ pool }) => pool !== "rank"));
 });
 
+test("a request is refused before its first stage if a later one has no room", async () => {
+  wait_ms = { rank: 5_150 };
+  const outcome = await run([2, 1, 2, 3]);
+  assert.ok(outcome.kind === JobEnd.Refused);
+  assert.equal(outcome.retry_after_ms, 50);
+  assert.deepEqual(jobs, []);
+});
+
+test("a wait at a stage that is left out does not matter", async () => {
+  wait_ms = { rank: 5_150 };
+  assert.equal((await run([2, 1, 2, 0])).kind, JobEnd.Made);
+});
+
+test("a wait at a later stage makes the earlier ones more urgent", async () => {
+  wait_ms = { rank: 250 };
+  await run([0, 1, 2, 3]);
+  assert.equal(jobOf("encode").due_in_ms, 550);
+});
+
 test("a stage without pieces is left out", async () => {
   const outcome = await run([0, 1, 2, 3]);
   assert.ok(outcome.kind === JobEnd.Made);
--- a/test/membership/gateway_members.test.ts
+++ b/test/membership/gateway_members.test.ts
@@ -28,7 +28,7 @@
     member("new", { started_ms: 900 }),
     member("newer", { started_ms: 950 }),
   ]);
-  assert.deepEqual(members.batchers(false).sort(), ["old", "self"]);
+  assert.deepEqual([...members.batchers(false)].sort(), ["old", "self"]);
 });
 
 test("the smaller half of the hosts does not batch", () => {
@@ -37,7 +37,7 @@
     member("small", { cores: 0.2 }),
     member("tiny", { cores: 0.1 }),
   ]);
-  assert.deepEqual(members.batchers(false).sort(), ["large", "self"]);
+  assert.deepEqual([...members.batchers(false)].sort(), ["large", "self"]);
 });
 
 test("a leaving host leaves itself out, unless it is alone", () => {
--- /dev/null
+++ b/test/platform/decode_objects.test.ts
@@ -0,0 +1,41 @@
+/** What the operator's manifest means for a host. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { decodeConfiguration } from "../../platform/decode_objects.ts";
+
+function firstEventWithin(route: object): number | undefined {
+  const configuration = decodeConfiguration("main", {
+    version: 1,
+    routes: [{
+      name: "r",
+      hostname: "h",
+      path_prefix: "/r/",
+      kind: "streaming",
+      timeout_ms: 20_000,
+      service: "s",
+      ...route,
+    }],
+    services: [],
+    limits: {
+      max_header_bytes: 1,
+      max_body_bytes: 1,
+      header_timeout_ms: 1,
+      idle_timeout_ms: 1,
+    },
+  });
+  return configuration?.routes[0]?.first_event_within_ms;
+}
+
+test("callers wait for a first event as long as the contract says", () => {
+  const within = (target_latency_ms: number, target_gap_ms?: number) =>
+    firstEventWithin({ target_latency_ms, target_gap_ms });
+  assert.equal(within(400), 2_000);
+  assert.equal(within(1_500, 300), 6_000);
+  assert.equal(within(800, 500), 4_000);
+});
+
+test("other kinds, and streams without a target, have no such bound", () => {
+  const safe = { kind: "safe", target_latency_ms: 100 };
+  assert.equal(firstEventWithin(safe), undefined);
+  assert.equal(firstEventWithin({}), undefined);
+});
