--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -9,6 +9,7 @@
   copyFileSync,
   mkdirSync,
   readFileSync,
+  rmSync,
   writeFileSync,
 } from "node:fs";
 import { join } from "node:path";
@@ -47,6 +48,7 @@
   }),
 );
 execFileSync(process.execPath, ["--experimental-sea-config", configuration]);
+rmSync(executable, { force: true });
 copyFileSync(process.execPath, executable);
 await inject(executable, "NODE_SEA_BLOB", readFileSync(blob), {
   sentinelFuse: FUSE,
--- a/src/membership/gateway_members.ts
+++ b/src/membership/gateway_members.ts
@@ -62,7 +62,7 @@
   }
 
   /**
-   * Addresses of the hosts that may batch: the older half of the larger half,
+   * Addresses of the hosts that may batch: the older half of the largest ones,
    * so that a host which has just started does not take over what others do. A
    * leaving host leaves itself out while there are others. The same array is
    * returned until the members change.
@@ -80,15 +80,28 @@
     const all = [...this.#members.values()]
       .filter((member) => member.address !== this.#self.address);
     if (!leaving || all.length === 0) all.push(this.#self);
-    const larger = all.filter((member) =>
-      member.cores >= middle(all.map(({ cores }) => -cores)) * -1
-    );
+    const least_cores = leastCoresToBatch(all);
+    const larger = all.filter(({ cores }) => cores >= least_cores);
     const limit_ms = middle(larger.map(({ started_ms }) => started_ms));
     return larger.filter(({ started_ms }) => started_ms <= limit_ms)
       .map((member) => member.address);
   }
 }
 
+/** Part of a large fleet that batches, and how many hosts it takes at least. */
+const BATCHING_SHARE = 0.1;
+const LEAST_BATCHING = 4;
+
+/** Cores of the smallest host that batches: the largest tenth, four at least. */
+function leastCoresToBatch(hosts: readonly GatewayMember[]): number {
+  const wanted = Math.max(
+    Math.floor(hosts.length * BATCHING_SHARE),
+    Math.min(LEAST_BATCHING, Math.ceil(hosts.length / 2)),
+  );
+  const largestFirst = hosts.map(({ cores }) => cores).sort((a, b) => b - a);
+  return largestFirst[wanted - 1] ?? 0;
+}
+
 /** The value in the middle of the sorted values, the lower one of two. */
 function middle(values: number[]): number {
   const sorted = values.sort((a, b) => a - b);
--- a/src/settings/gateway_settings.ts
+++ b/src/settings/gateway_settings.ts
@@ -12,6 +12,7 @@
     name: z.string().min(1),
     availability_zone: z.string().min(1),
     cores: z.number().positive().optional(),
+    core_share: z.number().positive().max(1).optional(),
   }),
   listen: z.strictObject({
     callers: addressSchema,
@@ -44,7 +45,12 @@
 
 /** Gateway settings with every default filled in. */
 export interface GatewaySettings {
-  host: { name: string; availability_zone: string; cores: number };
+  host: {
+    name: string;
+    availability_zone: string;
+    /** Cores that it may use up, fractions included. */
+    cores: number;
+  };
   listen: {
     callers: Address;
     readiness: Address;
@@ -107,7 +113,11 @@
   const window_s = user.repeats?.window_s ?? repeats.window_s;
   const timeout_s = user.drain?.timeout_s ?? drain_timeout_s;
   return {
-    host: { cores, ...user.host },
+    host: {
+      name: user.host.name,
+      availability_zone: user.host.availability_zone,
+      cores: (user.host.cores ?? cores) * (user.host.core_share ?? 1),
+    },
     listen: {
       callers: parseAddress(callers),
       readiness: parseAddress(readiness),
--- a/test/membership/gateway_members.test.ts
+++ b/test/membership/gateway_members.test.ts
@@ -40,6 +40,18 @@
   assert.deepEqual([...members.batchers(false)].sort(), ["large", "self"]);
 });
 
+test("in a large fleet of unequal hosts only the largest batch", () => {
+  const sizes = [[8, 1.35], [19, 0.81], [54, 0.243]] as const;
+  const hosts = sizes.flatMap(([count, cores]) =>
+    Array.from({ length: count }, (_, n) => member(`${cores}-${n}`, { cores }))
+  );
+  const members = new GatewayMembers(hosts[0]?.value ?? member("x").value);
+  members.replaceAll(hosts);
+  const batchers = members.batchers(false);
+  assert.equal(batchers.length, 8);
+  assert.ok(batchers.every((address) => address.startsWith("1.35-")));
+});
+
 test("a leaving host leaves itself out, unless it is alone", () => {
   const members = membersOf("self", [member("other")]);
   assert.deepEqual(members.batchers(true), ["other"]);
--- a/test/settings/gateway_settings.test.ts
+++ b/test/settings/gateway_settings.test.ts
@@ -46,6 +46,7 @@
     .replaceAll("{{seeds|json}}", '["10.0.0.2:90"]')
     .replaceAll(/\{\{(bind\.\w+|platform\.address)\}\}/g, "10.0.0.1:80")
     .replaceAll("{{ip}}", "10.0.0.1")
+    .replaceAll("{{limits.cpu_share}}", "0.5")
     .replaceAll(/\{\{(node_name|zone)\}\}/g, "text")
     .replaceAll(/\{\{[^}]+\}\}/g, "2");
   const checked = checkGatewaySettings("template", filled);
