Batch by availability zone where zones have several endpoints of a pool

Change: a pool with 1.5 endpoints a zone or more has a batcher for each zone; jobs go where their inputs are read, or to the own zone, unless the wait there is 200 ms longer; a shard that refuses leaves the job to another one. Pools of one endpoint a zone, as on the small sites, are as before.

--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -11,6 +11,7 @@
 } from "../routes/types.ts";
 import { EndpointCalls } from "./endpoint_calls.ts";
 import { expectedJobMs, type PoolLoad, waitMs } from "./expected_wait.ts";
+import { endpointsOfShard } from "./pool_shards.ts";
 import { planCall, type PlannedShare } from "./plan_call.ts";
 import {
   createQueuedJob,
@@ -104,7 +105,7 @@
     if (limits === undefined) {
       return Promise.resolve({ kind: JobEnd.Failed, reason: "unknown_pool" });
     }
-    const work = this.#workOf(job.pool);
+    const work = this.#workOf(job);
     const refusal = this.#refusal(job, work, limits);
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((resolve) => {
@@ -113,26 +114,26 @@
       signal.addEventListener("abort", () => {
         this.#end(queued, work, { kind: JobEnd.Failed, reason: "cancelled" });
       });
-      this.#dispatchSoon(job.pool);
+      this.#dispatchSoon(work);
     });
   }
 
   /** Gives up results at one address, or lets them be given up. */
-  free({ pool, address, handles, spare }: FreedResults): void {
-    const work = this.#workOf(pool);
+  free({ pool, shard, address, handles, spare }: FreedResults): void {
+    const work = this.#workOf({ pool, shard });
     const calls = endpointAt(work, address);
     if (spare === true) {
       for (const handle of handles) calls?.offer(handle);
-      if (calls !== undefined) this.#freeSpare(pool, calls);
+      if (calls !== undefined) this.#freeSpare(work, calls);
     } else {
       for (const handle of handles) calls?.release(handle);
       this.#options.caller.free(address, handles);
     }
-    this.#dispatchSoon(pool);
+    this.#dispatchSoon(work);
   }
 
-  #freeSpare(pool: string, calls: EndpointCalls): void {
-    const limits = this.#options.pool(pool)?.batch;
+  #freeSpare(work: PoolWork, calls: EndpointCalls): void {
+    const limits = this.#options.pool(work.pool)?.batch;
     if (limits === undefined) return;
     const handles = calls.takeSpare(this.#options.now(), limits);
     if (handles.length === 0) return;
@@ -159,20 +160,23 @@
 
   /** Takes note that endpoints have changed. */
   endpointsChanged(): void {
-    for (const pool of this.#pools.keys()) this.#dispatchSoon(pool);
+    for (const work of this.#pools.values()) this.#dispatchSoon(work);
   }
 
-  #workOf(pool: string): PoolWork {
-    const known = this.#pools.get(pool);
+  #workOf({ pool, shard }: { pool: string; shard?: string }): PoolWork {
+    const key = shard === undefined ? pool : `${pool}/${shard}`;
+    const known = this.#pools.get(key);
     if (known !== undefined) return known;
     const created: PoolWork = {
+      pool,
+      shard,
       jobs: new Set(),
       endpoints: new Map(),
       timer: undefined,
       timer_at_ms: Infinity,
       placedNothing_ms: -Infinity,
     };
-    this.#pools.set(pool, created);
+    this.#pools.set(key, created);
     return created;
   }
 
@@ -188,6 +192,7 @@
       event: "job_refused",
       attempt: job.attempt_id,
       pool: job.pool,
+      shard: job.shard,
       pieces: job.pieces.length,
       ...load,
       expected_ms: Math.round(expected_ms),
@@ -204,7 +209,7 @@
   /** The load that goes before a job which comes now. */
   #loadBefore(job: StageJob, work: PoolWork): PoolLoad {
     const now_ms = this.#options.now();
-    const taking = this.#ready(job.pool, work)
+    const taking = this.#ready(work)
       .filter((calls) => calls.takesCalls(now_ms));
     const due_ms = now_ms + job.due_in_ms;
     let pieces_ahead = 0;
@@ -222,50 +227,48 @@
     return Number.isFinite(wait_ms) ? Math.round(wait_ms) : limits.retention_ms;
   }
 
-  #ready(pool: string, work: PoolWork): EndpointCalls[] {
-    return readyEndpoints(work, this.#options.endpoints(pool));
+  #ready(work: PoolWork): EndpointCalls[] {
+    const ofPool = this.#options.endpoints(work.pool);
+    return readyEndpoints(work, endpointsOfShard(ofPool, work.shard));
   }
 
   /** Dispatches now, or soon if a moment ago there was nothing to place. */
-  #dispatchSoon(pool: string): void {
-    const work = this.#workOf(pool);
+  #dispatchSoon(work: PoolWork): void {
     if (work.jobs.size === 0) return;
     const since_ms = this.#options.now() - work.placedNothing_ms;
-    this.#dispatchWithin(pool, work, Math.max(0, IN_VAIN_MS - since_ms));
+    this.#dispatchWithin(work, Math.max(0, IN_VAIN_MS - since_ms));
   }
 
-  #dispatchWithin(pool: string, work: PoolWork, wait_ms: number): void {
-    if (wait_ms <= 0) return this.#dispatch(pool);
+  #dispatchWithin(work: PoolWork, wait_ms: number): void {
+    if (wait_ms <= 0) return this.#dispatch(work);
     const at_ms = this.#options.now() + wait_ms;
     if (work.timer_at_ms <= at_ms) return;
     clearTimeout(work.timer);
     work.timer_at_ms = at_ms;
-    work.timer = setTimeout(() => this.#dispatch(pool), wait_ms);
+    work.timer = setTimeout(() => this.#dispatch(work), wait_ms);
   }
 
-  #dispatch(pool: string): void {
-    const work = this.#workOf(pool);
+  #dispatch(work: PoolWork): void {
     clearTimeout(work.timer);
     work.timer_at_ms = Infinity;
-    const limits = this.#options.pool(pool)?.batch;
+    const limits = this.#options.pool(work.pool)?.batch;
     if (limits === undefined) return;
     const now_ms = this.#options.now();
     this.#dropExpired(work, now_ms);
     if (work.jobs.size === 0) return;
-    if (!this.#placeWork(pool, work, { limits, now_ms })) {
+    if (!this.#placeWork(work, { limits, now_ms })) {
       work.placedNothing_ms = now_ms;
     }
     // Rests end, and zones are left: look again while something waits.
-    if (hasWaiting(work)) this.#dispatchWithin(pool, work, FULL_RETRY_MS);
+    if (hasWaiting(work)) this.#dispatchWithin(work, FULL_RETRY_MS);
   }
 
   /** Makes the calls that can begin now; false if there are none. */
   #placeWork(
-    pool: string,
     work: PoolWork,
     { limits, now_ms }: { limits: BatchLimits; now_ms: number },
   ): boolean {
-    const ready = this.#ready(pool, work);
+    const ready = this.#ready(work);
     const free = ready.filter((calls) => calls.free(now_ms, limits))
       .sort((a, b) => a.slowness - b.slowness);
     if (free.length === 0 || !hasWaiting(work)) return false;
@@ -280,7 +283,7 @@
       }, { now_ms, limits, zoneWait_ms });
       if (shares.length === 0) continue;
       placed = true;
-      void this.#call(pool, work, { calls, shares, limits });
+      void this.#call(work, { calls, shares, limits });
     }
     return placed;
   }
@@ -293,7 +296,6 @@
   }
 
   async #call(
-    pool: string,
     work: PoolWork,
     { calls, shares, limits }: {
       calls: EndpointCalls;
@@ -312,7 +314,7 @@
     );
     calls.begin({ bytes, pieces: taken.length, now_ms: began_ms }, limits);
     this.#offerLater(shares, limits);
-    this.#freeSpare(pool, calls);
+    this.#freeSpare(work, calls);
     const result = await caller.make(
       calls.endpoint,
       taken.map(({ queued, piece }) => ({
@@ -327,7 +329,8 @@
     const elapsed_ms = now_ms - began_ms;
     log.info({
       event: "stage_call",
-      pool,
+      pool: work.pool,
+      shard: work.shard,
       endpoint: calls.endpoint.id,
       zone: calls.endpoint.availability_zone,
       pieces: taken.length,
@@ -360,7 +363,7 @@
         }
         break;
     }
-    this.#dispatchWithin(pool, work, 0);
+    this.#dispatchWithin(work, 0);
   }
 
   /** Lets inputs be given up once the endpoint has had time to read them. */
@@ -459,7 +462,7 @@
       for (const result of queued.results) {
         if (result === undefined) continue;
         const { address, handle } = result;
-        this.free({ pool: queued.job.pool, address, handles: [handle] });
+        this.free({ ...work, address, handles: [handle] });
       }
     }
     queued.end(outcome);
--- a/src/batching/job_router.ts
+++ b/src/batching/job_router.ts
@@ -6,6 +6,7 @@
  */
 import type { Logger } from "../logging/logger.ts";
 import { rankCandidates } from "../membership/rendezvous.ts";
+import { chooseShard } from "./pool_shards.ts";
 import type { PoolWaits } from "./pool_waits.ts";
 import { pause } from "../utils/loop.ts";
 import type { Batcher } from "./batcher.ts";
@@ -39,6 +40,12 @@
   peers: BatcherPeers;
   /** Is told what batchers say of their queues. */
   waits: PoolWaits;
+  /** This host's availability zone. */
+  zone: string;
+  /** The shards of a pool; empty if it is one. */
+  shards: (pool: string) => readonly string[];
+  /** The zone of the endpoint at an address, if that is known. */
+  zoneAt: (address: string) => string | undefined;
   log: Logger;
   now: () => number;
   signal: AbortSignal;
@@ -51,6 +58,9 @@
 /** How long a host that did not answer is passed over. */
 const SUSPECT_MS = 3_000;
 
+/** Shards that are asked before a job counts as refused. */
+const MOST_SHARDS = 3;
+
 interface Owner {
   pending: Set<AbortController>;
   suspectUntil_ms: number;
@@ -80,11 +90,14 @@
     const { now, self, local, log } = this.#options;
     const expires_ms = now() + job.expires_in_ms;
     const due_ms = now() + job.due_in_ms;
+    const refusing = new Set<string>();
     while (!signal.aborted) {
-      const owner = this.batcherOf(job.pool);
+      const shard = this.#shardFor(job, refusing);
+      const owner = this.batcherOf(job.pool, shard);
       const now_ms = now();
       const current = {
         ...job,
+        shard,
         due_in_ms: due_ms - now_ms,
         expires_in_ms: expires_ms - now_ms,
       };
@@ -98,13 +111,19 @@
       }
       if (outcome !== undefined) {
         if ("wait_ms" in outcome) {
-          this.#options.waits.note(job, outcome.wait_ms, now());
+          this.#options.waits.note(current, outcome.wait_ms, now());
+        }
+        if (outcome.kind === JobEnd.Refused && shard !== undefined) {
+          refusing.add(shard);
+          const others = this.#options.shards(job.pool).length - refusing.size;
+          if (others > 0 && refusing.size < MOST_SHARDS) continue;
         }
         return outcome;
       }
       log.warn({
         event: "batcher_lost",
         pool: job.pool,
+        shard,
         peer: owner,
         attempt: job.attempt_id,
       });
@@ -112,9 +131,39 @@
     return { kind: JobEnd.Failed, reason: "expired" };
   }
 
+  /** The wait to expect for a job that this host would send now. */
+  expectedWaitMs(job: { pool: string; priority: number }): number {
+    const { waits, now } = this.#options;
+    const shard = this.#shardFor(job);
+    return waits.expect({ ...job, shard }, now());
+  }
+
+  #shardFor(
+    { pool, priority, home_zone }: {
+      pool: string;
+      priority: number;
+      home_zone?: string;
+    },
+    refusing: ReadonlySet<string> = new Set(),
+  ): string | undefined {
+    const { shards, zone, waits, now } = this.#options;
+    const now_ms = now();
+    const open = shards(pool).filter((shard) => !refusing.has(shard));
+    return chooseShard(open, {
+      preferred: home_zone ?? zone,
+      waitMs: (shard) => waits.expect({ pool, shard, priority }, now_ms),
+    });
+  }
+
+  #shardAt({ pool, address }: FreedResults): string | undefined {
+    const { shards, zoneAt } = this.#options;
+    const zone = zoneAt(address);
+    return zone !== undefined && shards(pool).includes(zone) ? zone : undefined;
+  }
+
   /** Gives up results, at the host that counts the memory they take. */
   free(freed: FreedResults): void {
-    this.#freed.push(freed);
+    this.#freed.push({ ...freed, shard: this.#shardAt(freed) });
     if (this.#freed.length > 1) return;
     setTimeout(() => this.#flushFreed(), FREE_EVERY_MS);
   }
@@ -123,7 +172,7 @@
     const { self, local, peers, log } = this.#options;
     const owners = Map.groupBy(
       this.#freed.splice(0),
-      ({ pool }) => this.batcherOf(pool),
+      ({ pool, shard }) => this.batcherOf(pool, shard),
     );
     for (const [owner, freed] of owners) {
       if (owner === self) {
@@ -137,20 +186,21 @@
     }
   }
 
-  /** The host that batches for a pool, as this host sees it. */
-  batcherOf(pool: string): string {
+  /** The host that batches for a pool or its shard, as this host sees it. */
+  batcherOf(pool: string, shard?: string): string {
     const now_ms = this.#options.now();
-    return this.#rankedFor(pool).find((address) =>
+    const key = shard === undefined ? pool : `${pool}/${shard}`;
+    return this.#rankedFor(key).find((address) =>
       (this.#owners.get(address)?.suspectUntil_ms ?? 0) <= now_ms
     ) ?? this.#options.self;
   }
 
-  #rankedFor(pool: string): readonly string[] {
+  #rankedFor(key: string): readonly string[] {
     const batchers = this.#options.batchers();
-    const known = this.#ranked.get(pool);
+    const known = this.#ranked.get(key);
     if (known?.batchers === batchers) return known.order;
-    const order = rankCandidates(pool, batchers);
-    this.#ranked.set(pool, { batchers, order });
+    const order = rankCandidates(key, batchers);
+    this.#ranked.set(key, { batchers, order });
     return order;
   }
 
--- a/src/batching/pool_waits.ts
+++ b/src/batching/pool_waits.ts
@@ -7,6 +7,14 @@
 /** What a batcher said stops counting after this time, in milliseconds. */
 const FRESH_MS = 1_000;
 
+/** Whose wait it is. */
+export interface WaitKey {
+  pool: string;
+  shard?: string;
+  /** 0 is the most urgent. */
+  priority: number;
+}
+
 interface ToldWait {
   wait_ms: number;
   told_ms: number;
@@ -18,19 +26,19 @@
 
   /** A batcher tells how long a job of this priority would wait now. */
   note(
-    { pool, priority }: { pool: string; priority: number },
+    { pool, shard, priority }: WaitKey,
     wait_ms: number,
     now_ms: number,
   ): void {
-    this.#waits.set(`${pool}/${priority}`, { wait_ms, told_ms: now_ms });
+    this.#waits.set(`${pool}/${shard}/${priority}`, {
+      wait_ms,
+      told_ms: now_ms,
+    });
   }
 
   /** The wait to expect, in milliseconds; 0 if nothing was heard of late. */
-  expect(
-    { pool, priority }: { pool: string; priority: number },
-    now_ms: number,
-  ): number {
-    const told = this.#waits.get(`${pool}/${priority}`);
+  expect({ pool, shard, priority }: WaitKey, now_ms: number): number {
+    const told = this.#waits.get(`${pool}/${shard}/${priority}`);
     if (told === undefined) return 0;
     return now_ms - told.told_ms > FRESH_MS ? 0 : told.wait_ms;
   }
--- a/src/batching/pool_work.ts
+++ b/src/batching/pool_work.ts
@@ -22,6 +22,9 @@
 
 /** What a batcher has to do for one pool. */
 export interface PoolWork {
+  pool: string;
+  /** The zone that is batched apart; undefined if the pool is one. */
+  shard: string | undefined;
   jobs: Set<QueuedJob>;
   endpoints: Map<string, EndpointCalls>;
   timer: NodeJS.Timeout | undefined;
--- a/src/batching/types.ts
+++ b/src/batching/types.ts
@@ -16,6 +16,8 @@
   attempt_id: string;
   /** Name of the pool whose endpoints make the pieces. */
   pool: string;
+  /** The part of the pool that makes them; undefined if it is one. */
+  shard?: string;
   /** Index of the stage within its route. */
   stage: number;
   pieces: Piece[];
@@ -38,6 +40,8 @@
 /** Results of one endpoint that are given up. */
 export interface FreedResults {
   pool: string;
+  /** The part of the pool that made them; undefined if it is one. */
+  shard?: string;
   address: string;
   handles: string[];
   /**
--- a/src/beliefs/endpoint_belief.ts
+++ b/src/beliefs/endpoint_belief.ts
@@ -92,10 +92,10 @@
       .filter((endpoint) => endpoint.state === EndpointState.Ready);
   }
 
-  /** The pool of the endpoint at an address. */
-  poolAt(address: string): string | undefined {
+  /** The endpoint at an address. */
+  at(address: string): RouteEndpoint | undefined {
     for (const { endpoint } of this.#known.values()) {
-      if (endpoint.address === address) return endpoint.pool;
+      if (endpoint.address === address) return endpoint;
     }
     return undefined;
   }
--- a/src/forwarding/serve_run.ts
+++ b/src/forwarding/serve_run.ts
@@ -89,6 +89,9 @@
     elapsed_ms: Math.round(elapsed_ms),
     outcome: outcome.kind,
     reason: outcome.kind === JobEnd.Failed ? outcome.reason : undefined,
+    retry_after_ms: outcome.kind === JobEnd.Refused
+      ? Math.round(outcome.retry_after_ms)
+      : undefined,
   });
   return outcome;
 }
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -2,6 +2,7 @@
 import type { Server } from "node:http";
 import { Batcher } from "./batching/batcher.ts";
 import { JobRouter } from "./batching/job_router.ts";
+import { shardsOf } from "./batching/pool_shards.ts";
 import { PoolWaits } from "./batching/pool_waits.ts";
 import { stageTime } from "./batching/expected_wait.ts";
 import { createPieceCaller } from "./batching/piece_caller.ts";
@@ -275,7 +276,6 @@
 interface Batching {
   batcher: Batcher;
   jobs: JobRouter;
-  waits: PoolWaits;
   pool: (name: string) => RoutePool | undefined;
 }
 
@@ -290,7 +290,7 @@
       dialect: base.adapter.dialect,
       agents: base.agents,
       pool,
-      poolAt: (address) => pool(endpoints.poolAt(address) ?? ""),
+      poolAt: (address) => pool(endpoints.at(address)?.pool ?? ""),
       log,
     }),
     release: (freed) => jobs.free(freed),
@@ -304,16 +304,19 @@
     local: batcher,
     peers,
     waits,
+    zone: base.settings.host.availability_zone,
+    shards: (name) => shardsOf(endpoints.ofPool(name, now())),
+    zoneAt: (address) => endpoints.at(address)?.availability_zone,
     log,
     now,
     signal: base.signal,
   });
-  return { batcher, jobs, waits, pool };
+  return { batcher, jobs, pool };
 }
 
 function createForwardParts(
   base: Base,
-  { jobs, pool, waits }: Batching,
+  { jobs, pool }: Batching,
 ): ForwardParts {
   const { lifecycle } = base;
   return {
@@ -327,7 +330,7 @@
       run: (job, signal) => jobs.run(job, signal),
       free: (freed) => jobs.free(freed),
       stageMs: (stage) =>
-        stageTime(pool(stage.pool)?.batch, waits.expect(stage, base.now())),
+        stageTime(pool(stage.pool)?.batch, jobs.expectedWaitMs(stage)),
       now: base.now,
     },
     metrics: base.metrics,
--- a/src/peers/job_endpoint.ts
+++ b/src/peers/job_endpoint.ts
@@ -25,6 +25,7 @@
 
 const freedSchema = z.array(z.object({
   pool: z.string(),
+  shard: z.string().optional(),
   address: z.string(),
   handles: z.array(z.string()),
   spare: z.boolean().optional(),
@@ -33,6 +34,7 @@
 const jobSchema = z.object({
   attempt_id: z.string(),
   pool: z.string(),
+  shard: z.string().optional(),
   stage: z.number(),
   pieces: z.array(z.object({
     index: z.number(),
--- a/test/batching/job_router.test.ts
+++ b/test/batching/job_router.test.ts
@@ -18,23 +18,29 @@
 let answers: Record<string, () => Promise<JobOutcome>>;
 let stopping: AbortController;
 let hosts: string[];
+let shards: string[];
+let take: (job: StageJob) => void;
 
 beforeEach(() => {
   asked = [];
   answers = {};
   hosts = ["peer-1", "peer-2"];
+  shards = [];
+  take = () => {};
+  waits = new PoolWaits();
   stopping = new AbortController();
 });
 afterEach(() => stopping.abort());
 
 const log = createLogger({ level: "error", host: "h", writeLine: () => {} });
 
-const waits = new PoolWaits();
+let waits: PoolWaits;
 
 function router(): JobRouter {
   const peers: BatcherPeers = {
-    run(address, _job, signal) {
+    run(address, job, signal) {
       asked.push(address);
+      take(job);
       const given_up = new Promise<never>((_, reject) =>
         signal.addEventListener("abort", () => reject(new Error("given up")))
       );
@@ -61,6 +67,9 @@
     local,
     peers,
     waits,
+    zone: "az-1",
+    shards: () => shards,
+    zoneAt: (address) => address.startsWith("az-2") ? "az-2" : undefined,
     log,
     now: () => performance.now(),
     signal: stopping.signal,
@@ -94,6 +103,50 @@
   assert.equal(waits.expect({ ...JOB, priority: 7 }, performance.now()), 0);
 });
 
+test("each zone's shard has a batcher of its own, and takes its zone's jobs", async () => {
+  shards = ["az-1", "az-2"];
+  const jobs = router();
+  const sent: (string | undefined)[] = [];
+  for (const host of hosts) {
+    answers[host] = () => Promise.resolve(MADE);
+  }
+  take = (job) => void sent.push(job.shard);
+  await jobs.run(JOB, stopping.signal);
+  await jobs.run({ ...JOB, home_zone: "az-2" }, stopping.signal);
+  assert.deepEqual(sent, ["az-1", "az-2"]);
+});
+
+test("a shard that refuses a job leaves it to another one", async () => {
+  shards = ["az-1", "az-2"];
+  const sent: (string | undefined)[] = [];
+  take = (job) => void sent.push(job.shard);
+  const refused = {
+    kind: JobEnd.Refused as const,
+    retry_after_ms: 5,
+    wait_ms: 4_000,
+  };
+  for (const host of hosts) {
+    answers[host] = () =>
+      Promise.resolve(sent.at(-1) === "az-1" ? refused : MADE);
+  }
+  const outcome = await router().run(JOB, stopping.signal);
+  assert.equal(outcome.kind, JobEnd.Made);
+  assert.deepEqual(sent, ["az-1", "az-2"]);
+});
+
+test("a job is refused once the shards have refused it", async () => {
+  shards = ["az-1", "az-2"];
+  const refused = {
+    kind: JobEnd.Refused as const,
+    retry_after_ms: 5,
+    wait_ms: 4_000,
+  };
+  for (const host of hosts) answers[host] = () => Promise.resolve(refused);
+  const outcome = await router().run(JOB, stopping.signal);
+  assert.equal(outcome.kind, JobEnd.Refused);
+  assert.equal(asked.length, 2);
+});
+
 test("a batcher that can't be reached is passed over", async () => {
   const jobs = router();
   const first = jobs.batcherOf("encode");
--- /dev/null
+++ b/test/batching/pool_shards.test.ts
@@ -0,0 +1,50 @@
+/** How a pool is divided among batchers, and where a job goes. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  chooseShard,
+  endpointsOfShard,
+  shardsOf,
+} from "../../src/batching/pool_shards.ts";
+import { EndpointState, type RouteEndpoint } from "../../src/routes/types.ts";
+
+function endpoints(zones: string, state = EndpointState.Ready) {
+  return [...zones].map((availability_zone, n) =>
+    ({ id: `${n}`, availability_zone, state }) as RouteEndpoint
+  );
+}
+
+test("a pool with about one endpoint a zone is not divided", () => {
+  assert.deepEqual(shardsOf(endpoints("abcd")), []);
+  assert.deepEqual(shardsOf(endpoints("abcda")), []);
+  assert.deepEqual(shardsOf(endpoints("aaaaaa")), []);
+});
+
+test("a pool with several endpoints a zone is divided by zone", () => {
+  assert.deepEqual(shardsOf(endpoints("dcbaaabcd")), ["a", "b", "c", "d"]);
+});
+
+test("a shard without an endpoint that takes work uses the whole pool", () => {
+  const all = [
+    ...endpoints("aab"),
+    ...endpoints("cc", EndpointState.Leaving),
+  ];
+  assert.equal(endpointsOfShard(all, "a").length, 2);
+  assert.equal(endpointsOfShard(all, "c").length, 5);
+  assert.equal(endpointsOfShard(all, "z").length, 5);
+  assert.equal(endpointsOfShard(all, undefined).length, 5);
+});
+
+test("a job goes to its own shard unless another is much shorter", () => {
+  const waits_ms: Record<string, number> = { a: 190, b: 0, c: 50 };
+  const choose = (preferred: string | undefined) =>
+    chooseShard(["a", "b", "c"], {
+      preferred,
+      waitMs: (shard) => waits_ms[shard] ?? 0,
+    });
+  assert.equal(choose("a"), "a");
+  waits_ms.a = 210;
+  assert.equal(choose("a"), "b");
+  assert.equal(choose("z"), "b");
+  assert.equal(chooseShard([], { preferred: "a", waitMs: () => 0 }), undefined);
+});
