--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -10,7 +10,8 @@
   type RoutePool,
 } from "../routes/types.ts";
 import { EndpointCalls } from "./endpoint_calls.ts";
-import { expectedJobMs, type PoolLoad, waitMs } from "./expected_wait.ts";
+import { loadBefore, refuseLateJob, waitToTell } from "./admit_job.ts";
+import type { PoolLoad } from "./expected_wait.ts";
 import { endpointsOfShard } from "./pool_shards.ts";
 import { planCall, type PlannedShare } from "./plan_call.ts";
 import {
@@ -186,8 +187,8 @@
     limits: BatchLimits,
   ): JobOutcome | undefined {
     const load = this.#loadBefore(job, work);
-    const expected_ms = expectedJobMs(job.pieces.length, load, limits);
-    if (expected_ms <= job.expires_in_ms) return undefined;
+    const refusal = refuseLateJob(job, load, limits);
+    if (refusal === undefined) return undefined;
     this.#options.log.info({
       event: "job_refused",
       attempt: job.attempt_id,
@@ -195,36 +196,15 @@
       shard: job.shard,
       pieces: job.pieces.length,
       ...load,
-      expected_ms: Math.round(expected_ms),
+      expected_ms: Math.round(refusal.expected_ms),
       expires_in_ms: Math.round(job.expires_in_ms),
     });
-    const excess_ms = expected_ms - job.expires_in_ms;
-    return {
-      kind: JobEnd.Refused,
-      retry_after_ms: Number.isFinite(excess_ms) ? excess_ms : limits.call_ms,
-      wait_ms: this.#waitOf(load, limits),
-    };
+    return refusal.outcome;
   }
 
-  /** The load that goes before a job which comes now. */
   #loadBefore(job: StageJob, work: PoolWork): PoolLoad {
     const now_ms = this.#options.now();
-    const taking = this.#ready(work)
-      .filter((calls) => calls.takesCalls(now_ms));
-    const due_ms = now_ms + job.due_in_ms;
-    let pieces_ahead = 0;
-    for (const other of work.jobs) {
-      if (other.due_ms <= due_ms) pieces_ahead += other.waiting.length;
-    }
-    const slowness = taking.reduce((sum, each) => sum + each.slowness, 0) /
-      Math.max(1, taking.length);
-    return { endpoints: taking.length, slowness, pieces_ahead };
-  }
-
-  /** A wait that a message can carry. */
-  #waitOf(load: PoolLoad, limits: BatchLimits): number {
-    const wait_ms = waitMs(load.pieces_ahead, load, limits);
-    return Number.isFinite(wait_ms) ? Math.round(wait_ms) : limits.retention_ms;
+    return loadBefore(job, work, { ready: this.#ready(work), now_ms });
   }
 
   #ready(work: PoolWork): EndpointCalls[] {
@@ -422,7 +402,7 @@
       const results = queued.results as StageResult[];
       for (const freed of queued.job.last_read) this.#options.release(freed);
       const load = this.#loadBefore(queued.job, work);
-      const wait_ms = this.#waitOf(load, limits);
+      const wait_ms = waitToTell(load, limits);
       this.#end(queued, work, { kind: JobEnd.Made, results, wait_ms });
       return;
     }
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -10,13 +10,7 @@
 import { EndpointBelief } from "./beliefs/endpoint_belief.ts";
 import { FeedProgress } from "./beliefs/follow_feed.ts";
 import { FeedHistory } from "./beliefs/feed_history.ts";
-import {
-  type Feeds,
-  followBeliefs,
-  type Sources,
-} from "./beliefs/follow_beliefs.ts";
-import type { ObjectFeed } from "./beliefs/object_feed.ts";
-import { createRelayedFeed } from "./beliefs/relayed_feed.ts";
+import { followBeliefs, type Sources } from "./beliefs/follow_beliefs.ts";
 import { shareBeliefs } from "./beliefs/shared_beliefs.ts";
 import { type Checked, formatFindings } from "./findings/finding.ts";
 import { EndpointAgents } from "./endpoints/endpoint_agents.ts";
@@ -46,7 +40,7 @@
 import { GatewayClients } from "./peers/gateway_clients.ts";
 import { createGatewayPeerServer } from "./peers/gateway_peer_server.ts";
 import { FeedMirrors } from "./peers/feed_mirrors.ts";
-import { FeedName } from "./peers/feed_stream.ts";
+import { relayFeeds } from "./peers/relay_feeds.ts";
 import type { RoutePool } from "./routes/types.ts";
 import { ObservedLoad } from "./routing/observed_load.ts";
 import { RepeatBudget } from "./routing/repeat_budget.ts";
@@ -200,7 +194,7 @@
     now,
   });
   const sources: Sources = {
-    feeds: createFeeds(store, { mirrors, readers, self, log }),
+    feeds: relayFeeds(store, { mirrors, readers, self, log }),
     histories: {
       configuration: new FeedHistory(),
       endpoints: new FeedHistory(),
@@ -250,29 +244,6 @@
   };
 }
 
-function createFeeds(
-  store: GatewayStore,
-  { mirrors, ...options }: {
-    mirrors: FeedMirrors;
-    readers: FeedReaders;
-    self: string;
-    log: Logger;
-  },
-): Feeds {
-  const relay = <T>(name: FeedName, feed: ObjectFeed<T>) =>
-    createRelayedFeed({
-      ...options,
-      name,
-      store: feed,
-      peers: mirrors.feed<T>(name),
-    });
-  return {
-    configuration: relay(FeedName.Configuration, store.configuration),
-    endpoints: relay(FeedName.Endpoints, store.endpoints),
-    gateways: relay(FeedName.Gateways, store.gateways),
-  };
-}
-
 interface Batching {
   batcher: Batcher;
   jobs: JobRouter;
--- a/stand_ins/users_platform/gateway_fleet.ts
+++ b/stand_ins/users_platform/gateway_fleet.ts
@@ -18,6 +18,8 @@
   manifest?: Record<string, unknown>;
   limits?: Record<string, number>;
   watch_ms?: number;
+  /** Gateways that read the store. */
+  readers?: number;
 }
 
 /** The services of the deployment. */
@@ -136,6 +138,7 @@
         object_store: {
           address: this.store.address,
           watch_ms: this.#options.watch_ms ?? 300,
+          readers: this.#options.readers,
         },
         repeats: { ratio: 0.2, slack: 50, window_s: 10 },
         drain: { timeout_s: 8 },
