--- a/src/beliefs/feed_history.ts
+++ b/src/beliefs/feed_history.ts
@@ -32,6 +32,8 @@
   #base = Infinity;
   #revision = 0;
   #lost = true;
+  /** Whether anything was heard yet, be it a loss. */
+  #told = false;
   #unsettledUntil_ms = 0;
   #waiting = new Set<() => void>();
 
@@ -113,34 +115,32 @@
   }
 
   /** Resolves when there is news after `revision`, or the time is over. */
-  async waitForNews(revision: number, wait_ms: number): Promise<void> {
-    if (this.#lost || this.#hasNews(revision)) return;
-    await new Promise<void>((resolve) => {
-      const wake = () => {
-        if (!this.#lost && !this.#hasNews(revision)) return;
-        done();
-      };
-      const done = () => {
-        clearTimeout(timer);
-        this.#waiting.delete(wake);
-        resolve();
-      };
-      const timer = setTimeout(done, wait_ms);
-      this.#waiting.add(wake);
-    });
+  waitForNews(revision: number, wait_ms: number): Promise<void> {
+    return this.#waitUntil(
+      () => this.#lost || this.#hasNews(revision),
+      wait_ms,
+    );
   }
 
   /** Resolves when something was read, or is known not to come. */
-  async firstReading(wait_ms: number): Promise<void> {
-    if (this.#base !== Infinity) return;
+  firstReading(wait_ms: number): Promise<void> {
+    return this.#waitUntil(() => this.#told, wait_ms);
+  }
+
+  /** Looks at each reading and loss whether a condition holds. */
+  async #waitUntil(holds: () => boolean, wait_ms: number): Promise<void> {
+    if (holds()) return;
     await new Promise<void>((resolve) => {
+      const look = () => {
+        if (holds()) done();
+      };
       const done = () => {
         clearTimeout(timer);
-        this.#waiting.delete(done);
+        this.#waiting.delete(look);
         resolve();
       };
       const timer = setTimeout(done, wait_ms);
-      this.#waiting.add(done);
+      this.#waiting.add(look);
     });
   }
 
@@ -159,6 +159,7 @@
   }
 
   #wake(): void {
+    this.#told = true;
     for (const wake of [...this.#waiting]) wake();
   }
 
--- a/src/peers/feed_mirrors.ts
+++ b/src/peers/feed_mirrors.ts
@@ -7,15 +7,16 @@
 import { FeedHistory } from "../beliefs/feed_history.ts";
 import { type FeedRead, FeedReadKind } from "../beliefs/object_feed.ts";
 import type { PeerFeed } from "../beliefs/relayed_feed.ts";
+import { readSharedConfiguration } from "../beliefs/shared_beliefs.ts";
 import type { Logger } from "../logging/logger.ts";
 import { parseAddress } from "../settings/settings.ts";
 import {
-  decodeRead,
   type FeedHistories,
   type FeedLine,
   FeedName,
   FEEDS_PATH,
   HEARTBEAT_MS,
+  mapConfigurations,
 } from "./feed_stream.ts";
 
 /** A stream without a line for this long is given up. */
@@ -155,7 +156,11 @@
       }
       return;
     }
-    const read = decodeRead(line.feed, line.read);
+    const read = mapConfigurations(
+      line.feed,
+      line.read,
+      readSharedConfiguration,
+    );
     const history = this.#history(line.feed);
     if ("unsettled_ms" in read && read.unsettled_ms !== undefined) {
       history.unsettled(this.#options.now() + read.unsettled_ms);
--- a/src/peers/feed_stream.ts
+++ b/src/peers/feed_stream.ts
@@ -10,11 +10,7 @@
   type FeedRead,
   FeedReadKind,
 } from "../beliefs/object_feed.ts";
-import {
-  readSharedConfiguration,
-  shareConfiguration,
-  type SharedConfiguration,
-} from "../beliefs/shared_beliefs.ts";
+import { shareConfiguration } from "../beliefs/shared_beliefs.ts";
 import type { GatewayMember } from "../membership/gateway_members.ts";
 import type { RouteConfiguration, RouteEndpoint } from "../routes/types.ts";
 
@@ -100,7 +96,8 @@
         continue;
       default:
         if (revision === undefined || read.revision > revision) {
-          writeLine(response, { feed, read: encodeRead(feed, read) });
+          const told = mapConfigurations(feed, read, shareConfiguration);
+          writeLine(response, { feed, read: told });
         }
         revision = read.revision;
     }
@@ -122,27 +119,14 @@
   response.write(JSON.stringify(line) + "\n");
 }
 
-function encodeRead(
+/** Converts the configurations in a reading; other feeds stay as they are. */
+export function mapConfigurations<From, To>(
   feed: FeedName,
   read: FeedRead<unknown>,
+  map: (configuration: From) => To,
 ): FeedRead<unknown> {
   if (feed !== FeedName.Configuration) return read;
-  return mapValues(
-    read,
-    (value) => shareConfiguration(value as RouteConfiguration),
-  );
-}
-
-/** A reading as it was before it was written into a line. */
-export function decodeRead(
-  feed: FeedName,
-  read: FeedRead<unknown>,
-): FeedRead<unknown> {
-  if (feed !== FeedName.Configuration) return read;
-  return mapValues(
-    read,
-    (value) => readSharedConfiguration(value as SharedConfiguration),
-  );
+  return mapValues(read, (value) => map(value as From));
 }
 
 function mapValues(
