Divide pools by zone only from six endpoints a zone

Ruled out: that the division frees the batchers enough to matter here. Conclusion: kept for pools that one host can't read, off on all known sites.

--- a/src/batching/pool_shards.ts
+++ b/src/batching/pool_shards.ts
@@ -6,8 +6,11 @@
  */
 import { EndpointState, type RouteEndpoint } from "../routes/types.ts";
 
-/** Endpoints a zone from which on each zone has a batcher of its own. */
-const ENDPOINTS_PER_SHARD = 1.5;
+/**
+ * Endpoints a zone from which on each zone has a batcher of its own. Below, one
+ * host can read all messages of the pool, and one queue places pieces better.
+ */
+const ENDPOINTS_PER_SHARD = 6;
 
 /** The zones that are batched apart, sorted; empty if the pool is one. */
 export function shardsOf(endpoints: readonly RouteEndpoint[]): string[] {
