Watch the store longer, with cheap probes, and count its calls by cause

Eight readers watched each of three kinds for at most 1.5 s, so that they notice a store that is away; at the start each of 30 endpoints that registers ended every host's watch; and members were watched as closely as what rules bind.

Change: watches of configuration and endpoints last up to 4 s, those of members 20 s; while one waits, a host that may have followers reads a missing object every 1.5 s with stale_ok (a tenth of a call) and ends its watches if that fails, so that an outage is noticed within 2.2 s as before. Members are watched with stale_ok, since they only steer load. Endpoint changes within 250 ms share a watch. The metric sesamequay_store_calls_total counts calls by operation and kind. Hosts of a fleet that has no followers watch as before.

Ruled out: lists from seeds at a start. Three seeds would have to send some 50 KB to each of 195 hosts over links of 14 Mbit/s, and hosts would be ready seconds later after a loss of power.

--- a/src/forwarding/adapter.ts
+++ b/src/forwarding/adapter.ts
@@ -5,6 +5,22 @@
 import type { Address } from "../settings/settings.ts";
 import type { ProtocolCodec } from "./protocol_codec.ts";
 
+/** Operations on the object store; the values are labels of a metric. */
+export enum StoreOperation {
+  List = "list",
+  Watch = "watch",
+  Write = "write",
+  Delete = "delete",
+  Probe = "probe",
+}
+
+/** One call to the object store. */
+export interface StoreCall {
+  operation: StoreOperation;
+  /** The store's name for the kind of object. */
+  kind: string;
+}
+
 /** The deployment's object store. */
 export interface GatewayStore {
   configuration: ObjectFeed<RouteConfiguration>;
@@ -12,6 +28,8 @@
   gateways: ObjectFeed<GatewayMember>;
   /** Registers this host by writing its entry; rejects if the write fails. */
   announce(name: string, member: GatewayMember): Promise<void>;
+  /** Makes a cheap call; resolves to whether the store answered it. */
+  probe(): Promise<boolean>;
   /** Removes this host's entry; rejects if the removal fails. */
   withdraw(name: string): Promise<void>;
   close(): void;
@@ -20,5 +38,9 @@
 /** Connects a gateway host to a deployment's protocol and object store. */
 export interface GatewayAdapter {
   codec: ProtocolCodec;
-  openStore(address: Address): GatewayStore;
+  /** Opens the object store; `onCall` is told of each call before it is sent. */
+  openStore(
+    address: Address,
+    onCall: (call: StoreCall) => void,
+  ): GatewayStore;
 }
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -14,6 +14,7 @@
   runStoreSync,
   type StoreSyncOptions,
 } from "./store_sync/store_sync.ts";
+import { StoreProbe } from "./store_sync/store_probe.ts";
 import { createStateSnapshot } from "./store_sync/state_snapshot.ts";
 import { type CheckResult, formatFindings } from "./findings/finding.ts";
 import { EndpointAgents } from "./endpoints/endpoint_agents.ts";
@@ -194,7 +195,10 @@
   const endpoints = new EndpointRegistry();
   const members = new GatewayMembers(member);
   const peers = new GatewayClients();
-  const store: GatewayStore = adapter.openStore(settings.object_store.address);
+  const store: GatewayStore = adapter.openStore(
+    settings.object_store.address,
+    (call) => metrics.storeCalls.inc({ ...call }),
+  );
   const signal = stopping.signal;
   const feedClients = new FeedStreamClients({ log, now });
   const readers = new StoreReaders({
@@ -208,6 +212,11 @@
       feedClients,
       readers,
       self,
+      probe: new StoreProbe({
+        answers: () => store.probe(),
+        isNeeded: () => readers.mayHaveFollowers,
+        signal,
+      }),
       log,
     }),
     watchCaches: {
--- a/src/metrics/forward_metrics.ts
+++ b/src/metrics/forward_metrics.ts
@@ -44,6 +44,12 @@
     labelNames: ["outcome"],
     registers: [this.registry],
   });
+  readonly storeCalls = new Counter({
+    name: "sesamequay_store_calls_total",
+    help: "Calls to the object store by operation and kind of object",
+    labelNames: ["operation", "kind"],
+    registers: [this.registry],
+  });
   readonly configurationVersion = new Gauge({
     name: "sesamequay_configuration_version",
     help: "Version of the configuration in force",
--- a/src/store_sync/relayed_feed.ts
+++ b/src/store_sync/relayed_feed.ts
@@ -35,13 +35,13 @@
   readers: StoreReaders;
   /** This host's address for peers. */
   self: string;
+  /** Longest watch at the store of a host that may have followers. */
+  max_store_watch_ms: number;
   log: Logger;
 }
 
 /** Attempts before a list or watch is reported as unavailable. */
 const MAX_ATTEMPTS_PER_READ = 3;
-/** Upper bound for the timeout of a store watch on a host that may have followers. */
-const RELAY_WATCH_TIMEOUT_MS = 1_500;
 /** Timeout of a watch that a follower makes at a reader. */
 const FOLLOWER_WATCH_TIMEOUT_MS = 5_000;
 
@@ -91,7 +91,7 @@
     },
     async watch(revision, wait_ms, signal) {
       const storeWait_ms = readers.mayHaveFollowers
-        ? Math.min(wait_ms, RELAY_WATCH_TIMEOUT_MS)
+        ? Math.min(wait_ms, options.max_store_watch_ms)
         : wait_ms;
       return trackRevision(
         await readFromAny({
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -55,6 +55,11 @@
 const PEER_POLL_INTERVAL_MS = 400;
 /** Long, because members change seldom and a stale list costs little. */
 const MEMBER_WATCH_TIMEOUT_MS = 20_000;
+/**
+ * Endpoints often change together. Short beside the time in which a leaving
+ * endpoint must stop getting requests.
+ */
+const ENDPOINT_COALESCE_MS = 250;
 /** Many hosts start and stop together, so their changes are coalesced. */
 const MEMBER_COALESCE_MS = 1_000;
 
@@ -138,6 +143,7 @@
       endpoints.extendGracePeriod(now() + unsettled_ms),
   }, {
     ...feedOptions("endpoints", options),
+    coalesce_ms: ENDPOINT_COALESCE_MS,
     progress: options.progress.endpoints,
   });
 }
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -8,7 +8,7 @@
   decodeEndpoint,
 } from "../../platform/decode_objects.ts";
 import { FeedResultKind } from "../../src/store_sync/object_feed.ts";
-import type { GatewayStore } from "../../src/forwarding/adapter.ts";
+import type { GatewayStore, StoreCall } from "../../src/forwarding/adapter.ts";
 import { parseAddress } from "../../src/settings/settings.ts";
 import {
   ObjectStore,
@@ -17,11 +17,15 @@
 
 const server = new ObjectStore();
 let store: GatewayStore;
+const calls: StoreCall[] = [];
 const { signal } = new AbortController();
 
 before(async () => {
   await server.start();
-  store = deploymentAdapter.openStore(parseAddress(server.address));
+  store = deploymentAdapter.openStore(
+    parseAddress(server.address),
+    (call) => calls.push(call),
+  );
 });
 after(() => {
   store.close();
@@ -99,6 +103,30 @@
   assert.deepEqual(server.listNames("gateways"), []);
 });
 
+test("a probe tells whether the store answers", async () => {
+  assert.equal(await store.probe(), true);
+  server.fault = StoreFault.Unavailable;
+  assert.equal(await store.probe(), false);
+  server.fault = StoreFault.Silent;
+  assert.equal(await store.probe(), false);
+  server.fault = StoreFault.None;
+  assert.equal(await store.probe(), true);
+});
+
+test("each call is reported by operation and kind", async () => {
+  calls.length = 0;
+  const { revision } = await store.gateways.list(signal) as {
+    revision: number;
+  };
+  await store.gateways.watch(revision, 1, signal);
+  await store.withdraw("gateway-9");
+  await store.probe();
+  assert.deepEqual(
+    calls.map(({ operation, kind }) => `${operation} ${kind}`),
+    ["list", "watch", "delete", "probe"].map((call) => `${call} gateways`),
+  );
+});
+
 test("invalid entries are not decoded as endpoints", () => {
   const invalidSpecs: unknown[] = [
     undefined,
--- a/test/store_sync/relayed_feed.test.ts
+++ b/test/store_sync/relayed_feed.test.ts
@@ -62,7 +62,15 @@
   };
   const store = { list: () => call("store"), watch: () => call("store") };
   const readers = readersAt(self);
-  return createRelayedFeed({ name: "f", store, peers, readers, self, log });
+  return createRelayedFeed({
+    name: "f",
+    store,
+    peers,
+    readers,
+    self,
+    max_store_watch_ms: 1_500,
+    log,
+  });
 }
 
 const reader = HOSTS.find((host) => readersAt(host).selfIsReader) ?? "";
