Count memory of results as free once their endpoint confirms it

Change: a result takes memory in the tracker until the endpoint has confirmed that it is freed; results wait 5 ms instead of 15 and 30 ms for others to be freed with them. Calls log the faults of their pieces.

--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -64,8 +64,11 @@
     requests: PieceRequest[],
     timeout_ms: number,
   ): Promise<PieceCallResult>;
-  /** Frees results; a failure is only logged, since results expire anyway. */
-  free(address: string, handles: string[]): void;
+  /**
+   * Frees results; resolves to whether the endpoint confirmed it. A failure is
+   * only logged, since results expire anyway.
+   */
+  free(address: string, handles: string[]): Promise<boolean>;
 }
 
 /** Dependencies of a `Batcher`. */
@@ -158,19 +161,29 @@
     if (spare === true) {
       for (const handle of handles) tracker?.markEvictable(handle);
       if (tracker !== undefined) this.#freeEvictable(queue, tracker);
-    } else {
-      for (const handle of handles) tracker?.removeResult(handle);
-      this.#options.client.free(address, handles);
+      return;
     }
+    void this.#freeAtEndpoint(queue, address, handles);
+  }
+
+  /** Frees results; their memory is available once the endpoint confirms it. */
+  async #freeAtEndpoint(
+    queue: PoolQueue,
+    address: string,
+    handles: string[],
+  ): Promise<void> {
+    if (!await this.#options.client.free(address, handles)) return;
+    const tracker = trackerAt(queue, address);
+    for (const handle of handles) tracker?.removeResult(handle);
     this.#dispatchSoon(queue);
   }
 
   #freeEvictable(queue: PoolQueue, tracker: EndpointTracker): void {
     const limits = this.#options.pool(queue.pool)?.batch;
     if (limits === undefined) return;
-    const handles = tracker.evict(this.#options.now(), limits);
+    const handles = tracker.takeEvictable(this.#options.now(), limits);
     if (handles.length === 0) return;
-    this.#options.client.free(tracker.endpoint.address, handles);
+    void this.#freeAtEndpoint(queue, tracker.endpoint.address, handles);
   }
 
   /** Hands back jobs that have not started and accepts none from peers. */
@@ -375,6 +388,7 @@
       reason: result.kind === PieceCallResultKind.Failed
         ? result.reason
         : undefined,
+      faults: describeFaults(result),
     });
     switch (result.kind) {
       case PieceCallResultKind.Answered:
@@ -454,8 +468,7 @@
         expires_ms: this.#options.now() + limits.retention_ms,
       });
       if (queued.ended) {
-        tracker.removeResult(handle);
-        this.#options.client.free(address, [handle]);
+        void this.#freeAtEndpoint(queue, address, [handle]);
         return;
       }
       const index = queued.job.pieces.indexOf(piece);
@@ -522,3 +535,14 @@
     queued.resolve(outcome);
   }
 }
+
+/** The faults of a call's pieces with their counts, as `no_room:2`. */
+function describeFaults(result: PieceCallResult): string | undefined {
+  if (result.kind !== PieceCallResultKind.Answered) return undefined;
+  const faults = result.responses.flatMap((response) =>
+    response.ok ? [] : [response.fault]
+  );
+  if (faults.length === 0) return undefined;
+  const byFault = Map.groupBy(faults, (fault) => fault);
+  return [...byFault].map(([fault, all]) => `${fault}:${all.length}`).join(",");
+}
--- a/src/batching/endpoint_tracker.ts
+++ b/src/batching/endpoint_tracker.ts
@@ -157,17 +157,17 @@
   }
 
   /**
-   * Removes all evictable results if memory is short. Returns their handles for
-   * the caller to free at the endpoint.
+   * Returns the handles of all evictable results if memory is short, for the
+   * caller to free at the endpoint, each once. They take memory until they are
+   * removed.
    */
-  evict(now_ms: number, limits: BatchLimits): string[] {
+  takeEvictable(now_ms: number, limits: BatchLimits): string[] {
     const min_free_bytes = limits.room_bytes * MIN_FREE_MEMORY_SHARE;
     if (this.freeResultBytes(now_ms, limits) >= min_free_bytes) return [];
-    const handles = [...this.#results]
-      .filter(([, result]) => result.evictable)
-      .map(([handle]) => handle);
-    for (const handle of handles) this.removeResult(handle);
-    return handles;
+    const evictable = [...this.#results]
+      .filter(([, result]) => result.evictable);
+    for (const [, result] of evictable) result.evictable = false;
+    return evictable.map(([handle]) => handle);
   }
 
   /** Removes a result; unknown handles are ignored. */
--- a/src/batching/job_router.ts
+++ b/src/batching/job_router.ts
@@ -59,7 +59,7 @@
 /** Interval of pings to a host with pending jobs. */
 const PING_INTERVAL_MS = 400;
 /** Results that are freed within this time share a message. */
-const FREE_BATCH_WINDOW_MS = 15;
+const FREE_BATCH_WINDOW_MS = 5;
 /** Time for which a host that failed to respond or drains gets no jobs. */
 const AVOID_DURATION_MS = 3_000;
 
--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -1,4 +1,5 @@
 /** HTTP client for batched calls to endpoints. */
+import { setTimeout as delay } from "node:timers/promises";
 import type { EndpointAgents } from "../endpoints/endpoint_agents.ts";
 import {
   discardResponse,
@@ -22,13 +23,23 @@
 const HTTP_OK = 200;
 /** Maximum size of a response; it contains only handles. */
 const MAX_RESPONSE_BYTES = 1_048_576;
-/** Results at one endpoint that are freed within this time share a call. */
-const FREE_BATCH_WINDOW_MS = 30;
+/**
+ * Results at one endpoint that are freed within this time share a call. Short,
+ * since the endpoint's next call may wait for their memory.
+ */
+const FREE_BATCH_WINDOW_MS = 5;
 /** Abort reason; a string, since each Error would capture a stack trace. */
 const CALL_EXPIRED = "call_expired";
 /** Timeout of a call that frees results. */
 const FREE_TIMEOUT_MS = 1_000;
 
+/** Results that the next call to an endpoint frees. */
+interface PendingFree {
+  handles: string[];
+  /** Resolves to whether the endpoint confirmed it. */
+  freed: Promise<boolean>;
+}
+
 /** Dependencies of a `PieceClient`. */
 export interface PieceClientOptions {
   codec: ProtocolCodec;
@@ -45,16 +56,20 @@
 
 /** Creates a client that calls endpoints over HTTP. */
 export function createPieceClient(options: PieceClientOptions): PieceClient {
-  const pendingByAddress = new Map<string, string[]>();
+  const pendingByAddress = new Map<string, PendingFree>();
   const free = (address: string, handles: string[]) => {
     const pending = pendingByAddress.get(address);
-    if (pending !== undefined) return void pending.push(...handles);
-    pendingByAddress.set(address, [...handles]);
-    setTimeout(() => {
-      const batch = pendingByAddress.get(address) ?? [];
+    if (pending !== undefined) {
+      pending.handles.push(...handles);
+      return pending.freed;
+    }
+    const batch = [...handles];
+    const freed = delay(FREE_BATCH_WINDOW_MS).then(() => {
       pendingByAddress.delete(address);
-      void freeResults(address, batch, options);
-    }, FREE_BATCH_WINDOW_MS);
+      return freeResults(address, batch, options);
+    });
+    pendingByAddress.set(address, { handles: batch, freed });
+    return freed;
   };
   return {
     call: (endpoint, requests, timeout_ms) =>
@@ -89,20 +104,23 @@
   address: string,
   handles: string[],
   options: PieceClientOptions,
-): Promise<void> {
+): Promise<boolean> {
   const response = await callEndpoint({
     address,
     call: options.codec.encodeFreeRequest(address, handles),
     max_connections: options.poolAt(address)?.max_connections ?? 1,
     timeout_ms: FREE_TIMEOUT_MS,
   }, options);
-  if (response.kind === "complete" && response.status === HTTP_OK) return;
+  if (response.kind === "complete" && response.status === HTTP_OK) {
+    return true;
+  }
   options.log.warn({
     event: "free_failed",
     endpoint_address: address,
     results: handles.length,
     reason: response.kind === "complete" ? response.status : response.reason,
   });
+  return false;
 }
 
 type EndpointResponse =
--- a/test/batching/batcher.test.ts
+++ b/test/batching/batcher.test.ts
@@ -29,6 +29,7 @@
 let now_ms: number;
 let calls: PendingCall[];
 let freed: string[];
+let confirmFree: () => void;
 let batcher: Batcher;
 
 const pool: RoutePool = {
@@ -76,7 +77,10 @@
         new Promise((respond) =>
           void calls.push({ endpoint: at.id, requests, respond })
         ),
-      free: (_address, handles) => void freed.push(...handles),
+      free: (_address, handles) => {
+        freed.push(...handles);
+        return new Promise((confirm) => confirmFree = () => confirm(true));
+      },
     },
     freeAtBatcher: () => {},
     log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
@@ -210,6 +214,22 @@
   assert.ok(outcome.retry_after_ms > 0);
 });
 
+test("freed memory is used again only once the endpoint confirms it", async () => {
+  const large = { result_bytes: 500 };
+  void batcher.runForPeer(job("a", large), stopping.signal);
+  await respond(0);
+  void batcher.runForPeer(job("b", large), stopping.signal);
+  assert.equal(calls.length, 1);
+  const { address } = endpoint("1");
+  batcher.free({ pool: pool.name, address, handles: ["a/0", "a/1"] });
+  assert.deepEqual(freed, ["a/0", "a/1"]);
+  assert.equal(calls.length, 1);
+  confirmFree();
+  now_ms += 100;
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.equal(calls.length, 2);
+});
+
 test("after an out-of-memory fault, a piece waits until memory may be free", async () => {
   const large = { result_bytes: 300 };
   const outcome = batcher.runForPeer(job("a", large), stopping.signal);
--- a/test/batching/endpoint_tracker.test.ts
+++ b/test/batching/endpoint_tracker.test.ts
@@ -47,9 +47,12 @@
   const tracker = createTracker();
   tracker.addResult("read", { bytes: 400, expires_ms: 4_000 });
   tracker.markEvictable("read");
-  assert.deepEqual(tracker.evict(0, limits), []);
+  assert.deepEqual(tracker.takeEvictable(0, limits), []);
   tracker.addResult("unread", { bytes: 200, expires_ms: 4_000 });
-  assert.deepEqual(tracker.evict(0, limits), ["read"]);
+  assert.deepEqual(tracker.takeEvictable(0, limits), ["read"]);
+  assert.deepEqual(tracker.takeEvictable(0, limits), []);
+  assert.equal(tracker.freeResultBytes(0, limits), 400);
+  tracker.removeResult("read");
   assert.equal(tracker.freeResultBytes(0, limits), 800);
 });
 
--- a/test/batching/job_router.test.ts
+++ b/test/batching/job_router.test.ts
@@ -59,7 +59,7 @@
     endpoints: () => [],
     client: {
       call: () => Promise.reject(new Error("unexpected call")),
-      free: () => {},
+      free: () => Promise.resolve(true),
     },
     freeAtBatcher: () => {},
     log,
