--- a/src/batching/plan_call.ts
+++ b/src/batching/plan_call.ts
@@ -4,8 +4,10 @@
  * Pieces of many requests arrive at a pool whose endpoints run one call at a
  * time; a call has a high fixed cost and each piece adds little. An available
  * endpoint starts a call with the waiting pieces immediately, without a delay
- * to fill it, so batches grow with the load. Jobs that can still be on time go
- * before late ones, earliest due first. A job with large inputs stays in the
+ * to fill it, so batches grow with the load. Jobs of which a call has taken some
+ * pieces go first: their results take memory until the job is complete, and in a
+ * burst such results could fill it all. Jobs that can still be on time go before
+ * late ones, earliest due first. A job with large inputs stays in the
  * availability zone that holds them unless waiting for an endpoint there would
  * make it late.
  */
@@ -25,6 +27,8 @@
   result_bytes: number;
   /** Number of pieces that no call has taken. */
   waiting_pieces: number;
+  /** Whether a call has taken any of its pieces. */
+  started: boolean;
 }
 
 /** An endpoint that can start a call now. */
@@ -111,12 +115,16 @@
   return now_ms + wait_ms + call_ms + ZONE_WAIT_MARGIN_MS > job.due_ms;
 }
 
-/** Sorts on-time jobs by due time, then late ones by priority and due time. */
+/**
+ * Sorts started jobs first, then on-time jobs by due time, then late ones by
+ * priority and due time.
+ */
 function byUrgency(
   earliest_end_ms: number,
   zone: string,
 ): (a: WaitingJob, b: WaitingJob) => number {
   return (a, b) => {
+    if (a.started !== b.started) return a.started ? -1 : 1;
     const lateA = a.due_ms < earliest_end_ms;
     const lateB = b.due_ms < earliest_end_ms;
     if (lateA !== lateB) return lateA ? 1 : -1;
--- a/src/batching/pool_queue.ts
+++ b/src/batching/pool_queue.ts
@@ -58,6 +58,9 @@
     get waiting_pieces() {
       return this.waiting.length;
     },
+    get started() {
+      return this.waiting.length < job.pieces.length;
+    },
     results: job.pieces.map(() => undefined),
     unfinished: job.pieces.length,
     failures: 0,
--- a/test/batching/plan_call.test.ts
+++ b/test/batching/plan_call.test.ts
@@ -33,6 +33,7 @@
     home_zone: undefined,
     result_bytes: 10,
     waiting_pieces: 2,
+    started: false,
     ...change,
   };
 }
@@ -66,6 +67,15 @@
   assert.deepEqual(plan(jobs), ["on time:2", "late and urgent:2", "late:2"]);
 });
 
+test("in a burst that makes jobs late, those already started are completed first", () => {
+  const jobs = [
+    job("on time"),
+    job("late", { due_ms: 100, priority: 0 }),
+    job("late and started", { due_ms: 100, started: true, waiting_pieces: 1 }),
+  ];
+  assert.deepEqual(plan(jobs), ["late and started:1", "on time:2", "late:2"]);
+});
+
 test("a call takes its maximum number of pieces and may split a job", () => {
   const jobs = [
     job("first", { waiting_pieces: 7 }),
