Create the code cache from a gateway host that has served requests

Cause: the cache held what check-gateway compiles; wiring, servers, feeds and the request path were still compiled in every process.

Change: the build runs a gateway host from the bundle with the stand-ins' store and engines, sends a dozen requests through it, then keeps the cache.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -27,13 +27,6 @@
 const executable = join(dist, "sesamequay");
 const seaConfiguration = join(dist, "sea.json");
 
-/** Arguments with which the program runs while its code cache is created. */
-const PROGRAM_START = [
-  "check-gateway",
-  "--settings",
-  "docs/examples/gateway-1.yaml",
-];
-
 /** Sentinel in Node's binary that marks an injected application. */
 const SEA_SENTINEL_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 
@@ -66,8 +59,7 @@
   join(root, "scripts/executable/create_code_cache.ts"),
   bundle,
   codeCache,
-  ...PROGRAM_START,
-], { cwd: root });
+]);
 writeFileSync(
   seaConfiguration,
   JSON.stringify({
