Refuse first-stage work at once when a burst leaves it no room

Cause: a batcher refused only what could not end before its deadline, by the pieces due no later.

Change: a queue measures how fast calls take waiting pieces (memory for results often binds before calls do) and how fast pieces arrive. First-stage work that would be late is admitted only if what arrivals leave over serves it before its deadline; it is reviewed every 100 ms while it waits. A refusal tells the time in which the queue is worked off. Work of later stages is not refused for this.

--- a/src/batching/admit_job.ts
+++ b/src/batching/admit_job.ts
@@ -1,11 +1,26 @@
 /**
  * Admission control for stage jobs: estimates how long a job would wait and
  * take in a pool, and refuses it if that is too long. Has no side effects.
+ *
+ * In a burst, work that cannot be on time yields to all work that can, so it
+ * would wait until its deadline. It is refused at once, on arrival or as soon as
+ * the burst has overtaken it, with the time in which the queue is worked off.
+ * Work of later stages is not refused for that: its first stages are paid.
  */
 import type { BatchLimits } from "../routes/types.ts";
 import type { EndpointTracker } from "./endpoint_tracker.ts";
-import { expectedJobMs, type PoolLoad, queueWaitMs } from "./expected_wait.ts";
-import type { PoolQueue } from "./pool_queue.ts";
+import {
+  backlogMs,
+  expectedJobMs,
+  expectedLateJobMs,
+  type PoolLoad,
+  queueWaitMs,
+} from "./expected_wait.ts";
+import {
+  countWaitingPieces,
+  type PoolQueue,
+  type QueuedJob,
+} from "./pool_queue.ts";
 import { type JobOutcome, JobOutcomeKind, type StageJob } from "./types.ts";
 
 /**
@@ -21,11 +36,20 @@
   const due_ms = now_ms + job.due_in_ms;
   let pieces_ahead = 0;
   for (const other of queue.jobs) {
-    if (other.due_ms <= due_ms) pieces_ahead += other.waiting.length;
+    if (other.started || other.due_ms <= due_ms) {
+      pieces_ahead += other.waiting.length;
+    }
   }
   const slowness = accepting.reduce((sum, each) => sum + each.slowness, 0) /
     Math.max(1, accepting.length);
-  return { endpoints: accepting.length, slowness, pieces_ahead };
+  return {
+    endpoints: accepting.length,
+    slowness,
+    pieces_ahead,
+    waiting_pieces: countWaitingPieces(queue.jobs),
+    arrivals_per_ms: queue.rates.arrivals_per_ms,
+    service_per_ms: queue.rates.service_per_ms,
+  };
 }
 
 /**
@@ -44,19 +68,69 @@
   expected_ms: number;
 }
 
-/** Refuses a job that would finish after it expires; undefined to admit it. */
+/**
+ * Refuses a job that would finish after it expires; undefined to admit it. A
+ * first-stage job that would be late counts as yielding to those on time.
+ */
 export function checkJobAdmission(
   job: StageJob,
   load: PoolLoad,
   limits: BatchLimits,
 ): JobRefusal | undefined {
-  const expected_ms = expectedJobMs(job.pieces.length, load, limits);
+  const pieces = job.pieces.length;
+  const on_time_ms = expectedJobMs(pieces, load, limits);
+  const yields = on_time_ms > job.due_in_ms && isFirstStage(job);
+  const expected_ms = yields
+    ? Math.max(on_time_ms, expectedLateJobMs(pieces, load, limits))
+    : on_time_ms;
   if (expected_ms <= job.expires_in_ms) return undefined;
-  const excess_ms = expected_ms - job.expires_in_ms;
-  const outcome = {
-    kind: JobOutcomeKind.Refused as const,
-    retry_after_ms: Number.isFinite(excess_ms) ? excess_ms : limits.call_ms,
+  return { outcome: createRefusal(load, limits), expected_ms };
+}
+
+/**
+ * The waiting first-stage jobs that are late and, as the load is now, would
+ * still wait when they expire.
+ */
+export function findUnservableJobs(
+  queue: PoolQueue,
+  load: PoolLoad,
+  { limits, now_ms }: { limits: BatchLimits; now_ms: number },
+): QueuedJob[] {
+  const latest_due_ms = now_ms + limits.call_ms * load.slowness;
+  const isLate = (queued: QueuedJob) =>
+    !queued.started && queued.due_ms < latest_due_ms &&
+    isFirstStage(queued.job);
+  const late = [...queue.jobs].filter(isLate)
+    .sort((a, b) => a.priority - b.priority || a.due_ms - b.due_ms);
+  let waiting_pieces = load.waiting_pieces -
+    late.reduce((sum, { waiting }) => sum + waiting.length, 0);
+  return late.filter(({ waiting, expires_ms }) => {
+    const expected_ms = expectedLateJobMs(
+      waiting.length,
+      { ...load, waiting_pieces },
+      limits,
+    );
+    const servable = now_ms + expected_ms <= expires_ms;
+    if (servable) waiting_pieces += waiting.length;
+    return !servable;
+  });
+}
+
+/** Refuses a job until the pieces that wait now have been called. */
+export function createRefusal(
+  load: PoolLoad,
+  limits: BatchLimits,
+): Extract<JobOutcome, { kind: JobOutcomeKind.Refused }> {
+  const backlog_ms = backlogMs(load, limits);
+  return {
+    kind: JobOutcomeKind.Refused,
+    retry_after_ms: Number.isFinite(backlog_ms)
+      ? Math.max(limits.call_ms, backlog_ms)
+      : limits.call_ms,
     wait_ms: reportableWaitMs(load, limits),
   };
-  return { outcome, expected_ms };
+}
+
+function isFirstStage({ pieces }: StageJob): boolean {
+  return pieces.every(({ inputs }) => inputs === undefined);
 }
--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -11,8 +11,11 @@
   type RoutePool,
 } from "../routes/types.ts";
 import { EndpointTracker } from "./endpoint_tracker.ts";
+import { BacklogRates } from "./backlog_rates.ts";
 import {
   checkJobAdmission,
+  createRefusal,
+  findUnservableJobs,
   loadAheadOf,
   reportableWaitMs,
 } from "./admit_job.ts";
@@ -97,6 +100,8 @@
 const RETRY_DELAY_MS = 40;
 /** Minimum time between a dispatch that starts no call and the next one. */
 const MIN_IDLE_DISPATCH_INTERVAL_MS = 10;
+/** Interval at which waiting jobs are checked against the load. */
+const REVIEW_INTERVAL_MS = 100;
 /** Inputs may be read at half the link's rate, since other reads share it. */
 const INPUT_READ_TIME_FACTOR = 2;
 /** Time that may pass before an endpoint starts to read its inputs. */
@@ -139,7 +144,13 @@
     const refusal = this.#checkAdmission(job, queue, limits);
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((resolve) => {
-      const queued = createQueuedJob(job, this.#options.now(), resolve);
+      const now_ms = this.#options.now();
+      const queued = createQueuedJob(job, now_ms, resolve);
+      queue.rates.recordArrival(
+        job.pieces.length,
+        countWaitingPieces(queue.jobs),
+        now_ms,
+      );
       queue.jobs.add(queued);
       signal.addEventListener("abort", () => {
         this.#finishJob(queued, queue, {
@@ -218,9 +229,11 @@
       shard,
       jobs: new Set(),
       trackers: new Map(),
+      rates: new BacklogRates(this.#options.now()),
       timer: undefined,
       timer_due_ms: Infinity,
       last_idle_dispatch_ms: -Infinity,
+      last_review_ms: -Infinity,
     };
     this.#queues.set(key, created);
     return created;
@@ -287,6 +300,7 @@
     if (limits === undefined) return;
     const now_ms = this.#options.now();
     this.#dropExpired(queue, now_ms);
+    this.#refuseUnservable(queue, { limits, now_ms });
     if (queue.jobs.size === 0) return;
     if (!this.#startCalls(queue, { limits, now_ms })) {
       queue.last_idle_dispatch_ms = now_ms;
@@ -337,6 +351,29 @@
     }
   }
 
+  /** Refuses waiting jobs that a burst of jobs on time leaves no room for. */
+  #refuseUnservable(
+    queue: PoolQueue,
+    { limits, now_ms }: { limits: BatchLimits; now_ms: number },
+  ): void {
+    if (now_ms - queue.last_review_ms < REVIEW_INTERVAL_MS) return;
+    queue.last_review_ms = now_ms;
+    const [first] = queue.jobs;
+    if (first === undefined) return;
+    const load = this.#loadAheadOf(first.job, queue);
+    for (const queued of findUnservableJobs(queue, load, { limits, now_ms })) {
+      this.#options.log.info({
+        event: "job_given_up",
+        attempt: queued.job.attempt_id,
+        pool: queue.pool,
+        shard: queue.shard,
+        ...load,
+        expires_in_ms: Math.round(queued.expires_ms - now_ms),
+      });
+      this.#finishJob(queued, queue, createRefusal(load, limits));
+    }
+  }
+
   async #runCall(
     queue: PoolQueue,
     { tracker, planned, limits }: {
@@ -347,6 +384,11 @@
   ): Promise<void> {
     const { now, client, log } = this.#options;
     const started_ms = now();
+    queue.rates.recordCall(
+      planned.reduce((sum, { pieces }) => sum + pieces, 0),
+      countWaitingPieces(queue.jobs),
+      started_ms,
+    );
     const batch = planned.flatMap(({ job: queued, pieces }) =>
       queued.waiting.splice(0, pieces).map((piece) => ({ queued, piece }))
     );
--- a/src/batching/expected_wait.ts
+++ b/src/batching/expected_wait.ts
@@ -15,6 +15,15 @@
   slowness: number;
   /** Number of waiting pieces that are called before the new job's. */
   pieces_ahead: number;
+  /** Number of all waiting pieces. */
+  waiting_pieces: number;
+  /** Measured rate at which pieces arrive. */
+  arrivals_per_ms: number;
+  /**
+   * Measured rate at which calls take waiting pieces; undefined if none have
+   * waited lately.
+   */
+  service_per_ms: number | undefined;
 }
 
 /**
@@ -38,19 +47,61 @@
   return wait_ms + own_call_ms;
 }
 
+/**
+ * Expected time until all pieces of a job are computed if it yields to every
+ * job that is on time, those still to arrive included, in milliseconds. In a
+ * burst that leaves nothing for late jobs, it is many times the queue's wait.
+ */
+export function expectedLateJobMs(
+  pieces: number,
+  load: PoolLoad,
+  limits: BatchLimits,
+): number {
+  const rate = serviceRate(load, limits);
+  const spare_rate = Math.max(
+    rate - load.arrivals_per_ms,
+    MIN_SPARE_SHARE * rate,
+  );
+  const own_call_ms = (limits.call_ms + pieces * limits.piece_ms) *
+    load.slowness;
+  return (load.waiting_pieces + pieces) / spare_rate + own_call_ms;
+}
+
+/** Expected time until all waiting pieces are in calls, in milliseconds. */
+export function backlogMs(load: PoolLoad, limits: BatchLimits): number {
+  return queueWaitMs(load.waiting_pieces, load, limits);
+}
+
 /**
  * Expected time until calls have taken this many pieces, in milliseconds;
  * Infinity if no endpoint accepts calls.
  */
 export function queueWaitMs(
   pieces: number,
-  { endpoints, slowness }: PoolLoad,
+  load: PoolLoad,
+  limits: BatchLimits,
+): number {
+  return load.endpoints === 0 ? Infinity : pieces / serviceRate(load, limits);
+}
+
+/** Share of the service rate that late jobs get even in a burst. */
+const MIN_SPARE_SHARE = 0.1;
+/** Lower bound of the measured rate, as a share of the configured one. */
+const MIN_MEASURED_SHARE = 0.2;
+
+/**
+ * Rate at which calls take pieces, per millisecond: the measured one, but at
+ * most that of full calls in their configured time.
+ */
+function serviceRate(
+  { endpoints, slowness, service_per_ms = Infinity }: PoolLoad,
   limits: BatchLimits,
 ): number {
-  if (endpoints === 0) return Infinity;
   const concurrent_pieces = limits.pieces_per_call * limits.concurrent_calls *
     endpoints;
-  return pieces / concurrent_pieces * fullCallMs(limits) * slowness;
+  const configured = concurrent_pieces / (fullCallMs(limits) * slowness);
+  const measured = Math.max(service_per_ms, MIN_MEASURED_SHARE * configured);
+  return Math.min(configured, measured);
 }
 
 /** Minimum and expected duration of a stage, in milliseconds. */
--- a/src/batching/pool_queue.ts
+++ b/src/batching/pool_queue.ts
@@ -4,6 +4,7 @@
   type RouteEndpoint,
   RouteEndpointState,
 } from "../routes/types.ts";
+import type { BacklogRates } from "./backlog_rates.ts";
 import { EndpointTracker } from "./endpoint_tracker.ts";
 import { expectedJobMs } from "./expected_wait.ts";
 import { fullCallMs, type WaitingJob } from "./plan_call.ts";
@@ -33,12 +34,15 @@
   jobs: Set<QueuedJob>;
   /** Keyed by endpoint id and start time, so by incarnation. */
   trackers: Map<string, EndpointTracker>;
+  rates: BacklogRates;
   /** Starts the next dispatch; undefined before the first is scheduled. */
   timer: NodeJS.Timeout | undefined;
   /** When the timer fires, in monotonic time; Infinity if none is set. */
   timer_due_ms: number;
   /** When a dispatch last started no call, in monotonic time; or -Infinity. */
   last_idle_dispatch_ms: number;
+  /** When waiting jobs were last reviewed, in monotonic time; or -Infinity. */
+  last_review_ms: number;
 }
 
 /** Creates a job's queue entry; `resolve` is called once, with its outcome. */
@@ -138,10 +142,14 @@
     each.slowness < SLOWNESS_THRESHOLD && each.acceptsCalls(now_ms)
   );
   if (fast.length === 0) return true;
+  const waiting_pieces = countWaitingPieces(jobs);
   const load = {
     endpoints: fast.length,
     slowness: 1,
-    pieces_ahead: countWaitingPieces(jobs),
+    pieces_ahead: waiting_pieces,
+    waiting_pieces,
+    arrivals_per_ms: 0,
+    service_per_ms: undefined,
   };
   return expectedJobMs(0, load, limits) > fullCallMs(limits) * tracker.slowness;
 }
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -214,7 +214,7 @@
       self,
       probe: new StoreProbe({
         answers: () => store.probe(),
-        isNeeded: () => readers.mayHaveFollowers,
+        isNeeded: () => readers.mayHaveFollowers && readers.selfIsReader,
         signal,
       }),
       log,
--- a/test/batching/plan_call.test.ts
+++ b/test/batching/plan_call.test.ts
@@ -20,6 +20,13 @@
   link_bytes_per_ms: 1_000,
 };
 
+/** The rest of the load of a pool in which nothing waits. */
+const IDLE = {
+  waiting_pieces: 0,
+  arrivals_per_ms: 0,
+  service_per_ms: undefined,
+};
+
 interface NamedJob extends WaitingJob {
   name: string;
 }
@@ -145,7 +152,7 @@
 });
 
 test("a job's expected time grows with the queue and is infinite without endpoints", () => {
-  const load = { endpoints: 2, slowness: 1, pieces_ahead: 0 };
+  const load = { endpoints: 2, slowness: 1, pieces_ahead: 0, ...IDLE };
   const idle_ms = expectedJobMs(2, load, limits);
   assert.ok(idle_ms >= limits.call_ms && idle_ms < 2 * fullCallMs(limits));
   const busy_ms = expectedJobMs(2, { ...load, pieces_ahead: 200 }, limits);
