Answer every request before a stopping host's time limit

Change: one second before the limit the requests left are stopped like those whose deadline passes: what was not sent is refused as not run, with a time to return, and what may have run is answered 502. A gateway host's process exits 200 ms after it has stopped, whatever is still open.

--- a/src/cli/commands/gateway.ts
+++ b/src/cli/commands/gateway.ts
@@ -63,11 +63,20 @@
       }
       await gateway.stopped;
       writer.flush();
+      exitSoon();
       return ExitCode.Success;
     },
   });
 }
 
+/** Time for connections and timers that are still open to end by themselves. */
+const EXIT_DELAY_MS = 200;
+
+/** Ends the process, also while calls to a silent store or peer are pending. */
+function exitSoon(): void {
+  setTimeout(() => process.exit(), EXIT_DELAY_MS).unref();
+}
+
 function handleSignals(gateway: GatewayHost, file: string): void {
   process.on("SIGTERM", () => gateway.drain());
   process.on("SIGINT", () => gateway.stop());
--- a/src/forwarding/dependencies.ts
+++ b/src/forwarding/dependencies.ts
@@ -19,6 +19,8 @@
   retryBudget: PoolRetryBudgets;
   stageGraph: GraphOptions;
   metrics: ForwardMetrics;
+  /** Aborts when the host is about to stop and ends the requests left. */
+  endOfDrain: AbortSignal;
   /** Whether new requests are accepted. */
   acceptsRequests: () => boolean;
   /**
--- a/src/forwarding/forward_request.ts
+++ b/src/forwarding/forward_request.ts
@@ -6,19 +6,15 @@
 import { admit } from "./admit.ts";
 import type { ForwardingDependencies } from "./dependencies.ts";
 import { BodyReadOutcome, readBody } from "./read_body.ts";
-import { type Rejection, RejectionReason, sendRejection } from "./rejection.ts";
+import {
+  HOST_STOPPING,
+  type Rejection,
+  RejectionReason,
+  sendRejection,
+} from "./rejection.ts";
 import { type InboundRequest, RunContext } from "./run_context.ts";
 import { serveAdmittedRequest } from "./serve_admitted.ts";
 
-/**
- * Sent when the host is stopping and a new request could not complete in time.
- */
-const HOST_STOPPING: Rejection = {
-  reason: RejectionReason.NotReady,
-  message: "This host is stopping",
-  retry_after_ms: 20,
-};
-
 /**
  * Serves one request; resolves when its response has been written or abandoned.
  */
--- a/src/forwarding/rejection.ts
+++ b/src/forwarding/rejection.ts
@@ -52,6 +52,16 @@
   retry_after_ms?: number;
 }
 
+/**
+ * Sent when the host is stopping and the request could not complete in time;
+ * other hosts accept it at once.
+ */
+export const HOST_STOPPING: Rejection = {
+  reason: RejectionReason.NotReady,
+  message: "This host is stopping",
+  retry_after_ms: 20,
+};
+
 const MS_PER_S = 1_000;
 
 /** The HTTP status of a rejection. */
--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -22,6 +22,8 @@
 export enum StopReason {
   CallerDisconnected = "caller_gone",
   DeadlinePassed = "timed_out",
+  /** The host is about to stop. */
+  HostStopping = "host_stopping",
 }
 
 /** Margin before the caller's deadline for the response to reach the caller. */
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -9,7 +9,7 @@
   chooseByPrefix,
   chooseOfTwo,
 } from "../routing/choose_route_endpoint.ts";
-import { RejectionReason } from "./rejection.ts";
+import { HOST_STOPPING, RejectionReason } from "./rejection.ts";
 import { sendBufferedResponse } from "./relay.ts";
 import { type RunContext, StopReason } from "./run_context.ts";
 import { sendOnce, SendOutcome, type StageInputs } from "./send_once.ts";
@@ -38,6 +38,9 @@
   response.once("close", () => {
     if (!response.writableFinished) context.stop(StopReason.CallerDisconnected);
   });
+  const { endOfDrain } = context.dependencies;
+  const onEndOfDrain = () => context.stop(StopReason.HostStopping);
+  endOfDrain.addEventListener("abort", onEndOfDrain);
   context.dependencies.retryBudget.recordRequest(
     context.pool,
     context.dependencies.now(),
@@ -47,6 +50,7 @@
     else await sendUntilAnswered(context, NO_INPUTS);
   } finally {
     clearTimeout(timer);
+    endOfDrain.removeEventListener("abort", onEndOfDrain);
   }
 }
 
@@ -133,6 +137,9 @@
       retry_after_ms: outcome.retry_after_ms,
     });
   }
+  if (context.stopReason === StopReason.HostStopping) {
+    return context.reject(HOST_STOPPING);
+  }
   const expired = context.stopReason === StopReason.DeadlinePassed ||
     outcome.reason === "expired";
   context.reject({
@@ -224,6 +231,9 @@
       message: "The endpoint gave no whole answer",
     });
   }
+  if (context.stopReason === StopReason.HostStopping) {
+    return context.reject(HOST_STOPPING);
+  }
   context.reject({
     reason: RejectionReason.NoEndpoint,
     message: "No endpoint can take it now",
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -1,4 +1,5 @@
 /** Creates the components of a gateway host and connects them. */
+import { setMaxListeners } from "node:events";
 import type { Server } from "node:http";
 import { Batcher } from "./batching/batcher.ts";
 import { JobRouter } from "./batching/job_router.ts";
@@ -116,6 +117,7 @@
       lifecycle: context.lifecycle,
       server: gatewayServer,
       runningJobs: () => batching.batcher.activeJobs,
+      endRequests: () => context.endOfDrain.abort(),
       withdrawEntry: () => context.store.withdraw(settings.host.name),
       timeout_ms: context.settings.drain.timeout_ms,
       log: context.log,
@@ -242,12 +244,15 @@
     random,
     signal,
   };
+  const endOfDrain = new AbortController();
+  setMaxListeners(0, endOfDrain.signal);
   return {
     settings: { ...settings },
     adapter,
     self,
     member,
     stopping,
+    endOfDrain,
     signal,
     log,
     lifecycle,
@@ -334,6 +339,7 @@
       now: context.now,
     },
     metrics: context.metrics,
+    endOfDrain: context.endOfDrain.signal,
     acceptsRequests: () => lifecycle.state !== HostLifecycleState.Draining,
     isShuttingDown: () => lifecycle.isShuttingDown,
     log: context.log,
--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -22,6 +22,8 @@
   manifestChanges?: Record<string, unknown>;
   limits?: Record<string, number>;
   watch_ms?: number;
+  /** Time limit of a gateway host's drain; 8 by default. */
+  drain_timeout_s?: number;
   /** Number of gateway hosts that read the object store themselves. */
   readers?: number;
 }
@@ -146,7 +148,7 @@
           readers: this.#options.readers,
         },
         repeats: { ratio: 0.2, slack: 50, window_s: 10 },
-        drain: { timeout_s: 8 },
+        drain: { timeout_s: this.#options.drain_timeout_s ?? 8 },
       }),
       {
         adapter: deploymentAdapter,
