Bound what is kept of answers without end

Cause: an endpoint may send bytes without end in a head or a body. A stand-in that does so in four places showed what was unbounded: an event stream on a route without streams was relayed until the deadline (200 MB in 1.5 s), the client of store and peers kept the whole answer in memory until its timeout, and an event without its end grew, and was copied, with each chunk. Heads, buffered answers and answers of stage calls were bounded already.

Change: only streaming routes relay streams; an event may have 1 MiB, an answer of the store or of a peer and a line of a feed 16 MiB, and the connection is closed beyond that.

--- a/src/forwarding/event_splitter.ts
+++ b/src/forwarding/event_splitter.ts
@@ -6,6 +6,9 @@
 const EVENT_BOUNDARY = Buffer.from("\n\n");
 const EVENT_ID_LINE = /^id:[ ]?(.*)$/m;
 
+/** Largest event, since an incomplete event is kept in memory: 1 MiB. */
+const MAX_EVENT_BYTES = 1_048_576;
+
 /** Buffers bytes and returns complete events. */
 export class EventSplitter {
   #incompleteEvent: Buffer = Buffer.alloc(0);
@@ -34,9 +37,9 @@
     return this.#incompleteEvent;
   }
 
-  /** Discards the incomplete event at the end of a broken stream. */
-  discardIncompleteEvent(): void {
-    this.#incompleteEvent = Buffer.alloc(0);
+  /** Whether the incomplete event is too large; the stream must then end. */
+  get overflowed(): boolean {
+    return this.#incompleteEvent.length > MAX_EVENT_BYTES;
   }
 
   #recordLastEventId(completeEvents: Buffer): void {
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -135,6 +135,7 @@
         options.onFirstBytes();
       }
       const bytes = splitter === undefined ? chunk : splitter.push(chunk);
+      if (splitter?.overflowed) return finish(false);
       if (bytes.length === 0 || callerResponse.destroyed) return;
       writeHeadOnce(callerResponse, endpointResponse, options);
       if (callerResponse.write(bytes)) return;
--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -207,7 +207,9 @@
     };
   }
   onResponse();
-  const relayed = metadata.stream
+  const isStream = metadata.stream &&
+    context.admitted.route.kind === CallKind.Streaming;
+  const relayed = isStream
     ? await relayResponseStream(context, response, inputs)
     : await relayBuffered(context.inbound.response, response, {
       headers: codec.filterResponseHeaders(response.headers),
--- a/src/peers/feed_stream_client.ts
+++ b/src/peers/feed_stream_client.ts
@@ -25,6 +25,9 @@
 /** Timeout for the first result of a new stream. */
 const FIRST_RESULT_TIMEOUT_MS = 800;
 
+/** Longest line of a stream: 16 MiB. */
+const MAX_LINE_LENGTH = 16_777_216;
+
 const HTTP_OK = 200;
 
 /** Opens and caches one stream per followed host. */
@@ -146,6 +149,9 @@
       this.#silenceTimer.refresh();
       const lines = (this.#partialLine + text).split("\n");
       this.#partialLine = lines.pop() ?? "";
+      if (this.#partialLine.length > MAX_LINE_LENGTH) {
+        return this.close("line too long");
+      }
       for (const line of lines) this.#handleLine(line);
     });
   }
--- a/src/utils/http_client.ts
+++ b/src/utils/http_client.ts
@@ -24,6 +24,9 @@
   body: string;
 }
 
+/** Larger responses are cut off: 16 MiB. */
+const MAX_RESPONSE_BYTES = 16_777_216;
+
 /** Thrown when no complete response was received. */
 export class HttpRequestError extends Error {
   /** Whether the request may have reached the server. */
@@ -76,7 +79,11 @@
       outgoing.on("response", (incoming) => {
         let body = "";
         incoming.setEncoding("utf8");
-        incoming.on("data", (chunk: string) => body += chunk);
+        incoming.on("data", (chunk: string) => {
+          body += chunk;
+          if (body.length <= MAX_RESPONSE_BYTES) return;
+          outgoing.destroy(new Error("The answer is too long"));
+        });
         incoming.on("error", fail);
         incoming.on("aborted", () => fail(new Error("The answer was cut")));
         incoming.on("end", () => {
--- /dev/null
+++ b/test/forwarding/endless_bytes.test.ts
@@ -0,0 +1,142 @@
+/**
+ * Servers that send bytes without end, in a head or a body, until their client
+ * closes the connection. The client must close it soon, keep little in memory,
+ * and not take the bytes for an answer.
+ */
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { parseAddress } from "../../src/settings/settings.ts";
+import { HttpClient } from "../../src/utils/http_client.ts";
+import {
+  ApiKey,
+  GatewayFleet,
+  Service,
+  waitUntil,
+} from "../../stand_ins/deployment/gateway_fleet.ts";
+import { sendJsonRequest } from "../../stand_ins/json_client.ts";
+
+const ATTEMPT_ID = "a1";
+const CHUNK = Buffer.alloc(65_536, "x");
+/** What a client may read of one response before it closes the connection. */
+const MAX_BYTES_READ = 24_000_000;
+
+const HEAD = "HTTP/1.1 200 OK\r\n" + `x-attempt-id: ${ATTEMPT_ID}\r\n` +
+  "x-response-signature: s\r\n";
+
+/** What is sent before the endless bytes. */
+const BEGINNINGS = {
+  head: HEAD + "x-endless: ",
+  "body without a length": HEAD + "\r\n",
+  "body within a chunk": HEAD +
+    "transfer-encoding: chunked\r\n\r\nffffffffff\r\n",
+  "event": HEAD + "content-type: text/event-stream\r\n\r\nid: 1\ndata: ",
+};
+
+interface EndlessServer {
+  address: string;
+  /** Number of connections that are still open. */
+  open: () => number;
+  /** Most bytes that one connection took. */
+  mostBytes: () => number;
+}
+
+/** A server that answers every request with a beginning and endless bytes. */
+async function startServer(
+  t: TestContext,
+  beginning: string,
+): Promise<EndlessServer> {
+  const sockets = new Set<Socket>();
+  let mostBytes = 0;
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    const write = () => {
+      while (!socket.destroyed && socket.write(CHUNK));
+    };
+    socket.once("data", () => {
+      socket.write(beginning);
+      write();
+    });
+    socket.on("drain", write);
+    socket.on("error", () => {});
+    socket.once("close", () => {
+      sockets.delete(socket);
+      mostBytes = Math.max(mostBytes, socket.bytesWritten);
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.after(() => {
+    server.close();
+    for (const socket of sockets) socket.destroy();
+  });
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    open: () => sockets.size,
+    mostBytes: () => mostBytes,
+  };
+}
+
+async function startFleet(
+  t: TestContext,
+  service: Service,
+  address: string,
+): Promise<GatewayFleet> {
+  const fleet = new GatewayFleet({ gateways: 1 });
+  t.after(() => fleet.stop());
+  await fleet.start();
+  for (const engine of fleet.engines.get(service) ?? []) {
+    fleet.registerEngine(service, engine, { address });
+  }
+  await waitUntil(() =>
+    fleet.gateways.every(({ logLines }) =>
+      logLines.filter((line) => line.includes("event=endpoint ")).length >= 2
+    )
+  );
+  return fleet;
+}
+
+for (const [where, beginning] of Object.entries(BEGINNINGS)) {
+  for (
+    const [path, service] of [
+      ["/stamp/x", Service.Desk],
+      ["/lookup/x", Service.Desk],
+      ["/draft/x", Service.Model],
+      ["/review/x", Service.Encode],
+    ] as const
+  ) {
+    test(`${path} meets an endpoint of ${service} with an endless ${where}`, async (t) => {
+      const server = await startServer(t, beginning);
+      const fleet = await startFleet(t, service, server.address);
+      const [host] = fleet.gateways;
+      const status = await sendJsonRequest(host?.callers ?? "", path, {
+        method: "POST",
+        text: "x",
+        headers: {
+          host: "fleet.example",
+          "x-attempt-id": ATTEMPT_ID,
+          "x-key": ApiKey.Docks,
+          "x-deadline-ms": "1500",
+          "x-pieces": "2,2",
+          "x-piece-key": "k",
+        },
+      }).then((response) => response.status, () => "cut");
+      assert.notEqual(status, 200);
+      await waitUntil(() => server.open() === 0);
+      assert.ok(server.mostBytes() < MAX_BYTES_READ, `${server.mostBytes()}`);
+    });
+  }
+}
+
+test("an endless answer of the store or of a peer is cut off", async (t) => {
+  const server = await startServer(t, HEAD + "\r\n");
+  const client = new HttpClient(parseAddress(server.address));
+  t.after(() => client.close());
+  await assert.rejects(
+    client.send({ method: "GET", path: "/", timeout_ms: 20_000 }),
+    /too long/,
+  );
+  await waitUntil(() => server.open() === 0);
+  assert.ok(server.mostBytes() < MAX_BYTES_READ);
+});
