Replace the executable in one step

Cause: the build removed the executable, copied Node to its place and wrote the program into that copy. Now it is injected beside and renamed.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -10,7 +10,7 @@
   copyFileSync,
   mkdirSync,
   readFileSync,
-  rmSync,
+  renameSync,
   writeFileSync,
 } from "node:fs";
 import { join } from "node:path";
@@ -70,10 +70,12 @@
   }),
 );
 execFileSync(process.execPath, ["--experimental-sea-config", seaConfiguration]);
-rmSync(executable, { force: true });
-copyFileSync(process.execPath, executable);
-await inject(executable, "NODE_SEA_BLOB", readFileSync(blob), {
+// Processes may be starting from the last build's executable meanwhile.
+const injected = `${executable}.${process.pid}`;
+copyFileSync(process.execPath, injected);
+await inject(injected, "NODE_SEA_BLOB", readFileSync(blob), {
   sentinelFuse: SEA_SENTINEL_FUSE,
 });
-chmodSync(executable, 0o755);
+chmodSync(injected, 0o755);
+renameSync(injected, executable);
 console.log(`${executable} is ready`);
