Import what a command alone needs when it runs

Cause: a gateway host's start ran the modules of the entry host, of records and of the commands' clients; with the code cache, running modules is the largest part of a start that is the program's own.

Change: entry, status, check-records and the commands that call a host import these modules in their run functions.

--- a/src/cli/commands/check_records.ts
+++ b/src/cli/commands/check_records.ts
@@ -1,9 +1,7 @@
 /** `check-records`: checks record files before they are written. */
 import { readFileSync } from "node:fs";
 import { type Finding, formatFindings } from "../../findings/finding.ts";
-import { type ParsedRecord, parseRecord } from "../../records/parse_record.ts";
-import { checkRecordConsistency } from "../../records/record_set.ts";
-import { splitYamlDocuments } from "../../records/split_yaml_documents.ts";
+import type { ParsedRecord } from "../../records/parse_record.ts";
 import { defineCommand, UsageError } from "../define_command.ts";
 import { ExitCode } from "../exit_code.ts";
 
@@ -13,8 +11,11 @@
   description: "Check record files, alone and against one another",
   options: [],
   example: "check-records records.yaml more.yaml",
-  run(invocation) {
-    const { parsed, findings } = readRecordFiles(invocation.positional);
+  async run(invocation) {
+    const { parsed, findings } = await readRecordFiles(invocation.positional);
+    const { checkRecordConsistency } = await import(
+      "../../records/record_set.ts"
+    );
     const all = [...findings, ...checkRecordConsistency(parsed)];
     if (all.length > 0) {
       invocation.printError(formatFindings(all));
@@ -26,9 +27,13 @@
 });
 
 /** Parses the records of all files; throws UsageError if one can't be read. */
-export function readRecordFiles(
+export async function readRecordFiles(
   files: readonly string[],
-): { parsed: ParsedRecord[]; findings: Finding[] } {
+): Promise<{ parsed: ParsedRecord[]; findings: Finding[] }> {
+  const { parseRecord } = await import("../../records/parse_record.ts");
+  const { splitYamlDocuments } = await import(
+    "../../records/split_yaml_documents.ts"
+  );
   const parsed: ParsedRecord[] = [];
   const findings: Finding[] = [];
   for (const file of files) {
--- a/src/cli/commands/entry.ts
+++ b/src/cli/commands/entry.ts
@@ -1,6 +1,6 @@
 /** `entry`: runs an entry host. */
 import { createStdoutWriter } from "../../logging/logger.ts";
-import { createEntryHost, type EntryHost } from "../../entry_wiring.ts";
+import type { EntryHost } from "../../entry_wiring.ts";
 import { defineCommand, settingsOption } from "../define_command.ts";
 import { ExitCode } from "../exit_code.ts";
 import { loadCommandSettings } from "./load_command_settings.ts";
@@ -15,6 +15,7 @@
     const settings = loadCommandSettings(invocation);
     if (settings === undefined) return ExitCode.Failure;
     const writer = createStdoutWriter();
+    const { createEntryHost } = await import("../../entry_wiring.ts");
     const entry = createEntryHost(settings, {
       now: Date.now,
       random: Math.random,
--- a/src/cli/commands/host_option.ts
+++ b/src/cli/commands/host_option.ts
@@ -1,5 +1,4 @@
 /** The option that selects a host, and the client for that host. */
-import { PeerClients } from "../../peers/peer_client.ts";
 import type { PeerClient } from "../../peers/peer_client.ts";
 import { formatAddress } from "../../settings/settings.ts";
 import type { CommandInvocation, OptionDefinition } from "../define_command.ts";
@@ -21,6 +20,7 @@
   if (settings === undefined) return ExitCode.Failure;
   const address = invocation.options.host ??
     formatAddress(settings.listen.peers);
+  const { PeerClients } = await import("../../peers/peer_client.ts");
   const clients = new PeerClients({
     secret: settings.operators.secret,
     timeout_ms: settings.peers.timeout_ms,
--- a/src/cli/commands/records.ts
+++ b/src/cli/commands/records.ts
@@ -56,7 +56,9 @@
   example: "put records.yaml --settings entry-1.yaml",
   run: (invocation) =>
     withPlatformClient(invocation, async (platform) => {
-      const { parsed, findings } = readRecordFiles(invocation.positional);
+      const { parsed, findings } = await readRecordFiles(
+        invocation.positional,
+      );
       if (findings.length > 0) {
         invocation.printError(formatFindings(findings));
         return ExitCode.Failure;
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -1,5 +1,4 @@
 /** `status`: prints a host's status and the findings about the records. */
-import { CONFIGURATION_FINDINGS_KEY } from "../../configuration/publisher.ts";
 import { type Finding, formatFindings } from "../../findings/finding.ts";
 import { defineCommand, settingsOption } from "../define_command.ts";
 import { ExitCode } from "../exit_code.ts";
@@ -19,6 +18,9 @@
       );
       return ExitCode.Success;
     });
+    const { CONFIGURATION_FINDINGS_KEY } = await import(
+      "../../configuration/publisher.ts"
+    );
     const records = await withPlatformClient(invocation, async (platform) => {
       const found = await platform.get(CONFIGURATION_FINDINGS_KEY);
       if (!found.ok) {
--- a/src/cli/define_command.ts
+++ b/src/cli/define_command.ts
@@ -8,7 +8,10 @@
   default?: string;
 }
 
-/** A command of the program. */
+/**
+ * A command of the program. Its `run` function imports what no other command
+ * needs, so that a host starts with few modules.
+ */
 export interface CommandDefinition {
   /** Name and arguments as shown in the help: `get <kind> [name]`. */
   usage: string;
