--- /dev/null
+++ b/test/batching/backlog_rates.test.ts
@@ -0,0 +1,51 @@
+/** Rates of a queue, from which its waits in a burst are estimated. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { BacklogRates } from "../../src/batching/backlog_rates.ts";
+
+const SECOND_MS = 1_000;
+
+function assertNear(actual: number | undefined, expected: number): void {
+  assert.ok(actual !== undefined);
+  assert.ok(Math.abs(actual / expected - 1) < 0.2, `${actual}, ${expected}`);
+}
+
+test("arrivals are measured over the last seconds", () => {
+  const rates = new BacklogRates(0);
+  assert.equal(rates.arrivals_per_ms, 0);
+  for (let now_ms = 0; now_ms < 10 * SECOND_MS; now_ms += 20) {
+    rates.recordArrival(2, 0, now_ms);
+  }
+  assertNear(rates.arrivals_per_ms, 0.1);
+  for (let now_ms = 10 * SECOND_MS; now_ms < 13 * SECOND_MS; now_ms += 20) {
+    rates.recordArrival(6, 0, now_ms);
+  }
+  assertNear(rates.arrivals_per_ms, 0.3);
+});
+
+test("calls that memory keeps small are measured, not their configured size", () => {
+  const rates = new BacklogRates(0);
+  for (let now_ms = 0; now_ms < 5 * SECOND_MS; now_ms += 100) {
+    rates.recordCall(1, 80, now_ms);
+  }
+  assertNear(rates.service_per_ms, 0.01);
+});
+
+test("time without a backlog does not lower the service rate", () => {
+  const rates = new BacklogRates(0);
+  assert.equal(rates.service_per_ms, undefined);
+  for (let now_ms = 0; now_ms < 2 * SECOND_MS; now_ms += 100) {
+    rates.recordCall(5, 10, now_ms);
+  }
+  rates.recordArrival(1, 0, 3 * SECOND_MS);
+  assertNear(rates.service_per_ms, 0.05);
+});
+
+test("an old backlog is forgotten", () => {
+  const rates = new BacklogRates(0);
+  for (let now_ms = 0; now_ms < 2 * SECOND_MS; now_ms += 100) {
+    rates.recordCall(5, 10, now_ms);
+  }
+  rates.recordArrival(1, 0, 10 * SECOND_MS);
+  assert.equal(rates.service_per_ms, undefined);
+});
