--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -21,6 +21,11 @@
 } from "./admit_job.ts";
 import type { PoolLoad } from "./expected_wait.ts";
 import { endpointsOfShard } from "./pool_shards.ts";
+import {
+  describeFaults,
+  PieceCallResultKind,
+  type PieceClient,
+} from "./piece_call.ts";
 import { planCall, type PlannedPieces } from "./plan_call.ts";
 import {
   countWaitingPieces,
@@ -39,41 +44,11 @@
   JobOutcomeKind,
   type Piece,
   PieceFault,
-  type PieceRequest,
   type PieceResponse,
   type StageJob,
   type StageResult,
 } from "./types.ts";
 
-/** The outcome of one call to an endpoint. */
-export type PieceCallResult =
-  | { kind: PieceCallResultKind.Answered; responses: PieceResponse[] }
-  /** The endpoint rejected the call because it is at capacity. */
-  | { kind: PieceCallResultKind.Full }
-  | { kind: PieceCallResultKind.Failed; reason: string };
-
-/** Discriminates `PieceCallResult`. */
-export enum PieceCallResultKind {
-  Answered = "answered",
-  Full = "full",
-  Failed = "failed",
-}
-
-/** Sends the batcher's calls to endpoints. */
-export interface PieceClient {
-  /** Has an endpoint compute pieces; a failure is reported in the result. */
-  call(
-    endpoint: RouteEndpoint,
-    requests: PieceRequest[],
-    timeout_ms: number,
-  ): Promise<PieceCallResult>;
-  /**
-   * Frees results; resolves to whether the endpoint confirmed it. A failure is
-   * only logged, since results expire anyway.
-   */
-  free(address: string, handles: string[]): Promise<boolean>;
-}
-
 /** Dependencies of a `Batcher`. */
 export interface BatcherOptions {
   /** The pool of this name; undefined if it is not configured. */
@@ -577,14 +552,3 @@
     queued.resolve(outcome);
   }
 }
-
-/** The faults of a call's pieces with their counts, as `no_room:2`. */
-function describeFaults(result: PieceCallResult): string | undefined {
-  if (result.kind !== PieceCallResultKind.Answered) return undefined;
-  const faults = result.responses.flatMap((response) =>
-    response.ok ? [] : [response.fault]
-  );
-  if (faults.length === 0) return undefined;
-  const byFault = Map.groupBy(faults, (fault) => fault);
-  return [...byFault].map(([fault, all]) => `${fault}:${all.length}`).join(",");
-}
--- /dev/null
+++ b/src/batching/piece_call.ts
@@ -0,0 +1,43 @@
+/** Calls that have an endpoint compute pieces, and their results. */
+import type { RouteEndpoint } from "../routes/types.ts";
+import type { PieceRequest, PieceResponse } from "./types.ts";
+
+/** The outcome of one call to an endpoint. */
+export type PieceCallResult =
+  | { kind: PieceCallResultKind.Answered; responses: PieceResponse[] }
+  /** The endpoint rejected the call because it is at capacity. */
+  | { kind: PieceCallResultKind.Full }
+  | { kind: PieceCallResultKind.Failed; reason: string };
+
+/** Discriminates `PieceCallResult`. */
+export enum PieceCallResultKind {
+  Answered = "answered",
+  Full = "full",
+  Failed = "failed",
+}
+
+/** Sends the batcher's calls to endpoints. */
+export interface PieceClient {
+  /** Has an endpoint compute pieces; a failure is reported in the result. */
+  call(
+    endpoint: RouteEndpoint,
+    requests: PieceRequest[],
+    timeout_ms: number,
+  ): Promise<PieceCallResult>;
+  /**
+   * Frees results; resolves to whether the endpoint confirmed it. A failure is
+   * only logged, since results expire anyway.
+   */
+  free(address: string, handles: string[]): Promise<boolean>;
+}
+
+/** The faults of a call's pieces with their counts, as `no_room:2`. */
+export function describeFaults(result: PieceCallResult): string | undefined {
+  if (result.kind !== PieceCallResultKind.Answered) return undefined;
+  const faults = result.responses.flatMap((response) =>
+    response.ok ? [] : [response.fault]
+  );
+  if (faults.length === 0) return undefined;
+  const byFault = Map.groupBy(faults, (fault) => fault);
+  return [...byFault].map(([fault, all]) => `${fault}:${all.length}`).join(",");
+}
--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -17,7 +17,7 @@
   type PieceCallResult,
   PieceCallResultKind,
   type PieceClient,
-} from "./batcher.ts";
+} from "./piece_call.ts";
 import type { PieceRequest } from "./types.ts";
 
 const HTTP_OK = 200;
--- a/src/forwarding/rejection.ts
+++ b/src/forwarding/rejection.ts
@@ -64,11 +64,6 @@
 
 const MS_PER_S = 1_000;
 
-/** The HTTP status of a rejection. */
-export function statusForReason(reason: RejectionReason): number {
-  return STATUS_BY_REASON[reason];
-}
-
 /**
  * Sends a rejection as problem+json (RFC 9457), and closes the connection
  * afterwards unless `keepConnection`. If a response has begun, destroys the
--- a/test/batching/batcher.test.ts
+++ b/test/batching/batcher.test.ts
@@ -1,11 +1,11 @@
 /** The batcher, with a client to whose calls the test responds. */
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, test } from "node:test";
+import { Batcher } from "../../src/batching/batcher.ts";
 import {
-  Batcher,
   type PieceCallResult,
   PieceCallResultKind,
-} from "../../src/batching/batcher.ts";
+} from "../../src/batching/piece_call.ts";
 import {
   JobOutcomeKind,
   PieceFault,
--- a/test/batching/burst_replay.test.ts
+++ b/test/batching/burst_replay.test.ts
@@ -5,11 +5,11 @@
  */
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, mock, test } from "node:test";
+import { Batcher } from "../../src/batching/batcher.ts";
 import {
-  Batcher,
   type PieceCallResult,
   PieceCallResultKind,
-} from "../../src/batching/batcher.ts";
+} from "../../src/batching/piece_call.ts";
 import {
   type JobOutcome,
   JobOutcomeKind,
