--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -11,7 +11,6 @@
   type RoutePool,
 } from "../routes/types.ts";
 import { EndpointTracker } from "./endpoint_tracker.ts";
-import { BacklogRates } from "./backlog_rates.ts";
 import {
   checkJobAdmission,
   createRefusal,
@@ -27,15 +26,16 @@
   type PieceClient,
 } from "./piece_call.ts";
 import { planCall, type PlannedPieces } from "./plan_call.ts";
+import { ResultMemory } from "./result_memory.ts";
 import {
   countWaitingPieces,
+  createPoolQueue,
   createQueuedJob,
   hasWaitingPieces,
   isWorthCalling,
   type PoolQueue,
   type QueuedJob,
   readyTrackers,
-  trackerAt,
   zoneWaits,
 } from "./pool_queue.ts";
 import {
@@ -77,19 +77,19 @@
 const MIN_IDLE_DISPATCH_INTERVAL_MS = 10;
 /** Interval at which waiting jobs are checked against the load. */
 const REVIEW_INTERVAL_MS = 100;
-/** Inputs may be read at half the link's rate, since other reads share it. */
-const INPUT_READ_TIME_FACTOR = 2;
-/** Time that may pass before an endpoint starts to read its inputs. */
-const INPUT_READ_MARGIN_MS = 40;
-
 /** Batches and runs the stage jobs of the pools assigned to this host. */
 export class Batcher {
   #queues = new Map<string, PoolQueue>();
+  #memory: ResultMemory;
   #options: BatcherOptions;
   #draining = false;
 
   constructor(options: BatcherOptions) {
     this.#options = options;
+    this.#memory = new ResultMemory({
+      ...options,
+      onFreed: (queue) => this.#dispatchSoon(queue),
+    });
   }
 
   /**
@@ -141,35 +141,8 @@
    * Frees results at one address. Those marked `spare` are freed only when the
    * endpoint runs short of memory.
    */
-  free({ pool, shard, address, handles, spare }: FreedResults): void {
-    const queue = this.#queueOf({ pool, shard });
-    const tracker = trackerAt(queue, address);
-    if (spare === true) {
-      for (const handle of handles) tracker?.markEvictable(handle);
-      if (tracker !== undefined) this.#freeEvictable(queue, tracker);
-      return;
-    }
-    void this.#freeAtEndpoint(queue, address, handles);
-  }
-
-  /** Frees results; their memory is available once the endpoint confirms it. */
-  async #freeAtEndpoint(
-    queue: PoolQueue,
-    address: string,
-    handles: string[],
-  ): Promise<void> {
-    if (!await this.#options.client.free(address, handles)) return;
-    const tracker = trackerAt(queue, address);
-    for (const handle of handles) tracker?.removeResult(handle);
-    this.#dispatchSoon(queue);
-  }
-
-  #freeEvictable(queue: PoolQueue, tracker: EndpointTracker): void {
-    const limits = this.#options.pool(queue.pool)?.batch;
-    if (limits === undefined) return;
-    const handles = tracker.takeEvictable(this.#options.now(), limits);
-    if (handles.length === 0) return;
-    void this.#freeAtEndpoint(queue, tracker.endpoint.address, handles);
+  free(freed: FreedResults): void {
+    this.#memory.free(this.#queueOf(freed), freed);
   }
 
   /** Hands back jobs that have not started and accepts none from peers. */
@@ -199,17 +172,7 @@
     const key = shard === undefined ? pool : `${pool}/${shard}`;
     const known = this.#queues.get(key);
     if (known !== undefined) return known;
-    const created: PoolQueue = {
-      pool,
-      shard,
-      jobs: new Set(),
-      trackers: new Map(),
-      rates: new BacklogRates(this.#options.now()),
-      timer: undefined,
-      timer_due_ms: Infinity,
-      last_idle_dispatch_ms: -Infinity,
-      last_review_ms: -Infinity,
-    };
+    const created = createPoolQueue({ pool, shard }, this.#options.now());
     this.#queues.set(key, created);
     return created;
   }
@@ -375,8 +338,8 @@
       { bytes, pieces: batch.length, now_ms: started_ms },
       limits,
     );
-    this.#scheduleInputEviction(planned, limits);
-    this.#freeEvictable(queue, tracker);
+    this.#memory.offerInputs(planned, limits);
+    this.#memory.freeIfShort(queue, tracker);
     const result = await client.call(
       tracker.endpoint,
       batch.map(({ queued, piece }) => ({
@@ -437,35 +400,6 @@
     this.#dispatchWithin(queue, 0);
   }
 
-  /**
-   * Marks inputs that no later stage reads as evictable, once all pieces of the
-   * job are in calls and the endpoints have had time to read the inputs.
-   */
-  #scheduleInputEviction(
-    planned: PlannedPieces<QueuedJob>[],
-    limits: BatchLimits,
-  ): void {
-    const bytes = planned.reduce(
-      (sum, { job: queued, pieces }) => sum + pieces * queued.job.input_bytes,
-      0,
-    );
-    const read_ms = INPUT_READ_TIME_FACTOR * bytes / limits.link_bytes_per_ms +
-      INPUT_READ_MARGIN_MS;
-    const lastReaders = planned.map(({ job: queued }) => queued)
-      .filter(({ job, waiting }) =>
-        waiting.length === 0 && job.last_read.length > 0
-      );
-    if (lastReaders.length === 0) return;
-    setTimeout(() => {
-      for (const { job, waiting, ended } of lastReaders) {
-        if (waiting.length > 0 || ended) continue;
-        for (const freed of job.last_read) {
-          this.#options.freeAtBatcher({ ...freed, spare: true });
-        }
-      }
-    }, read_ms);
-  }
-
   #handlePieceResponse(
     { queued, piece, queue, tracker, limits }: {
       queued: QueuedJob;
@@ -485,7 +419,11 @@
         expires_ms: this.#options.now() + limits.retention_ms,
       });
       if (queued.ended) {
-        void this.#freeAtEndpoint(queue, address, [handle]);
+        this.#memory.free(queue, {
+          pool: queue.pool,
+          address,
+          handles: [handle],
+        });
         return;
       }
       const index = queued.job.pieces.indexOf(piece);
@@ -546,7 +484,11 @@
       for (const result of queued.results) {
         if (result === undefined) continue;
         const { address, handle } = result;
-        this.free({ ...queue, address, handles: [handle] });
+        this.#memory.free(queue, {
+          pool: queue.pool,
+          address,
+          handles: [handle],
+        });
       }
     }
     queued.resolve(outcome);
--- a/src/batching/pool_queue.ts
+++ b/src/batching/pool_queue.ts
@@ -4,7 +4,7 @@
   type RouteEndpoint,
   RouteEndpointState,
 } from "../routes/types.ts";
-import type { BacklogRates } from "./backlog_rates.ts";
+import { BacklogRates } from "./backlog_rates.ts";
 import { EndpointTracker } from "./endpoint_tracker.ts";
 import { expectedJobMs } from "./expected_wait.ts";
 import { fullCallMs, type WaitingJob } from "./plan_call.ts";
@@ -45,6 +45,24 @@
   last_review_ms: number;
 }
 
+/** Creates the empty queue of a pool or of one shard of it. */
+export function createPoolQueue(
+  { pool, shard }: { pool: string; shard: string | undefined },
+  now_ms: number,
+): PoolQueue {
+  return {
+    pool,
+    shard,
+    jobs: new Set(),
+    trackers: new Map(),
+    rates: new BacklogRates(now_ms),
+    timer: undefined,
+    timer_due_ms: Infinity,
+    last_idle_dispatch_ms: -Infinity,
+    last_review_ms: -Infinity,
+  };
+}
+
 /** Creates a job's queue entry; `resolve` is called once, with its outcome. */
 export function createQueuedJob(
   job: StageJob,
