Recognise a copy of an earlier answer of a stage endpoint

Cause: a server may send a second copy of an answer, late, on a connection that is in use again. Answers to requests name their attempt, but an answer to a call for pieces names nothing: its handles would have become the inputs of other requests.

Change: each result has a new handle, so an answer with a handle that its endpoint returned before fails the call, and the connection, on which the true answer may still arrive, is closed.

--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -18,7 +18,7 @@
   PieceCallResultKind,
   type PieceClient,
 } from "./piece_call.ts";
-import type { PieceRequest } from "./types.ts";
+import type { PieceRequest, PieceResponse } from "./types.ts";
 
 const HTTP_OK = 200;
 /** Maximum size of a response; it contains only handles. */
@@ -30,6 +30,8 @@
 const FREE_BATCH_WINDOW_MS = 5;
 /** Abort reason; a string, since each Error would capture a stack trace. */
 const CALL_EXPIRED = "call_expired";
+/** Number of handles of each endpoint that are remembered. */
+const MAX_RECENT_HANDLES = 512;
 /** Timeout of a call that frees results. */
 const FREE_TIMEOUT_MS = 1_000;
 
@@ -54,9 +56,35 @@
   log: Logger;
 }
 
+/**
+ * The handles that endpoints returned last. An answer to a call for pieces names
+ * no call, but each of its results has a new handle: an answer with a known one
+ * is a copy of an earlier answer, sent late on a connection in use again.
+ */
+class RecentHandles {
+  #handles = new Map<string, Set<string>>();
+
+  /** Adds the handles of an answer; false if one of them was known. */
+  add(address: string, responses: PieceResponse[]): boolean {
+    const known = this.#handles.get(address) ?? new Set();
+    this.#handles.set(address, known);
+    const handles = responses.flatMap((response) =>
+      response.ok ? [response.handle] : []
+    );
+    if (handles.some((handle) => known.has(handle))) return false;
+    for (const handle of handles) known.add(handle);
+    for (const oldest of known) {
+      if (known.size <= MAX_RECENT_HANDLES) break;
+      known.delete(oldest);
+    }
+    return true;
+  }
+}
+
 /** Creates a client that calls endpoints over HTTP. */
 export function createPieceClient(options: PieceClientOptions): PieceClient {
   const pendingByAddress = new Map<string, PendingFree>();
+  const recentHandles = new RecentHandles();
   const free = (address: string, handles: string[]) => {
     const pending = pendingByAddress.get(address);
     if (pending !== undefined) {
@@ -73,7 +101,11 @@
   };
   return {
     call: (endpoint, requests, timeout_ms) =>
-      callForPieces(endpoint, requests, { ...options, timeout_ms }),
+      callForPieces(endpoint, requests, {
+        ...options,
+        recentHandles,
+        timeout_ms,
+      }),
     free,
   };
 }
@@ -81,9 +113,12 @@
 async function callForPieces(
   endpoint: RouteEndpoint,
   requests: PieceRequest[],
-  options: PieceClientOptions & { timeout_ms: number },
+  options: PieceClientOptions & {
+    recentHandles: RecentHandles;
+    timeout_ms: number;
+  },
 ): Promise<PieceCallResult> {
-  const { codec, timeout_ms } = options;
+  const { agents, codec, recentHandles, timeout_ms } = options;
   const response = await callEndpoint({
     address: endpoint.address,
     call: codec.encodePieceBatch(endpoint, requests),
@@ -97,6 +132,11 @@
   if (response.status !== HTTP_OK) return failed(`status_${response.status}`);
   const responses = codec.decodePieceResults(response.body, requests.length);
   if (responses === undefined) return failed("unreadable");
+  if (!recentHandles.add(endpoint.address, responses)) {
+    // The answer to this call may still arrive on the same connection.
+    agents.closeIdleConnections(endpoint.address);
+    return failed("repeated_answer");
+  }
   return { kind: PieceCallResultKind.Answered, responses };
 }
 
