--- a/src/peers/feed_stream_client.ts
+++ b/src/peers/feed_stream_client.ts
@@ -156,13 +156,17 @@
     });
   }
 
+  /** Closes the stream if the line is malformed. */
   #handleLine(text: string): void {
-    let line: FeedLine;
     try {
-      line = JSON.parse(text);
+      this.#apply(JSON.parse(text));
     } catch (error) {
-      return this.close((error as Error).message);
+      this.close((error as Error).message);
     }
+  }
+
+  /** Throws if the line does not have the form of its type. */
+  #apply(line: FeedLine): void {
     if ("revisions" in line) {
       for (const feed of Object.values(FeedName)) {
         this.#cache(feed).advanceRevision(line.revisions[feed]);
--- a/test/peers/feed_stream.test.ts
+++ b/test/peers/feed_stream.test.ts
@@ -120,3 +120,28 @@
   await new Promise((resolve) => setTimeout(resolve, 1_300));
   assert.equal((await feed.list(address, 30)).kind, FeedResultKind.Listed);
 });
+
+const MALFORMED_LINES = [
+  "not json",
+  "null",
+  "1",
+  '"text"',
+  "[]",
+  "{}",
+  '{"revisions":null}',
+  '{"feed":"endpoints"}',
+  '{"feed":"endpoints","read":null}',
+  '{"feed":"unknown","read":{"kind":"listed","items":[],"revision":1}}',
+  '{"feed":"endpoints","read":{"kind":"listed","items":5,"revision":1}}',
+  '{"feed":"configuration","read":{"kind":"listed","items":[{"value":1}]}}',
+];
+
+for (const line of MALFORMED_LINES) {
+  test(`the line ${line} ends a stream and nothing else`, async () => {
+    server.removeAllListeners("request");
+    server.on("request", (_, response) => void response.write(`${line}\n`));
+    const feed = clients.feed<RouteEndpoint>(FeedName.Endpoints);
+    const read = await feed.list(address, 0);
+    assert.equal(read.kind, FeedResultKind.Unavailable);
+  });
+}
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -1,5 +1,8 @@
 /** Runs the store client against a simulated store, and tests the decoders. */
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { after, before, test } from "node:test";
 import fc from "fast-check";
 import { deploymentAdapter } from "../../platform/adapter.ts";
@@ -144,6 +147,36 @@
   assert.equal(decodeEndpoint("i-1", ENDPOINT_SPEC)?.born_ms, 5);
 });
 
+test("malformed pages and events are skipped or reported, and never thrown", async () => {
+  const bodies = [
+    "null",
+    "[]",
+    "{}",
+    '{"as_of":1,"items":5,"events":5}',
+    '{"as_of":1,"items":[null,5,{}],"events":[null,5,{},{"object":null}]}',
+    '{"as_of":"x"}',
+    "cut off {",
+  ];
+  for (const body of bodies) {
+    const malformed = createServer((_, response) => response.end(body));
+    malformed.listen(0, "127.0.0.1");
+    await once(malformed, "listening");
+    const { port } = malformed.address() as AddressInfo;
+    const opened = deploymentAdapter.openStore(
+      parseAddress(`127.0.0.1:${port}`),
+      () => {},
+    );
+    for (const feed of [opened.endpoints, opened.configuration]) {
+      const listed = await feed.list(signal);
+      if ("items" in listed) assert.deepEqual(listed.items, []);
+      const watched = await feed.watch(1, 1, signal);
+      if ("changes" in watched) assert.deepEqual(watched.changes, []);
+    }
+    opened.close();
+    malformed.close();
+  }
+});
+
 test("the decoders do not throw on any stored content", () => {
   fc.assert(fc.property(fc.anything(), (spec) => {
     decodeEndpoint("i-1", spec);
