Bring a queue's rates up to date before they are read

Cause, found by reading: rates decayed only when an arrival or a call was recorded. A queue that refuses all work records neither, so after a burst an idle queue could keep the rates of the burst and refuse work for good.

Change: admission brings the rates up to date first. The replay of a burst followed by a minute of rest admits and completes a job; without the change it is refused.

--- a/src/batching/admit_job.ts
+++ b/src/batching/admit_job.ts
@@ -1,11 +1,11 @@
 /**
  * Admission control for stage jobs: estimates how long a job would wait and
- * take in a pool, and refuses it if that is too long. Has no side effects.
+ * take in a pool, and refuses it if that is too long. Does no I/O.
  *
  * In a burst, work that cannot be on time yields to all work that can, so it
  * would wait until its deadline. It is refused at once, on arrival or as soon as
  * the burst has overtaken it, with the time in which the queue is worked off.
- * Work of later stages is not refused for that: its first stages are paid.
+ * Work of later stages is not refused for that, since earlier ones have run.
  */
 import type { BatchLimits } from "../routes/types.ts";
 import type { EndpointTracker } from "./endpoint_tracker.ts";
@@ -24,7 +24,7 @@
 import { type JobOutcome, JobOutcomeKind, type StageJob } from "./types.ts";
 
 /**
- * The pool's load as a new job meets it. Only pieces of jobs that are due no
+ * The pool's load as a new job meets it, with the queue's rates as of now. Only pieces of jobs that are due no
  * later are counted as ahead of it; endpoints that back off are left out.
  */
 export function loadAheadOf(
@@ -42,11 +42,13 @@
   }
   const slowness = accepting.reduce((sum, each) => sum + each.slowness, 0) /
     Math.max(1, accepting.length);
+  const waiting_pieces = countWaitingPieces(queue.jobs);
+  queue.rates.advance(waiting_pieces, now_ms);
   return {
     endpoints: accepting.length,
     slowness,
     pieces_ahead,
-    waiting_pieces: countWaitingPieces(queue.jobs),
+    waiting_pieces,
     arrivals_per_ms: queue.rates.arrivals_per_ms,
     service_per_ms: queue.rates.service_per_ms,
   };
--- a/src/batching/backlog_rates.ts
+++ b/src/batching/backlog_rates.ts
@@ -25,13 +25,13 @@
 
   /** Counts pieces of an admitted job; `waiting_pieces` waited before it. */
   recordArrival(pieces: number, waiting_pieces: number, now_ms: number): void {
-    this.#advance(waiting_pieces, now_ms);
+    this.advance(waiting_pieces, now_ms);
     this.#arrived_pieces += pieces;
   }
 
   /** Counts pieces that a call took; `waiting_pieces` waited before it. */
   recordCall(pieces: number, waiting_pieces: number, now_ms: number): void {
-    this.#advance(waiting_pieces, now_ms);
+    this.advance(waiting_pieces, now_ms);
     this.#taken_pieces += pieces;
   }
 
@@ -48,7 +48,11 @@
     return this.#taken_pieces / this.#backlog_ms;
   }
 
-  #advance(waiting_pieces: number, now_ms: number): void {
+  /**
+   * Brings the rates up to date; to be called before they are read, since a
+   * queue that refuses all work records neither arrivals nor calls.
+   */
+  advance(waiting_pieces: number, now_ms: number): void {
     const passed_ms = now_ms - this.#at_ms;
     this.#at_ms = now_ms;
     const decay = 0.5 ** (passed_ms / HALF_LIFE_MS);
--- a/test/batching/backlog_rates.test.ts
+++ b/test/batching/backlog_rates.test.ts
@@ -41,6 +41,17 @@
   assertNear(rates.service_per_ms, 0.05);
 });
 
+test("rates of a queue that records nothing are forgotten too", () => {
+  const rates = new BacklogRates(0);
+  for (let now_ms = 0; now_ms < 2 * SECOND_MS; now_ms += 100) {
+    rates.recordArrival(5, 10, now_ms);
+    rates.recordCall(1, 10, now_ms);
+  }
+  rates.advance(0, 30 * SECOND_MS);
+  assert.equal(rates.service_per_ms, undefined);
+  assert.ok(rates.arrivals_per_ms < 0.001);
+});
+
 test("an old backlog is forgotten", () => {
   const rates = new BacklogRates(0);
   for (let now_ms = 0; now_ms < 2 * SECOND_MS; now_ms += 100) {
--- a/test/batching/burst_replay.test.ts
+++ b/test/batching/burst_replay.test.ts
@@ -158,6 +158,20 @@
   assert.ok(on_time > 0.8 * possible, `${on_time} of ${possible} on time`);
 });
 
+test("a queue that was idle after a burst admits work again", async () => {
+  await replayBurst(3);
+  now_ms += 60_000;
+  const before = ended.length;
+  sendJob(-1);
+  for (let step = 0; step < 200; step++) {
+    now_ms += STEP_MS;
+    mock.timers.tick(STEP_MS);
+    for (let turn = 0; turn < 4; turn++) await Promise.resolve();
+  }
+  assert.equal(ended.length, before + 1);
+  assert.equal(ended.at(-1)?.outcome.kind, JobOutcomeKind.Completed);
+});
+
 test("a refusal tells a time after which a returning job is served", async () => {
   await replayBurst(2);
   const refused = endedAs(JobOutcomeKind.Refused).at(-1);
