Replay a burst that fills memory, then a minute of rest, in its test

Now results fill the endpoints' memory in the burst and the job after the rest has ten pieces; without the change it is refused.

--- a/test/batching/burst_replay.test.ts
+++ b/test/batching/burst_replay.test.ts
@@ -93,17 +93,21 @@
   );
 }
 
-function sendJob(number: number): void {
+/** Sends a job; its results stay at their endpoint until they expire. */
+function sendJob(
+  number: number,
+  { pieces = PIECES_PER_JOB, result_bytes = 10 } = {},
+): void {
   const arrived_ms = now_ms;
   void batcher.run({
     attempt_id: `${number}`,
     pool: pool.name,
     stage: 0,
     pieces: Array.from(
-      { length: PIECES_PER_JOB },
+      { length: pieces },
       (_, index) => ({ index, key: "k", inputs: undefined }),
     ),
-    result_bytes: 10,
+    result_bytes,
     priority: 0,
     due_in_ms: DUE_IN_MS,
     expires_in_ms: EXPIRES_IN_MS,
@@ -116,11 +120,16 @@
 }
 
 /** Sends jobs at this multiple of the capacity; resolves when all ended. */
-async function replayBurst(load: number): Promise<void> {
+async function replayBurst(
+  load: number,
+  job: { result_bytes?: number } = {},
+): Promise<void> {
   const interval_ms = 1_000 / (load * CAPACITY_JOBS_PER_S);
   let sent = 0;
   while (now_ms < BURST_MS + EXPIRES_IN_MS) {
-    while (now_ms < BURST_MS && sent * interval_ms <= now_ms) sendJob(sent++);
+    while (now_ms < BURST_MS && sent * interval_ms <= now_ms) {
+      sendJob(sent++, job);
+    }
     now_ms += STEP_MS;
     mock.timers.tick(STEP_MS);
     for (let turn = 0; turn < 4; turn++) await Promise.resolve();
@@ -158,11 +167,11 @@
   assert.ok(on_time > 0.8 * possible, `${on_time} of ${possible} on time`);
 });
 
-test("a queue that was idle after a burst admits work again", async () => {
-  await replayBurst(3);
+test("a queue that was idle after a burst that filled memory admits large jobs again", async () => {
+  await replayBurst(3, { result_bytes: pool.batch!.room_bytes });
   now_ms += 60_000;
   const before = ended.length;
-  sendJob(-1);
+  sendJob(-1, { pieces: 10 });
   for (let step = 0; step < 200; step++) {
     now_ms += STEP_MS;
     mock.timers.tick(STEP_MS);
