Log the prompt parts and events of a broken send

The log of a crash could not tell a request that crashes an endpoint from one beside it. event=send names the prompt parts of a broken send and the complete events of a stream.

--- a/src/forwarding/event_splitter.ts
+++ b/src/forwarding/event_splitter.ts
@@ -14,6 +14,8 @@
   #incompleteEvent: Buffer = Buffer.alloc(0);
   /** Id of the last complete event that has one; undefined before the first. */
   lastEventId: string | undefined;
+  /** Number of complete events. */
+  eventCount = 0;
 
   /** Adds bytes; returns all complete events, empty if there is none. */
   push(chunk: Buffer): Buffer {
@@ -28,7 +30,7 @@
     const end = boundary + EVENT_BOUNDARY.length;
     this.#incompleteEvent = bytes.subarray(end);
     const completeEvents = bytes.subarray(0, end);
-    this.#recordLastEventId(completeEvents);
+    this.#recordEvents(completeEvents);
     return completeEvents;
   }
 
@@ -42,10 +44,12 @@
     return this.#incompleteEvent.length > MAX_EVENT_BYTES;
   }
 
-  #recordLastEventId(completeEvents: Buffer): void {
+  #recordEvents(completeEvents: Buffer): void {
     // One character for each byte: an id is copied to a header as bytes.
     const text = completeEvents.toString("latin1");
-    for (const event of text.split("\n\n")) {
+    const events = text.split("\n\n");
+    this.eventCount += events.length - 1;
+    for (const event of events) {
       const id = EVENT_ID_LINE.exec(event)?.[1];
       if (id !== undefined) this.lastEventId = id.trim();
     }
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -35,6 +35,8 @@
   first_byte_ms?: number;
   /** Id of the last complete event of a resumable stream. */
   last_event_id?: string;
+  /** Number of complete events of a stream. */
+  event_count?: number;
 }
 
 /** How a response is relayed. */
@@ -109,33 +111,34 @@
   },
 ): Promise<RelayResult> {
   return new Promise((resolve) => {
-    const splitter = options.resumable ? new EventSplitter() : undefined;
+    const splitter = new EventSplitter();
     let first_byte_ms: number | undefined;
     let finished = false;
     const finish = (complete: boolean) => {
       if (finished) return;
       finished = true;
-      const last_event_id = splitter?.lastEventId;
+      const progress = {
+        first_byte_ms,
+        last_event_id: options.resumable ? splitter.lastEventId : undefined,
+        event_count: splitter.eventCount,
+      };
       if (!complete || callerResponse.destroyed) {
         discardResponse(endpointResponse);
-        return resolve({
-          complete: false,
-          delivered: false,
-          first_byte_ms,
-          last_event_id,
-        });
+        return resolve({ complete: false, delivered: false, ...progress });
       }
       writeHeadOnce(callerResponse, endpointResponse, options);
-      callerResponse.end(splitter?.incompleteEvent);
-      resolve({ complete, delivered: true, first_byte_ms, last_event_id });
+      const unsent = options.resumable ? splitter.incompleteEvent : undefined;
+      callerResponse.end(unsent);
+      resolve({ complete, delivered: true, ...progress });
     };
     endpointResponse.body.on("data", (chunk: Buffer) => {
       if (first_byte_ms === undefined) {
         first_byte_ms = performance.now();
         options.onFirstBytes();
       }
-      const bytes = splitter === undefined ? chunk : splitter.push(chunk);
-      if (splitter?.overflowed) return finish(false);
+      const completeEvents = splitter.push(chunk);
+      if (splitter.overflowed) return finish(false);
+      const bytes = options.resumable ? completeEvents : chunk;
       if (bytes.length === 0 || callerResponse.destroyed) return;
       writeHeadOnce(callerResponse, endpointResponse, options);
       if (callerResponse.write(bytes)) return;
--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -44,6 +44,8 @@
   first_byte_ms: number;
   /** Status or error, for the log. */
   reason: string;
+  /** Number of complete events of a stream; undefined without one. */
+  event_count?: number;
 }
 
 /**
@@ -300,6 +302,7 @@
         : ObservedOutcome.Success,
       first_byte_ms: relayed.first_byte_ms ?? first_byte_ms,
       reason: `status_${status}`,
+      event_count: relayed.event_count,
     };
   }
   const mayResume = context.admitted.route.resumable &&
@@ -310,7 +313,10 @@
   const outcome = response.destroyed
     ? SendOutcome.Answered
     : SendOutcome.MayHaveRun;
-  return resultAfterFailure(context, outcome, { first_byte_ms, reason: "cut" });
+  return {
+    ...resultAfterFailure(context, outcome, { first_byte_ms, reason: "cut" }),
+    event_count: relayed.event_count,
+  };
 }
 
 function logSend(
@@ -320,6 +326,8 @@
 ): void {
   const { log, now, load, configuration } = context.dependencies;
   const endpointLoad = load.forEndpoint(endpoint);
+  const { prompt } = context.admitted.metadata;
+  const failed = result.observedOutcome === ObservedOutcome.ConnectionFailed;
   log.info({
     event: "send",
     attempt: context.admitted.metadata.attempt_id,
@@ -334,6 +342,10 @@
     elapsed_ms: Math.round(now() - started_ms),
     outcome: result.observedOutcome,
     reason: result.reason,
+    events: result.event_count,
+    prompt: failed && prompt.length > 0
+      ? prompt.map(({ id }) => id).join(",")
+      : undefined,
     stopped: context.stopReason,
   });
 }
