--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -9,7 +9,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 
 /** Fault that the engine injects into its next requests. */
@@ -61,8 +61,15 @@
   work_ms?: number;
   /** Time to compute the pieces of a call. */
   call_ms?: number;
+  /** Id of the prompt part on which it crashes when it begins a response. */
+  crash_part?: string;
+  /** Time from a crash until it listens again. */
+  restart_ms?: number;
 }
 
+const DEFAULT_RESTART_MS = 300;
+const STREAM_TYPE = "text/event-stream";
+
 /** An engine stand-in that listens in this process. */
 export class Engine {
   readonly id: string;
@@ -79,8 +86,14 @@
   abortedRequests = 0;
   /** Connections accepted so far. */
   connections = 0;
+  /** Crashes so far. */
+  crashes = 0;
+  /** Called when it listens again after a crash. */
+  onRestart: () => void = () => {};
   #options: EngineOptions;
   #computedPieces = 0;
+  #sockets = new Set<Socket>();
+  #restartTimer: NodeJS.Timeout | undefined;
   #server = createServer((request, response) => {
     void this.#handle(request, response);
   });
@@ -88,7 +101,11 @@
   constructor(options: EngineOptions) {
     this.id = options.id;
     this.#options = options;
-    this.#server.on("connection", () => this.connections += 1);
+    this.#server.on("connection", (socket) => {
+      this.connections += 1;
+      this.#sockets.add(socket);
+      socket.once("close", () => this.#sockets.delete(socket));
+    });
   }
 
   /** Listens on a free port of the loopback address. */
@@ -101,10 +118,23 @@
 
   /** Stops listening and closes every connection. */
   stop(): void {
+    clearTimeout(this.#restartTimer);
     this.#server.close();
     this.#server.closeAllConnections();
   }
 
+  /** Resets every connection and refuses new ones until it has restarted. */
+  crash(): void {
+    if (!this.#server.listening) return;
+    this.crashes += 1;
+    const { port } = this.#server.address() as AddressInfo;
+    this.#server.close();
+    for (const socket of this.#sockets) socket.resetAndDestroy();
+    this.#restartTimer = setTimeout(() => {
+      this.#server.listen(port, "127.0.0.1", this.onRestart);
+    }, this.#options.restart_ms ?? DEFAULT_RESTART_MS);
+  }
+
   async #handle(
     request: IncomingMessage,
     response: ServerResponse,
@@ -180,7 +210,16 @@
       await sleep(20);
       return void socket.resetAndDestroy();
     }
-    const { events = 0 } = this.#options;
+    const { events = 0, crash_part } = this.#options;
+    if (
+      crash_part !== undefined &&
+      String(request.headers["x-prompt-prefix"]).includes(`${crash_part}:`)
+    ) {
+      response.writeHead(200, { ...headers, "content-type": STREAM_TYPE });
+      response.flushHeaders();
+      await sleep(2);
+      return this.crash();
+    }
     if (events > 0) {
       const lastEventId = Number(request.headers["last-event-id"] ?? 0);
       return await this.#stream(response, { headers, lastEventId, fault });
@@ -205,7 +244,7 @@
   ): Promise<void> {
     response.writeHead(200, {
       ...headers,
-      "content-type": "text/event-stream",
+      "content-type": STREAM_TYPE,
     });
     const { events = 0, work_ms = 0 } = this.#options;
     for (let id = lastEventId + 1; id <= events; id++) {
--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -171,6 +171,8 @@
       for (const engine of started) {
         await engine.start();
         this.registerEngine(service as Service, engine);
+        engine.onRestart = () =>
+          this.registerEngine(service as Service, engine, { born: Date.now() });
       }
     }
   }
