Keep requests whose prompt parts crash endpoints away from them

Cause: each request was judged alone, and no two hosts joined what they saw, so every new request with the part was sent. A class of fault known as the query of death: work that kills its server is handed to the next one.

Hosts now report the requests that a crashed endpoint held without an event of their answer to two ledgers (first of a rendezvous ranking). Parts in three crashes at different times, endpoints and requests are quarantined unless some host knows of an answer; all hosts are told through a tree, and the store keeps the entry for hosts that start later. A request with all parts of an entry gets 503 before its stages; an answer releases an entry; two probes, ever later, end a mistake. A crash is told from a broken connection by a refused connection.

A bound on crashes of each host alone was not built: a host sees one or two of five. Evidence in the store was not built: a write for each crash, and nothing during an outage.

--- a/src/forwarding/adapter.ts
+++ b/src/forwarding/adapter.ts
@@ -1,6 +1,8 @@
 /** Interfaces through which a gateway host uses the deployment it runs in. */
 import type { ObjectFeed } from "../store_sync/object_feed.ts";
 import type { GatewayMember } from "../membership/gateway_members.ts";
+import type { QuarantineStore } from "../quarantine/quarantine_service.ts";
+import type { QuarantinedParts } from "../quarantine/types.ts";
 import type { RouteConfiguration, RouteEndpoint } from "../routes/types.ts";
 import type { Address } from "../settings/settings.ts";
 import type { ProtocolCodec } from "./protocol_codec.ts";
@@ -21,10 +23,11 @@
 }
 
 /** The deployment's object store. */
-export interface GatewayStore {
+export interface GatewayStore extends QuarantineStore {
   configuration: ObjectFeed<RouteConfiguration>;
   endpoints: ObjectFeed<RouteEndpoint>;
   gateways: ObjectFeed<GatewayMember>;
+  quarantined: ObjectFeed<QuarantinedParts>;
   /** Registers this host by writing its entry; rejects if the write fails. */
   announce(name: string, member: GatewayMember): Promise<void>;
   /** Removes this host's entry; rejects if the removal fails. */
--- a/src/forwarding/dependencies.ts
+++ b/src/forwarding/dependencies.ts
@@ -6,6 +6,7 @@
 import type { Logger } from "../logging/logger.ts";
 import type { ForwardMetrics } from "../metrics/forward_metrics.ts";
 import type { ObservedLoad } from "../routing/observed_load.ts";
+import type { QuarantineService } from "../quarantine/quarantine_service.ts";
 import type { PoolRetryBudgets } from "../routing/repeat_budget.ts";
 import type { ProtocolCodec } from "./protocol_codec.ts";
 
@@ -17,6 +18,7 @@
   agents: EndpointAgents;
   load: ObservedLoad;
   retryBudget: PoolRetryBudgets;
+  quarantine: QuarantineService;
   stageGraph: GraphOptions;
   metrics: ForwardMetrics;
   /** Aborts when the host is about to stop and ends the requests left. */
--- a/src/forwarding/forward_request.ts
+++ b/src/forwarding/forward_request.ts
@@ -6,8 +6,10 @@
 import { admit } from "./admit.ts";
 import type { ForwardingDependencies } from "./dependencies.ts";
 import { BodyReadOutcome, readBody } from "./read_body.ts";
+import { QuarantineDecision } from "../quarantine/quarantine_service.ts";
 import {
   HOST_STOPPING,
+  QUARANTINED,
   type Rejection,
   RejectionReason,
   sendRejection,
@@ -43,6 +45,12 @@
     return;
   }
   const { admitted } = admission;
+  const decision = dependencies.quarantine.admit(admitted.metadata.prompt);
+  if (decision === QuarantineDecision.Reject) {
+    logRejection(dependencies, inbound, QUARANTINED);
+    sendRejection(response, QUARANTINED, !dependencies.isShuttingDown());
+    return;
+  }
   const read = await readBody(request, admitted.max_body_bytes);
   if (read.kind === BodyReadOutcome.Aborted) return;
   if (read.kind === BodyReadOutcome.TooLarge) {
@@ -54,7 +62,11 @@
     return;
   }
   await serveAdmittedRequest(
-    new RunContext(inbound, admitted, { body: read.body, dependencies }),
+    new RunContext(inbound, admitted, {
+      body: read.body,
+      isProbe: decision === QuarantineDecision.AdmitAsProbe,
+      dependencies,
+    }),
   );
 }
 
--- a/src/forwarding/rejection.ts
+++ b/src/forwarding/rejection.ts
@@ -19,6 +19,8 @@
   StagesTooSlow = "no_room",
   /** Not run: its deadline passed before it was sent to an endpoint. */
   TooLate = "too_late",
+  /** Not run: endpoints crash on a part of its prompt. */
+  Quarantined = "quarantined",
   /** Not run: no endpoint accepted it. */
   NoEndpoint = "no_endpoint",
   /** May have run: its endpoint gave no complete response. */
@@ -36,6 +38,7 @@
   [RejectionReason.NotReady]: 503,
   [RejectionReason.StagesTooSlow]: 503,
   [RejectionReason.TooLate]: 503,
+  [RejectionReason.Quarantined]: 503,
   [RejectionReason.NoEndpoint]: 503,
   [RejectionReason.EndpointLost]: 502,
   [RejectionReason.TimedOut]: 504,
@@ -62,6 +65,12 @@
   retry_after_ms: 20,
 };
 
+/** Sent when endpoints crash on the request; no later time is better. */
+export const QUARANTINED: Rejection = {
+  reason: RejectionReason.Quarantined,
+  message: "Endpoints crash on a part of its prompt",
+};
+
 const MS_PER_S = 1_000;
 
 /**
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -108,6 +108,7 @@
   options: ResponseRelayOptions & {
     resumable: boolean;
     onFirstBytes: () => void;
+    onFirstEvent: () => void;
   },
 ): Promise<RelayResult> {
   return new Promise((resolve) => {
@@ -136,7 +137,9 @@
         first_byte_ms = performance.now();
         options.onFirstBytes();
       }
+      const isFirst = splitter.eventCount === 0;
       const completeEvents = splitter.push(chunk);
+      if (isFirst && splitter.eventCount > 0) options.onFirstEvent();
       if (splitter.overflowed) return finish(false);
       const bytes = options.resumable ? completeEvents : chunk;
       if (bytes.length === 0 || callerResponse.destroyed) return;
--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -34,6 +34,8 @@
   readonly inbound: InboundRequest;
   readonly admitted: AdmittedRequest;
   readonly body: Buffer | undefined;
+  /** Whether it may reach an endpoint although its prompt is quarantined. */
+  readonly isProbe: boolean;
   readonly dependencies: ForwardingDependencies;
   /** Time after which a response is useless, on the monotonic clock. */
   readonly expires_ms: number;
@@ -52,6 +54,11 @@
   sendCount = 0;
   /** Whether an endpoint may have run the request. */
   mayHaveRun = false;
+  /**
+   * Resolves to whether the last send may have crashed its endpoint; undefined
+   * if it began to answer or did not break.
+   */
+  crashSuspicion: Promise<boolean> | undefined;
   /** Id of the last event sent to the caller from a stream that broke. */
   lastEventId: string | undefined;
   /**
@@ -64,14 +71,16 @@
   constructor(
     inbound: InboundRequest,
     admitted: AdmittedRequest,
-    { body, dependencies }: {
+    { body, isProbe, dependencies }: {
       body: Buffer | undefined;
+      isProbe: boolean;
       dependencies: ForwardingDependencies;
     },
   ) {
     this.inbound = inbound;
     this.admitted = admitted;
     this.body = body;
+    this.isProbe = isProbe;
     this.dependencies = dependencies;
     const { route, metadata } = admitted;
     const limit_ms = Math.min(
@@ -110,6 +119,12 @@
     return Math.max(1, this.expires_ms - this.dependencies.now());
   }
 
+  /** Whether endpoints crash on its prompt, so that it must not be sent. */
+  get isQuarantined(): boolean {
+    return !this.isProbe &&
+      this.dependencies.quarantine.isQuarantined(this.admitted.metadata.prompt);
+  }
+
   /** Whether the request may be run more than once. */
   get idempotent(): boolean {
     const { kind, resumable } = this.admitted.route;
--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -64,6 +64,10 @@
  * trace.
  */
 const ABORT_REASON = "attempt_over";
+/** Code of the error of a request that this host aborted. */
+const ABORTED_CODE = "ABORT_ERR";
+/** Logged for a response that is not this request's. */
+const FOREIGN_ANSWER = "foreign_answer";
 const MIN_REDIRECT_STATUS = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
 
@@ -99,6 +103,9 @@
     if (result.observedOutcome === ObservedOutcome.ConnectionFailed) {
       agents.closeIdleConnections(endpoint.address);
     }
+    context.crashSuspicion = mayHaveCrashed(result)
+      ? reportBrokenSend(context, endpoint)
+      : undefined;
     metrics.sends.inc({ outcome: result.observedOutcome });
     logSend(context, endpoint, { result, started_ms });
     if (result.outcome === SendOutcome.Answered) {
@@ -112,6 +119,22 @@
   }
 }
 
+/** Whether the endpoint may have crashed when it began to answer. */
+function mayHaveCrashed(result: SendResult): boolean {
+  const { outcome, observedOutcome, event_count = 0, reason } = result;
+  return outcome !== SendOutcome.NotRun &&
+    observedOutcome === ObservedOutcome.ConnectionFailed &&
+    event_count === 0 && reason !== ABORTED_CODE && reason !== FOREIGN_ANSWER;
+}
+
+function reportBrokenSend(
+  { admitted, dependencies }: RunContext,
+  endpoint: RouteEndpoint,
+): Promise<boolean> {
+  const { attempt_id, prompt } = admitted.metadata;
+  return dependencies.quarantine.recordBroken({ endpoint, attempt_id, prompt });
+}
+
 /**
  * Starts the timeout of one send; undefined if the request may not be retried.
  */
@@ -197,7 +220,7 @@
     discardResponse(response);
     return resultAfterFailure(context, SendOutcome.MayHaveRun, {
       first_byte_ms: received_ms,
-      reason: "foreign_answer",
+      reason: FOREIGN_ANSWER,
     });
   }
   if (metadata.not_run) {
@@ -211,13 +234,17 @@
   onResponse();
   const isStream = metadata.stream &&
     context.admitted.route.kind === CallKind.Streaming;
+  const { quarantine } = context.dependencies;
+  const recordAnswered = () =>
+    quarantine.recordAnswered(context.admitted.metadata.prompt);
   const relayed = isStream
-    ? await relayResponseStream(context, response, inputs)
+    ? await relayResponseStream(context, response, { inputs, recordAnswered })
     : await relayBuffered(context.inbound.response, response, {
       headers: codec.filterResponseHeaders(response.headers),
       withhold: response.status >= MIN_SERVER_ERROR_STATUS && context.mayRetry,
       closeConnection: context.dependencies.isShuttingDown(),
     });
+  if (!isStream && relayed.complete) recordAnswered();
   return resultAfterRelay(context, relayed, {
     first_byte_ms: received_ms,
     status: response.status,
@@ -272,7 +299,10 @@
 async function relayResponseStream(
   context: RunContext,
   response: EndpointResponse,
-  inputs: StageInputs,
+  { inputs, recordAnswered }: {
+    inputs: StageInputs;
+    recordAnswered: () => void;
+  },
 ): Promise<RelayResult> {
   const { codec, isShuttingDown } = context.dependencies;
   const relayed = await relayStream(context.inbound.response, response, {
@@ -280,6 +310,7 @@
     resumable: context.admitted.route.resumable,
     closeConnection: isShuttingDown(),
     onFirstBytes: inputs.freeResults,
+    onFirstEvent: recordAnswered,
   });
   context.lastEventId = relayed.last_event_id ?? context.lastEventId;
   return relayed;
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -9,7 +9,7 @@
   chooseByPrefix,
   chooseOfTwo,
 } from "../routing/choose_route_endpoint.ts";
-import { HOST_STOPPING, RejectionReason } from "./rejection.ts";
+import { HOST_STOPPING, QUARANTINED, RejectionReason } from "./rejection.ts";
 import { sendBufferedResponse } from "./relay.ts";
 import { type RunContext, StopReason } from "./run_context.ts";
 import { sendOnce, SendOutcome, type StageInputs } from "./send_once.ts";
@@ -159,6 +159,7 @@
   const tried = new Set<string>();
   let failures = 0;
   while (context.sendCount < MAX_SENDS && context.stopReason === undefined) {
+    if (context.isQuarantined) return rejectQuarantined(context);
     const endpoint = chooseEndpoint(context, tried);
     if (endpoint === undefined || !tryTakeSend(context)) break;
     context.sendCount += 1;
@@ -171,11 +172,19 @@
     failures += 1;
     const { max_attempts } = context.admitted.route;
     if (!context.idempotent || failures >= max_attempts) break;
+    if (await context.crashSuspicion) break;
   }
   endUnanswered(context);
   return false;
 }
 
+/** Ends a request on whose prompt endpoints crash; false: no input was lost. */
+function rejectQuarantined(context: RunContext): boolean {
+  if (context.mayHaveRun) endUnanswered(context);
+  else context.reject(QUARANTINED);
+  return false;
+}
+
 /**
  * Takes a retry from the retry budget, unless this is the first send; false if
  * the budget is exhausted.
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -39,6 +39,8 @@
 import { StoreReaders } from "./membership/store_readers.ts";
 import { GatewayMembers } from "./membership/gateway_members.ts";
 import { announceSelf } from "./membership/announce_self.ts";
+import { isConnectionRefused } from "./quarantine/probe_endpoint.ts";
+import { QuarantineService } from "./quarantine/quarantine_service.ts";
 import { ForwardMetrics } from "./metrics/forward_metrics.ts";
 import { createMetricsServer } from "./metrics/metrics_server.ts";
 import { GatewayClients } from "./peers/gateway_clients.ts";
@@ -201,6 +203,17 @@
     (call) => metrics.storeCalls.inc({ ...call }),
   );
   const signal = stopping.signal;
+  const quarantine = new QuarantineService({
+    self,
+    hosts: () => members.addresses(),
+    peers,
+    store,
+    isRefused: isConnectionRefused,
+    log,
+    now,
+    random,
+    signal,
+  });
   const feedClients = new FeedStreamClients({ log, now });
   const readers = new StoreReaders({
     self,
@@ -219,12 +232,14 @@
       configuration: new WatchCache(),
       endpoints: new WatchCache(),
       gateways: new WatchCache(),
+      quarantined: new WatchCache(),
     },
     readers,
     peers,
     configuration,
     endpoints,
     members,
+    quarantine,
     seeds: settings.seeds.filter((seed) => seed !== self),
     configurationListeners,
     endpointListeners,
@@ -257,6 +272,7 @@
     peers,
     feedClients,
     store,
+    quarantine,
     syncOptions,
     configurationListeners,
     endpointListeners,
@@ -322,6 +338,7 @@
     agents: context.agents,
     load: new ObservedLoad(),
     retryBudget: context.retryBudget,
+    quarantine: context.quarantine,
     stageGraph: {
       run: (job, signal) => jobRouter.run(job, signal),
       free: (freed) => jobRouter.free(freed),
@@ -355,6 +372,10 @@
       for (const freed of freedResults) batcher.free(freed);
     },
     snapshot: () => createStateSnapshot(syncOptions),
+    handleCrashReport: (report) => context.quarantine.handleReport(report),
+    handleAnsweredParts: (parts) => context.quarantine.handleAnswered(parts),
+    handleNotice: (notice, route) =>
+      context.quarantine.handleNotice(notice, route),
     changeRevisions: () => ({
       configuration: syncOptions.progress.configuration.lastChangeRevision,
       endpoints: syncOptions.progress.endpoints.lastChangeRevision,
--- a/src/peers/create_relayed_feeds.ts
+++ b/src/peers/create_relayed_feeds.ts
@@ -19,12 +19,14 @@
 /**
  * Longest watches at the store of a host that may have followers. Changes of
  * configuration and endpoints must reach them within two seconds even if the
- * watches of all readers fall silent; members only steer load.
+ * watches of all readers fall silent; members only steer load, and hosts tell each other
+ * of quarantined parts.
  */
 const MAX_STORE_WATCH_MS: Record<FeedName, number> = {
   [FeedName.Configuration]: 1_500,
   [FeedName.Endpoints]: 1_500,
   [FeedName.Gateways]: 20_000,
+  [FeedName.Quarantined]: 20_000,
 };
 
 /** Wraps each feed of the store in a relayed feed. */
@@ -44,5 +46,6 @@
     configuration: relay(FeedName.Configuration, store.configuration),
     endpoints: relay(FeedName.Endpoints, store.endpoints),
     gateways: relay(FeedName.Gateways, store.gateways),
+    quarantined: relay(FeedName.Quarantined, store.quarantined),
   };
 }
--- a/src/peers/feed_stream.ts
+++ b/src/peers/feed_stream.ts
@@ -12,6 +12,7 @@
 } from "../store_sync/object_feed.ts";
 import { serialiseConfiguration } from "../store_sync/state_snapshot.ts";
 import type { GatewayMember } from "../membership/gateway_members.ts";
+import type { QuarantinedParts } from "../quarantine/types.ts";
 import type { RouteConfiguration, RouteEndpoint } from "../routes/types.ts";
 
 /** HTTP path of the stream. */
@@ -22,6 +23,7 @@
   Configuration = "configuration",
   Endpoints = "endpoints",
   Gateways = "gateways",
+  Quarantined = "quarantined",
 }
 
 /** The watch cache of each feed. */
@@ -29,6 +31,7 @@
   configuration: WatchCache<RouteConfiguration>;
   endpoints: WatchCache<RouteEndpoint>;
   gateways: WatchCache<GatewayMember>;
+  quarantined: WatchCache<QuarantinedParts>;
 }
 
 /** One line of the stream. */
@@ -118,6 +121,7 @@
     configuration: caches.configuration.revision,
     endpoints: caches.endpoints.revision,
     gateways: caches.gateways.revision,
+    quarantined: caches.quarantined.revision,
   };
 }
 
--- a/src/peers/feed_stream_client.ts
+++ b/src/peers/feed_stream_client.ts
@@ -96,6 +96,7 @@
     configuration: new WatchCache(),
     endpoints: new WatchCache(),
     gateways: new WatchCache(),
+    quarantined: new WatchCache(),
   };
   last_used_ms = 0;
   closed = false;
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -10,7 +10,9 @@
 import { HttpClient } from "../utils/http_client.ts";
 import { createHttpFetch } from "../utils/http_fetch.ts";
 import { FREED_PATH, JOB_PATH } from "./job_messages.ts";
-import type { GatewayRpcRouter } from "./gateway_rpc_router.ts";
+import type { QuarantinePeers } from "../quarantine/quarantine_service.ts";
+import type { CrashReport, QuarantineNotice } from "../quarantine/types.ts";
+import type { GatewayRpcRouter, NoticeRoute } from "./gateway_rpc_router.ts";
 
 /** Timeout of calls that the peer answers without waiting. */
 const QUICK_CALL_TIMEOUT_MS = 400;
@@ -30,7 +32,7 @@
  * Opens and caches the clients of all gateway hosts. Every call rejects if the
  * host does not respond or responds with an error.
  */
-export class GatewayClients implements BatcherPeers {
+export class GatewayClients implements BatcherPeers, QuarantinePeers {
   #connections = new Map<string, PeerConnection>();
 
   /** Runs a job at another host. */
@@ -65,6 +67,26 @@
       .query() as StateSnapshot;
   }
 
+  /** Reports a crash to a ledger; resolves to the suspected prompt parts. */
+  async reportCrash(address: string, report: CrashReport): Promise<string[]> {
+    return await this.#connectionTo(address).trpc.crash.mutate(report);
+  }
+
+  /** Reports answers to requests with quarantined prompt parts to a ledger. */
+  async reportAnswered(address: string, parts: string[]): Promise<void> {
+    await this.#connectionTo(address).trpc.answered.mutate(parts);
+  }
+
+  /** Delivers a notice, which the host passes on to the targets. */
+  async notify(
+    address: string,
+    notice: QuarantineNotice,
+    route: NoticeRoute,
+  ): Promise<string[]> {
+    const { trpc } = this.#connectionTo(address);
+    return await trpc.notice.mutate({ ...route, notice });
+  }
+
   /** Closes every client. */
   close(): void {
     for (const { close } of this.#connections.values()) close();
--- a/src/peers/gateway_rpc_router.ts
+++ b/src/peers/gateway_rpc_router.ts
@@ -1,5 +1,12 @@
 /** tRPC procedures between gateway hosts; jobs use plain HTTP instead. */
 import { initTRPC } from "@trpc/server";
+import { z } from "zod";
+import {
+  type CrashReport,
+  crashReportSchema,
+  type QuarantineNotice,
+  quarantineNoticeSchema,
+} from "../quarantine/types.ts";
 import type {
   ChangeRevisions,
   StateSnapshot,
@@ -11,8 +18,27 @@
   isBatching: () => boolean;
   snapshot: () => StateSnapshot;
   changeRevisions: () => ChangeRevisions;
+  /** Resolves to the prompt parts that are suspected. */
+  handleCrashReport: (report: CrashReport) => Promise<string[]>;
+  /** Handles answers to requests with quarantined prompt parts. */
+  handleAnsweredParts: (parts: string[]) => Promise<void>;
+  /** Passes the notice on to the targets; resolves to parts that got answers. */
+  handleNotice: (
+    notice: QuarantineNotice,
+    route: NoticeRoute,
+  ) => Promise<string[]>;
 }
 
+const noticeRouteSchema = z.object({
+  /** Addresses of the hosts to which the notice is passed on. */
+  targets: z.array(z.string()),
+  /** Time in which the reply is awaited, in milliseconds. */
+  wait_ms: z.number(),
+});
+
+/** Where a notice goes next. */
+export type NoticeRoute = z.infer<typeof noticeRouteSchema>;
+
 const trpc = initTRPC.create();
 
 /** Creates the tRPC router. */
@@ -21,6 +47,15 @@
     ping: trpc.procedure.query(() => handlers.isBatching()),
     progress: trpc.procedure.query(() => handlers.changeRevisions()),
     beliefs: trpc.procedure.query(() => handlers.snapshot()),
+    crash: trpc.procedure.input(crashReportSchema)
+      .mutation(({ input }) => handlers.handleCrashReport(input)),
+    answered: trpc.procedure.input(z.array(z.string()))
+      .mutation(({ input }) => handlers.handleAnsweredParts(input)),
+    notice: trpc.procedure
+      .input(noticeRouteSchema.extend({ notice: quarantineNoticeSchema }))
+      .mutation(({ input: { notice, ...route } }) =>
+        handlers.handleNotice(notice, route)
+      ),
   });
 }
 
--- /dev/null
+++ b/src/quarantine/crash_ledger.ts
@@ -0,0 +1,140 @@
+/**
+ * Finds prompt parts on which endpoints crash. A crash ends every request that
+ * the endpoint holds, so a part is suspected only if it was in several crashes,
+ * at different times, endpoints and requests, and no request with it got an
+ * answer since. Does no I/O and reads no clock: callers pass the time in.
+ */
+import type { CrashReport } from "./types.ts";
+
+/** Crashes from which a part is suspected. */
+const SUSPECT_CRASHES = 2;
+/** Crashes from which a part is quarantined. */
+const QUARANTINE_CRASHES = 3;
+/** Different endpoints and requests that this takes. */
+const MIN_ENDPOINTS = 2;
+const MIN_REQUESTS = 2;
+/** Crashes closer together count as one: they may have one cause. */
+const MIN_CRASH_INTERVAL_MS = 300;
+/** Reports about one endpoint within this time are about one crash. */
+const SAME_CRASH_MS = 1_000;
+/** Evidence is dropped this long after the last crash. */
+const EVIDENCE_LIFETIME_MS = 600_000;
+/** Parts with evidence; beyond this the oldest are dropped. */
+const MAX_PARTS = 4_096;
+
+interface Crash {
+  address: string;
+  at_ms: number;
+}
+
+interface PartEvidence {
+  crashes: Crash[];
+  addresses: Set<string>;
+  attempts: Set<string>;
+  /** Other parts that every request with this part had. */
+  companions: Set<string>;
+}
+
+/** A suspected part and the time of its first crash. */
+export interface SuspectedPart {
+  part: string;
+  first_crash_ms: number;
+}
+
+/** Parts that together crash endpoints, and the time of their first crash. */
+export interface GuiltyParts {
+  parts: string[];
+  first_crash_ms: number;
+}
+
+/** Crashes by prompt part. */
+export class CrashLedger {
+  #evidence = new Map<string, PartEvidence>();
+
+  /** Records the requests that an endpoint held when it crashed. */
+  record({ address, requests }: CrashReport, now_ms: number): void {
+    this.#dropExpired(now_ms);
+    for (const { attempt_id, parts } of requests) {
+      for (const part of parts) {
+        const evidence = this.#evidenceOf(part, parts);
+        addCrash(evidence.crashes, { address, at_ms: now_ms });
+        addUpTo(evidence.addresses, address, MIN_ENDPOINTS);
+        addUpTo(evidence.attempts, attempt_id, MIN_REQUESTS);
+        const present = new Set(parts);
+        for (const other of evidence.companions) {
+          if (!present.has(other)) evidence.companions.delete(other);
+        }
+      }
+    }
+  }
+
+  /** Parts that were in several crashes. */
+  suspects(): SuspectedPart[] {
+    return [...this.#evidence]
+      .filter(([_, { crashes }]) => crashes.length >= SUSPECT_CRASHES)
+      .map(([part, { crashes }]) => ({
+        part,
+        first_crash_ms: crashes[0]?.at_ms ?? 0,
+      }));
+  }
+
+  /** Drops the evidence against parts of requests that got an answer. */
+  clear(parts: readonly string[]): void {
+    for (const part of parts) this.#evidence.delete(part);
+    for (const { companions } of this.#evidence.values()) {
+      for (const part of parts) companions.delete(part);
+    }
+  }
+
+  /** Parts to quarantine, each with those that always came with it. */
+  findGuilty(): GuiltyParts[] {
+    return [...this.#evidence]
+      .filter(([_, evidence]) => isGuilty(evidence))
+      .map(([part, { companions, crashes }]) => ({
+        parts: [part, ...companions].sort(),
+        first_crash_ms: crashes[0]?.at_ms ?? 0,
+      }));
+  }
+
+  #evidenceOf(part: string, parts: readonly string[]): PartEvidence {
+    const known = this.#evidence.get(part);
+    // The newest evidence stands last in the map.
+    this.#evidence.delete(part);
+    const evidence = known ?? {
+      crashes: [],
+      addresses: new Set<string>(),
+      attempts: new Set<string>(),
+      companions: new Set(parts.filter((other) => other !== part)),
+    };
+    this.#evidence.set(part, evidence);
+    return evidence;
+  }
+
+  #dropExpired(now_ms: number): void {
+    const oldest_ms = now_ms - EVIDENCE_LIFETIME_MS;
+    for (const [part, { crashes }] of this.#evidence) {
+      const expired = (crashes.at(-1)?.at_ms ?? 0) < oldest_ms;
+      if (!expired && this.#evidence.size <= MAX_PARTS) return;
+      this.#evidence.delete(part);
+    }
+  }
+}
+
+function addCrash(crashes: Crash[], crash: Crash): void {
+  const isKnown = crashes.some(({ address, at_ms }) => {
+    const interval_ms = crash.at_ms - at_ms;
+    return interval_ms < MIN_CRASH_INTERVAL_MS ||
+      (address === crash.address && interval_ms < SAME_CRASH_MS);
+  });
+  if (!isKnown && crashes.length < QUARANTINE_CRASHES) crashes.push(crash);
+}
+
+/** Adds a value while the set has fewer than `count`. */
+function addUpTo(values: Set<string>, value: string, count: number): void {
+  if (values.size < count) values.add(value);
+}
+
+function isGuilty({ crashes, addresses, attempts }: PartEvidence): boolean {
+  return crashes.length >= QUARANTINE_CRASHES &&
+    addresses.size >= MIN_ENDPOINTS && attempts.size >= MIN_REQUESTS;
+}
--- /dev/null
+++ b/src/quarantine/types.ts
@@ -0,0 +1,72 @@
+/** Messages about endpoints that crash and about quarantined prompt parts. */
+import { createHash } from "node:crypto";
+import { z } from "zod";
+import type { PromptPart } from "../routes/types.ts";
+
+const partsSchema = z.array(z.string());
+
+/** The requests of one host that an endpoint held when it crashed. */
+export const crashReportSchema = z.object({
+  /** Address of the endpoint, as `ip:port`. */
+  address: z.string(),
+  requests: z.array(z.object({
+    attempt_id: z.string(),
+    /** Prompt parts that other requests may share; the endpoint wrote no event. */
+    parts: partsSchema,
+  })),
+});
+
+/** Prompt parts that together crash endpoints. */
+export const quarantinedPartsSchema = z.object({
+  /** A request that has all of these parts is rejected. */
+  parts: partsSchema.min(1),
+  /** Number of requests that were let through as a test. */
+  probes: z.int().nonnegative(),
+});
+
+/** Kinds of {@linkcode QuarantineNotice}. */
+export enum NoticeKind {
+  /** Asks which prompt parts endpoints have answered lately. */
+  AskAnswered = "ask_answered",
+  Quarantine = "quarantine",
+  Release = "release",
+}
+
+/** A message to every host. */
+export const quarantineNoticeSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal(NoticeKind.AskAnswered),
+    questions: z.array(z.object({
+      part: z.string(),
+      /** Age up to which an answer counts, in milliseconds. */
+      within_ms: z.number(),
+    })),
+  }),
+  z.object({
+    kind: z.literal(NoticeKind.Quarantine),
+    quarantined: quarantinedPartsSchema,
+    /** Age up to which an answer contradicts the notice, in milliseconds. */
+    within_ms: z.number(),
+  }),
+  z.object({ kind: z.literal(NoticeKind.Release), name: z.string() }),
+]);
+
+/** The requests of one host that an endpoint held when it crashed. */
+export type CrashReport = z.infer<typeof crashReportSchema>;
+/** Prompt parts that together crash endpoints. */
+export type QuarantinedParts = z.infer<typeof quarantinedPartsSchema>;
+/** A message to every host. */
+export type QuarantineNotice = z.infer<typeof quarantineNoticeSchema>;
+
+const NAME_LENGTH = 32;
+
+/** Name of quarantined parts, the same on every host and in the store. */
+export function quarantineName(parts: readonly string[]): string {
+  return createHash("sha256").update([...parts].sort().join()).digest("hex")
+    .slice(0, NAME_LENGTH);
+}
+
+/** Ids of the parts that other requests may share: all but the last. */
+export function sharedParts(prompt: readonly PromptPart[]): string[] {
+  return [...new Set(prompt.slice(0, -1).map(({ id }) => id))];
+}
--- a/src/store_sync/state_snapshot.ts
+++ b/src/store_sync/state_snapshot.ts
@@ -1,5 +1,7 @@
 /** State that hosts share with peers that cannot reach the object store. */
 import type { RouteConfiguration, RouteEndpoint } from "../routes/types.ts";
+import type { QuarantineService } from "../quarantine/quarantine_service.ts";
+import type { QuarantinedParts } from "../quarantine/types.ts";
 import type { ActiveConfiguration } from "./active_configuration.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
 
@@ -10,6 +12,8 @@
   endpoints: RouteEndpoint[];
   /** Whether the host currently receives endpoint changes from its source. */
   endpoints_fresh: boolean;
+  /** Undefined from hosts of an older release. */
+  quarantined: QuarantinedParts[] | undefined;
 }
 
 /** Revision of the last change that a host has read from either feed. */
@@ -28,9 +32,10 @@
 
 /** Creates a snapshot of this host's state. */
 export function createStateSnapshot(
-  { configuration, endpoints, now }: {
+  { configuration, endpoints, quarantine, now }: {
     configuration: ActiveConfiguration;
     endpoints: EndpointRegistry;
+    quarantine: QuarantineService;
     now: () => number;
   },
 ): StateSnapshot {
@@ -39,6 +44,7 @@
     configuration: active && serialiseConfiguration(active),
     endpoints: endpoints.all(now()),
     endpoints_fresh: endpoints.sourceAvailable,
+    quarantined: quarantine.quarantine.entries(),
   };
 }
 
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -12,6 +12,8 @@
 import type { StoreReaders } from "../membership/store_readers.ts";
 import type { GatewayMember } from "../membership/gateway_members.ts";
 import type { FeedName, WatchCaches } from "../peers/feed_stream.ts";
+import type { QuarantineService } from "../quarantine/quarantine_service.ts";
+import type { QuarantinedParts } from "../quarantine/types.ts";
 import type { RouteConfiguration, RouteEndpoint } from "../routes/types.ts";
 import { FeedProgress, syncFeed } from "./sync_feed.ts";
 import type { FeedItem, ObjectFeed } from "./object_feed.ts";
@@ -23,6 +25,7 @@
   endpoints: ObjectFeed<RouteEndpoint>;
   /** The registered gateway hosts. */
   gateways: ObjectFeed<GatewayMember>;
+  quarantined: ObjectFeed<QuarantinedParts>;
 }
 
 /** The local state to update and the sources to update it from. */
@@ -34,6 +37,7 @@
   configuration: ActiveConfiguration;
   endpoints: EndpointRegistry;
   members: GatewayMembers;
+  quarantine: QuarantineService;
   /** Peer addresses, as `ip:port`, to contact before any members are known. */
   seeds: string[];
   configurationListeners: ((table: RouteTable) => void)[];
@@ -55,6 +59,8 @@
 const PEER_POLL_INTERVAL_MS = 400;
 /** Long, because members change seldom and a stale list costs little. */
 const MEMBER_WATCH_TIMEOUT_MS = 20_000;
+/** Long, because hosts also tell each other of quarantined parts. */
+const QUARANTINE_WATCH_TIMEOUT_MS = 20_000;
 /**
  * Endpoints often change together. Short beside the time in which a leaving
  * endpoint must stop getting requests.
@@ -71,6 +77,7 @@
     syncConfiguration(options, state),
     syncEndpoints(options, state),
     syncMembers(options),
+    syncQuarantined(options),
     compareWithPeers(options),
   ]);
 }
@@ -167,6 +174,20 @@
   });
 }
 
+function syncQuarantined(options: StoreSyncOptions): Promise<void> {
+  const { feeds, quarantine } = options;
+  return syncFeed(feeds.quarantined, {
+    onList: (items) =>
+      quarantine.replaceStored(
+        items.map(({ value }) => value).filter((value) => value !== undefined),
+      ),
+    onChanges: (changes) => quarantine.applyStoredChanges(changes),
+  }, {
+    ...feedOptions("quarantined", options),
+    wait_ms: QUARANTINE_WATCH_TIMEOUT_MS,
+  });
+}
+
 function feedOptions<Name extends `${FeedName}`>(
   name: Name,
   { watch_ms, watchCaches, log, now, random, signal }: StoreSyncOptions,
@@ -247,6 +268,7 @@
       const received = deserialiseConfiguration(snapshot.configuration);
       configuration.applyIfNewer(received, peer);
     }
+    options.quarantine.addFromPeer(snapshot.quarantined ?? []);
     // A stale list is better than none.
     const isUsable = snapshot.endpoints_fresh || endpoints.isEmpty;
     if (endpoints.sourceAvailable || !isUsable) return;
--- a/test/peers/create_relayed_feeds.test.ts
+++ b/test/peers/create_relayed_feeds.test.ts
@@ -37,7 +37,7 @@
     new StoreReaders({ self, hosts: () => HOSTS, readerCount: 3, now });
   const self = HOSTS.find((host) => readersAt(host).selfIsReader) ?? "";
   const feeds = createRelayedFeeds(
-    { configuration: feed, endpoints: feed, gateways: feed },
+    { configuration: feed, endpoints: feed, gateways: feed, quarantined: feed },
     {
       feedClients: new FeedStreamClients({ log, now }),
       readers: readersAt(self),
--- a/test/peers/feed_stream.test.ts
+++ b/test/peers/feed_stream.test.ts
@@ -35,6 +35,7 @@
     configuration: new WatchCache(),
     endpoints: new WatchCache(),
     gateways: new WatchCache(),
+    quarantined: new WatchCache(),
   };
   for (const cache of Object.values(caches)) cache.replaceAll([], 10);
   server = createServer((_, response) => {
--- /dev/null
+++ b/test/quarantine/crash_ledger.test.ts
@@ -0,0 +1,92 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { CrashLedger } from "../../src/quarantine/crash_ledger.ts";
+
+let attempts = 0;
+
+function report(ledger: CrashLedger, address: string, ...prompts: string[][]) {
+  const requests = prompts.map((parts) => ({
+    attempt_id: `attempt-${attempts++}`,
+    parts,
+  }));
+  return (now_ms: number) => ledger.record({ address, requests }, now_ms);
+}
+
+function guilty(ledger: CrashLedger): string[][] {
+  return ledger.findGuilty().map(({ parts }) => parts);
+}
+
+test("a part in three crashes at several endpoints is guilty", () => {
+  const ledger = new CrashLedger();
+  report(ledger, "e1", ["a", "x"])(1_000);
+  assert.deepEqual(ledger.suspects(), []);
+  report(ledger, "e2", ["b", "x"])(2_000);
+  assert.deepEqual(ledger.suspects(), [{ part: "x", first_crash_ms: 1_000 }]);
+  assert.deepEqual(guilty(ledger), []);
+  report(ledger, "e1", ["c", "x"])(4_000);
+  assert.deepEqual(guilty(ledger), [["x"]]);
+});
+
+test("parts that always come together are guilty together, until one gets an answer", () => {
+  const ledger = new CrashLedger();
+  for (const n of [1, 2, 3]) report(ledger, `e${n}`, ["x", "y"])(n * 1_000);
+  assert.deepEqual(guilty(ledger), [["x", "y"], ["x", "y"]]);
+  ledger.clear(["y"]);
+  assert.deepEqual(guilty(ledger), [["x"]]);
+});
+
+test("a crash without one of the parts narrows them down", () => {
+  const ledger = new CrashLedger();
+  for (const n of [1, 2, 3]) report(ledger, `e${n}`, ["x", "y"])(n * 1_000);
+  report(ledger, "e4", ["x", "z"])(4_000);
+  assert.deepEqual(guilty(ledger).sort(), [["x"], ["x", "y"]]);
+});
+
+test("one crash that several hosts report counts once", () => {
+  const ledger = new CrashLedger();
+  for (const delay_ms of [0, 5, 400, 900]) {
+    report(ledger, "e1", ["x"])(1_000 + delay_ms);
+  }
+  assert.deepEqual(ledger.suspects(), []);
+});
+
+test("crashes of many endpoints at one time count once", () => {
+  const ledger = new CrashLedger();
+  for (const n of [1, 2, 3, 4, 5]) report(ledger, `e${n}`, ["x"])(1_000 + n);
+  assert.deepEqual(ledger.suspects(), []);
+});
+
+test("one endpoint that crashes again and again makes no part guilty", () => {
+  const ledger = new CrashLedger();
+  for (const n of [1, 2, 3, 4, 5]) report(ledger, "e1", ["x"])(n * 2_000);
+  assert.deepEqual(guilty(ledger), []);
+});
+
+test("one request that is sent again after each crash makes no part guilty", () => {
+  const ledger = new CrashLedger();
+  for (const n of [1, 2, 3, 4]) {
+    const requests = [{ attempt_id: "same", parts: ["x"] }];
+    ledger.record({ address: `e${n}`, requests }, n * 1_000);
+  }
+  assert.deepEqual(guilty(ledger), []);
+});
+
+test("evidence ends with an answer and with time", () => {
+  const ledger = new CrashLedger();
+  report(ledger, "e1", ["x"])(1_000);
+  report(ledger, "e2", ["x"])(2_000);
+  ledger.clear(["x"]);
+  report(ledger, "e3", ["x"])(3_000);
+  assert.deepEqual(ledger.suspects(), []);
+  report(ledger, "e1", ["x"])(1_000_000);
+  report(ledger, "e2", ["y"])(1_000_000);
+  assert.deepEqual(ledger.suspects(), []);
+});
+
+test("endless new parts take bounded memory", () => {
+  const ledger = new CrashLedger();
+  report(ledger, "e1", ["x"])(0);
+  report(ledger, "e2", ["x"])(500);
+  for (let n = 0; n < 5_000; n++) report(ledger, "e1", [`p${n}`])(1_000 + n);
+  assert.deepEqual(ledger.suspects(), []);
+});
--- /dev/null
+++ b/test/quarantine/quarantine.test.ts
@@ -0,0 +1,71 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { AnsweredParts } from "../../src/quarantine/answered_parts.ts";
+import { Quarantine } from "../../src/quarantine/quarantine.ts";
+import { quarantineName, sharedParts } from "../../src/quarantine/types.ts";
+
+const MINUTE_MS = 60_000;
+
+test("a request falls under an entry if it has all of its parts", () => {
+  const quarantine = new Quarantine();
+  quarantine.put({ parts: ["x", "y"], probes: 0 }, 0);
+  assert.equal(quarantine.find(["x", "z"]), undefined);
+  assert.deepEqual(quarantine.find(["y", "z", "x"])?.parts, ["x", "y"]);
+  assert.equal(quarantine.find([]), undefined);
+});
+
+test("the last part of a prompt is the request's own", () => {
+  const prompt = ["a", "b", "a", "own"].map((id) => ({ id, tokens: 1 }));
+  assert.deepEqual(sharedParts(prompt), ["a", "b"]);
+  assert.deepEqual(sharedParts(prompt.slice(3)), []);
+});
+
+test("an entry that the store no longer has ends, one that it never had stays", () => {
+  const quarantine = new Quarantine();
+  const stored = { parts: ["x"], probes: 0 };
+  quarantine.replaceStored([stored], 0);
+  quarantine.put({ parts: ["y"], probes: 0 }, 0);
+  assert.deepEqual(quarantine.unstored(), [{ parts: ["y"], probes: 0 }]);
+  quarantine.replaceStored([], 0);
+  assert.equal(quarantine.find(["x"]), undefined);
+  assert.notEqual(quarantine.find(["y"]), undefined);
+});
+
+test("at most two probes are due, ever later", () => {
+  const quarantine = new Quarantine();
+  const due = (probes: number, now_ms: number) =>
+    quarantine.isProbeDue({ parts: ["x"], probes }, now_ms);
+  quarantine.put({ parts: ["x"], probes: 0 }, 0);
+  assert.equal(due(0, 9 * MINUTE_MS), false);
+  assert.equal(due(0, 10 * MINUTE_MS), true);
+  quarantine.put({ parts: ["x"], probes: 1 }, 10 * MINUTE_MS);
+  assert.equal(due(1, 69 * MINUTE_MS), false);
+  assert.equal(due(1, 70 * MINUTE_MS), true);
+  quarantine.put({ parts: ["x"], probes: 2 }, 70 * MINUTE_MS);
+  assert.equal(due(2, 10_000 * MINUTE_MS), false);
+});
+
+test("endless entries take bounded memory, the oldest are dropped", () => {
+  const quarantine = new Quarantine();
+  for (let n = 0; n < 300; n++) {
+    quarantine.put({ parts: [`p${n}`], probes: 0 }, n);
+  }
+  assert.equal(quarantine.entries().length, 256);
+  assert.equal(quarantine.find(["p0"]), undefined);
+  assert.notEqual(quarantine.find(["p299"]), undefined);
+});
+
+test("a name does not depend on the order of the parts", () => {
+  assert.equal(quarantineName(["x", "y"]), quarantineName(["y", "x"]));
+  assert.notEqual(quarantineName(["x", "y"]), quarantineName(["x"]));
+});
+
+test("answered parts are remembered up to a bound", () => {
+  const answered = new AnsweredParts();
+  answered.record(["old"], 5);
+  assert.equal(answered.hasAnswerSince("old", 5), true);
+  assert.equal(answered.hasAnswerSince("old", 6), false);
+  for (let n = 0; n < 9_000; n++) answered.record([`p${n}`], 10);
+  assert.equal(answered.hasAnswerSince("old", 0), false);
+  assert.equal(answered.hasAnswerSince("p8999", 10), true);
+});
--- /dev/null
+++ b/test/quarantine/quarantine_service.test.ts
@@ -0,0 +1,285 @@
+/** Several hosts' quarantine services, joined without a network. */
+import assert from "node:assert/strict";
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "node:test";
+import { createLogger } from "../../src/logging/logger.ts";
+import { rankCandidates } from "../../src/membership/rendezvous_hash.ts";
+import {
+  QuarantineDecision,
+  QuarantineService,
+} from "../../src/quarantine/quarantine_service.ts";
+import {
+  type QuarantinedParts,
+  quarantineName,
+} from "../../src/quarantine/types.ts";
+import {
+  type RouteEndpoint,
+  RouteEndpointState,
+} from "../../src/routes/types.ts";
+
+const HOUR_MS = 3_600_000;
+
+class Cluster {
+  readonly services = new Map<string, QuarantineService>();
+  readonly lost = new Set<string>();
+  readonly stored = new Map<string, QuarantinedParts>();
+  storeAvailable = true;
+  refused = true;
+  now_ms = 0;
+  notices = 0;
+  #attempts = 0;
+  #log = createLogger({ level: "error", host: "h", writeLine: () => {} });
+
+  constructor(count: number) {
+    for (let n = 1; n <= count; n++) this.start(`10.0.0.${n}:1`);
+  }
+
+  start(self: string): QuarantineService {
+    const at = (address: string) => {
+      const service = this.services.get(address);
+      if (service === undefined || this.lost.has(address)) {
+        throw new Error("no response");
+      }
+      return service;
+    };
+    const inStore = (change: () => void) =>
+      this.storeAvailable
+        ? Promise.resolve(change())
+        : Promise.reject(new Error("away"));
+    const service = new QuarantineService({
+      self,
+      hosts: () => [...this.services.keys()].sort(),
+      peers: {
+        reportCrash: async (address, report) =>
+          await at(address).handleReport(report),
+        reportAnswered: async (address, parts) =>
+          await at(address).handleAnswered(parts),
+        notify: async (address, notice, route) => {
+          this.notices += 1;
+          return await at(address).handleNotice(notice, route);
+        },
+      },
+      store: {
+        writeQuarantined: (name, quarantined) =>
+          inStore(() => this.stored.set(name, quarantined)),
+        removeQuarantined: (name) => inStore(() => this.stored.delete(name)),
+      },
+      isRefused: () => Promise.resolve(this.refused),
+      log: this.#log,
+      now: () => this.now_ms,
+      random: () => 0.5,
+      signal: new AbortController().signal,
+    });
+    this.services.set(self, service);
+    return service;
+  }
+
+  get live(): QuarantineService[] {
+    return [...this.services].filter(([address]) => !this.lost.has(address))
+      .map(([_, service]) => service);
+  }
+
+  /** The host that is ledger number `rank`. */
+  ledger(rank: number): string {
+    return rankCandidates("crashes", [...this.services.keys()])[rank] ?? "";
+  }
+
+  /** One endpoint crashes under requests of these hosts. */
+  async crash(number: number, parts: string[], hosts = [number]) {
+    this.now_ms += 1_000;
+    return await Promise.all(
+      hosts.map((host) =>
+        this.live[host % this.live.length]?.recordBroken({
+          endpoint: endpoint(number),
+          attempt_id: `attempt-${this.#attempts++}`,
+          prompt: prompt(parts),
+        })
+      ),
+    );
+  }
+
+  /** For each live host, whether it rejects requests with these parts. */
+  rejects(parts: string[]): boolean[] {
+    return this.live.map((service) =>
+      service.admit(prompt(parts)) === QuarantineDecision.Reject
+    );
+  }
+}
+
+function prompt(parts: string[]) {
+  return [...parts, "own"].map((id) => ({ id, tokens: 1 }));
+}
+
+function endpoint(number: number): RouteEndpoint {
+  return {
+    id: `e${number}`,
+    pool: "models",
+    address: `10.1.0.${number}:1`,
+    availability_zone: "az-1",
+    slots: 8,
+    state: RouteEndpointState.Ready,
+    born_ms: 1,
+  };
+}
+
+async function crashThrice(cluster: Cluster, parts: string[]): Promise<void> {
+  for (const number of [1, 2, 3]) await cluster.crash(number, parts);
+  await sleep(20);
+}
+
+for (const count of [1, 7, 60]) {
+  test(`${count} hosts reject a part after three crashes that different hosts saw`, async () => {
+    const cluster = new Cluster(count);
+    await crashThrice(cluster, ["a", "x"]);
+    assert.ok(cluster.rejects(["a", "x"]).every((rejects) => rejects));
+    assert.ok(cluster.rejects(["a"]).every((rejects) => !rejects));
+    assert.deepEqual([...cluster.stored.values()], [
+      { parts: ["a", "x"], probes: 0 },
+    ]);
+  });
+}
+
+test("a request in a second crash is suspected", async () => {
+  const cluster = new Cluster(3);
+  assert.deepEqual(await cluster.crash(1, ["x"]), [false]);
+  assert.deepEqual(await cluster.crash(2, ["x"]), [true]);
+});
+
+test("parts that got an answer at another host are not suspected", async () => {
+  const cluster = new Cluster(7);
+  for (const number of [1, 2, 3, 4, 5]) {
+    await cluster.crash(number, ["a", "x"]);
+    cluster.live[(number + 3) % 7]?.recordAnswered(prompt(["a", "b"]));
+  }
+  assert.ok(cluster.rejects(["a", "x"]).every((rejects) => rejects));
+  assert.ok(cluster.rejects(["a", "b"]).every((rejects) => !rejects));
+  assert.ok(cluster.rejects(["a"]).every((rejects) => !rejects));
+});
+
+test("a broken connection to an endpoint that still listens is no crash", async () => {
+  const cluster = new Cluster(3);
+  cluster.refused = false;
+  await crashThrice(cluster, ["x"]);
+  assert.ok(cluster.rejects(["x"]).every((rejects) => !rejects));
+});
+
+test("the loss of both ledgers between crashes delays the quarantine, and does not prevent it", async () => {
+  const cluster = new Cluster(7);
+  await cluster.crash(1, ["x"]);
+  for (const rank of [0, 1]) cluster.lost.add(cluster.ledger(rank));
+  await crashThrice(cluster, ["x"]);
+  assert.ok(cluster.rejects(["x"]).every((rejects) => rejects));
+});
+
+test("the loss of one ledger loses no evidence", async () => {
+  const cluster = new Cluster(7);
+  await cluster.crash(1, ["x"]);
+  await cluster.crash(2, ["x"]);
+  cluster.lost.add(cluster.ledger(0));
+  await cluster.crash(3, ["x"]);
+  await sleep(20);
+  assert.ok(cluster.rejects(["x"]).every((rejects) => rejects));
+});
+
+test("the store learns of a quarantine once it answers again", async () => {
+  const cluster = new Cluster(3);
+  cluster.storeAvailable = false;
+  await crashThrice(cluster, ["x"]);
+  assert.ok(cluster.rejects(["x"]).every((rejects) => rejects));
+  assert.equal(cluster.stored.size, 0);
+  cluster.storeAvailable = true;
+  await sleep(300);
+  assert.equal(cluster.stored.size, 1);
+});
+
+test("a host that missed the notice learns from the store, and a deletion there ends the entry", async () => {
+  const cluster = new Cluster(3);
+  await crashThrice(cluster, ["x"]);
+  const late = cluster.start("10.0.0.9:1");
+  late.replaceStored([...cluster.stored.values()]);
+  assert.equal(late.admit(prompt(["x"])), QuarantineDecision.Reject);
+  late.replaceStored([]);
+  assert.equal(late.admit(prompt(["x"])), QuarantineDecision.Admit);
+});
+
+test("a ledger writes an entry that the store lacks", async () => {
+  const cluster = new Cluster(3);
+  cluster.services.get(cluster.ledger(1))?.addFromPeer([
+    { parts: ["x"], probes: 0 },
+  ]);
+  for (const service of cluster.live) service.replaceStored([]);
+  await sleep(10);
+  assert.deepEqual([...cluster.stored.keys()], [quarantineName(["x"])]);
+});
+
+test("an answer to a quarantined part releases it everywhere, and narrows an entry of several parts", async () => {
+  const cluster = new Cluster(7);
+  await crashThrice(cluster, ["x", "y"]);
+  cluster.live[4]?.recordAnswered(prompt(["y"]));
+  await sleep(50);
+  assert.ok(cluster.rejects(["x"]).every((rejects) => rejects));
+  assert.ok(cluster.rejects(["y"]).every((rejects) => !rejects));
+  cluster.live[2]?.recordAnswered(prompt(["x"]));
+  await sleep(50);
+  assert.ok(cluster.rejects(["x"]).every((rejects) => !rejects));
+  assert.equal(cluster.stored.size, 0);
+});
+
+test("a host that has answers contradicts a quarantine whose question it missed", async () => {
+  const cluster = new Cluster(7);
+  const others = cluster.live.filter((service) =>
+    ![0, 1].some((rank) =>
+      service === cluster.services.get(cluster.ledger(rank))
+    )
+  );
+  await cluster.crash(1, ["x"]);
+  await cluster.crash(2, ["x"]);
+  others[0]?.recordAnswered(prompt(["x"]));
+  cluster.lost.add(
+    [...cluster.services].find(([_, s]) => s === others[0])?.[0] ?? "",
+  );
+  await cluster.crash(3, ["x"]);
+  cluster.lost.clear();
+  const notice = {
+    kind: "quarantine",
+    quarantined: { parts: ["x"], probes: 0 },
+    within_ms: 5_000,
+  } as Parameters<QuarantineService["handleNotice"]>[0];
+  const answered = await others[0]?.handleNotice(notice, {
+    targets: [],
+    wait_ms: 0,
+  });
+  assert.deepEqual(answered, ["x"]);
+  assert.equal(others[0]?.admit(prompt(["x"])), QuarantineDecision.Admit);
+});
+
+test("only the first ledger lets a probe through, and all hosts know of it", async () => {
+  const cluster = new Cluster(7);
+  await crashThrice(cluster, ["x"]);
+  cluster.now_ms += HOUR_MS;
+  const probes = () =>
+    cluster.live.filter((service) =>
+      service.admit(prompt(["x"])) === QuarantineDecision.AdmitAsProbe
+    ).length;
+  assert.equal(probes(), 1);
+  await sleep(20);
+  assert.equal(probes(), 0);
+  cluster.now_ms += HOUR_MS;
+  assert.equal(probes(), 1);
+  await sleep(20);
+  cluster.now_ms += 100 * HOUR_MS;
+  assert.equal(probes(), 0);
+  assert.deepEqual([...cluster.stored.values()], [{ parts: ["x"], probes: 2 }]);
+});
+
+test("a quarantine reaches 360 hosts without one message more than it takes", async () => {
+  const cluster = new Cluster(360);
+  await cluster.crash(1, ["x"]);
+  await cluster.crash(2, ["x"]);
+  cluster.notices = 0;
+  await cluster.crash(3, ["x"]);
+  await sleep(100);
+  assert.ok(cluster.rejects(["x"]).every((rejects) => rejects));
+  // At most, each of two ledgers asks all others and tells all others.
+  assert.ok(cluster.notices <= 4 * 359, `${cluster.notices} notices`);
+});
