Treat a stream that ends inside an event as broken off

What callers could see: a stream that broke off inside an event reached them as a complete success, when its endpoint had sent neither a length nor chunks, or had ended its chunks in order. Cause: only the connection's end was looked at. A stream is whole now if it ends after an event, and, without a length or chunks, if it has one at all. Events may end with CRLF or CR too.

--- a/src/forwarding/event_splitter.ts
+++ b/src/forwarding/event_splitter.ts
@@ -3,8 +3,13 @@
  * that breaks inside an event can be resumed after the last complete event.
  */
 
-const EVENT_BOUNDARY = Buffer.from("\n\n");
+/** Empty lines, which end an event, by the kind of line end. */
+const EVENT_BOUNDARIES = ["\n\n", "\r\n\r\n", "\r\r"].map((text) =>
+  Buffer.from(text)
+);
+const EVENT_BOUNDARY_PATTERN = /\n\n|\r\n\r\n|\r\r/;
 const EVENT_ID_LINE = /^id:[ ]?(.*)$/m;
+const LINE_ENDS: ReadonlySet<number> = new Set(Buffer.from("\r\n"));
 
 /** Largest event, since an incomplete event is kept in memory: 1 MiB. */
 const MAX_EVENT_BYTES = 1_048_576;
@@ -22,12 +27,11 @@
     const bytes = this.#incompleteEvent.length === 0
       ? chunk
       : Buffer.concat([this.#incompleteEvent, chunk]);
-    const boundary = bytes.lastIndexOf(EVENT_BOUNDARY);
-    if (boundary < 0) {
+    const end = endOfLastEvent(bytes);
+    if (end === 0) {
       this.#incompleteEvent = bytes;
       return Buffer.alloc(0);
     }
-    const end = boundary + EVENT_BOUNDARY.length;
     this.#incompleteEvent = bytes.subarray(end);
     const completeEvents = bytes.subarray(0, end);
     this.#recordEvents(completeEvents);
@@ -39,6 +43,11 @@
     return this.#incompleteEvent;
   }
 
+  /** Whether the bytes so far end within an event. */
+  get endsInsideEvent(): boolean {
+    return this.#incompleteEvent.some((byte) => !LINE_ENDS.has(byte));
+  }
+
   /** Whether the incomplete event is too large; the stream must then end. */
   get overflowed(): boolean {
     return this.#incompleteEvent.length > MAX_EVENT_BYTES;
@@ -47,7 +56,7 @@
   #recordEvents(completeEvents: Buffer): void {
     // One character for each byte: an id is copied to a header as bytes.
     const text = completeEvents.toString("latin1");
-    const events = text.split("\n\n");
+    const events = text.split(EVENT_BOUNDARY_PATTERN);
     this.eventCount += events.length - 1;
     for (const event of events) {
       const id = EVENT_ID_LINE.exec(event)?.[1];
@@ -55,3 +64,12 @@
     }
   }
 }
+
+/** Length of the bytes up to the end of the last event; 0 without one. */
+function endOfLastEvent(bytes: Buffer): number {
+  const ends = EVENT_BOUNDARIES.map((boundary) => {
+    const start = bytes.lastIndexOf(boundary);
+    return start < 0 ? 0 : start + boundary.length;
+  });
+  return Math.max(...ends);
+}
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -3,6 +3,7 @@
 import {
   discardResponse,
   type EndpointResponse,
+  headerValue,
   isComplete,
   type RawHeaders,
   readFullBody,
@@ -47,6 +48,7 @@
   closeConnection: boolean;
 }
 
+const FRAMING_HEADERS = ["content-length", "transfer-encoding"];
 /** Largest response that is buffered in memory: 16 MiB. */
 const MAX_BUFFERED_RESPONSE_BYTES = 16_777_216;
 
@@ -148,13 +150,31 @@
       endpointResponse.body.pause();
       callerResponse.once("drain", () => endpointResponse.body.resume());
     });
-    endpointResponse.body.on("end", () => finish(isComplete(endpointResponse)));
+    endpointResponse.body.on(
+      "end",
+      () => finish(isWholeStream(endpointResponse, splitter)),
+    );
     endpointResponse.body.on("error", () => finish(false));
     endpointResponse.body.on("close", () => finish(false));
     callerResponse.once("close", () => finish(false));
   });
 }
 
+/**
+ * Whether a stream that has ended is whole. Without a length or chunks, its end
+ * alone doesn't tell, so it must have an event.
+ */
+function isWholeStream(
+  response: EndpointResponse,
+  { endsInsideEvent, eventCount }: EventSplitter,
+): boolean {
+  const isFramed = FRAMING_HEADERS.some((name) =>
+    headerValue(response.headers, name) !== undefined
+  );
+  return isComplete(response) && !endsInsideEvent &&
+    (isFramed || eventCount > 0);
+}
+
 function writeHeadOnce(
   callerResponse: ServerResponse,
   endpointResponse: EndpointResponse,
