--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -11,7 +11,11 @@
 import { createHttpFetch } from "../utils/http_fetch.ts";
 import { FREED_PATH, JOB_PATH } from "./job_messages.ts";
 import type { QuarantinePeers } from "../quarantine/quarantine_service.ts";
-import type { CrashReport, QuarantineNotice } from "../quarantine/types.ts";
+import type {
+  CrashReply,
+  CrashReport,
+  QuarantineNotice,
+} from "../quarantine/types.ts";
 import type { GatewayRpcRouter, NoticeRoute } from "./gateway_rpc_router.ts";
 
 /** Timeout of calls that the peer answers without waiting. */
@@ -67,8 +71,11 @@
       .query() as StateSnapshot;
   }
 
-  /** Reports a crash to a ledger; resolves to the suspected prompt parts. */
-  async reportCrash(address: string, report: CrashReport): Promise<string[]> {
+  /** Reports a crash to a ledger. */
+  async reportCrash(
+    address: string,
+    report: CrashReport,
+  ): Promise<CrashReply> {
     return await this.#connectionTo(address).trpc.crash.mutate(report);
   }
 
--- a/src/peers/gateway_rpc_router.ts
+++ b/src/peers/gateway_rpc_router.ts
@@ -2,6 +2,7 @@
 import { initTRPC } from "@trpc/server";
 import { z } from "zod";
 import {
+  type CrashReply,
   type CrashReport,
   crashReportSchema,
   type QuarantineNotice,
@@ -18,8 +19,8 @@
   isBatching: () => boolean;
   snapshot: () => StateSnapshot;
   changeRevisions: () => ChangeRevisions;
-  /** Resolves to the prompt parts that are suspected. */
-  handleCrashReport: (report: CrashReport) => Promise<string[]>;
+  /** Handles a report as a ledger. */
+  handleCrashReport: (report: CrashReport) => Promise<CrashReply>;
   /** Handles answers to requests with quarantined prompt parts. */
   handleAnsweredParts: (parts: string[]) => Promise<void>;
   /** Passes the notice on to the targets; resolves to parts that got answers. */
--- a/src/quarantine/quarantine_service.ts
+++ b/src/quarantine/quarantine_service.ts
@@ -17,6 +17,7 @@
 import { CrashLedger } from "./crash_ledger.ts";
 import { Quarantine } from "./quarantine.ts";
 import {
+  type CrashReply,
   type CrashReport,
   NoticeKind,
   type QuarantinedParts,
@@ -27,8 +28,8 @@
 
 /** Calls to other hosts; they reject if the host does not respond. */
 export interface QuarantinePeers {
-  /** Reports a crash; resolves to the parts that are suspected. */
-  reportCrash(address: string, report: CrashReport): Promise<string[]>;
+  /** Reports a crash to a ledger. */
+  reportCrash(address: string, report: CrashReport): Promise<CrashReply>;
   /** Reports parts that got an answer although they are quarantined. */
   reportAnswered(address: string, parts: string[]): Promise<void>;
   /** Delivers a notice, which the host passes on to the targets. */
@@ -179,16 +180,24 @@
       local: () => this.handleReport(report),
       remote: (ledger) => this.#options.peers.reportCrash(ledger, report),
     });
-    return [...new Set(replies.flat())];
+    // This host may have missed the notice of an entry.
+    this.addFromPeer(replies.flatMap(({ quarantined }) => quarantined));
+    return replies.flatMap(({ suspects }) => suspects);
   }
 
-  /** Handles a report as a ledger; resolves to the parts that are suspected. */
-  async handleReport(report: CrashReport): Promise<string[]> {
+  /** Handles a report as a ledger. */
+  async handleReport(report: CrashReport): Promise<CrashReply> {
     this.#ledger.record(report, this.#options.now());
-    if (this.#ledger.suspects().length === 0) return [];
-    this.#question ??= this.#askAll();
-    await this.#question;
-    return this.#ledger.suspects().map(({ part }) => part);
+    if (this.#ledger.suspects().length > 0) {
+      this.#question ??= this.#askAll();
+      await this.#question;
+    }
+    return {
+      suspects: this.#ledger.suspects().map(({ part }) => part),
+      quarantined: report.requests.flatMap(({ parts }) =>
+        this.quarantine.find(parts) ?? []
+      ),
+    };
   }
 
   /** Handles, as a ledger, answers to requests with quarantined parts. */
@@ -225,7 +234,7 @@
     }
   }
 
-  /** Adds entries of another host, when the store does not answer. */
+  /** Adds entries of another host. */
   addFromPeer(entries: readonly QuarantinedParts[]): void {
     for (const each of entries) this.quarantine.put(each, this.#options.now());
   }
--- a/src/quarantine/types.ts
+++ b/src/quarantine/types.ts
@@ -55,6 +55,15 @@
 export type CrashReport = z.infer<typeof crashReportSchema>;
 /** Prompt parts that together crash endpoints. */
 export type QuarantinedParts = z.infer<typeof quarantinedPartsSchema>;
+
+/** What a ledger replies to a report. */
+export interface CrashReply {
+  /** Parts that are suspected. */
+  suspects: string[];
+  /** Entries that the reported requests fall under. */
+  quarantined: QuarantinedParts[];
+}
+
 /** A message to every host. */
 export type QuarantineNotice = z.infer<typeof quarantineNoticeSchema>;
 
--- a/test/quarantine/quarantine_service.test.ts
+++ b/test/quarantine/quarantine_service.test.ts
@@ -202,6 +202,15 @@
   assert.equal(late.admit(prompt(["x"])), QuarantineDecision.Admit);
 });
 
+test("a host that missed the notice learns of it from its first report", async () => {
+  const cluster = new Cluster(3);
+  await crashThrice(cluster, ["x"]);
+  const late = cluster.start("10.0.0.9:1");
+  assert.equal(late.admit(prompt(["x"])), QuarantineDecision.Admit);
+  await cluster.crash(4, ["x"], [cluster.live.indexOf(late)]);
+  assert.equal(late.admit(prompt(["x"])), QuarantineDecision.Reject);
+});
+
 test("a ledger writes an entry that the store lacks", async () => {
   const cluster = new Cluster(3);
   cluster.services.get(cluster.ledger(1))?.addFromPeer([
