--- a/src/forwarding/adapter.ts
+++ b/src/forwarding/adapter.ts
@@ -1,7 +1,7 @@
 /** Interfaces through which a gateway host uses the deployment it runs in. */
 import type { ObjectFeed } from "../store_sync/object_feed.ts";
 import type { GatewayMember } from "../membership/gateway_members.ts";
-import type { QuarantineStore } from "../quarantine/quarantine_service.ts";
+import type { QuarantineStore } from "../quarantine/quarantine_store.ts";
 import type { QuarantinedParts } from "../quarantine/types.ts";
 import type { RouteConfiguration, RouteEndpoint } from "../routes/types.ts";
 import type { Address } from "../settings/settings.ts";
--- a/src/forwarding/forward_request.ts
+++ b/src/forwarding/forward_request.ts
@@ -48,6 +48,8 @@
   const decision = dependencies.quarantine.admit(admitted.metadata.prompt);
   if (decision === QuarantineDecision.Reject) {
     logRejection(dependencies, inbound, QUARANTINED);
+    const { kind } = admitted.route;
+    dependencies.metrics.requests.inc({ kind, outcome: QUARANTINED.reason });
     sendRejection(response, QUARANTINED, !dependencies.isShuttingDown());
     return;
   }
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -185,7 +185,9 @@
   const lifecycle = new HostLifecycle((state) =>
     log.info({ event: "lifecycle", state })
   );
-  const metrics = new ForwardMetrics();
+  const metrics = new ForwardMetrics(() =>
+    quarantine.quarantine.entries().length
+  );
   const configurationListeners: StoreSyncOptions["configurationListeners"] = [];
   const endpointListeners: StoreSyncOptions["endpointListeners"] = [];
   const configuration = new ActiveConfiguration((table, source) => {
@@ -209,6 +211,7 @@
     peers,
     store,
     isRefused: isConnectionRefused,
+    onCrash: () => metrics.endpointCrashes.inc(),
     log,
     now,
     random,
--- a/src/metrics/forward_metrics.ts
+++ b/src/metrics/forward_metrics.ts
@@ -50,9 +50,26 @@
     labelNames: ["operation", "kind"],
     registers: [this.registry],
   });
+  readonly endpointCrashes = new Counter({
+    name: "sesamequay_endpoint_crashes_total",
+    help: "Endpoints that crashed before they began to answer this host",
+    registers: [this.registry],
+  });
   readonly configurationVersion = new Gauge({
     name: "sesamequay_configuration_version",
     help: "Version of the configuration in force",
     registers: [this.registry],
   });
+
+  /** `quarantinedEntries` is called when the metrics are read. */
+  constructor(quarantinedEntries: () => number) {
+    new Gauge({
+      name: "sesamequay_quarantined_entries",
+      help: "Sets of prompt parts on which endpoints crash",
+      registers: [this.registry],
+      collect() {
+        this.set(quarantinedEntries());
+      },
+    });
+  }
 }
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -10,13 +10,14 @@
 import { HttpClient } from "../utils/http_client.ts";
 import { createHttpFetch } from "../utils/http_fetch.ts";
 import { FREED_PATH, JOB_PATH } from "./job_messages.ts";
+import type { NoticeRoute } from "../quarantine/notice_board.ts";
 import type { QuarantinePeers } from "../quarantine/quarantine_service.ts";
 import type {
   CrashReply,
   CrashReport,
   QuarantineNotice,
 } from "../quarantine/types.ts";
-import type { GatewayRpcRouter, NoticeRoute } from "./gateway_rpc_router.ts";
+import type { GatewayRpcRouter } from "./gateway_rpc_router.ts";
 
 /** Timeout of calls that the peer answers without waiting. */
 const QUICK_CALL_TIMEOUT_MS = 400;
--- a/src/peers/gateway_rpc_router.ts
+++ b/src/peers/gateway_rpc_router.ts
@@ -1,6 +1,7 @@
 /** tRPC procedures between gateway hosts; jobs use plain HTTP instead. */
 import { initTRPC } from "@trpc/server";
 import { z } from "zod";
+import type { NoticeRoute } from "../quarantine/notice_board.ts";
 import {
   type CrashReply,
   type CrashReport,
@@ -37,9 +38,6 @@
   wait_ms: z.number(),
 });
 
-/** Where a notice goes next. */
-export type NoticeRoute = z.infer<typeof noticeRouteSchema>;
-
 const trpc = initTRPC.create();
 
 /** Creates the tRPC router. */
--- /dev/null
+++ b/src/quarantine/ledger_service.ts
@@ -0,0 +1,121 @@
+/**
+ * What a host does as a ledger: it gathers the reports of all hosts, asks them
+ * whether suspected parts got answers, and quarantines those that did not.
+ */
+import type { Logger } from "../logging/logger.ts";
+import { abortableDelay } from "../utils/delay.ts";
+import { CrashLedger } from "./crash_ledger.ts";
+import type { NoticeBoard } from "./notice_board.ts";
+import type { Quarantine } from "./quarantine.ts";
+import type { QuarantineWriter } from "./quarantine_store.ts";
+import {
+  type CrashReply,
+  type CrashReport,
+  NoticeKind,
+  type QuarantinedParts,
+  quarantineName,
+} from "./types.ts";
+
+/** Dependencies of a {@linkcode LedgerService}. */
+export interface LedgerServiceOptions {
+  quarantine: Quarantine;
+  notices: NoticeBoard;
+  writer: QuarantineWriter;
+  log: Logger;
+  now: () => number;
+  signal: AbortSignal;
+}
+
+/** Reports about one crash share a question to all hosts within this time. */
+const QUESTION_WINDOW_MS = 50;
+
+/** Decides which prompt parts are quarantined. */
+export class LedgerService {
+  #options: LedgerServiceOptions;
+  #ledger = new CrashLedger();
+  /** The question that is about to be asked. */
+  #question: Promise<void> | undefined;
+
+  constructor(options: LedgerServiceOptions) {
+    this.#options = options;
+  }
+
+  /** Handles the report of a host. */
+  async handleReport(report: CrashReport): Promise<CrashReply> {
+    const { quarantine, now } = this.#options;
+    this.#ledger.record(report, now());
+    if (this.#ledger.suspects().length > 0) {
+      this.#question ??= this.#askAll();
+      await this.#question;
+    }
+    return {
+      suspects: this.#ledger.suspects().map(({ part }) => part),
+      quarantined: report.requests.flatMap(({ parts }) =>
+        quarantine.find(parts) ?? []
+      ),
+    };
+  }
+
+  /** Handles answers to requests with quarantined parts. */
+  async handleAnswered(parts: string[]): Promise<void> {
+    const { quarantine } = this.#options;
+    this.#ledger.clear(parts);
+    // What remains of an entry is in force before the entry ends.
+    await this.#quarantineGuilty();
+    for (const name of quarantine.namesWith(parts)) this.#release(name);
+  }
+
+  /** Makes an entry known to all hosts and to the store. */
+  async publish(
+    quarantined: QuarantinedParts,
+    within_ms: number,
+  ): Promise<void> {
+    const { notices, writer } = this.#options;
+    void writer.write(quarantined);
+    const kind = NoticeKind.Quarantine;
+    const answered = await notices.announce({ kind, quarantined, within_ms });
+    if (answered.length > 0) await this.handleAnswered(answered);
+  }
+
+  async #askAll(): Promise<void> {
+    const { notices, now, signal, log } = this.#options;
+    await abortableDelay(QUESTION_WINDOW_MS, signal);
+    this.#question = undefined;
+    const answered = await notices.announce({
+      kind: NoticeKind.AskAnswered,
+      questions: this.#ledger.suspects().map(({ part, first_crash_ms }) => ({
+        part,
+        within_ms: now() - first_crash_ms,
+      })),
+    });
+    this.#ledger.clear(answered);
+    log.info({
+      event: "crash_suspects",
+      suspects: this.#ledger.suspects().map(({ part }) => part).join(","),
+      answered: answered.join(","),
+    });
+    await this.#quarantineGuilty();
+  }
+
+  /** Quarantines what the ledger finds; resolves when the hosts know of it. */
+  async #quarantineGuilty(): Promise<void> {
+    const { quarantine, now, log } = this.#options;
+    const published: Promise<void>[] = [];
+    for (const { parts, first_crash_ms } of this.#ledger.findGuilty()) {
+      const quarantined = { parts, probes: 0 };
+      if (!quarantine.put(quarantined, now())) continue;
+      const name = quarantineName(parts);
+      log.warn({ event: "quarantine", name, parts: parts.join(",") });
+      published.push(this.publish(quarantined, now() - first_crash_ms));
+    }
+    await Promise.all(published);
+  }
+
+  #release(name: string): void {
+    const { quarantine, notices, writer, log } = this.#options;
+    log.warn({ event: "quarantine_released", name });
+    quarantine.remove(name);
+    void notices.announce({ kind: NoticeKind.Release, name });
+    void writer.remove(name);
+  }
+}
--- /dev/null
+++ b/src/quarantine/notice_board.ts
@@ -0,0 +1,123 @@
+/** Sends notices about prompt parts to all hosts and applies them here. */
+import type { Logger } from "../logging/logger.ts";
+import { spread } from "../peers/spread.ts";
+import { abortableDelay } from "../utils/delay.ts";
+import type { AnsweredParts } from "./answered_parts.ts";
+import type { Quarantine } from "./quarantine.ts";
+import { NoticeKind, type QuarantineNotice } from "./types.ts";
+
+/** Where a notice goes next. */
+export interface NoticeRoute {
+  /** Addresses of the hosts to which the notice is passed on. */
+  targets: string[];
+  /** Time in which the replies are awaited, in milliseconds. */
+  wait_ms: number;
+}
+
+/** Delivers a notice to a host, which passes it on; rejects if it is lost. */
+export type DeliverNotice = (
+  address: string,
+  notice: QuarantineNotice,
+  route: NoticeRoute,
+) => Promise<string[]>;
+
+/** Dependencies of a {@linkcode NoticeBoard}. */
+export interface NoticeBoardOptions {
+  /** Address at which peers reach this host. */
+  self: string;
+  /** Addresses of all hosts, this one included. */
+  hosts: () => string[];
+  deliver: DeliverNotice;
+  quarantine: Quarantine;
+  answered: AnsweredParts;
+  log: Logger;
+  now: () => number;
+  signal: AbortSignal;
+}
+
+/** Time that the replies of all hosts may take, and less at each level below. */
+const REPLY_TIMEOUT_MS = 300;
+const TIMEOUT_STEP_MS = 100;
+
+/** Sends notices to all hosts and applies them here. */
+export class NoticeBoard {
+  #options: NoticeBoardOptions;
+
+  constructor(options: NoticeBoardOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Applies a notice here and sends it to all hosts. Resolves to the parts of it
+   * that got answers; never rejects.
+   */
+  announce(notice: QuarantineNotice): Promise<string[]> {
+    const { self, hosts } = this.#options;
+    const targets = hosts().filter((address) => address !== self);
+    return this.handle(notice, { targets, wait_ms: REPLY_TIMEOUT_MS });
+  }
+
+  /** Applies a notice and passes it on; resolves to parts that got answers. */
+  async handle(
+    notice: QuarantineNotice,
+    route: NoticeRoute,
+  ): Promise<string[]> {
+    const own = this.#apply(notice);
+    const others = await this.#passOn(notice, route);
+    return [...new Set([...own, ...others])];
+  }
+
+  async #passOn(
+    notice: QuarantineNotice,
+    { targets, wait_ms }: NoticeRoute,
+  ): Promise<string[]> {
+    const { deliver, log, signal } = this.#options;
+    if (targets.length === 0) return [];
+    const below_ms = wait_ms - TIMEOUT_STEP_MS;
+    const replies = spread(targets, {
+      send: (address, rest) =>
+        deliver(address, notice, { targets: rest, wait_ms: below_ms }),
+      onFailure: (peer, error) =>
+        log.info({ event: "notice_failed", peer, error: error.message }),
+    });
+    const timeout = abortableDelay(Math.max(0, wait_ms), signal);
+    return await Promise.race([replies, timeout.then(() => [])]);
+  }
+
+  #apply(notice: QuarantineNotice): string[] {
+    switch (notice.kind) {
+      case NoticeKind.AskAnswered:
+        return notice.questions
+          .filter(({ part, within_ms }) => this.#isAnswered(part, within_ms))
+          .map(({ part }) => part);
+      case NoticeKind.Quarantine:
+        return this.#applyQuarantine(notice);
+      case NoticeKind.Release:
+        this.#options.quarantine.remove(notice.name);
+        return [];
+    }
+  }
+
+  /** Adds an entry, unless one of its parts got an answer here. */
+  #applyQuarantine(
+    { quarantined, within_ms }: Extract<
+      QuarantineNotice,
+      { kind: NoticeKind.Quarantine }
+    >,
+  ): string[] {
+    const { quarantine, log, now } = this.#options;
+    const answered = quarantined.parts.filter((part) =>
+      this.#isAnswered(part, within_ms)
+    );
+    if (answered.length === 0 && quarantine.put(quarantined, now())) {
+      const parts = quarantined.parts.join(",");
+      log.info({ event: "quarantine_received", parts });
+    }
+    return answered;
+  }
+
+  #isAnswered(part: string, within_ms: number): boolean {
+    const { answered, now } = this.#options;
+    return answered.hasAnswerSince(part, now() - within_ms);
+  }
+}
--- a/test/quarantine/quarantine_service.test.ts
+++ b/test/quarantine/quarantine_service.test.ts
@@ -64,6 +64,7 @@
           inStore(() => this.stored.set(name, quarantined)),
         removeQuarantined: (name) => inStore(() => this.stored.delete(name)),
       },
+      onCrash: () => {},
       isRefused: () => Promise.resolve(this.refused),
       log: this.#log,
       now: () => this.now_ms,
