Narrow a quarantine entry without evidence, instead of dropping it

All hosts were killed at 13 s and read the entry of two parts from the store. At 19.7 s a sound request with one of the two was answered; the ledgers, whose evidence was gone, dropped the whole entry, and five more crashes followed until it was there again. An entry is evidence itself: what remains of it without the answered parts stays. Ruled out: the start (no crash from 13.9 to 19.7 s), a lost notice. Test: fails before, passes.

--- a/src/quarantine/ledger_service.ts
+++ b/src/quarantine/ledger_service.ts
@@ -60,9 +60,11 @@
   async handleAnswered(parts: string[]): Promise<void> {
     const { quarantine } = this.#options;
     this.#ledger.clear(parts);
-    // What remains of an entry is in force before the entry ends.
-    await this.#quarantineGuilty();
-    for (const name of quarantine.namesWith(parts)) this.#release(name);
+    // What remains of an entry is in force before the entry ends. The evidence
+    // may be gone, so it follows from the entry itself.
+    const affected = quarantine.withAny(parts);
+    await Promise.all(affected.map((entry) => this.#narrow(entry, parts)));
+    for (const entry of affected) this.#release(quarantineName(entry.parts));
   }
 
   /** Makes an entry known to all hosts and to the store. */
@@ -99,16 +101,34 @@
 
   /** Quarantines what the ledger finds; resolves when the hosts know of it. */
   async #quarantineGuilty(): Promise<void> {
+    const { now } = this.#options;
+    await Promise.all(
+      this.#ledger.findGuilty().map(({ parts, first_crash_ms }) =>
+        this.#add({ parts, probes: 0 }, now() - first_crash_ms)
+      ),
+    );
+  }
+
+  /** Adds what is left of an entry without the answered parts. */
+  async #narrow(
+    { parts, probes }: QuarantinedParts,
+    answered: string[],
+  ): Promise<void> {
+    const rest = parts.filter((part) => !answered.includes(part));
+    if (rest.length > 0) await this.#add({ parts: rest, probes }, 0);
+  }
+
+  /** Adds an entry; resolves when the hosts know of it. */
+  async #add(
+    quarantined: QuarantinedParts,
+    within_ms: number,
+  ): Promise<void> {
     const { quarantine, now, log } = this.#options;
-    const published: Promise<void>[] = [];
-    for (const { parts, first_crash_ms } of this.#ledger.findGuilty()) {
-      const quarantined = { parts, probes: 0 };
-      if (!quarantine.put(quarantined, now())) continue;
-      const name = quarantineName(parts);
-      log.warn({ event: "quarantine", name, parts: parts.join(",") });
-      published.push(this.publish(quarantined, now() - first_crash_ms));
-    }
-    await Promise.all(published);
+    if (!quarantine.put(quarantined, now())) return;
+    const { parts } = quarantined;
+    const name = quarantineName(parts);
+    log.warn({ event: "quarantine", name, parts: parts.join(",") });
+    await this.publish(quarantined, within_ms);
   }
 
   #release(name: string): void {
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -83,13 +83,11 @@
     );
   }
 
-  /** Names of the entries that have one of these parts. */
-  namesWith(parts: readonly string[]): string[] {
-    return [...this.#entries]
-      .filter(([_, { quarantined }]) =>
-        quarantined.parts.some((part) => parts.includes(part))
-      )
-      .map(([name]) => name);
+  /** The entries that have one of these parts. */
+  withAny(parts: readonly string[]): QuarantinedParts[] {
+    return this.entries().filter((entry) =>
+      entry.parts.some((part) => parts.includes(part))
+    );
   }
 
   /** Whether a request may be let through as a probe of an entry. */
--- a/src/quarantine/quarantine_service.ts
+++ b/src/quarantine/quarantine_service.ts
@@ -132,7 +132,7 @@
     const parts = sharedParts(prompt);
     if (parts.length === 0) return;
     this.#answered.record(parts, this.#options.now());
-    if (this.quarantine.namesWith(parts).length === 0) return;
+    if (this.quarantine.withAny(parts).length === 0) return;
     void this.#callLedgers({
       local: () => this.handleAnswered(parts),
       remote: (ledger) => this.#options.peers.reportAnswered(ledger, parts),
--- a/test/quarantine/quarantine_service.test.ts
+++ b/test/quarantine/quarantine_service.test.ts
@@ -235,6 +235,22 @@
   assert.equal(cluster.stored.size, 0);
 });
 
+test("ledgers that started anew narrow an entry of the store, and do not drop it", async () => {
+  const cluster = new Cluster(3);
+  cluster.stored.set(quarantineName(["x", "y"]), {
+    parts: ["x", "y"],
+    probes: 1,
+  });
+  for (const service of cluster.live) {
+    service.replaceStored([...cluster.stored.values()]);
+  }
+  cluster.live[0]?.recordAnswered(prompt(["y"]));
+  await sleep(50);
+  assert.ok(cluster.rejects(["x"]).every((rejects) => rejects));
+  assert.ok(cluster.rejects(["y"]).every((rejects) => !rejects));
+  assert.deepEqual([...cluster.stored.values()], [{ parts: ["x"], probes: 1 }]);
+});
+
 test("a host that has answers contradicts a quarantine whose question it missed", async () => {
   const cluster = new Cluster(7);
   const others = cluster.live.filter((service) =>
