--- a/src/endpoints/exchange.ts
+++ b/src/endpoints/exchange.ts
@@ -170,3 +170,10 @@
   }
   return undefined;
 }
+
+/** All values of a header; `name` must be in lower case. */
+export function headerValues(headers: RawHeaders, name: string): string[] {
+  return headers.filter((_, index) =>
+    index % 2 === 1 && headers[index - 1]?.toLowerCase() === name
+  );
+}
--- a/src/forwarding/protocol_codec.ts
+++ b/src/forwarding/protocol_codec.ts
@@ -65,6 +65,22 @@
   stream: boolean;
   /** The endpoint's load; undefined if it reported none. */
   load: ReportedLoad | undefined;
+  rate_limit: NamedRateLimit;
+}
+
+/** The rate limit that a response of an endpoint names. */
+export type NamedRateLimit =
+  | { kind: RateLimitKind.None }
+  /** Requests per second that the endpoint takes from all hosts together. */
+  | { kind: RateLimitKind.Limited; per_s: number }
+  /** Malformed: what the endpoint named before stays in force. */
+  | { kind: RateLimitKind.Unreadable };
+
+/** The kinds of {@linkcode NamedRateLimit}. */
+export enum RateLimitKind {
+  None = "none",
+  Limited = "limited",
+  Unreadable = "unreadable",
 }
 
 /** An HTTP request to an endpoint, ready to send. */
--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -12,7 +12,7 @@
 } from "../endpoints/exchange.ts";
 import { CallKind, type RouteEndpoint } from "../routes/types.ts";
 import { ObservedOutcome } from "../routing/observed_load.ts";
-import type { ResponseMetadata } from "./protocol_codec.ts";
+import { RateLimitKind, type ResponseMetadata } from "./protocol_codec.ts";
 import { relayBuffered, type RelayResult, relayStream } from "./relay.ts";
 import type { RunContext } from "./run_context.ts";
 
@@ -46,6 +46,8 @@
   reason: string;
   /** Number of complete events of a stream; undefined without one. */
   event_count?: number;
+  /** Requests per second that the response allowed; undefined if not named. */
+  limit_per_s?: number;
 }
 
 /**
@@ -245,10 +247,14 @@
       closeConnection: context.dependencies.isShuttingDown(),
     });
   if (!isStream && relayed.complete) recordAnswered();
-  return resultAfterRelay(context, relayed, {
+  const sent = resultAfterRelay(context, relayed, {
     first_byte_ms: received_ms,
     status: response.status,
   });
+  const { rate_limit } = metadata;
+  return rate_limit.kind === RateLimitKind.Limited
+    ? { ...sent, limit_per_s: rate_limit.per_s }
+    : sent;
 }
 
 /**
@@ -374,6 +380,7 @@
     outcome: result.observedOutcome,
     reason: result.reason,
     events: result.event_count,
+    limit_per_s: result.limit_per_s,
     prompt: failed && prompt.length > 0
       ? prompt.map(({ id }) => id).join(",")
       : undefined,
--- a/test/platform/codec.test.ts
+++ b/test/platform/codec.test.ts
@@ -68,6 +68,18 @@
     "its own failure": read(503, []),
     "another incarnation": read(421, []),
     "inputs gone": read(409, ["X-Not-Executed", "1"]),
+    "rate limit": read(200, ["Server-Limit", "3.75"]),
+    "rate limit of zero": read(200, ["server-limit", "0"]),
+    "rate limits, twice": read(200, [
+      "Server-Limit",
+      "3.75, 2.5",
+      "Server-Limit",
+      "9",
+    ]),
+    "negative rate limit": read(200, ["Server-Limit", "-1"]),
+    "rate limit in words": read(200, ["Server-Limit", "few"]),
+    "empty rate limit": read(200, ["Server-Limit", ""]),
+    "huge rate limit": read(200, ["Server-Limit", "9".repeat(400)]),
     "load in words": read(200, ["X-Instance-Load", "a,b,c"]),
   });
 });
