--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -86,6 +86,10 @@
   abortedRequests = 0;
   /** Connections accepted so far. */
   connections = 0;
+  /** Requests per second that its responses allow; undefined names none. */
+  rate_limit_per_s: number | string | undefined;
+  /** Arrivals of requests and of calls for pieces, as `performance.now()`. */
+  arrivals_ms: number[] = [];
   /** Crashes so far. */
   crashes = 0;
   /** Called when it listens again after a crash. */
@@ -142,6 +146,10 @@
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk);
     const body = Buffer.concat(chunks).toString();
+    this.arrivals_ms.push(performance.now());
+    if (this.rate_limit_per_s !== undefined) {
+      response.setHeader("server-limit", String(this.rate_limit_per_s));
+    }
     const expected = request.headers["x-expect-instance"];
     if (expected !== undefined && expected !== this.id) {
       response.writeHead(421, { "x-instance-id": this.id });
