Keep all hosts together within the rate that an endpoint names

What endpoints saw: 55 requests in 4 s where 3.8 a second and half more are allowed. Cause: the rate stands in every answer and no code read it. The class: a bound that holds for all callers together needs one place that counts.

Each endpoint that names a rate has an issuer, the first live host of a rendezvous ranking; hosts ask it for a permit before each send, and are told when to ask again, each at a time of its own. It tells all hosts when a limit starts or ends (an answer without one whose request was sent after it was named). Work goes to other endpoints, or is refused at once with that time; if all endpoints of a pool are limited, the send is taken before the stages.

Ruled out: an even share for each host (3 a second over 195 hosts is none), a share by demand (the same, and 1 s late).

--- a/src/forwarding/dependencies.ts
+++ b/src/forwarding/dependencies.ts
@@ -7,6 +7,7 @@
 import type { ForwardMetrics } from "../metrics/forward_metrics.ts";
 import type { ObservedLoad } from "../routing/observed_load.ts";
 import type { QuarantineService } from "../quarantine/quarantine_service.ts";
+import type { RateLimitService } from "../rate_limits/rate_limit_service.ts";
 import type { PoolRetryBudgets } from "../routing/repeat_budget.ts";
 import type { ProtocolCodec } from "./protocol_codec.ts";
 
@@ -19,6 +20,7 @@
   load: ObservedLoad;
   retryBudget: PoolRetryBudgets;
   quarantine: QuarantineService;
+  rateLimits: RateLimitService;
   stageGraph: GraphOptions;
   metrics: ForwardMetrics;
   /** Aborts when the host is about to stop and ends the requests left. */
--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -95,6 +95,7 @@
     });
     const result = await handleExchange(context, exchange, {
       endpoint,
+      sent_ms: started_ms,
       inputs,
       onResponse: () => clearTimeout(sendTimer),
     });
@@ -187,8 +188,9 @@
 async function handleExchange(
   context: RunContext,
   result: ExchangeResult,
-  { endpoint, inputs, onResponse }: {
+  { endpoint, sent_ms, inputs, onResponse }: {
     endpoint: RouteEndpoint;
+    sent_ms: number;
     inputs: StageInputs;
     onResponse: () => void;
   },
@@ -209,6 +211,7 @@
   }
   const { response } = result;
   const metadata = codec.decodeResponse(response.status, response.headers);
+  const { rate_limit } = metadata;
   if (metadata.load !== undefined) {
     load.forEndpoint(endpoint).recordLoad(metadata.load, received_ms);
   }
@@ -225,6 +228,7 @@
       reason: FOREIGN_ANSWER,
     });
   }
+  context.dependencies.rateLimits.observe(endpoint, { rate_limit, sent_ms });
   if (metadata.not_run) {
     response.body.resume();
     return {
@@ -251,7 +255,6 @@
     first_byte_ms: received_ms,
     status: response.status,
   });
-  const { rate_limit } = metadata;
   return rate_limit.kind === RateLimitKind.Limited
     ? { ...sent, limit_per_s: rate_limit.per_s }
     : sent;
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -4,6 +4,7 @@
  */
 import { type GraphOutcome, runStages } from "../batching/stage_graph.ts";
 import { JobOutcomeKind } from "../batching/types.ts";
+import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 import {
   chooseByPrefix,
@@ -46,8 +47,9 @@
     context.dependencies.now(),
   );
   try {
-    if (needsStages(context)) await serveWithStages(context);
-    else await sendUntilAnswered(context, NO_INPUTS);
+    if (!needsStages(context)) await sendUntilAnswered(context, NO_INPUTS);
+    else if (await reserveIfLimited(context)) await serveWithStages(context);
+    else endUnanswered(context);
   } finally {
     clearTimeout(timer);
     endOfDrain.removeEventListener("abort", onEndOfDrain);
@@ -160,7 +162,7 @@
   let failures = 0;
   while (context.sendCount < MAX_SENDS && context.stopReason === undefined) {
     if (context.isQuarantined) return rejectQuarantined(context);
-    const endpoint = chooseEndpoint(context, tried);
+    const endpoint = await takeEndpoint(context, tried);
     if (endpoint === undefined || !tryTakeSend(context)) break;
     context.sendCount += 1;
     const outcome = await sendOnce(context, endpoint, inputs);
@@ -178,6 +180,51 @@
   return false;
 }
 
+/**
+ * Before the stages of a request whose endpoints all limit their rate, takes the
+ * send at one of them; false if there is none, so that no stage runs in vain.
+ */
+async function reserveIfLimited(context: RunContext): Promise<boolean> {
+  const { endpoints, rateLimits, now } = context.dependencies;
+  const ready = endpoints.readyInPool(context.pool, now());
+  const areLimited = ready.length > 0 &&
+    ready.every((endpoint) => rateLimits.isLimited(endpoint));
+  if (!areLimited) return true;
+  context.reservedEndpoint = await takeEndpoint(context, new Set());
+  return context.reservedEndpoint !== undefined;
+}
+
+/** Chooses an endpoint whose rate limit allows the send, and takes the send. */
+async function takeEndpoint(
+  context: RunContext,
+  tried: ReadonlySet<string>,
+): Promise<RouteEndpoint | undefined> {
+  const { rateLimits } = context.dependencies;
+  const reserved = context.reservedEndpoint;
+  context.reservedEndpoint = undefined;
+  if (reserved !== undefined && isReady(context, reserved)) return reserved;
+  while (context.stopReason === undefined) {
+    const endpoint = chooseEndpoint(context, tried);
+    if (endpoint === undefined || !rateLimits.isLimited(endpoint)) {
+      return endpoint;
+    }
+    const isTaken = await rateLimits.tryTake(endpoint);
+    if (isTaken && isReady(context, endpoint)) return endpoint;
+  }
+  return undefined;
+}
+
+/** Whether an endpoint still accepts new work. */
+function isReady(
+  { pool, dependencies }: RunContext,
+  endpoint: RouteEndpoint,
+): boolean {
+  const { endpoints, now } = dependencies;
+  const incarnation = incarnationOf(endpoint);
+  return endpoints.readyInPool(pool, now())
+    .some((ready) => incarnationOf(ready) === incarnation);
+}
+
 /** Ends a request on whose prompt endpoints crash; false: no input was lost. */
 function rejectQuarantined(context: RunContext): boolean {
   if (context.mayHaveRun) endUnanswered(context);
@@ -200,10 +247,13 @@
   context: RunContext,
   tried: ReadonlySet<string>,
 ): RouteEndpoint | undefined {
-  const { endpoints, configuration, load, now, random } = context.dependencies;
+  const { endpoints, rateLimits, configuration, load, now, random } =
+    context.dependencies;
   const now_ms = now();
   const candidates = endpoints.readyInPool(context.pool, now_ms)
-    .filter((endpoint) => !tried.has(endpoint.id));
+    .filter((endpoint) =>
+      !tried.has(endpoint.id) && rateLimits.waitMs(endpoint) === 0
+    );
   if (candidates.length === 0) return undefined;
   const selection = { candidates, load, now_ms, random };
   const pool = configuration.routeTable?.configuration.pools.get(context.pool);
@@ -246,6 +296,14 @@
   context.reject({
     reason: RejectionReason.NoEndpoint,
     message: "No endpoint can take it now",
-    retry_after_ms: NO_ENDPOINT_RETRY_AFTER_MS,
+    retry_after_ms: Math.max(NO_ENDPOINT_RETRY_AFTER_MS, limitWaitMs(context)),
   });
 }
+
+/** Time until some endpoint's rate limit allows a send, in milliseconds. */
+function limitWaitMs({ pool, dependencies }: RunContext): number {
+  const { endpoints, rateLimits, now } = dependencies;
+  const waits_ms = endpoints.readyInPool(pool, now())
+    .map((endpoint) => rateLimits.waitMs(endpoint));
+  return waits_ms.length === 0 ? 0 : Math.min(...waits_ms);
+}
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -48,6 +48,7 @@
 import { FeedStreamClients } from "./peers/feed_stream_client.ts";
 import { createRelayedFeeds } from "./peers/create_relayed_feeds.ts";
 import type { RoutePool } from "./routes/types.ts";
+import { RateLimitService } from "./rate_limits/rate_limit_service.ts";
 import { ObservedLoad } from "./routing/observed_load.ts";
 import { PoolRetryBudgets } from "./routing/repeat_budget.ts";
 import type { GatewaySettings } from "./settings/gateway_settings.ts";
@@ -217,6 +218,13 @@
     random,
     signal,
   });
+  const rateLimits = new RateLimitService({
+    self,
+    hosts: () => members.addresses(),
+    peers,
+    log,
+    now,
+  });
   const feedClients = new FeedStreamClients({ log, now });
   const readers = new StoreReaders({
     self,
@@ -276,6 +284,7 @@
     feedClients,
     store,
     quarantine,
+    rateLimits,
     syncOptions,
     configurationListeners,
     endpointListeners,
@@ -342,6 +351,7 @@
     load: new ObservedLoad(),
     retryBudget: context.retryBudget,
     quarantine: context.quarantine,
+    rateLimits: context.rateLimits,
     stageGraph: {
       run: (job, signal) => jobRouter.run(job, signal),
       free: (freed) => jobRouter.free(freed),
@@ -375,6 +385,10 @@
       for (const freed of freedResults) batcher.free(freed);
     },
     snapshot: () => createStateSnapshot(syncOptions),
+    handlePermitRequest: (request) => context.rateLimits.handleRequest(request),
+    handleLimitReport: (notice) => context.rateLimits.handleReport(notice),
+    handleLimitNotice: (notice, targets) =>
+      context.rateLimits.handleNotice(notice, targets),
     handleCrashReport: (report) => context.quarantine.handleReport(report),
     handleAnsweredParts: (parts) => context.quarantine.handleAnswered(parts),
     handleNotice: (notice, route) =>
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -17,6 +17,12 @@
   CrashReport,
   QuarantineNotice,
 } from "../quarantine/types.ts";
+import type { RateLimitPeers } from "../rate_limits/rate_limit_service.ts";
+import type {
+  LimitNotice,
+  PermitReply,
+  PermitRequest,
+} from "../rate_limits/types.ts";
 import type { GatewayRpcRouter } from "./gateway_rpc_router.ts";
 
 /** Timeout of calls that the peer answers without waiting. */
@@ -37,7 +43,8 @@
  * Opens and caches the clients of all gateway hosts. Every call rejects if the
  * host does not respond or responds with an error.
  */
-export class GatewayClients implements BatcherPeers, QuarantinePeers {
+export class GatewayClients
+  implements BatcherPeers, QuarantinePeers, RateLimitPeers {
   #connections = new Map<string, PeerConnection>();
 
   /** Runs a job at another host. */
@@ -95,6 +102,29 @@
     return await trpc.notice.mutate({ ...route, notice });
   }
 
+  /** Asks the issuer of an endpoint for a permit to send it a request. */
+  async requestPermit(
+    address: string,
+    request: PermitRequest,
+  ): Promise<PermitReply> {
+    return await this.#connectionTo(address).trpc.permit.mutate(request);
+  }
+
+  /** Tells the issuer of an endpoint that its limit starts or ends. */
+  async reportLimit(address: string, notice: LimitNotice): Promise<void> {
+    await this.#connectionTo(address).trpc.limit_report.mutate(notice);
+  }
+
+  /** Tells a host, which passes the notice on to the targets. */
+  async announceLimit(
+    address: string,
+    notice: LimitNotice,
+    targets: string[],
+  ): Promise<void> {
+    const { trpc } = this.#connectionTo(address);
+    await trpc.limit.mutate({ ...notice, targets });
+  }
+
   /** Closes every client. */
   close(): void {
     for (const { close } of this.#connections.values()) close();
--- a/src/peers/gateway_rpc_router.ts
+++ b/src/peers/gateway_rpc_router.ts
@@ -9,6 +9,13 @@
   type QuarantineNotice,
   quarantineNoticeSchema,
 } from "../quarantine/types.ts";
+import {
+  type LimitNotice,
+  limitNoticeSchema,
+  type PermitReply,
+  type PermitRequest,
+  permitRequestSchema,
+} from "../rate_limits/types.ts";
 import type {
   ChangeRevisions,
   StateSnapshot,
@@ -24,6 +31,12 @@
   handleCrashReport: (report: CrashReport) => Promise<CrashReply>;
   /** Handles answers to requests with quarantined prompt parts. */
   handleAnsweredParts: (parts: string[]) => Promise<void>;
+  /** Handles, as the issuer, a request for a permit to send a request. */
+  handlePermitRequest: (request: PermitRequest) => PermitReply;
+  /** Handles, as the issuer, the start or the end of a limit. */
+  handleLimitReport: (notice: LimitNotice) => void;
+  /** Passes the notice on to the targets. */
+  handleLimitNotice: (notice: LimitNotice, targets: string[]) => void;
   /** Passes the notice on to the targets; resolves to parts that got answers. */
   handleNotice: (
     notice: QuarantineNotice,
@@ -50,6 +63,15 @@
       .mutation(({ input }) => handlers.handleCrashReport(input)),
     answered: trpc.procedure.input(z.array(z.string()))
       .mutation(({ input }) => handlers.handleAnsweredParts(input)),
+    permit: trpc.procedure.input(permitRequestSchema)
+      .mutation(({ input }) => handlers.handlePermitRequest(input)),
+    limit_report: trpc.procedure.input(limitNoticeSchema)
+      .mutation(({ input }) => handlers.handleLimitReport(input)),
+    limit: trpc.procedure
+      .input(limitNoticeSchema.extend({ targets: z.array(z.string()) }))
+      .mutation(({ input: { targets, ...notice } }) =>
+        handlers.handleLimitNotice(notice, targets)
+      ),
     notice: trpc.procedure
       .input(noticeRouteSchema.extend({ notice: quarantineNoticeSchema }))
       .mutation(({ input: { notice, ...route } }) =>
--- /dev/null
+++ b/src/rate_limits/permit_issuer.ts
@@ -0,0 +1,87 @@
+/**
+ * Grants the sends to endpoints that limit their rate, for all hosts together.
+ * Does no I/O and reads no clock: callers pass the time in.
+ */
+import { TokenBucket, type TokenBucketLimits } from "../utils/token_bucket.ts";
+import type { PermitReply, PermitRequest } from "./types.ts";
+
+/** An endpoint that names less is still tried, to learn when that ends. */
+const MIN_PER_S = 0.1;
+/** Time whose permits may be granted at once, in seconds. */
+const BURST_S = 0.5;
+/** Longest time after which a refused host asks again. */
+const MAX_RETRY_AFTER_MS = 5_000;
+/** Endpoints that no host has asked for during this time are forgotten. */
+const LIFETIME_MS = 60_000;
+const MS_PER_S = 1_000;
+
+interface EndpointPermits {
+  bucket: TokenBucket;
+  per_s: number;
+  /** Time at which the host that was refused last asks again. */
+  next_retry_ms: number;
+  asked_ms: number;
+}
+
+/** Grants sends, each endpoint at its own rate. */
+export class PermitIssuer {
+  #endpoints = new Map<string, EndpointPermits>();
+
+  /** Grants one send, or tells when to ask again. */
+  request({ endpoint, per_s }: PermitRequest, now_ms: number): PermitReply {
+    const permits = this.#permitsOf(
+      endpoint,
+      Math.max(MIN_PER_S, per_s),
+      now_ms,
+    );
+    if (permits.bucket.tryTake(now_ms)) {
+      return { granted: true, retry_after_ms: 0 };
+    }
+    // Hosts that are refused get times of their own, one permit apart.
+    const earliest_ms = Math.max(now_ms, permits.next_retry_ms) +
+      MS_PER_S / permits.per_s;
+    permits.next_retry_ms = Math.min(earliest_ms, now_ms + MAX_RETRY_AFTER_MS);
+    return { granted: false, retry_after_ms: permits.next_retry_ms - now_ms };
+  }
+
+  /** Forgets an endpoint whose limit has ended. */
+  end(endpoint: string): void {
+    this.#endpoints.delete(endpoint);
+  }
+
+  #permitsOf(
+    endpoint: string,
+    per_s: number,
+    now_ms: number,
+  ): EndpointPermits {
+    this.#dropUnused(now_ms);
+    let permits = this.#endpoints.get(endpoint);
+    if (permits === undefined) {
+      const bucket = new TokenBucket(bucketLimits(per_s), now_ms);
+      permits = { bucket, per_s, next_retry_ms: 0, asked_ms: now_ms };
+    }
+    if (permits.per_s !== per_s) {
+      permits.per_s = per_s;
+      permits.bucket.setLimits(bucketLimits(per_s), now_ms);
+    }
+    permits.asked_ms = now_ms;
+    // The endpoint asked for last stands last in the map.
+    this.#endpoints.delete(endpoint);
+    this.#endpoints.set(endpoint, permits);
+    return permits;
+  }
+
+  #dropUnused(now_ms: number): void {
+    for (const [endpoint, { asked_ms }] of this.#endpoints) {
+      if (now_ms - asked_ms < LIFETIME_MS) return;
+      this.#endpoints.delete(endpoint);
+    }
+  }
+}
+
+function bucketLimits(per_s: number): TokenBucketLimits {
+  return {
+    tokens_per_second: per_s,
+    burst_tokens: Math.max(1, per_s * BURST_S),
+  };
+}
--- /dev/null
+++ b/src/rate_limits/types.ts
@@ -0,0 +1,30 @@
+/** Messages about endpoints that limit the rate of requests from all hosts. */
+import { z } from "zod";
+
+/** A request for permission to send one request to an endpoint. */
+export const permitRequestSchema = z.object({
+  /** Incarnation of the endpoint. */
+  endpoint: z.string(),
+  /** The endpoint's limit, in requests per second, as the asking host knows it. */
+  per_s: z.number().nonnegative(),
+});
+
+/** The start or the end of an endpoint's limit. */
+export const limitNoticeSchema = z.object({
+  /** Incarnation of the endpoint. */
+  endpoint: z.string(),
+  /** Requests per second; undefined at the end. */
+  per_s: z.number().nonnegative().optional(),
+});
+
+/** A request for permission to send one request to an endpoint. */
+export type PermitRequest = z.infer<typeof permitRequestSchema>;
+/** The start or the end of an endpoint's limit. */
+export type LimitNotice = z.infer<typeof limitNoticeSchema>;
+
+/** The reply to a {@linkcode PermitRequest}. */
+export interface PermitReply {
+  granted: boolean;
+  /** Time after which to ask again, in milliseconds; 0 if granted. */
+  retry_after_ms: number;
+}
--- /dev/null
+++ b/src/routes/incarnation.ts
@@ -0,0 +1,6 @@
+import type { RouteEndpoint } from "./types.ts";
+
+/** Identifies one run of an endpoint, from a start to the next. */
+export function incarnationOf({ id, born_ms, address }: RouteEndpoint): string {
+  return `${id}/${born_ms}/${address}`;
+}
--- a/src/routing/observed_load.ts
+++ b/src/routing/observed_load.ts
@@ -4,6 +4,7 @@
  * hosts use endpoint_state.ts instead. Does no I/O and reads no clock: callers
  * pass the time in.
  */
+import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 
 /** Number of requests that an endpoint reported with a response. */
@@ -114,7 +115,7 @@
 
   /** The observations of one endpoint, created on first use. */
   forEndpoint(endpoint: RouteEndpoint): ObservedEndpoint {
-    const key = `${endpoint.id}/${endpoint.born_ms}/${endpoint.address}`;
+    const key = incarnationOf(endpoint);
     const known = this.#endpoints.get(key);
     if (known !== undefined) return known;
     const created = new ObservedEndpoint();
--- /dev/null
+++ b/test/rate_limits/rate_limit_service.test.ts
@@ -0,0 +1,145 @@
+/** Several hosts' rate limit services, joined without a network. */
+import assert from "node:assert/strict";
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "node:test";
+import {
+  type NamedRateLimit,
+  RateLimitKind,
+} from "../../src/forwarding/protocol_codec.ts";
+import { createLogger } from "../../src/logging/logger.ts";
+import { RateLimitService } from "../../src/rate_limits/rate_limit_service.ts";
+import {
+  type RouteEndpoint,
+  RouteEndpointState,
+} from "../../src/routes/types.ts";
+
+const ENDPOINT: RouteEndpoint = {
+  id: "e",
+  pool: "models",
+  address: "10.1.0.1:1",
+  availability_zone: "az-1",
+  slots: 8,
+  state: RouteEndpointState.Ready,
+  born_ms: 1,
+};
+const NONE: NamedRateLimit = { kind: RateLimitKind.None };
+
+function limited(per_s: number): NamedRateLimit {
+  return { kind: RateLimitKind.Limited, per_s };
+}
+
+class Cluster {
+  readonly services = new Map<string, RateLimitService>();
+  readonly lost = new Set<string>();
+  now_ms = 0;
+  calls = 0;
+  #log = createLogger({ level: "error", host: "h", writeLine: () => {} });
+
+  constructor(count: number) {
+    for (let n = 1; n <= count; n++) this.#start(`10.0.0.${n}:1`);
+  }
+
+  #start(self: string): void {
+    const at = (address: string) => {
+      this.calls += 1;
+      const service = this.services.get(address);
+      if (service === undefined || this.lost.has(address)) {
+        throw new Error("no response");
+      }
+      return service;
+    };
+    const service = new RateLimitService({
+      self,
+      hosts: () => [...this.services.keys()].sort(),
+      peers: {
+        requestPermit: async (address, request) =>
+          await at(address).handleRequest(request),
+        reportLimit: async (address, notice) =>
+          await at(address).handleReport(notice),
+        announceLimit: async (address, notice, targets) =>
+          await at(address).handleNotice(notice, targets),
+      },
+      log: this.#log,
+      now: () => this.now_ms,
+    });
+    this.services.set(self, service);
+  }
+
+  get live(): RateLimitService[] {
+    return [...this.services].filter(([address]) => !this.lost.has(address))
+      .map(([_, service]) => service);
+  }
+
+  /** All live hosts ask as often as they may; resolves to the sends granted. */
+  async sendAll(for_ms: number): Promise<number> {
+    let granted = 0;
+    const end_ms = this.now_ms + for_ms;
+    for (; this.now_ms < end_ms; this.now_ms += 20) {
+      for (const service of this.live) {
+        if (service.waitMs(ENDPOINT) > 0) continue;
+        if (await service.tryTake(ENDPOINT)) granted += 1;
+      }
+    }
+    return granted;
+  }
+}
+
+for (
+  const [count, per_s] of [[1, 3.5], [7, 3.5], [60, 3.5], [60, 0.5]] as const
+) {
+  test(`${count} hosts together keep to ${per_s} a second and use it`, async () => {
+    const cluster = new Cluster(count);
+    const rate_limit = limited(per_s);
+    cluster.live[0]?.observe(ENDPOINT, { rate_limit, sent_ms: 0 });
+    await sleep(10);
+    assert.ok(cluster.live.every((service) => service.isLimited(ENDPOINT)));
+    cluster.calls = 0;
+    const granted = await cluster.sendAll(20_000);
+    assert.ok(granted <= per_s * 20 * 1.1 + 2, `${granted} granted`);
+    assert.ok(granted >= per_s * 20 * 0.8, `only ${granted} granted`);
+    // A refused host asks again after 5 s at the latest, or when it is its turn.
+    const maxCalls = count * 20 / 5 + 2 * per_s * 20;
+    assert.ok(cluster.calls <= maxCalls, `${cluster.calls} calls`);
+  });
+}
+
+test("an answer without a limit ends it at all hosts", async () => {
+  const cluster = new Cluster(7);
+  const observed = { rate_limit: limited(3), sent_ms: 0 };
+  cluster.live[0]?.observe(ENDPOINT, observed);
+  await sleep(10);
+  cluster.now_ms = 100;
+  cluster.live[5]?.observe(ENDPOINT, { rate_limit: NONE, sent_ms: 50 });
+  await sleep(10);
+  assert.ok(cluster.live.every((service) => !service.isLimited(ENDPOINT)));
+});
+
+test("the loss of the issuer moves its duty to another host", async () => {
+  const cluster = new Cluster(5);
+  const observed = { rate_limit: limited(2), sent_ms: 0 };
+  for (const service of cluster.live) service.observe(ENDPOINT, observed);
+  await sleep(10);
+  const [first] = [...cluster.services.keys()];
+  for (const lost of cluster.services.keys()) {
+    cluster.lost.clear();
+    cluster.lost.add(lost);
+    if (lost === first) continue;
+    const granted = await cluster.sendAll(8_000);
+    assert.ok(granted >= 2 * 8 * 0.7 && granted <= 2 * 8 * 1.5 + 5);
+  }
+});
+
+test("a host without any issuer sends nothing, and asks again soon", async () => {
+  const cluster = new Cluster(7);
+  const [first] = cluster.live;
+  const observed = { rate_limit: limited(2), sent_ms: 0 };
+  for (const service of cluster.live) service.observe(ENDPOINT, observed);
+  await sleep(10);
+  const [own] = cluster.services.keys();
+  for (const address of cluster.services.keys()) {
+    if (address !== own) cluster.lost.add(address);
+  }
+  // At most five hosts are tried for one call; this one is among them or not.
+  const granted = await first?.tryTake(ENDPOINT);
+  assert.ok(granted || (first?.waitMs(ENDPOINT) ?? 0) <= 500);
+});
