--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -370,6 +370,9 @@
         : undefined,
       faults: describeFaults(result),
     });
+    if (result.rate_limit !== undefined) {
+      tracker.recordRateLimit(result.rate_limit);
+    }
     switch (result.kind) {
       case PieceCallResultKind.Answered:
         tracker.completeCall(
--- a/src/batching/endpoint_tracker.ts
+++ b/src/batching/endpoint_tracker.ts
@@ -3,7 +3,9 @@
  * backoff after failures, and how its call times compare with the pool's
  * configured times. Does no I/O and reads no clock: callers pass the time in.
  */
+import type { NamedRateLimit } from "../forwarding/protocol_codec.ts";
 import type { BatchLimits, RouteEndpoint } from "../routes/types.ts";
+import { CALL_SHARE, intervalMs } from "./pacing.ts";
 
 /** Weight of the newest call in the moving average of slowness. */
 const SLOWNESS_SMOOTHING = 0.3;
@@ -46,6 +48,9 @@
   #consecutiveFailures = 0;
   #backoffUntil_ms = 0;
   #expectedCallEnd_ms = 0;
+  #lastCallStart_ms = -Infinity;
+  /** Shortest time between the starts of calls; 0 without a rate limit. */
+  #callInterval_ms = 0;
   #reservedBytes = 0;
   #results = new Map<string, StoredResult>();
   /** Number of untracked results so far; makes their keys unique. */
@@ -58,7 +63,15 @@
   /** Whether it is not backing off and has capacity for another call. */
   canStartCall(now_ms: number, limits: BatchLimits): boolean {
     return this.#callsInFlight < limits.concurrent_calls &&
-      now_ms >= this.#backoffUntil_ms;
+      now_ms >= this.#earliestCall_ms;
+  }
+
+  /** Records what a response says about the endpoint's rate limit. */
+  recordRateLimit(rate_limit: NamedRateLimit): void {
+    this.#callInterval_ms = intervalMs(rate_limit, {
+      share: CALL_SHARE,
+      current_ms: this.#callInterval_ms,
+    });
   }
 
   /** Whether it is not backing off; it may still be at capacity. */
@@ -68,9 +81,9 @@
 
   /** Expected time until a call can start, in milliseconds. */
   availableInMs(now_ms: number, limits: BatchLimits): number {
-    const backoff_ms = Math.max(0, this.#backoffUntil_ms - now_ms);
-    if (this.#callsInFlight < limits.concurrent_calls) return backoff_ms;
-    return Math.max(backoff_ms, this.#expectedCallEnd_ms - now_ms, 0);
+    const wait_ms = Math.max(0, this.#earliestCall_ms - now_ms);
+    if (this.#callsInFlight < limits.concurrent_calls) return wait_ms;
+    return Math.max(wait_ms, this.#expectedCallEnd_ms - now_ms, 0);
   }
 
   /** Memory left for further results, in bytes; drops expired results. */
@@ -95,6 +108,7 @@
     limits: BatchLimits,
   ): void {
     this.#callsInFlight += 1;
+    this.#lastCallStart_ms = call.now_ms;
     this.#reservedBytes += call.bytes;
     const configured_ms = limits.call_ms + call.pieces * limits.piece_ms;
     this.#expectedCallEnd_ms = call.now_ms + configured_ms * this.slowness;
@@ -178,6 +192,14 @@
     this.#reservedBytes -= result.bytes;
   }
 
+  /** When backoff and rate limit allow the next call. */
+  get #earliestCall_ms(): number {
+    return Math.max(
+      this.#backoffUntil_ms,
+      this.#lastCallStart_ms + this.#callInterval_ms,
+    );
+  }
+
   #endCall(bytes: number): void {
     this.#callsInFlight -= 1;
     this.#reservedBytes -= bytes;
--- a/src/batching/piece_call.ts
+++ b/src/batching/piece_call.ts
@@ -1,9 +1,15 @@
 /** Calls that have an endpoint compute pieces, and their results. */
+import type { NamedRateLimit } from "../forwarding/protocol_codec.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 import type { PieceRequest, PieceResponse } from "./types.ts";
 
 /** The outcome of one call to an endpoint. */
-export type PieceCallResult =
+export type PieceCallResult = PieceCallOutcome & {
+  /** What the endpoint's response says; undefined without one. */
+  rate_limit?: NamedRateLimit;
+};
+
+type PieceCallOutcome =
   | { kind: PieceCallResultKind.Answered; responses: PieceResponse[] }
   /** The endpoint rejected the call because it is at capacity. */
   | { kind: PieceCallResultKind.Full }
--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -18,6 +18,7 @@
   PieceCallResultKind,
   type PieceClient,
 } from "./piece_call.ts";
+import { FreePacer } from "./pacing.ts";
 import type { PieceRequest, PieceResponse } from "./types.ts";
 
 const HTTP_OK = 200;
@@ -54,6 +55,8 @@
    */
   poolAt: (address: string) => RoutePool | undefined;
   log: Logger;
+  /** Monotonic clock, in milliseconds. */
+  now: () => number;
 }
 
 /**
@@ -85,6 +88,7 @@
 export function createPieceClient(options: PieceClientOptions): PieceClient {
   const pendingByAddress = new Map<string, PendingFree>();
   const recentHandles = new RecentHandles();
+  const freePacer = new FreePacer(options.now);
   const free = (address: string, handles: string[]) => {
     const pending = pendingByAddress.get(address);
     if (pending !== undefined) {
@@ -92,7 +96,8 @@
       return pending.freed;
     }
     const batch = [...handles];
-    const freed = delay(FREE_BATCH_WINDOW_MS).then(() => {
+    const wait_ms = Math.max(FREE_BATCH_WINDOW_MS, freePacer.take(address));
+    const freed = delay(wait_ms).then(() => {
       pendingByAddress.delete(address);
       return freeResults(address, batch, options);
     });
@@ -104,6 +109,7 @@
       callForPieces(endpoint, requests, {
         ...options,
         recentHandles,
+        freePacer,
         timeout_ms,
       }),
     free,
@@ -115,6 +121,7 @@
   requests: PieceRequest[],
   options: PieceClientOptions & {
     recentHandles: RecentHandles;
+    freePacer: FreePacer;
     timeout_ms: number;
   },
 ): Promise<PieceCallResult> {
@@ -127,9 +134,13 @@
   }, options);
   if (response.kind === "failed") return failed(response.reason);
   const metadata = codec.decodeResponse(response.status, response.headers);
+  const { rate_limit } = metadata;
+  options.freePacer.observe(endpoint.address, rate_limit);
   if (metadata.wrong_endpoint) return failed("wrong_endpoint");
-  if (metadata.not_run) return { kind: PieceCallResultKind.Full };
-  if (response.status !== HTTP_OK) return failed(`status_${response.status}`);
+  if (metadata.not_run) return { kind: PieceCallResultKind.Full, rate_limit };
+  if (response.status !== HTTP_OK) {
+    return { ...failed(`status_${response.status}`), rate_limit };
+  }
   const responses = codec.decodePieceResults(response.body, requests.length);
   if (responses === undefined) return failed("unreadable");
   if (!recentHandles.add(endpoint.address, responses)) {
@@ -137,7 +148,7 @@
     agents.closeIdleConnections(endpoint.address);
     return failed("repeated_answer");
   }
-  return { kind: PieceCallResultKind.Answered, responses };
+  return { kind: PieceCallResultKind.Answered, responses, rate_limit };
 }
 
 async function freeResults(
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -316,6 +316,7 @@
       pool,
       poolAt: (address) => pool(endpoints.findByAddress(address)?.pool ?? ""),
       log,
+      now,
     }),
     freeAtBatcher: (freed) => jobRouter.free(freed),
     log,
--- a/test/batching/piece_client.test.ts
+++ b/test/batching/piece_client.test.ts
@@ -27,6 +27,7 @@
   pool: () => undefined,
   poolAt: () => undefined,
   log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
+  now: () => performance.now(),
 });
 
 before(async () => {
