Survive malformed replies of peers and errors that no caller handles

It could happen here: a host's reply, or an entry of the store's feed as another host relays it, was taken as it came, and an unhandled rejection ends the process (quarantine_service.test.ts: 'parts is not iterable' before). Replies and entries are validated, and unhandled errors are logged as event=fault while the process goes on, as they concern one message or request.

--- a/src/cli/commands/entry.ts
+++ b/src/cli/commands/entry.ts
@@ -1,4 +1,5 @@
 /** `entry`: runs an entry host. */
+import { logUnhandledErrors } from "../../lifecycle/fault_handlers.ts";
 import { createStdoutWriter } from "../../logging/logger.ts";
 import type { EntryHost } from "../../entry_wiring.ts";
 import { defineCommand, settingsOption } from "../define_command.ts";
@@ -22,6 +23,7 @@
       writeLine: writer.writeLine,
     });
     handleSignals(entry);
+    logUnhandledErrors(process, entry.log);
     try {
       await entry.start();
     } catch (error) {
--- a/src/cli/commands/gateway.ts
+++ b/src/cli/commands/gateway.ts
@@ -2,6 +2,7 @@
 import type { GatewayAdapter } from "../../forwarding/adapter.ts";
 import { formatFindings } from "../../findings/finding.ts";
 import { createGatewayHost, type GatewayHost } from "../../gateway_wiring.ts";
+import { logUnhandledErrors } from "../../lifecycle/fault_handlers.ts";
 import { createStdoutWriter } from "../../logging/logger.ts";
 import { loadGatewaySettings } from "../../settings/gateway_settings.ts";
 import {
@@ -53,6 +54,7 @@
         random: Math.random,
         writeLine: writer.writeLine,
       });
+      logUnhandledErrors(process, gateway.log);
       handleSignals(gateway, file);
       try {
         await gateway.start();
--- a/src/quarantine/notice_board.ts
+++ b/src/quarantine/notice_board.ts
@@ -4,7 +4,11 @@
 import { abortableDelay } from "../utils/delay.ts";
 import type { AnsweredParts } from "./answered_parts.ts";
 import type { Quarantine } from "./quarantine.ts";
-import { NoticeKind, type QuarantineNotice } from "./types.ts";
+import {
+  NoticeKind,
+  noticeReplySchema,
+  type QuarantineNotice,
+} from "./types.ts";
 
 /** Where a notice goes next. */
 export interface NoticeRoute {
@@ -75,8 +79,10 @@
     if (targets.length === 0) return [];
     const below_ms = wait_ms - TIMEOUT_STEP_MS;
     const replies = spread(targets, {
-      send: (address, rest) =>
-        deliver(address, notice, { targets: rest, wait_ms: below_ms }),
+      send: async (address, rest) => {
+        const route = { targets: rest, wait_ms: below_ms };
+        return noticeReplySchema.parse(await deliver(address, notice, route));
+      },
       onFailure: (peer, error) =>
         log.info({ event: "notice_failed", peer, error: error.message }),
     });
--- a/src/quarantine/quarantine_service.ts
+++ b/src/quarantine/quarantine_service.ts
@@ -23,9 +23,11 @@
 import { type QuarantineStore, QuarantineWriter } from "./quarantine_store.ts";
 import {
   type CrashReply,
+  crashReplySchema,
   type CrashReport,
   type QuarantinedParts,
   type QuarantineNotice,
+  readEntries,
   sharedParts,
 } from "./types.ts";
 
@@ -177,8 +179,8 @@
   }
 
   /** Applies the list of entries in the store; a ledger adds what it lacks. */
-  replaceStored(stored: readonly QuarantinedParts[]): void {
-    this.quarantine.replaceStored(stored, this.#options.now());
+  replaceStored(stored: readonly unknown[]): void {
+    this.quarantine.replaceStored(this.#read(stored), this.#options.now());
     if (!this.#ledgers().includes(this.#options.self)) return;
     for (const missing of this.quarantine.unstored()) {
       void this.#writer.write(missing);
@@ -186,17 +188,22 @@
   }
 
   /** Applies changes of the entries in the store. */
-  applyStoredChanges(changes: readonly FeedChange<QuarantinedParts>[]): void {
+  applyStoredChanges(changes: readonly FeedChange<unknown>[]): void {
     const now_ms = this.#options.now();
     for (const { name, value, deleted } of changes) {
       if (deleted) this.quarantine.remove(name);
-      else if (value !== undefined) this.quarantine.putStored(value, now_ms);
+      else {
+        for (const entry of this.#read([value])) {
+          this.quarantine.putStored(entry, now_ms);
+        }
+      }
     }
   }
 
   /** Adds entries of another host. */
-  addFromPeer(entries: readonly QuarantinedParts[]): void {
-    for (const each of entries) this.quarantine.put(each, this.#options.now());
+  addFromPeer(entries: readonly unknown[]): void {
+    const now_ms = this.#options.now();
+    for (const each of this.#read(entries)) this.quarantine.put(each, now_ms);
   }
 
   async #report(
@@ -216,13 +223,24 @@
     const report = { address, requests };
     const replies = await this.#callLedgers({
       local: () => this.handleReport(report),
-      remote: (ledger) => peers.reportCrash(ledger, report),
+      remote: async (ledger) =>
+        crashReplySchema.parse(await peers.reportCrash(ledger, report)),
     });
     // This host may have missed the notice of an entry.
     this.addFromPeer(replies.flatMap(({ quarantined }) => quarantined));
     return replies.flatMap(({ suspects }) => suspects);
   }
 
+  /** The entries among values from outside; logs that some are malformed. */
+  #read(values: readonly unknown[]): QuarantinedParts[] {
+    const entries = readEntries(values);
+    const malformed = values.length - entries.length;
+    if (malformed > 0) {
+      this.#options.log.warn({ event: "unreadable_entries", count: malformed });
+    }
+    return entries;
+  }
+
   /** Takes a probe of an entry; only the first ledger gives any. */
   #takeProbe(quarantined: QuarantinedParts): boolean {
     const { now, self, log } = this.#options;
--- a/src/quarantine/types.ts
+++ b/src/quarantine/types.ts
@@ -24,6 +24,17 @@
   probes: z.int().nonnegative(),
 });
 
+/** What a ledger replies to a report. */
+export const crashReplySchema = z.object({
+  /** Parts that are suspected. */
+  suspects: partsSchema,
+  /** Entries that the reported requests fall under. */
+  quarantined: z.array(quarantinedPartsSchema),
+});
+
+/** What a host replies to a notice: its parts that got answers. */
+export const noticeReplySchema = partsSchema;
+
 /** Kinds of {@linkcode QuarantineNotice}. */
 export enum NoticeKind {
   /** Asks which prompt parts endpoints have answered lately. */
@@ -55,18 +66,18 @@
 export type CrashReport = z.infer<typeof crashReportSchema>;
 /** Prompt parts that together crash endpoints. */
 export type QuarantinedParts = z.infer<typeof quarantinedPartsSchema>;
-
 /** What a ledger replies to a report. */
-export interface CrashReply {
-  /** Parts that are suspected. */
-  suspects: string[];
-  /** Entries that the reported requests fall under. */
-  quarantined: QuarantinedParts[];
-}
+export type CrashReply = z.infer<typeof crashReplySchema>;
 
 /** A message to every host. */
 export type QuarantineNotice = z.infer<typeof quarantineNoticeSchema>;
 
+/** The entries among values from the store or from another host. */
+export function readEntries(values: readonly unknown[]): QuarantinedParts[] {
+  return values.map((value) => quarantinedPartsSchema.safeParse(value).data)
+    .filter((entry) => entry !== undefined);
+}
+
 const NAME_LENGTH = 32;
 
 /** Name of quarantined parts, the same on every host and in the store. */
--- a/src/rate_limits/rate_limit_service.ts
+++ b/src/rate_limits/rate_limit_service.ts
@@ -13,7 +13,12 @@
 import type { RouteEndpoint } from "../routes/types.ts";
 import { KnownLimits } from "./known_limits.ts";
 import { PermitIssuer } from "./permit_issuer.ts";
-import type { LimitNotice, PermitReply, PermitRequest } from "./types.ts";
+import {
+  type LimitNotice,
+  type PermitReply,
+  permitReplySchema,
+  type PermitRequest,
+} from "./types.ts";
 
 /** Calls to other hosts; they reject if the host does not respond. */
 export interface RateLimitPeers {
@@ -96,7 +101,8 @@
     const request = { endpoint: incarnation, per_s };
     const [reply] = await this.#callIssuer(incarnation, {
       local: () => this.handleRequest(request),
-      remote: (issuer) => peers.requestPermit(issuer, request),
+      remote: async (issuer) =>
+        permitReplySchema.parse(await peers.requestPermit(issuer, request)),
     });
     if (reply?.granted === true) return true;
     const retry_after_ms = reply?.retry_after_ms ?? NO_ISSUER_RETRY_MS;
--- a/src/rate_limits/types.ts
+++ b/src/rate_limits/types.ts
@@ -9,6 +9,13 @@
   per_s: z.number().nonnegative(),
 });
 
+/** The reply to a {@linkcode PermitRequest}. */
+export const permitReplySchema = z.object({
+  granted: z.boolean(),
+  /** Time after which to ask again, in milliseconds; 0 if granted. */
+  retry_after_ms: z.number().nonnegative(),
+});
+
 /** The start or the end of an endpoint's limit. */
 export const limitNoticeSchema = z.object({
   /** Incarnation of the endpoint. */
@@ -19,12 +26,7 @@
 
 /** A request for permission to send one request to an endpoint. */
 export type PermitRequest = z.infer<typeof permitRequestSchema>;
+/** The reply to a {@linkcode PermitRequest}. */
+export type PermitReply = z.infer<typeof permitReplySchema>;
 /** The start or the end of an endpoint's limit. */
 export type LimitNotice = z.infer<typeof limitNoticeSchema>;
-
-/** The reply to a {@linkcode PermitRequest}. */
-export interface PermitReply {
-  granted: boolean;
-  /** Time after which to ask again, in milliseconds; 0 if granted. */
-  retry_after_ms: number;
-}
--- a/test/quarantine/quarantine_service.test.ts
+++ b/test/quarantine/quarantine_service.test.ts
@@ -212,6 +212,25 @@
   assert.equal(late.admit(prompt(["x"])), QuarantineDecision.Reject);
 });
 
+test("malformed replies and entries change nothing and break nothing", async () => {
+  const cluster = new Cluster(3);
+  const [first, second, third] = cluster.live;
+  for (const ledger of [second, third]) {
+    Object.assign(ledger ?? {}, {
+      handleReport: () => Promise.resolve({ suspects: 7, quarantined: [{}] }),
+      handleNotice: () => Promise.resolve({ parts: null }),
+    });
+  }
+  for (const number of [1, 2, 3]) await cluster.crash(number, ["x"], [0]);
+  const malformed = [null, {}, { parts: "x" }, { parts: [], probes: 0 }];
+  first?.replaceStored(malformed);
+  first?.addFromPeer(malformed);
+  first?.applyStoredChanges(
+    malformed.map((value, n) => ({ name: `${n}`, value, deleted: false })),
+  );
+  assert.equal(typeof first?.admit(prompt(["a"])), "string");
+});
+
 test("a ledger writes an entry that the store lacks", async () => {
   const cluster = new Cluster(3);
   cluster.services.get(cluster.ledger(1))?.addFromPeer([
--- a/test/rate_limits/rate_limit_service.test.ts
+++ b/test/rate_limits/rate_limit_service.test.ts
@@ -129,6 +129,20 @@
   }
 });
 
+test("a malformed reply of the issuer is no permit", async () => {
+  const cluster = new Cluster(2);
+  const observed = { rate_limit: limited(2), sent_ms: 0 };
+  for (const service of cluster.live) service.observe(ENDPOINT, observed);
+  await sleep(10);
+  for (const service of cluster.live) {
+    Object.assign(service, { handleRequest: () => ({ granted: "yes" }) });
+  }
+  for (const service of cluster.live) {
+    assert.equal(await service.tryTake(ENDPOINT), false);
+    assert.ok(service.waitMs(ENDPOINT) > 0);
+  }
+});
+
 test("a host without any issuer sends nothing, and asks again soon", async () => {
   const cluster = new Cluster(7);
   const [first] = cluster.live;
