--- /dev/null
+++ b/src/forwarding/complete_exchange.ts
@@ -0,0 +1,242 @@
+/**
+ * Evaluates the result of an exchange with an endpoint, and relays its response
+ * to the caller, if it is valid.
+ */
+import type { StageResult } from "../batching/types.ts";
+import {
+  discardResponse,
+  type EndpointResponse,
+  ExchangeOutcome,
+  type ExchangeResult,
+} from "../endpoints/exchange.ts";
+import { CallKind, type RouteEndpoint } from "../routes/types.ts";
+import { ObservedOutcome } from "../routing/observed_load.ts";
+import { RateLimitKind, type ResponseMetadata } from "./protocol_codec.ts";
+import { relayBuffered, type RelayResult, relayStream } from "./relay.ts";
+import type { RunContext } from "./run_context.ts";
+
+/** How one send ended, as far as retries are concerned. */
+export enum SendOutcome {
+  /** The caller has received a response or has disconnected. */
+  Answered = "done",
+  /** The request has not run: any other endpoint may be tried. */
+  NotRun = "elsewhere",
+  /** The request may have run: only an idempotent request may be sent again. */
+  MayHaveRun = "failed",
+  /** Stage results were lost: the stages must run again. */
+  InputsLost = "inputs_gone",
+}
+
+/** Results of the final stages; `freeResults` frees them at their endpoints. */
+export interface StageInputs {
+  results: StageResult[];
+  freeResults: () => void;
+}
+
+/** The outcome of a send with what is learned about the endpoint. */
+export interface SendResult {
+  outcome: SendOutcome;
+  observedOutcome: ObservedOutcome;
+  /**
+   * Arrival of the first bytes, or time of the failure, on the monotonic clock.
+   */
+  first_byte_ms: number;
+  /** Status or error, for the log. */
+  reason: string;
+  /** Number of complete events of a stream; undefined without one. */
+  event_count?: number;
+  /** Requests per second that the response allowed; undefined if not named. */
+  limit_per_s?: number;
+}
+
+/** Code of the error of a request that this host aborted. */
+const ABORTED_CODE = "ABORT_ERR";
+/** Logged for a response that is not this request's. */
+const FOREIGN_ANSWER = "foreign_answer";
+const MIN_REDIRECT_STATUS = 300;
+const MIN_SERVER_ERROR_STATUS = 500;
+
+/** Whether the endpoint may have crashed when it began to answer. */
+export function mayHaveCrashed(result: SendResult): boolean {
+  const { outcome, observedOutcome, event_count = 0, reason } = result;
+  return outcome !== SendOutcome.NotRun &&
+    observedOutcome === ObservedOutcome.ConnectionFailed &&
+    event_count === 0 && reason !== ABORTED_CODE && reason !== FOREIGN_ANSWER;
+}
+
+/**
+ * Evaluates the result of an exchange and relays its response, if it is valid.
+ */
+export async function completeExchange(
+  context: RunContext,
+  result: ExchangeResult,
+  { endpoint, sent_ms, inputs, onResponse }: {
+    endpoint: RouteEndpoint;
+    sent_ms: number;
+    inputs: StageInputs;
+    onResponse: () => void;
+  },
+): Promise<SendResult> {
+  const { now, codec, load } = context.dependencies;
+  const received_ms = now();
+  if (result.kind === ExchangeOutcome.NotSent) {
+    return resultAfterFailure(context, SendOutcome.NotRun, {
+      first_byte_ms: received_ms,
+      reason: result.reason,
+    });
+  }
+  if (result.kind === ExchangeOutcome.ResponseLost) {
+    return resultAfterFailure(context, SendOutcome.MayHaveRun, {
+      first_byte_ms: received_ms,
+      reason: result.reason,
+    });
+  }
+  const { response } = result;
+  const metadata = codec.decodeResponse(response.status, response.headers);
+  const { rate_limit } = metadata;
+  if (metadata.load !== undefined) {
+    load.forEndpoint(endpoint).recordLoad(metadata.load, received_ms);
+  }
+  if (
+    !isResponseTo(
+      context.admitted.metadata.attempt_id,
+      response.status,
+      metadata,
+    )
+  ) {
+    discardResponse(response);
+    return resultAfterFailure(context, SendOutcome.MayHaveRun, {
+      first_byte_ms: received_ms,
+      reason: FOREIGN_ANSWER,
+    });
+  }
+  context.dependencies.rateLimits.observe(endpoint, { rate_limit, sent_ms });
+  if (metadata.not_run) {
+    response.body.resume();
+    return {
+      ...resultAfterNotRun(metadata),
+      first_byte_ms: received_ms,
+      reason: `${response.status}`,
+    };
+  }
+  onResponse();
+  const isStream = metadata.stream &&
+    context.admitted.route.kind === CallKind.Streaming;
+  const { quarantine } = context.dependencies;
+  const recordAnswered = () =>
+    quarantine.recordAnswered(context.admitted.metadata.prompt);
+  const relayed = isStream
+    ? await relayResponseStream(context, response, { inputs, recordAnswered })
+    : await relayBuffered(context.inbound.response, response, {
+      headers: codec.filterResponseHeaders(response.headers),
+      withhold: response.status >= MIN_SERVER_ERROR_STATUS && context.mayRetry,
+      closeConnection: context.dependencies.isShuttingDown(),
+    });
+  if (!isStream && relayed.complete) recordAnswered();
+  const sent = resultAfterRelay(context, relayed, {
+    first_byte_ms: received_ms,
+    status: response.status,
+  });
+  return rate_limit.kind === RateLimitKind.Limited
+    ? { ...sent, limit_per_s: rate_limit.per_s }
+    : sent;
+}
+
+/**
+ * The result of a send without a valid response. It counts against the endpoint
+ * unless this host stopped the request itself.
+ */
+function resultAfterFailure(
+  context: RunContext,
+  outcome: SendOutcome,
+  { first_byte_ms, reason }: { first_byte_ms: number; reason: string },
+): SendResult {
+  const observedOutcome = context.stopReason === undefined
+    ? ObservedOutcome.ConnectionFailed
+    : ObservedOutcome.Success;
+  return { outcome, observedOutcome, first_byte_ms, reason };
+}
+
+/** Whether a response belongs to the request with this attempt id. */
+function isResponseTo(
+  attempt_id: string,
+  status: number,
+  metadata: ResponseMetadata,
+): boolean {
+  if (metadata.not_run) return true;
+  if (metadata.attempt_id !== undefined && metadata.attempt_id !== attempt_id) {
+    return false;
+  }
+  return status >= MIN_REDIRECT_STATUS ||
+    (metadata.signed && metadata.attempt_id === attempt_id);
+}
+
+/** The result of a send that the endpoint reported as not run. */
+function resultAfterNotRun(
+  metadata: ResponseMetadata,
+): { outcome: SendOutcome; observedOutcome: ObservedOutcome } {
+  if (metadata.inputs_gone) {
+    return {
+      outcome: SendOutcome.InputsLost,
+      observedOutcome: ObservedOutcome.Success,
+    };
+  }
+  const observedOutcome = metadata.wrong_endpoint
+    ? ObservedOutcome.ConnectionFailed
+    : ObservedOutcome.Full;
+  return { outcome: SendOutcome.NotRun, observedOutcome };
+}
+
+async function relayResponseStream(
+  context: RunContext,
+  response: EndpointResponse,
+  { inputs, recordAnswered }: {
+    inputs: StageInputs;
+    recordAnswered: () => void;
+  },
+): Promise<RelayResult> {
+  const { codec, isShuttingDown } = context.dependencies;
+  const relayed = await relayStream(context.inbound.response, response, {
+    headers: codec.filterResponseHeaders(response.headers),
+    resumable: context.admitted.route.resumable,
+    closeConnection: isShuttingDown(),
+    onFirstBytes: inputs.freeResults,
+    onFirstEvent: recordAnswered,
+  });
+  context.lastEventId = relayed.last_event_id ?? context.lastEventId;
+  return relayed;
+}
+
+function resultAfterRelay(
+  context: RunContext,
+  relayed: RelayResult,
+  { first_byte_ms, status }: { first_byte_ms: number; status: number },
+): SendResult {
+  const { response } = context.inbound;
+  context.bufferedError = relayed.buffered ?? context.bufferedError;
+  if (relayed.complete) {
+    return {
+      outcome: relayed.delivered
+        ? SendOutcome.Answered
+        : SendOutcome.MayHaveRun,
+      observedOutcome: status >= MIN_SERVER_ERROR_STATUS
+        ? ObservedOutcome.Error
+        : ObservedOutcome.Success,
+      first_byte_ms: relayed.first_byte_ms ?? first_byte_ms,
+      reason: `status_${status}`,
+      event_count: relayed.event_count,
+    };
+  }
+  const mayResume = context.admitted.route.resumable &&
+    context.stopReason === undefined;
+  // A truncated response must not look complete, so the connection is
+  // destroyed.
+  if (!mayResume && response.headersSent) response.destroy();
+  const outcome = response.destroyed
+    ? SendOutcome.Answered
+    : SendOutcome.MayHaveRun;
+  return {
+    ...resultAfterFailure(context, outcome, { first_byte_ms, reason: "cut" }),
+    event_count: relayed.event_count,
+  };
+}
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -4,16 +4,17 @@
  */
 import { type GraphOutcome, runStages } from "../batching/stage_graph.ts";
 import { JobOutcomeKind } from "../batching/types.ts";
-import { incarnationOf } from "../routes/incarnation.ts";
-import type { RouteEndpoint } from "../routes/types.ts";
-import {
-  chooseByPrefix,
-  chooseOfTwo,
-} from "../routing/choose_route_endpoint.ts";
 import { HOST_STOPPING, QUARANTINED, RejectionReason } from "./rejection.ts";
 import { sendBufferedResponse } from "./relay.ts";
 import { type RunContext, StopReason } from "./run_context.ts";
-import { sendOnce, SendOutcome, type StageInputs } from "./send_once.ts";
+import { SendOutcome, type StageInputs } from "./complete_exchange.ts";
+import { sendOnce } from "./send_once.ts";
+import {
+  chooseEndpoint,
+  limitWaitMs,
+  reserveIfLimited,
+  takeEndpoint,
+} from "./take_endpoint.ts";
 
 /**
  * Maximum number of sends of one request, counting those that did not run it.
@@ -180,51 +181,6 @@
   return false;
 }
 
-/**
- * Before the stages of a request whose endpoints all limit their rate, takes the
- * send at one of them; false if there is none, so that no stage runs in vain.
- */
-async function reserveIfLimited(context: RunContext): Promise<boolean> {
-  const { endpoints, rateLimits, now } = context.dependencies;
-  const ready = endpoints.readyInPool(context.pool, now());
-  const areLimited = ready.length > 0 &&
-    ready.every((endpoint) => rateLimits.isLimited(endpoint));
-  if (!areLimited) return true;
-  context.reservedEndpoint = await takeEndpoint(context, new Set());
-  return context.reservedEndpoint !== undefined;
-}
-
-/** Chooses an endpoint whose rate limit allows the send, and takes the send. */
-async function takeEndpoint(
-  context: RunContext,
-  tried: ReadonlySet<string>,
-): Promise<RouteEndpoint | undefined> {
-  const { rateLimits } = context.dependencies;
-  const reserved = context.reservedEndpoint;
-  context.reservedEndpoint = undefined;
-  if (reserved !== undefined && isReady(context, reserved)) return reserved;
-  while (context.stopReason === undefined) {
-    const endpoint = chooseEndpoint(context, tried);
-    if (endpoint === undefined || !rateLimits.isLimited(endpoint)) {
-      return endpoint;
-    }
-    const isTaken = await rateLimits.tryTake(endpoint);
-    if (isTaken && isReady(context, endpoint)) return endpoint;
-  }
-  return undefined;
-}
-
-/** Whether an endpoint still accepts new work. */
-function isReady(
-  { pool, dependencies }: RunContext,
-  endpoint: RouteEndpoint,
-): boolean {
-  const { endpoints, now } = dependencies;
-  const incarnation = incarnationOf(endpoint);
-  return endpoints.readyInPool(pool, now())
-    .some((ready) => incarnationOf(ready) === incarnation);
-}
-
 /** Ends a request on whose prompt endpoints crash; false: no input was lost. */
 function rejectQuarantined(context: RunContext): boolean {
   if (context.mayHaveRun) endUnanswered(context);
@@ -243,25 +199,6 @@
     dependencies.retryBudget.tryTake(pool, dependencies.now());
 }
 
-function chooseEndpoint(
-  context: RunContext,
-  tried: ReadonlySet<string>,
-): RouteEndpoint | undefined {
-  const { endpoints, rateLimits, configuration, load, now, random } =
-    context.dependencies;
-  const now_ms = now();
-  const candidates = endpoints.readyInPool(context.pool, now_ms)
-    .filter((endpoint) =>
-      !tried.has(endpoint.id) && rateLimits.waitMs(endpoint) === 0
-    );
-  if (candidates.length === 0) return undefined;
-  const selection = { candidates, load, now_ms, random };
-  const pool = configuration.routeTable?.configuration.pools.get(context.pool);
-  return pool?.model_engine === true && context.sharedPromptPrefix !== undefined
-    ? chooseByPrefix(context.sharedPromptPrefix, selection)
-    : chooseOfTwo(selection);
-}
-
 /**
  * Ends a request that no endpoint answered. The rejection claims that the
  * request has not run only if that is certain.
@@ -299,11 +236,3 @@
     retry_after_ms: Math.max(NO_ENDPOINT_RETRY_AFTER_MS, limitWaitMs(context)),
   });
 }
-
-/** Time until some endpoint's rate limit allows a send, in milliseconds. */
-function limitWaitMs({ pool, dependencies }: RunContext): number {
-  const { endpoints, rateLimits, now } = dependencies;
-  const waits_ms = endpoints.readyInPool(pool, now())
-    .map((endpoint) => rateLimits.waitMs(endpoint));
-  return waits_ms.length === 0 ? 0 : Math.min(...waits_ms);
-}
