Deliver a missed notice of a quarantine again, and compare its revision

Connections may go silent without a reset. A host whose watch and whose peers' connections are silent at that moment learned of an entry after 20 s, or from a crash of its own; on a large fleet that is more than three requests. A notice that fails is delivered again after 0.4 and 1.6 s, and hosts compare the revision of this feed too, in the message that they exchange once a second.

--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -224,6 +224,7 @@
     peers,
     log,
     now,
+    signal,
   });
   const feedClients = new FeedStreamClients({ log, now });
   const readers = new StoreReaders({
@@ -258,6 +259,7 @@
     progress: {
       configuration: new FeedProgress(),
       endpoints: new FeedProgress(),
+      quarantined: new FeedProgress(),
     },
     log,
     now,
@@ -397,6 +399,7 @@
     changeRevisions: () => ({
       configuration: syncOptions.progress.configuration.lastChangeRevision,
       endpoints: syncOptions.progress.endpoints.lastChangeRevision,
+      quarantined: syncOptions.progress.quarantined.lastChangeRevision,
     }),
     feeds: {
       caches: syncOptions.watchCaches,
--- a/src/quarantine/notice_board.ts
+++ b/src/quarantine/notice_board.ts
@@ -42,6 +42,8 @@
 /** Time that the replies of all hosts may take, and less at each level below. */
 const REPLY_TIMEOUT_MS = 300;
 const TIMEOUT_STEP_MS = 100;
+/** Pauses before a host that missed a notice is told again. */
+const REDELIVERY_DELAYS_MS = [400, 1_200];
 
 /** Sends notices to all hosts and applies them here. */
 export class NoticeBoard {
@@ -85,6 +87,10 @@
       },
       onFailure: (peer, error) =>
         log.info({ event: "notice_failed", peer, error: error.message }),
+      redeliveryDelays_ms: notice.kind === NoticeKind.AskAnswered
+        ? []
+        : REDELIVERY_DELAYS_MS,
+      signal,
     });
     const timeout = abortableDelay(Math.max(0, wait_ms), signal);
     return await Promise.race([replies, timeout.then(() => [])]);
--- a/src/rate_limits/rate_limit_service.ts
+++ b/src/rate_limits/rate_limit_service.ts
@@ -42,6 +42,8 @@
   peers: RateLimitPeers;
   log: Logger;
   now: () => number;
+  /** Aborts when this host stops. */
+  signal: AbortSignal;
 }
 
 /** Time after which a host asks again if it reached no issuer. */
@@ -124,7 +126,7 @@
 
   /** Applies a notice and passes it on. */
   handleNotice(notice: LimitNotice, targets: string[]): void {
-    const { peers, log, now } = this.#options;
+    const { peers, log, now, signal } = this.#options;
     this.#known.apply(notice, now());
     if (notice.per_s === undefined) this.#issuer.end(notice.endpoint);
     if (targets.length === 0) return;
@@ -135,6 +137,8 @@
       },
       onFailure: (peer, error) =>
         log.info({ event: "notice_failed", peer, error: error.message }),
+      redeliveryDelays_ms: [],
+      signal,
     });
   }
 
--- a/src/store_sync/state_snapshot.ts
+++ b/src/store_sync/state_snapshot.ts
@@ -16,10 +16,12 @@
   quarantined: QuarantinedParts[] | undefined;
 }
 
-/** Revision of the last change that a host has read from either feed. */
+/** Revision of the last change that a host has read from each feed. */
 export interface ChangeRevisions {
   configuration: number;
   endpoints: number;
+  /** Missing from hosts of an older release. */
+  quarantined?: number;
 }
 
 /** A route configuration in JSON-compatible form. */
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -44,7 +44,11 @@
   endpointListeners: (() => void)[];
   /** Timeout of one watch, in milliseconds. */
   watch_ms: number;
-  progress: { configuration: FeedProgress; endpoints: FeedProgress };
+  progress: {
+    configuration: FeedProgress;
+    endpoints: FeedProgress;
+    quarantined: FeedProgress;
+  };
   log: Logger;
   now: () => number;
   random: () => number;
@@ -185,6 +189,7 @@
   }, {
     ...feedOptions("quarantined", options),
     wait_ms: QUARANTINE_WATCH_TIMEOUT_MS,
+    progress: options.progress.quarantined,
   });
 }
 
@@ -240,6 +245,7 @@
       const peerRevisions = await peers.changeRevisions(peer);
       progress.configuration.abortStaleWatch(peerRevisions.configuration);
       progress.endpoints.abortStaleWatch(peerRevisions.endpoints);
+      progress.quarantined.abortStaleWatch(peerRevisions.quarantined ?? 0);
     } catch (error) {
       log.debug({
         event: "peer_silent",
--- a/test/quarantine/crashing_prompt_part.test.ts
+++ b/test/quarantine/crashing_prompt_part.test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, test } from "node:test";
+import { quarantineName } from "../../src/quarantine/types.ts";
 import { sendJsonRequest } from "../../stand_ins/json_client.ts";
 import {
   ApiKey,
@@ -132,6 +133,21 @@
   assert.equal(arrivals(CRASH_PART), arrived);
 });
 
+test("hosts whose watches went silent learn of an entry from a peer", async () => {
+  await startFleet();
+  fleet.store.silenceOldestWatches(Infinity);
+  const name = quarantineName([CRASH_PART]);
+  fleet.store.put("quarantines", name, { parts: [CRASH_PART], probes: 0 });
+  const late = await fleet.startGateway(GATEWAYS + 1);
+  await waitUntil(() => late.logLines.some((l) => l.includes("state=ready")));
+  // The hosts compare their revisions with a random peer's once a second.
+  await sleep(8_000);
+  for (const gateway of fleet.gateways) {
+    assert.equal(await call(gateway, ["aa", CRASH_PART]), HTTP_UNAVAILABLE);
+  }
+  assert.equal(arrivals(CRASH_PART), 0);
+});
+
 test("crashes, resets and lost responses of endpoints put no prompt part in quarantine", async () => {
   await startFleet();
   for (let round = 0; round < 12; round++) {
--- a/test/quarantine/quarantine_service.test.ts
+++ b/test/quarantine/quarantine_service.test.ts
@@ -203,6 +203,19 @@
   assert.equal(late.admit(prompt(["x"])), QuarantineDecision.Admit);
 });
 
+test("a notice that a host does not receive is delivered again", async () => {
+  const cluster = new Cluster(7);
+  const deaf = cluster.ledger(4);
+  await cluster.crash(1, ["x"], [0]);
+  await cluster.crash(2, ["x"], [0]);
+  cluster.lost.add(deaf);
+  await cluster.crash(3, ["x"], [0]);
+  await sleep(100);
+  cluster.lost.clear();
+  await sleep(800);
+  assert.ok(cluster.rejects(["x"]).every((rejects) => rejects));
+});
+
 test("a host that missed the notice learns of it from its first report", async () => {
   const cluster = new Cluster(3);
   await crashThrice(cluster, ["x"]);
--- a/test/rate_limits/rate_limit_service.test.ts
+++ b/test/rate_limits/rate_limit_service.test.ts
@@ -61,6 +61,7 @@
       },
       log: this.#log,
       now: () => this.now_ms,
+      signal: new AbortController().signal,
     });
     this.services.set(self, service);
   }
