Let an issuer keep the newest value of an endpoint's rate

Hosts ask with the rate that they heard last, which may be old: beside one host that knew 1 a second, another that still knew 20 brought the old rate back with each request. A request says how long ago the rate was named. The test failed before (over 35 granted in 20 s) and passes.

--- a/src/rate_limits/known_limits.ts
+++ b/src/rate_limits/known_limits.ts
@@ -64,9 +64,14 @@
     return true;
   }
 
-  /** The endpoint's limit; undefined if it names none. */
-  perS(endpoint: string): number | undefined {
-    return this.#limits.get(endpoint)?.per_s;
+  /** The endpoint's limit and its age; undefined if it names none. */
+  find(
+    endpoint: string,
+    now_ms: number,
+  ): { per_s: number; age_ms: number } | undefined {
+    const known = this.#limits.get(endpoint);
+    if (known === undefined) return undefined;
+    return { per_s: known.per_s, age_ms: now_ms - known.named_ms };
   }
 
   /** Records that a permit was refused. */
--- a/src/rate_limits/permit_issuer.ts
+++ b/src/rate_limits/permit_issuer.ts
@@ -18,6 +18,8 @@
 interface EndpointPermits {
   bucket: TokenBucket;
   per_s: number;
+  /** When the endpoint named the limit. */
+  named_ms: number;
   /** Time at which the host that was refused last asks again. */
   next_retry_ms: number;
   asked_ms: number;
@@ -28,12 +30,8 @@
   #endpoints = new Map<string, EndpointPermits>();
 
   /** Grants one send, or tells when to ask again. */
-  request({ endpoint, per_s }: PermitRequest, now_ms: number): PermitReply {
-    const permits = this.#permitsOf(
-      endpoint,
-      Math.max(MIN_PER_S, per_s),
-      now_ms,
-    );
+  request(request: PermitRequest, now_ms: number): PermitReply {
+    const permits = this.#permitsOf(request, now_ms);
     if (permits.bucket.tryTake(now_ms)) {
       return { granted: true, retry_after_ms: 0 };
     }
@@ -50,18 +48,20 @@
   }
 
   #permitsOf(
-    endpoint: string,
-    per_s: number,
+    { endpoint, per_s: named_per_s, age_ms }: PermitRequest,
     now_ms: number,
   ): EndpointPermits {
     this.#dropUnused(now_ms);
+    const per_s = Math.max(MIN_PER_S, named_per_s);
+    const named_ms = now_ms - age_ms;
     let permits = this.#endpoints.get(endpoint);
     if (permits === undefined) {
       const bucket = new TokenBucket(bucketLimits(per_s), now_ms);
-      permits = { bucket, per_s, next_retry_ms: 0, asked_ms: now_ms };
-    }
-    if (permits.per_s !== per_s) {
+      const next_retry_ms = 0;
+      permits = { bucket, per_s, named_ms, next_retry_ms, asked_ms: now_ms };
+    } else if (named_ms > permits.named_ms) {
       permits.per_s = per_s;
+      permits.named_ms = named_ms;
       permits.bucket.setLimits(bucketLimits(per_s), now_ms);
     }
     permits.asked_ms = now_ms;
--- a/src/rate_limits/rate_limit_service.ts
+++ b/src/rate_limits/rate_limit_service.ts
@@ -86,7 +86,8 @@
 
   /** Whether the endpoint names a limit. */
   isLimited(endpoint: RouteEndpoint): boolean {
-    return this.#known.perS(incarnationOf(endpoint)) !== undefined;
+    const { now } = this.#options;
+    return this.#known.find(incarnationOf(endpoint), now()) !== undefined;
   }
 
   /** Time until a send to the endpoint may be permitted, in milliseconds. */
@@ -97,10 +98,10 @@
   /** Takes the permission for one send; resolves to whether it was granted. */
   async tryTake(endpoint: RouteEndpoint): Promise<boolean> {
     const incarnation = incarnationOf(endpoint);
-    const per_s = this.#known.perS(incarnation);
-    if (per_s === undefined) return true;
     const { peers, now } = this.#options;
-    const request = { endpoint: incarnation, per_s };
+    const limit = this.#known.find(incarnation, now());
+    if (limit === undefined) return true;
+    const request = { endpoint: incarnation, ...limit };
     const [reply] = await this.#callIssuer(incarnation, {
       local: () => this.handleRequest(request),
       remote: async (issuer) =>
--- a/src/rate_limits/types.ts
+++ b/src/rate_limits/types.ts
@@ -7,6 +7,8 @@
   endpoint: z.string(),
   /** The endpoint's limit, in requests per second, as the asking host knows it. */
   per_s: z.number().nonnegative(),
+  /** Time since it was named, in milliseconds. */
+  age_ms: z.number().nonnegative(),
 });
 
 /** The reply to a {@linkcode PermitRequest}. */
--- a/test/rate_limits/known_limits.test.ts
+++ b/test/rate_limits/known_limits.test.ts
@@ -23,9 +23,9 @@
   assert.equal(observe(NONE, 0, 1), undefined);
   assert.deepEqual(observe(limited(3), 2, 10), { endpoint: "e", per_s: 3 });
   assert.equal(observe(limited(4), 3, 20), undefined);
-  assert.equal(known.perS("e"), 4);
+  assert.equal(known.find("e", 0)?.per_s, 4);
   assert.deepEqual(observe(NONE, 30, 40), { endpoint: "e" });
-  assert.equal(known.perS("e"), undefined);
+  assert.equal(known.find("e", 0)?.per_s, undefined);
 });
 
 test("an answer that was overtaken does not end a limit", () => {
@@ -33,7 +33,7 @@
   known.observe({ endpoint: "e", rate_limit: limited(3), sent_ms: 5 }, 10);
   const late = { endpoint: "e", rate_limit: NONE, sent_ms: 4 };
   assert.equal(known.observe(late, 20), undefined);
-  assert.equal(known.perS("e"), 3);
+  assert.equal(known.find("e", 0)?.per_s, 3);
 });
 
 test("a malformed limit changes nothing", () => {
@@ -41,10 +41,10 @@
   const observe = (sent_ms: number) =>
     known.observe({ endpoint: "e", rate_limit: UNREADABLE, sent_ms }, sent_ms);
   assert.equal(observe(1), undefined);
-  assert.equal(known.perS("e"), undefined);
+  assert.equal(known.find("e", 0)?.per_s, undefined);
   known.observe({ endpoint: "e", rate_limit: limited(3), sent_ms: 2 }, 3);
   assert.equal(observe(9), undefined);
-  assert.equal(known.perS("e"), 3);
+  assert.equal(known.find("e", 0)?.per_s, 3);
 });
 
 test("a refusal ends with its time or with the limit", () => {
@@ -63,6 +63,6 @@
   for (let n = 0; n < 5_000; n++) {
     known.apply({ endpoint: `e${n}`, per_s: 1 }, n);
   }
-  assert.equal(known.perS("e0"), undefined);
-  assert.equal(known.perS("e4999"), 1);
+  assert.equal(known.find("e0", 0)?.per_s, undefined);
+  assert.equal(known.find("e4999", 0)?.per_s, 1);
 });
--- a/test/rate_limits/permit_issuer.test.ts
+++ b/test/rate_limits/permit_issuer.test.ts
@@ -15,7 +15,10 @@
       let now_ms = 0;
       for (const pause_ms of pauses_ms) {
         now_ms += pause_ms;
-        const { granted } = issuer.request({ endpoint: "e", per_s }, now_ms);
+        const { granted } = issuer.request(
+          { endpoint: "e", per_s, age_ms: 0 },
+          now_ms,
+        );
         if (granted) granted_ms.push(now_ms);
       }
       for (const start_ms of granted_ms) {
@@ -30,7 +33,7 @@
 
 test("hosts that are refused are told times of their own", () => {
   const issuer = new PermitIssuer();
-  const ask = () => issuer.request({ endpoint: "e", per_s: 2 }, 0);
+  const ask = () => issuer.request({ endpoint: "e", per_s: 2, age_ms: 0 }, 0);
   assert.deepEqual(ask(), { granted: true, retry_after_ms: 0 });
   assert.deepEqual(
     [ask(), ask(), ask()],
@@ -44,7 +47,7 @@
 test("a limit of zero is tried seldom, and nobody waits longer than 5 s to ask", () => {
   const issuer = new PermitIssuer();
   const ask = (now_ms: number) =>
-    issuer.request({ endpoint: "e", per_s: 0 }, now_ms);
+    issuer.request({ endpoint: "e", per_s: 0, age_ms: 0 }, now_ms);
   assert.equal(ask(0).granted, true);
   assert.deepEqual(ask(1), { granted: false, retry_after_ms: 5_000 });
   assert.equal(ask(9_000).granted, false);
@@ -54,7 +57,7 @@
 test("a changed limit is in force at once, and an ended one is forgotten", () => {
   const issuer = new PermitIssuer();
   const ask = (per_s: number, now_ms: number) =>
-    issuer.request({ endpoint: "e", per_s }, now_ms).granted;
+    issuer.request({ endpoint: "e", per_s, age_ms: 0 }, now_ms).granted;
   assert.equal(ask(1, 0), true);
   assert.equal(ask(1, 100), false);
   assert.equal(ask(100, 200), false);
@@ -64,3 +67,16 @@
   issuer.end("e");
   assert.equal(ask(1, 301), true);
 });
+
+test("a host that heard the limit long ago does not bring an old one back", () => {
+  const issuer = new PermitIssuer();
+  let granted = 0;
+  for (let now_ms = 10_000; now_ms < 30_000; now_ms += 50) {
+    const asked = [{ per_s: 1, age_ms: 100 }, { per_s: 20, age_ms: 9_000 }];
+    for (const { per_s, age_ms } of asked) {
+      const request = { endpoint: "e", per_s, age_ms };
+      if (issuer.request(request, now_ms).granted) granted += 1;
+    }
+  }
+  assert.ok(granted <= 20 * 1.5 + 5, `${granted} granted`);
+});
