Keep the tests of crashes and rates from failing beside load

Two failures at a load average of 15, traced. A crashed stand-in engine listened at its port again while another process had taken it (EADDRINUSE): it takes another port then and registers it, as engines do. A limited engine got 0 to 3 requests in 4 s where the test expects half of its rate: with 13 requests a second and host, none was ever in flight at the engine without a limit, and the choice by learned time never took the slower one (42 against 49 ms); that is the choice's design, not the limit's. The check stays; the load is such that each host always has a request in flight, so that the rest must go somewhere.

--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -134,9 +134,21 @@
     const { port } = this.#server.address() as AddressInfo;
     this.#server.close();
     for (const socket of this.#sockets) socket.resetAndDestroy();
-    this.#restartTimer = setTimeout(() => {
-      this.#server.listen(port, "127.0.0.1", this.onRestart);
-    }, this.#options.restart_ms ?? DEFAULT_RESTART_MS);
+    this.#restartTimer = setTimeout(
+      () => this.#restart(port),
+      this.#options.restart_ms ?? DEFAULT_RESTART_MS,
+    );
+  }
+
+  /** Listens at its port again, or at another if that is taken meanwhile. */
+  #restart(port: number): void {
+    this.#server.once("error", () => this.#restart(0));
+    this.#server.listen(port, "127.0.0.1", () => {
+      this.#server.removeAllListeners("error");
+      const address = this.#server.address() as AddressInfo;
+      this.address = `127.0.0.1:${address.port}`;
+      this.onRestart();
+    });
   }
 
   async #handle(
--- a/test/rate_limits/endpoint_rate_limit.test.ts
+++ b/test/rate_limits/endpoint_rate_limit.test.ts
@@ -19,6 +19,9 @@
 const MAX_IN_WINDOW = 1.5 * LIMIT_PER_S * WINDOW_S + 5;
 /** Time until every host keeps to the limit. */
 const LEARNING_MS = 500;
+const WORK_MS = 40;
+/** So many that each host always has a request in flight. */
+const BUSY_PER_S = 1.2 * GATEWAYS * 1_000 / WORK_MS;
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 
@@ -35,7 +38,7 @@
       [service]: Array.from({ length: engines }, (_, n) => ({
         id: `${service}-${n}`,
         events: service === Service.Model ? 2 : 0,
-        work_ms: 5,
+        work_ms: WORK_MS,
       })),
     },
   });
@@ -127,7 +130,7 @@
     const limited = enginesOf(service).slice(0, 2);
     for (const engine of limited) engine.rate_limit_per_s = LIMIT_PER_S;
     const started_ms = performance.now();
-    const answers = await load(path, { per_s: 40, for_s: 6 });
+    const answers = await load(path, { per_s: BUSY_PER_S, for_s: 6 });
     assert.equal(count(answers, HTTP_OK), answers.length);
     for (const engine of limited) {
       const most = mostInWindow(engine, started_ms + LEARNING_MS);
