--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -186,9 +186,7 @@
   const lifecycle = new HostLifecycle((state) =>
     log.info({ event: "lifecycle", state })
   );
-  const metrics = new ForwardMetrics(() =>
-    quarantine.quarantine.entries().length
-  );
+  const metrics = new ForwardMetrics(() => quarantine.entries.all().length);
   const configurationListeners: StoreSyncOptions["configurationListeners"] = [];
   const endpointListeners: StoreSyncOptions["endpointListeners"] = [];
   const configuration = new ActiveConfiguration((table, source) => {
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -10,7 +10,7 @@
 import { HttpClient } from "../utils/http_client.ts";
 import { createHttpFetch } from "../utils/http_fetch.ts";
 import { FREED_PATH, JOB_PATH } from "./job_messages.ts";
-import type { NoticeRoute } from "../quarantine/notice_board.ts";
+import type { NoticeRoute } from "../quarantine/quarantine_notices.ts";
 import type { QuarantinePeers } from "../quarantine/quarantine_service.ts";
 import type {
   CrashReply,
--- a/src/peers/gateway_rpc_router.ts
+++ b/src/peers/gateway_rpc_router.ts
@@ -1,7 +1,7 @@
 /** tRPC procedures between gateway hosts; jobs use plain HTTP instead. */
 import { initTRPC } from "@trpc/server";
 import { z } from "zod";
-import type { NoticeRoute } from "../quarantine/notice_board.ts";
+import type { NoticeRoute } from "../quarantine/quarantine_notices.ts";
 import {
   type CrashReply,
   type CrashReport,
--- a/src/quarantine/crash_ledger.ts
+++ b/src/quarantine/crash_ledger.ts
@@ -27,7 +27,7 @@
   at_ms: number;
 }
 
-interface PartEvidence {
+interface PartCrashes {
   crashes: Crash[];
   addresses: Set<string>;
   attempts: Set<string>;
@@ -42,21 +42,21 @@
 }
 
 /** Parts that together crash endpoints, and the time of their first crash. */
-export interface GuiltyParts {
+export interface CrashCause {
   parts: string[];
   first_crash_ms: number;
 }
 
 /** Crashes by prompt part. */
 export class CrashLedger {
-  #evidence = new Map<string, PartEvidence>();
+  #evidence = new Map<string, PartCrashes>();
 
   /** Records the requests that an endpoint held when it crashed. */
   record({ address, requests }: CrashReport, now_ms: number): void {
     this.#dropExpired(now_ms);
     for (const { attempt_id, parts } of requests) {
       for (const part of parts) {
-        const evidence = this.#evidenceOf(part, parts);
+        const evidence = this.#crashesOf(part, parts);
         addCrash(evidence.crashes, { address, at_ms: now_ms });
         addUpTo(evidence.addresses, address, MIN_ENDPOINTS);
         addUpTo(evidence.attempts, attempt_id, MIN_REQUESTS);
@@ -87,16 +87,16 @@
   }
 
   /** Parts to quarantine, each with those that always came with it. */
-  findGuilty(): GuiltyParts[] {
+  findCauses(): CrashCause[] {
     return [...this.#evidence]
-      .filter(([_, evidence]) => isGuilty(evidence))
+      .filter(([_, evidence]) => isCause(evidence))
       .map(([part, { companions, crashes }]) => ({
         parts: [part, ...companions].sort(),
         first_crash_ms: crashes[0]?.at_ms ?? 0,
       }));
   }
 
-  #evidenceOf(part: string, parts: readonly string[]): PartEvidence {
+  #crashesOf(part: string, parts: readonly string[]): PartCrashes {
     const known = this.#evidence.get(part);
     // The newest evidence stands last in the map.
     this.#evidence.delete(part);
@@ -134,7 +134,7 @@
   if (values.size < count) values.add(value);
 }
 
-function isGuilty({ crashes, addresses, attempts }: PartEvidence): boolean {
+function isCause({ crashes, addresses, attempts }: PartCrashes): boolean {
   return crashes.length >= QUARANTINE_CRASHES &&
     addresses.size >= MIN_ENDPOINTS && attempts.size >= MIN_REQUESTS;
 }
--- a/src/quarantine/ledger_service.ts
+++ b/src/quarantine/ledger_service.ts
@@ -5,7 +5,7 @@
 import type { Logger } from "../logging/logger.ts";
 import { abortableDelay } from "../utils/delay.ts";
 import { CrashLedger } from "./crash_ledger.ts";
-import type { NoticeBoard } from "./notice_board.ts";
+import type { QuarantineNotices } from "./quarantine_notices.ts";
 import type { Quarantine } from "./quarantine.ts";
 import type { QuarantineWriter } from "./quarantine_store.ts";
 import {
@@ -19,7 +19,7 @@
 /** Dependencies of a {@linkcode LedgerService}. */
 export interface LedgerServiceOptions {
   quarantine: Quarantine;
-  notices: NoticeBoard;
+  notices: QuarantineNotices;
   writer: QuarantineWriter;
   log: Logger;
   now: () => number;
@@ -96,14 +96,14 @@
       suspects: this.#ledger.suspects().map(({ part }) => part).join(","),
       answered: answered.join(","),
     });
-    await this.#quarantineGuilty();
+    await this.#quarantineCauses();
   }
 
   /** Quarantines what the ledger finds; resolves when the hosts know of it. */
-  async #quarantineGuilty(): Promise<void> {
+  async #quarantineCauses(): Promise<void> {
     const { now } = this.#options;
     await Promise.all(
-      this.#ledger.findGuilty().map(({ parts, first_crash_ms }) =>
+      this.#ledger.findCauses().map(({ parts, first_crash_ms }) =>
         this.#add({ parts, probes: 0 }, now() - first_crash_ms)
       ),
     );
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -23,7 +23,7 @@
   #entries = new Map<string, Entry>();
 
   /** All entries. */
-  entries(): QuarantinedParts[] {
+  all(): QuarantinedParts[] {
     return [...this.#entries.values()].map(({ quarantined }) => quarantined);
   }
 
@@ -78,14 +78,14 @@
   find(parts: readonly string[]): QuarantinedParts | undefined {
     if (this.#entries.size === 0 || parts.length === 0) return undefined;
     const present = new Set(parts);
-    return this.entries().find((entry) =>
+    return this.all().find((entry) =>
       entry.parts.every((part) => present.has(part))
     );
   }
 
   /** The entries that have one of these parts. */
   withAny(parts: readonly string[]): QuarantinedParts[] {
-    return this.entries().filter((entry) =>
+    return this.all().filter((entry) =>
       entry.parts.some((part) => parts.includes(part))
     );
   }
--- a/src/quarantine/notice_board.ts
+++ b/src/quarantine/quarantine_notices.ts
@@ -25,8 +25,8 @@
   route: NoticeRoute,
 ) => Promise<string[]>;
 
-/** Dependencies of a {@linkcode NoticeBoard}. */
-export interface NoticeBoardOptions {
+/** Dependencies of a {@linkcode QuarantineNotices}. */
+export interface QuarantineNoticesOptions {
   /** Address at which peers reach this host. */
   self: string;
   /** Addresses of all hosts, this one included. */
@@ -46,10 +46,10 @@
 const REDELIVERY_DELAYS_MS = [400, 1_200];
 
 /** Sends notices to all hosts and applies them here. */
-export class NoticeBoard {
-  #options: NoticeBoardOptions;
+export class QuarantineNotices {
+  #options: QuarantineNoticesOptions;
 
-  constructor(options: NoticeBoardOptions) {
+  constructor(options: QuarantineNoticesOptions) {
     this.#options = options;
   }
 
--- a/src/quarantine/quarantine_service.ts
+++ b/src/quarantine/quarantine_service.ts
@@ -16,9 +16,9 @@
 import { LedgerService } from "./ledger_service.ts";
 import {
   type DeliverNotice,
-  NoticeBoard,
   type NoticeRoute,
-} from "./notice_board.ts";
+  QuarantineNotices,
+} from "./quarantine_notices.ts";
 import { Quarantine } from "./quarantine.ts";
 import { type QuarantineStore, QuarantineWriter } from "./quarantine_store.ts";
 import {
@@ -86,11 +86,12 @@
 
 /** Keeps requests with prompt parts that crash endpoints away from them. */
 export class QuarantineService {
-  readonly quarantine = new Quarantine();
+  /** The entries that this host knows of. */
+  readonly entries = new Quarantine();
   #answered = new AnsweredParts();
   #options: QuarantineServiceOptions;
   #rankedHosts: RankedHosts;
-  #notices: NoticeBoard;
+  #notices: QuarantineNotices;
   #writer: QuarantineWriter;
   #ledgerService: LedgerService;
   /** Reports that are being gathered, by endpoint address. */
@@ -98,10 +99,10 @@
 
   constructor(options: QuarantineServiceOptions) {
     this.#options = options;
-    const { quarantine } = this;
+    const quarantine = this.entries;
     this.#rankedHosts = new RankedHosts(options);
     this.#writer = new QuarantineWriter({ ...options, quarantine });
-    this.#notices = new NoticeBoard({
+    this.#notices = new QuarantineNotices({
       ...options,
       deliver: (...message) => options.peers.notify(...message),
       quarantine,
@@ -117,7 +118,7 @@
 
   /** Decides whether a request with this prompt may reach an endpoint. */
   admit(prompt: readonly PromptPart[]): QuarantineDecision {
-    const found = this.quarantine.find(sharedParts(prompt));
+    const found = this.entries.find(sharedParts(prompt));
     if (found === undefined) return QuarantineDecision.Admit;
     return this.#takeProbe(found)
       ? QuarantineDecision.AdmitAsProbe
@@ -126,7 +127,7 @@
 
   /** Whether requests with this prompt are rejected, but for probes. */
   isQuarantined(prompt: readonly PromptPart[]): boolean {
-    return this.quarantine.find(sharedParts(prompt)) !== undefined;
+    return this.entries.find(sharedParts(prompt)) !== undefined;
   }
 
   /** Records that an endpoint began to answer a request with this prompt. */
@@ -134,7 +135,7 @@
     const parts = sharedParts(prompt);
     if (parts.length === 0) return;
     this.#answered.record(parts, this.#options.now());
-    if (this.quarantine.withAny(parts).length === 0) return;
+    if (this.entries.withAny(parts).length === 0) return;
     void this.#callLedgers({
       local: () => this.handleAnswered(parts),
       remote: (ledger) => this.#options.peers.reportAnswered(ledger, parts),
@@ -180,9 +181,9 @@
 
   /** Applies the list of entries in the store; a ledger adds what it lacks. */
   replaceStored(stored: readonly unknown[]): void {
-    this.quarantine.replaceStored(this.#read(stored), this.#options.now());
+    this.entries.replaceStored(this.#read(stored), this.#options.now());
     if (!this.#ledgers().includes(this.#options.self)) return;
-    for (const missing of this.quarantine.unstored()) {
+    for (const missing of this.entries.unstored()) {
       void this.#writer.write(missing);
     }
   }
@@ -191,10 +192,10 @@
   applyStoredChanges(changes: readonly FeedChange<unknown>[]): void {
     const now_ms = this.#options.now();
     for (const { name, value, deleted } of changes) {
-      if (deleted) this.quarantine.remove(name);
+      if (deleted) this.entries.remove(name);
       else {
         for (const entry of this.#read([value])) {
-          this.quarantine.putStored(entry, now_ms);
+          this.entries.putStored(entry, now_ms);
         }
       }
     }
@@ -203,7 +204,7 @@
   /** Adds entries of another host. */
   addFromPeer(entries: readonly unknown[]): void {
     const now_ms = this.#options.now();
-    for (const each of this.#read(entries)) this.quarantine.put(each, now_ms);
+    for (const each of this.#read(entries)) this.entries.put(each, now_ms);
   }
 
   async #report(
@@ -245,10 +246,10 @@
   #takeProbe(quarantined: QuarantinedParts): boolean {
     const { now, self, log } = this.#options;
     const now_ms = now();
-    if (!this.quarantine.isProbeDue(quarantined, now_ms)) return false;
+    if (!this.entries.isProbeDue(quarantined, now_ms)) return false;
     if (this.#ledgers()[0] !== self) return false;
     const probed = { ...quarantined, probes: quarantined.probes + 1 };
-    this.quarantine.put(probed, now_ms);
+    this.entries.put(probed, now_ms);
     log.warn({ event: "quarantine_probe", parts: probed.parts.join(",") });
     void this.#ledgerService.publish(probed, 0);
     return true;
--- a/src/store_sync/state_snapshot.ts
+++ b/src/store_sync/state_snapshot.ts
@@ -46,7 +46,7 @@
     configuration: active && serialiseConfiguration(active),
     endpoints: endpoints.all(now()),
     endpoints_fresh: endpoints.sourceAvailable,
-    quarantined: quarantine.quarantine.entries(),
+    quarantined: quarantine.entries.all(),
   };
 }
 
--- a/test/quarantine/crash_ledger.test.ts
+++ b/test/quarantine/crash_ledger.test.ts
@@ -12,34 +12,34 @@
   return (now_ms: number) => ledger.record({ address, requests }, now_ms);
 }
 
-function guilty(ledger: CrashLedger): string[][] {
-  return ledger.findGuilty().map(({ parts }) => parts);
+function causes(ledger: CrashLedger): string[][] {
+  return ledger.findCauses().map(({ parts }) => parts);
 }
 
-test("a part in three crashes at several endpoints is guilty", () => {
+test("a part in three crashes at several endpoints is a cause", () => {
   const ledger = new CrashLedger();
   report(ledger, "e1", ["a", "x"])(1_000);
   assert.deepEqual(ledger.suspects(), []);
   report(ledger, "e2", ["b", "x"])(2_000);
   assert.deepEqual(ledger.suspects(), [{ part: "x", first_crash_ms: 1_000 }]);
-  assert.deepEqual(guilty(ledger), []);
+  assert.deepEqual(causes(ledger), []);
   report(ledger, "e1", ["c", "x"])(4_000);
-  assert.deepEqual(guilty(ledger), [["x"]]);
+  assert.deepEqual(causes(ledger), [["x"]]);
 });
 
-test("parts that always come together are guilty together, until one gets an answer", () => {
+test("parts that always come together are a cause together, until one gets an answer", () => {
   const ledger = new CrashLedger();
   for (const n of [1, 2, 3]) report(ledger, `e${n}`, ["x", "y"])(n * 1_000);
-  assert.deepEqual(guilty(ledger), [["x", "y"], ["x", "y"]]);
+  assert.deepEqual(causes(ledger), [["x", "y"], ["x", "y"]]);
   ledger.clear(["y"]);
-  assert.deepEqual(guilty(ledger), [["x"]]);
+  assert.deepEqual(causes(ledger), [["x"]]);
 });
 
 test("a crash without one of the parts narrows them down", () => {
   const ledger = new CrashLedger();
   for (const n of [1, 2, 3]) report(ledger, `e${n}`, ["x", "y"])(n * 1_000);
   report(ledger, "e4", ["x", "z"])(4_000);
-  assert.deepEqual(guilty(ledger).sort(), [["x"], ["x", "y"]]);
+  assert.deepEqual(causes(ledger).sort(), [["x"], ["x", "y"]]);
 });
 
 test("one crash that several hosts report counts once", () => {
@@ -56,19 +56,19 @@
   assert.deepEqual(ledger.suspects(), []);
 });
 
-test("one endpoint that crashes again and again makes no part guilty", () => {
+test("one endpoint that crashes again and again makes no part a cause", () => {
   const ledger = new CrashLedger();
   for (const n of [1, 2, 3, 4, 5]) report(ledger, "e1", ["x"])(n * 2_000);
-  assert.deepEqual(guilty(ledger), []);
+  assert.deepEqual(causes(ledger), []);
 });
 
-test("one request that is sent again after each crash makes no part guilty", () => {
+test("one request that is sent again after each crash makes no part a cause", () => {
   const ledger = new CrashLedger();
   for (const n of [1, 2, 3, 4]) {
     const requests = [{ attempt_id: "same", parts: ["x"] }];
     ledger.record({ address: `e${n}`, requests }, n * 1_000);
   }
-  assert.deepEqual(guilty(ledger), []);
+  assert.deepEqual(causes(ledger), []);
 });
 
 test("evidence ends with an answer and with time", () => {
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -50,7 +50,7 @@
   for (let n = 0; n < 300; n++) {
     quarantine.put({ parts: [`p${n}`], probes: 0 }, n);
   }
-  assert.equal(quarantine.entries().length, 256);
+  assert.equal(quarantine.all().length, 256);
   assert.equal(quarantine.find(["p0"]), undefined);
   assert.notEqual(quarantine.find(["p299"]), undefined);
 });
