Check the quarantine after the permit for a send, not before

Found in reading: a notice that came while the host asked for a permit was looked at one send too late, against what the design page says. No case seen; no test of its own (a window of some ms). The tests of forwarding and of crashing parts pass.

--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -162,8 +162,8 @@
   const tried = new Set<string>();
   let failures = 0;
   while (context.sendCount < MAX_SENDS && context.stopReason === undefined) {
-    if (context.isQuarantined) return rejectQuarantined(context);
     const endpoint = await takeEndpoint(context, tried);
+    if (context.isQuarantined) return rejectQuarantined(context);
     if (endpoint === undefined || !tryTakeSend(context)) break;
     context.sendCount += 1;
     const outcome = await sendOnce(context, endpoint, inputs);
