End watches that began before the fleet was known

A host that starts lists and watches the store before it has the list of hosts, so it takes itself for alone: its watches are as long as the settings allow (8 s by default, 20 s in the test) instead of 1.5 s, it does not follow the readers meanwhile, and, as it is no reader any more, it does not compare revisions with peers either. If the connection falls silent then, it is blind for as long. Ruled out: hosts that follow each other in a circle (a host that is no reader answers 503), and load (the hosts' loops answered throughout).

Now such watches end as soon as more hosts than readers are known, and the host follows the readers.

--- a/src/membership/store_readers.ts
+++ b/src/membership/store_readers.ts
@@ -34,6 +34,7 @@
   #excluded = new Map<string, Exclusion>();
   /** Cached ranking; `hosts` is the joined list that it was computed for. */
   #ranked: { hosts: string; order: string[] } = { hosts: "", order: [] };
+  #followersExpected = new AbortController();
   #options: StoreReadersOptions;
 
   constructor(options: StoreReadersOptions) {
@@ -46,6 +47,22 @@
     return hosts().length > readerCount;
   }
 
+  /**
+   * Aborts once {@linkcode mayHaveFollowers} is true: watches at the store that
+   * began earlier are too long, and most hosts must follow others instead.
+   */
+  get followersExpected(): AbortSignal {
+    return this.#followersExpected.signal;
+  }
+
+  /** Must be called after each change of the hosts. */
+  hostsChanged(): void {
+    const { aborted } = this.#followersExpected.signal;
+    if (this.mayHaveFollowers === aborted) return;
+    if (aborted) this.#followersExpected = new AbortController();
+    else this.#followersExpected.abort();
+  }
+
   /** Whether this host reads the store itself. */
   get selfIsReader(): boolean {
     const readers = this.#readers();
--- a/src/store_sync/relayed_feed.ts
+++ b/src/store_sync/relayed_feed.ts
@@ -73,6 +73,24 @@
       ? await peers.list(address, newest_revision)
       : result;
   };
+  /** Watches the store, for as long as no other host may follow this one. */
+  const watchStore = async (
+    revision: number,
+    wait_ms: number,
+    signal: AbortSignal,
+  ): Promise<FeedResult<T>> => {
+    if (readers.mayHaveFollowers) {
+      const limited_ms = Math.min(wait_ms, options.max_store_watch_ms);
+      return await store.watch(revision, limited_ms, signal);
+    }
+    const { followersExpected } = readers;
+    const watchSignal = AbortSignal.any([signal, followersExpected]);
+    const result = await store.watch(revision, wait_ms, watchSignal);
+    return followersExpected.aborted &&
+        result.kind === FeedResultKind.Unavailable
+      ? { kind: FeedResultKind.Changed, changes: [], revision }
+      : result;
+  };
   const trackRevision = (result: FeedResult<T>): FeedResult<T> => {
     if ("revision" in result) {
       newest_revision = Math.max(newest_revision, result.revision);
@@ -90,15 +108,12 @@
       );
     },
     async watch(revision, wait_ms, signal) {
-      const storeWait_ms = readers.mayHaveFollowers
-        ? Math.min(wait_ms, options.max_store_watch_ms)
-        : wait_ms;
       return trackRevision(
         await readFromAny({
           fromStore: () =>
             fromStore(() =>
               canWatchStore
-                ? store.watch(revision, storeWait_ms, signal)
+                ? watchStore(revision, wait_ms, signal)
                 : store.list(signal)
             ),
           fromPeer: (address) => fromPeer(() => watchPeer(address, revision)),
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -160,16 +160,19 @@
 }
 
 function syncMembers(options: StoreSyncOptions): Promise<void> {
-  const { feeds, members, log } = options;
-  const logCount = () => log.info({ event: "members", count: members.count });
+  const { feeds, members, readers, log } = options;
+  const handleChange = () => {
+    readers.hostsChanged();
+    log.info({ event: "members", count: members.count });
+  };
   return syncFeed(feeds.gateways, {
     onList(items) {
       members.replaceAll(items);
-      logCount();
+      handleChange();
     },
     onChanges(changes) {
       members.applyChanges(changes);
-      logCount();
+      handleChange();
     },
   }, {
     ...feedOptions("gateways", options),
--- a/stand_ins/deployment/object_store.ts
+++ b/stand_ins/deployment/object_store.ts
@@ -57,6 +57,11 @@
     void this.#handle(request, response);
   });
 
+  /** Watches whose caller still waits. */
+  get openWatches(): number {
+    return this.#watchResponses.size;
+  }
+
   /** Listens on a free port of the loopback address. */
   async start(): Promise<void> {
     this.#server.listen(0, "127.0.0.1");
--- a/test/forwarding/followers.test.ts
+++ b/test/forwarding/followers.test.ts
@@ -64,6 +64,15 @@
   );
 });
 
+test("hosts that began to watch the store before they knew the fleet leave it", async () => {
+  await startFleet();
+  const feeds = 4;
+  await waitUntil(
+    () => fleet.store.openWatches <= READERS * feeds,
+    MAX_PROPAGATION_MS,
+  );
+});
+
 test("every host learns of a draining endpoint within the time limit", async () => {
   await startFleet();
   const engine = fleet.engine(Service.Desk);
--- a/test/store_sync/relayed_feed.test.ts
+++ b/test/store_sync/relayed_feed.test.ts
@@ -128,3 +128,40 @@
   const read = await feedAt(follower).watch(1, 100, signal);
   assert.equal(read.kind, FeedResultKind.Unavailable);
 });
+
+test("a watch that began before the fleet was known ends once it is", async () => {
+  const hosts = [follower];
+  const readers = new StoreReaders({
+    self: follower,
+    hosts: () => hosts,
+    readerCount: READERS,
+    now: () => 0,
+  });
+  const watchUntilAborted = (signal: AbortSignal) =>
+    new Promise<FeedResult<number>>((resolve) =>
+      signal.addEventListener("abort", () => resolve(UNAVAILABLE))
+    );
+  const peers = {
+    list: () => Promise.resolve(listed(9)),
+    watch: () => Promise.resolve(changed(9)),
+  };
+  const feed = createRelayedFeed({
+    name: "f",
+    store: {
+      list: () => Promise.resolve(listed(5)),
+      watch: (_revision, _wait_ms, signal) => watchUntilAborted(signal),
+    },
+    peers,
+    readers,
+    self: follower,
+    max_store_watch_ms: 1_500,
+    log,
+  });
+  await feed.list(signal);
+  const watch = feed.watch(5, 8_000, signal);
+  hosts.splice(0, 1, ...HOSTS);
+  readers.hostsChanged();
+  assert.deepEqual(await watch, changed(5));
+  // From then on it follows the readers.
+  assert.deepEqual(await feed.watch(5, 8_000, signal), changed(9));
+});
