Let requests wait for the next send of a limited endpoint, urgent ones first

Callers saw: while all endpoints of a pool named a rate, a request that came one interval too early was refused, came back on a new connection, and was refused again if others had been faster; and urgent requests had no more right to a send than others (open since the postmortem of the named rates). Cause: the issuer granted a send now or not at all.

Change: it grants sends ahead, one interval apart, up to a second and as long as the request would still be in time; its stages run meanwhile. Less urgent requests leave room for urgent ones and are not starved.

--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -1,11 +1,12 @@
 /** State of one admitted request, shared by the modules that serve it. */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { CallKind, type RouteEndpoint } from "../routes/types.ts";
+import { CallKind } from "../routes/types.ts";
 import { sharedPrefix } from "../routing/choose_route_endpoint.ts";
 import type { AdmittedRequest } from "./admit.ts";
 import type { ForwardingDependencies } from "./dependencies.ts";
 import { type Rejection, sendRejection } from "./rejection.ts";
 import type { BufferedResponse } from "./relay.ts";
+import type { ReservedSend } from "./take_endpoint.ts";
 
 /** A caller's request and its pending response. */
 export interface InboundRequest {
@@ -50,8 +51,8 @@
   readonly sharedPromptPrefix: string | undefined;
   /** Pool that serves it, chosen once at random by the route's weights. */
   readonly pool: string;
-  /** Endpoint for whose rate limit a send is already taken. */
-  reservedEndpoint: RouteEndpoint | undefined;
+  /** Send that is already taken from its endpoint's rate limit. */
+  reservedSend: ReservedSend | undefined;
   /** Number of times it was sent to an endpoint. */
   sendCount = 0;
   /** Whether an endpoint may have run the request. */
--- a/src/forwarding/take_endpoint.ts
+++ b/src/forwarding/take_endpoint.ts
@@ -8,8 +8,16 @@
   chooseByPrefix,
   chooseOfTwo,
 } from "../routing/choose_route_endpoint.ts";
+import { abortableDelay } from "../utils/delay.ts";
 import type { RunContext } from "./run_context.ts";
 
+/** A send that may be made, at once or later. */
+export interface ReservedSend {
+  endpoint: RouteEndpoint;
+  /** Earliest time of the send, on the monotonic clock. */
+  at_ms: number;
+}
+
 /**
  * Before the stages of a request whose endpoints all limit their rate, takes the
  * send at one of them; false if there is none, so that no stage runs in vain.
@@ -20,8 +28,8 @@
   const areLimited = ready.length > 0 &&
     ready.every((endpoint) => rateLimits.isLimited(endpoint));
   if (!areLimited) return true;
-  context.reservedEndpoint = await takeEndpoint(context, new Set());
-  return context.reservedEndpoint !== undefined;
+  context.reservedSend = await reserveSend(context, new Set());
+  return context.reservedSend !== undefined;
 }
 
 /** Chooses an endpoint whose rate limit allows the send, and takes the send. */
@@ -29,21 +37,67 @@
   context: RunContext,
   tried: ReadonlySet<string>,
 ): Promise<RouteEndpoint | undefined> {
-  const { rateLimits } = context.dependencies;
-  const reserved = context.reservedEndpoint;
-  context.reservedEndpoint = undefined;
-  if (reserved !== undefined && isReady(context, reserved)) return reserved;
+  const { now } = context.dependencies;
   while (context.stopReason === undefined) {
-    const endpoint = chooseEndpoint(context, tried);
-    if (endpoint === undefined || !rateLimits.isLimited(endpoint)) {
-      return endpoint;
+    const send = context.reservedSend ?? await reserveSend(context, tried);
+    context.reservedSend = undefined;
+    if (send === undefined) return undefined;
+    const wait_ms = send.at_ms - now();
+    if (wait_ms > 0) await abortableDelay(wait_ms, context.signal);
+    if (context.stopReason === undefined && isReady(context, send.endpoint)) {
+      return send.endpoint;
     }
-    const isTaken = await rateLimits.tryTake(endpoint);
-    if (isTaken && isReady(context, endpoint)) return endpoint;
   }
   return undefined;
 }
 
+/** Takes a send at an endpoint that has not been tried. */
+async function reserveSend(
+  context: RunContext,
+  tried: ReadonlySet<string>,
+): Promise<ReservedSend | undefined> {
+  const { rateLimits, now } = context.dependencies;
+  const { priority } = context.admitted;
+  while (context.stopReason === undefined) {
+    const endpoint = chooseEndpoint(context, tried);
+    if (endpoint === undefined) return await reserveAhead(context, tried);
+    const mayBeSent = !rateLimits.isLimited(endpoint) ||
+      await rateLimits.tryTake(endpoint, priority);
+    if (mayBeSent) return { endpoint, at_ms: now() };
+  }
+  return undefined;
+}
+
+/**
+ * While no endpoint takes a send now, takes a later one at the endpoint that is
+ * expected to have the first, if the request would still be in time.
+ */
+async function reserveAhead(
+  context: RunContext,
+  tried: ReadonlySet<string>,
+): Promise<ReservedSend | undefined> {
+  const { endpoints, rateLimits, load, now, log } = context.dependencies;
+  const { route, priority, metadata } = context.admitted;
+  const max_wait_ms = context.inbound.arrived_ms + route.target_latency_ms -
+    load.firstByteMs(context.pool) - now();
+  const [endpoint] = endpoints.readyInPool(context.pool, now())
+    .filter(({ id }) => !tried.has(id))
+    .sort((a, b) => rateLimits.waitMs(a) - rateLimits.waitMs(b));
+  if (endpoint === undefined || max_wait_ms <= 0) return undefined;
+  const wait_ms = await rateLimits.reserve(endpoint, { priority, max_wait_ms });
+  log.info({
+    event: "permit",
+    attempt: metadata.attempt_id,
+    endpoint: endpoint.id,
+    max_wait_ms: Math.round(max_wait_ms),
+    wait_ms: wait_ms === undefined ? undefined : Math.round(wait_ms),
+    granted: wait_ms !== undefined,
+  });
+  return wait_ms === undefined
+    ? undefined
+    : { endpoint, at_ms: now() + wait_ms };
+}
+
 /** Whether an endpoint still accepts new work. */
 function isReady(
   { pool, dependencies }: RunContext,
--- a/src/rate_limits/permit_issuer.ts
+++ b/src/rate_limits/permit_issuer.ts
@@ -2,11 +2,13 @@
  * Grants the sends to endpoints that limit their rate, for all hosts together.
  * Does no I/O and reads no clock: callers pass the time in.
  */
-import { TokenBucket, type TokenBucketLimits } from "../utils/token_bucket.ts";
+import { RightOfWay } from "./right_of_way.ts";
 import { MIN_PER_S, type PermitReply, type PermitRequest } from "./types.ts";
 
-/** Time whose permits may be granted at once, in seconds. */
-const BURST_S = 0.5;
+/** Time whose permits may be granted at once. */
+const BURST_MS = 500;
+/** Longest time ahead for which a send is granted, in milliseconds. */
+const MAX_WAIT_MS = 1_000;
 /** Longest time after which a refused host asks again. */
 const MAX_RETRY_AFTER_MS = 5_000;
 /** Endpoints that no host has asked for during this time are forgotten. */
@@ -14,8 +16,10 @@
 const MS_PER_S = 1_000;
 
 interface EndpointPermits {
-  bucket: TokenBucket;
   per_s: number;
+  /** Time of the first send that is not granted yet. */
+  next_send_ms: number;
+  rightOfWay: RightOfWay;
   /** When the endpoint named the limit. */
   named_ms: number;
   /** Time at which the host that was refused last asks again. */
@@ -27,17 +31,27 @@
 export class PermitIssuer {
   #endpoints = new Map<string, EndpointPermits>();
 
-  /** Grants one send, or tells when to ask again. */
+  /** Grants one send, now or soon, or tells when to ask again. */
   request(request: PermitRequest, now_ms: number): PermitReply {
     const permits = this.#permitsOf(request, now_ms);
-    if (permits.bucket.tryTake(now_ms)) {
-      return { granted: true, retry_after_ms: 0 };
+    const send_interval_ms = MS_PER_S / permits.per_s;
+    const send_ms = nextSendMs(permits, now_ms);
+    const wait_ms = Math.max(0, send_ms - now_ms);
+    const limit_ms = Math.min(
+      MAX_WAIT_MS,
+      permits.rightOfWay.limitMs(request, { now_ms, send_interval_ms }),
+    );
+    if (wait_ms <= limit_ms) {
+      permits.next_send_ms = send_ms + send_interval_ms;
+      permits.rightOfWay.recordGrant(request.priority, now_ms);
+      return { granted: true, wait_ms, retry_after_ms: 0 };
     }
     // Hosts that are refused get times of their own, one permit apart.
     const earliest_ms = Math.max(now_ms, permits.next_retry_ms) +
-      MS_PER_S / permits.per_s;
+      send_interval_ms;
     permits.next_retry_ms = Math.min(earliest_ms, now_ms + MAX_RETRY_AFTER_MS);
-    return { granted: false, retry_after_ms: permits.next_retry_ms - now_ms };
+    const retry_after_ms = permits.next_retry_ms - now_ms;
+    return { granted: false, wait_ms: 0, retry_after_ms };
   }
 
   /** Forgets an endpoint whose limit has ended. */
@@ -54,13 +68,20 @@
     const named_ms = now_ms - age_ms;
     let permits = this.#endpoints.get(endpoint);
     if (permits === undefined) {
-      const bucket = new TokenBucket(bucketLimits(per_s), now_ms);
-      const next_retry_ms = 0;
-      permits = { bucket, per_s, named_ms, next_retry_ms, asked_ms: now_ms };
+      permits = {
+        per_s,
+        named_ms,
+        next_send_ms: -Infinity,
+        next_retry_ms: 0,
+        asked_ms: now_ms,
+        rightOfWay: new RightOfWay(),
+      };
     } else if (named_ms > permits.named_ms) {
+      // The sends that are granted ahead, or left over, keep their number.
+      const ahead_ms = nextSendMs(permits, now_ms) - now_ms;
+      permits.next_send_ms = now_ms + ahead_ms * permits.per_s / per_s;
       permits.per_s = per_s;
       permits.named_ms = named_ms;
-      permits.bucket.setLimits(bucketLimits(per_s), now_ms);
     }
     permits.asked_ms = now_ms;
     // The endpoint asked for last stands last in the map.
@@ -77,9 +98,11 @@
   }
 }
 
-function bucketLimits(per_s: number): TokenBucketLimits {
-  return {
-    tokens_per_second: per_s,
-    burst_tokens: Math.max(1, per_s * BURST_S),
-  };
+/** The next send's time; it is past if sends of a burst are left over. */
+function nextSendMs(
+  { next_send_ms, per_s }: EndpointPermits,
+  now_ms: number,
+): number {
+  const burst_ms = Math.max(0, BURST_MS - MS_PER_S / per_s);
+  return Math.max(next_send_ms, now_ms - burst_ms);
 }
--- a/src/rate_limits/rate_limit_service.ts
+++ b/src/rate_limits/rate_limit_service.ts
@@ -13,6 +13,7 @@
 import type { RouteEndpoint } from "../routes/types.ts";
 import { KnownLimits } from "./known_limits.ts";
 import { PermitIssuer } from "./permit_issuer.ts";
+import type { WaitingRequest } from "./right_of_way.ts";
 import {
   type LimitNotice,
   type PermitReply,
@@ -95,22 +96,34 @@
     return this.#known.waitMs(incarnationOf(endpoint), this.#options.now());
   }
 
-  /** Takes the permission for one send; resolves to whether it was granted. */
-  async tryTake(endpoint: RouteEndpoint): Promise<boolean> {
+  /** Takes the permission for a send now; resolves to whether it was granted. */
+  async tryTake(endpoint: RouteEndpoint, priority: number): Promise<boolean> {
+    const request = { priority, max_wait_ms: 0 };
+    return await this.reserve(endpoint, request) !== undefined;
+  }
+
+  /**
+   * Takes the permission for a send that may wait. Resolves to the time until
+   * the send, in milliseconds, or to undefined if it was refused.
+   */
+  async reserve(
+    endpoint: RouteEndpoint,
+    waiting: WaitingRequest,
+  ): Promise<number | undefined> {
     const incarnation = incarnationOf(endpoint);
     const { peers, now } = this.#options;
     const limit = this.#known.find(incarnation, now());
-    if (limit === undefined) return true;
-    const request = { endpoint: incarnation, ...limit };
+    if (limit === undefined) return 0;
+    const request = { endpoint: incarnation, ...limit, ...waiting };
     const [reply] = await this.#callIssuer(incarnation, {
       local: () => this.handleRequest(request),
       remote: async (issuer) =>
         permitReplySchema.parse(await peers.requestPermit(issuer, request)),
     });
-    if (reply?.granted === true) return true;
+    if (reply?.granted === true) return reply.wait_ms;
     const retry_after_ms = reply?.retry_after_ms ?? NO_ISSUER_RETRY_MS;
     this.#known.recordRefusal(incarnation, now() + retry_after_ms);
-    return false;
+    return undefined;
   }
 
   /** Handles, as the issuer, a host's request for a permit. */
--- a/src/rate_limits/types.ts
+++ b/src/rate_limits/types.ts
@@ -12,11 +12,17 @@
   per_s: z.number().nonnegative(),
   /** Time since it was named, in milliseconds. */
   age_ms: z.number().nonnegative(),
+  /** Of the request that is to be sent; 0 is the most urgent. */
+  priority: z.int().nonnegative().default(0),
+  /** Longest time that the request may wait for its send, in milliseconds. */
+  max_wait_ms: z.number().nonnegative().default(0),
 });
 
 /** The reply to a {@linkcode PermitRequest}. */
 export const permitReplySchema = z.object({
   granted: z.boolean(),
+  /** Time until the send, in milliseconds; 0 unless granted. */
+  wait_ms: z.number().nonnegative().default(0),
   /** Time after which to ask again, in milliseconds; 0 if granted. */
   retry_after_ms: z.number().nonnegative(),
 });
--- a/test/rate_limits/endpoint_rate_limit.test.ts
+++ b/test/rate_limits/endpoint_rate_limit.test.ts
@@ -170,6 +170,25 @@
   assert.equal(computed() - computedBefore, served);
 });
 
+test("requests that can wait for the next send within their time are not refused", async () => {
+  await startFleet(Service.Model, 1);
+  const [engine] = enginesOf(Service.Model);
+  if (engine === undefined) throw new Error("no engine");
+  const per_s = 2 * LIMIT_PER_S;
+  engine.rate_limit_per_s = per_s;
+  await load("/draft/x", { per_s: LIMIT_PER_S, for_s: 1 });
+  await sleep(1_000);
+  // Half a second's sends at once, and one more.
+  const atOnce = per_s / 2 + 1;
+  const answers: Answer[] = [];
+  for (let round = 0; round < 6; round++) {
+    const calls = Array.from({ length: atOnce }, () => call("/draft/x"));
+    answers.push(...await Promise.all(calls));
+    await sleep(1_000 * atOnce / per_s);
+  }
+  assert.equal(count(answers, HTTP_OK), answers.length);
+});
+
 test("the limit ends with an answer that names none", async () => {
   await startFleet(Service.Desk, 1);
   const [engine] = enginesOf(Service.Desk);
--- a/test/rate_limits/rate_limit_service.test.ts
+++ b/test/rate_limits/rate_limit_service.test.ts
@@ -80,7 +80,7 @@
     for (; this.now_ms < end_ms; this.now_ms += 20) {
       for (const service of this.live) {
         if (service.waitMs(ENDPOINT) > 0) continue;
-        if (await service.tryTake(ENDPOINT)) granted += 1;
+        if (await service.tryTake(ENDPOINT, 0)) granted += 1;
       }
     }
     return granted;
@@ -141,7 +141,7 @@
     Object.assign(service, { handleRequest: () => ({ granted: "yes" }) });
   }
   for (const service of cluster.live) {
-    assert.equal(await service.tryTake(ENDPOINT), false);
+    assert.equal(await service.tryTake(ENDPOINT, 0), false);
     assert.ok(service.waitMs(ENDPOINT) > 0);
   }
 });
@@ -157,6 +157,6 @@
   // The last of the ranking does not come to ask itself.
   const asking = cluster.services.get(ranking.at(-1) ?? "");
   for (const address of ranking.slice(0, -1)) cluster.lost.add(address);
-  assert.equal(await asking?.tryTake(ENDPOINT), false);
+  assert.equal(await asking?.tryTake(ENDPOINT, 0), false);
   assert.equal(asking?.waitMs(ENDPOINT), 500);
 });
