Let the largest hosts read the store, so that a large configuration is in time

Callers got 404 for routes that had been added seconds before.

Cause: eight hosts read the store and send each configuration to 81 others, two copies to each. They were chosen by hash, so most had a link of 10 Mbit/s, and 1,360 new routes took them seven seconds.

Now the largest hosts are the readers. The test "the largest hosts read the store" failed before.

--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -228,6 +228,7 @@
   const readers = new StoreReaders({
     self,
     hosts: () => members.addresses(),
+    cores: () => members.cores(),
     readerCount: settings.object_store.readers,
     now,
   });
--- a/src/membership/gateway_members.ts
+++ b/src/membership/gateway_members.ts
@@ -60,6 +60,12 @@
       .filter((address) => address !== this.#self.address);
   }
 
+  /** CPU cores of each host, by address. */
+  cores(): Map<string, number> {
+    const all = [this.#self, ...this.#members.values()];
+    return new Map(all.map(({ address, cores }) => [address, cores]));
+  }
+
   /**
    * Addresses of the hosts that may form batches: the older half of the largest
    * ones, so that a newly started host does not take over work from the others.
--- a/src/membership/store_readers.ts
+++ b/src/membership/store_readers.ts
@@ -13,6 +13,8 @@
   self: string;
   /** Addresses of all hosts, this one included. */
   hosts: () => string[];
+  /** CPU cores of each host, by address. */
+  cores: () => ReadonlyMap<string, number>;
   /** Number of hosts that read the store. */
   readerCount: number;
   now: () => number;
@@ -25,10 +27,12 @@
 
 /**
  * Selects the hosts (the readers) that read the object store; all other hosts
- * follow its feeds from them. The readers are the first hosts of a rendezvous
- * ranking. A reader that does not respond, or is itself cut off from the store,
- * is excluded for a while. Hosts need not agree on the selection: a host whose
- * readers all fail reads the store itself.
+ * follow its feeds from them. The readers are the largest hosts, those of one
+ * size in the order of a rendezvous ranking: each of them sends a configuration
+ * to many others, which would take a small host too long. A reader that does not
+ * respond, or is itself cut off from the store, is excluded for a while. Hosts
+ * need not agree on the selection: a host whose readers all fail reads the store
+ * itself.
  */
 export class StoreReaders {
   #excluded = new Map<string, Exclusion>();
@@ -108,8 +112,11 @@
     const hosts = this.#options.hosts();
     const key = hosts.join();
     if (key !== this.#ranked.hosts) {
+      const cores = this.#options.cores();
       // All hosts rank by the same key, so that they select the same readers.
-      this.#ranked = { hosts: key, order: rankCandidates("feeds", hosts) };
+      const order = rankCandidates("feeds", hosts)
+        .sort((a, b) => (cores.get(b) ?? 0) - (cores.get(a) ?? 0));
+      this.#ranked = { hosts: key, order };
     }
     return this.#ranked.order;
   }
--- a/test/membership/store_readers.test.ts
+++ b/test/membership/store_readers.test.ts
@@ -5,10 +5,13 @@
 
 const HOSTS = Array.from({ length: 81 }, (_, n) => `host-${n}`);
 
+const LARGE_HOSTS = ["host-7", "host-33", "host-58"];
+
 function readersAt(self: string, hosts = HOSTS, clock = { now_ms: 0 }) {
   return new StoreReaders({
     self,
     hosts: () => hosts,
+    cores: () => new Map(LARGE_HOSTS.map((host) => [host, 2])),
     readerCount: 8,
     now: () => clock.now_ms,
   });
@@ -19,6 +22,10 @@
   assert.equal(reading.length, 8);
 });
 
+test("the largest hosts read the store, as each sends configurations to many others", () => {
+  assert.ok(LARGE_HOSTS.every((host) => readersAt(host).selfIsReader));
+});
+
 test("in a small fleet every host reads the store", () => {
   const few = HOSTS.slice(0, 8);
   assert.ok(few.every((host) => readersAt(host, few).selfIsReader));
--- a/test/peers/create_relayed_feeds.test.ts
+++ b/test/peers/create_relayed_feeds.test.ts
@@ -34,7 +34,13 @@
   const log = createLogger({ level: "error", host: "h", writeLine: () => {} });
   const now = () => 0;
   const readersAt = (self: string) =>
-    new StoreReaders({ self, hosts: () => HOSTS, readerCount: 3, now });
+    new StoreReaders({
+      self,
+      hosts: () => HOSTS,
+      cores: () => new Map(),
+      readerCount: 3,
+      now,
+    });
   const self = HOSTS.find((host) => readersAt(host).selfIsReader) ?? "";
   const feeds = createRelayedFeeds(
     { configuration: feed, endpoints: feed, gateways: feed, quarantined: feed },
--- a/test/store_sync/relayed_feed.test.ts
+++ b/test/store_sync/relayed_feed.test.ts
@@ -43,6 +43,7 @@
   return new StoreReaders({
     self,
     hosts: () => HOSTS,
+    cores: () => new Map(),
     readerCount: READERS,
     now: () => 0,
   });
@@ -134,6 +135,7 @@
   const readers = new StoreReaders({
     self: follower,
     hosts: () => hosts,
+    cores: () => new Map(),
     readerCount: READERS,
     now: () => 0,
   });
