--- a/src/rate_limits/permit_issuer.ts
+++ b/src/rate_limits/permit_issuer.ts
@@ -2,7 +2,7 @@
  * Grants the sends to endpoints that limit their rate, for all hosts together.
  * Does no I/O and reads no clock: callers pass the time in.
  */
-import { RightOfWay } from "./right_of_way.ts";
+import { ReservationLimits } from "./reservation_limits.ts";
 import { MIN_PER_S, type PermitReply, type PermitRequest } from "./types.ts";
 
 /** Time whose permits may be granted at once. */
@@ -19,7 +19,7 @@
   per_s: number;
   /** Time of the first send that is not granted yet. */
   next_send_ms: number;
-  rightOfWay: RightOfWay;
+  reservationLimits: ReservationLimits;
   /** When the endpoint named the limit. */
   named_ms: number;
   /** Time at which the host that was refused last asks again. */
@@ -39,11 +39,11 @@
     const wait_ms = Math.max(0, send_ms - now_ms);
     const limit_ms = Math.min(
       MAX_WAIT_MS,
-      permits.rightOfWay.limitMs(request, { now_ms, send_interval_ms }),
+      permits.reservationLimits.limitMs(request, { now_ms, send_interval_ms }),
     );
     if (wait_ms <= limit_ms) {
       permits.next_send_ms = send_ms + send_interval_ms;
-      permits.rightOfWay.recordGrant(request.priority, now_ms);
+      permits.reservationLimits.recordGrant(request.priority, now_ms);
       return { granted: true, wait_ms, retry_after_ms: 0 };
     }
     // Hosts that are refused get times of their own, one permit apart.
@@ -74,7 +74,7 @@
         next_send_ms: -Infinity,
         next_retry_ms: 0,
         asked_ms: now_ms,
-        rightOfWay: new RightOfWay(),
+        reservationLimits: new ReservationLimits(),
       };
     } else if (named_ms > permits.named_ms) {
       // The sends that are granted ahead, or left over, keep their number.
--- a/src/rate_limits/rate_limit_service.ts
+++ b/src/rate_limits/rate_limit_service.ts
@@ -13,7 +13,7 @@
 import type { RouteEndpoint } from "../routes/types.ts";
 import { KnownLimits } from "./known_limits.ts";
 import { PermitIssuer } from "./permit_issuer.ts";
-import type { WaitingRequest } from "./right_of_way.ts";
+import type { WaitingRequest } from "./reservation_limits.ts";
 import {
   type LimitNotice,
   type PermitReply,
--- a/src/rate_limits/right_of_way.ts
+++ b/src/rate_limits/reservation_limits.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps sends free for urgent requests while an endpoint's sends are granted
- * ahead of time. Does no I/O and reads no clock: callers pass the time in.
+ * Limits how far ahead requests may reserve sends to an endpoint, so that urgent
+ * requests find one. Does no I/O and reads no clock: callers pass the time in.
  */
 
 /** A request that may wait for its send. */
@@ -18,13 +18,13 @@
 /** A priority without a grant for this many sends may wait its full time. */
 const MAX_SENDS_PASSED_OVER = 10;
 
-/** Decides how far ahead a request may take a send. */
-export class RightOfWay {
+/** Limits the reservations of less urgent requests. */
+export class ReservationLimits {
   #asked = new Map<number, { max_wait_ms: number; at_ms: number }>();
   /** When each priority got a send last, or first asked for one. */
   #served_ms = new Map<number, number>();
 
-  /** The time ahead up to which the request may take a send. */
+  /** How far ahead the request may reserve a send, in milliseconds. */
   limitMs(
     { priority, max_wait_ms }: WaitingRequest,
     { now_ms, send_interval_ms }: { now_ms: number; send_interval_ms: number },
