--- a/stand_ins/deployment/object_store.ts
+++ b/stand_ins/deployment/object_store.ts
@@ -1,7 +1,8 @@
 /**
  * Stand-in for the object store of the deployment platform, in this process:
  * objects by kind and name, a store-wide revision counter, paginated lists,
- * long-poll watches and an event history that can be discarded.
+ * long-poll watches, an event history that can be discarded, and copies from
+ * which the store can be restored.
  */
 import { once } from "node:events";
 import {
@@ -34,6 +35,13 @@
   deleted: boolean;
 }
 
+/** The content of a store at one moment. */
+export interface StoreCopy {
+  kinds: Map<string, Map<string, StoredObject>>;
+  events: StoreEvent[];
+  revision: number;
+}
+
 const MAX_ITEMS_PER_PAGE = 50;
 const OBJECTS_PATH = "/v1/objects/";
 
@@ -43,6 +51,10 @@
   /** Calls received so far. */
   calls = 0;
   address = "";
+  /**
+   * Sent with every response; rises with each restoration. Undefined sends none.
+   */
+  epoch: number | string | undefined = 1;
   #kinds = new Map<string, Map<string, StoredObject>>();
   #events: StoreEvent[] = [];
   #discardedUpTo = 0;
@@ -54,6 +66,9 @@
    */
   #withheldUpTo = 0;
   #server = createServer((request, response) => {
+    if (this.epoch !== undefined) {
+      response.setHeader("store-era", String(this.epoch));
+    }
     void this.#handle(request, response);
   });
 
@@ -109,6 +124,37 @@
     this.#events = [];
   }
 
+  /** Copies the current content. */
+  copy(): StoreCopy {
+    const kinds = [...this.#kinds].map(([kind, objects]) =>
+      [kind, new Map(objects)] as const
+    );
+    return {
+      kinds: new Map(kinds),
+      events: [...this.#events],
+      revision: this.#revision,
+    };
+  }
+
+  /**
+   * Goes back to a copy: what was written since is lost, its revisions are given
+   * out again, and the current watches are disconnected.
+   */
+  restore({ kinds, events, revision }: StoreCopy): void {
+    this.#kinds = new Map(
+      [...kinds].map(([kind, objects]) => [kind, new Map(objects)]),
+    );
+    this.#events = [...events];
+    this.#revision = revision;
+    if (this.epoch !== undefined) this.epoch = Number(this.epoch) + 1;
+    for (const response of this.#watchResponses) response.destroy();
+  }
+
+  /** Current revision. */
+  get revision(): number {
+    return this.#revision;
+  }
+
   /** Delivers no more events to the oldest `count` waiting watches. */
   silenceOldestWatches(count: number): void {
     const oldest = [...this.#waitingWatches].slice(0, count);
@@ -169,7 +215,9 @@
     query: URLSearchParams,
   ): Promise<void> {
     const since = Number(query.get("watch"));
-    if (since < this.#discardedUpTo) return send(response, 410, {});
+    if (since < this.#discardedUpTo || since > this.#revision) {
+      return send(response, 410, {});
+    }
     const newEvents = () =>
       since <= this.#withheldUpTo
         ? []
