Name each request that ends without a byte, and count all ends

A request whose handling threw left one line, event=fault with a stack, which named neither the request nor what it was waiting for; a request that a stopping host closed left none.

Each request now carries its progress: stage of work, attempt id, route, sends, and why this host closed its connection, if it did. Every close of a caller's response by this host goes through it. When the response has closed, the end is told in one place: answered, refused, cut within a response (a warning), without any byte (an error, event=request_cut end=no_outcome), or the caller's own leaving, which is no fault and leaves no line. sesamequay_request_ends_total counts them.

No decision about requests changes here.

--- a/src/forwarding/complete_exchange.ts
+++ b/src/forwarding/complete_exchange.ts
@@ -212,7 +212,7 @@
   relayed: RelayResult,
   { first_byte_ms, status }: { first_byte_ms: number; status: number },
 ): SendResult {
-  const { response } = context.inbound;
+  const { response, progress } = context.inbound;
   context.bufferedError = relayed.buffered ?? context.bufferedError;
   if (relayed.complete) {
     return {
@@ -231,7 +231,9 @@
     context.stopReason === undefined;
   // A truncated response must not look complete, so the connection is
   // destroyed.
-  if (!mayResume && response.headersSent) response.destroy();
+  if (!mayResume && response.headersSent) {
+    progress.cut(response, context.stopReason ?? "endpoint_broke_off");
+  }
   const outcome = response.destroyed
     ? SendOutcome.Answered
     : SendOutcome.MayHaveRun;
--- a/src/forwarding/forward_request.ts
+++ b/src/forwarding/forward_request.ts
@@ -14,6 +14,7 @@
   RejectionReason,
   sendRejection,
 } from "./rejection.ts";
+import { RequestStage } from "./request_progress.ts";
 import { type InboundRequest, RunContext } from "./run_context.ts";
 import { serveAdmittedRequest } from "./serve_admitted.ts";
 
@@ -24,10 +25,10 @@
   inbound: InboundRequest,
   dependencies: ForwardingDependencies,
 ): Promise<void> {
-  const { request, response } = inbound;
+  const { request, progress } = inbound;
   const head = { url: request.url ?? "/", headers: request.rawHeaders };
   if (!dependencies.acceptsRequests()) {
-    sendRejection(response, HOST_STOPPING, false);
+    sendRejection(inbound, HOST_STOPPING, false);
     return;
   }
   const admission = admit(
@@ -38,21 +39,24 @@
   if (!admission.ok) {
     logRejection(dependencies, inbound, admission.rejection);
     sendRejection(
-      response,
+      inbound,
       admission.rejection,
       !dependencies.isShuttingDown(),
     );
     return;
   }
   const { admitted } = admission;
+  progress.attempt_id = admitted.metadata.attempt_id;
+  progress.route = admitted.route.name;
   const decision = dependencies.quarantine.admit(admitted.metadata.prompt);
   if (decision === QuarantineDecision.Reject) {
     logRejection(dependencies, inbound, QUARANTINED);
     const { kind } = admitted.route;
     dependencies.metrics.requests.inc({ kind, outcome: QUARANTINED.reason });
-    sendRejection(response, QUARANTINED, !dependencies.isShuttingDown());
+    sendRejection(inbound, QUARANTINED, !dependencies.isShuttingDown());
     return;
   }
+  progress.stage = RequestStage.ReadingBody;
   const read = await readBody(request, admitted.max_body_bytes);
   if (read.kind === BodyReadOutcome.Aborted) return;
   if (read.kind === BodyReadOutcome.TooLarge) {
@@ -60,7 +64,7 @@
       reason: RejectionReason.BodyTooLarge,
       message: "Send less",
     };
-    sendRejection(response, rejection, false);
+    sendRejection(inbound, rejection, false);
     return;
   }
   await serveAdmittedRequest(
--- a/src/forwarding/gateway_server.ts
+++ b/src/forwarding/gateway_server.ts
@@ -9,6 +9,9 @@
 import type { CallerLimits } from "../routes/types.ts";
 import { forwardRequest } from "./forward_request.ts";
 import type { ForwardingDependencies } from "./dependencies.ts";
+import { recordRequestEnd } from "./record_request_end.ts";
+import { RequestProgress } from "./request_progress.ts";
+import type { InboundRequest } from "./run_context.ts";
 
 /**
  * Largest header section that Node parses; the configured limit applies below
@@ -31,7 +34,9 @@
 export class GatewayServer {
   readonly server: Server;
   #idleSince_ms = new Map<Socket, number>();
-  #running = 0;
+  /** Connections that this host is closing. */
+  #closing = new WeakSet<Socket>();
+  #running = new Set<InboundRequest>();
   #idle_timeout_ms = INITIAL_IDLE_TIMEOUT_MS;
   #dependencies: ForwardingDependencies;
   #idleSweepTimer: NodeJS.Timeout;
@@ -46,7 +51,12 @@
     });
     this.server.on("connection", (socket) => this.#trackIdle(socket));
     this.server.on("request", (request, response) => {
-      void this.#serve({ request, response, arrived_ms: dependencies.now() });
+      void this.#serve({
+        request,
+        response,
+        arrived_ms: dependencies.now(),
+        progress: new RequestProgress(),
+      });
     });
     this.server.on(
       "clientError",
@@ -61,7 +71,7 @@
 
   /** Number of requests whose response has not finished. */
   get running(): number {
-    return this.#running;
+    return this.#running.size;
   }
 
   /** Applies the limits of a configuration. */
@@ -72,26 +82,31 @@
 
   /** Closes the connections without a running request. */
   closeIdleConnections(): void {
-    for (const socket of this.#idleSince_ms.keys()) socket.end();
+    for (const socket of this.#idleSince_ms.keys()) this.#end(socket);
   }
 
   /** Stops the server and closes all connections immediately. */
   close(): void {
     clearInterval(this.#idleSweepTimer);
     this.server.close();
+    for (const { response, progress } of this.#running) {
+      progress.cut(response, "host_stopped");
+    }
     this.server.closeAllConnections();
   }
 
-  async #serve(inbound: Parameters<typeof forwardRequest>[0]): Promise<void> {
-    const { request, response } = inbound;
+  async #serve(inbound: InboundRequest): Promise<void> {
+    const { request, response, progress } = inbound;
     const { socket } = request;
-    this.#running += 1;
+    this.#running.add(inbound);
     this.#idleSince_ms.delete(socket);
     response.once("close", () => {
-      this.#running -= 1;
+      this.#running.delete(inbound);
+      if (this.#closing.has(socket)) progress.cutBy("connection_closed");
+      recordRequestEnd(inbound, this.#dependencies);
       if (!socket.destroyed) {
         this.#idleSince_ms.set(socket, this.#dependencies.now());
-        if (this.#dependencies.isShuttingDown()) socket.end();
+        if (this.#dependencies.isShuttingDown()) this.#end(socket);
       }
     });
     try {
@@ -101,10 +116,15 @@
         event: "fault",
         error: (error as Error).stack,
       });
-      response.destroy();
+      progress.cut(response, `fault: ${(error as Error).message}`);
     }
   }
 
+  #end(socket: Socket): void {
+    this.#closing.add(socket);
+    socket.end();
+  }
+
   #trackIdle(socket: Socket): void {
     this.#idleSince_ms.set(socket, this.#dependencies.now());
     socket.on(
@@ -122,7 +142,7 @@
     const oldest_ms = this.#dependencies.now() -
       this.#idle_timeout_ms * IDLE_TIMEOUT_FACTOR;
     for (const [socket, since_ms] of this.#idleSince_ms) {
-      if (since_ms < oldest_ms) socket.end();
+      if (since_ms < oldest_ms) this.#end(socket);
     }
   }
 }
--- a/src/forwarding/rejection.ts
+++ b/src/forwarding/rejection.ts
@@ -2,7 +2,7 @@
  * Error responses that this host sends itself. Most reasons guarantee that the
  * request has not run and will not run; `EndpointLost` and `TimedOut` do not.
  */
-import type { ServerResponse } from "node:http";
+import type { InboundRequest } from "./run_context.ts";
 
 /**
  * Why this host responded instead of an endpoint. The values go to the caller.
@@ -79,14 +79,15 @@
  * connection instead.
  */
 export function sendRejection(
-  response: ServerResponse,
+  { response, progress }: InboundRequest,
   rejection: Rejection,
   keepConnection: boolean,
 ): void {
   if (response.headersSent || response.destroyed) {
-    response.destroy();
+    progress.cut(response, rejection.reason);
     return;
   }
+  progress.refused = true;
   const status = STATUS_BY_REASON[rejection.reason];
   const body = JSON.stringify({
     type: "about:blank",
--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -6,6 +6,7 @@
 import type { ForwardingDependencies } from "./dependencies.ts";
 import { type Rejection, sendRejection } from "./rejection.ts";
 import type { BufferedResponse } from "./relay.ts";
+import type { RequestProgress } from "./request_progress.ts";
 import type { ReservedSend } from "./take_endpoint.ts";
 
 /** A caller's request and its pending response. */
@@ -14,6 +15,7 @@
   response: ServerResponse;
   /** Time at which its headers were read, on the monotonic clock. */
   arrived_ms: number;
+  progress: RequestProgress;
 }
 
 /**
@@ -53,8 +55,6 @@
   readonly pool: string;
   /** Send that is already taken from its endpoint's rate limit. */
   reservedSend: ReservedSend | undefined;
-  /** Number of times it was sent to an endpoint. */
-  sendCount = 0;
   /** Whether an endpoint may have run the request. */
   mayHaveRun = false;
   /**
@@ -101,6 +101,11 @@
     this.pool = selectWeightedPool(admitted, dependencies.random);
   }
 
+  /** Number of times it was sent to an endpoint. */
+  get sendCount(): number {
+    return this.inbound.progress.sends;
+  }
+
   /** Why the request was stopped; undefined if it was not. */
   get stopReason(): StopReason | undefined {
     return this.#stopReason;
@@ -148,7 +153,7 @@
     this.recordOutcome(rejection.reason);
     if (this.#stopReason === StopReason.CallerDisconnected) return;
     sendRejection(
-      this.inbound.response,
+      this.inbound,
       rejection,
       !this.dependencies.isShuttingDown(),
     );
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -6,6 +6,7 @@
 import { JobOutcomeKind } from "../batching/types.ts";
 import { HOST_STOPPING, QUARANTINED, RejectionReason } from "./rejection.ts";
 import { sendBufferedResponse } from "./relay.ts";
+import { RequestStage } from "./request_progress.ts";
 import { type RunContext, StopReason } from "./run_context.ts";
 import { SendOutcome, type StageInputs } from "./complete_exchange.ts";
 import { sendOnce } from "./send_once.ts";
@@ -81,6 +82,7 @@
 }
 
 async function runInputStages(context: RunContext): Promise<GraphOutcome> {
+  context.inbound.progress.stage = RequestStage.Stages;
   const { route, metadata, priority } = context.admitted;
   const { stageGraph, metrics, load, now, log } = context.dependencies;
   const started_ms = now();
@@ -161,11 +163,14 @@
 ): Promise<boolean> {
   const tried = new Set<string>();
   let failures = 0;
-  while (context.sendCount < MAX_SENDS && context.stopReason === undefined) {
+  const { progress } = context.inbound;
+  while (progress.sends < MAX_SENDS && context.stopReason === undefined) {
+    progress.stage = RequestStage.ChoosingEndpoint;
     const endpoint = await takeEndpoint(context, tried);
     if (context.isQuarantined) return rejectQuarantined(context);
     if (endpoint === undefined || !tryTakeSend(context)) break;
-    context.sendCount += 1;
+    progress.sends += 1;
+    progress.stage = RequestStage.Sending;
     const outcome = await sendOnce(context, endpoint, inputs);
     if (outcome === SendOutcome.Answered) return false;
     if (outcome === SendOutcome.InputsLost) return true;
@@ -204,9 +209,11 @@
  * request has not run only if that is certain.
  */
 function endUnanswered(context: RunContext): void {
-  const { response } = context.inbound;
+  const { response, progress } = context.inbound;
   if (response.writableEnded || response.destroyed) return;
-  if (response.headersSent) return void response.destroy();
+  if (response.headersSent) {
+    return progress.cut(response, context.stopReason ?? "not_resumed");
+  }
   if (context.bufferedError !== undefined) {
     context.recordOutcome("error_passed_on");
     return sendBufferedResponse(
--- a/src/metrics/forward_metrics.ts
+++ b/src/metrics/forward_metrics.ts
@@ -24,6 +24,12 @@
     labelNames: ["kind", "outcome"],
     registers: [this.registry],
   });
+  readonly requestEnds = new Counter({
+    name: "sesamequay_request_ends_total",
+    help: "Requests by how they ended for the caller",
+    labelNames: ["end"],
+    registers: [this.registry],
+  });
   readonly requestTime = new Histogram({
     name: "sesamequay_forwarded_request_ms",
     help: "Time to the end of the answer",
