End every request in one place, whatever throws or hangs while it is handled

Callers saw their connection close without a byte: with one endpoint's entry that names port 99999, 18 of 30 requests. An error thrown anywhere between admission and the first write went up to the server, which logged event=fault and destroyed the response. Others never ended at all, not even at their deadline: an answer with status 099, with status 101 or with a control character in its status text made writeHead throw inside a stream's event handler, or emitted neither response nor error, and nobody was left to answer.

Cause: each path through a request wrote its own end, so a path that threw, or that waited for a promise nobody settles, had none. Class: an end that depends on the code before it.

Now handling a request returns an outcome, and finish_request.ts alone carries it out: refusals, withheld errors, cuts. A throw is an outcome too: 503 if no send had begun that could have run (the progress says so, set before the send and taken back only by an endpoint's own word or a connection that was never made), else 502, and a cut only within a response. A request that was stopped (deadline, stopping host) ends within 150 ms even if its handling doesn't return. sendRequest keeps its promise: an error of http.request is NotSent with its code, which tells nothing of the endpoint's health; a close without a response is a lost response; a head that can't be written is one too. A throw within a relayed stream rejects its relay. Calls for pieces and frees don't reject either, so a job isn't left to its expiry.

Ruled out: a throw while the body is read (readBody only keeps bytes).

--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -84,7 +84,7 @@
   }
 }
 
-/** Creates a client that calls endpoints over HTTP. */
+/** Creates a client that calls endpoints over HTTP; its calls never reject. */
 export function createPieceClient(options: PieceClientOptions): PieceClient {
   const pendingByAddress = new Map<string, PendingFree>();
   const recentHandles = new RecentHandles();
@@ -100,6 +100,9 @@
     const freed = delay(wait_ms).then(() => {
       pendingByAddress.delete(address);
       return freeResults(address, batch, options);
+    }).catch((error: Error) => {
+      logFault(error, options.log);
+      return false;
     });
     pendingByAddress.set(address, { handles: batch, freed });
     return freed;
@@ -111,11 +114,19 @@
         recentHandles,
         freePacer,
         timeout_ms,
+      }).catch((error: Error) => {
+        logFault(error, options.log);
+        return failed(error.message);
       }),
     free,
   };
 }
 
+/** An error of this host's own, which must not leave a job without a result. */
+function logFault(error: Error, log: Logger): void {
+  log.error({ event: "fault", stage: "stage_call", error: error.stack });
+}
+
 async function callForPieces(
   endpoint: RouteEndpoint,
   requests: PieceRequest[],
--- a/src/endpoints/exchange.ts
+++ b/src/endpoints/exchange.ts
@@ -3,7 +3,7 @@
  * tells apart requests that were not sent, requests with a response, and
  * requests that may have run although their response was lost.
  */
-import { type IncomingMessage, request } from "node:http";
+import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { Socket } from "node:net";
 import { parseAddress } from "../settings/settings.ts";
 import type { StrictKeepAliveAgent } from "./strict_keep_alive_agent.ts";
@@ -28,7 +28,12 @@
 /** The result of an exchange; `reason` is an error code or message. */
 export type ExchangeResult =
   /** No connection was made: the request has not run. */
-  | { kind: ExchangeOutcome.NotSent; reason: string }
+  | {
+    kind: ExchangeOutcome.NotSent;
+    reason: string;
+    /** Whether this host could not form the request; not the endpoint's fault. */
+    malformed?: boolean;
+  }
   /** The connection failed before a response: the request may have run. */
   | { kind: ExchangeOutcome.ResponseLost; reason: string }
   | { kind: ExchangeOutcome.ResponseReceived; response: EndpointResponse };
@@ -52,6 +57,9 @@
 
 /** Timeout for opening a connection. */
 const CONNECT_TIMEOUT_MS = 400;
+/** Lower ones are informational: a response with another status follows. */
+const MIN_FINAL_STATUS = 200;
+const INVALID_STATUS_TEXT = /[^\t\x20-\x7e\x80-\xff]/;
 
 /**
  * Sends a request and resolves with the head of its response; never rejects.
@@ -64,17 +72,19 @@
       resolve({ kind: ExchangeOutcome.NotSent, reason: "cancelled" });
       return;
     }
-    const { ip, port } = parseAddress(endpointRequest.address);
     let connected = false;
-    const clientRequest = request({
-      agent: endpointRequest.agent,
-      host: ip,
-      port,
-      method: endpointRequest.method,
-      path: endpointRequest.target,
-      headers: endpointRequest.headers,
-      signal: endpointRequest.signal,
-    });
+    let clientRequest: ClientRequest;
+    try {
+      clientRequest = createRequest(endpointRequest);
+    } catch (error) {
+      const { code, message } = error as NodeJS.ErrnoException;
+      resolve({
+        kind: ExchangeOutcome.NotSent,
+        reason: code ?? message,
+        malformed: true,
+      });
+      return;
+    }
     const resolveFailure = (reason: string) =>
       resolve({
         kind: connected
@@ -103,7 +113,14 @@
       (error: NodeJS.ErrnoException) =>
         resolveFailure(error.code ?? error.message),
     );
+    // Neither an error nor a response follows a switch of protocols.
+    clientRequest.on("close", () => resolveFailure("closed"));
     clientRequest.on("response", (message) => {
+      if (!hasRelayableHead(message)) {
+        message.on("error", () => {});
+        message.destroy();
+        return resolveFailure("malformed_head");
+      }
       resolve({
         kind: ExchangeOutcome.ResponseReceived,
         response: {
@@ -119,6 +136,27 @@
   });
 }
 
+function createRequest(endpointRequest: EndpointRequest): ClientRequest {
+  const { ip, port } = parseAddress(endpointRequest.address);
+  return request({
+    agent: endpointRequest.agent,
+    host: ip,
+    port,
+    method: endpointRequest.method,
+    path: endpointRequest.target,
+    headers: endpointRequest.headers,
+    signal: endpointRequest.signal,
+  });
+}
+
+/** Whether a response's status can be written to a caller; Node may throw. */
+function hasRelayableHead(
+  { statusCode = 0, statusMessage = "" }: IncomingMessage,
+): boolean {
+  return statusCode >= MIN_FINAL_STATUS &&
+    !INVALID_STATUS_TEXT.test(statusMessage);
+}
+
 /**
  * Reads the body of a response. Resolves to undefined if it was truncated or is
  * longer than `max_bytes`.
--- a/src/forwarding/complete_exchange.ts
+++ b/src/forwarding/complete_exchange.ts
@@ -80,10 +80,13 @@
   const { now, codec, load } = context.dependencies;
   const received_ms = now();
   if (result.kind === ExchangeOutcome.NotSent) {
-    return resultAfterFailure(context, SendOutcome.NotRun, {
+    const failure = resultAfterFailure(context, SendOutcome.NotRun, {
       first_byte_ms: received_ms,
       reason: result.reason,
     });
+    return result.malformed === true
+      ? { ...failure, observedOutcome: ObservedOutcome.NotSent }
+      : failure;
   }
   if (result.kind === ExchangeOutcome.ResponseLost) {
     return resultAfterFailure(context, SendOutcome.MayHaveRun, {
--- a/src/forwarding/forward_request.ts
+++ b/src/forwarding/forward_request.ts
@@ -1,7 +1,7 @@
 /**
  * Serves one caller's request: admission by its headers, reading its body, and
- * sending it to endpoints. In every case the caller gets one complete response,
- * a correct rejection, or a closed connection.
+ * sending it to endpoints. What it comes to is returned; finish_request.ts
+ * carries it out.
  */
 import { admit } from "./admit.ts";
 import type { ForwardingDependencies } from "./dependencies.ts";
@@ -12,24 +12,27 @@
   QUARANTINED,
   type Rejection,
   RejectionReason,
-  sendRejection,
 } from "./rejection.ts";
+import {
+  OutcomeKind,
+  refused,
+  type RequestOutcome,
+} from "./request_outcome.ts";
 import { RequestStage } from "./request_progress.ts";
 import { type InboundRequest, RunContext } from "./run_context.ts";
 import { serveAdmittedRequest } from "./serve_admitted.ts";
 
 /**
- * Serves one request; resolves when its response has been written or abandoned.
+ * Handles one request; the response of an endpoint is relayed meanwhile.
  */
 export async function forwardRequest(
   inbound: InboundRequest,
   dependencies: ForwardingDependencies,
-): Promise<void> {
+): Promise<RequestOutcome> {
   const { request, progress } = inbound;
   const head = { url: request.url ?? "/", headers: request.rawHeaders };
   if (!dependencies.acceptsRequests()) {
-    sendRejection(inbound, HOST_STOPPING, false);
-    return;
+    return refused(HOST_STOPPING, true);
   }
   const admission = admit(
     head,
@@ -38,12 +41,7 @@
   );
   if (!admission.ok) {
     logRejection(dependencies, inbound, admission.rejection);
-    sendRejection(
-      inbound,
-      admission.rejection,
-      !dependencies.isShuttingDown(),
-    );
-    return;
+    return refused(admission.rejection);
   }
   const { admitted } = admission;
   progress.attempt_id = admitted.metadata.attempt_id;
@@ -53,21 +51,21 @@
     logRejection(dependencies, inbound, QUARANTINED);
     const { kind } = admitted.route;
     dependencies.metrics.requests.inc({ kind, outcome: QUARANTINED.reason });
-    sendRejection(inbound, QUARANTINED, !dependencies.isShuttingDown());
-    return;
+    return refused(QUARANTINED);
   }
   progress.stage = RequestStage.ReadingBody;
   const read = await readBody(request, admitted.max_body_bytes);
-  if (read.kind === BodyReadOutcome.Aborted) return;
+  if (read.kind === BodyReadOutcome.Aborted) {
+    return { kind: OutcomeKind.CallerGone };
+  }
   if (read.kind === BodyReadOutcome.TooLarge) {
     const rejection = {
       reason: RejectionReason.BodyTooLarge,
       message: "Send less",
     };
-    sendRejection(inbound, rejection, false);
-    return;
+    return refused(rejection, true);
   }
-  await serveAdmittedRequest(
+  return await serveAdmittedRequest(
     new RunContext(inbound, admitted, {
       body: read.body,
       isProbe: decision === QuarantineDecision.AdmitAsProbe,
--- a/src/forwarding/gateway_server.ts
+++ b/src/forwarding/gateway_server.ts
@@ -7,6 +7,7 @@
 import type { Socket } from "node:net";
 import type { Logger } from "../logging/logger.ts";
 import type { CallerLimits } from "../routes/types.ts";
+import { finishRequest } from "./finish_request.ts";
 import { forwardRequest } from "./forward_request.ts";
 import type { ForwardingDependencies } from "./dependencies.ts";
 import { recordRequestEnd } from "./record_request_end.ts";
@@ -109,15 +110,11 @@
         if (this.#dependencies.isShuttingDown()) this.#end(socket);
       }
     });
-    try {
-      await forwardRequest(inbound, this.#dependencies);
-    } catch (error) {
-      this.#dependencies.log.error({
-        event: "fault",
-        error: (error as Error).stack,
-      });
-      progress.cut(response, `fault: ${(error as Error).message}`);
-    }
+    await finishRequest(
+      inbound,
+      this.#dependencies,
+      () => forwardRequest(inbound, this.#dependencies),
+    );
   }
 
   #end(socket: Socket): void {
--- a/src/forwarding/rejection.ts
+++ b/src/forwarding/rejection.ts
@@ -1,6 +1,7 @@
 /**
  * Error responses that this host sends itself. Most reasons guarantee that the
- * request has not run and will not run; `EndpointLost` and `TimedOut` do not.
+ * request has not run and will not run; `EndpointLost`, `TimedOut` and
+ * `FaultAfterSend` do not.
  */
 import type { InboundRequest } from "./run_context.ts";
 
@@ -23,6 +24,10 @@
   Quarantined = "quarantined",
   /** Not run: no endpoint accepted it. */
   NoEndpoint = "no_endpoint",
+  /** Not run: this host failed before it sent the request. */
+  FaultBeforeSend = "fault_before_send",
+  /** May have run: this host failed after it sent the request. */
+  FaultAfterSend = "fault_after_send",
   /** May have run: its endpoint gave no complete response. */
   EndpointLost = "endpoint_lost",
   /** May have run: its deadline passed after it was sent. */
@@ -40,6 +45,8 @@
   [RejectionReason.TooLate]: 503,
   [RejectionReason.Quarantined]: 503,
   [RejectionReason.NoEndpoint]: 503,
+  [RejectionReason.FaultBeforeSend]: 503,
+  [RejectionReason.FaultAfterSend]: 502,
   [RejectionReason.EndpointLost]: 502,
   [RejectionReason.TimedOut]: 504,
 };
@@ -71,6 +78,19 @@
   message: "Endpoints crash on a part of its prompt",
 };
 
+/** Sent when the handling of a request throws before its first send. */
+export const FAULT_BEFORE_SEND: Rejection = {
+  reason: RejectionReason.FaultBeforeSend,
+  message: "This host failed; the request was not sent",
+  retry_after_ms: 250,
+};
+
+/** Sent when the handling of a request throws after a send. */
+export const FAULT_AFTER_SEND: Rejection = {
+  reason: RejectionReason.FaultAfterSend,
+  message: "This host failed; the request may have run",
+};
+
 const MS_PER_S = 1_000;
 
 /**
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -113,7 +113,15 @@
     onFirstEvent: () => void;
   },
 ): Promise<RelayResult> {
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
+    const rejectIfThrown = (handle: () => void) => {
+      try {
+        handle();
+      } catch (error) {
+        discardResponse(endpointResponse);
+        reject(error as Error);
+      }
+    };
     const splitter = new EventSplitter();
     let first_byte_ms: number | undefined;
     let finished = false;
@@ -134,7 +142,8 @@
       callerResponse.end(unsent);
       resolve({ complete, delivered: true, ...progress });
     };
-    endpointResponse.body.on("data", (chunk: Buffer) => {
+    const relayChunk = (chunk: Buffer) => {
+      if (finished) return;
       if (first_byte_ms === undefined) {
         first_byte_ms = performance.now();
         options.onFirstBytes();
@@ -149,10 +158,15 @@
       if (callerResponse.write(bytes)) return;
       endpointResponse.body.pause();
       callerResponse.once("drain", () => endpointResponse.body.resume());
-    });
+    };
+    endpointResponse.body.on(
+      "data",
+      (chunk: Buffer) => rejectIfThrown(() => relayChunk(chunk)),
+    );
     endpointResponse.body.on(
       "end",
-      () => finish(isWholeStream(endpointResponse, splitter)),
+      () =>
+        rejectIfThrown(() => finish(isWholeStream(endpointResponse, splitter))),
     );
     endpointResponse.body.on("error", () => finish(false));
     endpointResponse.body.on("close", () => finish(false));
--- a/src/forwarding/request_progress.ts
+++ b/src/forwarding/request_progress.ts
@@ -33,6 +33,11 @@
   route: string | undefined;
   /** Number of times it was sent to an endpoint. */
   sends = 0;
+  /**
+   * Whether an endpoint may have run the request, or may run it; false only if
+   * that is certain.
+   */
+  mayHaveRun = false;
   /** Whether the response is this host's own. */
   refused = false;
   #cutCause: string | undefined;
--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -4,7 +4,6 @@
 import { sharedPrefix } from "../routing/choose_route_endpoint.ts";
 import type { AdmittedRequest } from "./admit.ts";
 import type { ForwardingDependencies } from "./dependencies.ts";
-import { type Rejection, sendRejection } from "./rejection.ts";
 import type { BufferedResponse } from "./relay.ts";
 import type { RequestProgress } from "./request_progress.ts";
 import type { ReservedSend } from "./take_endpoint.ts";
@@ -27,6 +26,8 @@
   DeadlinePassed = "timed_out",
   /** The host is about to stop. */
   HostStopping = "host_stopping",
+  /** Its handling threw an error. */
+  Faulted = "fault",
 }
 
 /** Margin before the caller's deadline for the response to reach the caller. */
@@ -55,8 +56,6 @@
   readonly pool: string;
   /** Send that is already taken from its endpoint's rate limit. */
   reservedSend: ReservedSend | undefined;
-  /** Whether an endpoint may have run the request. */
-  mayHaveRun = false;
   /**
    * Resolves to whether the last send may have crashed its endpoint; undefined
    * if it began to answer or did not break.
@@ -70,6 +69,7 @@
   bufferedError: BufferedResponse | undefined;
   #stopController = new AbortController();
   #stopReason: StopReason | undefined;
+  #stopped = Promise.withResolvers<void>();
 
   constructor(
     inbound: InboundRequest,
@@ -106,11 +106,21 @@
     return this.inbound.progress.sends;
   }
 
+  /** Whether an endpoint may have run the request. */
+  get mayHaveRun(): boolean {
+    return this.inbound.progress.mayHaveRun;
+  }
+
   /** Why the request was stopped; undefined if it was not. */
   get stopReason(): StopReason | undefined {
     return this.#stopReason;
   }
 
+  /** Resolves when the request is stopped. */
+  get stopped(): Promise<void> {
+    return this.#stopped.promise;
+  }
+
   /** Aborted when the request is stopped. */
   get signal(): AbortSignal {
     return this.#stopController.signal;
@@ -120,6 +130,7 @@
   stop(reason: StopReason): void {
     this.#stopReason ??= reason;
     this.#stopController.abort(this.#stopReason);
+    this.#stopped.resolve();
   }
 
   /** Milliseconds until `expires_ms`, at least 1. */
@@ -145,20 +156,6 @@
     return this.idempotent && this.sendCount < this.admitted.route.max_attempts;
   }
 
-  /**
-   * Records and sends a rejection; sends nothing if the caller has
-   * disconnected.
-   */
-  reject(rejection: Rejection): void {
-    this.recordOutcome(rejection.reason);
-    if (this.#stopReason === StopReason.CallerDisconnected) return;
-    sendRejection(
-      this.inbound,
-      rejection,
-      !this.dependencies.isShuttingDown(),
-    );
-  }
-
   /** Records the request's outcome in the metrics and in its final log line. */
   recordOutcome(outcome: string): void {
     const { log, now, metrics } = this.dependencies;
--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -35,10 +35,12 @@
   context: RunContext,
   endpoint: RouteEndpoint,
   inputs: StageInputs,
-): Promise<SendOutcome> {
+): Promise<SendResult> {
   const { load, now, metrics, agents } = context.dependencies;
   const endpointLoad = load.forEndpoint(endpoint);
   const started_ms = now();
+  const { progress } = context.inbound;
+  const mayHaveRunBefore = progress.mayHaveRun;
   endpointLoad.in_flight += 1;
   const sendAbort = new AbortController();
   const sendTimer = startSendTimer(context, sendAbort);
@@ -54,6 +56,7 @@
       inputs,
       onResponse: () => clearTimeout(sendTimer),
     });
+    progress.mayHaveRun = mayHaveRunBefore || !isNotRun(result.outcome);
     endpointLoad.recordOutcome(result.observedOutcome, now());
     if (result.observedOutcome === ObservedOutcome.Success) {
       load.recordFirstByte(endpoint, result.first_byte_ms - started_ms);
@@ -66,10 +69,7 @@
       : undefined;
     metrics.sends.inc({ outcome: result.observedOutcome });
     logSend(context, endpoint, { result, started_ms });
-    if (result.outcome === SendOutcome.Answered) {
-      context.recordOutcome(result.observedOutcome);
-    }
-    return result.outcome;
+    return result;
   } finally {
     clearTimeout(sendTimer);
     sendAbort.abort(ABORT_REASON);
@@ -77,6 +77,10 @@
   }
 }
 
+function isNotRun(outcome: SendOutcome): boolean {
+  return outcome === SendOutcome.NotRun || outcome === SendOutcome.InputsLost;
+}
+
 function reportBrokenSend(
   { admitted, dependencies }: RunContext,
   endpoint: RouteEndpoint,
@@ -107,10 +111,10 @@
   { inputs, signal }: { inputs: StageInputs; signal: AbortSignal },
 ): Promise<ExchangeResult> {
   const { codec, agents, configuration } = context.dependencies;
-  const { request } = context.inbound;
+  const { request, progress } = context.inbound;
   const { metadata, organisation, priority } = context.admitted;
   const pool = configuration.routeTable?.configuration.pools.get(context.pool);
-  return await sendRequest({
+  const endpointRequest = {
     address: endpoint.address,
     agent: agents.agentFor(endpoint.address, pool?.max_connections ?? 1),
     method: request.method ?? "GET",
@@ -126,7 +130,10 @@
     }),
     body: context.body,
     signal,
-  });
+  };
+  // Until the result is known.
+  progress.mayHaveRun = true;
+  return await sendRequest(endpointRequest);
 }
 
 function logSend(
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -4,8 +4,13 @@
  */
 import { type GraphOutcome, runStages } from "../batching/stage_graph.ts";
 import { JobOutcomeKind } from "../batching/types.ts";
+import { setTimeout as delay } from "node:timers/promises";
 import { HOST_STOPPING, QUARANTINED, RejectionReason } from "./rejection.ts";
-import { sendBufferedResponse } from "./relay.ts";
+import {
+  OutcomeKind,
+  refused,
+  type RequestOutcome,
+} from "./request_outcome.ts";
 import { RequestStage } from "./request_progress.ts";
 import { type RunContext, StopReason } from "./run_context.ts";
 import { SendOutcome, type StageInputs } from "./complete_exchange.ts";
@@ -29,10 +34,15 @@
 const NO_INPUTS: StageInputs = { results: [], freeResults: () => {} };
 
 /**
- * Serves an admitted request until the caller has a response or has
- * disconnected.
+ * Time after a request was stopped in which its handling must end, in
+ * milliseconds.
  */
-export async function serveAdmittedRequest(context: RunContext): Promise<void> {
+const END_AFTER_STOP_MS = 150;
+
+/** Serves an admitted request, and records what it has come to. */
+export async function serveAdmittedRequest(
+  context: RunContext,
+): Promise<RequestOutcome> {
   const { response } = context.inbound;
   const timer = setTimeout(
     () => context.stop(StopReason.DeadlinePassed),
@@ -49,32 +59,73 @@
     context.dependencies.now(),
   );
   try {
-    if (!needsStages(context)) await sendUntilAnswered(context, NO_INPUTS);
-    else if (await reserveIfLimited(context)) await serveWithStages(context);
-    else endUnanswered(context);
+    const outcome = await Promise.race([
+      serveInStages(context),
+      outcomeAfterStop(context),
+    ]);
+    context.recordOutcome(labelOf(outcome));
+    return outcome;
+  } catch (error) {
+    context.stop(StopReason.Faulted);
+    context.recordOutcome(StopReason.Faulted);
+    throw error;
   } finally {
     clearTimeout(timer);
     endOfDrain.removeEventListener("abort", onEndOfDrain);
   }
 }
 
+/**
+ * The outcome of a request whose handling does not end although the request was
+ * stopped; pending for any other.
+ */
+async function outcomeAfterStop(context: RunContext): Promise<RequestOutcome> {
+  await context.stopped;
+  await delay(END_AFTER_STOP_MS, undefined, { ref: false });
+  return unansweredOutcome(context);
+}
+
+function labelOf(outcome: RequestOutcome): string {
+  switch (outcome.kind) {
+    case OutcomeKind.Relayed:
+      return outcome.label;
+    case OutcomeKind.Refused:
+      return outcome.rejection.reason;
+    default:
+      return outcome.kind;
+  }
+}
+
+async function serveInStages(context: RunContext): Promise<RequestOutcome> {
+  if (needsStages(context)) {
+    return await reserveIfLimited(context)
+      ? await serveWithStages(context)
+      : unansweredOutcome(context);
+  }
+  return await sendUntilAnswered(context, NO_INPUTS) ??
+    unansweredOutcome(context);
+}
+
 function needsStages({ admitted }: RunContext): boolean {
   const { route, metadata } = admitted;
   return route.stages.some((_, index) => (metadata.pieces[index] ?? 0) > 0);
 }
 
-async function serveWithStages(context: RunContext): Promise<void> {
+async function serveWithStages(
+  context: RunContext,
+): Promise<RequestOutcome> {
   for (let round = 1; round <= MAX_STAGE_RUNS; round++) {
     const outcome = await runInputStages(context);
     if (outcome.kind === JobOutcomeKind.InputsGone) continue;
     if (outcome.kind !== JobOutcomeKind.Completed) {
-      return rejectFailedStages(context, outcome);
+      return outcomeAfterFailedStages(context, outcome);
     }
-    const inputsLost = await sendUntilAnswered(context, outcome);
+    const sent = await sendUntilAnswered(context, outcome);
     outcome.freeResults();
-    if (!inputsLost) return;
+    if (sent !== undefined) return sent;
   }
-  context.reject({
+  if (context.mayHaveRun) return unansweredOutcome(context);
+  return refused({
     reason: RejectionReason.NoEndpoint,
     message: "Results of its stages were lost",
     retry_after_ms: NO_ENDPOINT_RETRY_AFTER_MS,
@@ -127,27 +178,27 @@
   return [...new Set(zones)].join(",");
 }
 
-/** Rejects a request, as not run, whose stages failed. */
-function rejectFailedStages(
+/** The outcome of a request, which has not run, whose stages failed. */
+function outcomeAfterFailedStages(
   context: RunContext,
   outcome: Extract<
     GraphOutcome,
     { kind: JobOutcomeKind.Refused | JobOutcomeKind.Failed }
   >,
-): void {
+): RequestOutcome {
   if (outcome.kind === JobOutcomeKind.Refused) {
-    return context.reject({
+    return refused({
       reason: RejectionReason.StagesTooSlow,
       message: "Its stages can't be made in time",
       retry_after_ms: outcome.retry_after_ms,
     });
   }
   if (context.stopReason === StopReason.HostStopping) {
-    return context.reject(HOST_STOPPING);
+    return refused(HOST_STOPPING);
   }
   const expired = context.stopReason === StopReason.DeadlinePassed ||
     outcome.reason === "expired";
-  context.reject({
+  return refused({
     reason: expired ? RejectionReason.TooLate : RejectionReason.NoEndpoint,
     message: "Its stages could not be made",
     retry_after_ms: expired ? undefined : NO_ENDPOINT_RETRY_AFTER_MS,
@@ -155,42 +206,45 @@
 }
 
 /**
- * Sends the request until it is answered; true if its stage results were lost.
+ * Sends the request until it is answered; undefined if its stage results were
+ * lost.
  */
 async function sendUntilAnswered(
   context: RunContext,
   inputs: StageInputs,
-): Promise<boolean> {
+): Promise<RequestOutcome | undefined> {
   const tried = new Set<string>();
   let failures = 0;
   const { progress } = context.inbound;
   while (progress.sends < MAX_SENDS && context.stopReason === undefined) {
     progress.stage = RequestStage.ChoosingEndpoint;
     const endpoint = await takeEndpoint(context, tried);
-    if (context.isQuarantined) return rejectQuarantined(context);
+    if (context.isQuarantined) return quarantinedOutcome(context);
     if (endpoint === undefined || !tryTakeSend(context)) break;
     progress.sends += 1;
     progress.stage = RequestStage.Sending;
-    const outcome = await sendOnce(context, endpoint, inputs);
-    if (outcome === SendOutcome.Answered) return false;
-    if (outcome === SendOutcome.InputsLost) return true;
+    const { outcome, observedOutcome } = await sendOnce(
+      context,
+      endpoint,
+      inputs,
+    );
+    if (outcome === SendOutcome.Answered) {
+      return { kind: OutcomeKind.Relayed, label: observedOutcome };
+    }
+    if (outcome === SendOutcome.InputsLost) return undefined;
     tried.add(endpoint.id);
     if (outcome === SendOutcome.NotRun) continue;
-    context.mayHaveRun = true;
     failures += 1;
     const { max_attempts } = context.admitted.route;
     if (!context.idempotent || failures >= max_attempts) break;
     if (await context.crashSuspicion) break;
   }
-  endUnanswered(context);
-  return false;
+  return unansweredOutcome(context);
 }
 
-/** Ends a request on whose prompt endpoints crash; false: no input was lost. */
-function rejectQuarantined(context: RunContext): boolean {
-  if (context.mayHaveRun) endUnanswered(context);
-  else context.reject(QUARANTINED);
-  return false;
+/** The outcome of a request on whose prompt endpoints crash. */
+function quarantinedOutcome(context: RunContext): RequestOutcome {
+  return context.mayHaveRun ? unansweredOutcome(context) : refused(QUARANTINED);
 }
 
 /**
@@ -205,39 +259,35 @@
 }
 
 /**
- * Ends a request that no endpoint answered. The rejection claims that the
- * request has not run only if that is certain.
+ * The outcome of a request that no endpoint answered. A rejection claims that
+ * the request has not run only if that is certain.
  */
-function endUnanswered(context: RunContext): void {
-  const { response, progress } = context.inbound;
-  if (response.writableEnded || response.destroyed) return;
+function unansweredOutcome(context: RunContext): RequestOutcome {
+  const { response } = context.inbound;
+  const { stopReason, bufferedError } = context;
+  if (stopReason === StopReason.CallerDisconnected) {
+    return { kind: OutcomeKind.CallerGone };
+  }
   if (response.headersSent) {
-    return progress.cut(response, context.stopReason ?? "not_resumed");
+    return { kind: OutcomeKind.Cut, cause: stopReason ?? "not_resumed" };
   }
-  if (context.bufferedError !== undefined) {
-    context.recordOutcome("error_passed_on");
-    return sendBufferedResponse(
-      response,
-      context.bufferedError,
-      context.dependencies.isShuttingDown(),
-    );
+  if (bufferedError !== undefined) {
+    return { kind: OutcomeKind.ErrorPassedOn, buffered: bufferedError };
   }
-  if (context.stopReason === StopReason.DeadlinePassed) {
+  if (stopReason === StopReason.DeadlinePassed) {
     const reason = context.sendCount > 0
       ? RejectionReason.TimedOut
       : RejectionReason.TooLate;
-    return context.reject({ reason, message: "Its time ran out" });
+    return refused({ reason, message: "Its time ran out" });
   }
   if (context.mayHaveRun) {
-    return context.reject({
+    return refused({
       reason: RejectionReason.EndpointLost,
       message: "The endpoint gave no whole answer",
     });
   }
-  if (context.stopReason === StopReason.HostStopping) {
-    return context.reject(HOST_STOPPING);
-  }
-  context.reject({
+  if (stopReason === StopReason.HostStopping) return refused(HOST_STOPPING);
+  return refused({
     reason: RejectionReason.NoEndpoint,
     message: "No endpoint can take it now",
     retry_after_ms: Math.max(NO_ENDPOINT_RETRY_AFTER_MS, limitWaitMs(context)),
--- a/src/routing/observed_load.ts
+++ b/src/routing/observed_load.ts
@@ -22,6 +22,8 @@
   ConnectionFailed = "broken",
   /** It responded with a server error. */
   Error = "error",
+  /** This host could not form the request: it tells nothing of the endpoint. */
+  NotSent = "not_sent",
 }
 
 /** The weight of a load report halves in this time. */
@@ -77,6 +79,7 @@
 
   /** Records how an exchange ended. */
   recordOutcome(outcome: ObservedOutcome, now_ms: number): void {
+    if (outcome === ObservedOutcome.NotSent) return;
     const failed = outcome === ObservedOutcome.ConnectionFailed ||
       outcome === ObservedOutcome.Error;
     this.failure_share += FAILURE_SMOOTHING *
--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -88,6 +88,11 @@
   connections = 0;
   /** Requests per second that its responses allow; undefined names none. */
   rate_limit_per_s: number | string | undefined;
+  /**
+   * Written as it is in place of every response, with the attempt id for `{id}`;
+   * the connection stays open.
+   */
+  raw_response: string | undefined;
   /** Arrivals of requests and of calls for pieces, as `performance.now()`. */
   arrivals_ms: number[] = [];
   /** Crashes so far. */
@@ -218,6 +223,10 @@
       "x-response-signature": `signed-by-${this.id}`,
       "x-instance-load": "1,0,8",
     };
+    if (this.raw_response !== undefined) {
+      const text = this.raw_response.replaceAll("{id}", id);
+      return void request.socket.write(text, "latin1");
+    }
     if (fault === EngineFault.Error) {
       return void response.writeHead(500, headers).end("failed");
     }
