Send a request without stages elsewhere if an endpoint misses its results

An endpoint that answers 409 with 'not run' says that results of stages are gone.

Cause: 'inputs lost' ends the sends of a request only because its stages run again. Without stages there is nothing to run again, so the answer is now what it is for any endpoint that has not run the request: the next one is tried. A second round of stages that ends in the same way after a lost send no longer claims that nothing has run.

--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -231,9 +231,11 @@
     if (outcome === SendOutcome.Answered) {
       return { kind: OutcomeKind.Relayed, label: observedOutcome };
     }
-    if (outcome === SendOutcome.InputsLost) return undefined;
+    if (outcome === SendOutcome.InputsLost && inputs !== NO_INPUTS) {
+      return undefined;
+    }
     tried.add(endpoint.id);
-    if (outcome === SendOutcome.NotRun) continue;
+    if (outcome !== SendOutcome.MayHaveRun) continue;
     failures += 1;
     const { max_attempts } = context.admitted.route;
     if (!context.idempotent || failures >= max_attempts) break;
--- a/test/forwarding/request_ends.test.ts
+++ b/test/forwarding/request_ends.test.ts
@@ -195,6 +195,30 @@
   }
 }
 
+for (const path of ["/stamp/x", "/draft/x"]) {
+  test(`${path}: a request without stages is refused if its endpoints miss results of stages`, async () => {
+    for (const engine of [...fleet.engines.values()].flat()) {
+      engine.fault = EngineFault.InputsGone;
+    }
+    const outcome = await call(path, {
+      "x-deadline-ms": "600",
+      "x-pieces": "",
+    });
+    assert.deepEqual([outcome.view, outcome.status], [
+      CallerView.Complete,
+      503,
+    ]);
+    assertNoLoss();
+  });
+}
+
+test("a request without stages goes to another endpoint if one misses results", async () => {
+  fleet.engine(Service.Desk).fault = EngineFault.InputsGone;
+  for (let n = 0; n < 8; n++) {
+    assert.equal((await call("/stamp/x", { "x-pieces": "" })).status, 200);
+  }
+});
+
 test("a request that can't be written to any connection is refused", async () => {
   const engine = fleet.engine(Service.Desk);
   engine.stop();
