Pass on no request that crosses the close of its connection

A caller that reused a kept connection at the moment at which the host closed it saw the connection end without a byte, and its request had run: the host ended its half of an idle connection, went on reading, passed the next request on to an endpoint and could not write the answer. Three moments did so: the idle time-out passes, a stopping host's answer ends that had promised to keep its connection, and a stopping host closes what is idle. A configuration with a shorter idle time-out made the first of them likely: it was applied to connections that had become idle under the longer one, which their callers still reuse. That fits the report of a whole request with neither answer nor refusal beside a change of the configuration; whether it is the one that was seen isn't proved.

Now a connection that is closed is no longer read from: what crosses the close is reset unread, not passed on. A request that is parsed all the same is not served and counted as crossed_close. Idleness keeps the time-out that was in force when it began; a connection on which the first bytes of a request have arrived is not idle; an answer that promised to keep its connection is not followed by a close, but the next one says 'Connection: close'.

--- a/src/forwarding/gateway_server.ts
+++ b/src/forwarding/gateway_server.ts
@@ -7,6 +7,7 @@
 import type { Socket } from "node:net";
 import type { Logger } from "../logging/logger.ts";
 import type { CallerLimits } from "../routes/types.ts";
+import { CallerConnections } from "./caller_connections.ts";
 import { finishRequest } from "./finish_request.ts";
 import { forwardRequest } from "./forward_request.ts";
 import type { ForwardingDependencies } from "./dependencies.ts";
@@ -21,11 +22,6 @@
 const MAX_PARSED_HEADER_BYTES = 65_536;
 /** Interval between checks for expired idle connections. */
 const IDLE_SWEEP_INTERVAL_MS = 5_000;
-/**
- * Idle connections are kept this many times the configured idle timeout, so that
- * a caller that reuses one within the timeout never meets a closed connection.
- */
-const IDLE_TIMEOUT_FACTOR = 1.25;
 /** Idle timeout until the first configuration arrives. */
 const INITIAL_IDLE_TIMEOUT_MS = 60_000;
 
@@ -34,11 +30,8 @@
  */
 export class GatewayServer {
   readonly server: Server;
-  #idleSince_ms = new Map<Socket, number>();
-  /** Connections that this host is closing. */
-  #closing = new WeakSet<Socket>();
+  #connections = new CallerConnections(INITIAL_IDLE_TIMEOUT_MS);
   #running = new Set<InboundRequest>();
-  #idle_timeout_ms = INITIAL_IDLE_TIMEOUT_MS;
   #dependencies: ForwardingDependencies;
   #idleSweepTimer: NodeJS.Timeout;
 
@@ -50,7 +43,7 @@
       requestTimeout: 0,
       noDelay: true,
     });
-    this.server.on("connection", (socket) => this.#trackIdle(socket));
+    this.server.on("connection", (socket) => this.#trackConnection(socket));
     this.server.on("request", (request, response) => {
       void this.#serve({
         request,
@@ -65,7 +58,7 @@
         respondToClientError(error, socket as Socket, dependencies.log),
     );
     this.#idleSweepTimer = setInterval(
-      () => this.#closeExpiredIdle(),
+      () => this.#connections.closeExpired(dependencies.now()),
       IDLE_SWEEP_INTERVAL_MS,
     ).unref();
   }
@@ -78,12 +71,12 @@
   /** Applies the limits of a configuration. */
   applyLimits(limits: CallerLimits): void {
     this.server.headersTimeout = limits.header_timeout_ms;
-    this.#idle_timeout_ms = limits.idle_timeout_ms;
+    this.#connections.setIdleTimeout(limits.idle_timeout_ms);
   }
 
   /** Closes the connections without a running request. */
   closeIdleConnections(): void {
-    for (const socket of this.#idleSince_ms.keys()) this.#end(socket);
+    this.#connections.closeIdle();
   }
 
   /** Stops the server and closes all connections immediately. */
@@ -100,16 +93,15 @@
     const { request, response, progress } = inbound;
     const { socket } = request;
     this.#running.add(inbound);
-    this.#idleSince_ms.delete(socket);
+    progress.crossedClose = !this.#connections.beginRequest(socket);
     response.once("close", () => {
       this.#running.delete(inbound);
-      if (this.#closing.has(socket)) progress.cutBy("connection_closed");
       recordRequestEnd(inbound, this.#dependencies);
-      if (!socket.destroyed) {
-        this.#idleSince_ms.set(socket, this.#dependencies.now());
-        if (this.#dependencies.isShuttingDown()) this.#end(socket);
-      }
+      this.#connections.endRequest(socket, this.#dependencies.now());
     });
+    if (progress.crossedClose) {
+      return progress.cut(response, "connection_closed");
+    }
     await finishRequest(
       inbound,
       this.#dependencies,
@@ -117,13 +109,8 @@
     );
   }
 
-  #end(socket: Socket): void {
-    this.#closing.add(socket);
-    socket.end();
-  }
-
-  #trackIdle(socket: Socket): void {
-    this.#idleSince_ms.set(socket, this.#dependencies.now());
+  #trackConnection(socket: Socket): void {
+    this.#connections.add(socket, this.#dependencies.now());
     socket.on(
       "error",
       (error) =>
@@ -132,15 +119,6 @@
           error: error.message,
         }),
     );
-    socket.once("close", () => this.#idleSince_ms.delete(socket));
-  }
-
-  #closeExpiredIdle(): void {
-    const oldest_ms = this.#dependencies.now() -
-      this.#idle_timeout_ms * IDLE_TIMEOUT_FACTOR;
-    for (const [socket, since_ms] of this.#idleSince_ms) {
-      if (since_ms < oldest_ms) this.#end(socket);
-    }
   }
 }
 
--- a/src/forwarding/request_progress.ts
+++ b/src/forwarding/request_progress.ts
@@ -21,6 +21,8 @@
   Cut = "cut",
   /** The caller closed the connection. */
   CallerGone = "caller_gone",
+  /** It arrived on a connection that this host was closing, and was not served. */
+  CrossedClose = "crossed_close",
   /** This host closed the connection without any response. */
   NoOutcome = "no_outcome",
 }
@@ -40,6 +42,8 @@
   mayHaveRun = false;
   /** Whether the response is this host's own. */
   refused = false;
+  /** Whether this host had closed the connection before the request arrived. */
+  crossedClose = false;
   #cutCause: string | undefined;
 
   /** Why this host closed the connection; undefined if it did not. */
@@ -47,15 +51,10 @@
     return this.#cutCause;
   }
 
-  /** Records that this host closes the connection; the first cause is kept. */
-  cutBy(cause: string): void {
-    this.#cutCause ??= cause;
-  }
-
-  /** Closes the caller's connection within or before its response. */
+  /** Closes the caller's connection within or before its response; keeps the first cause. */
   cut(response: ServerResponse, cause: string): void {
     if (response.destroyed) return;
-    this.cutBy(cause);
+    this.#cutCause ??= cause;
     response.destroy();
   }
 }
@@ -68,6 +67,7 @@
   if (response.writableFinished) {
     return progress.refused ? RequestEnd.Refused : RequestEnd.Answered;
   }
+  if (progress.crossedClose) return RequestEnd.CrossedClose;
   if (progress.cutCause === undefined) return RequestEnd.CallerGone;
   return response.headersSent ? RequestEnd.Cut : RequestEnd.NoOutcome;
 }
--- a/stand_ins/deployment/raw_caller.ts
+++ b/stand_ins/deployment/raw_caller.ts
@@ -49,7 +49,12 @@
   /** Opens a connection to `ip:port`. */
   static async open(address: string): Promise<RawCaller> {
     const [host, port] = address.split(":");
-    const socket = connect({ host, port: Number(port), noDelay: true });
+    const socket = connect({
+      host,
+      port: Number(port),
+      noDelay: true,
+      allowHalfOpen: true,
+    });
     await once(socket, "connect");
     return new RawCaller(socket);
   }
