Answer CONNECT instead of closing its connection without a byte

Without a handler for it, Node closes the connection of a CONNECT request without any response, so a request that was read whole had no end that its caller or the log could tell. It gets 405 now, and its connection is closed, since what follows it is not HTTP. Found while listing the ways in which a request can end without a byte; callers of this deployment send none.

Evidence: the new test failed before with no status at all (the connection closed), and passes now. Ruled out beside it: an Upgrade header without a handler is served as an ordinary request by Node, and an unknown Expect gets 417 from Node itself.

--- a/src/forwarding/gateway_server.ts
+++ b/src/forwarding/gateway_server.ts
@@ -5,6 +5,7 @@
  */
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import type { Logger } from "../logging/logger.ts";
 import type { CallerLimits } from "../routes/types.ts";
 import { CallerConnections } from "./caller_connections.ts";
@@ -44,6 +45,7 @@
       noDelay: true,
     });
     this.server.on("connection", (socket) => this.#trackConnection(socket));
+    this.server.on("connect", (_request, socket) => refuseConnect(socket));
     this.server.on("request", (request, response) => {
       void this.#serve({
         request,
@@ -137,6 +139,14 @@
   });
 }
 
+/** Without a handler, Node closes the connection without a response. */
+function refuseConnect(socket: Duplex): void {
+  socket.on("error", () => {});
+  socket.end(
+    "HTTP/1.1 405 Method Not Allowed\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+  );
+}
+
 const STATUS_BY_ERROR_CODE: Record<string, string> = {
   HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
   ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
--- a/test/forwarding/closed_connections.test.ts
+++ b/test/forwarding/closed_connections.test.ts
@@ -121,3 +121,23 @@
   assert.equal((await caller.outcome()).status, 401);
   assert.equal((await caller.outcome()).status, 504);
 });
+
+test("CONNECT gets a response", async () => {
+  await start();
+  const caller = await open();
+  caller.write(
+    "CONNECT other.example:443 HTTP/1.1\r\nhost: other.example\r\n\r\n",
+  );
+  assert.equal((await caller.outcome()).status, 405);
+});
+
+test("requests for an upgrade and with an unknown expectation get a response", async () => {
+  await start();
+  const caller = await open();
+  const upgrade = { connection: "upgrade", upgrade: "websocket" };
+  caller.write(rawRequest("/stamp/x", upgrade));
+  assert.equal((await caller.outcome()).status, 200);
+  const other = await open();
+  other.write(rawRequest("/stamp/x", { expect: "the-moon" }));
+  assert.equal((await other.outcome()).status, 417);
+});
