Take no endpoint, host or name from odd entries of the store

With one odd entry among the endpoints callers lost requests (the entry's port was 99999: most requests of all hosts got no answer), sends went to it in vain after that was mended (20 sends for 10 requests), and a host followed an impossible address of another: its stream threw, and two seconds later a timer threw again, outside of any handler.

Cause: what anyone may write was taken by its form alone, and checked, if at all, only by the host that reads the store.

An entry that fails names nothing and the others hold. Report of a crash: an address that can't be connected to isn't refused, and an error of the report is a line, not an unhandled rejection.

Deep nesting (200,000 brackets, as raw bytes, in all four kinds) was harmless before, too: nothing nested leaves the decoders. A fixture of feed_stream.test.ts was half an endpoint and is a whole one now; its assertions stay.

Open: store_sync is not changed here; a listener that throws would still end its feed.

--- a/src/peers/feed_stream.ts
+++ b/src/peers/feed_stream.ts
@@ -140,7 +140,8 @@
   return mapValues(result, (value) => map(value as From));
 }
 
-function mapValues(
+/** Converts the values in a result that are not undefined. */
+export function mapValues(
   result: FeedResult<unknown>,
   map: (value: unknown) => unknown,
 ): FeedResult<unknown> {
--- a/src/peers/feed_stream_client.ts
+++ b/src/peers/feed_stream_client.ts
@@ -8,6 +8,7 @@
 import type { PeerFeed } from "../store_sync/relayed_feed.ts";
 import { deserialiseConfiguration } from "../store_sync/state_snapshot.ts";
 import type { Logger } from "../logging/logger.ts";
+import { readFeedValues } from "./read_feed_values.ts";
 import { parseAddress } from "../settings/settings.ts";
 import {
   type FeedLine,
@@ -113,11 +114,12 @@
     this.#address = address;
     this.#options = options;
     const { ip, port } = parseAddress(address);
+    // Throws if the address is impossible, so it goes before the timer.
+    this.#request = request({ host: ip, port, path: FEEDS_PATH, agent: false });
     this.#silenceTimer = setTimeout(
       () => this.close("silent"),
       SILENCE_TIMEOUT_MS,
     );
-    this.#request = request({ host: ip, port, path: FEEDS_PATH, agent: false });
     this.#request.on("error", (error) => this.close(error.message));
     this.#request.on("response", (response) => this.#read(response));
     this.#request.end();
@@ -176,7 +178,7 @@
     }
     const result = mapConfigurations(
       line.feed,
-      line.read,
+      readFeedValues(line.feed, line.read),
       deserialiseConfiguration,
     );
     const cache = this.#cache(line.feed);
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -6,6 +6,7 @@
   ChangeRevisions,
   StateSnapshot,
 } from "../store_sync/state_snapshot.ts";
+import { readEndpoint } from "../store_sync/sound_values.ts";
 import { formatAddress, parseAddress } from "../settings/settings.ts";
 import { HttpClient } from "../utils/http_client.ts";
 import { createHttpFetch } from "../utils/http_fetch.ts";
@@ -75,8 +76,11 @@
 
   /** Fetches another host's copy of the configuration and the endpoints. */
   async snapshot(address: string): Promise<StateSnapshot> {
-    return await this.#connectionTo(address).trpc.beliefs
+    const snapshot = await this.#connectionTo(address).trpc.beliefs
       .query() as StateSnapshot;
+    const endpoints = snapshot.endpoints.map(readEndpoint)
+      .filter((endpoint) => endpoint !== undefined);
+    return { ...snapshot, endpoints };
   }
 
   /** Reports a crash to a ledger. */
--- a/src/quarantine/quarantine_service.ts
+++ b/src/quarantine/quarantine_service.ts
@@ -153,7 +153,17 @@
     let open = this.#openReports.get(address);
     if (open === undefined) {
       const requests: CrashReport["requests"] = [];
-      open = { requests, suspects: this.#report(address, requests) };
+      const suspects = this.#report(address, requests).catch(
+        (error: Error) => {
+          this.#options.log.error({
+            event: "fault",
+            stage: "crash_report",
+            error: error.stack,
+          });
+          return [];
+        },
+      );
+      open = { requests, suspects };
       this.#openReports.set(address, open);
     }
     open.requests.push({ attempt_id: send.attempt_id, parts });
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,7 +1,9 @@
 /** Settings of an entry host: the file's schema and the resolved form. */
+import { isIPv6 } from "node:net";
 import { z } from "zod";
 import { AdmissionPolicy } from "../admission/types.ts";
 import { RoutingPolicy } from "../routing/types.ts";
+import { isIpv4Address } from "../utils/ipv4_address.ts";
 
 const MAX_PORT = 65_535;
 
@@ -153,8 +155,8 @@
 }
 
 function isValidAddress(text: string): boolean {
-  const match = /^(\d+\.\d+\.\d+\.\d+|\[[0-9a-fA-F:]+\]):(\d{1,5})$/.exec(text);
-  if (match === null) return false;
+  const match = /^\[([0-9a-fA-F:]+)\]:(\d{1,5})$/.exec(text);
+  if (match === null) return isIpv4Address(text);
   const port = Number(match[2]);
-  return port > 0 && port <= MAX_PORT;
+  return isIPv6(match[1] ?? "") && port > 0 && port <= MAX_PORT;
 }
--- a/test/peers/feed_stream.test.ts
+++ b/test/peers/feed_stream.test.ts
@@ -13,9 +13,10 @@
   serveFeedStream,
   type WatchCaches,
 } from "../../src/peers/feed_stream.ts";
-import type {
-  RouteConfiguration,
-  RouteEndpoint,
+import {
+  type RouteConfiguration,
+  type RouteEndpoint,
+  RouteEndpointState,
 } from "../../src/routes/types.ts";
 
 const log = createLogger({ level: "error", host: "h", writeLine: () => {} });
@@ -60,7 +61,15 @@
 });
 
 function endpoint(id: string): RouteEndpoint {
-  return { id, pool: "p" } as RouteEndpoint;
+  return {
+    id,
+    pool: "p",
+    address: "127.0.0.1:80",
+    availability_zone: "a",
+    slots: 1,
+    state: RouteEndpointState.Ready,
+    born_ms: 1,
+  };
 }
 
 test("a follower receives a change at once, over one connection", async () => {
