--- a/test/forwarding/request_ends.test.ts
+++ b/test/forwarding/request_ends.test.ts
@@ -219,6 +219,21 @@
   }
 });
 
+test("requests of an organisation with a name beyond Latin-1 reach an endpoint", async () => {
+  const name = "Žižkov";
+  fleet.publishManifest({ tenants: [{ name, api_keys: ["key-docks"] }] });
+  await waitUntil(() =>
+    fleet.gateways[0]?.logLines.some((line) =>
+      line.includes("event=configuration version=2")
+    ) ?? false
+  );
+  assert.equal((await call("/stamp/x")).status, 200);
+  const received = [...fleet.engines.values()].flat()
+    .flatMap(({ receivedRequests }) => receivedRequests);
+  const header = received[0]?.headers["x-tenant"] ?? "";
+  assert.equal(Buffer.from(header, "latin1").toString(), name);
+});
+
 test("a request that can't be written to any connection is refused", async () => {
   const engine = fleet.engine(Service.Desk);
   engine.stop();
--- a/test/platform/codec.test.ts
+++ b/test/platform/codec.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
+import { PieceFault } from "../../src/batching/types.ts";
 import { deploymentCodec } from "../../platform/codec.ts";
 import {
   type RouteEndpoint,
@@ -27,6 +28,21 @@
   body_bytes: undefined,
 };
 
+test("a handle that can't be named in a header is an error of its piece", () => {
+  const decode = (handle: string) =>
+    deploymentCodec.decodePieceResults(
+      Buffer.from(JSON.stringify({ items: [{ handle }] })),
+      1,
+    );
+  assert.deepEqual(decode("10.0.0.1:80/a"), [{
+    ok: true,
+    handle: "10.0.0.1:80/a",
+  }]);
+  for (const odd of ["", "a,b", "a\nb", "ł", "x".repeat(10_000)]) {
+    assert.deepEqual(decode(odd), [{ ok: false, fault: PieceFault.Error }]);
+  }
+});
+
 test("hop-by-hop and reserved headers are not forwarded", (t) => {
   t.assert.snapshot(deploymentCodec.encodeRequestHeaders([
     "Host",
