Refuse a request whose body is still arriving when its host must stop

A caller that sends a body slowly while its host drains lost its connection without a byte when the drain's time was over: the end of the drain ends requests that are served, but one whose body was arriving wasn't among them yet, and the close of the server took it. It was never sent to an endpoint, so it is refused as not run, and its connection is closed since the rest of the body would follow.

Cause: reading the body had no end but the caller's.

--- a/src/forwarding/forward_request.ts
+++ b/src/forwarding/forward_request.ts
@@ -54,10 +54,17 @@
     return refused(QUARANTINED);
   }
   progress.stage = RequestStage.ReadingBody;
-  const read = await readBody(request, admitted.max_body_bytes);
+  const read = await readBody(
+    request,
+    admitted.max_body_bytes,
+    dependencies.endOfDrain,
+  );
   if (read.kind === BodyReadOutcome.Aborted) {
     return { kind: OutcomeKind.CallerGone };
   }
+  if (read.kind === BodyReadOutcome.Interrupted) {
+    return refused(HOST_STOPPING, true);
+  }
   if (read.kind === BodyReadOutcome.TooLarge) {
     const rejection = {
       reason: RejectionReason.BodyTooLarge,
--- a/src/forwarding/read_body.ts
+++ b/src/forwarding/read_body.ts
@@ -5,19 +5,23 @@
 export type BodyReadResult =
   | { kind: BodyReadOutcome.Complete; body: Buffer | undefined }
   | { kind: BodyReadOutcome.TooLarge }
-  | { kind: BodyReadOutcome.Aborted };
+  | { kind: BodyReadOutcome.Aborted }
+  | { kind: BodyReadOutcome.Interrupted };
 
 /** The kinds of {@linkcode BodyReadResult}. */
 export enum BodyReadOutcome {
   Complete = "whole",
   TooLarge = "too_large",
   Aborted = "cut",
+  /** The signal aborted before the body was complete. */
+  Interrupted = "interrupted",
 }
 
-/** Reads a body of at most `max_bytes`; never rejects. */
+/** Reads a body of at most `max_bytes` until the signal aborts; never rejects. */
 export function readBody(
   request: IncomingMessage,
   max_bytes: number,
+  signal: AbortSignal,
 ): Promise<BodyReadResult> {
   const { headers } = request;
   const contentLength = headers["content-length"];
@@ -29,7 +33,13 @@
   if (contentLength !== undefined && Number(contentLength) > max_bytes) {
     return Promise.resolve({ kind: BodyReadOutcome.TooLarge });
   }
-  return new Promise((resolve) => {
+  return new Promise((settle) => {
+    const interrupt = () => resolve({ kind: BodyReadOutcome.Interrupted });
+    const resolve = (result: BodyReadResult) => {
+      signal.removeEventListener("abort", interrupt);
+      settle(result);
+    };
+    signal.addEventListener("abort", interrupt);
     const chunks: Buffer[] = [];
     let size = 0;
     request.on("data", (chunk: Buffer) => {
