Say what a follower asked and what its reader had, and export each feed's revision

When the store came back from an older copy, hosts that follow others did not get what was published next, and their log held event=reader_failed with the reason "not read here" for two quite different causes: a reader whose own source is away, and a reader that is well but stands below the revision that the follower asks for. The two can't be told apart, so neither can the hypotheses (a cut reader, or a follower that asks for too much).

The reason of the second now names both revisions ("behind: asked 307, read 12"). The gauge sesamequay_feed_revision shows for each feed up to which revision a host has read, so that a host that stands still while others move can be found from outside. For that the feed of gateway members gets a progress of its own beside the other three; nothing else changes.

--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -258,6 +258,7 @@
     progress: {
       configuration: new FeedProgress(),
       endpoints: new FeedProgress(),
+      gateways: new FeedProgress(),
       quarantined: new FeedProgress(),
     },
     log,
@@ -265,6 +266,11 @@
     random,
     signal,
   };
+  metrics.exportFeedRevisions(() =>
+    Object.entries(syncOptions.progress).map((
+      [feed, { revision }],
+    ) => [feed, revision])
+  );
   const endOfDrain = new AbortController();
   setMaxListeners(0, endOfDrain.signal);
   return {
--- a/src/metrics/forward_metrics.ts
+++ b/src/metrics/forward_metrics.ts
@@ -67,6 +67,21 @@
     registers: [this.registry],
   });
 
+  /** Exports the store's revision up to which each feed has been read. */
+  exportFeedRevisions(revisions: () => [feed: string, revision: number][]) {
+    new Gauge({
+      name: "sesamequay_feed_revision",
+      help: "Revision of the object store up to which a feed has been read",
+      labelNames: ["feed"],
+      registers: [this.registry],
+      collect() {
+        for (const [feed, revision] of revisions()) {
+          this.set({ feed }, revision);
+        }
+      },
+    });
+  }
+
   /** `quarantinedEntries` is called when the metrics are read. */
   constructor(quarantinedEntries: () => number) {
     new Gauge({
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -44,11 +44,7 @@
   endpointListeners: (() => void)[];
   /** Timeout of one watch, in milliseconds. */
   watch_ms: number;
-  progress: {
-    configuration: FeedProgress;
-    endpoints: FeedProgress;
-    quarantined: FeedProgress;
-  };
+  progress: Record<`${FeedName}`, FeedProgress>;
   log: Logger;
   now: () => number;
   random: () => number;
@@ -115,7 +111,6 @@
     onSourceAvailable: () => state.configurationUnavailable = false,
   }, {
     ...feedOptions("configuration", options),
-    progress: options.progress.configuration,
   });
 }
 
@@ -155,7 +150,6 @@
   }, {
     ...feedOptions("endpoints", options),
     coalesce_ms: ENDPOINT_COALESCE_MS,
-    progress: options.progress.endpoints,
   });
 }
 
@@ -192,19 +186,19 @@
   }, {
     ...feedOptions("quarantined", options),
     wait_ms: QUARANTINE_WATCH_TIMEOUT_MS,
-    progress: options.progress.quarantined,
   });
 }
 
 function feedOptions<Name extends `${FeedName}`>(
   name: Name,
-  { watch_ms, watchCaches, log, now, random, signal }: StoreSyncOptions,
+  { watch_ms, watchCaches, progress, log, now, random, signal }:
+    StoreSyncOptions,
 ) {
   return {
     name,
     wait_ms: watch_ms,
     coalesce_ms: 0,
-    progress: new FeedProgress(),
+    progress: progress[name],
     cache: watchCaches[name],
     log,
     now,
--- a/src/store_sync/watch_cache.ts
+++ b/src/store_sync/watch_cache.ts
@@ -89,8 +89,12 @@
 
   /** Lists all items; unavailable if the cache is older than `min_revision`. */
   list(min_revision: number, now_ms: number): FeedResult<T> {
-    if (this.#sourceUnavailable || this.#revision < min_revision) {
-      return UNAVAILABLE;
+    if (this.#sourceUnavailable) return UNAVAILABLE;
+    if (this.#revision < min_revision) {
+      return {
+        kind: FeedResultKind.Unavailable,
+        reason: `behind: asked ${min_revision}, read ${this.#revision}`,
+      };
     }
     const items = [...this.#entries]
       .filter(([, { deleted }]) => !deleted)
