Order what is read from the store by epoch, then by revision

Cause: a revision was taken for a number that only rises. A follower asked its reader for a list no older than the highest revision that it ever saw, and the reader, right about what the store held now, stood below it until enough had been written. The same maximum stood in FeedProgress (a peer with the old number ended the others' watches again and again), in the watch cache (changes since a revision that it had left: none) and in the heartbeats of the stream.

Now a position is an epoch and a revision, ordered in that order (feed_position.ts). The store client reads the epoch from the store's answers; one that names none or not a whole number counts as of the epoch named last. Lines of the stream and what peers tell each other carry it beside the revision. A host of an earlier release leaves it out; its positions are ordered by revision alone, as before.

The reader's list in the higher epoch is newer whatever its revision, so the follower takes it; the old number in the older epoch overtakes nobody. Changes that come in another epoch than a stream's list close that stream, which then begins with a list.

Ruled out: the absence of the store.

--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -15,7 +15,10 @@
   runStoreSync,
   type StoreSyncOptions,
 } from "./store_sync/store_sync.ts";
-import { createStateSnapshot } from "./store_sync/state_snapshot.ts";
+import {
+  createChangeRevisions,
+  createStateSnapshot,
+} from "./store_sync/state_snapshot.ts";
 import { type CheckResult, formatFindings } from "./findings/finding.ts";
 import { EndpointAgents } from "./endpoints/endpoint_agents.ts";
 import type { GatewayAdapter, GatewayStore } from "./forwarding/adapter.ts";
@@ -266,11 +269,7 @@
     random,
     signal,
   };
-  metrics.exportFeedRevisions(() =>
-    Object.entries(syncOptions.progress).map((
-      [feed, { revision }],
-    ) => [feed, revision])
-  );
+  metrics.exportFeedPositions(() => syncOptions.progress);
   const endOfDrain = new AbortController();
   setMaxListeners(0, endOfDrain.signal);
   return {
@@ -401,11 +400,7 @@
     handleAnsweredParts: (parts) => context.quarantine.handleAnswered(parts),
     handleNotice: (notice, route) =>
       context.quarantine.handleNotice(notice, route),
-    changeRevisions: () => ({
-      configuration: syncOptions.progress.configuration.lastChangeRevision,
-      endpoints: syncOptions.progress.endpoints.lastChangeRevision,
-      quarantined: syncOptions.progress.quarantined.lastChangeRevision,
-    }),
+    changeRevisions: () => createChangeRevisions(syncOptions.progress),
     feeds: {
       caches: syncOptions.watchCaches,
       selfIsReader: () => syncOptions.readers.selfIsReader,
--- a/src/metrics/forward_metrics.ts
+++ b/src/metrics/forward_metrics.ts
@@ -1,5 +1,6 @@
 /** Prometheus metrics of a gateway host's forwarded requests. */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { FeedPosition } from "../store_sync/feed_position.ts";
 
 const LATENCY_BUCKETS_MS = [
   5,
@@ -67,16 +68,30 @@
     registers: [this.registry],
   });
 
-  /** Exports the store's revision up to which each feed has been read. */
-  exportFeedRevisions(revisions: () => [feed: string, revision: number][]) {
+  /** Exports the position of the store up to which each feed has been read. */
+  exportFeedPositions(
+    feeds: () => Record<string, { position: FeedPosition }>,
+  ): void {
+    const labelNames = ["feed"];
     new Gauge({
       name: "sesamequay_feed_revision",
       help: "Revision of the object store up to which a feed has been read",
-      labelNames: ["feed"],
+      labelNames,
       registers: [this.registry],
       collect() {
-        for (const [feed, revision] of revisions()) {
-          this.set({ feed }, revision);
+        for (const [feed, { position }] of Object.entries(feeds())) {
+          this.set({ feed }, position.revision);
+        }
+      },
+    });
+    new Gauge({
+      name: "sesamequay_feed_epoch",
+      help: "Epoch of the object store that gave out the feed's revision",
+      labelNames,
+      registers: [this.registry],
+      collect() {
+        for (const [feed, { position }] of Object.entries(feeds())) {
+          if (position.epoch !== undefined) this.set({ feed }, position.epoch);
         }
       },
     });
--- a/src/peers/feed_stream.ts
+++ b/src/peers/feed_stream.ts
@@ -4,6 +4,11 @@
  * so that a follower detects a host that has stopped responding.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  createPosition,
+  type FeedPosition,
+  START_POSITION,
+} from "../store_sync/feed_position.ts";
 import type { WatchCache } from "../store_sync/watch_cache.ts";
 import {
   type FeedItem,
@@ -37,8 +42,15 @@
 /** One line of the stream. */
 export type FeedLine =
   | { feed: FeedName; read: FeedResult<unknown> }
-  /** Heartbeat: the revisions up to which the host has read each feed. */
-  | { revisions: Record<FeedName, number> };
+  /** Heartbeat: how far the host has read each feed. */
+  | FeedPositions;
+
+/** The positions up to which a host has read each feed. */
+export interface FeedPositions {
+  revisions: Record<FeedName, number>;
+  /** As far as they are known. Missing from hosts of an older release. */
+  epochs?: Partial<Record<FeedName, number>>;
+}
 
 /** Options of {@linkcode serveFeedStream}. */
 export interface FeedStreamOptions {
@@ -74,7 +86,7 @@
   }
   response.writeHead(HTTP_OK, { "content-type": "application/x-ndjson" });
   const heartbeat = setInterval(
-    () => writeLine(response, { revisions: revisionsOf(options.caches) }),
+    () => writeLine(response, positionsOf(options.caches)),
     STREAM_HEARTBEAT_INTERVAL_MS,
   );
   response.once("close", () => clearInterval(heartbeat));
@@ -89,19 +101,21 @@
   { caches, selfIsReader, now }: FeedStreamOptions,
 ): Promise<void> {
   const cache: WatchCache<unknown> = caches[feed];
-  let revision: number | undefined;
+  let position: FeedPosition | undefined;
   while (!response.destroyed && !response.writableEnded) {
-    const result = revision === undefined
-      ? cache.list(0, now())
-      : cache.changesSince(revision, now());
+    const result = position === undefined
+      ? cache.list(START_POSITION, now())
+      : cache.changesSince(position, now());
     switch (result.kind) {
       case FeedResultKind.Unavailable:
         return void response.end();
       case FeedResultKind.RevisionTooOld:
-        revision = undefined;
+        position = undefined;
         continue;
       default:
-        if (revision === undefined || result.revision > revision) {
+        if (
+          position === undefined || result.revision > position.revision
+        ) {
           const serialised = mapConfigurations(
             feed,
             result,
@@ -109,19 +123,29 @@
           );
           writeLine(response, { feed, read: serialised });
         }
-        revision = result.revision;
+        position = createPosition(result.epoch, result.revision);
     }
-    await cache.waitForChanges(revision, STREAM_HEARTBEAT_INTERVAL_MS);
+    await cache.waitForChanges(position, STREAM_HEARTBEAT_INTERVAL_MS);
     if (!selfIsReader()) return void response.end();
   }
 }
 
-function revisionsOf(caches: WatchCaches): Record<FeedName, number> {
+function positionsOf(
+  { configuration, endpoints, gateways, quarantined }: WatchCaches,
+): FeedPositions {
   return {
-    configuration: caches.configuration.revision,
-    endpoints: caches.endpoints.revision,
-    gateways: caches.gateways.revision,
-    quarantined: caches.quarantined.revision,
+    revisions: {
+      configuration: configuration.position.revision,
+      endpoints: endpoints.position.revision,
+      gateways: gateways.position.revision,
+      quarantined: quarantined.position.revision,
+    },
+    epochs: {
+      configuration: configuration.position.epoch,
+      endpoints: endpoints.position.epoch,
+      gateways: gateways.position.epoch,
+      quarantined: quarantined.position.epoch,
+    },
   };
 }
 
--- a/src/peers/feed_stream_client.ts
+++ b/src/peers/feed_stream_client.ts
@@ -4,6 +4,7 @@
  */
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import { WatchCache } from "../store_sync/watch_cache.ts";
+import { decodePosition, isSameEpoch } from "../store_sync/feed_position.ts";
 import { type FeedResult, FeedResultKind } from "../store_sync/object_feed.ts";
 import type { PeerFeed } from "../store_sync/relayed_feed.ts";
 import { deserialiseConfiguration } from "../store_sync/state_snapshot.ts";
@@ -44,14 +45,14 @@
   feed<T>(feed: FeedName): PeerFeed<T> {
     const { now } = this.#options;
     return {
-      list: async (address, min_revision) => {
+      list: async (address, oldest) => {
         const cache = await this.#openCache(address, feed);
-        return cache.list(min_revision, now()) as FeedResult<T>;
+        return cache.list(oldest, now()) as FeedResult<T>;
       },
-      watch: async (address, revision, wait_ms) => {
+      watch: async (address, position, wait_ms) => {
         const cache = await this.#openCache(address, feed);
-        await cache.waitForChanges(revision, wait_ms);
-        return cache.changesSince(revision, now()) as FeedResult<T>;
+        await cache.waitForChanges(position, wait_ms);
+        return cache.changesSince(position, now()) as FeedResult<T>;
       },
     };
   }
@@ -172,7 +173,9 @@
   #apply(line: FeedLine): void {
     if ("revisions" in line) {
       for (const feed of Object.values(FeedName)) {
-        this.#cache(feed).advanceRevision(line.revisions[feed]);
+        const revision = line.revisions[feed];
+        const position = decodePosition(line.epochs?.[feed], revision);
+        if (position !== undefined) this.#cache(feed).advancePosition(position);
       }
       return;
     }
@@ -185,12 +188,19 @@
     if ("unsettled_ms" in result && result.unsettled_ms !== undefined) {
       cache.extendGracePeriod(this.#options.now() + result.unsettled_ms);
     }
+    const position = "revision" in result
+      ? decodePosition(result.epoch, result.revision)
+      : undefined;
+    if (position === undefined) return this.close("no revision");
     switch (result.kind) {
       case FeedResultKind.Listed:
-        cache.replaceAll(result.items, result.revision);
+        cache.replaceAll(result.items, position);
         break;
       case FeedResultKind.Changed:
-        cache.applyChanges(result.changes, result.revision);
+        if (!isSameEpoch(position, cache.position)) {
+          return this.close("changes of another epoch");
+        }
+        cache.applyChanges(result.changes, position);
         break;
       default:
         this.close(`unexpected result: ${result.kind}`);
--- a/src/store_sync/object_feed.ts
+++ b/src/store_sync/object_feed.ts
@@ -3,6 +3,8 @@
  * changes from the revision of that list.
  */
 
+import type { FeedPosition } from "./feed_position.ts";
+
 /** One object; its value is undefined if it cannot be decoded. */
 export interface FeedItem<T> {
   /** Name of the object, unique within its kind. */
@@ -16,27 +18,21 @@
 }
 
 /**
- * Result of a list or a watch. `revision` is the store's revision up to which the
- * result is current.
+ * Up to which position of the store a result is current, and whether objects may
+ * be missing from it.
  */
+interface FeedReading extends FeedPosition {
+  /**
+   * Remaining grace period after an outage of the source, in milliseconds. Until
+   * it ends, a missing object may still exist. Undefined if there is none.
+   */
+  unsettled_ms?: number;
+}
+
+/** Result of a list or a watch. */
 export type FeedResult<T> =
-  | {
-    kind: FeedResultKind.Listed;
-    items: FeedItem<T>[];
-    revision: number;
-    /**
-     * Remaining grace period after an outage of the source, in milliseconds. Until
-     * it ends, a missing object may still exist. Undefined if there is none.
-     */
-    unsettled_ms?: number;
-  }
-  | {
-    kind: FeedResultKind.Changed;
-    changes: FeedChange<T>[];
-    revision: number;
-    /** As in a list. */
-    unsettled_ms?: number;
-  }
+  | FeedReading & { kind: FeedResultKind.Listed; items: FeedItem<T>[] }
+  | FeedReading & { kind: FeedResultKind.Changed; changes: FeedChange<T>[] }
   /** Changes since that revision are no longer kept: list again. */
   | { kind: FeedResultKind.RevisionTooOld }
   | { kind: FeedResultKind.Unavailable; reason: string };
@@ -56,9 +52,9 @@
 export interface ObjectFeed<T> {
   /** Lists all objects. */
   list(signal: AbortSignal): Promise<FeedResult<T>>;
-  /** Waits up to `wait_ms` for changes after `revision`. */
+  /** Waits up to `wait_ms` for changes after `position`. */
   watch(
-    revision: number,
+    position: FeedPosition,
     wait_ms: number,
     signal: AbortSignal,
   ): Promise<FeedResult<T>>;
--- a/src/store_sync/relayed_feed.ts
+++ b/src/store_sync/relayed_feed.ts
@@ -6,6 +6,11 @@
  */
 import type { Logger } from "../logging/logger.ts";
 import type { StoreReaders } from "../membership/store_readers.ts";
+import {
+  createPosition,
+  type FeedPosition,
+  START_POSITION,
+} from "./feed_position.ts";
 import {
   type FeedResult,
   FeedResultKind,
@@ -17,11 +22,12 @@
  * `Unavailable` or as a rejection; both count as a failed call.
  */
 export interface PeerFeed<T> {
-  list(address: string, min_revision: number): Promise<FeedResult<T>>;
-  /** Waits up to `wait_ms` for changes after `revision`. */
+  /** Lists all objects; unavailable if that list is older than `oldest`. */
+  list(address: string, oldest: FeedPosition): Promise<FeedResult<T>>;
+  /** Waits up to `wait_ms` for changes after `position`. */
   watch(
     address: string,
-    revision: number,
+    position: FeedPosition,
     wait_ms: number,
   ): Promise<FeedResult<T>>;
 }
@@ -50,7 +56,7 @@
   options: RelayedFeedOptions<T>,
 ): ObjectFeed<T> {
   const { store, peers, readers } = options;
-  let newest_revision = 0;
+  let newest: FeedPosition = START_POSITION;
   /** A store watch may only continue from a revision that the store returned. */
   let canWatchStore = false;
   const fromStore = async (call: () => Promise<FeedResult<T>>) => {
@@ -62,61 +68,61 @@
     canWatchStore = false;
     return call();
   };
-  /** Lists at once if the peer no longer has changes since `revision`. */
-  const watchPeer = async (address: string, revision: number) => {
+  /** Lists at once if the peer no longer has changes since `position`. */
+  const watchPeer = async (address: string, position: FeedPosition) => {
     const result = await peers.watch(
       address,
-      revision,
+      position,
       FOLLOWER_WATCH_TIMEOUT_MS,
     );
     return result.kind === FeedResultKind.RevisionTooOld
-      ? await peers.list(address, newest_revision)
+      ? await peers.list(address, newest)
       : result;
   };
   /** Watches the store, for as long as no other host may follow this one. */
   const watchStore = async (
-    revision: number,
+    position: FeedPosition,
     wait_ms: number,
     signal: AbortSignal,
   ): Promise<FeedResult<T>> => {
     if (readers.mayHaveFollowers) {
       const limited_ms = Math.min(wait_ms, options.max_store_watch_ms);
-      return await store.watch(revision, limited_ms, signal);
+      return await store.watch(position, limited_ms, signal);
     }
     const { followersExpected } = readers;
     const watchSignal = AbortSignal.any([signal, followersExpected]);
-    const result = await store.watch(revision, wait_ms, watchSignal);
+    const result = await store.watch(position, wait_ms, watchSignal);
     return followersExpected.aborted &&
         result.kind === FeedResultKind.Unavailable
-      ? { kind: FeedResultKind.Changed, changes: [], revision }
+      ? { kind: FeedResultKind.Changed, changes: [], ...position }
       : result;
   };
-  const trackRevision = (result: FeedResult<T>): FeedResult<T> => {
+  /** The store may go back; peers never answer with less than was asked for. */
+  const trackPosition = (result: FeedResult<T>): FeedResult<T> => {
     if ("revision" in result) {
-      newest_revision = Math.max(newest_revision, result.revision);
+      newest = createPosition(result.epoch, result.revision);
     }
     return result;
   };
   return {
     async list(signal) {
-      return trackRevision(
+      return trackPosition(
         await readFromAny({
           fromStore: () => fromStore(() => store.list(signal)),
-          fromPeer: (address) =>
-            fromPeer(() => peers.list(address, newest_revision)),
+          fromPeer: (address) => fromPeer(() => peers.list(address, newest)),
         }, { ...options, signal }),
       );
     },
-    async watch(revision, wait_ms, signal) {
-      return trackRevision(
+    async watch(position, wait_ms, signal) {
+      return trackPosition(
         await readFromAny({
           fromStore: () =>
             fromStore(() =>
               canWatchStore
-                ? watchStore(revision, wait_ms, signal)
+                ? watchStore(position, wait_ms, signal)
                 : store.list(signal)
             ),
-          fromPeer: (address) => fromPeer(() => watchPeer(address, revision)),
+          fromPeer: (address) => fromPeer(() => watchPeer(address, position)),
         }, { ...options, signal }),
       );
     },
--- a/src/store_sync/state_snapshot.ts
+++ b/src/store_sync/state_snapshot.ts
@@ -2,6 +2,7 @@
 import type { RouteConfiguration, RouteEndpoint } from "../routes/types.ts";
 import type { QuarantineService } from "../quarantine/quarantine_service.ts";
 import type { QuarantinedParts } from "../quarantine/types.ts";
+import { decodePosition, type FeedPosition } from "./feed_position.ts";
 import type { ActiveConfiguration } from "./active_configuration.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
 
@@ -16,12 +17,47 @@
   quarantined: QuarantinedParts[] | undefined;
 }
 
+/** Feeds of which hosts compare how far they have read. */
+export type ComparedFeed = "configuration" | "endpoints" | "quarantined";
+
 /** Revision of the last change that a host has read from each feed. */
 export interface ChangeRevisions {
   configuration: number;
   endpoints: number;
   /** Missing from hosts of an older release. */
   quarantined?: number;
+  /**
+   * Epochs of these revisions, as far as they are known. Missing from hosts of an
+   * older release.
+   */
+  epochs?: Partial<Record<ComparedFeed, number>>;
+}
+
+/** Tells peers of the last change that this host has read from each feed. */
+export function createChangeRevisions(
+  { configuration, endpoints, quarantined }: Record<
+    ComparedFeed,
+    { lastChange: FeedPosition }
+  >,
+): ChangeRevisions {
+  return {
+    configuration: configuration.lastChange.revision,
+    endpoints: endpoints.lastChange.revision,
+    quarantined: quarantined.lastChange.revision,
+    epochs: {
+      configuration: configuration.lastChange.epoch,
+      endpoints: endpoints.lastChange.epoch,
+      quarantined: quarantined.lastChange.epoch,
+    },
+  };
+}
+
+/** Reads a feed's position from what a peer told; undefined if it told none. */
+export function peerPosition(
+  revisions: ChangeRevisions,
+  feed: ComparedFeed,
+): FeedPosition | undefined {
+  return decodePosition(revisions.epochs?.[feed], revisions[feed]);
 }
 
 /** A route configuration in JSON-compatible form. */
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -17,7 +17,7 @@
 import type { RouteConfiguration, RouteEndpoint } from "../routes/types.ts";
 import { FeedProgress, syncFeed } from "./sync_feed.ts";
 import type { FeedItem, ObjectFeed } from "./object_feed.ts";
-import { deserialiseConfiguration } from "./state_snapshot.ts";
+import { deserialiseConfiguration, peerPosition } from "./state_snapshot.ts";
 
 /** The feeds of the object store, read directly or through other hosts. */
 export interface StoreFeeds {
@@ -53,6 +53,7 @@
 
 /** Mean interval at which a reader compares its revisions with a peer's. */
 const COMPARE_REVISIONS_INTERVAL_MS = 1_000;
+const COMPARED_FEEDS = ["configuration", "endpoints", "quarantined"] as const;
 /** Mean interval at which a follower checks whether it has become a reader. */
 const FOLLOWER_CHECK_INTERVAL_MS = 5_000;
 /** Interval at which a peer's state is polled while the store is unavailable. */
@@ -240,9 +241,10 @@
     if (peer === undefined || signal.aborted) continue;
     try {
       const peerRevisions = await peers.changeRevisions(peer);
-      progress.configuration.abortStaleWatch(peerRevisions.configuration);
-      progress.endpoints.abortStaleWatch(peerRevisions.endpoints);
-      progress.quarantined.abortStaleWatch(peerRevisions.quarantined ?? 0);
+      for (const feed of COMPARED_FEEDS) {
+        const position = peerPosition(peerRevisions, feed);
+        if (position !== undefined) progress[feed].abortStaleWatch(position);
+      }
     } catch (error) {
       log.debug({
         event: "peer_silent",
--- a/src/store_sync/sync_feed.ts
+++ b/src/store_sync/sync_feed.ts
@@ -1,6 +1,13 @@
 /** Keeps a local copy of a feed in sync until the signal aborts. */
 import type { Logger } from "../logging/logger.ts";
 import { abortableDelay, Backoff } from "../utils/delay.ts";
+import {
+  comparePositions,
+  createPosition,
+  type FeedPosition,
+  formatPosition,
+  START_POSITION,
+} from "./feed_position.ts";
 import type { WatchCache } from "./watch_cache.ts";
 import {
   type FeedChange,
@@ -25,19 +32,19 @@
 }
 
 /**
- * Tracks how far a feed has been read. Hosts compare these revisions to detect a
+ * Tracks how far a feed has been read. Hosts compare these positions to detect a
  * watch that delivers nothing although there are changes.
  */
 export class FeedProgress {
-  /** Revision up to which this host has read. */
-  revision = 0;
-  /** Revision of the last change that this host has read. */
-  lastChangeRevision = 0;
+  /** Position up to which this host has read. */
+  position: FeedPosition = START_POSITION;
+  /** Position of the last change that this host has read. */
+  lastChange: FeedPosition = START_POSITION;
   #watchAbort = new AbortController();
 
   /** Aborts the current watch and returns true if a peer has read a later change. */
-  abortStaleWatch(peer_revision: number): boolean {
-    if (peer_revision <= this.revision) return false;
+  abortStaleWatch(peer: FeedPosition): boolean {
+    if (comparePositions(peer, this.position) <= 0) return false;
     this.#watchAbort.abort(STALE_WATCH);
     return true;
   }
@@ -49,11 +56,10 @@
   }
 
   /** Records a result; `hasChanges` tells whether anything changed. */
-  record(revision: number, hasChanges: boolean): void {
-    this.revision = Math.max(this.revision, revision);
-    if (hasChanges) {
-      this.lastChangeRevision = Math.max(this.lastChangeRevision, revision);
-    }
+  record({ epoch, revision }: FeedPosition, hasChanges: boolean): void {
+    this.position = createPosition(epoch, revision);
+    const isRetracted = comparePositions(this.position, this.lastChange) < 0;
+    if (hasChanges || isRetracted) this.lastChange = this.position;
   }
 }
 
@@ -95,22 +101,26 @@
     signal,
   } = options;
   const backoff = new Backoff(RETRY_BACKOFF, options.random);
-  let revision: number | undefined;
+  let position: FeedPosition | undefined;
   let unavailable = false;
   while (!signal.aborted) {
     const watchSignal = progress.nextWatchSignal(signal);
-    const result = revision === undefined
+    const result = position === undefined
       ? await feed.list(watchSignal)
-      : await feed.watch(revision, wait_ms, watchSignal);
+      : await feed.watch(position, wait_ms, watchSignal);
     if (signal.aborted) return;
     if (watchSignal.aborted) {
-      log.info({ event: "watch_overtaken", source: name, revision });
-      revision = undefined;
+      log.info({
+        event: "watch_overtaken",
+        source: name,
+        position: position && formatPosition(position),
+      });
+      position = undefined;
       continue;
     }
     if (result.kind === FeedResultKind.Unavailable) {
       // A watch that resumes after a disconnect may miss changes, so list again.
-      revision = undefined;
+      position = undefined;
       if (!unavailable) {
         unavailable = true;
         log.warn({ event: "source_lost", source: name, reason: result.reason });
@@ -132,21 +142,25 @@
     }
     switch (result.kind) {
       case FeedResultKind.Listed:
-        revision = result.revision;
-        progress.record(revision, cache.replaceAll(result.items, revision));
+        position = createPosition(result.epoch, result.revision);
+        progress.record(position, cache.replaceAll(result.items, position));
         listener.onList(result.items);
         break;
       case FeedResultKind.Changed:
-        revision = result.revision;
-        progress.record(revision, result.changes.length > 0);
-        cache.applyChanges(result.changes, revision);
+        position = createPosition(result.epoch, result.revision);
+        progress.record(position, result.changes.length > 0);
+        cache.applyChanges(result.changes, position);
         if (result.changes.length === 0) break;
         listener.onChanges(result.changes);
         if (coalesce_ms > 0) await abortableDelay(coalesce_ms, signal);
         break;
       case FeedResultKind.RevisionTooOld:
-        log.info({ event: "history_lost", source: name, revision });
-        revision = undefined;
+        log.info({
+          event: "history_lost",
+          source: name,
+          position: position && formatPosition(position),
+        });
+        position = undefined;
         break;
     }
   }
--- a/src/store_sync/watch_cache.ts
+++ b/src/store_sync/watch_cache.ts
@@ -4,6 +4,15 @@
   type FeedResult,
   FeedResultKind,
 } from "./object_feed.ts";
+import {
+  comparePositions,
+  createPosition,
+  type FeedPosition,
+  formatPosition,
+  isSameEpoch,
+  newerPosition,
+  START_POSITION,
+} from "./feed_position.ts";
 
 /**
  * How long after an outage of the source a missing entry does not count as
@@ -28,22 +37,23 @@
  */
 export class WatchCache<T> {
   #entries = new Map<string, Entry<T>>();
-  /** Oldest revision from which changes can be served. */
+  /** Oldest revision of this epoch from which changes can be served. */
   #oldest_revision = Infinity;
-  #revision = 0;
+  #position: FeedPosition = START_POSITION;
   #sourceUnavailable = true;
   /** Whether a result or an outage has been recorded yet. */
   #updated = false;
   #graceEnd_ms = 0;
   #waiters = new Set<() => void>();
 
-  /** Revision up to which the feed has been read. */
-  get revision(): number {
-    return this.#revision;
+  /** Position up to which the feed has been read. */
+  get position(): FeedPosition {
+    return this.#position;
   }
 
   /** Replaces all items; returns true if any item differs from before. */
-  replaceAll(items: readonly FeedItem<T>[], revision: number): boolean {
+  replaceAll(items: readonly FeedItem<T>[], position: FeedPosition): boolean {
+    const { revision } = position;
     const previous = this.#entries;
     this.#entries = new Map(items.map(({ name, value }) => [
       name,
@@ -51,17 +61,21 @@
     ]));
     this.#oldest_revision = revision;
     const changed = !sameEntries(previous, this.#entries);
-    this.#recordRead(revision);
+    this.#recordRead(position);
     return changed;
   }
 
-  /** Applies changes; an empty list only advances the revision. */
-  applyChanges(changes: readonly FeedChange<T>[], revision: number): void {
+  /** Applies changes; an empty list only advances the position. */
+  applyChanges(
+    changes: readonly FeedChange<T>[],
+    position: FeedPosition,
+  ): void {
+    const { revision } = position;
     for (const { name, value, deleted } of changes) {
       this.#entries.set(name, { value, deleted, revision });
     }
     this.#evictTombstones();
-    this.#recordRead(revision);
+    this.#recordRead(position);
   }
 
   /** Marks the source as unavailable and wakes all waiting followers. */
@@ -80,21 +94,18 @@
     this.#graceEnd_ms = Math.max(this.#graceEnd_ms, until_ms);
   }
 
-  /** Records that nothing changed up to this revision. */
-  advanceRevision(revision: number): void {
-    if (!this.#sourceUnavailable) {
-      this.#revision = Math.max(this.#revision, revision);
-    }
+  /** Records that nothing changed up to this position of the same epoch. */
+  advancePosition(position: FeedPosition): void {
+    if (this.#sourceUnavailable) return;
+    if (!isSameEpoch(position, this.#position)) return;
+    this.#position = newerPosition(this.#position, position);
   }
 
-  /** Lists all items; unavailable if the cache is older than `min_revision`. */
-  list(min_revision: number, now_ms: number): FeedResult<T> {
+  /** Lists all items; unavailable if the cache is older than `oldest`. */
+  list(oldest: FeedPosition, now_ms: number): FeedResult<T> {
     if (this.#sourceUnavailable) return UNAVAILABLE;
-    if (this.#revision < min_revision) {
-      return {
-        kind: FeedResultKind.Unavailable,
-        reason: `behind: asked ${min_revision}, read ${this.#revision}`,
-      };
+    if (comparePositions(this.#position, oldest) < 0) {
+      return this.#behind(oldest);
     }
     const items = [...this.#entries]
       .filter(([, { deleted }]) => !deleted)
@@ -102,32 +113,34 @@
     return {
       kind: FeedResultKind.Listed,
       items,
-      revision: this.#revision,
+      ...this.#position,
       unsettled_ms: this.#remainingGraceMs(now_ms),
     };
   }
 
-  /** Returns the changes after `revision`, possibly none. */
-  changesSince(revision: number, now_ms: number): FeedResult<T> {
+  /**
+   * Returns the changes after `position`, possibly none. A cache that is still in
+   * an older epoch is unavailable.
+   */
+  changesSince(position: FeedPosition, now_ms: number): FeedResult<T> {
     if (this.#sourceUnavailable) return UNAVAILABLE;
-    if (revision < this.#oldest_revision) {
-      return { kind: FeedResultKind.RevisionTooOld };
-    }
+    if (this.#hasLeft(position)) return { kind: FeedResultKind.RevisionTooOld };
+    if (!isSameEpoch(position, this.#position)) return this.#behind(position);
     const changes = [...this.#entries]
-      .filter(([, entry]) => entry.revision > revision)
+      .filter(([, entry]) => entry.revision > position.revision)
       .map(([name, { value, deleted }]) => ({ name, value, deleted }));
     return {
       kind: FeedResultKind.Changed,
       changes,
-      revision: Math.max(revision, this.#revision),
+      ...newerPosition(position, this.#position),
       unsettled_ms: this.#remainingGraceMs(now_ms),
     };
   }
 
-  /** Resolves on a change after `revision`, on an outage or after `wait_ms`. */
-  waitForChanges(revision: number, wait_ms: number): Promise<void> {
+  /** Resolves on a change after `position`, on an outage or after `wait_ms`. */
+  waitForChanges(position: FeedPosition, wait_ms: number): Promise<void> {
     return this.#waitFor(
-      () => this.#sourceUnavailable || this.#hasChanges(revision),
+      () => this.#sourceUnavailable || this.#hasChanges(position),
       wait_ms,
     );
   }
@@ -154,16 +167,30 @@
     });
   }
 
-  #hasChanges(revision: number): boolean {
-    if (revision < this.#oldest_revision) return true;
+  /** Whether a position lies in an older epoch or before what is kept. */
+  #hasLeft(position: FeedPosition): boolean {
+    return isSameEpoch(position, this.#position)
+      ? position.revision < this.#oldest_revision
+      : comparePositions(position, this.#position) < 0;
+  }
+
+  #hasChanges(position: FeedPosition): boolean {
+    if (this.#hasLeft(position)) return true;
+    if (!isSameEpoch(position, this.#position)) return false;
     for (const entry of this.#entries.values()) {
-      if (entry.revision > revision) return true;
+      if (entry.revision > position.revision) return true;
     }
     return false;
   }
 
-  #recordRead(revision: number): void {
-    this.#revision = revision;
+  #behind(asked: FeedPosition): FeedResult<T> {
+    const [wanted, read] = [asked, this.#position].map(formatPosition);
+    const reason = `behind: asked ${wanted}, read ${read}`;
+    return { kind: FeedResultKind.Unavailable, reason };
+  }
+
+  #recordRead({ epoch, revision }: FeedPosition): void {
+    this.#position = createPosition(epoch, revision);
     this.#sourceUnavailable = false;
     this.#notifyWaiters();
   }
--- /dev/null
+++ b/test/forwarding/restored_store.test.ts
@@ -0,0 +1,95 @@
+/**
+ * Hosts of which a few read the object store, and the store comes back from an
+ * older copy: every host must have what is published next.
+ */
+import assert from "node:assert/strict";
+import { afterEach, test } from "node:test";
+import {
+  GatewayFleet,
+  type RunningGateway,
+  waitUntil,
+} from "../../stand_ins/deployment/gateway_fleet.ts";
+import { StoreFault } from "../../stand_ins/deployment/object_store.ts";
+
+const GATEWAYS = 5;
+const READERS = 2;
+const LOST_WRITES = 300;
+/** Longer than the tests, so that a silent watch does not end by itself. */
+const WATCH_MS = 20_000;
+/** Time within which a change must be active on every host. */
+const MAX_PROPAGATION_MS = 3_000;
+
+let fleet: GatewayFleet;
+
+afterEach(() => fleet.stop());
+
+async function startFleet(): Promise<void> {
+  fleet = new GatewayFleet({
+    gateways: GATEWAYS,
+    readers: READERS,
+    watch_ms: WATCH_MS,
+  });
+  await fleet.start();
+  await waitUntil(() =>
+    fleet.gateways.every(({ logLines }) =>
+      logLines.some((line) => line.includes(`event=members count=${GATEWAYS}`))
+    )
+  );
+  await delay(2_000);
+}
+
+function delay(delay_ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delay_ms));
+}
+
+/** Writes endpoint entries of a pool that no route uses. */
+function writeMany(count: number): void {
+  for (let n = 0; n < count; n++) fleet.store.put("other", `o-${n % 7}`, n);
+}
+
+async function assertNextVersionReachesAll(): Promise<void> {
+  const version = fleet.version;
+  fleet.publishManifest({});
+  const text = `event=configuration version=${version} `;
+  const lacks = ({ logLines }: RunningGateway) =>
+    !logLines.some((line) => line.includes(text));
+  await waitUntil(() => !fleet.gateways.some(lacks), MAX_PROPAGATION_MS).catch(
+    () => assert.fail(`without version ${version}: ${describe(lacks)}`),
+  );
+}
+
+function describe(lacks: (host: RunningGateway) => boolean): string {
+  return fleet.gateways.map((host, index) => {
+    const failures = host.logLines.filter((line) =>
+      line.includes("event=reader_failed")
+    );
+    return lacks(host)
+      ? `host ${index + 1} (${failures.length}, last: ${failures.at(-1)})`
+      : "";
+  }).filter((text) => text !== "").join(", ");
+}
+
+test("followers get what is published after the store came back from an older copy", async () => {
+  await startFleet();
+  const copy = fleet.store.copy();
+  writeMany(LOST_WRITES);
+  fleet.publishManifest({});
+  await delay(300);
+  fleet.store.fault = StoreFault.Unavailable;
+  fleet.store.restore(copy);
+  await delay(2_000);
+  fleet.store.fault = StoreFault.None;
+  await delay(500);
+  await assertNextVersionReachesAll();
+});
+
+test("followers get what is published after the store went back without an absence", async () => {
+  await startFleet();
+  const copy = fleet.store.copy();
+  writeMany(LOST_WRITES);
+  fleet.publishManifest({});
+  await delay(300);
+  fleet.store.restore(copy);
+  await delay(500);
+  await assertNextVersionReachesAll();
+});
--- a/test/peers/create_relayed_feeds.test.ts
+++ b/test/peers/create_relayed_feeds.test.ts
@@ -22,12 +22,12 @@
   const feed: ObjectFeed<never> = {
     list: () =>
       Promise.resolve({ kind: FeedResultKind.Listed, items: [], revision: 1 }),
-    watch(revision, wait_ms) {
+    watch(position, wait_ms) {
       waits_ms.push(wait_ms);
       return Promise.resolve({
         kind: FeedResultKind.Changed,
         changes: [],
-        revision,
+        ...position,
       });
     },
   };
@@ -54,7 +54,7 @@
   const { signal } = new AbortController();
   for (const relayed of [feeds.configuration, feeds.endpoints]) {
     await relayed.list(signal);
-    await relayed.watch(1, 60_000, signal);
+    await relayed.watch({ revision: 1 }, 60_000, signal);
   }
   assert.equal(waits_ms.length, 2);
   assert.ok(Math.max(...waits_ms) < CHANGE_BOUND_MS);
--- a/test/peers/feed_stream.test.ts
+++ b/test/peers/feed_stream.test.ts
@@ -6,6 +6,7 @@
 import { afterEach, beforeEach, test } from "node:test";
 import { WatchCache } from "../../src/store_sync/watch_cache.ts";
 import { FeedResultKind } from "../../src/store_sync/object_feed.ts";
+import { at } from "../store_sync/at_position.ts";
 import { createLogger } from "../../src/logging/logger.ts";
 import { FeedStreamClients } from "../../src/peers/feed_stream_client.ts";
 import {
@@ -38,7 +39,7 @@
     gateways: new WatchCache(),
     quarantined: new WatchCache(),
   };
-  for (const cache of Object.values(caches)) cache.replaceAll([], 10);
+  for (const cache of Object.values(caches)) cache.replaceAll([], at(10));
   server = createServer((_, response) => {
     if (!unresponsive) {
       serveFeedStream(response, {
@@ -76,11 +77,11 @@
   let connections = 0;
   server.on("connection", () => connections += 1);
   const feed = clients.feed<RouteEndpoint>(FeedName.Endpoints);
-  const list = await feed.list(address, 0);
+  const list = await feed.list(address, at(0));
   assert.equal(list.kind, FeedResultKind.Listed);
-  const update = feed.watch(address, 10, 5_000);
+  const update = feed.watch(address, at(10), 5_000);
   const change = { name: "e", value: endpoint("e"), deleted: false };
-  caches.endpoints.applyChanges([change], 12);
+  caches.endpoints.applyChanges([change], at(12));
   const start_ms = now();
   const read = await update;
   assert.ok(now() - start_ms < 500);
@@ -93,9 +94,9 @@
     version: 3,
     pools: new Map([["p", { name: "p" }]]),
   } as unknown as RouteConfiguration;
-  caches.configuration.replaceAll([{ name: "main", value }], 20);
+  caches.configuration.replaceAll([{ name: "main", value }], at(20));
   const feed = clients.feed<RouteConfiguration>(FeedName.Configuration);
-  const read = await feed.list(address, 20);
+  const read = await feed.list(address, at(20));
   assert.equal(
     "items" in read && read.items[0]?.value?.pools.get("p")?.name,
     "p",
@@ -105,10 +106,13 @@
 test("a host that does not read the store, or stops reading it, is unavailable", async () => {
   isReader = false;
   const feed = clients.feed<RouteEndpoint>(FeedName.Endpoints);
-  assert.equal((await feed.list(address, 0)).kind, FeedResultKind.Unavailable);
+  assert.equal(
+    (await feed.list(address, at(0))).kind,
+    FeedResultKind.Unavailable,
+  );
   isReader = true;
-  assert.equal((await feed.list(address, 0)).kind, FeedResultKind.Listed);
-  const update = feed.watch(address, 10, 5_000);
+  assert.equal((await feed.list(address, at(0))).kind, FeedResultKind.Listed);
+  const update = feed.watch(address, at(10), 5_000);
   caches.endpoints.markSourceUnavailable();
   assert.equal((await update).kind, FeedResultKind.Unavailable);
 });
@@ -117,18 +121,67 @@
   unresponsive = true;
   const feed = clients.feed<RouteEndpoint>(FeedName.Endpoints);
   const start_ms = now();
-  assert.equal((await feed.list(address, 0)).kind, FeedResultKind.Unavailable);
-  const read = await feed.watch(address, 10, 10_000);
+  assert.equal(
+    (await feed.list(address, at(0))).kind,
+    FeedResultKind.Unavailable,
+  );
+  const read = await feed.watch(address, at(10), 10_000);
   assert.equal(read.kind, FeedResultKind.Unavailable);
   assert.ok(now() - start_ms < 3_000);
 });
 
 test("a follower receives revisions at which nothing changed", async () => {
   const feed = clients.feed<RouteEndpoint>(FeedName.Endpoints);
-  await feed.list(address, 0);
-  caches.endpoints.applyChanges([], 30);
+  await feed.list(address, at(0));
+  caches.endpoints.applyChanges([], at(30));
   await new Promise((resolve) => setTimeout(resolve, 1_300));
-  assert.equal((await feed.list(address, 30)).kind, FeedResultKind.Listed);
+  assert.equal((await feed.list(address, at(30))).kind, FeedResultKind.Listed);
+});
+
+test("a follower gets the whole list when its reader learns a new epoch", async () => {
+  caches.endpoints.replaceAll([], at(300, 1));
+  const feed = clients.feed<RouteEndpoint>(FeedName.Endpoints);
+  await feed.list(address, at(0));
+  const update = feed.watch(address, at(300, 1), 5_000);
+  const value = endpoint("e");
+  caches.endpoints.replaceAll([{ name: "e", value }], at(12, 2));
+  assert.equal((await update).kind, FeedResultKind.RevisionTooOld);
+  const read = await feed.list(address, at(300, 1));
+  assert.ok(read.kind === FeedResultKind.Listed);
+  assert.equal(read.epoch, 2);
+  assert.equal(read.revision, 12);
+  assert.equal(read.items.length, 1);
+});
+
+const LINES_OF_AN_EARLIER_RELEASE = [
+  '{"feed":"endpoints","read":{"kind":"listed","items":[],"revision":20}}',
+  '{"feed":"endpoints","read":{"kind":"changed","changes":[],"revision":22}}',
+  '{"revisions":{"configuration":0,"endpoints":25,"gateways":0,"quarantined":0}}',
+];
+
+test("lines of an earlier release, which name no epoch, are followed", async () => {
+  server.removeAllListeners("request");
+  server.on(
+    "request",
+    (_, response) =>
+      void response.write(LINES_OF_AN_EARLIER_RELEASE.join("\n") + "\n"),
+  );
+  const feed = clients.feed<RouteEndpoint>(FeedName.Endpoints);
+  const read = await feed.list(address, at(25, 3));
+  assert.ok(read.kind === FeedResultKind.Listed);
+  assert.equal(read.revision, 25);
+  assert.equal(read.epoch, undefined);
+});
+
+test("a line whose epoch is no number counts as of an unknown epoch", async () => {
+  server.removeAllListeners("request");
+  const line =
+    '{"feed":"endpoints","read":{"kind":"listed","items":[],"revision":20,"epoch":"x"}}';
+  server.on("request", (_, response) => void response.write(`${line}\n`));
+  const feed = clients.feed<RouteEndpoint>(FeedName.Endpoints);
+  const read = await feed.list(address, at(20, 3));
+  assert.equal(read.kind, FeedResultKind.Listed);
+  assert.equal("epoch" in read, false);
 });
 
 const MALFORMED_LINES = [
@@ -144,6 +197,8 @@
   '{"feed":"unknown","read":{"kind":"listed","items":[],"revision":1}}',
   '{"feed":"endpoints","read":{"kind":"listed","items":5,"revision":1}}',
   '{"feed":"configuration","read":{"kind":"listed","items":[{"value":1}]}}',
+  '{"feed":"endpoints","read":{"kind":"listed","items":[],"revision":1e308}}',
+  '{"feed":"endpoints","read":{"kind":"listed","items":[],"revision":-1}}',
 ];
 
 for (const line of MALFORMED_LINES) {
@@ -151,7 +206,7 @@
     server.removeAllListeners("request");
     server.on("request", (_, response) => void response.write(`${line}\n`));
     const feed = clients.feed<RouteEndpoint>(FeedName.Endpoints);
-    const read = await feed.list(address, 0);
+    const read = await feed.list(address, at(0));
     assert.equal(read.kind, FeedResultKind.Unavailable);
   });
 }
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -58,13 +58,13 @@
 test("a watch returns changes and deletions after its revision", async () => {
   const read = await store.endpoints.list(signal);
   assert.ok(read.kind === FeedResultKind.Listed);
-  const watching = store.endpoints.watch(read.revision, 1_000, signal);
+  const watching = store.endpoints.watch(read, 1_000, signal);
   server.put("servers", "i-000", { ...ENDPOINT_SPEC, state: "draining" });
   const first = await watching;
   assert.ok(first.kind === FeedResultKind.Changed);
   assert.equal(first.changes[0]?.value?.state, "leaving");
   server.remove("servers", "i-001");
-  const second = await store.endpoints.watch(first.revision, 1_000, signal);
+  const second = await store.endpoints.watch(first, 1_000, signal);
   assert.ok(second.kind === FeedResultKind.Changed);
   assert.deepEqual(
     second.changes.map(({ name, deleted }) => ({ name, deleted })),
@@ -75,7 +75,7 @@
 test("a revision that is too old is distinguished from an unavailable store", async () => {
   server.put("servers", "i-002", ENDPOINT_SPEC);
   server.discardHistory();
-  const lost = await store.endpoints.watch(1, 100, signal);
+  const lost = await store.endpoints.watch({ revision: 1 }, 100, signal);
   assert.equal(lost.kind, FeedResultKind.RevisionTooOld);
   for (
     const fault of [StoreFault.Unavailable, StoreFault.Silent, StoreFault.Reset]
@@ -111,7 +111,7 @@
   const { revision } = await store.gateways.list(signal) as {
     revision: number;
   };
-  await store.gateways.watch(revision, 1, signal);
+  await store.gateways.watch({ revision }, 1, signal);
   await store.withdraw("gateway-9");
   assert.deepEqual(
     calls.map(({ operation, kind }) => `${operation} ${kind}`),
@@ -158,7 +158,7 @@
     for (const feed of [opened.endpoints, opened.configuration]) {
       const listed = await feed.list(signal);
       if ("items" in listed) assert.deepEqual(listed.items, []);
-      const watched = await feed.watch(1, 1, signal);
+      const watched = await feed.watch({ revision: 1 }, 1, signal);
       if ("changes" in watched) assert.deepEqual(watched.changes, []);
     }
     opened.close();
@@ -172,3 +172,25 @@
     decodeConfiguration("main", spec);
   }));
 });
+
+test("an answer is of the epoch that it names, or that was named last", async () => {
+  const epochOf = async () => {
+    const read = await store.endpoints.list(signal);
+    return "epoch" in read ? read.epoch : undefined;
+  };
+  const named: [number | string | undefined, number][] = [
+    [3, 3],
+    [undefined, 3],
+    ["-1", 3],
+    ["4.5", 3],
+    ["4, 4", 3],
+    ["1e3", 3],
+    ["99999999999999999999", 3],
+    [4, 4],
+    [0, 0],
+  ];
+  for (const [epoch, expected] of named) {
+    server.epoch = epoch;
+    assert.equal(await epochOf(), expected, `after ${epoch}`);
+  }
+});
--- a/test/store_sync/relayed_feed.test.ts
+++ b/test/store_sync/relayed_feed.test.ts
@@ -10,6 +10,7 @@
   createRelayedFeed,
   type PeerFeed,
 } from "../../src/store_sync/relayed_feed.ts";
+import { at } from "./at_position.ts";
 import { createLogger } from "../../src/logging/logger.ts";
 import { StoreReaders } from "../../src/membership/store_readers.ts";
 
@@ -56,8 +57,8 @@
   };
   const peers: PeerFeed<number> = {
     watch: call,
-    list(address, min_revision) {
-      calls.push(`list ${address} from ${min_revision}`);
+    list(address, { revision }) {
+      calls.push(`list ${address} from ${revision}`);
       return Promise.resolve(listed(9));
     },
   };
@@ -78,10 +79,10 @@
 const follower = HOSTS.find((host) => !readersAt(host).selfIsReader) ?? "";
 
 test("a reader reads the store, a follower reads from readers", async () => {
-  await feedAt(reader).watch(1, 100, signal);
+  await feedAt(reader).watch(at(1), 100, signal);
   assert.deepEqual(calls, ["store"]);
   calls = [];
-  await feedAt(follower).watch(1, 100, signal);
+  await feedAt(follower).watch(at(1), 100, signal);
   assert.equal(calls.length, 2);
   assert.ok(calls.every((address) => readersAt(address).selfIsReader));
 });
@@ -90,7 +91,7 @@
   respond = (address) => address === "store" ? changed(5) : UNAVAILABLE;
   const feed = feedAt(follower);
   for (let read = 0; read < HOSTS.length; read++) {
-    await feed.watch(1, 100, signal);
+    await feed.watch(at(1), 100, signal);
   }
   const first = calls.indexOf("store");
   assert.ok(first >= READERS);
@@ -100,7 +101,7 @@
 
 test("a reader that is cut off from the store follows other readers", async () => {
   respond = (address) => address === "store" ? UNAVAILABLE : changed(5);
-  const read = await feedAt(reader).watch(1, 100, signal);
+  const read = await feedAt(reader).watch(at(1), 100, signal);
   assert.equal(read.kind, FeedResultKind.Changed);
   assert.deepEqual(calls.length, 3);
 });
@@ -112,21 +113,21 @@
     first ||= address;
     return address === first ? UNAVAILABLE : update;
   };
-  assert.equal(await feedAt(follower).watch(1, 100, signal), update);
+  assert.equal(await feedAt(follower).watch(at(1), 100, signal), update);
 });
 
 test("a follower that is too far behind gets the full list at once", async () => {
   const feed = feedAt(follower);
-  await feed.watch(1, 100, signal);
+  await feed.watch(at(1), 100, signal);
   respond = () => ({ kind: FeedResultKind.RevisionTooOld });
-  const read = await feed.watch(5, 100, signal);
+  const read = await feed.watch(at(5), 100, signal);
   assert.equal(read.kind, FeedResultKind.Listed);
   assert.match(calls.at(-1) ?? "", /^list host-\d+ from 5$/);
 });
 
 test("the feed is unavailable if no source answers", async () => {
   respond = () => UNAVAILABLE;
-  const read = await feedAt(follower).watch(1, 100, signal);
+  const read = await feedAt(follower).watch(at(1), 100, signal);
   assert.equal(read.kind, FeedResultKind.Unavailable);
 });
 
@@ -151,7 +152,7 @@
     name: "f",
     store: {
       list: () => Promise.resolve(listed(5)),
-      watch: (_revision, _wait_ms, signal) => watchUntilAborted(signal),
+      watch: (_position, _wait_ms, signal) => watchUntilAborted(signal),
     },
     peers,
     readers,
@@ -160,10 +161,10 @@
     log,
   });
   await feed.list(signal);
-  const watch = feed.watch(5, 8_000, signal);
+  const watch = feed.watch(at(5), 8_000, signal);
   hosts.splice(0, 1, ...HOSTS);
   readers.hostsChanged();
   assert.deepEqual(await watch, changed(5));
   // From then on it follows the readers.
-  assert.deepEqual(await feed.watch(5, 8_000, signal), changed(9));
+  assert.deepEqual(await feed.watch(at(5), 8_000, signal), changed(9));
 });
