Never call a source again without a pause after a reply without progress

A reply of the store whose revision was lower than the watched one hung a whole process for good: no timer, no request, no signal was served any more.

Two causes of one class, a loop whose pace the other side sets. The watch cache took the lower revision, so it stood below the oldest revision from which it serves changes; the stream to a follower that began then listed, found its own list too old, and listed again, in microtasks. And syncFeed went on at once after a lost history, an empty watch, a lower revision, whatever came.

Only a list can take the cache back now; a watch that answers with a lower position has lost its history, so the feed is listed again. syncFeed sorts each result into what it has brought, and pauses with the growing backoff after each that brought nothing new sooner than 50 ms; only progress resets the backoff, not a list, so a list and a failed watch in turn are bounded too. The stream pauses before it lists again.

The stand-in store can name any revision. It withheld the events of watches from revision 0, which no host asked for before; that is mended, as hosts are at 0 after a store that names 0.

--- a/src/peers/feed_stream.ts
+++ b/src/peers/feed_stream.ts
@@ -4,6 +4,7 @@
  * so that a follower detects a host that has stopped responding.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
 import {
   createPosition,
   type FeedPosition,
@@ -63,6 +64,9 @@
 /** Interval between the heartbeat lines of a stream, in milliseconds. */
 export const STREAM_HEARTBEAT_INTERVAL_MS = 1_000;
 
+/** Pause before a follower is sent a whole list again. */
+const RELIST_PAUSE_MS = 20;
+
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 
@@ -111,6 +115,7 @@
         return void response.end();
       case FeedResultKind.RevisionTooOld:
         position = undefined;
+        await delay(RELIST_PAUSE_MS);
         continue;
       default:
         if (
--- a/src/store_sync/sync_feed.ts
+++ b/src/store_sync/sync_feed.ts
@@ -12,6 +12,7 @@
 import {
   type FeedChange,
   type FeedItem,
+  type FeedResult,
   FeedResultKind,
   type ObjectFeed,
 } from "./object_feed.ts";
@@ -84,84 +85,156 @@
 }
 
 const RETRY_BACKOFF = { initial_ms: 60, max_ms: 800 };
+/** A watch that brings nothing new sooner than this is repeated with a pause. */
+const MIN_IDLE_WATCH_MS = 50;
 
-/** Lists the feed, then watches it, and lists again when the watch fails. */
+/**
+ * Lists the feed, then watches it, and lists again when the watch fails. Pauses
+ * before each call that follows a reply without progress, whatever the reply is.
+ */
 export async function syncFeed<T>(
   feed: ObjectFeed<T>,
   listener: FeedListener<T>,
   options: SyncFeedOptions<T>,
 ): Promise<void> {
-  const {
-    name,
-    wait_ms,
-    coalesce_ms,
-    progress,
-    cache,
-    log,
-    signal,
-  } = options;
+  const { coalesce_ms, progress, signal, now, wait_ms } = options;
+  const reader = new FeedReader(listener, options);
   const backoff = new Backoff(RETRY_BACKOFF, options.random);
-  let position: FeedPosition | undefined;
-  let unavailable = false;
   while (!signal.aborted) {
+    const start_ms = now();
     const watchSignal = progress.nextWatchSignal(signal);
-    const result = position === undefined
+    const result = reader.position === undefined
       ? await feed.list(watchSignal)
-      : await feed.watch(position, wait_ms, watchSignal);
+      : await feed.watch(reader.position, wait_ms, watchSignal);
     if (signal.aborted) return;
-    if (watchSignal.aborted) {
-      log.info({
-        event: "watch_overtaken",
-        source: name,
-        position: position && formatPosition(position),
-      });
-      position = undefined;
-      continue;
+    const outcome = watchSignal.aborted
+      ? reader.handleOvertaken()
+      : reader.handle(result);
+    switch (outcome) {
+      case ReadOutcome.Listed:
+        break;
+      case ReadOutcome.Changed:
+        backoff.reset();
+        if (coalesce_ms > 0) await abortableDelay(coalesce_ms, signal);
+        break;
+      case ReadOutcome.Idle:
+        if (now() - start_ms >= MIN_IDLE_WATCH_MS) backoff.reset();
+        else await abortableDelay(backoff.nextDelayMs(), signal);
+        break;
+      case ReadOutcome.Failed:
+        await abortableDelay(backoff.nextDelayMs(), signal);
+        break;
     }
+  }
+}
+
+/** What a result has brought. */
+enum ReadOutcome {
+  Listed,
+  Changed,
+  /** Nothing new. */
+  Idle,
+  /** The feed must be listed again. */
+  Failed,
+}
+
+/** Delivers the results of one feed. */
+class FeedReader<T> {
+  /** Position to watch from; undefined if the feed must be listed. */
+  position: FeedPosition | undefined;
+  #unavailable = false;
+  #listener: FeedListener<T>;
+  #options: SyncFeedOptions<T>;
+
+  constructor(listener: FeedListener<T>, options: SyncFeedOptions<T>) {
+    this.#listener = listener;
+    this.#options = options;
+  }
+
+  /** Handles a result of a list or a watch. */
+  handle(result: FeedResult<T>): ReadOutcome {
     if (result.kind === FeedResultKind.Unavailable) {
-      // A watch that resumes after a disconnect may miss changes, so list again.
-      position = undefined;
-      if (!unavailable) {
-        unavailable = true;
-        log.warn({ event: "source_lost", source: name, reason: result.reason });
-        cache.markSourceUnavailable();
-        listener.onSourceUnavailable?.();
-      }
-      await abortableDelay(backoff.nextDelayMs(), signal);
-      continue;
-    }
-    if (unavailable) {
-      unavailable = false;
-      log.info({ event: "source_back", source: name });
-      cache.startGracePeriod(options.now());
-      listener.onSourceAvailable?.();
-    }
-    backoff.reset();
-    if ("unsettled_ms" in result && (result.unsettled_ms ?? 0) > 0) {
-      listener.onGracePeriod?.(result.unsettled_ms ?? 0);
+      return this.#handleUnavailable(result.reason);
     }
+    this.#markAvailable();
     switch (result.kind) {
       case FeedResultKind.Listed:
-        position = createPosition(result.epoch, result.revision);
-        progress.record(position, cache.replaceAll(result.items, position));
-        listener.onList(result.items);
-        break;
+        return this.#handleList(result);
       case FeedResultKind.Changed:
-        position = createPosition(result.epoch, result.revision);
-        progress.record(position, result.changes.length > 0);
-        cache.applyChanges(result.changes, position);
-        if (result.changes.length === 0) break;
-        listener.onChanges(result.changes);
-        if (coalesce_ms > 0) await abortableDelay(coalesce_ms, signal);
-        break;
+        return this.#handleChanges(result);
       case FeedResultKind.RevisionTooOld:
-        log.info({
-          event: "history_lost",
-          source: name,
-          position: position && formatPosition(position),
-        });
-        position = undefined;
-        break;
+        return this.#listAgain("history_lost");
     }
   }
+
+  /** Handles that a peer has read further than the watch. */
+  handleOvertaken(): ReadOutcome {
+    return this.#listAgain("watch_overtaken");
+  }
+
+  #handleUnavailable(reason: string): ReadOutcome {
+    // A watch that resumes after a disconnect may miss changes, so list again.
+    this.position = undefined;
+    if (this.#unavailable) return ReadOutcome.Failed;
+    this.#unavailable = true;
+    const { name, log, cache } = this.#options;
+    log.warn({ event: "source_lost", source: name, reason });
+    cache.markSourceUnavailable();
+    this.#listener.onSourceUnavailable?.();
+    return ReadOutcome.Failed;
+  }
+
+  #markAvailable(): void {
+    if (!this.#unavailable) return;
+    this.#unavailable = false;
+    const { name, log, cache, now } = this.#options;
+    log.info({ event: "source_back", source: name });
+    cache.startGracePeriod(now());
+    this.#listener.onSourceAvailable?.();
+  }
+
+  #handleList(
+    list: Extract<FeedResult<T>, { kind: FeedResultKind.Listed }>,
+  ): ReadOutcome {
+    const { progress, cache } = this.#options;
+    const position = createPosition(list.epoch, list.revision);
+    this.position = position;
+    this.#passOnGracePeriod(list.unsettled_ms);
+    progress.record(position, cache.replaceAll(list.items, position));
+    this.#listener.onList(list.items);
+    return ReadOutcome.Listed;
+  }
+
+  #handleChanges(
+    result: Extract<FeedResult<T>, { kind: FeedResultKind.Changed }>,
+  ): ReadOutcome {
+    const { progress, cache } = this.#options;
+    const previous = this.position ?? START_POSITION;
+    const { changes } = result;
+    const position = createPosition(result.epoch, result.revision);
+    const progressed = comparePositions(position, previous);
+    if (progressed < 0) return this.#listAgain("history_lost", position);
+    this.position = position;
+    this.#passOnGracePeriod(result.unsettled_ms);
+    progress.record(position, changes.length > 0);
+    cache.applyChanges(changes, position);
+    if (changes.length === 0) return ReadOutcome.Idle;
+    this.#listener.onChanges(changes);
+    return progressed > 0 ? ReadOutcome.Changed : ReadOutcome.Idle;
+  }
+
+  #passOnGracePeriod(unsettled_ms = 0): void {
+    if (unsettled_ms > 0) this.#listener.onGracePeriod?.(unsettled_ms);
+  }
+
+  #listAgain(event: string, answered?: FeedPosition): ReadOutcome {
+    this.#options.log.info({
+      event,
+      source: this.#options.name,
+      position: this.position && formatPosition(this.position),
+      answered: answered && formatPosition(answered),
+    });
+    this.position = undefined;
+    return ReadOutcome.Failed;
+  }
 }
--- a/src/store_sync/watch_cache.ts
+++ b/src/store_sync/watch_cache.ts
@@ -65,17 +65,21 @@
     return changed;
   }
 
-  /** Applies changes; an empty list only advances the position. */
+  /**
+   * Applies changes; an empty list only advances the position. Only a list can
+   * take the cache back to an older position.
+   */
   applyChanges(
     changes: readonly FeedChange<T>[],
     position: FeedPosition,
   ): void {
-    const { revision } = position;
+    const newer = newerPosition(this.#position, position);
+    const { revision } = newer;
     for (const { name, value, deleted } of changes) {
       this.#entries.set(name, { value, deleted, revision });
     }
     this.#evictTombstones();
-    this.#recordRead(position);
+    this.#recordRead(newer);
   }
 
   /** Marks the source as unavailable and wakes all waiting followers. */
--- a/stand_ins/deployment/object_store.ts
+++ b/stand_ins/deployment/object_store.ts
@@ -55,6 +55,8 @@
    * Sent with every response; rises with each restoration. Undefined sends none.
    */
   epoch: number | string | undefined = 1;
+  /** Replaces the revision that the answers of lists and watches name. */
+  asOf = (revision: number): unknown => revision;
   #kinds = new Map<string, Map<string, StoredObject>>();
   #events: StoreEvent[] = [];
   #discardedUpTo = 0;
@@ -64,7 +66,7 @@
   /**
    * Watches that start at this revision or an earlier one receive no events.
    */
-  #withheldUpTo = 0;
+  #withheldUpTo = -1;
   #server = createServer((request, response) => {
     if (this.epoch !== undefined) {
       response.setHeader("store-era", String(this.epoch));
@@ -205,7 +207,7 @@
     send(response, 200, {
       items: page.map((name) => this.#objectsOf(kind).get(name)),
       has_more: names.length > page.length,
-      as_of: this.#revision,
+      as_of: this.asOf(this.#revision),
     });
   }
 
@@ -236,7 +238,7 @@
       object,
       deleted,
     }));
-    send(response, 200, { events, as_of: this.#revision });
+    send(response, 200, { events, as_of: this.asOf(this.#revision) });
   }
 
   #waitForEvent(wait_ms: number): Promise<void> {
--- a/test/forwarding/restored_store.test.ts
+++ b/test/forwarding/restored_store.test.ts
@@ -19,6 +19,10 @@
 /** Time within which a change must be active on every host. */
 const MAX_PROPAGATION_MS = 3_000;
 
+/** How long the store gives odd answers, and the calls that it may get then. */
+const ODD_MS = 1_000;
+const MAX_ODD_CALLS = GATEWAYS * 4 * 20;
+
 let fleet: GatewayFleet;
 
 afterEach(() => fleet.stop());
@@ -35,7 +39,8 @@
       logLines.some((line) => line.includes(`event=members count=${GATEWAYS}`))
     )
   );
-  await delay(2_000);
+  const feeds = 4;
+  await waitUntil(() => fleet.store.openWatches <= READERS * feeds);
 }
 
 function delay(delay_ms: number): Promise<void> {
@@ -93,3 +98,25 @@
   await delay(500);
   await assertNextVersionReachesAll();
 });
+
+const ODD_REVISIONS: Record<string, (revision: number) => unknown> = {
+  lower: (revision) => Math.max(1, revision - 5),
+  negative: () => -1,
+  "too large": () => 1e308,
+  "a text": () => "12",
+  falling: (revision) => Math.max(0, revision - Math.floor(performance.now())),
+};
+
+test("answers whose revision is odd hang no host and take nothing from it", async () => {
+  await startFleet();
+  for (const [name, asOf] of Object.entries(ODD_REVISIONS)) {
+    fleet.store.asOf = asOf;
+    const callsBefore = fleet.store.calls;
+    fleet.publishManifest({});
+    await delay(ODD_MS);
+    const calls = fleet.store.calls - callsBefore;
+    assert.ok(calls <= MAX_ODD_CALLS, `${name}: ${calls} calls`);
+    fleet.store.asOf = (revision) => revision;
+    await assertNextVersionReachesAll();
+  }
+});
