Ask each reader for what the follower has, not for what the other one has told

A follower passed over a reader that was well for three seconds, and where it had few others it read the store itself meanwhile: its two readers each no longer had the changes since its revision, the first sent its list, which raised what the follower asks for, and the second, one revision behind, was then asked for a list as new as the first one's and counted as failed ("behind: asked 1:16, read 1:15" for three feeds on two of seven hosts).

The new test of this race failed each time ("host-4" instead of "host-3" is followed).

The list of a reader is now asked from the position that its own watch began with. The answer that comes first is taken as before; the second one is not needed and no longer judged by it.

--- a/src/store_sync/relayed_feed.ts
+++ b/src/store_sync/relayed_feed.ts
@@ -76,7 +76,7 @@
       FOLLOWER_WATCH_TIMEOUT_MS,
     );
     return result.kind === FeedResultKind.RevisionTooOld
-      ? await peers.list(address, newest)
+      ? await peers.list(address, position)
       : result;
   };
   /** Watches the store, for as long as no other host may follow this one. */
--- a/test/store_sync/relayed_feed.test.ts
+++ b/test/store_sync/relayed_feed.test.ts
@@ -168,3 +168,35 @@
   // From then on it follows the readers.
   assert.deepEqual(await feed.watch(at(5), 8_000, signal), changed(9));
 });
+
+test("a reader is not passed over because the other one answered sooner", async () => {
+  const readers = readersAt(follower);
+  const [first, second] = readers.readersToFollow();
+  const revisions = new Map([[first, 9], [second, 7]]);
+  const feed = createRelayedFeed<number>({
+    name: "f",
+    store: {
+      list: () => Promise.resolve(UNAVAILABLE),
+      watch: () => Promise.resolve(UNAVAILABLE),
+    },
+    peers: {
+      list: (address, { revision }) => {
+        const read = revisions.get(address) ?? 0;
+        return Promise.resolve(read < revision ? UNAVAILABLE : listed(read));
+      },
+      async watch(address) {
+        if (address === second) await answered;
+        return { kind: FeedResultKind.RevisionTooOld };
+      },
+    },
+    readers,
+    self: follower,
+    max_store_watch_ms: 1_500,
+    log,
+  });
+  const { promise: answered, resolve } = Promise.withResolvers<void>();
+  assert.deepEqual(await feed.watch(at(5), 100, signal), listed(9));
+  resolve();
+  await new Promise((resolve) => setTimeout(resolve, 10));
+  assert.deepEqual(readers.readersToFollow(), [first, second]);
+});
