List anew when the store goes back between two pages of a list

A list of several pages that the store's return from an older copy fell into mixed two contents: the first pages held what was lost, the later ones what was restored, and the result was taken for current at the first page's revision, so a lost entry stayed until a later list.

The test of 120 entries whose store goes back after the first page got the lost entry before this; the test of a store that goes back after each page got a list instead of a refusal.

Pages belong together only if they are of one epoch and their revisions don't fall (isContinuation); the second holds for a store that names no epoch too.

--- a/src/store_sync/feed_position.ts
+++ b/src/store_sync/feed_position.ts
@@ -29,6 +29,14 @@
     : (a.epoch ?? 0) - (b.epoch ?? 0);
 }
 
+/** Whether what is read at `next` can follow what was read at `previous`. */
+export function isContinuation(
+  previous: FeedPosition,
+  next: FeedPosition,
+): boolean {
+  return isSameEpoch(previous, next) && next.revision >= previous.revision;
+}
+
 /** Returns the newer of two positions; its epoch is known if either's is. */
 export function newerPosition(a: FeedPosition, b: FeedPosition): FeedPosition {
   const newer = comparePositions(a, b) < 0 ? b : a;
--- a/stand_ins/deployment/object_store.ts
+++ b/stand_ins/deployment/object_store.ts
@@ -55,6 +55,8 @@
    * Sent with every response; rises with each restoration. Undefined sends none.
    */
   epoch: number | string | undefined = 1;
+  /** Called after each page of a list, before its answer is sent. */
+  afterPage = () => {};
   /** Replaces the revision that the answers of lists and watches name. */
   asOf = (revision: number): unknown => revision;
   #kinds = new Map<string, Map<string, StoredObject>>();
@@ -140,18 +142,28 @@
 
   /**
    * Goes back to a copy: what was written since is lost, its revisions are given
-   * out again, and the current watches are disconnected.
+   * out again, and the current watches are disconnected, or fall silent.
    */
-  restore({ kinds, events, revision }: StoreCopy): void {
+  restore(
+    { kinds, events, revision }: StoreCopy,
+    { silencesWatches = false } = {},
+  ): void {
     this.#kinds = new Map(
       [...kinds].map(([kind, objects]) => [kind, new Map(objects)]),
     );
     this.#events = [...events];
     this.#revision = revision;
     if (this.epoch !== undefined) this.epoch = Number(this.epoch) + 1;
+    if (silencesWatches) return this.#waitingWatches.clear();
     for (const response of this.#watchResponses) response.destroy();
   }
 
+  /** Disconnects the watch that waits longest. */
+  disconnectOldestWatch(): void {
+    const [oldest] = this.#watchResponses;
+    oldest?.destroy();
+  }
+
   /** Current revision. */
   get revision(): number {
     return this.#revision;
@@ -209,6 +221,7 @@
       has_more: names.length > page.length,
       as_of: this.asOf(this.#revision),
     });
+    this.afterPage();
   }
 
   async #watch(
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -194,3 +194,41 @@
     assert.equal(await epochOf(), expected, `after ${epoch}`);
   }
 });
+
+const GATEWAY_SPEC = {
+  address: "10.0.0.1:80",
+  availability_zone: "a",
+  cores: 4,
+  started_ms: 1,
+};
+
+test("a list whose pages span a restoration holds the restored content only", async () => {
+  const PAGES = 120;
+  for (let n = 0; n < PAGES; n++) {
+    server.put("gateways", `g-${String(n).padStart(3, "0")}`, GATEWAY_SPEC);
+  }
+  const copy = server.copy();
+  server.put("gateways", "g-000", { ...GATEWAY_SPEC, cores: 9 });
+  server.put("gateways", "g-010-lost", GATEWAY_SPEC);
+  let restorations = 0;
+  server.afterPage = () => {
+    if (restorations++ === 0) server.restore(copy);
+  };
+  const read = await store.gateways.list(signal);
+  server.afterPage = () => {};
+  assert.ok(read.kind === FeedResultKind.Listed);
+  assert.equal(read.items.length, PAGES);
+  assert.equal(read.items[0]?.value?.cores, GATEWAY_SPEC.cores);
+  assert.equal(read.epoch, server.epoch);
+  assert.equal(read.revision, server.revision);
+});
+
+test("a store that is restored at each page ends a list after a few calls", async () => {
+  const copy = server.copy();
+  server.afterPage = () => server.restore(copy);
+  const callsBefore = server.calls;
+  const read = await store.gateways.list(signal);
+  server.afterPage = () => {};
+  assert.equal(read.kind, FeedResultKind.Unavailable);
+  assert.ok(server.calls - callsBefore <= 8, `${server.calls - callsBefore}`);
+});
