Take a watch that answers in another epoch for lost history, and tell all feeds

A host whose watch heard nothing while the store went back to an older copy went on from its old revision, which exists again with other content, and missed the changes for good; its other feeds, with watches of 20 s, and its peers did not learn of it either.

Cause: whatever a watch answered was taken to follow what was read before it.

An answer must continue the position that the watch began with: same epoch, no lower revision. Otherwise the feed is listed again. Each list tells all other feeds of the host its epoch, and those that are still in an older one list again; peers compare positions with their epoch, so one host's list reaches the next within a comparison (about a second). A request to list again that comes while changes are being coalesced was lost, since the next watch got a new signal; it holds now until the next list.

What a peer claims ends a watch once: if the list that follows does not get there, the claim is refuted.

The stand-in store named the epoch of the moment at which a call came, not of its answer; it names the latter now, and can silence all watches and end one.

--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -201,6 +201,7 @@
     coalesce_ms: 0,
     progress: progress[name],
     cache: watchCaches[name],
+    onEpoch: (epoch: number) => listAllAgain(progress, epoch),
     log,
     now,
     random,
@@ -208,6 +209,16 @@
   };
 }
 
+/** Makes every feed that is still in an older epoch list again. */
+function listAllAgain(
+  progress: StoreSyncOptions["progress"],
+  epoch: number,
+): void {
+  for (const feed of Object.values(progress)) {
+    feed.abortStaleWatch({ epoch, revision: 0 });
+  }
+}
+
 /** Polls random peers for as long as a source does not answer. */
 async function pollPeers(
   options: StoreSyncOptions,
--- a/src/store_sync/sync_feed.ts
+++ b/src/store_sync/sync_feed.ts
@@ -6,6 +6,7 @@
   createPosition,
   type FeedPosition,
   formatPosition,
+  isContinuation,
   START_POSITION,
 } from "./feed_position.ts";
 import type { WatchCache } from "./watch_cache.ts";
@@ -42,25 +43,43 @@
   /** Position of the last change that this host has read. */
   lastChange: FeedPosition = START_POSITION;
   #watchAbort = new AbortController();
+  /** Newest position of a peer for which a watch was aborted. */
+  #overtakenBy: FeedPosition | undefined;
 
-  /** Aborts the current watch and returns true if a peer has read a later change. */
+  /**
+   * Aborts the current watch and returns true if a peer has read a later change.
+   * What a peer claims counts once: the list that follows proves or refutes it.
+   */
   abortStaleWatch(peer: FeedPosition): boolean {
     if (comparePositions(peer, this.position) <= 0) return false;
+    if (this.#isRefuted(peer)) return false;
+    this.#overtakenBy = peer;
     this.#watchAbort.abort(STALE_WATCH);
     return true;
   }
 
-  /** Creates the abort signal of the next watch. */
-  nextWatchSignal(signal: AbortSignal): AbortSignal {
+  /** Creates the abort signal of a list and of the watches that follow it. */
+  listSignal(signal: AbortSignal): AbortSignal {
     this.#watchAbort = new AbortController();
+    return this.watchSignal(signal);
+  }
+
+  /** Creates a watch's abort signal; aborted if the list has been overtaken. */
+  watchSignal(signal: AbortSignal): AbortSignal {
     return AbortSignal.any([signal, this.#watchAbort.signal]);
   }
 
+  #isRefuted({ epoch, revision }: FeedPosition): boolean {
+    const claimed = this.#overtakenBy;
+    return claimed !== undefined && claimed.epoch === epoch &&
+      revision <= claimed.revision;
+  }
+
   /** Records a result; `hasChanges` tells whether anything changed. */
   record({ epoch, revision }: FeedPosition, hasChanges: boolean): void {
     this.position = createPosition(epoch, revision);
-    const isRetracted = comparePositions(this.position, this.lastChange) < 0;
-    if (hasChanges || isRetracted) this.lastChange = this.position;
+    const isRestored = !isContinuation(this.lastChange, this.position);
+    if (hasChanges || isRestored) this.lastChange = this.position;
   }
 }
 
@@ -78,6 +97,8 @@
   progress: FeedProgress;
   /** Receives every result, for hosts that follow this one. */
   cache: WatchCache<T>;
+  /** Receives the epoch of each list, as far as it is known. */
+  onEpoch?: (epoch: number) => void;
   log: Logger;
   now: () => number;
   random: () => number;
@@ -102,12 +123,15 @@
   const backoff = new Backoff(RETRY_BACKOFF, options.random);
   while (!signal.aborted) {
     const start_ms = now();
-    const watchSignal = progress.nextWatchSignal(signal);
-    const result = reader.position === undefined
-      ? await feed.list(watchSignal)
-      : await feed.watch(reader.position, wait_ms, watchSignal);
+    const { position } = reader;
+    const callSignal = position === undefined
+      ? progress.listSignal(signal)
+      : progress.watchSignal(signal);
+    const result = position === undefined
+      ? await feed.list(callSignal)
+      : await watchUnlessAborted(feed, position, { wait_ms, callSignal });
     if (signal.aborted) return;
-    const outcome = watchSignal.aborted
+    const outcome = result === undefined || callSignal.aborted
       ? reader.handleOvertaken()
       : reader.handle(result);
     switch (outcome) {
@@ -128,6 +152,15 @@
   }
 }
 
+async function watchUnlessAborted<T>(
+  feed: ObjectFeed<T>,
+  position: FeedPosition,
+  { wait_ms, callSignal }: { wait_ms: number; callSignal: AbortSignal },
+): Promise<FeedResult<T> | undefined> {
+  if (callSignal.aborted) return undefined;
+  return await feed.watch(position, wait_ms, callSignal);
+}
+
 /** What a result has brought. */
 enum ReadOutcome {
   Listed,
@@ -201,6 +234,7 @@
     this.position = position;
     this.#passOnGracePeriod(list.unsettled_ms);
     progress.record(position, cache.replaceAll(list.items, position));
+    if (position.epoch !== undefined) this.#options.onEpoch?.(position.epoch);
     this.#listener.onList(list.items);
     return ReadOutcome.Listed;
   }
@@ -212,15 +246,18 @@
     const previous = this.position ?? START_POSITION;
     const { changes } = result;
     const position = createPosition(result.epoch, result.revision);
-    const progressed = comparePositions(position, previous);
-    if (progressed < 0) return this.#listAgain("history_lost", position);
+    if (!isContinuation(previous, position)) {
+      return this.#listAgain("history_lost", position);
+    }
     this.position = position;
     this.#passOnGracePeriod(result.unsettled_ms);
     progress.record(position, changes.length > 0);
     cache.applyChanges(changes, position);
     if (changes.length === 0) return ReadOutcome.Idle;
     this.#listener.onChanges(changes);
-    return progressed > 0 ? ReadOutcome.Changed : ReadOutcome.Idle;
+    return position.revision > previous.revision
+      ? ReadOutcome.Changed
+      : ReadOutcome.Idle;
   }
 
   #passOnGracePeriod(unsettled_ms = 0): void {
--- a/stand_ins/deployment/object_store.ts
+++ b/stand_ins/deployment/object_store.ts
@@ -64,15 +64,13 @@
   #discardedUpTo = 0;
   #revision = 1;
   #waitingWatches = new Set<() => void>();
-  #watchResponses = new Set<ServerResponse>();
+  /** The responses of the current watches, and what ends their waits. */
+  #watchResponses = new Map<ServerResponse, () => void>();
   /**
    * Watches that start at this revision or an earlier one receive no events.
    */
   #withheldUpTo = -1;
   #server = createServer((request, response) => {
-    if (this.epoch !== undefined) {
-      response.setHeader("store-era", String(this.epoch));
-    }
     void this.#handle(request, response);
   });
 
@@ -117,7 +115,7 @@
    */
   disconnectAndWithholdEvents(): void {
     this.#withheldUpTo = this.#revision;
-    for (const response of this.#watchResponses) response.destroy();
+    for (const response of this.#watchResponses.keys()) response.destroy();
   }
 
   /**
@@ -155,13 +153,13 @@
     this.#revision = revision;
     if (this.epoch !== undefined) this.epoch = Number(this.epoch) + 1;
     if (silencesWatches) return this.#waitingWatches.clear();
-    for (const response of this.#watchResponses) response.destroy();
+    for (const response of this.#watchResponses.keys()) response.destroy();
   }
 
-  /** Disconnects the watch that waits longest. */
-  disconnectOldestWatch(): void {
-    const [oldest] = this.#watchResponses;
-    oldest?.destroy();
+  /** Answers the watch that waits longest as if its time had passed. */
+  endOldestWatch(): void {
+    const [end] = this.#watchResponses.values();
+    end?.();
   }
 
   /** Current revision. */
@@ -199,7 +197,9 @@
     const text = await readText(request);
     if (this.fault === StoreFault.Silent) return;
     if (this.fault === StoreFault.Reset) return void request.socket.destroy();
-    if (this.fault === StoreFault.Unavailable) return send(response, 503, {});
+    if (this.fault === StoreFault.Unavailable) {
+      return this.#send(response, 503, {});
+    }
     const url = new URL(request.url ?? "/", "http://store");
     const [kind = "", name] = url.pathname.slice(OBJECTS_PATH.length).split(
       "/",
@@ -216,7 +216,7 @@
   #list(response: ServerResponse, kind: string, after: string): void {
     const names = this.listNames(kind).sort().filter((name) => name > after);
     const page = names.slice(0, MAX_ITEMS_PER_PAGE);
-    send(response, 200, {
+    this.#send(response, 200, {
       items: page.map((name) => this.#objectsOf(kind).get(name)),
       has_more: names.length > page.length,
       as_of: this.asOf(this.#revision),
@@ -231,7 +231,7 @@
   ): Promise<void> {
     const since = Number(query.get("watch"));
     if (since < this.#discardedUpTo || since > this.#revision) {
-      return send(response, 410, {});
+      return this.#send(response, 410, {});
     }
     const newEvents = () =>
       since <= this.#withheldUpTo
@@ -239,19 +239,23 @@
         : this.#events.filter((event) =>
           event.kind === kind && event.revision > since
         );
-    this.#watchResponses.add(response);
+    let end_ms = Date.now() + Number(query.get("wait_ms") ?? 0);
+    const { promise: ended, resolve } = Promise.withResolvers<void>();
+    this.#watchResponses.set(response, () => {
+      end_ms = 0;
+      resolve();
+    });
     response.once("close", () => this.#watchResponses.delete(response));
-    const end_ms = Date.now() + Number(query.get("wait_ms") ?? 0);
     while (newEvents().length === 0 && Date.now() < end_ms) {
-      await this.#waitForEvent(end_ms - Date.now());
+      await Promise.race([this.#waitForEvent(end_ms - Date.now()), ended]);
     }
     if (this.fault !== StoreFault.None) return void response.destroy();
-    if (since < this.#discardedUpTo) return send(response, 410, {});
+    if (since < this.#discardedUpTo) return this.#send(response, 410, {});
     const events = newEvents().map(({ object, deleted }) => ({
       object,
       deleted,
     }));
-    send(response, 200, { events, as_of: this.asOf(this.#revision) });
+    this.#send(response, 200, { events, as_of: this.asOf(this.#revision) });
   }
 
   #waitForEvent(wait_ms: number): Promise<void> {
@@ -280,12 +284,20 @@
     const exists = this.#objectsOf(kind).has(target);
     if (method === "DELETE") {
       this.remove(kind, target);
-      return send(response, exists ? 200 : 404, {});
+      return this.#send(response, exists ? 200 : 404, {});
     }
-    if (method === "PUT" && !exists) return send(response, 404, {});
-    if (method === "POST" && exists) return send(response, 409, {});
+    if (method === "PUT" && !exists) return this.#send(response, 404, {});
+    if (method === "POST" && exists) return this.#send(response, 409, {});
     this.put(kind, target, body.spec);
-    send(response, 200, {});
+    this.#send(response, 200, {});
+  }
+
+  /** Answers; the epoch is that of the moment of the answer. */
+  #send(response: ServerResponse, status: number, body: unknown): void {
+    if (this.epoch !== undefined) {
+      response.setHeader("store-era", String(this.epoch));
+    }
+    send(response, status, body);
   }
 }
 
--- a/test/forwarding/restored_store.test.ts
+++ b/test/forwarding/restored_store.test.ts
@@ -13,6 +13,7 @@
 
 const GATEWAYS = 5;
 const READERS = 2;
+const FEEDS = ["configuration", "endpoints", "gateways", "quarantined"];
 const LOST_WRITES = 300;
 /** Longer than the tests, so that a silent watch does not end by itself. */
 const WATCH_MS = 20_000;
@@ -21,26 +22,25 @@
 
 /** How long the store gives odd answers, and the calls that it may get then. */
 const ODD_MS = 1_000;
-const MAX_ODD_CALLS = GATEWAYS * 4 * 20;
+const MAX_ODD_CALLS = GATEWAYS * FEEDS.length * 20;
 
 let fleet: GatewayFleet;
 
 afterEach(() => fleet.stop());
 
-async function startFleet(): Promise<void> {
+async function startFleet(gateways = GATEWAYS): Promise<void> {
   fleet = new GatewayFleet({
-    gateways: GATEWAYS,
+    gateways,
     readers: READERS,
     watch_ms: WATCH_MS,
   });
   await fleet.start();
   await waitUntil(() =>
     fleet.gateways.every(({ logLines }) =>
-      logLines.some((line) => line.includes(`event=members count=${GATEWAYS}`))
+      logLines.some((line) => line.includes(`event=members count=${gateways}`))
     )
   );
-  const feeds = 4;
-  await waitUntil(() => fleet.store.openWatches <= READERS * feeds);
+  await waitUntil(() => fleet.store.openWatches <= READERS * FEEDS.length);
 }
 
 function delay(delay_ms: number): Promise<void> {
@@ -107,6 +107,29 @@
   falling: (revision) => Math.max(0, revision - Math.floor(performance.now())),
 };
 
+test("a host whose watches all fell silent learns of a restoration from a peer", async () => {
+  await startFleet(READERS);
+  const copy = fleet.store.copy();
+  writeMany(LOST_WRITES);
+  fleet.publishManifest({});
+  await delay(300);
+  fleet.store.restore(copy, { silencesWatches: true });
+  fleet.store.endOldestWatch();
+  await assertNextVersionReachesAll();
+  await waitUntil(
+    () =>
+      fleet.gateways.every(({ logLines }) =>
+        FEEDS.every((feed) =>
+          logLines.some((line) =>
+            line.includes(`event=watch_overtaken source=${feed}`) ||
+            line.includes(`event=history_lost source=${feed}`)
+          )
+        )
+      ),
+    MAX_PROPAGATION_MS,
+  );
+});
+
 test("answers whose revision is odd hang no host and take nothing from it", async () => {
   await startFleet();
   for (const [name, asOf] of Object.entries(ODD_REVISIONS)) {
--- a/test/store_sync/feed_position.test.ts
+++ b/test/store_sync/feed_position.test.ts
@@ -66,3 +66,23 @@
   assert.deepEqual(peerPosition(told, "endpoints"), at(7));
   assert.equal(peerPosition(told, "quarantined"), undefined);
 });
+
+test("what a peer tells ends a watch once, as the list that follows decides", () => {
+  const progress = new FeedProgress();
+  progress.record(at(10, 2), true);
+  assert.equal(progress.abortStaleWatch(at(300)), true);
+  progress.record(at(12, 2), true);
+  assert.equal(progress.abortStaleWatch(at(300)), false);
+  assert.equal(progress.abortStaleWatch(at(299)), false);
+  assert.equal(progress.abortStaleWatch(at(13, 2)), true);
+});
+
+test("a watch that is given up while changes are coalesced does not begin", () => {
+  const progress = new FeedProgress();
+  const { signal } = new AbortController();
+  progress.listSignal(signal);
+  progress.record(at(10, 1), true);
+  progress.abortStaleWatch(at(0, 2));
+  assert.equal(progress.watchSignal(signal).aborted, true);
+  assert.equal(progress.listSignal(signal).aborted, false);
+});
