Notice that the store was restored, and keep what is missing for a while

After the store came back from an older copy, endpoints whose entries lay in the lost span were dropped at once on each host whose watches had been cut, and callers got 503: a grace period began only after an absence that the host itself had noticed, and a lost history (410) began none. In a test of five hosts and two readers the first request to a service whose entries were lost got 503 without the grace period, and 200 with it, at once and after the entries are back.

syncFeed now compares each list with what it delivered last. If it can't follow that (another known epoch, or a lower revision, which also covers a store that names no epoch), the store was restored: one line event=store_restored with feed, epoch, from and to, the grace period of the watch cache, which followers get as unsettled_ms, then the listener's onSourceRestored and onGracePeriod, all before the list itself is delivered. It is called once for each restoration and feed, on readers and on followers, and neither for the first list nor when an epoch becomes known.

What consumes onSourceRestored (endpoints, members, quarantine) is not part of this change.

--- a/src/store_sync/sync_feed.ts
+++ b/src/store_sync/sync_feed.ts
@@ -9,7 +9,10 @@
   isContinuation,
   START_POSITION,
 } from "./feed_position.ts";
-import type { WatchCache } from "./watch_cache.ts";
+import {
+  GRACE_PERIOD_AFTER_OUTAGE_MS,
+  type WatchCache,
+} from "./watch_cache.ts";
 import {
   type FeedChange,
   type FeedItem,
@@ -26,6 +29,11 @@
   onSourceUnavailable?: () => void;
   /** Called when the source answers again, before its result is delivered. */
   onSourceAvailable?: () => void;
+  /**
+   * Called when the store has gone back to an older copy, before the list of that
+   * content is delivered.
+   */
+  onSourceRestored?: () => void;
   /**
    * Called before a result if objects may be missing from it because of an
    * outage of the source; `unsettled_ms` is the remaining grace period.
@@ -175,6 +183,8 @@
 class FeedReader<T> {
   /** Position to watch from; undefined if the feed must be listed. */
   position: FeedPosition | undefined;
+  /** Position of the last result that was delivered. */
+  #delivered: FeedPosition | undefined;
   #unavailable = false;
   #listener: FeedListener<T>;
   #options: SyncFeedOptions<T>;
@@ -233,6 +243,7 @@
     const position = createPosition(list.epoch, list.revision);
     this.position = position;
     this.#passOnGracePeriod(list.unsettled_ms);
+    this.#noticeRestoration(position);
     progress.record(position, cache.replaceAll(list.items, position));
     if (position.epoch !== undefined) this.#options.onEpoch?.(position.epoch);
     this.#listener.onList(list.items);
@@ -250,6 +261,7 @@
       return this.#listAgain("history_lost", position);
     }
     this.position = position;
+    this.#delivered = position;
     this.#passOnGracePeriod(result.unsettled_ms);
     progress.record(position, changes.length > 0);
     cache.applyChanges(changes, position);
@@ -260,6 +272,27 @@
       : ReadOutcome.Idle;
   }
 
+  /**
+   * Entries may be missing from a restored store until they are written again,
+   * so a grace period starts.
+   */
+  #noticeRestoration(position: FeedPosition): void {
+    const previous = this.#delivered;
+    this.#delivered = position;
+    if (previous === undefined || isContinuation(previous, position)) return;
+    const { name, log, cache, now } = this.#options;
+    log.info({
+      event: "store_restored",
+      feed: name,
+      epoch: position.epoch,
+      from: formatPosition(previous),
+      to: formatPosition(position),
+    });
+    cache.startGracePeriod(now());
+    this.#listener.onSourceRestored?.();
+    this.#passOnGracePeriod(GRACE_PERIOD_AFTER_OUTAGE_MS);
+  }
+
   #passOnGracePeriod(unsettled_ms = 0): void {
     if (unsettled_ms > 0) this.#listener.onGracePeriod?.(unsettled_ms);
   }
--- a/test/forwarding/restored_store.test.ts
+++ b/test/forwarding/restored_store.test.ts
@@ -4,9 +4,12 @@
  */
 import assert from "node:assert/strict";
 import { afterEach, test } from "node:test";
+import { sendJsonRequest } from "../../stand_ins/json_client.ts";
 import {
+  ApiKey,
   GatewayFleet,
   type RunningGateway,
+  Service,
   waitUntil,
 } from "../../stand_ins/deployment/gateway_fleet.ts";
 import { StoreFault } from "../../stand_ins/deployment/object_store.ts";
@@ -20,11 +23,14 @@
 /** Time within which a change must be active on every host. */
 const MAX_PROPAGATION_MS = 3_000;
 
+/** Time in which endpoints write their entries again. */
+const ENDPOINTS_WRITE_AGAIN_MS = 1_500;
 /** How long the store gives odd answers, and the calls that it may get then. */
 const ODD_MS = 1_000;
 const MAX_ODD_CALLS = GATEWAYS * FEEDS.length * 20;
 
 let fleet: GatewayFleet;
+let attempts = 0;
 
 afterEach(() => fleet.stop());
 
@@ -52,6 +58,20 @@
   for (let n = 0; n < count; n++) fleet.store.put("other", `o-${n % 7}`, n);
 }
 
+async function lookUp(callers: string): Promise<number> {
+  const { status } = await sendJsonRequest(callers, "/lookup/x", {
+    method: "POST",
+    text: "body",
+    headers: {
+      host: "fleet.example",
+      "x-attempt-id": `attempt-${attempts++}`,
+      "x-key": ApiKey.Docks,
+      "x-deadline-ms": "2000",
+    },
+  });
+  return status;
+}
+
 async function assertNextVersionReachesAll(): Promise<void> {
   const version = fleet.version;
   fleet.publishManifest({});
@@ -107,6 +127,35 @@
   falling: (revision) => Math.max(0, revision - Math.floor(performance.now())),
 };
 
+test("endpoints whose entries are not written again yet still get requests", async () => {
+  await startFleet();
+  const copy = fleet.store.copy();
+  for (const engine of fleet.engines.get(Service.Desk) ?? []) {
+    copy.kinds.get("servers")?.delete(engine.id);
+  }
+  writeMany(LOST_WRITES);
+  await delay(300);
+  fleet.store.restore(copy);
+  await waitUntil(() =>
+    fleet.gateways.every(({ logLines }) =>
+      logLines.some((line) =>
+        line.includes("event=store_restored feed=endpoints")
+      )
+    )
+  );
+  for (const { callers } of fleet.gateways) {
+    assert.equal(await lookUp(callers), 200);
+  }
+  await delay(ENDPOINTS_WRITE_AGAIN_MS);
+  for (const engine of fleet.engines.get(Service.Desk) ?? []) {
+    fleet.registerEngine(Service.Desk, engine);
+  }
+  await delay(MAX_PROPAGATION_MS);
+  for (const { callers } of fleet.gateways) {
+    assert.equal(await lookUp(callers), 200);
+  }
+});
+
 test("a host whose watches all fell silent learns of a restoration from a peer", async () => {
   await startFleet(READERS);
   const copy = fleet.store.copy();
