Keep endpoints that were written after the copy until they are written again

When the store comes back from an older copy, entries that endpoints wrote since are missing from its list. A host dropped these endpoints at once if its watch had not noticed the absence, since only an outage that the host sees starts the grace period; callers saw refusals for want of endpoints.

The cause: the grace period hung on the wrong event, this host's loss of the source, not on the doubt about what is missing. The registry now starts it at a restoration as well. An entry that is still missing then counts as gone, for both alike.

Evidence: test/store_sync/restored_endpoints.test.ts failed before with "registry.markSourceRestored is not a function", and with that method empty with [ 'old' ] where [ 'old', 'new', 'gone' ] is expected. Ruled out: a removal after the grace period still takes effect at once (second test).

--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -15,8 +15,9 @@
  *
  * An entry that is removed while the source is available means that the endpoint
  * has left: it is dropped at once. An entry that is missing after an outage of
- * the source may only have expired, so the endpoint is kept until live endpoints
- * have had time to write their entries again.
+ * the source may only have expired, and one that is missing after the source
+ * went back to an older copy may have been written since, so the endpoint is
+ * kept until live endpoints have had time to write their entries again.
  */
 export class EndpointRegistry {
   #entries = new Map<string, RegistryEntry>();
@@ -45,6 +46,14 @@
     this.#graceEnd_ms = now_ms + GRACE_PERIOD_AFTER_OUTAGE_MS;
   }
 
+  /**
+   * Starts the grace period, also if the source was never away for this host:
+   * what was written since the copy is missing from it until it is written again.
+   */
+  markSourceRestored(now_ms: number): void {
+    this.extendGracePeriod(now_ms + GRACE_PERIOD_AFTER_OUTAGE_MS);
+  }
+
   /** Extends the grace period to the end that another host reports. */
   extendGracePeriod(until_ms: number): void {
     this.#graceEnd_ms = Math.max(this.#graceEnd_ms, until_ms);
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -146,6 +146,7 @@
       void pollPeers(options, state);
     },
     onSourceAvailable: () => endpoints.markSourceAvailable(now()),
+    onSourceRestored: () => endpoints.markSourceRestored(now()),
     onGracePeriod: (unsettled_ms) =>
       endpoints.extendGracePeriod(now() + unsettled_ms),
   }, {
