Hold back endpoints that had left when an older copy brings them back

A store that comes back from an older copy lists endpoints that have left or died since. A host that had acknowledged their end took them for ready again: requests went to endpoints that leave (DRAIN binds a host that knows, also while the store is in disturbance), or ran into dead addresses. An endpoint that had started again under its id was replaced by its earlier incarnation.

The cause: the registry kept nothing about what it had removed, so the copy's word counted as news. It now keeps a tombstone for each incarnation that it saw go (removed, expired after a grace period, or followed by a later one), and the first list after a restoration doesn't bring a buried one back. Such an entry is held until it is written anew, which only a live endpoint does, or for 5.8 s: a dead endpoint's entry lapses after three heartbeats of silence (3.6 s), and a host whose watch fell silent learns of that 2.2 s later. So a live endpoint that was merely removed isn't lost for good. A peer's list is treated alike; what a peer doesn't list is dropped without a tombstone, since its list may be stale.

Evidence: four of the new tests in test/store_sync/restored_endpoints.test.ts failed before: 'an endpoint that has left is not used when an older copy brings its entry back', '... does not lapse is used in the end', '... is not replaced by its earlier incarnation', '... when a peer still lists it'. Ruled out: entries that lapsed in a plain outage are used at once when they are back, and one that came back within the lost span is not taken for one that has left.

--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -1,13 +1,33 @@
 import { type RouteEndpoint, RouteEndpointState } from "../routes/types.ts";
+import { EndpointTombstones } from "./endpoint_tombstones.ts";
 import { GRACE_PERIOD_AFTER_OUTAGE_MS } from "./watch_cache.ts";
 import type { FeedChange, FeedItem } from "./object_feed.ts";
 
+/** Interval at which an endpoint writes its entry. */
+const ENDPOINT_HEARTBEAT_MS = 1_200;
+/** Heartbeats without a write after which the store removes an entry. */
+const HEARTBEATS_TO_LAPSE = 3;
+/**
+ * How long after a restoration an entry of an endpoint that was gone is not
+ * used, unless it is written again. By then the entry of a dead endpoint has
+ * lapsed, and this host has had time to learn of it.
+ */
+export const RETURNED_ENTRY_HOLD_MS =
+  HEARTBEATS_TO_LAPSE * ENDPOINT_HEARTBEAT_MS + GRACE_PERIOD_AFTER_OUTAGE_MS;
+
 interface RegistryEntry {
   endpoint: RouteEndpoint;
   /** When the endpoint is dropped; undefined while its entry is in the store. */
   expires_ms: number | undefined;
 }
 
+/** An entry that came back although its endpoint was gone. */
+interface ReturnedEntry {
+  endpoint: RouteEndpoint;
+  /** When the entry is used after all. */
+  held_until_ms: number;
+}
+
 /**
  * Holds the endpoints that this host knows of. Its source is the feed of the
  * store's endpoints, read from the store or from another host. The caller passes
@@ -18,11 +38,19 @@
  * the source may only have expired, and one that is missing after the source
  * went back to an older copy may have been written since, so the endpoint is
  * kept until live endpoints have had time to write their entries again.
+ *
+ * An older copy also brings back entries of endpoints that have left. They are
+ * held back until they are written again or, if they have not lapsed by then,
+ * until {@linkcode RETURNED_ENTRY_HOLD_MS} has passed.
  */
 export class EndpointRegistry {
   #entries = new Map<string, RegistryEntry>();
+  #returned = new Map<string, ReturnedEntry>();
+  #tombstones = new EndpointTombstones();
   /** Also true before the first read. */
   #sourceUnavailable = true;
+  /** Whether the next list is the first one since a restoration. */
+  #restored = false;
   #graceEnd_ms = 0;
 
   /** Whether the source is answering this host. */
@@ -51,6 +79,7 @@
    * what was written since the copy is missing from it until it is written again.
    */
   markSourceRestored(now_ms: number): void {
+    this.#restored = true;
     this.extendGracePeriod(now_ms + GRACE_PERIOD_AFTER_OUTAGE_MS);
   }
 
@@ -62,8 +91,10 @@
   /** Replaces all entries with a list from the source. */
   replaceAll(items: FeedItem<RouteEndpoint>[], now_ms: number): void {
     this.#sourceUnavailable = false;
-    const present = new Set(items.map((item) => item.name));
-    for (const item of items) this.#put(item);
+    const mayHaveReturned = this.#restored;
+    this.#restored = false;
+    if (mayHaveReturned) this.#returned.clear();
+    const present = this.#putAll(items, { now_ms, mayHaveReturned });
     for (const name of this.#entries.keys()) {
       if (!present.has(name)) this.#remove(name, now_ms);
     }
@@ -73,9 +104,8 @@
    * Replaces all entries with those of a peer, which may be slightly stale.
    * Endpoints that the peer does not list are dropped at once.
    */
-  replaceFromPeer(items: FeedItem<RouteEndpoint>[]): void {
-    const present = new Set(items.map((item) => item.name));
-    for (const item of items) this.#put(item);
+  replaceFromPeer(items: FeedItem<RouteEndpoint>[], now_ms: number): void {
+    const present = this.#putAll(items, { now_ms, mayHaveReturned: true });
     for (const name of this.#entries.keys()) {
       if (!present.has(name)) this.#entries.delete(name);
     }
@@ -84,6 +114,7 @@
   /** Applies changes from the source. */
   applyChanges(changes: FeedChange<RouteEndpoint>[], now_ms: number): void {
     for (const change of changes) {
+      this.#returned.delete(change.name);
       if (change.deleted) this.#remove(change.name, now_ms);
       else this.#put(change);
     }
@@ -91,9 +122,10 @@
 
   /** Lists the endpoints of a pool, including those that are leaving. */
   inPool(pool: string, now_ms: number): RouteEndpoint[] {
+    this.#useReturned(now_ms);
     const found: RouteEndpoint[] = [];
     for (const [name, { endpoint, expires_ms }] of this.#entries) {
-      if (this.#isExpired(expires_ms, now_ms)) this.#entries.delete(name);
+      if (this.#isExpired(expires_ms, now_ms)) this.#drop(name);
       else if (endpoint.pool === pool) found.push(endpoint);
     }
     return found;
@@ -118,6 +150,7 @@
    * cannot reach the source.
    */
   all(now_ms: number): RouteEndpoint[] {
+    this.#useReturned(now_ms);
     return [...this.#entries.values()]
       .filter(({ expires_ms }) => !this.#isExpired(expires_ms, now_ms))
       .map(({ endpoint }) => endpoint);
@@ -128,9 +161,38 @@
       now_ms >= expires_ms;
   }
 
+  /** Puts the entries of a list; returns the names of those that are used. */
+  #putAll(
+    items: FeedItem<RouteEndpoint>[],
+    { now_ms, mayHaveReturned }: { now_ms: number; mayHaveReturned: boolean },
+  ): Set<string> {
+    const previous = this.#returned;
+    this.#returned = new Map();
+    const used = new Set<string>();
+    for (const item of items) {
+      const { name, value } = item;
+      const wasGone = value !== undefined && this.#tombstones.has(value);
+      const held_until_ms = previous.get(name)?.held_until_ms ??
+        (mayHaveReturned ? now_ms + RETURNED_ENTRY_HOLD_MS : now_ms);
+      if (wasGone && now_ms < held_until_ms) {
+        this.#returned.set(name, { endpoint: value, held_until_ms });
+        continue;
+      }
+      this.#put(item);
+      used.add(name);
+    }
+    return used;
+  }
+
   #put({ name, value }: FeedItem<RouteEndpoint>): void {
-    if (value === undefined) this.#entries.delete(name);
-    else this.#entries.set(name, { endpoint: value, expires_ms: undefined });
+    if (value === undefined) {
+      this.#entries.delete(name);
+      return;
+    }
+    const previous = this.#entries.get(name)?.endpoint;
+    if (previous !== undefined) this.#tombstones.add(previous);
+    this.#tombstones.delete(value);
+    this.#entries.set(name, { endpoint: value, expires_ms: undefined });
   }
 
   #remove(name: string, now_ms: number): void {
@@ -138,6 +200,22 @@
     if (entry === undefined) return;
     if (this.#sourceUnavailable || now_ms < this.#graceEnd_ms) {
       entry.expires_ms ??= this.#graceEnd_ms;
-    } else this.#entries.delete(name);
+    } else this.#drop(name);
+  }
+
+  /** Drops an endpoint that is gone. */
+  #drop(name: string): void {
+    const entry = this.#entries.get(name);
+    if (entry !== undefined) this.#tombstones.add(entry.endpoint);
+    this.#entries.delete(name);
+  }
+
+  /** Uses the entries that came back and did not lapse in time. */
+  #useReturned(now_ms: number): void {
+    for (const [name, { endpoint, held_until_ms }] of this.#returned) {
+      if (this.#sourceUnavailable || now_ms < held_until_ms) continue;
+      this.#returned.delete(name);
+      this.#put({ name, value: endpoint });
+    }
   }
 }
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -8,7 +8,10 @@
 import type { RouteTable } from "../routes/route_table.ts";
 import { abortableDelay } from "../utils/delay.ts";
 import type { ActiveConfiguration } from "./active_configuration.ts";
-import type { EndpointRegistry } from "./endpoint_registry.ts";
+import {
+  type EndpointRegistry,
+  RETURNED_ENTRY_HOLD_MS,
+} from "./endpoint_registry.ts";
 import type { StoreReaders } from "../membership/store_readers.ts";
 import type { GatewayMember } from "../membership/gateway_members.ts";
 import type { FeedName, WatchCaches } from "../peers/feed_stream.ts";
@@ -146,7 +149,11 @@
       void pollPeers(options, state);
     },
     onSourceAvailable: () => endpoints.markSourceAvailable(now()),
-    onSourceRestored: () => endpoints.markSourceRestored(now()),
+    onSourceRestored() {
+      endpoints.markSourceRestored(now());
+      void abortableDelay(RETURNED_ENTRY_HOLD_MS, options.signal)
+        .then(notifyListeners);
+    },
     onGracePeriod: (unsettled_ms) =>
       endpoints.extendGracePeriod(now() + unsettled_ms),
   }, {
@@ -293,7 +300,7 @@
       name: endpoint.id,
       value: endpoint,
     }));
-    endpoints.replaceFromPeer(items);
+    endpoints.replaceFromPeer(items, options.now());
     for (const listener of options.endpointListeners) listener();
   } catch (error) {
     const { message } = error as Error;
--- a/test/store_sync/restored_endpoints.test.ts
+++ b/test/store_sync/restored_endpoints.test.ts
@@ -5,7 +5,10 @@
   type RouteEndpoint,
   RouteEndpointState,
 } from "../../src/routes/types.ts";
-import { EndpointRegistry } from "../../src/store_sync/endpoint_registry.ts";
+import {
+  EndpointRegistry,
+  RETURNED_ENTRY_HOLD_MS,
+} from "../../src/store_sync/endpoint_registry.ts";
 import { GRACE_PERIOD_AFTER_OUTAGE_MS } from "../../src/store_sync/watch_cache.ts";
 
 const RESTORED_MS = 60_000;
@@ -57,3 +60,105 @@
   registry.applyChanges([removed("old")], settled_ms);
   assert.deepEqual(ids(registry, settled_ms), []);
 });
+
+/** A host that saw one endpoint leave, and then the copy that still has it. */
+function registryWithReturned(): EndpointRegistry {
+  const registry = new EndpointRegistry();
+  registry.replaceAll([item("here"), item("left")], 0);
+  registry.applyChanges([removed("left")], 10_000);
+  registry.markSourceRestored(RESTORED_MS);
+  registry.replaceAll([item("here"), item("left")], RESTORED_MS);
+  return registry;
+}
+
+test("an endpoint that has left is not used when an older copy brings its entry back", () => {
+  const registry = registryWithReturned();
+  assert.deepEqual(ids(registry, RESTORED_MS), ["here"]);
+  assert.deepEqual(registry.all(RESTORED_MS).map(({ id }) => id), ["here"]);
+  registry.replaceAll([item("here"), item("left")], RESTORED_MS + 1_000);
+  assert.deepEqual(ids(registry, RESTORED_MS + 1_000), ["here"]);
+  registry.applyChanges([removed("left")], RESTORED_MS + 3_600);
+  const end_ms = RESTORED_MS + RETURNED_ENTRY_HOLD_MS;
+  assert.deepEqual(ids(registry, end_ms), ["here"]);
+});
+
+test("an endpoint whose entry came back is used once it writes its entry again", () => {
+  const registry = registryWithReturned();
+  registry.applyChanges([changed("left")], RESTORED_MS + 1_200);
+  assert.deepEqual(ids(registry, RESTORED_MS + 1_200), ["here", "left"]);
+});
+
+test("an endpoint whose entry came back and does not lapse is used in the end", () => {
+  const registry = registryWithReturned();
+  const end_ms = RESTORED_MS + RETURNED_ENTRY_HOLD_MS;
+  assert.deepEqual(ids(registry, end_ms - 1), ["here"]);
+  assert.deepEqual(ids(registry, end_ms), ["here", "left"]);
+  registry.markSourceRestored(end_ms);
+  registry.replaceAll([item("here"), item("left")], end_ms);
+  assert.deepEqual(ids(registry, end_ms), ["here", "left"]);
+});
+
+test("an endpoint that came back in the lost span is not taken for one that has left", () => {
+  const registry = new EndpointRegistry();
+  registry.replaceAll([item("back")], 0);
+  registry.applyChanges([removed("back")], 10_000);
+  registry.applyChanges([changed("back")], 14_000);
+  registry.markSourceRestored(RESTORED_MS);
+  registry.replaceAll([item("back")], RESTORED_MS);
+  assert.deepEqual(ids(registry, RESTORED_MS), ["back"]);
+});
+
+test("an endpoint that started again is not replaced by its earlier incarnation", () => {
+  const registry = new EndpointRegistry();
+  registry.replaceAll([item("again")], 0);
+  registry.applyChanges([changed("again", { born_ms: 2 })], 10_000);
+  registry.markSourceRestored(RESTORED_MS);
+  registry.replaceAll([item("again")], RESTORED_MS);
+  const [endpoint] = registry.readyInPool("desk", RESTORED_MS);
+  assert.equal(endpoint?.born_ms, 2);
+  registry.applyChanges([changed("again", { born_ms: 2 })], RESTORED_MS + 900);
+  const end_ms = RESTORED_MS + RETURNED_ENTRY_HOLD_MS;
+  assert.equal(registry.readyInPool("desk", end_ms)[0]?.born_ms, 2);
+});
+
+test("an endpoint that has left is not used when a peer still lists it", () => {
+  const registry = new EndpointRegistry();
+  registry.replaceAll([item("here"), item("left")], 0);
+  registry.applyChanges([removed("left")], 10_000);
+  registry.markSourceUnavailable();
+  registry.replaceFromPeer([item("here"), item("left")], RESTORED_MS);
+  assert.deepEqual(ids(registry, RESTORED_MS + 60_000), ["here"]);
+  const end_ms = RESTORED_MS + RETURNED_ENTRY_HOLD_MS;
+  registry.replaceFromPeer([item("here"), item("left")], end_ms);
+  assert.deepEqual(ids(registry, end_ms), ["here", "left"]);
+});
+
+test("an endpoint that a stale peer did not list is used when another peer lists it", () => {
+  const registry = new EndpointRegistry();
+  registry.replaceAll([item("here"), item("new")], 0);
+  registry.markSourceUnavailable();
+  registry.replaceFromPeer([item("here")], RESTORED_MS);
+  registry.replaceFromPeer([item("here"), item("new")], RESTORED_MS + 400);
+  assert.deepEqual(ids(registry, RESTORED_MS + 400), ["here", "new"]);
+});
+
+test("entries that lapsed in an outage are used at once when they are back", () => {
+  const registry = new EndpointRegistry();
+  registry.replaceAll([item("here")], 0);
+  registry.markSourceUnavailable();
+  registry.markSourceAvailable(10_000);
+  registry.replaceAll([], 10_000);
+  assert.deepEqual(ids(registry, 20_000), []);
+  registry.replaceAll([item("here")], 20_000);
+  assert.deepEqual(ids(registry, 20_000), ["here"]);
+});
+
+test("an entry that comes back twice is held back for the whole time once more", () => {
+  const registry = registryWithReturned();
+  const again_ms = RESTORED_MS + RETURNED_ENTRY_HOLD_MS - 1;
+  registry.markSourceRestored(again_ms);
+  registry.replaceAll([item("here"), item("left")], again_ms);
+  const end_ms = again_ms + RETURNED_ENTRY_HOLD_MS;
+  assert.deepEqual(ids(registry, end_ms - 1), ["here"]);
+  assert.deepEqual(ids(registry, end_ms), ["here", "left"]);
+});
