Let an address mean the endpoint that started there last

Addresses of endpoints that are gone are used again by other services. After the store came back from an older copy, the entry of a gone endpoint can stand beside that of the endpoint which has its address now. What is looked up by address (the connection limit with which results are freed, the zone to which a result would travel, the memory that a freed result gives back) then depended on the order of the entries.

The cause: findByAddress and trackerAt took the first match. An address has one listener at a time, so the one with the latest start counts now.

Evidence: 'an address belongs to the endpoint that started there last' in test/store_sync/restored_endpoints.test.ts failed before ('older' where 'newer' is expected). Ruled out: a send to the older entry harms nobody. The older entry isn't hidden for its start alone: an odd entry with a late start could otherwise take a live endpoint's address from it.

--- a/src/batching/pool_queue.ts
+++ b/src/batching/pool_queue.ts
@@ -118,15 +118,23 @@
   return ready;
 }
 
-/** The tracker of the endpoint at an address; undefined if there is none. */
+/**
+ * The tracker of the endpoint that started last at an address; undefined if
+ * there is none.
+ */
 export function trackerAt(
   { trackers }: PoolQueue,
   address: string,
 ): EndpointTracker | undefined {
+  let newest: EndpointTracker | undefined;
   for (const tracker of trackers.values()) {
-    if (tracker.endpoint.address === address) return tracker;
+    const { endpoint } = tracker;
+    if (endpoint.address !== address) continue;
+    const isNewer = newest === undefined ||
+      endpoint.born_ms > newest.endpoint.born_ms;
+    if (isNewer) newest = tracker;
   }
-  return undefined;
+  return newest;
 }
 
 /** Whether any piece waits for a call. */
--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -47,6 +47,8 @@
   #entries = new Map<string, RegistryEntry>();
   #returned = new Map<string, ReturnedEntry>();
   #tombstones = new EndpointTombstones();
+  /** Cached for `findByAddress`, and cleared when the entries change. */
+  #newestByAddress: Map<string, RouteEndpoint> | undefined;
   /** Also true before the first read. */
   #sourceUnavailable = true;
   /** Whether the next list is the first one since a restoration. */
@@ -107,7 +109,7 @@
   replaceFromPeer(items: FeedItem<RouteEndpoint>[], now_ms: number): void {
     const present = this.#putAll(items, { now_ms, mayHaveReturned: true });
     for (const name of this.#entries.keys()) {
-      if (!present.has(name)) this.#entries.delete(name);
+      if (!present.has(name)) this.#delete(name);
     }
   }
 
@@ -137,12 +139,12 @@
       .filter((endpoint) => endpoint.state === RouteEndpointState.Ready);
   }
 
-  /** Finds an endpoint by address; undefined if none is known there. */
+  /**
+   * Finds the endpoint that started last at an address; undefined if none is
+   * known there.
+   */
   findByAddress(address: string): RouteEndpoint | undefined {
-    for (const { endpoint } of this.#entries.values()) {
-      if (endpoint.address === address) return endpoint;
-    }
-    return undefined;
+    return this.#newestEndpoints().get(address);
   }
 
   /**
@@ -156,6 +158,18 @@
       .map(({ endpoint }) => endpoint);
   }
 
+  #newestEndpoints(): Map<string, RouteEndpoint> {
+    if (this.#newestByAddress !== undefined) return this.#newestByAddress;
+    const newest = new Map<string, RouteEndpoint>();
+    for (const { endpoint } of this.#entries.values()) {
+      const known = newest.get(endpoint.address);
+      const isNewer = known === undefined || endpoint.born_ms > known.born_ms;
+      if (isNewer) newest.set(endpoint.address, endpoint);
+    }
+    this.#newestByAddress = newest;
+    return newest;
+  }
+
   #isExpired(expires_ms: number | undefined, now_ms: number): boolean {
     return expires_ms !== undefined && !this.#sourceUnavailable &&
       now_ms >= expires_ms;
@@ -186,13 +200,14 @@
 
   #put({ name, value }: FeedItem<RouteEndpoint>): void {
     if (value === undefined) {
-      this.#entries.delete(name);
+      this.#delete(name);
       return;
     }
     const previous = this.#entries.get(name)?.endpoint;
     if (previous !== undefined) this.#tombstones.add(previous);
     this.#tombstones.delete(value);
     this.#entries.set(name, { endpoint: value, expires_ms: undefined });
+    this.#newestByAddress = undefined;
   }
 
   #remove(name: string, now_ms: number): void {
@@ -207,7 +222,12 @@
   #drop(name: string): void {
     const entry = this.#entries.get(name);
     if (entry !== undefined) this.#tombstones.add(entry.endpoint);
+    this.#delete(name);
+  }
+
+  #delete(name: string): void {
     this.#entries.delete(name);
+    this.#newestByAddress = undefined;
   }
 
   /** Uses the entries that came back and did not lapse in time. */
--- a/test/store_sync/restored_endpoints.test.ts
+++ b/test/store_sync/restored_endpoints.test.ts
@@ -162,3 +162,17 @@
   assert.deepEqual(ids(registry, end_ms - 1), ["here"]);
   assert.deepEqual(ids(registry, end_ms), ["here", "left"]);
 });
+
+const ADDRESS = "127.0.0.1:9000";
+
+test("an address belongs to the endpoint that started there last", () => {
+  const registry = new EndpointRegistry();
+  const older = item("older", { address: ADDRESS, born_ms: 100 });
+  const newer = item("newer", { address: ADDRESS, born_ms: 200 });
+  registry.replaceAll([older, newer], 0);
+  assert.equal(registry.findByAddress(ADDRESS)?.id, "newer");
+  registry.replaceAll([newer, older], 0);
+  assert.equal(registry.findByAddress(ADDRESS)?.id, "newer");
+  registry.applyChanges([{ ...newer, deleted: true }], 10);
+  assert.equal(registry.findByAddress(ADDRESS)?.id, "older");
+});
