Take a newer configuration from a peer when the store has an older one

A host that starts after the store came back from an older copy read the older configuration there and served by it: a key that was withdrawn in the lost span was accepted, a removed organisation or route served, while the hosts beside it, whose version never decreases, refused them. It stayed so until the operator's next version.

The cause: a host asks peers for their configuration only while its source is away, and here the source answers. The version now travels in the message in which a host that reads the store asks a peer each second how far it has read; hosts that follow others ask too for ten seconds after their start and after a restoration. A peer's configuration is fetched only if its version is newer and still is at a second question at least 0.9 s later, so that a change on its way through the feeds costs no copy of the whole configuration. A peer of an earlier release sends no version, which counts as 0. A follower doesn't give up its watch by what a peer has read: that would exclude its readers and send it to the store.

Evidence: in test/forwarding/newer_than_the_store.test.ts both tests 'a host that starts after a restoration and ... learns of a key that was withdrawn in the lost span' failed without the call: 'Condition not met within 6000 ms'. test/store_sync/configuration_catch_up.test.ts counts the copies.

--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -400,7 +400,11 @@
     handleAnsweredParts: (parts) => context.quarantine.handleAnswered(parts),
     handleNotice: (notice, route) =>
       context.quarantine.handleNotice(notice, route),
-    changeRevisions: () => createChangeRevisions(syncOptions.progress),
+    changeRevisions: () =>
+      createChangeRevisions(
+        syncOptions.progress,
+        context.configuration.version,
+      ),
     feeds: {
       caches: syncOptions.watchCaches,
       selfIsReader: () => syncOptions.readers.selfIsReader,
--- a/src/store_sync/state_snapshot.ts
+++ b/src/store_sync/state_snapshot.ts
@@ -31,6 +31,11 @@
    * older release.
    */
   epochs?: Partial<Record<ComparedFeed, number>>;
+  /**
+   * Version of the active configuration, 0 before the first. Missing from hosts
+   * of an older release.
+   */
+  configuration_version?: number;
 }
 
 /** Tells peers of the last change that this host has read from each feed. */
@@ -39,6 +44,7 @@
     ComparedFeed,
     { lastChange: FeedPosition }
   >,
+  configuration_version: number,
 ): ChangeRevisions {
   return {
     configuration: configuration.lastChange.revision,
@@ -49,6 +55,7 @@
       endpoints: endpoints.lastChange.epoch,
       quarantined: quarantined.lastChange.epoch,
     },
+    configuration_version,
   };
 }
 
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -8,6 +8,7 @@
 import type { RouteTable } from "../routes/route_table.ts";
 import { abortableDelay } from "../utils/delay.ts";
 import type { ActiveConfiguration } from "./active_configuration.ts";
+import { ConfigurationCatchUp } from "./configuration_catch_up.ts";
 import {
   type EndpointRegistry,
   RETURNED_ENTRY_HOLD_MS,
@@ -54,11 +55,9 @@
   signal: AbortSignal;
 }
 
-/** Mean interval at which a reader compares its revisions with a peer's. */
-const COMPARE_REVISIONS_INTERVAL_MS = 1_000;
+/** Mean interval at which a host compares what it has read with a peer. */
+const COMPARE_INTERVAL_MS = 1_000;
 const COMPARED_FEEDS = ["configuration", "endpoints", "quarantined"] as const;
-/** Mean interval at which a follower checks whether it has become a reader. */
-const FOLLOWER_CHECK_INTERVAL_MS = 5_000;
 /** Interval at which a peer's state is polled while the store is unavailable. */
 const PEER_POLL_INTERVAL_MS = 400;
 /** Long, because members change seldom and a stale list costs little. */
@@ -75,14 +74,22 @@
 
 /** Syncs every feed until the signal aborts. */
 export async function runStoreSync(options: StoreSyncOptions): Promise<void> {
-  const state = { configurationUnavailable: false, pollingPeers: false };
+  const catchUp = new ConfigurationCatchUp({
+    ...options,
+    fetchSnapshot: (peer) => options.peers.snapshot(peer),
+  });
+  const state = {
+    configurationUnavailable: false,
+    pollingPeers: false,
+    catchUp,
+  };
   void pollPeers(options, state);
   await Promise.all([
     syncConfiguration(options, state),
     syncEndpoints(options, state),
     syncMembers(options),
     syncQuarantined(options),
-    compareWithPeers(options),
+    compareWithPeers(options, catchUp),
   ]);
 }
 
@@ -90,6 +97,7 @@
   configurationUnavailable: boolean;
   /** Whether the loop that polls peers is running. */
   pollingPeers: boolean;
+  catchUp: ConfigurationCatchUp;
 }
 
 function syncConfiguration(
@@ -113,6 +121,7 @@
       void pollPeers(options, state);
     },
     onSourceAvailable: () => state.configurationUnavailable = false,
+    onSourceRestored: () => state.catchUp.restart(),
   }, {
     ...feedOptions("configuration", options),
   });
@@ -246,20 +255,28 @@
   state.pollingPeers = false;
 }
 
-/** Aborts watches that lag behind the revisions of a random peer. */
-async function compareWithPeers(options: StoreSyncOptions): Promise<void> {
+/**
+ * Aborts watches that lag behind the revisions of a random peer, and takes over
+ * a newer configuration that the store lacks. A host that does not read the
+ * store compares only while it catches up.
+ */
+async function compareWithPeers(
+  options: StoreSyncOptions,
+  catchUp: ConfigurationCatchUp,
+): Promise<void> {
   const { progress, peers, readers, log, random, signal } = options;
   while (!signal.aborted) {
-    const interval_ms = readers.selfIsReader
-      ? COMPARE_REVISIONS_INTERVAL_MS
-      : FOLLOWER_CHECK_INTERVAL_MS;
     // Jitter: 50% to 150% of the interval.
-    await abortableDelay(interval_ms * (0.5 + random()), signal);
-    if (!readers.selfIsReader) continue;
+    await abortableDelay(COMPARE_INTERVAL_MS * (0.5 + random()), signal);
+    const readsStore = readers.selfIsReader;
+    if (!readsStore && !catchUp.isActive) continue;
     const peer = pickRandomPeer(options);
     if (peer === undefined || signal.aborted) continue;
     try {
       const peerRevisions = await peers.changeRevisions(peer);
+      const { configuration_version = 0 } = peerRevisions;
+      await catchUp.handleVersion(peer, configuration_version);
+      if (!readsStore) continue;
       for (const feed of COMPARED_FEEDS) {
         const position = peerPosition(peerRevisions, feed);
         if (position !== undefined) progress[feed].abortStaleWatch(position);
