Write this host's entry again when the store has lost it

A gateway host wrote its entry once, at its start. After the store came back from a copy older than that, no host that read the list anew knew it: the others counted too few hosts, sent it no stage jobs and didn't follow it. An entry that was removed in the lost span came back, so a draining host was taken for one that serves. And a first write that was still being tried when the drain began put the entry back after its removal.

The cause: the entry was an action, not a state. OwnEntry now compares what the store lists under the host's name with what should be there and writes or removes it again. It waits 3 s, by when the host has seen its own last write, and then a random part of 25 ms for each host, so that 360 hosts make 40 writes a second of the 400 that the store takes; a draining host skips the 3 s. Removals are tried again like writes. An entry of a later process of the same name, told by its start time, is left alone.

Ruled out: the list that a host reads at its start, before its first write has arrived, costs no second write.

--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -41,7 +41,7 @@
 } from "./logging/logger.ts";
 import { StoreReaders } from "./membership/store_readers.ts";
 import { GatewayMembers } from "./membership/gateway_members.ts";
-import { announceSelf } from "./membership/announce_self.ts";
+import { OwnEntry } from "./membership/own_entry.ts";
 import { isConnectionRefused } from "./quarantine/probe_endpoint.ts";
 import { QuarantineService } from "./quarantine/quarantine_service.ts";
 import { ForwardMetrics } from "./metrics/forward_metrics.ts";
@@ -56,6 +56,7 @@
 import { PoolRetryBudgets } from "./routing/repeat_budget.ts";
 import type { GatewaySettings } from "./settings/gateway_settings.ts";
 import { type Address, formatAddress } from "./settings/settings.ts";
+import { abortableDelay } from "./utils/delay.ts";
 
 /** External dependencies of a gateway host. */
 export interface GatewayHostEnvironment {
@@ -123,7 +124,7 @@
       server: gatewayServer,
       runningJobs: () => batching.batcher.activeJobs,
       endRequests: () => context.endOfDrain.abort(),
-      withdrawEntry: () => context.store.withdraw(settings.host.name),
+      withdrawEntry: () => context.ownEntry.withdraw(),
       timeout_ms: context.settings.drain.timeout_ms,
       log: context.log,
       now: context.now,
@@ -154,11 +155,7 @@
       availability_zone: settings.host.availability_zone,
     });
     void runStoreSync(context.syncOptions);
-    void announceSelf({
-      ...context,
-      name: settings.host.name,
-      announce: context.store.announce,
-    });
+    void context.ownEntry.announce();
   }
 
   return { log: context.log, stopped, stop, drain, reload, start };
@@ -207,6 +204,17 @@
     (call) => metrics.storeCalls.inc({ ...call }),
   );
   const signal = stopping.signal;
+  const ownEntry = new OwnEntry({
+    name: host.name,
+    member,
+    announce: store.announce,
+    withdraw: store.withdraw,
+    hostCount: () => members.count,
+    log,
+    random,
+    delay: abortableDelay,
+    signal,
+  });
   const quarantine = new QuarantineService({
     self,
     hosts: () => members.addresses(),
@@ -253,6 +261,7 @@
     configuration,
     endpoints,
     members,
+    ownEntry,
     quarantine,
     seeds: settings.seeds.filter((seed) => seed !== self),
     configurationListeners,
@@ -276,7 +285,6 @@
     settings: { ...settings },
     adapter,
     self,
-    member,
     stopping,
     endOfDrain,
     signal,
@@ -286,6 +294,7 @@
     configuration,
     endpoints,
     members,
+    ownEntry,
     peers,
     feedClients,
     store,
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -4,6 +4,7 @@
  */
 import type { Logger } from "../logging/logger.ts";
 import type { GatewayMembers } from "../membership/gateway_members.ts";
+import type { OwnEntry } from "../membership/own_entry.ts";
 import type { GatewayClients } from "../peers/gateway_clients.ts";
 import type { RouteTable } from "../routes/route_table.ts";
 import { abortableDelay } from "../utils/delay.ts";
@@ -41,6 +42,7 @@
   configuration: ActiveConfiguration;
   endpoints: EndpointRegistry;
   members: GatewayMembers;
+  ownEntry: OwnEntry;
   quarantine: QuarantineService;
   /** Peer addresses, as `ip:port`, to contact before any members are known. */
   seeds: string[];
@@ -172,7 +174,7 @@
 }
 
 function syncMembers(options: StoreSyncOptions): Promise<void> {
-  const { feeds, members, readers, log } = options;
+  const { feeds, members, ownEntry, readers, log } = options;
   const handleChange = () => {
     readers.hostsChanged();
     log.info({ event: "members", count: members.count });
@@ -180,10 +182,12 @@
   return syncFeed(feeds.gateways, {
     onList(items) {
       members.replaceAll(items);
+      ownEntry.handleList(items);
       handleChange();
     },
     onChanges(changes) {
       members.applyChanges(changes);
+      ownEntry.handleChanges(changes);
       handleChange();
     },
   }, {
