Keep hosts that the restored list lacks until they have written again

After the store came back from a copy that was older than most hosts' entries, each host that read the list knew few others. Shares of what the fleet has together (retries, connections to endpoints, permits) are divided by the number of hosts, so for the time until all entries were back each host took several times its part, and most hosts went to the store for its feeds themselves.

The cause: the list of an older copy replaced what the host knew.

--- a/src/membership/gateway_members.ts
+++ b/src/membership/gateway_members.ts
@@ -25,12 +25,21 @@
     this.#self = self;
   }
 
-  /** Replaces all entries. */
-  replaceAll(items: FeedItem<GatewayMember>[]): void {
-    this.#members.clear();
+  /**
+   * Replaces all entries. With `keepMissing`, the list may be older than what is
+   * known: missing entries, and those of later starts, are kept.
+   */
+  replaceAll(
+    items: FeedItem<GatewayMember>[],
+    { keepMissing = false } = {},
+  ): void {
+    if (!keepMissing) this.#members.clear();
     this.#batchers.clear();
     for (const { name, value } of items) {
-      if (value !== undefined) this.#members.set(name, value);
+      const known = this.#members.get(name);
+      const isOlder = known !== undefined && value !== undefined &&
+        value.started_ms < known.started_ms;
+      if (value !== undefined && !isOlder) this.#members.set(name, value);
     }
   }
 
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -21,6 +21,7 @@
 import type { QuarantinedParts } from "../quarantine/types.ts";
 import type { RouteConfiguration, RouteEndpoint } from "../routes/types.ts";
 import { FeedProgress, syncFeed } from "./sync_feed.ts";
+import { createMemberListener } from "./member_listener.ts";
 import type { FeedItem, ObjectFeed } from "./object_feed.ts";
 import { deserialiseConfiguration, peerPosition } from "./state_snapshot.ts";
 
@@ -174,23 +175,15 @@
 }
 
 function syncMembers(options: StoreSyncOptions): Promise<void> {
-  const { feeds, members, ownEntry, readers, log } = options;
-  const handleChange = () => {
-    readers.hostsChanged();
-    log.info({ event: "members", count: members.count });
-  };
-  return syncFeed(feeds.gateways, {
-    onList(items) {
-      members.replaceAll(items);
-      ownEntry.handleList(items);
-      handleChange();
-    },
-    onChanges(changes) {
-      members.applyChanges(changes);
-      ownEntry.handleChanges(changes);
-      handleChange();
+  const { feeds, members, readers, log } = options;
+  const listener = createMemberListener({
+    ...options,
+    onChange() {
+      readers.hostsChanged();
+      log.info({ event: "members", count: members.count });
     },
-  }, {
+  });
+  return syncFeed(feeds.gateways, listener, {
     ...feedOptions("gateways", options),
     wait_ms: MEMBER_WATCH_TIMEOUT_MS,
     coalesce_ms: MEMBER_COALESCE_MS,
--- a/test/membership/gateway_members.test.ts
+++ b/test/membership/gateway_members.test.ts
@@ -65,3 +65,20 @@
   members.applyChanges([{ ...member("third"), deleted: false }]);
   assert.deepEqual(members.otherAddresses(), ["third"]);
 });
+
+test("hosts that a restored list lacks are kept, and one that withdraws is not", () => {
+  const members = membersOf("self", [member("early"), member("late")]);
+  members.replaceAll([member("self"), member("early")], { keepMissing: true });
+  assert.deepEqual(members.addresses(), ["early", "late", "self"]);
+  members.applyChanges([{ ...member("late"), deleted: true }]);
+  assert.deepEqual(members.addresses(), ["early", "self"]);
+  members.replaceAll([member("self")]);
+  assert.deepEqual(members.addresses(), ["self"]);
+});
+
+test("a host's later entry is not replaced by that of its earlier start", () => {
+  const members = membersOf("self", [member("host", { address: "new" })]);
+  const earlier = member("host", { address: "old", started_ms: 50 });
+  members.replaceAll([earlier], { keepMissing: true });
+  assert.deepEqual(members.addresses(), ["new", "self"]);
+});
