Keep what a host knows of quarantined parts when the store is restored

After the store came back from an older copy, its list of quarantined prompt parts replaced what hosts knew. An entry that was written in the lost span ended on all hosts at once, and requests with its parts went on to crash endpoints until three had gone again; an entry that an answer had released in that span was in force again, and its callers were refused.

The cause: 'stored, and no longer listed' counted as a deletion, and 'listed' as news, whatever the store had lost between. A restoration now takes back what is known of the store's state: an entry that the next list lacks counts as not stored, and a listed one that this host saw end is ignored until it changes. The number of probes in the store counts too, so that a copy grants no probe twice.

A mistaken entry still ends: a change or deletion in the store counts after the first list, answers and probes as before (the earlier tests).

--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -7,6 +7,8 @@
 
 /** Entries that are kept; beyond this the oldest are dropped. */
 const MAX_ENTRIES = 256;
+/** Ended entries whose names are kept; beyond this the oldest are dropped. */
+const MAX_ENDED = 1_000;
 /** Time before the first probe, and between that and the second. */
 const PROBE_DELAYS_MS = [600_000, 3_600_000];
 
@@ -14,35 +16,64 @@
   quarantined: QuarantinedParts;
   /** When this host learned of the entry or of its last probe. */
   since_ms: number;
-  /** Whether it has been seen in the object store. */
-  stored: boolean;
+  /** Number of probes in the object store's entry; undefined if it has none. */
+  stored_probes: number | undefined;
 }
 
 /** The quarantined prompt parts that this host knows of. */
 export class Quarantine {
   #entries = new Map<string, Entry>();
+  /** Names of entries that have ended. */
+  #ended = new Set<string>();
+  /** Names of ended entries that an older copy of the store brought back. */
+  #returned = new Set<string>();
+  /** Whether the next list is the first one since a restoration. */
+  #restored = false;
 
   /** All entries. */
   all(): QuarantinedParts[] {
     return [...this.#entries.values()].map(({ quarantined }) => quarantined);
   }
 
-  /** Entries that have not been seen in the store. */
+  /** Entries that the store lacks or has in an older state. */
   unstored(): QuarantinedParts[] {
-    return [...this.#entries.values()].filter(({ stored }) => !stored)
+    return [...this.#entries.values()]
+      .filter(({ quarantined, stored_probes = -1 }) =>
+        stored_probes < quarantined.probes
+      )
       .map(({ quarantined }) => quarantined);
   }
 
+  /** Names of entries in the store that have ended. */
+  returned(): string[] {
+    return [...this.#returned];
+  }
+
+  /**
+   * Must be called when the store has gone back to an older copy: an entry that
+   * the next list lacks has been lost, and one that has ended may be listed.
+   */
+  markRestored(): void {
+    this.#restored = true;
+    for (const entry of this.#entries.values()) entry.stored_probes = undefined;
+  }
+
   /** Adds an entry or its newer state; false if nothing changed. */
   put(quarantined: QuarantinedParts, now_ms: number): boolean {
     const name = quarantineName(quarantined.parts);
+    this.#ended.delete(name);
+    this.#returned.delete(name);
     const known = this.#entries.get(name);
     if (known !== undefined) {
       if (known.quarantined.probes >= quarantined.probes) return false;
       this.#entries.set(name, { ...known, quarantined, since_ms: now_ms });
       return true;
     }
-    this.#entries.set(name, { quarantined, since_ms: now_ms, stored: false });
+    this.#entries.set(name, {
+      quarantined,
+      since_ms: now_ms,
+      stored_probes: undefined,
+    });
     const [oldest] = this.#entries.keys();
     if (this.#entries.size > MAX_ENTRIES) this.#entries.delete(oldest ?? "");
     return true;
@@ -53,25 +84,40 @@
     return this.#entries.has(name);
   }
 
-  /** Removes an entry; false if it is not known. */
-  remove(name: string): boolean {
-    return this.#entries.delete(name);
+  /** Whether an entry has ended that an older copy of the store brought back. */
+  hasReturned(name: string): boolean {
+    return this.#returned.has(name);
+  }
+
+  /** Ends an entry. */
+  remove(name: string): void {
+    this.#returned.delete(name);
+    this.#entries.delete(name);
+    this.#ended.add(name);
+    const [oldest] = this.#ended;
+    if (this.#ended.size > MAX_ENDED) this.#ended.delete(oldest ?? "");
   }
 
   /** Adds the store's entries and removes those that it no longer has. */
   replaceStored(stored: readonly QuarantinedParts[], now_ms: number): void {
     const names = new Set(stored.map(({ parts }) => quarantineName(parts)));
-    for (const [name, entry] of this.#entries) {
-      if (entry.stored && !names.has(name)) this.#entries.delete(name);
+    for (const [name, { stored_probes }] of this.#entries) {
+      if (stored_probes !== undefined && !names.has(name)) this.remove(name);
+    }
+    const returned = this.#restored ? this.#ended : this.#returned;
+    this.#returned = new Set([...names].filter((name) => returned.has(name)));
+    this.#restored = false;
+    for (const each of stored) {
+      const name = quarantineName(each.parts);
+      if (!this.#returned.has(name)) this.putStored(each, now_ms);
     }
-    for (const each of stored) this.putStored(each, now_ms);
   }
 
   /** Adds an entry of the store. */
   putStored(quarantined: QuarantinedParts, now_ms: number): void {
     this.put(quarantined, now_ms);
     const entry = this.#entries.get(quarantineName(quarantined.parts));
-    if (entry !== undefined) entry.stored = true;
+    if (entry !== undefined) entry.stored_probes = quarantined.probes;
   }
 
   /** The entry that a request with these parts falls under, if any. */
--- a/src/quarantine/quarantine_service.ts
+++ b/src/quarantine/quarantine_service.ts
@@ -21,11 +21,13 @@
 } from "./quarantine_notices.ts";
 import { Quarantine } from "./quarantine.ts";
 import { type QuarantineStore, QuarantineWriter } from "./quarantine_store.ts";
+import { repairStored } from "./repair_stored.ts";
 import {
   type CrashReply,
   crashReplySchema,
   type CrashReport,
   type QuarantinedParts,
+  quarantineName,
   type QuarantineNotice,
   readEntries,
   sharedParts,
@@ -96,6 +98,8 @@
   #ledgerService: LedgerService;
   /** Reports that are being gathered, by endpoint address. */
   #openReports = new Map<string, OpenReport>();
+  /** Whether the next list is the first one since a restoration. */
+  #restored = false;
 
   constructor(options: QuarantineServiceOptions) {
     this.#options = options;
@@ -189,13 +193,26 @@
     return this.#notices.handle(notice, route);
   }
 
-  /** Applies the list of entries in the store; a ledger adds what it lacks. */
+  /** Must be called when the store has gone back to an older copy. */
+  markRestored(): void {
+    this.entries.markRestored();
+    this.#restored = true;
+  }
+
+  /**
+   * Applies the list of entries in the store. A ledger makes the store's entries
+   * right; after a restoration, other hosts do if no ledger did.
+   */
   replaceStored(stored: readonly unknown[]): void {
     this.entries.replaceStored(this.#read(stored), this.#options.now());
-    if (!this.#ledgers().includes(this.#options.self)) return;
-    for (const missing of this.entries.unstored()) {
-      void this.#writer.write(missing);
-    }
+    void repairStored({
+      ...this.#options,
+      quarantine: this.entries,
+      writer: this.#writer,
+      isLedger: () => this.#ledgers().includes(this.#options.self),
+      isRestored: this.#restored,
+    });
+    this.#restored = false;
   }
 
   /** Applies changes of the entries in the store. */
@@ -211,10 +228,13 @@
     }
   }
 
-  /** Adds entries of another host. */
+  /** Adds entries of another host, which may not know that they have ended. */
   addFromPeer(entries: readonly unknown[]): void {
     const now_ms = this.#options.now();
-    for (const each of this.#read(entries)) this.entries.put(each, now_ms);
+    for (const each of this.#read(entries)) {
+      const hasReturned = this.entries.hasReturned(quarantineName(each.parts));
+      if (!hasReturned) this.entries.put(each, now_ms);
+    }
   }
 
   async #report(
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -198,6 +198,7 @@
         items.map(({ value }) => value).filter((value) => value !== undefined),
       ),
     onChanges: (changes) => quarantine.applyStoredChanges(changes),
+    onSourceRestored: () => quarantine.markRestored(),
   }, {
     ...feedOptions("quarantined", options),
     wait_ms: QUARANTINE_WATCH_TIMEOUT_MS,
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -31,6 +31,58 @@
   assert.notEqual(quarantine.find(["y"]), undefined);
 });
 
+test("an entry that a restoration lost stays, and is to be written again", () => {
+  const quarantine = new Quarantine();
+  const lost = { parts: ["x"], probes: 0 };
+  quarantine.replaceStored([lost], 0);
+  quarantine.markRestored();
+  quarantine.replaceStored([], 10);
+  assert.notEqual(quarantine.find(["x"]), undefined);
+  assert.deepEqual(quarantine.unstored(), [lost]);
+  quarantine.putStored(lost, 20);
+  assert.deepEqual(quarantine.unstored(), []);
+  quarantine.replaceStored([], 30);
+  assert.equal(quarantine.find(["x"]), undefined);
+});
+
+test("an entry that has ended is not in force again when an older copy brings it back", () => {
+  const quarantine = new Quarantine();
+  const ended = { parts: ["x"], probes: 0 };
+  const name = quarantineName(["x"]);
+  quarantine.replaceStored([ended], 0);
+  quarantine.remove(name);
+  quarantine.markRestored();
+  for (const now_ms of [10, 20]) {
+    quarantine.replaceStored([ended], now_ms);
+    assert.equal(quarantine.find(["x"]), undefined);
+    assert.deepEqual(quarantine.returned(), [name]);
+  }
+  quarantine.remove(name);
+  assert.deepEqual(quarantine.returned(), []);
+  quarantine.put(ended, 30);
+  assert.notEqual(quarantine.find(["x"]), undefined);
+});
+
+test("an entry that ended and was made again is not taken for one that returned", () => {
+  const quarantine = new Quarantine();
+  const entry = { parts: ["x"], probes: 0 };
+  quarantine.replaceStored([entry], 0);
+  quarantine.remove(quarantineName(["x"]));
+  quarantine.put(entry, 5);
+  quarantine.markRestored();
+  quarantine.replaceStored([entry], 10);
+  assert.notEqual(quarantine.find(["x"]), undefined);
+  assert.deepEqual(quarantine.returned(), []);
+});
+
+test("an entry that the store has with fewer probes is to be written again", () => {
+  const quarantine = new Quarantine();
+  quarantine.replaceStored([{ parts: ["x"], probes: 2 }], 0);
+  quarantine.markRestored();
+  quarantine.replaceStored([{ parts: ["x"], probes: 1 }], 10);
+  assert.deepEqual(quarantine.unstored(), [{ parts: ["x"], probes: 2 }]);
+});
+
 test("at most two probes are due, ever later", () => {
   const quarantine = new Quarantine();
   const due = (probes: number, now_ms: number) =>
--- a/test/quarantine/quarantine_service.test.ts
+++ b/test/quarantine/quarantine_service.test.ts
@@ -25,6 +25,8 @@
   readonly stored = new Map<string, QuarantinedParts>();
   storeAvailable = true;
   refused = true;
+  random = 0.5;
+  onWrite = () => Promise.resolve();
   now_ms = 0;
   notices = 0;
   #attempts = 0;
@@ -42,10 +44,11 @@
       }
       return service;
     };
-    const inStore = (change: () => void) =>
-      this.storeAvailable
-        ? Promise.resolve(change())
-        : Promise.reject(new Error("away"));
+    const inStore = async (change: () => void) => {
+      if (!this.storeAvailable) throw new Error("away");
+      await this.onWrite();
+      change();
+    };
     const service = new QuarantineService({
       self,
       hosts: () => [...this.services.keys()].sort(),
@@ -68,7 +71,7 @@
       isRefused: () => Promise.resolve(this.refused),
       log: this.#log,
       now: () => this.now_ms,
-      random: () => 0.5,
+      random: () => this.random,
       signal: new AbortController().signal,
     });
     this.services.set(self, service);
@@ -258,6 +261,85 @@
   assert.deepEqual([...cluster.stored.keys()], [quarantineName(["x"])]);
 });
 
+/** The store goes back to this content, and every host reads it. */
+function restore(cluster: Cluster, content: QuarantinedParts[]): void {
+  cluster.stored.clear();
+  for (const entry of content) {
+    cluster.stored.set(quarantineName(entry.parts), entry);
+  }
+  for (const service of cluster.live) {
+    service.markRestored();
+    service.replaceStored([...cluster.stored.values()]);
+  }
+}
+
+test("an entry that the store lost with its latest changes stays in force and is written again", async () => {
+  const cluster = new Cluster(7);
+  await crashThrice(cluster, ["x"]);
+  for (const service of cluster.live) {
+    service.replaceStored([...cluster.stored.values()]);
+  }
+  restore(cluster, []);
+  assert.ok(cluster.rejects(["x"]).every((rejects) => rejects));
+  await sleep(20);
+  assert.equal(cluster.stored.size, 1);
+  for (const service of cluster.live) service.replaceStored([]);
+  assert.ok(cluster.rejects(["x"]).every((rejects) => rejects));
+});
+
+test("an entry that was released is not in force again when the store's older copy has it", async () => {
+  const cluster = new Cluster(7);
+  await crashThrice(cluster, ["x"]);
+  const copy = [...cluster.stored.values()];
+  cluster.live[3]?.recordAnswered(prompt(["x"]));
+  await sleep(50);
+  assert.equal(cluster.stored.size, 0);
+  restore(cluster, copy);
+  assert.ok(cluster.rejects(["x"]).every((rejects) => !rejects));
+  cluster.live[3]?.addFromPeer(copy);
+  assert.ok(cluster.rejects(["x"]).every((rejects) => !rejects));
+  await sleep(20);
+  assert.equal(cluster.stored.size, 0);
+});
+
+test("an entry that only a host without the ledgers' part knows is written again", async () => {
+  const cluster = new Cluster(7);
+  cluster.random = 0;
+  const entry = { parts: ["x"], probes: 0 };
+  cluster.services.get(cluster.ledger(4))?.replaceStored([entry]);
+  restore(cluster, []);
+  const end_ms = performance.now() + 15_000;
+  while (cluster.stored.size === 0 && performance.now() < end_ms) {
+    await sleep(50);
+  }
+  assert.deepEqual([...cluster.stored.values()], [entry]);
+});
+
+test("many entries that the store lost are written one by one", async () => {
+  const cluster = new Cluster(1);
+  const entries = Array.from(
+    { length: 100 },
+    (_, n) => ({ parts: [`p${n}`], probes: 0 }),
+  );
+  const [only] = cluster.live;
+  only?.replaceStored(entries);
+  let running = 0;
+  let most = 0;
+  cluster.onWrite = async () => {
+    running += 1;
+    most = Math.max(most, running);
+    await sleep(0);
+    running -= 1;
+  };
+  restore(cluster, []);
+  const end_ms = performance.now() + 5_000;
+  while (cluster.stored.size < 100 && performance.now() < end_ms) {
+    await sleep(5);
+  }
+  assert.equal(cluster.stored.size, 100);
+  assert.equal(most, 1);
+});
+
 test("an answer to a quarantined part releases it everywhere, and narrows an entry of several parts", async () => {
   const cluster = new Cluster(7);
   await crashThrice(cluster, ["x", "y"]);
