Ignore a late write of quarantined parts that have ended

A call to the store that got no response may be executed seconds later, and a write that was acknowledged and then lost may be executed once more. Such a write of quarantined parts could come after their release: all hosts took it for news and refused the requests with these parts again, until a probe ten minutes later.

The cause: a change in the store counted as newer than what the hosts had told each other. Hosts are told of an entry before it is written, and a notice ends the memory of a release; a write that comes within a minute of the release without a notice is an old one. It isn't put in force, and the ledgers remove it. A host that missed a new notice in that minute learns of the entry later.

Ruled out: a 409 that compares revisions which were given out twice.

--- a/src/quarantine/ledger_service.ts
+++ b/src/quarantine/ledger_service.ts
@@ -132,9 +132,9 @@
   }
 
   #release(name: string): void {
-    const { quarantine, notices, writer, log } = this.#options;
+    const { quarantine, notices, writer, log, now } = this.#options;
     log.warn({ event: "quarantine_released", name });
-    quarantine.remove(name);
+    quarantine.remove(name, now());
     void notices.announce({ kind: NoticeKind.Release, name });
     void writer.remove(name);
   }
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -9,6 +9,8 @@
 const MAX_ENTRIES = 256;
 /** Ended entries whose names are kept; beyond this the oldest are dropped. */
 const MAX_ENDED = 1_000;
+/** Time in which a write that got no response may still be executed. */
+const LATE_WRITE_MS = 60_000;
 /** Time before the first probe, and between that and the second. */
 const PROBE_DELAYS_MS = [600_000, 3_600_000];
 
@@ -23,9 +25,9 @@
 /** The quarantined prompt parts that this host knows of. */
 export class Quarantine {
   #entries = new Map<string, Entry>();
-  /** Names of entries that have ended. */
-  #ended = new Set<string>();
-  /** Names of ended entries that an older copy of the store brought back. */
+  /** When entries have ended, by name. */
+  #ended = new Map<string, number>();
+  /** Names of ended entries that the store has all the same. */
   #returned = new Set<string>();
   /** Whether the next list is the first one since a restoration. */
   #restored = false;
@@ -84,17 +86,18 @@
     return this.#entries.has(name);
   }
 
-  /** Whether an entry has ended that an older copy of the store brought back. */
+  /** Whether the store has an entry that has ended. */
   hasReturned(name: string): boolean {
     return this.#returned.has(name);
   }
 
   /** Ends an entry. */
-  remove(name: string): void {
+  remove(name: string, now_ms: number): void {
     this.#returned.delete(name);
     this.#entries.delete(name);
-    this.#ended.add(name);
-    const [oldest] = this.#ended;
+    this.#ended.delete(name);
+    this.#ended.set(name, now_ms);
+    const [oldest] = this.#ended.keys();
     if (this.#ended.size > MAX_ENDED) this.#ended.delete(oldest ?? "");
   }
 
@@ -102,7 +105,8 @@
   replaceStored(stored: readonly QuarantinedParts[], now_ms: number): void {
     const names = new Set(stored.map(({ parts }) => quarantineName(parts)));
     for (const [name, { stored_probes }] of this.#entries) {
-      if (stored_probes !== undefined && !names.has(name)) this.remove(name);
+      if (stored_probes === undefined || names.has(name)) continue;
+      this.remove(name, now_ms);
     }
     const returned = this.#restored ? this.#ended : this.#returned;
     this.#returned = new Set([...names].filter((name) => returned.has(name)));
@@ -113,6 +117,18 @@
     }
   }
 
+  /**
+   * Adds an entry that was written to the store, unless it has just ended: then
+   * the write is an old one that was executed late, as hosts are told of a new
+   * entry before it is written.
+   */
+  putWritten(quarantined: QuarantinedParts, now_ms: number): void {
+    const name = quarantineName(quarantined.parts);
+    const ended_ms = this.#ended.get(name) ?? -Infinity;
+    if (now_ms - ended_ms < LATE_WRITE_MS) this.#returned.add(name);
+    else this.putStored(quarantined, now_ms);
+  }
+
   /** Adds an entry of the store. */
   putStored(quarantined: QuarantinedParts, now_ms: number): void {
     this.put(quarantined, now_ms);
--- a/src/quarantine/quarantine_notices.ts
+++ b/src/quarantine/quarantine_notices.ts
@@ -105,7 +105,7 @@
       case NoticeKind.Quarantine:
         return this.#applyQuarantine(notice);
       case NoticeKind.Release:
-        this.#options.quarantine.remove(notice.name);
+        this.#options.quarantine.remove(notice.name, this.#options.now());
         return [];
     }
   }
--- a/src/quarantine/quarantine_service.ts
+++ b/src/quarantine/quarantine_service.ts
@@ -205,13 +205,7 @@
    */
   replaceStored(stored: readonly unknown[]): void {
     this.entries.replaceStored(this.#read(stored), this.#options.now());
-    void repairStored({
-      ...this.#options,
-      quarantine: this.entries,
-      writer: this.#writer,
-      isLedger: () => this.#ledgers().includes(this.#options.self),
-      isRestored: this.#restored,
-    });
+    this.#repairStored(this.#restored);
     this.#restored = false;
   }
 
@@ -219,13 +213,14 @@
   applyStoredChanges(changes: readonly FeedChange<unknown>[]): void {
     const now_ms = this.#options.now();
     for (const { name, value, deleted } of changes) {
-      if (deleted) this.entries.remove(name);
+      if (deleted) this.entries.remove(name, now_ms);
       else {
         for (const entry of this.#read([value])) {
-          this.entries.putStored(entry, now_ms);
+          this.entries.putWritten(entry, now_ms);
         }
       }
     }
+    if (this.entries.returned().length > 0) this.#repairStored(false);
   }
 
   /** Adds entries of another host, which may not know that they have ended. */
@@ -237,6 +232,16 @@
     }
   }
 
+  #repairStored(isRestored: boolean): void {
+    void repairStored({
+      ...this.#options,
+      quarantine: this.entries,
+      writer: this.#writer,
+      isLedger: () => this.#ledgers().includes(this.#options.self),
+      isRestored,
+    });
+  }
+
   async #report(
     address: string,
     requests: CrashReport["requests"],
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -232,3 +232,26 @@
   assert.equal(read.kind, FeedResultKind.Unavailable);
   assert.ok(server.calls - callsBefore <= 8, `${server.calls - callsBefore}`);
 });
+
+test("this system's own objects are written without a condition on a revision", async () => {
+  const member = {
+    address: "10.0.0.1:1",
+    availability_zone: "a",
+    cores: 1,
+    started_ms: 1,
+  };
+  await store.announce("host", member);
+  const copy = server.copy();
+  await store.announce("host", { ...member, started_ms: 2 });
+  server.restore(copy);
+  server.put("other", "object", {});
+  // This revision was given out twice.
+  await store.announce("host", { ...member, started_ms: 3 });
+  const read = await store.gateways.list(signal);
+  assert.ok(read.kind === FeedResultKind.Listed);
+  assert.equal(read.items[0]?.value?.started_ms, 3);
+  await store.withdraw("host");
+  server.restore(copy);
+  await store.withdraw("host");
+  assert.deepEqual(server.listNames("gateways"), []);
+});
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -50,14 +50,14 @@
   const ended = { parts: ["x"], probes: 0 };
   const name = quarantineName(["x"]);
   quarantine.replaceStored([ended], 0);
-  quarantine.remove(name);
+  quarantine.remove(name, 5);
   quarantine.markRestored();
   for (const now_ms of [10, 20]) {
     quarantine.replaceStored([ended], now_ms);
     assert.equal(quarantine.find(["x"]), undefined);
     assert.deepEqual(quarantine.returned(), [name]);
   }
-  quarantine.remove(name);
+  quarantine.remove(name, 5);
   assert.deepEqual(quarantine.returned(), []);
   quarantine.put(ended, 30);
   assert.notEqual(quarantine.find(["x"]), undefined);
@@ -67,7 +67,7 @@
   const quarantine = new Quarantine();
   const entry = { parts: ["x"], probes: 0 };
   quarantine.replaceStored([entry], 0);
-  quarantine.remove(quarantineName(["x"]));
+  quarantine.remove(quarantineName(["x"]), 3);
   quarantine.put(entry, 5);
   quarantine.markRestored();
   quarantine.replaceStored([entry], 10);
@@ -83,6 +83,20 @@
   assert.deepEqual(quarantine.unstored(), [{ parts: ["x"], probes: 2 }]);
 });
 
+test("a late write of an entry that has ended does not put it in force", () => {
+  const quarantine = new Quarantine();
+  const entry = { parts: ["x"], probes: 0 };
+  quarantine.replaceStored([entry], 0);
+  quarantine.remove(quarantineName(["x"]), 1_000);
+  quarantine.putWritten(entry, 5_000);
+  assert.equal(quarantine.find(["x"]), undefined);
+  assert.deepEqual(quarantine.returned(), [quarantineName(["x"])]);
+  quarantine.remove(quarantineName(["x"]), 6_000);
+  assert.deepEqual(quarantine.returned(), []);
+  quarantine.putWritten(entry, 6_000 + MINUTE_MS);
+  assert.notEqual(quarantine.find(["x"]), undefined);
+});
+
 test("at most two probes are due, ever later", () => {
   const quarantine = new Quarantine();
   const due = (probes: number, now_ms: number) =>
--- a/test/quarantine/quarantine_service.test.ts
+++ b/test/quarantine/quarantine_service.test.ts
@@ -302,6 +302,23 @@
   assert.equal(cluster.stored.size, 0);
 });
 
+test("an entry that is written late, after its release, ends everywhere", async () => {
+  const cluster = new Cluster(7);
+  await crashThrice(cluster, ["x"]);
+  const [late] = [...cluster.stored.values()];
+  assert.ok(late !== undefined);
+  cluster.live[3]?.recordAnswered(prompt(["x"]));
+  await sleep(50);
+  const name = quarantineName(late.parts);
+  cluster.stored.set(name, late);
+  for (const service of cluster.live) {
+    service.applyStoredChanges([{ name, value: late, deleted: false }]);
+  }
+  assert.ok(cluster.rejects(["x"]).every((rejects) => !rejects));
+  await sleep(20);
+  assert.equal(cluster.stored.size, 0);
+});
+
 test("an entry that only a host without the ledgers' part knows is written again", async () => {
   const cluster = new Cluster(7);
   cluster.random = 0;
