Let the stand-in platform come back from an older copy

The promises of the entry hosts rest on the platform: claims, journals and the accepted configuration are kept there. The stand-in could be away, slow and lose answers, but never lost what it had acknowledged, so no test or scenario could say what a promise is worth after that.

/control now takes { copy: true } and { restore: true }. The content goes back, revisions are given out again, calls under way get no response, and a watch of a prefix from a revision that the platform doesn't have returns the content at once. The fake of the unit tests has copy() and restore(), and its watches now wait for a change as the stand-in's do, so that loops over them can be tested.

--- a/stand_ins/platform.ts
+++ b/stand_ins/platform.ts
@@ -1,8 +1,8 @@
 /**
  * Stand-in for the platform's object API: versioned objects, conditional
  * writes, long-poll watches and a list of hosts, all in memory. `/control`
- * injects the faults of a real platform, and `/counts` returns how often it was
- * called.
+ * injects the faults of a real platform, also that it comes back from an older
+ * copy, and `/counts` returns how often it was called.
  */
 import {
   createServer,
@@ -21,6 +21,22 @@
   lose_write_answers: number;
 }
 
+/** What `/control` does besides setting faults. */
+interface Actions {
+  hosts?: unknown[];
+  /** Takes a copy of the content. */
+  copy?: boolean;
+  /** Goes back to the copy; calls that are under way get no response. */
+  restore?: boolean;
+}
+
+/** The content at one moment. */
+interface Copy {
+  objects: Map<string, StoredObject>;
+  prefixRevisions: Map<string, number>;
+  revision: number;
+}
+
 interface StoredObject {
   key: string;
   version: string;
@@ -33,7 +49,9 @@
   etag?: string;
 }
 
-const objects = new Map<string, StoredObject>();
+let objects = new Map<string, StoredObject>();
+let copy: Copy | undefined;
+let restorations = 0;
 const faults: Faults = { down: false, delay_ms: 0, lose_write_answers: 0 };
 const counts = { reads: 0, writes: 0, watches: 0, bytes_written: 0 };
 const wakeCallbacks = new Set<() => void>();
@@ -54,23 +72,45 @@
     return send(response, { status: 200, body: counts });
   }
   if (faults.down) return void request.socket.destroy();
+  const restorationsBefore = restorations;
   if (faults.delay_ms > 0) await sleep(faults.delay_ms);
   const reply = await route(request, url, body);
-  if (faults.down || shouldLoseResponse(request)) {
+  const isCut = faults.down || restorations !== restorationsBefore;
+  if (isCut || shouldLoseResponse(request)) {
     return void request.socket.destroy();
   }
   send(response, reply);
 }
 
 function control(response: ServerResponse, body: string): void {
-  const change = JSON.parse(body) as Partial<Faults> & { hosts?: unknown[] };
-  const { hosts: newHosts, ...newFaults } = change;
+  const change = JSON.parse(body) as Partial<Faults> & Actions;
+  const { hosts: newHosts, copy: takesCopy, restore, ...newFaults } = change;
   if (newHosts !== undefined) hosts = newHosts;
+  if (takesCopy === true) copy = copyContent();
+  if (restore === true) goBack();
   Object.assign(faults, newFaults);
   if (faults.down) wakeAll();
   send(response, { status: 200, body: faults });
 }
 
+function copyContent(): Copy {
+  return {
+    objects: new Map(objects),
+    prefixRevisions: new Map(prefixRevisions),
+    revision,
+  };
+}
+
+/** Goes back to the copy; its later revisions will be given out again. */
+function goBack(): void {
+  if (copy === undefined) throw new Error("Take a copy before restoring it");
+  objects = new Map(copy.objects);
+  prefixRevisions = new Map(copy.prefixRevisions);
+  revision = copy.revision;
+  restorations += 1;
+  wakeAll();
+}
+
 function shouldLoseResponse(request: IncomingMessage): boolean {
   if (request.method === "GET" || faults.lose_write_answers === 0) return false;
   faults.lose_write_answers -= 1;
@@ -110,7 +150,9 @@
 async function list(url: URL, request: IncomingMessage): Promise<Reply> {
   const prefix = url.searchParams.get("prefix") ?? "";
   const after = url.searchParams.get("after");
-  const hasChanged = () => prefixRevision(prefix) > Number(after);
+  // A revision that it does not have any more is answered with the content.
+  const hasChanged = () =>
+    prefixRevision(prefix) > Number(after) || Number(after) > revision;
   if (after !== null && !await waitForChange(hasChanged, url, request)) {
     return { status: 304 };
   }
@@ -122,7 +164,7 @@
 }
 
 /** Revision of the last write under each first path segment. */
-const prefixRevisions = new Map<string, number>();
+let prefixRevisions = new Map<string, number>();
 
 function prefixRevision(prefix: string): number {
   return prefixRevisions.get(prefix.split("/")[0] ?? "") ?? 0;
@@ -153,7 +195,9 @@
 ): Promise<boolean> {
   counts.watches += 1;
   const end_ms = Date.now() + Number(url.searchParams.get("wait_ms"));
-  while (!hasChanged() && !faults.down && Date.now() < end_ms) {
+  const restorationsBefore = restorations;
+  const isCut = () => faults.down || restorations !== restorationsBefore;
+  while (!hasChanged() && !isCut() && Date.now() < end_ms) {
     if (request.socket.destroyed) return false;
     await new Promise<void>((resolve) => {
       const timer = setTimeout(wake, end_ms - Date.now());
--- a/test/fake_platform.ts
+++ b/test/fake_platform.ts
@@ -1,4 +1,5 @@
 /** An in-memory platform for tests, with simulated failures. */
+import { setTimeout as sleep } from "node:timers/promises";
 import {
   type Platform,
   PlatformFailureKind,
@@ -8,6 +9,9 @@
   type WriteCondition,
 } from "../src/object_api/types.ts";
 
+/** How long a watch waits for a change. */
+const WATCH_MS = 5;
+
 function failed<T>(
   kind: PlatformFailureKind,
   sent: boolean,
@@ -15,7 +19,16 @@
   return { ok: false, failure: { kind, sent, message: kind } };
 }
 
-/** Keeps objects in memory; can be unavailable or lose write responses. */
+/** The content of a {@linkcode FakePlatform} at one moment. */
+export interface FakePlatformCopy {
+  objects: Map<string, PlatformObject>;
+  revision: number;
+}
+
+/**
+ * Keeps objects in memory; can be unavailable, lose write responses and go back
+ * to a copy.
+ */
 export class FakePlatform implements Platform {
   objects = new Map<string, PlatformObject>();
   /** Whether reads and writes fail without effect. */
@@ -26,6 +39,17 @@
   writes = 0;
   #revision = 0;
 
+  /** Copies the current content. */
+  copy(): FakePlatformCopy {
+    return { objects: new Map(this.objects), revision: this.#revision };
+  }
+
+  /** Goes back to a copy, whose later revisions are given out again. */
+  restore({ objects, revision }: FakePlatformCopy): void {
+    this.objects = new Map(objects);
+    this.#revision = revision;
+  }
+
   async get(key: string): Promise<PlatformResult<PlatformObject | undefined>> {
     await Promise.resolve();
     if (this.unavailable) return failed(PlatformFailureKind.Unavailable, false);
@@ -60,8 +84,15 @@
     return { ok: true, value: undefined };
   }
 
-  watch(key: string): Promise<PlatformResult<PlatformObject | undefined>> {
-    return this.get(key);
+  async watch(
+    key: string,
+    { version }: { version: string },
+  ): Promise<PlatformResult<PlatformObject | undefined>> {
+    await sleep(WATCH_MS);
+    const read = await this.get(key);
+    return read.ok && read.value?.version === version
+      ? { ok: true, value: undefined }
+      : read;
   }
 
   async list(prefix: string): Promise<PlatformResult<PlatformListing>> {
@@ -72,10 +103,22 @@
     return { ok: true, value: { revision: this.#revision, objects } };
   }
 
-  watchPrefix(
+  async watchPrefix(
     prefix: string,
+    { revision }: { revision: number },
   ): Promise<PlatformResult<PlatformListing | undefined>> {
-    return this.list(prefix);
+    await sleep(WATCH_MS);
+    if (this.unavailable) return failed(PlatformFailureKind.Unavailable, false);
+    const isSame = revision <= this.#revision &&
+      this.#prefixRevision(prefix) <= revision;
+    return isSame ? { ok: true, value: undefined } : await this.list(prefix);
+  }
+
+  #prefixRevision(prefix: string): number {
+    const versions = [...this.objects.values()]
+      .filter(({ key }) => key.startsWith(prefix))
+      .map(({ version }) => Number(version));
+    return Math.max(0, ...versions);
   }
 
   hosts(): Promise<PlatformResult<[]>> {
