Publish generations above what hosts have when the platform is restored

After the platform came back from an older copy, the publisher gave its next configuration the generation that follows the copy's. Hosts had seen that number with other records and take no generation that isn't above their own, so what the operator wrote next was in force nowhere until as many changes had followed as had been lost.

The cause: the next generation came from the platform's object alone, which may be older than what this host knows. It is now above both. Generations may skip numbers; they only rise.

Evidence: 'a record that is written after a restoration is in force, also where a lost generation was' in test/configuration/restored_platform.test.ts failed before (the pools stayed a, b, c, d for 6 s). Ruled out: a host that starts later and reads the older accepted configuration learns the newer one from the heartbeats of the others, as after any missed change.

--- a/src/configuration/plan_publication.ts
+++ b/src/configuration/plan_publication.ts
@@ -39,11 +39,15 @@
 
 /**
  * Plans the next publication from the accepted configuration, undefined if none
- * exists yet, and a listing of the records made after it was read.
+ * exists yet, and a listing of the records made after it was read. The next
+ * generation is also above `known_generation`, the highest that this host knows:
+ * the platform may have gone back to an older copy, and hosts take no generation
+ * that is not above theirs.
  */
 export function planPublication(
   accepted: AcceptedConfiguration | undefined,
   listing: PlatformListing,
+  { known_generation = 0 } = {},
 ): PublicationPlan {
   if (accepted !== undefined && isStale(accepted, listing)) {
     return { kind: PublicationPlanKind.StaleListing, findings: [] };
@@ -53,7 +57,7 @@
     return { kind: PublicationPlanKind.Unchanged, findings };
   }
   const next = {
-    generation: (accepted?.generation ?? 0) + 1,
+    generation: Math.max(accepted?.generation ?? 0, known_generation) + 1,
     records_revision: listing.revision,
     records,
   };
--- a/src/configuration/publisher.ts
+++ b/src/configuration/publisher.ts
@@ -83,7 +83,9 @@
     const listing = await platform.list(RECORDS_PREFIX);
     if (!listing.ok) return false;
     const accepted = current.value?.value as AcceptedConfiguration | undefined;
-    const plan = planPublication(accepted, listing.value);
+    const plan = planPublication(accepted, listing.value, {
+      known_generation: state.generation,
+    });
     if (plan.kind === PublicationPlanKind.StaleListing) return false;
     await this.#storeFindings(plan.findings);
     if (plan.kind === PublicationPlanKind.Unchanged) return true;
