Read records and configuration whole after a failed watch

After the platform came back from an older copy, a publisher went on to watch from the revision that it had handled before. Once the platform had given out that number again, with other content, it reported no change, and what the operator had written in between was never published. A host that watches the accepted configuration by its version had the same blindness.

The cause: a revision or version means something only to the store that gave it out, and a platform that goes back cuts its watches.

Evidence: 'a record that is written again at a revision that had been given out is not missed' in test/configuration/restored_platform.test.ts failed before (pools a, b where a, c is expected). Not covered: a platform that goes back without failing a single call of that host and has caught up with the number before the host's next watch; the interface has nothing that tells of it.

--- a/src/configuration/configuration_watch.ts
+++ b/src/configuration/configuration_watch.ts
@@ -36,6 +36,9 @@
       signal,
     });
     if (!result.ok) {
+      // The platform may be back from an older copy, with other content under
+      // the same version.
+      version = "";
       await abortableDelay(backoff.nextDelayMs(), signal);
       continue;
     }
--- a/src/configuration/publisher.ts
+++ b/src/configuration/publisher.ts
@@ -69,7 +69,12 @@
       wait_ms: watch_ms,
       signal,
     });
-    if (!changed.ok) return false;
+    if (!changed.ok) {
+      // The platform may be back from an older copy, with other content at the
+      // same revision.
+      this.#handled_revision = -1;
+      return false;
+    }
     if (changed.value === undefined) return true;
     if (!await this.#publishIfChanged()) return false;
     this.#handled_revision = changed.value.revision;
--- a/test/configuration/restored_platform.test.ts
+++ b/test/configuration/restored_platform.test.ts
@@ -32,6 +32,13 @@
   assert.ok(written.ok);
 }
 
+/** Writes objects until the platform has given out this revision. */
+async function advanceTo(platform: FakePlatform, revision: number) {
+  for (let n = 0; platform.copy().revision < revision; n++) {
+    await platform.put(`other/${n}`, {}, { absent: true });
+  }
+}
+
 /** A host that publishes the records and watches what is accepted. */
 function startHost(t: TestContext, platform: FakePlatform): ConfigurationState {
   const stop = new AbortController();
@@ -82,3 +89,21 @@
     ?.value as AcceptedConfiguration;
   assert.equal(accepted.generation, state.generation);
 });
+
+test("a record that is written again at a revision that had been given out is not missed", async (t) => {
+  const platform = new FakePlatform();
+  const state = startHost(t, platform);
+  await writeRecord(platform, "a");
+  await waitForPools(state, ["a"]);
+  const copy = platform.copy();
+  await writeRecord(platform, "b");
+  await waitForPools(state, ["a", "b"]);
+  const lost_revision = platform.copy().revision;
+  platform.unavailable = true;
+  await sleep(50);
+  platform.restore(copy);
+  platform.unavailable = false;
+  await writeRecord(platform, "c");
+  await advanceTo(platform, lost_revision + 1);
+  await waitForPools(state, ["a", "c"]);
+});
