--- a/src/claims/journal.ts
+++ b/src/claims/journal.ts
@@ -45,7 +45,17 @@
   written_ms: number;
 }
 
+interface KnownChunk {
+  /** Undefined if the platform has no such object. */
+  version: string | undefined;
+  /** All entries of this process, also if the platform has lost some. */
+  entries: JournalEntry[];
+  written_ms: number;
+}
+
 const KEYS_PER_CHUNK = 200;
+/** Age up to which the platform may lose a chunk by going back to a copy. */
+const MAX_LOSS_AGE_MS = 600_000;
 /** The oldest pending entries are dropped beyond this number. */
 const MAX_PENDING_ENTRIES = 20_000;
 const MAX_CLOSE_ATTEMPTS = 10;
@@ -56,10 +66,7 @@
   readonly #options: JournalOptions;
   #pending: JournalEntry[] = [];
   #flushing: Promise<boolean> = Promise.resolve(true);
-  #chunks = new Map<
-    number,
-    { version: string | undefined; entries: JournalEntry[] }
-  >();
+  #chunks = new Map<number, KnownChunk>();
 
   constructor(options: JournalOptions) {
     this.#options = options;
@@ -100,17 +107,20 @@
   }
 
   /**
-   * Writes the pending entries, then states that this process will run nothing
-   * more. If the writes keep failing, the journal is left open.
+   * Writes the pending entries and what the platform has lost of the earlier
+   * ones, then states that this process will run nothing more. If the writes
+   * keep failing, the journal is left open.
    */
   async close(): Promise<void> {
     const { platform, incarnation, now, signal } = this.#options;
+    const checked = new Set<number>();
     for (let attempt = 0; attempt < MAX_CLOSE_ATTEMPTS; attempt++) {
-      if (await this.flush()) {
+      if (await this.flush() && await this.#rewriteLost(checked)) {
         const key = closedKey(incarnation);
         await platform.put(key, { closed: true, written_ms: now() }, {
           absent: true,
         });
+        await this.#rewriteLost(new Set());
         return;
       }
       await abortableDelay(CLOSE_RETRY_DELAY_MS, signal);
@@ -138,18 +148,15 @@
   async #append(chunk: number, added: JournalEntry[]): Promise<boolean> {
     const { platform, incarnation, now } = this.#options;
     const known = this.#chunks.get(chunk);
-    const entries = [...known?.entries ?? [], ...added];
+    const entries = mergeEntries(known?.entries ?? [], added);
     const condition = known?.version === undefined
       ? { absent: true as const }
       : { version: known.version };
     const key = chunkKey(incarnation, chunk);
-    const written = await platform.put(
-      key,
-      { entries, written_ms: now() },
-      condition,
-    );
+    const written_ms = now();
+    const written = await platform.put(key, { entries, written_ms }, condition);
     if (written.ok) {
-      this.#chunks.set(chunk, { version: written.value, entries });
+      this.#chunks.set(chunk, { version: written.value, entries, written_ms });
       return true;
     }
     if (written.failure.kind === PlatformFailureKind.Conflict) {
@@ -160,15 +167,52 @@
 
   /**
    * Reads a chunk again after a conflict. As only this process writes its
-   * chunks, a conflict means that the response to an earlier write was lost.
+   * chunks, a conflict means that the response to an earlier write was lost, or
+   * that the platform went back to an older copy.
    */
   async #reload(chunk: number): Promise<void> {
-    const { platform, incarnation } = this.#options;
+    const { platform, incarnation, now } = this.#options;
     const read = await platform.get(chunkKey(incarnation, chunk));
-    if (!read.ok || read.value === undefined) return;
-    const { entries } = read.value.value as JournalChunk;
-    this.#chunks.set(chunk, { version: read.value.version, entries });
+    if (!read.ok) return;
+    const stored = read.value?.value as JournalChunk | undefined;
+    const known = this.#chunks.get(chunk)?.entries ?? [];
+    this.#chunks.set(chunk, {
+      version: read.value?.version,
+      entries: mergeEntries(stored?.entries ?? [], known),
+      written_ms: now(),
+    });
   }
+
+  /**
+   * Writes the chunks again that the platform has lost or has in an older state;
+   * false if that failed for some. Skips those in `checked` and adds the others.
+   */
+  async #rewriteLost(checked: Set<number>): Promise<boolean> {
+    const { platform, incarnation, now } = this.#options;
+    for (const [chunk, { version, written_ms }] of this.#chunks) {
+      const isOld = now() - written_ms > MAX_LOSS_AGE_MS;
+      if (isOld || checked.has(chunk)) continue;
+      const read = await platform.get(chunkKey(incarnation, chunk));
+      if (!read.ok) return false;
+      if (read.value?.version !== version) {
+        await this.#reload(chunk);
+        if (!await this.#append(chunk, [])) return false;
+      }
+      checked.add(chunk);
+    }
+    return true;
+  }
+}
+
+/** Joins entries; of two for one key the added one counts. */
+function mergeEntries(
+  entries: readonly JournalEntry[],
+  added: readonly JournalEntry[],
+): JournalEntry[] {
+  const byNumber = new Map(
+    [...entries, ...added].map((entry) => [entry.number, entry]),
+  );
+  return [...byNumber.values()];
 }
 
 /** Maximum length of a stored outcome, in UTF-16 code units of its JSON. */
--- a/test/claims/claims.test.ts
+++ b/test/claims/claims.test.ts
@@ -196,6 +196,67 @@
   assert.equal(await lookupKind(1), JournalLookupKind.Unavailable);
 });
 
+function createJournal(platform: FakePlatform): Journal {
+  return new Journal({
+    platform,
+    incarnation: "a1",
+    interval_ms: () => 1,
+    now: () => 0,
+    signal: new AbortController().signal,
+  });
+}
+
+function journalEntry(number: number) {
+  return { number, organisation: "o", body_digest: "d", outcome: COMPLETED };
+}
+
+for (
+  const { copied, flushes } of [
+    { copied: "no chunk", flushes: 0 },
+    { copied: "an older chunk", flushes: 1 },
+  ]
+) {
+  test(`a journal that closes on a platform back from a copy with ${copied} denies no run`, async () => {
+    const platform = new FakePlatform();
+    const journal = createJournal(platform);
+    if (flushes > 0) {
+      journal.add(journalEntry(1));
+      assert.equal(await journal.flush(), true);
+    }
+    const copy = platform.copy();
+    journal.add(journalEntry(2));
+    assert.equal(await journal.flush(), true);
+    platform.restore(copy);
+    await journal.close();
+    const other = createJournal(platform);
+    const run = flushes > 0 ? [1, 2] : [2];
+    for (const number of run) {
+      const { kind } = await other.lookup("a1", number);
+      assert.equal(kind, JournalLookupKind.Found);
+    }
+    assert.equal(
+      (await other.lookup("a1", 3)).kind,
+      JournalLookupKind.NeverRun,
+    );
+  });
+}
+
+test("a journal goes on with all its entries after the platform lost some", async () => {
+  const platform = new FakePlatform();
+  const journal = createJournal(platform);
+  const copy = platform.copy();
+  journal.add(journalEntry(1));
+  await journal.flush();
+  platform.restore(copy);
+  journal.add(journalEntry(2));
+  await journal.flush();
+  await journal.flush();
+  for (const number of [1, 2]) {
+    const { kind } = await journal.lookup("a1", number);
+    assert.equal(kind, JournalLookupKind.Found);
+  }
+});
+
 test("only journal objects older than a day are deleted", async () => {
   const platform = new FakePlatform();
   const put = (key: string, written_ms: number) =>
