Don't dispatch a key again on the host that holds its lost claim

A host that has dispatched a keyed request holds its claim only through the platform. When the platform had lost that claim and the shard's owner was another process by then, a repeated request at the same host was granted anew, and the host dispatched what it had dispatched before (TWICE).

The cause: nothing on the dispatching host remembered its own grants. An attempt that didn't run frees the key here as it does in the stored claim, by the same rules (claim_rules.ts).

Evidence: in test/claims/shard_claims.test.ts 'a host that holds a claim does not dispatch the key again, though the owner grants it' and 'a host that knows the outcome of a lost claim repeats it, and records it again' failed before ('granted' where 'in_use' and 'recorded' are expected). Not covered: a repeat that reaches another host, when neither the owner nor that host knows of the lost claim; docs/PROMISES.md says so.

--- a/src/claims/shard_claims.ts
+++ b/src/claims/shard_claims.ts
@@ -7,6 +7,7 @@
 import { rankCandidates } from "../membership/rendezvous_hash.ts";
 import type { Platform } from "../object_api/types.ts";
 import { ClaimCommitter } from "./claim_committer.ts";
+import { GrantedClaims } from "./granted_claims.ts";
 import {
   type ClaimReply,
   ClaimReplyKind,
@@ -49,6 +50,7 @@
 export class ShardClaims {
   readonly #options: ShardClaimsOptions;
   #committers = new Map<string, ClaimCommitter>();
+  #granted = new GrantedClaims();
 
   constructor(options: ShardClaimsOptions) {
     this.#options = options;
@@ -57,9 +59,20 @@
   /**
    * Claims a key through the shard's owner, or directly if the owner does not
    * respond. The owner may still commit the claim after that, so a direct claim
-   * that was not written is uncertain.
+   * that was not written is uncertain. A key that was granted to an earlier
+   * attempt here is not granted again, also if the platform has lost that claim.
    */
   async claim(request: ClaimRequest): Promise<ClaimReply> {
+    const reply = await this.#claim(request);
+    if (reply.kind !== ClaimReplyKind.Granted) return reply;
+    const earlier = this.#granted.grant(request);
+    if (earlier.kind === ClaimReplyKind.Recorded) {
+      void this.#sendOutcome({ ...request, outcome: earlier.outcome });
+    }
+    return earlier;
+  }
+
+  async #claim(request: ClaimRequest): Promise<ClaimReply> {
     const owner = this.#ownerOf(request.shard);
     if (owner === this.#options.self) return await this.commit(request);
     const started_ms = this.#options.now();
@@ -80,6 +93,11 @@
 
   /** Sends an outcome to the shard's owner, or stores it if that fails. */
   async recordOutcome(outcome: OutcomeReport): Promise<void> {
+    this.#granted.recordOutcome(outcome);
+    await this.#sendOutcome(outcome);
+  }
+
+  async #sendOutcome(outcome: OutcomeReport): Promise<void> {
     const owner = this.#ownerOf(outcome.shard);
     if (owner === this.#options.self) return this.storeOutcome(outcome);
     try {
