Order above the number that an engine reports, not the ledger's alone

A platform that came back from an older copy brought back an engine's ledger with a lower number than the engine had seen, or none. On an engine that checks fencing tokens the next order was refused as outdated, and sent again each second without end: the engine never got the model that its record asks for.

The cause: the next number came from the ledger alone. Engines report the number of their last order; the next one is now above both, and a ledger below the engine's number is followed by a new order instead of its own. The ledger is read after the engine, so it can't lag behind it otherwise.

Not covered: an engine that doesn't report its number.

--- a/src/placement/placement_loop.ts
+++ b/src/placement/placement_loop.ts
@@ -114,7 +114,9 @@
   }
   const next = action === OrderAction.Settle && ledger !== undefined
     ? { ...ledger, state: OrderState.Settled }
-    : nextOrder(ledger, desired_model);
+    : nextOrder(ledger, desired_model, {
+      observed_fencing: observed.fencing,
+    });
   const written = await writeLedger(options.platform, found.value, {
     key,
     next,
--- a/src/placement/plan_order.ts
+++ b/src/placement/plan_order.ts
@@ -7,6 +7,9 @@
  * observed to have carried out the last one. A host that was paused may still
  * send an old order late; the next check then finds the wrong model and sends
  * the ledger's order again.
+ *
+ * A ledger below the token that the engine reports comes from an older copy of
+ * the platform. The engine would refuse its order, so a new one follows.
  */
 import {
   type EngineState,
@@ -33,6 +36,9 @@
       ? OrderAction.Nothing
       : OrderAction.Intend;
   }
+  const isOutdated = checks_fencing &&
+    (observed.fencing ?? 0) > ledger.fencing;
+  if (isOutdated && observed.model !== desired_model) return OrderAction.Intend;
   const done = observed.model === ledger.model && !observed.loading;
   if (done && ledger.state === OrderState.Intended) return OrderAction.Settle;
   const settled = ledger.state === OrderState.Settled;
@@ -42,13 +48,17 @@
   return OrderAction.Send;
 }
 
-/** The order that follows the ledger's last one, for the given model. */
+/**
+ * The order that follows the ledger's last one, and the last one that the engine
+ * reports, for the given model.
+ */
 export function nextOrder(
   ledger: OrderLedger | undefined,
   model: string,
+  { observed_fencing = 0 } = {},
 ): OrderLedger {
   return {
-    fencing: (ledger?.fencing ?? 0) + 1,
+    fencing: Math.max(ledger?.fencing ?? 0, observed_fencing) + 1,
     model,
     state: OrderState.Intended,
   };
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -20,6 +20,8 @@
 const engineStateSchema = z.object({
   model: z.string(),
   loading: z.boolean(),
+  /** Fencing token of its last order; undefined if it does not report it. */
+  fencing: z.int().optional(),
 });
 
 /** The model that an engine reports, and whether it is still loading. */
