--- a/test/claims/claims.test.ts
+++ b/test/claims/claims.test.ts
@@ -157,6 +157,18 @@
   });
 }
 
+test("a key whose lost claim no host knows of is granted anew, which PROMISES.md admits", async () => {
+  const platform = new FakePlatform();
+  const { signal } = new AbortController();
+  const copy = platform.copy();
+  await createCommitter(platform, signal).claim(claimRequest("a"));
+  platform.restore(copy);
+  const reply = await createCommitter(platform, signal).claim(
+    claimRequest("b"),
+  );
+  assert.equal(reply.kind, ClaimReplyKind.Granted);
+});
+
 test("a key that was freed and claimed again is not given back to its first attempt", async () => {
   const platform = new FakePlatform();
   const stop = new AbortController();
