Believe a refusal only if it is known to be this request's

Callers of non-idempotent requests were told "not run, try again" (503, 429, 421) although an endpoint had run the request, or the request ran at a second endpoint. Cause: any response that says "not executed" was taken for the answer to the request that waits on its connection, whatever attempt id it bears. A faulty endpoint that writes an earlier refusal once more on a kept connection thus spoke for a request that it was running.

The class is a response without a proven origin. Its origin is now decided in one pure function before anything else is read from it: the attempt id must be this request's; a refusal or failure without an id is believed only as the first response on its connection, since nothing earlier can be repeated there; a success must be signed too and must not say "not executed". All else is at most "may have run", closes its connection, and does not change the reported load. Agents count the responses of a connection themselves, because `reusedSocket` is not set for a connection that goes straight to a waiting request. The connection of a refusal was closed before too, by the abort at the end of each send; it is now closed on purpose, since a copy may follow there and the same attempt may be sent to the same endpoint again after its stages ran again.

Ruled out: responses of entry hosts' endpoint client (the id is checked before the status, and non-idempotent calls use a connection of their own). Kept connections stay in use for non-idempotent requests: an answer without a proven origin costs a 502, never a second run.

--- a/src/endpoints/exchange.ts
+++ b/src/endpoints/exchange.ts
@@ -53,6 +53,8 @@
   body: IncomingMessage;
   /** Kept here because `body.socket` is reset when the body ends. */
   socket: Socket;
+  /** Whether no earlier response came on its connection. */
+  first_on_connection: boolean;
 }
 
 /** Timeout for opening a connection. */
@@ -129,6 +131,9 @@
           headers: message.rawHeaders,
           body: message,
           socket: message.socket,
+          first_on_connection: endpointRequest.agent.recordResponse(
+            message.socket,
+          ),
         },
       });
     });
--- a/src/endpoints/strict_keep_alive_agent.ts
+++ b/src/endpoints/strict_keep_alive_agent.ts
@@ -9,6 +9,7 @@
 /** A keep-alive agent that closes idle connections on which data arrives. */
 export class StrictKeepAliveAgent extends Agent {
   #unsolicitedDataHandlers = new WeakMap<Duplex, () => void>();
+  #answeredSockets = new WeakSet<Duplex>();
 
   constructor(maxSockets: number) {
     super({ keepAlive: true, scheduling: "lifo", maxSockets });
@@ -30,6 +31,13 @@
     super.reuseSocket(socket, request);
   }
 
+  /** Records a response; returns whether it is the first on its connection. */
+  recordResponse(socket: Duplex): boolean {
+    if (this.#answeredSockets.has(socket)) return false;
+    this.#answeredSockets.add(socket);
+    return true;
+  }
+
   /** Closes the idle connections; those in use stay open. */
   closeIdleSockets(): void {
     for (const sockets of Object.values(this.freeSockets)) {
--- a/src/forwarding/complete_exchange.ts
+++ b/src/forwarding/complete_exchange.ts
@@ -13,6 +13,7 @@
 import { ObservedOutcome } from "../routing/observed_load.ts";
 import { RateLimitKind, type ResponseMetadata } from "./protocol_codec.ts";
 import { relayBuffered, type RelayResult, relayStream } from "./relay.ts";
+import { originOf, ResponseOrigin } from "./response_origin.ts";
 import type { RunContext } from "./run_context.ts";
 
 /** How one send ended, as far as retries are concerned. */
@@ -51,9 +52,12 @@
 
 /** Code of the error of a request that this host aborted. */
 const ABORTED_CODE = "ABORT_ERR";
-/** Logged for a response that is not this request's. */
-const FOREIGN_ANSWER = "foreign_answer";
-const MIN_REDIRECT_STATUS = 300;
+/** Reasons of a broken send that don't suggest a crash. */
+const REASONS_WITHOUT_CRASH: ReadonlySet<string> = new Set([
+  ABORTED_CODE,
+  ResponseOrigin.Foreign,
+  ResponseOrigin.Unidentified,
+]);
 const MIN_SERVER_ERROR_STATUS = 500;
 
 /** Whether the endpoint may have crashed when it began to answer. */
@@ -61,7 +65,7 @@
   const { outcome, observedOutcome, event_count = 0, reason } = result;
   return outcome !== SendOutcome.NotRun &&
     observedOutcome === ObservedOutcome.ConnectionFailed &&
-    event_count === 0 && reason !== ABORTED_CODE && reason !== FOREIGN_ANSWER;
+    event_count === 0 && !REASONS_WITHOUT_CRASH.has(reason);
 }
 
 /**
@@ -97,25 +101,24 @@
   const { response } = result;
   const metadata = codec.decodeResponse(response.status, response.headers);
   const { rate_limit } = metadata;
-  if (metadata.load !== undefined) {
-    load.forEndpoint(endpoint).recordLoad(metadata.load, received_ms);
-  }
-  if (
-    !isResponseTo(
-      context.admitted.metadata.attempt_id,
-      response.status,
-      metadata,
-    )
-  ) {
+  const origin = originOf(
+    { ...response, metadata },
+    context.admitted.metadata.attempt_id,
+  );
+  if (origin !== ResponseOrigin.Own) {
     discardResponse(response);
     return resultAfterFailure(context, SendOutcome.MayHaveRun, {
       first_byte_ms: received_ms,
-      reason: FOREIGN_ANSWER,
+      reason: origin,
     });
   }
+  if (metadata.load !== undefined) {
+    load.forEndpoint(endpoint).recordLoad(metadata.load, received_ms);
+  }
   context.dependencies.rateLimits.observe(endpoint, { rate_limit, sent_ms });
   if (metadata.not_run) {
-    response.body.resume();
+    // A copy of it may follow where the answer to the next request is due.
+    discardResponse(response);
     return {
       ...resultAfterNotRun(metadata),
       first_byte_ms: received_ms,
@@ -160,20 +163,6 @@
   return { outcome, observedOutcome, first_byte_ms, reason };
 }
 
-/** Whether a response belongs to the request with this attempt id. */
-function isResponseTo(
-  attempt_id: string,
-  status: number,
-  metadata: ResponseMetadata,
-): boolean {
-  if (metadata.not_run) return true;
-  if (metadata.attempt_id !== undefined && metadata.attempt_id !== attempt_id) {
-    return false;
-  }
-  return status >= MIN_REDIRECT_STATUS ||
-    (metadata.signed && metadata.attempt_id === attempt_id);
-}
-
 /** The result of a send that the endpoint reported as not run. */
 function resultAfterNotRun(
   metadata: ResponseMetadata,
--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -33,6 +33,22 @@
   UnframedReset = "unframed_reset",
   /** Rejects the request because a result that it needs no longer exists. */
   InputsGone = "inputs_gone",
+  /**
+   * Executes the request, but first writes an earlier refusal once more, if the
+   * connection is in use again.
+   */
+  RepeatedRefusal = "repeated_refusal",
+}
+
+/** A refusal that was given before, as it is written once more. */
+export interface RepeatedRefusal {
+  status: number;
+  /** Attempt id that it bears; undefined without one. */
+  attempt_id?: string;
+  /** Whether it is a failure of a request that was executed. */
+  executed?: boolean;
+  /** Time from the arrival of the request until it is written. */
+  delay_ms: number;
 }
 
 /** A request as the engine received it. */
@@ -97,11 +113,19 @@
   arrivals_ms: number[] = [];
   /** Crashes so far. */
   crashes = 0;
+  /** What the fault `RepeatedRefusal` writes. */
+  repeatedRefusal: RepeatedRefusal = { status: 503, delay_ms: 0 };
+  /** Refusals that were written once more so far. */
+  repeatedRefusals = 0;
+  /** Whether its refusals echo the attempt id. */
+  refusalsEchoId = true;
   /** Called when it listens again after a crash. */
   onRestart: () => void = () => {};
   #options: EngineOptions;
   #computedPieces = 0;
   #sockets = new Set<Socket>();
+  /** Connections that have had a response. */
+  #answeredSockets = new WeakSet<Socket>();
   #restartTimer: NodeJS.Timeout | undefined;
   #server = createServer((request, response) => {
     void this.#handle(request, response);
@@ -167,9 +191,13 @@
     if (this.rate_limit_per_s !== undefined) {
       response.setHeader("server-limit", String(this.rate_limit_per_s));
     }
+    response.once("finish", () => this.#answeredSockets.add(request.socket));
     const expected = request.headers["x-expect-instance"];
     if (expected !== undefined && expected !== this.id) {
-      response.writeHead(421, { "x-instance-id": this.id });
+      response.writeHead(421, {
+        ...this.#echoedId(request),
+        "x-instance-id": this.id,
+      });
       return void response.end();
     }
     if (request.url === "/v1/stage-run") {
@@ -196,7 +224,7 @@
     body: string,
   ): Promise<void> {
     const fault = this.#nextFault();
-    const notExecuted = { "x-not-executed": "1" };
+    const notExecuted = { ...this.#echoedId(request), "x-not-executed": "1" };
     if (fault === EngineFault.Full) {
       return void response.writeHead(503, notExecuted).end();
     }
@@ -212,6 +240,9 @@
     response.once("close", () => {
       if (!response.writableFinished) this.abortedRequests += 1;
     });
+    if (fault === EngineFault.RepeatedRefusal) {
+      await this.#repeatRefusal(request.socket);
+    }
     await sleep(this.#options.work_ms ?? 0);
     if (fault === EngineFault.NoResponse) return;
     if (fault === EngineFault.ResponseLost) {
@@ -263,6 +294,28 @@
     }
   }
 
+  /** The header with which a refusal echoes the attempt id. */
+  #echoedId(request: IncomingMessage): Record<string, string> {
+    const id = request.headers["x-attempt-id"];
+    if (!this.refusalsEchoId || id === undefined) return {};
+    return { "x-attempt-id": String(id) };
+  }
+
+  async #repeatRefusal(socket: Socket): Promise<void> {
+    if (!this.#answeredSockets.has(socket)) return;
+    const { status, attempt_id, executed, delay_ms } = this.repeatedRefusal;
+    await sleep(delay_ms);
+    this.repeatedRefusals += 1;
+    const headers = [
+      ...(attempt_id === undefined ? [] : [`X-Attempt-Id: ${attempt_id}`]),
+      ...(executed ? [] : ["X-Not-Executed: 1"]),
+      "Content-Length: 0",
+    ];
+    socket.write(
+      `HTTP/1.1 ${status} Refused\r\n${headers.join("\r\n")}\r\n\r\n`,
+    );
+  }
+
   async #stream(
     response: ServerResponse,
     { headers, lastEventId, fault }: {
--- /dev/null
+++ b/test/forwarding/foreign_refusals.test.ts
@@ -0,0 +1,149 @@
+/**
+ * Endpoints that write an earlier refusal once more on a connection in use
+ * again. It says nothing of the request that waits there: that request may run.
+ */
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { EngineFault } from "../../stand_ins/deployment/engine.ts";
+import {
+  ApiKey,
+  GatewayFleet,
+  Service,
+} from "../../stand_ins/deployment/gateway_fleet.ts";
+import { sendJsonRequest } from "../../stand_ins/json_client.ts";
+
+const IDS: Record<string, string | undefined> = {
+  "the id of the earlier request": "first",
+  "no id": undefined,
+  "an unknown id": "unknown",
+};
+const STATUSES = [503, 429, 421, 400, 409, 408];
+const DELAYS_MS = [0, 5, 50];
+/** Longer than the latest refusal, so that it precedes the answer. */
+const WORK_MS = 100;
+/** Statuses that promise that a request has not run and will not run. */
+const PROMISES = [408, 421, 429, 503];
+
+/** A deployment in which every endpoint has one idle connection. */
+async function startFleet(t: TestContext): Promise<GatewayFleet> {
+  const engine = (id: string) => ({ id, work_ms: WORK_MS });
+  const fleet = new GatewayFleet({
+    engines: {
+      [Service.Desk]: [engine("desk-1"), engine("desk-2")],
+      [Service.Model]: [],
+      [Service.Encode]: [],
+      [Service.Rank]: [],
+    },
+  });
+  t.after(() => fleet.stop());
+  await fleet.start();
+  const calls = Array.from({ length: 8 }, () => call(fleet, "/lookup/x"));
+  await Promise.all(calls);
+  assert.ok(engines(fleet).every(({ connections }) => connections > 0));
+  return fleet;
+}
+
+function engines(fleet: GatewayFleet) {
+  return fleet.engines.get(Service.Desk) ?? [];
+}
+
+async function call(fleet: GatewayFleet, path: string, id = "first") {
+  try {
+    return await sendJsonRequest(fleet.gateways[0]?.callers ?? "", path, {
+      method: "POST",
+      text: id,
+      headers: {
+        host: "fleet.example",
+        "x-attempt-id": id,
+        "x-key": ApiKey.Docks,
+        "x-deadline-ms": "1500",
+      },
+    });
+  } catch {
+    return { status: 0, text: "" };
+  }
+}
+
+function runsOf(fleet: GatewayFleet, id: string): number {
+  return engines(fleet).flatMap((engine) => engine.receivedRequests)
+    .filter(({ headers }) => headers["x-attempt-id"] === id).length;
+}
+
+/** Number of refusals that all endpoints have written once more. */
+function repeatedRefusals(fleet: GatewayFleet): number {
+  return engines(fleet).reduce((sum, each) => sum + each.repeatedRefusals, 0);
+}
+
+function injectFault(fleet: GatewayFleet, fault: EngineFault): void {
+  for (const engine of engines(fleet)) engine.fault = fault;
+}
+
+for (const [description, attempt_id] of Object.entries(IDS)) {
+  test(`a repeated refusal with ${description} does not make a non-idempotent request not run`, async (t) => {
+    const fleet = await startFleet(t);
+    let cases = 0;
+    for (const status of STATUSES) {
+      for (const delay_ms of DELAYS_MS) {
+        const id = `unsafe-${status}-${delay_ms}`;
+        injectFault(fleet, EngineFault.None);
+        await Promise.all([1, 2, 3].map(() => call(fleet, "/lookup/x")));
+        for (const engine of engines(fleet)) {
+          engine.repeatedRefusal = { status, attempt_id, delay_ms };
+        }
+        injectFault(fleet, EngineFault.RepeatedRefusal);
+        const answer = await call(fleet, "/stamp/x", id);
+        assert.ok(!PROMISES.includes(answer.status), `${id}: ${answer.status}`);
+        assert.equal(runsOf(fleet, id), 1, id);
+        cases += 1;
+        assert.equal(repeatedRefusals(fleet), cases, id);
+      }
+    }
+  });
+
+  test(`a repeated refusal with ${description} does not answer an idempotent request`, async (t) => {
+    const fleet = await startFleet(t);
+    for (const engine of engines(fleet)) {
+      engine.repeatedRefusal = { status: 503, attempt_id, delay_ms: 5 };
+    }
+    injectFault(fleet, EngineFault.RepeatedRefusal);
+    const answer = await call(fleet, "/lookup/x", "safe");
+    assert.ok([200, 502].includes(answer.status), `${answer.status}`);
+    assert.ok(repeatedRefusals(fleet) > 0);
+    if (answer.status === 200) assert.match(answer.text, /^desk-\d:safe$/);
+  });
+
+  test(`a repeated failure with ${description} is not passed on as the answer`, async (t) => {
+    const fleet = await startFleet(t);
+    for (const status of [404, 500]) {
+      const earlier = { status, attempt_id, delay_ms: 5, executed: true };
+      for (const engine of engines(fleet)) engine.repeatedRefusal = earlier;
+      injectFault(fleet, EngineFault.RepeatedRefusal);
+      const answer = await call(fleet, "/stamp/x", `failure-${status}`);
+      assert.ok([0, 502].includes(answer.status), `${answer.status}`);
+      injectFault(fleet, EngineFault.None);
+      await Promise.all([1, 2, 3].map(() => call(fleet, "/lookup/x")));
+    }
+  });
+}
+
+test("a refusal without an id is a promise on a new connection", async (t) => {
+  const fleet = new GatewayFleet();
+  t.after(() => fleet.stop());
+  await fleet.start();
+  for (const engine of engines(fleet)) engine.refusalsEchoId = false;
+  injectFault(fleet, EngineFault.Full);
+  assert.equal((await call(fleet, "/stamp/x", "refused")).status, 503);
+  assert.equal(runsOf(fleet, "refused"), 0);
+});
+
+test("a refusal that echoes the id is a promise on a connection in use again", async (t) => {
+  const fleet = await startFleet(t);
+  const [, second] = engines(fleet);
+  assert.ok(second !== undefined);
+  injectFault(fleet, EngineFault.Full);
+  second.fault = EngineFault.None;
+  for (let n = 0; n < 4; n++) {
+    assert.equal((await call(fleet, "/stamp/x", `n${n}`)).status, 200);
+    assert.equal(runsOf(fleet, `n${n}`), 1);
+  }
+});
