Promise "not run" after lost stage results only if nothing ran

The caller of a resumable stream with stages was told "not run, try again" (503) although an endpoint may have run its request. The first send got no answer; the next endpoint refused the request because the stage results were gone; the stages ran again, and when that led nowhere, the request was rejected as not run.

Cause: two of the ways out of the rounds of stages reject without looking at `mayHaveRun`, which `endUnanswered` looks at. Both now end there if an endpoint may have run the request. Only idempotent requests get this far, since others end with their first send that may have run; a 503 is a promise for them too.

Ruled out: `rejectQuarantined` looks at `mayHaveRun` already; rejections by admission come before the first send.

--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -178,7 +178,7 @@
   return [...new Set(zones)].join(",");
 }
 
-/** The outcome of a request, which has not run, whose stages failed. */
+/** The outcome of a request whose stages failed; it may have run before. */
 function outcomeAfterFailedStages(
   context: RunContext,
   outcome: Extract<
@@ -186,6 +186,7 @@
     { kind: JobOutcomeKind.Refused | JobOutcomeKind.Failed }
   >,
 ): RequestOutcome {
+  if (context.mayHaveRun) return unansweredOutcome(context);
   if (outcome.kind === JobOutcomeKind.Refused) {
     return refused({
       reason: RejectionReason.StagesTooSlow,
--- a/test/forwarding/foreign_refusals.test.ts
+++ b/test/forwarding/foreign_refusals.test.ts
@@ -171,3 +171,36 @@
   injectFault(fleet, EngineFault.InputsGone);
   assert.equal((await call(fleet, "/stamp/x", "refused")).status, 503);
 });
+
+test("a stream that may have run is not called not run when its stage results are lost", async (t) => {
+  const fleet = new GatewayFleet({
+    manifestChanges: {
+      routes: [{
+        name: "resumed",
+        hostname: "fleet.example",
+        path_prefix: "/resumed/",
+        kind: "streaming",
+        service: Service.Model,
+        stages: [{ service: Service.Encode, after: [], bytes: 1_000 }],
+        timeout_ms: 2_000,
+        target_latency_ms: 300,
+        priority: 1,
+        max_attempts: 2,
+        public: true,
+        sticky: false,
+        resumable: true,
+      }],
+    },
+  });
+  t.after(() => fleet.stop());
+  await fleet.start();
+  const models = fleet.engines.get(Service.Model) ?? [];
+  for (const model of models) {
+    model.fault = EngineFault.ResponseLost;
+    model.onReceived = () => {
+      for (const each of models) each.fault = EngineFault.InputsGone;
+    };
+  }
+  const { status } = await call(fleet, "/resumed/x", "resumed");
+  assert.equal(status, 502);
+});
