Close the connection of a stage call after an answer that names no result

An endpoint wrote an earlier answer once more on a connection in use again: the waiting call read it, the connection went on to the next call that waited for it, and that one read the true answer of the call before. Only a copy with known handles was noticed, and then only idle connections were closed, not the one that was already in use again.

Class: answers of stage calls and of calls that free results name no call, so what tells them apart is a handle that was never seen before. An answer without such a handle (a refusal, an error, an unreadable body, a confirmation of freed results, faults only, known handles) may be a copy; its connection is now closed and carries no further call. A refusal can therefore not be followed by a copy either, so that no call that runs is believed refused by it, its result is not left in the endpoint's memory and its pieces are not made twice.

What remains: a refusal that is copied from another connection is still believed (the pieces run elsewhere, the result expires), since no answer tells it from a true one; and a call that waited for the connection is then broken off and tried again.

--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -59,6 +59,16 @@
   now: () => number;
 }
 
+/** What the handles of an answer tell about it. */
+enum AnswerNovelty {
+  /** It has results of its own. */
+  New = "new",
+  /** It has no results, so it may be a copy of an earlier answer. */
+  Unknown = "unknown",
+  /** It is a copy of an earlier answer. */
+  Repeated = "repeated",
+}
+
 /**
  * The handles that endpoints returned last. An answer to a call for pieces names
  * no call, but each of its results has a new handle: an answer with a known one
@@ -67,20 +77,23 @@
 class RecentHandles {
   #handles = new Map<string, Set<string>>();
 
-  /** Adds the handles of an answer; false if one of them was known. */
-  add(address: string, responses: PieceResponse[]): boolean {
+  /** Adds the handles of an answer; returns what they tell about it. */
+  add(address: string, responses: PieceResponse[]): AnswerNovelty {
     const known = this.#handles.get(address) ?? new Set();
     this.#handles.set(address, known);
     const handles = responses.flatMap((response) =>
       response.ok ? [response.handle] : []
     );
-    if (handles.some((handle) => known.has(handle))) return false;
+    if (handles.length === 0) return AnswerNovelty.Unknown;
+    if (handles.some((handle) => known.has(handle))) {
+      return AnswerNovelty.Repeated;
+    }
     for (const handle of handles) known.add(handle);
     for (const oldest of known) {
       if (known.size <= MAX_RECENT_HANDLES) break;
       known.delete(oldest);
     }
-    return true;
+    return AnswerNovelty.New;
   }
 }
 
@@ -136,7 +149,7 @@
     timeout_ms: number;
   },
 ): Promise<PieceCallResult> {
-  const { agents, codec, recentHandles, timeout_ms } = options;
+  const { codec, recentHandles, timeout_ms } = options;
   const response = await callEndpoint({
     address: endpoint.address,
     call: codec.encodePieceBatch(endpoint, requests),
@@ -153,12 +166,12 @@
     return { ...failed(`status_${response.status}`), rate_limit };
   }
   const responses = codec.decodePieceResults(response.body, requests.length);
+  const novelty = responses === undefined
+    ? AnswerNovelty.Unknown
+    : recentHandles.add(endpoint.address, responses);
+  if (novelty !== AnswerNovelty.New) response.closeConnection();
   if (responses === undefined) return failed("unreadable");
-  if (!recentHandles.add(endpoint.address, responses)) {
-    // The answer to this call may still arrive on the same connection.
-    agents.closeIdleConnections(endpoint.address);
-    return failed("repeated_answer");
-  }
+  if (novelty === AnswerNovelty.Repeated) return failed("repeated_answer");
   return { kind: PieceCallResultKind.Answered, responses, rate_limit };
 }
 
@@ -186,9 +199,24 @@
 }
 
 type EndpointResponse =
-  | { kind: "complete"; status: number; headers: string[]; body: Buffer }
+  | {
+    kind: "complete";
+    status: number;
+    headers: string[];
+    /** Empty unless the status is 200. */
+    body: Buffer;
+    /**
+     * For a response that may be a copy of an earlier one: the answer to this
+     * call may still arrive on the same connection.
+     */
+    closeConnection: () => void;
+  }
   | { kind: "failed"; reason: string };
 
+/**
+ * Calls an endpoint. Its connection is kept only after status 200, since any
+ * other response may be a copy of an earlier one, or be followed by a copy.
+ */
 async function callEndpoint(
   { address, call, max_connections, timeout_ms }: {
     address: string;
@@ -214,9 +242,19 @@
     if (result.kind !== ExchangeOutcome.ResponseReceived) {
       return fail(result.reason);
     }
-    const { status, headers } = result.response;
+    const { status, headers, socket } = result.response;
+    const complete = {
+      kind: "complete" as const,
+      status,
+      headers,
+      closeConnection: () => void socket.destroy(),
+    };
+    if (status !== HTTP_OK) {
+      discardResponse(result.response);
+      return { ...complete, body: Buffer.alloc(0) };
+    }
     const body = await readFullBody(result.response, MAX_RESPONSE_BYTES);
-    if (body !== undefined) return { kind: "complete", status, headers, body };
+    if (body !== undefined) return { ...complete, body };
     discardResponse(result.response);
     return fail("cut");
   } finally {
