Let only what continues a broken stream follow it, and cut it otherwise

Callers of resumable streams found the text of another endpoint's error in the middle of their stream, ended as if it were complete; got events twice; or had their stream cut by an accident. A stream had begun and broke off; the next endpoint answered with an error, a redirect, a success in one body or a stream that starts again. What became of that answer was decided by its content type alone: typed as a stream, it was relayed into the open response whatever its status; else it ran into `writeHead` after the head (ERR_HTTP_HEADERS_SENT, event=fault), which left the request without a final log line.

Two decisions replace that, both pure. `useOf` decides from what the caller has and the head of the answer: once the head of a stream was sent, only a plain event stream of the same status may follow; everything else is discarded, and the next endpoint is asked if retries are left. The event splitter of a resumed stream checks that the first event has an id and that ids rise from the last one the caller has; nothing that is out of order is passed on. A stream whose last event has no id is not resumed, since its place is unknown. An error typed as a stream is no longer streamed before the first bytes either: it could break off, and a success would then go on under the error's head.

Held before: a framed empty stream ends the resumed one (the endpoint says that nothing follows); the first head and signature stay; a stream that may not be resumed is cut and no other endpoint is asked. What can't be told: a resumed stream that skips events, as one event may hold several tokens and ids need not be consecutive.

--- a/src/forwarding/complete_exchange.ts
+++ b/src/forwarding/complete_exchange.ts
@@ -8,12 +8,14 @@
   type EndpointResponse,
   ExchangeOutcome,
   type ExchangeResult,
+  headerValue,
 } from "../endpoints/exchange.ts";
 import { CallKind, type RouteEndpoint } from "../routes/types.ts";
 import { ObservedOutcome } from "../routing/observed_load.ts";
 import { RateLimitKind, type ResponseMetadata } from "./protocol_codec.ts";
 import { relayBuffered, type RelayResult, relayStream } from "./relay.ts";
 import { originOf, ResponseOrigin } from "./response_origin.ts";
+import { ResponseUse, useOf } from "./response_use.ts";
 import type { RunContext } from "./run_context.ts";
 
 /** How one send ended, as far as retries are concerned. */
@@ -58,7 +60,11 @@
   ResponseOrigin.Foreign,
   ResponseOrigin.Unidentified,
 ]);
+const MIN_REDIRECT_STATUS = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
+/** Logged for a response that the endpoint broke off. */
+const CUT = "cut";
+const CONTENT_ENCODING = "content-encoding";
 
 /** Whether the endpoint may have crashed when it began to answer. */
 export function mayHaveCrashed(result: SendResult): boolean {
@@ -125,9 +131,13 @@
       reason: `${response.status}`,
     };
   }
+  const use = decideUse(context, response, metadata);
+  if (use === ResponseUse.None) {
+    discardResponse(response);
+    return resultWithoutContinuation(response.status, received_ms);
+  }
   onResponse();
-  const isStream = metadata.stream &&
-    context.admitted.route.kind === CallKind.Streaming;
+  const isStream = use === ResponseUse.Stream;
   const { quarantine } = context.dependencies;
   const recordAnswered = () =>
     quarantine.recordAnswered(context.admitted.metadata.prompt);
@@ -180,6 +190,36 @@
   return { outcome: SendOutcome.NotRun, observedOutcome };
 }
 
+function decideUse(
+  { admitted, inbound }: RunContext,
+  { status, headers }: EndpointResponse,
+  { stream }: ResponseMetadata,
+): ResponseUse {
+  const encoded = headerValue(headers, CONTENT_ENCODING) !== undefined;
+  const { headersSent, statusCode } = inbound.response;
+  return useOf({ status, stream, encoded }, {
+    streaming: admitted.route.kind === CallKind.Streaming,
+    sent_status: headersSent ? statusCode : undefined,
+  });
+}
+
+/** The result of a send whose response can't follow the caller's stream. */
+function resultWithoutContinuation(
+  status: number,
+  first_byte_ms: number,
+): SendResult {
+  const isClientError = status >= MIN_REDIRECT_STATUS &&
+    status < MIN_SERVER_ERROR_STATUS;
+  return {
+    outcome: SendOutcome.MayHaveRun,
+    observedOutcome: isClientError
+      ? ObservedOutcome.Success
+      : ObservedOutcome.Error,
+    first_byte_ms,
+    reason: `${ResponseUse.None}_${status}`,
+  };
+}
+
 async function relayResponseStream(
   context: RunContext,
   response: EndpointResponse,
@@ -192,6 +232,9 @@
   const relayed = await relayStream(context.inbound.response, response, {
     headers: codec.filterResponseHeaders(response.headers),
     resumable: context.admitted.route.resumable,
+    continues_after: context.inbound.response.headersSent
+      ? context.lastEventId
+      : undefined,
     closeConnection: isShuttingDown(),
     onFirstBytes: inputs.freeResults,
     onFirstEvent: recordAnswered,
@@ -220,7 +263,8 @@
       event_count: relayed.event_count,
     };
   }
-  const mayResume = context.admitted.route.resumable &&
+  const { cut_reason = CUT, event_count, position_known = true } = relayed;
+  const mayResume = context.admitted.route.resumable && position_known &&
     context.stopReason === undefined;
   // A truncated response must not look complete, so the connection is
   // destroyed.
@@ -231,7 +275,10 @@
     ? SendOutcome.Answered
     : SendOutcome.MayHaveRun;
   return {
-    ...resultAfterFailure(context, outcome, { first_byte_ms, reason: "cut" }),
-    event_count: relayed.event_count,
+    ...resultAfterFailure(context, outcome, {
+      first_byte_ms,
+      reason: cut_reason,
+    }),
+    event_count,
   };
 }
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -38,6 +38,16 @@
   last_event_id?: string;
   /** Number of complete events of a stream. */
   event_count?: number;
+  /** Why a stream was broken off by this host; undefined if it wasn't. */
+  cut_reason?: StreamCutReason;
+  /** Whether a stream can go on after `last_event_id`. */
+  position_known?: boolean;
+}
+
+/** Why this host breaks a stream off. The values appear in the logs. */
+export enum StreamCutReason {
+  EventTooLarge = "event_too_large",
+  OutOfOrder = "events_out_of_order",
 }
 
 /** How a response is relayed. */
@@ -109,6 +119,8 @@
   endpointResponse: EndpointResponse,
   options: ResponseRelayOptions & {
     resumable: boolean;
+    /** Id of the event that it must follow; undefined if it may begin anew. */
+    continues_after: string | undefined;
     onFirstBytes: () => void;
     onFirstEvent: () => void;
   },
@@ -122,16 +134,18 @@
         reject(error as Error);
       }
     };
-    const splitter = new EventSplitter();
+    const splitter = new EventSplitter(options.continues_after);
     let first_byte_ms: number | undefined;
     let finished = false;
-    const finish = (complete: boolean) => {
+    const finish = (complete: boolean, cut_reason?: StreamCutReason) => {
       if (finished) return;
       finished = true;
       const progress = {
         first_byte_ms,
         last_event_id: options.resumable ? splitter.lastEventId : undefined,
         event_count: splitter.eventCount,
+        position_known: splitter.positionKnown,
+        cut_reason,
       };
       if (!complete || callerResponse.destroyed) {
         discardResponse(endpointResponse);
@@ -151,7 +165,10 @@
       const isFirst = splitter.eventCount === 0;
       const completeEvents = splitter.push(chunk);
       if (isFirst && splitter.eventCount > 0) options.onFirstEvent();
-      if (splitter.overflowed) return finish(false);
+      if (splitter.outOfOrder) return finish(false, StreamCutReason.OutOfOrder);
+      if (splitter.overflowed) {
+        return finish(false, StreamCutReason.EventTooLarge);
+      }
       const bytes = options.resumable ? completeEvents : chunk;
       if (bytes.length === 0 || callerResponse.destroyed) return;
       writeHeadOnce(callerResponse, endpointResponse, options);
