Answer a request before malformed bytes behind it close its connection

A caller whose request was running was told 400, 431 or (after the time for a head) 408 in the place of its answer, and found a second response head in the middle of its stream. 408 is a promise that the request has not run; the others end its attempts. It happened when bytes that are no request followed on the same connection: a body longer than its length, a broken or half-sent next request.

Cause: Node reports such bytes on the socket, without a request, and the handler wrote its rejection there at once, whatever was due. It now does so only if no request was read whole and no response has begun on that connection; otherwise the responses that are due are sent first, and the connection is closed after the last of them. That holds for several requests sent together too; a connection was also counted as idle, and closed while the host shuts down, after the first of them.

The 408 follows from the same code; no test waits the 30 s after which Node looks for heads that are late.

Found while looking for other ways in which the head of an error can get into a stream.

--- a/src/forwarding/caller_connections.ts
+++ b/src/forwarding/caller_connections.ts
@@ -1,9 +1,14 @@
 /**
- * The callers' connections without a request: which may be closed, and when. A
- * connection is closed without reading from it any more, so that a request that
- * crosses the close is not passed on to an endpoint.
+ * The callers' connections: which may be closed, and when. A connection is closed
+ * without reading from it any more, so that a request that crosses the close is
+ * not passed on to an endpoint; and never while a response is due there, of which
+ * a caller would take a rejection for a part.
  */
 import type { Socket } from "node:net";
+import {
+  ConnectionRequests,
+  type PendingRequest,
+} from "../utils/connection_requests.ts";
 
 /**
  * Idle connections are kept this many times the configured idle timeout, so that
@@ -12,8 +17,6 @@
 const IDLE_TIMEOUT_FACTOR = 1.25;
 
 interface Connection {
-  /** Requests on it whose response has not closed. */
-  running: number;
   idle_since_ms: number;
   /** Idle timeout in force when it became idle; a caller may not know a later one. */
   idle_timeout_ms: number;
@@ -24,6 +27,7 @@
 /** Tracks the callers' open connections; the caller passes the time in. */
 export class CallerConnections {
   #connections = new Map<Socket, Connection>();
+  #requests = new ConnectionRequests();
   #idle_timeout_ms: number;
 
   constructor(idle_timeout_ms: number) {
@@ -42,28 +46,37 @@
   }
 
   /** Records that a request has begun; false if this host has closed the connection. */
-  beginRequest(socket: Socket): boolean {
-    const connection = this.#connections.get(socket);
-    if (connection === undefined) return false;
-    connection.running += 1;
+  beginRequest(pending: PendingRequest): boolean {
+    if (!this.#connections.has(pending.request.socket)) return false;
+    this.#requests.add(pending);
     return true;
   }
 
   /** Records that a request's response has closed. */
-  endRequest(socket: Socket, now_ms: number): void {
-    const connection = this.#connections.get(socket);
-    if (connection === undefined) return;
-    const running = connection.running - 1;
-    this.#connections.set(socket, {
-      ...this.#idleFrom(socket, now_ms),
-      running,
-    });
+  endRequest(pending: PendingRequest, now_ms: number): void {
+    const { socket } = pending.request;
+    this.#requests.remove(pending);
+    if (!this.#connections.has(socket)) return;
+    this.#connections.set(socket, this.#idleFrom(socket, now_ms));
+  }
+
+  /**
+   * Closes a connection after the responses that are due there; returns false
+   * and does nothing if none is.
+   */
+  closeAfterResponses(socket: Socket): boolean {
+    return this.#requests.closeAfterResponses(socket);
+  }
+
+  /** Whether a connection is closed after the responses that are due there. */
+  isClosing(socket: Socket): boolean {
+    return this.#requests.isClosing(socket);
   }
 
   /** Closes the connections on which no request runs or arrives. */
   closeIdle(): void {
     for (const [socket, connection] of this.#connections) {
-      if (isIdle(socket, connection)) this.#close(socket);
+      if (this.#isIdle(socket, connection)) this.#close(socket);
     }
   }
 
@@ -76,7 +89,7 @@
       );
       const expires_ms = connection.idle_since_ms +
         timeout_ms * IDLE_TIMEOUT_FACTOR;
-      if (now_ms > expires_ms && isIdle(socket, connection)) {
+      if (now_ms > expires_ms && this.#isIdle(socket, connection)) {
         this.#close(socket);
       }
     }
@@ -84,7 +97,6 @@
 
   #idleFrom(socket: Socket, now_ms: number): Connection {
     return {
-      running: 0,
       idle_since_ms: now_ms,
       idle_timeout_ms: this.#idle_timeout_ms,
       bytes_read: socket.bytesRead,
@@ -95,8 +107,8 @@
     this.#connections.delete(socket);
     socket.destroySoon();
   }
-}
 
-function isIdle(socket: Socket, { running, bytes_read }: Connection): boolean {
-  return running === 0 && socket.bytesRead === bytes_read;
+  #isIdle(socket: Socket, { bytes_read }: Connection): boolean {
+    return !this.#requests.isBusy(socket) && socket.bytesRead === bytes_read;
+  }
 }
--- a/src/forwarding/gateway_server.ts
+++ b/src/forwarding/gateway_server.ts
@@ -57,7 +57,10 @@
     this.server.on(
       "clientError",
       (error, socket) =>
-        respondToClientError(error, socket as Socket, dependencies.log),
+        respondToClientError(error, socket as Socket, {
+          connections: this.#connections,
+          log: dependencies.log,
+        }),
     );
     this.#idleSweepTimer = setInterval(
       () => this.#connections.closeExpired(dependencies.now()),
@@ -92,14 +95,13 @@
   }
 
   async #serve(inbound: InboundRequest): Promise<void> {
-    const { request, response, progress } = inbound;
-    const { socket } = request;
+    const { response, progress } = inbound;
     this.#running.add(inbound);
-    progress.crossedClose = !this.#connections.beginRequest(socket);
+    progress.crossedClose = !this.#connections.beginRequest(inbound);
     response.once("close", () => {
       this.#running.delete(inbound);
       recordRequestEnd(inbound, this.#dependencies);
-      this.#connections.endRequest(socket, this.#dependencies.now());
+      this.#connections.endRequest(inbound, this.#dependencies.now());
     });
     if (progress.crossedClose) {
       return progress.cut(response, "connection_closed");
@@ -155,13 +157,15 @@
 function respondToClientError(
   error: NodeJS.ErrnoException,
   socket: Socket,
-  log: Logger,
+  { connections, log }: { connections: CallerConnections; log: Logger },
 ): void {
+  if (connections.isClosing(socket) && error.code !== "ECONNRESET") return;
   log.info({ event: "malformed", reason: error.code ?? error.message });
   if (!socket.writable || error.code === "ECONNRESET") {
     socket.destroy();
     return;
   }
+  if (connections.closeAfterResponses(socket)) return;
   const status = STATUS_BY_ERROR_CODE[error.code ?? ""] ?? "400 Bad Request";
   socket.end(
     `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -232,7 +232,7 @@
     if (outcome === SendOutcome.Answered) {
       return { kind: OutcomeKind.Relayed, label: observedOutcome };
     }
-    if (outcome === SendOutcome.InputsLost && inputs !== NO_INPUTS) {
+    if (outcome === SendOutcome.InputsLost) {
       return undefined;
     }
     tried.add(endpoint.id);
