Do not reject malformed bytes in the place of a running request's answer

On an entry host, a caller whose request was running was told "not_run" with 400, 431 or 408 in the place of its answer, or found such a response within its stream. It happened when bytes that are no request followed on the same connection, among them a next head that is sent too slowly.

Cause: the same as on gateway hosts, in the server of the entry hosts. It uses the same module now: responses that are due are sent first, then the connection is closed.

Evidence: test/http_api/caller_server.test.ts on the code before: 6 of 7 failed ("HTTP/1.1 408 Request Timeout" for a request that was running). All pass now, in two runs with the other tests of the API. The seventh held before: the same bytes without a request are rejected as not run.

Looked at elsewhere: the servers for peers, metrics and readiness have no handler of their own; Node's own writes nothing once a response has begun. The readiness and metrics servers answer at once, so nothing is due there.

--- a/src/http_api/caller_server.ts
+++ b/src/http_api/caller_server.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers of an entry host, with limits on their requests. */
 import { createServer, type Server } from "node:http";
 import type { Socket } from "node:net";
+import { ConnectionRequests } from "../utils/connection_requests.ts";
 import type { CallerApi } from "./caller_api.ts";
 
 /** Limits on requests and connections. */
@@ -33,17 +34,29 @@
     requestTimeout: limits.body_timeout_ms,
     connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     joinDuplicateHeaders: false,
-  }, api.handle);
+  });
   server.maxConnections = limits.connections;
-  server.on("clientError", respondToClientError);
+  const requests = new ConnectionRequests();
+  server.on("request", (request, response) => {
+    const pending = { request, response };
+    requests.add(pending);
+    response.once("close", () => requests.remove(pending));
+    api.handle(request, response);
+  });
+  server.on(
+    "clientError",
+    (error, socket) => respondToClientError(error, socket as Socket, requests),
+  );
   return server;
 }
 
 function respondToClientError(
   error: NodeJS.ErrnoException,
   socket: Socket,
+  requests: ConnectionRequests,
 ): void {
   if (!socket.writable) return void socket.destroy();
+  if (requests.closeAfterResponses(socket)) return;
   const status = STATUS_BY_ERROR_CODE.get(error.code ?? "") ??
     "400 Bad Request";
   const code = Number.parseInt(status, 10);
