Share what tests of scripted endpoints have in common

Three test files registered all endpoints of a service at the address of a server of their own and waited until the hosts knew it, each with its own copy; two built the same client for stage calls. Both now stand once, in the stand-ins: `GatewayFleet.redirectEngines` and piece_calls.ts. The new wait counts the changes since the call on every host, where two copies looked at one host and at all lines since its start, so it waits at least as long as each of them.

No check changed.

--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -116,6 +116,25 @@
     });
   }
 
+  /**
+   * Registers all engines of a service at one address, for a server that takes
+   * their place, and waits until every gateway knows it.
+   */
+  async redirectEngines(service: Service, address: string): Promise<void> {
+    const engines = this.engines.get(service) ?? [];
+    const changes = ({ logLines }: RunningGateway) =>
+      logLines.filter((line) => line.includes("event=endpoint ")).length;
+    const before = this.gateways.map(changes);
+    for (const engine of engines) {
+      this.registerEngine(service, engine, { address });
+    }
+    await waitUntil(() =>
+      this.gateways.every((gateway, n) =>
+        changes(gateway) >= (before[n] ?? 0) + engines.length
+      )
+    );
+  }
+
   /** Finds an engine of a service by index; throws if absent. */
   engine(service: Service, index = 0): Engine {
     const engine = this.engines.get(service)?.[index];
--- a/test/batching/foreign_answers.test.ts
+++ b/test/batching/foreign_answers.test.ts
@@ -8,15 +8,15 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { test, type TestContext } from "node:test";
-import { deploymentCodec } from "../../platform/codec.ts";
 import {
   type PieceCallResult,
   PieceCallResultKind,
 } from "../../src/batching/piece_call.ts";
-import { createPieceClient } from "../../src/batching/piece_client.ts";
 import { EndpointAgents } from "../../src/endpoints/endpoint_agents.ts";
-import { createLogger } from "../../src/logging/logger.ts";
-import { RouteEndpointState } from "../../src/routes/types.ts";
+import {
+  createSingleConnectionClient,
+  pieceEndpoint,
+} from "../../stand_ins/deployment/piece_calls.ts";
 
 const CALL_TIMEOUT_MS = 2_000;
 const DELAYS_MS = [0, 5, 50];
@@ -74,30 +74,15 @@
   await once(server, "listening");
   t.after(() => server.close());
   const { port } = server.address() as AddressInfo;
-  return { address: `127.0.0.1:${port}`, repeats: () => repeats };
+  return { port, repeats: () => repeats };
 }
 
-function createClient(t: TestContext, address: string) {
+function createClient(t: TestContext, port: number) {
   const agents = new EndpointAgents(() => 1);
   t.after(() => agents.close());
-  const client = createPieceClient({
-    codec: deploymentCodec,
-    agents,
-    // One connection, so that calls wait for it.
-    pool: () => undefined,
-    poolAt: () => undefined,
-    log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
-    now: () => performance.now(),
-  });
-  const endpoint = {
-    id: "encode-1",
-    pool: "encode",
-    address,
-    availability_zone: "a",
-    slots: 1,
-    state: RouteEndpointState.Ready,
-    born_ms: 1,
-  };
+  // One connection, so that calls wait for it.
+  const client = createSingleConnectionClient(agents);
+  const endpoint = pieceEndpoint(port);
   const call = (key: string) =>
     client.call(endpoint, [{
       index: 0,
@@ -107,7 +92,10 @@
       stage: 0,
       remaining_ms: 1_000,
     }], CALL_TIMEOUT_MS);
-  return { call, free: (handle: string) => client.free(address, [handle]) };
+  return {
+    call,
+    free: (handle: string) => client.free(endpoint.address, [handle]),
+  };
 }
 
 /** The handle of an answer; undefined if it has none. */
@@ -120,8 +108,8 @@
 for (const [description, text] of Object.entries(EARLIER)) {
   for (const delay_ms of DELAYS_MS) {
     test(`after ${description} once more, ${delay_ms} ms late, no call gets another's results`, async (t) => {
-      const { address, repeats } = await startServer(t, { text, delay_ms });
-      const { call } = createClient(t, address);
+      const { port, repeats } = await startServer(t, { text, delay_ms });
+      const { call } = createClient(t, port);
       const keys = ["k1", "k2", "k3", "k4", "k5", "k6"];
       const results = await Promise.all(keys.map(call));
       assert.ok(repeats() > 0);
@@ -153,7 +141,7 @@
   await once(server, "listening");
   t.after(() => server.close());
   const { port } = server.address() as AddressInfo;
-  const { call } = createClient(t, `127.0.0.1:${port}`);
+  const { call } = createClient(t, port);
   const [refused, answered] = await Promise.all([call("k1"), call("k2")]);
   assert.equal(refused.kind, PieceCallResultKind.Full);
   assert.equal(handleOf(answered), "h/k2");
@@ -161,8 +149,8 @@
 
 test("a refused call that frees results closes its connection", async (t) => {
   const text = EARLIER["a refusal"];
-  const { address, repeats } = await startServer(t, { text, delay_ms: 0 });
-  const { call, free } = createClient(t, address);
+  const { port, repeats } = await startServer(t, { text, delay_ms: 0 });
+  const { call, free } = createClient(t, port);
   assert.equal(handleOf(await call("k1")), "h/k1");
   const [freed, next] = await Promise.all([
     free("h/k1"),
--- a/test/batching/piece_client.test.ts
+++ b/test/batching/piece_client.test.ts
@@ -4,15 +4,13 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { after, before, test } from "node:test";
-import { deploymentCodec } from "../../platform/codec.ts";
 import { PieceCallResultKind } from "../../src/batching/piece_call.ts";
-import { createPieceClient } from "../../src/batching/piece_client.ts";
 import { EndpointAgents } from "../../src/endpoints/endpoint_agents.ts";
-import { createLogger } from "../../src/logging/logger.ts";
+import type { RouteEndpoint } from "../../src/routes/types.ts";
 import {
-  type RouteEndpoint,
-  RouteEndpointState,
-} from "../../src/routes/types.ts";
+  createSingleConnectionClient,
+  pieceEndpoint,
+} from "../../stand_ins/deployment/piece_calls.ts";
 
 const CALL_TIMEOUT_MS = 2_000;
 
@@ -21,14 +19,7 @@
 let answers: string[];
 let connections = 0;
 const agents = new EndpointAgents(() => 1);
-const client = createPieceClient({
-  codec: deploymentCodec,
-  agents,
-  pool: () => undefined,
-  poolAt: () => undefined,
-  log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
-  now: () => performance.now(),
-});
+const client = createSingleConnectionClient(agents);
 
 before(async () => {
   server = createServer((request, response) => {
@@ -40,15 +31,7 @@
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
-  endpoint = {
-    id: "encode-1",
-    pool: "encode",
-    address: `127.0.0.1:${port}`,
-    availability_zone: "a",
-    slots: 1,
-    state: RouteEndpointState.Ready,
-    born_ms: 1,
-  };
+  endpoint = pieceEndpoint(port);
 });
 after(() => {
   agents.close();
--- a/test/forwarding/endless_bytes.test.ts
+++ b/test/forwarding/endless_bytes.test.ts
@@ -86,14 +86,7 @@
   const fleet = new GatewayFleet({ gateways: 1 });
   t.after(() => fleet.stop());
   await fleet.start();
-  for (const engine of fleet.engines.get(service) ?? []) {
-    fleet.registerEngine(service, engine, { address });
-  }
-  await waitUntil(() =>
-    fleet.gateways.every(({ logLines }) =>
-      logLines.filter((line) => line.includes("event=endpoint ")).length >= 2
-    )
-  );
+  await fleet.redirectEngines(service, address);
   return fleet;
 }
 
--- a/test/forwarding/resumed_streams.test.ts
+++ b/test/forwarding/resumed_streams.test.ts
@@ -13,7 +13,6 @@
   ApiKey,
   GatewayFleet,
   Service,
-  waitUntil,
 } from "../../stand_ins/deployment/gateway_fleet.ts";
 
 const ATTEMPT_ID = "a1";
@@ -135,14 +134,7 @@
   t.after(() => server.close());
   await fleet.start();
   const { port } = server.address() as AddressInfo;
-  for (const engine of fleet.engines.get(Service.Model) ?? []) {
-    fleet.registerEngine(Service.Model, engine, {
-      address: `127.0.0.1:${port}`,
-    });
-  }
-  await waitUntil(() =>
-    logLines(fleet, "event=endpoint ").length === MODELS.length
-  );
+  await fleet.redirectEngines(Service.Model, `127.0.0.1:${port}`);
   return { fleet, seen };
 }
 
@@ -366,30 +358,26 @@
   assert.equal(view.end, "complete");
 });
 
-test("a stream that broke within its first event has the next endpoint's head", async (t) => {
-  const answers = [broken("id: 1\nda"), { body: [event(1), event(2)] }];
-  const { fleet } = await startFleet(t, answers);
+async function assertSecondAnswer(t: TestContext, first: Answer) {
+  const { fleet } = await startFleet(t, [
+    first,
+    { body: [event(1), event(2)] },
+  ]);
   assert.deepEqual(await callStream(fleet), {
     status: 200,
     signature: "answer-2",
     text: BEGUN,
     end: "complete",
   });
+}
+
+test("a stream that broke within its first event has the next endpoint's head", async (t) => {
+  await assertSecondAnswer(t, broken("id: 1\nda"));
 });
 
 test("an error typed as a stream gives way to the next endpoint's stream", async (t) => {
   for (const breaks of [false, true]) {
-    const answers = [
-      { status: 500, body: [event(1)], breaks },
-      { body: [event(1), event(2)] },
-    ];
-    const { fleet } = await startFleet(t, answers);
-    assert.deepEqual(await callStream(fleet), {
-      status: 200,
-      signature: "answer-2",
-      text: BEGUN,
-      end: "complete",
-    });
+    await assertSecondAnswer(t, { status: 500, body: [event(1)], breaks });
   }
 });
 
--- a/test/forwarding/unframed_streams.test.ts
+++ b/test/forwarding/unframed_streams.test.ts
@@ -11,7 +11,6 @@
   ApiKey,
   GatewayFleet,
   Service,
-  waitUntil,
 } from "../../stand_ins/deployment/gateway_fleet.ts";
 import { sendJsonRequest } from "../../stand_ins/json_client.ts";
 
@@ -66,16 +65,7 @@
   t.after(() => server.close());
   await fleet.start();
   const { port } = server.address() as AddressInfo;
-  for (const engine of fleet.engines.get(Service.Model) ?? []) {
-    fleet.registerEngine(Service.Model, engine, {
-      address: `127.0.0.1:${port}`,
-    });
-  }
-  await waitUntil(() =>
-    fleet.gateways[0]?.logLines.filter((line) =>
-      line.includes("event=endpoint ")
-    ).length === 2
-  );
+  await fleet.redirectEngines(Service.Model, `127.0.0.1:${port}`);
   return fleet;
 }
 
