--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -45,8 +45,9 @@
   status: number;
   /** Attempt id that it bears; undefined without one. */
   attempt_id?: string;
-  /** Whether it is a failure of a request that was executed. */
+  /** Whether it is an answer to a request that was executed. */
   executed?: boolean;
+  signed?: boolean;
   /** Time from the arrival of the request until it is written. */
   delay_ms: number;
 }
@@ -306,12 +307,14 @@
 
   async #repeatRefusal(socket: Socket): Promise<void> {
     if (!this.#answeredSockets.has(socket)) return;
-    const { status, attempt_id, executed, delay_ms } = this.repeatedRefusal;
+    const { status, attempt_id, executed, signed, delay_ms } =
+      this.repeatedRefusal;
     await sleep(delay_ms);
     this.repeatedRefusals += 1;
     const headers = [
       ...(attempt_id === undefined ? [] : [`X-Attempt-Id: ${attempt_id}`]),
       ...(executed ? [] : ["X-Not-Executed: 1"]),
+      ...(signed ? ["X-Response-Signature: s"] : []),
       "Content-Length: 0",
     ];
     socket.write(
--- a/test/forwarding/foreign_refusals.test.ts
+++ b/test/forwarding/foreign_refusals.test.ts
@@ -128,13 +128,15 @@
     if (answer.status === 200) assert.match(answer.text, /^desk-\d:safe$/);
   });
 
-  test(`a repeated failure with ${description} is not passed on as the answer`, async (t) => {
+  test(`a repeated answer with ${description} is not passed on as the answer`, async (t) => {
     const fleet = await startFleet(t);
-    for (const status of [404, 500]) {
-      const earlier = { status, attempt_id, delay_ms: 5, executed: true };
+    for (const status of [200, 404, 500]) {
+      const delay_ms = 5;
+      const origin = { attempt_id, executed: true, signed: true };
+      const earlier = { status, delay_ms, ...origin };
       for (const engine of engines(fleet)) engine.repeatedRefusal = earlier;
       injectFault(fleet, EngineFault.RepeatedRefusal);
-      const answer = await call(fleet, "/stamp/x", `failure-${status}`);
+      const answer = await call(fleet, "/stamp/x", `answer-${status}`);
       assert.ok([0, 502].includes(answer.status), `${answer.status}`);
       injectFault(fleet, EngineFault.None);
       await Promise.all([1, 2, 3].map(() => call(fleet, "/lookup/x")));
