Count what is transferred as progress of a call to an endpoint

On an entry host, a sound endpoint that read a large request or sent its answer slowly was cut off as silent after the pool's `progress_timeout_ms`, though data moved all the while; the call was repeated elsewhere or failed, and counted against the endpoint.

Cause: the timer ran from the start of the call to the head of the response, uploading included, and for JSON answers to their end; only streams of completions restarted it. The request is now written part by part, and each part that was transferred and each chunk of an answer restarts the timer. A call that has ended starts no timer any more.

--- a/src/endpoints/completions.ts
+++ b/src/endpoints/completions.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage } from "node:http";
 import { createParser } from "eventsource-parser";
 import { AttemptError, AttemptOutcome, type StageResponse } from "./attempt.ts";
+import { LengthLimit } from "./message_body.ts";
 
 /** Callbacks invoked while a stream is read. */
 export interface CompletionCallbacks {
@@ -45,11 +46,13 @@
     onEvent: (event) => pendingData.push(event.data),
   });
   const texts: string[] = [];
+  const lengthLimit = new LengthLimit();
   let cost = 0;
   response.setEncoding("utf8");
   // The connection is reused, so leaving the loop must not destroy it.
   const chunks = response.iterator({ destroyOnReturn: false });
   for await (const chunk of chunks) {
+    lengthLimit.add((chunk as string).length);
     parser.feed(chunk as string);
     for (const data of pendingData.splice(0)) {
       if (data === TERMINAL_EVENT_DATA) return { output: texts.join(""), cost };
--- a/src/endpoints/endpoint_client.ts
+++ b/src/endpoints/endpoint_client.ts
@@ -15,6 +15,7 @@
 import { readCompletions } from "./completions.ts";
 import type { EndpointConnections } from "./endpoint_connections.ts";
 import { LOAD_REPORT_HEADER, parseLoadReport } from "./load_report.ts";
+import { readText, writeBody } from "./message_body.ts";
 
 /** Runs one attempt; never rejects. */
 export type CallEndpoint = (attempt: Attempt) => Promise<AttemptResult>;
@@ -44,6 +45,7 @@
   #first_byte_ms = 0;
   #response: IncomingMessage | undefined;
   #progressTimer: NodeJS.Timeout | undefined;
+  #settled = false;
   #abortOutcome: AttemptOutcome | undefined;
 
   constructor(
@@ -73,6 +75,7 @@
       clientRequest.destroy();
       return this.#failedResult(error as Error);
     } finally {
+      this.#settled = true;
       clearTimeout(attemptTimer);
       clearTimeout(this.#progressTimer);
       this.#attempt.signal.removeEventListener("abort", onCancel);
@@ -81,7 +84,7 @@
 
   #sendRequest(): ClientRequest {
     const { endpoint, pool, idempotent } = this.#attempt;
-    const body = requestBody(this.#attempt);
+    const body = Buffer.from(requestBody(this.#attempt));
     const { ip, port } = this.#connections.parsedAddress(
       endpoint.address,
     );
@@ -93,7 +96,7 @@
       path: pool.path,
       headers: {
         "content-type": "application/json",
-        "content-length": Buffer.byteLength(body),
+        "content-length": body.length,
         [REQUEST_ID_HEADER]: this.#attempt.attempt_id,
       },
     });
@@ -101,7 +104,12 @@
       if (!socket.connecting) this.#maybeSent = true;
       else socket.once("connect", () => this.#maybeSent = true);
     });
-    clientRequest.end(body);
+    this.#restartProgressTimer(clientRequest);
+    writeBody(
+      clientRequest,
+      body,
+      () => this.#restartProgressTimer(clientRequest),
+    );
     return clientRequest;
   }
 
@@ -112,19 +120,21 @@
         "Cancelled before sending",
       );
     }
-    this.#restartProgressTimer(clientRequest);
     const response = await waitForResponse(clientRequest);
     this.#response = response;
     this.#first_byte_ms = this.#now() - this.#started_ms;
     this.#verifyRequestId(response);
-    if (response.statusCode !== HTTP_OK) throw await errorFromStatus(response);
+    const onProgress = () => this.#restartProgressTimer(clientRequest);
+    if (response.statusCode !== HTTP_OK) {
+      throw await errorFromStatus(response, onProgress);
+    }
     if (this.#attempt.pool.protocol === EndpointProtocol.Json) {
-      return await readJson(response);
+      return await readJson(response, onProgress);
     }
     return await readCompletions(response, {
       onText: this.#attempt.onText,
       onBackpressure: () => clearTimeout(this.#progressTimer),
-      onProgress: () => this.#restartProgressTimer(clientRequest),
+      onProgress,
     });
   }
 
@@ -143,6 +153,7 @@
 
   #restartProgressTimer(clientRequest: ClientRequest): void {
     clearTimeout(this.#progressTimer);
+    if (this.#settled) return;
     this.#progressTimer = setTimeout(
       () => this.#abort(clientRequest, AttemptOutcome.TimedOut),
       this.#attempt.pool.progress_timeout_ms,
@@ -222,18 +233,22 @@
 
 async function errorFromStatus(
   response: IncomingMessage,
+  onProgress: () => void,
 ): Promise<AttemptError> {
   const rejected = response.statusCode === HTTP_TOO_MANY_REQUESTS ||
     response.statusCode === HTTP_SERVICE_UNAVAILABLE;
-  await readText(response);
+  await readText(response, onProgress);
   return new AttemptError(
     rejected ? AttemptOutcome.Rejected : AttemptOutcome.Failed,
     `The endpoint answered ${response.statusCode}`,
   );
 }
 
-async function readJson(response: IncomingMessage): Promise<StageResponse> {
-  const body = parseObject(await readText(response));
+async function readJson(
+  response: IncomingMessage,
+  onProgress: () => void,
+): Promise<StageResponse> {
+  const body = parseObject(await readText(response, onProgress));
   if (body === undefined || !("output" in body)) {
     throw new AttemptError(
       AttemptOutcome.Failed,
@@ -252,13 +267,3 @@
     return undefined;
   }
 }
-
-function readText(response: IncomingMessage): Promise<string> {
-  return new Promise((resolve, reject) => {
-    let text = "";
-    response.setEncoding("utf8");
-    response.on("data", (chunk: string) => text += chunk);
-    response.on("error", reject);
-    response.on("end", () => resolve(text));
-  });
-}
--- a/src/records/types.ts
+++ b/src/records/types.ts
@@ -74,7 +74,7 @@
   model: string;
   /** Timeout of one attempt. */
   attempt_timeout_ms: number;
-  /** Timeout without any data while a response is pending. */
+  /** Timeout without any data of the request or of the pending response. */
   progress_timeout_ms: number;
   /** Whether responses repeat the attempt's `x-request-id`. */
   echoes_request_id: boolean;
