Decode what an endpoint says of itself once, and tell peers by one way

An answer's load and rate limit were decoded apart, taken in at different places, and the notices of a limit were sent by the rate limit service itself. The two next things that an endpoint may say of itself (that it leaves, and that it wants a pause) would have added a way each.

EndpointReport (src/endpoint_reports/) is now the decoded word of an endpoint; EndpointReports.record takes it in and hands each part to what keeps it; EndpointNotices holds the issuer's fan-out that the rate limit service had, and carries any news of an endpoint. The names of the procedures between hosts and the messages stay as they were, so hosts of both releases understand each other. No behaviour changes: the load of an answer that belongs to another request still counts, its limit does not.

--- a/src/batching/endpoint_tracker.ts
+++ b/src/batching/endpoint_tracker.ts
@@ -3,7 +3,7 @@
  * backoff after failures, and how its call times compare with the pool's
  * configured times. Does no I/O and reads no clock: callers pass the time in.
  */
-import type { NamedRateLimit } from "../forwarding/protocol_codec.ts";
+import type { NamedRateLimit } from "../endpoint_reports/endpoint_report.ts";
 import type { BatchLimits, RouteEndpoint } from "../routes/types.ts";
 import { CALL_SHARE, intervalMs } from "./pacing.ts";
 
--- a/src/batching/pacing.ts
+++ b/src/batching/pacing.ts
@@ -6,7 +6,7 @@
 import {
   type NamedRateLimit,
   RateLimitKind,
-} from "../forwarding/protocol_codec.ts";
+} from "../endpoint_reports/endpoint_report.ts";
 import { MIN_PER_S } from "../rate_limits/types.ts";
 
 /** Shares of the rate for calls and for freeing their results. */
--- a/src/batching/piece_call.ts
+++ b/src/batching/piece_call.ts
@@ -1,5 +1,5 @@
 /** Calls that have an endpoint compute pieces, and their results. */
-import type { NamedRateLimit } from "../forwarding/protocol_codec.ts";
+import type { NamedRateLimit } from "../endpoint_reports/endpoint_report.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 import type { PieceRequest, PieceResponse } from "./types.ts";
 
--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -158,7 +158,7 @@
   }, options);
   if (response.kind === "failed") return failed(response.reason);
   const metadata = codec.decodeResponse(response.status, response.headers);
-  const { rate_limit } = metadata;
+  const { rate_limit } = metadata.report;
   options.freePacer.observe(endpoint.address, rate_limit);
   if (metadata.wrong_endpoint) return failed("wrong_endpoint");
   if (metadata.not_run) return { kind: PieceCallResultKind.Full, rate_limit };
--- /dev/null
+++ b/src/endpoint_reports/endpoint_notices.ts
@@ -0,0 +1,94 @@
+/**
+ * Tells all hosts what an endpoint has begun to say of itself. A host that learns
+ * it from a response tells one host, the first live one of a rendezvous ranking
+ * for the endpoint's incarnation, which tells all others; so one endpoint's news
+ * spreads once, however many hosts get it with a response at the same time.
+ */
+import { z } from "zod";
+import type { Logger } from "../logging/logger.ts";
+import { RankedHosts } from "../membership/ranked_hosts.ts";
+import { spread } from "../peers/spread.ts";
+
+/** What an endpoint has begun to say of itself. */
+export const endpointNoticeSchema = z.object({
+  /** Incarnation of the endpoint. */
+  endpoint: z.string(),
+  /** Requests per second that it takes; undefined without a limit. */
+  per_s: z.number().nonnegative().optional(),
+});
+
+/** What an endpoint has begun to say of itself. */
+export type EndpointNotice = z.infer<typeof endpointNoticeSchema>;
+
+/** Calls to other hosts; they reject if the host does not respond. */
+export interface EndpointNoticePeers {
+  /** Tells the host that tells all others. */
+  reportEndpoint(address: string, notice: EndpointNotice): Promise<void>;
+  /** Tells a host, which passes the notice on to the targets. */
+  announceEndpoint(
+    address: string,
+    notice: EndpointNotice,
+    targets: string[],
+  ): Promise<void>;
+}
+
+/** Dependencies of an {@linkcode EndpointNotices}. */
+export interface EndpointNoticesOptions {
+  /** Address at which peers reach this host. */
+  self: string;
+  /** Addresses of all hosts, this one included. */
+  hosts: () => string[];
+  peers: EndpointNoticePeers;
+  /** Applies the notice of another host, or this host's own. */
+  apply: (notice: EndpointNotice) => void;
+  log: Logger;
+  now: () => number;
+  /** Aborts when this host stops. */
+  signal: AbortSignal;
+}
+
+/** Sends notices about endpoints to all hosts and applies them here. */
+export class EndpointNotices {
+  #options: EndpointNoticesOptions;
+  #rankedHosts: RankedHosts;
+
+  constructor(options: EndpointNoticesOptions) {
+    this.#options = options;
+    this.#rankedHosts = new RankedHosts(options);
+  }
+
+  /** Has all hosts told what a response to this host says. */
+  report(notice: EndpointNotice): void {
+    const { peers } = this.#options;
+    void this.#rankedHosts.call({
+      key: notice.endpoint,
+      count: 1,
+      local: () => this.handleReport(notice),
+      remote: (host) => peers.reportEndpoint(host, notice),
+    });
+  }
+
+  /** Handles another host's report: tells all hosts. */
+  handleReport(notice: EndpointNotice): void {
+    const { self, hosts } = this.#options;
+    const targets = hosts().filter((address) => address !== self);
+    this.handleNotice(notice, targets);
+  }
+
+  /** Applies a notice and passes it on. */
+  handleNotice(notice: EndpointNotice, targets: string[]): void {
+    const { peers, apply, log, signal } = this.#options;
+    apply(notice);
+    if (targets.length === 0) return;
+    void spread(targets, {
+      send: async (address, rest) => {
+        await peers.announceEndpoint(address, notice, rest);
+        return [];
+      },
+      onFailure: (peer, error) =>
+        log.info({ event: "notice_failed", peer, error: error.message }),
+      redeliveryDelays_ms: [],
+      signal,
+    });
+  }
+}
--- a/src/forwarding/complete_exchange.ts
+++ b/src/forwarding/complete_exchange.ts
@@ -3,6 +3,7 @@
  * to the caller, if it is valid.
  */
 import type { StageResult } from "../batching/types.ts";
+import { RateLimitKind } from "../endpoint_reports/endpoint_report.ts";
 import {
   discardResponse,
   type EndpointResponse,
@@ -12,7 +13,7 @@
 } from "../endpoints/exchange.ts";
 import { CallKind, type RouteEndpoint } from "../routes/types.ts";
 import { ObservedOutcome } from "../routing/observed_load.ts";
-import { RateLimitKind, type ResponseMetadata } from "./protocol_codec.ts";
+import type { ResponseMetadata } from "./protocol_codec.ts";
 import { relayBuffered, type RelayResult, relayStream } from "./relay.ts";
 import { originOf, ResponseOrigin } from "./response_origin.ts";
 import { ResponseUse, useOf } from "./response_use.ts";
@@ -87,7 +88,7 @@
     onResponse: () => void;
   },
 ): Promise<SendResult> {
-  const { now, codec, load } = context.dependencies;
+  const { now, codec, reports } = context.dependencies;
   const received_ms = now();
   if (result.kind === ExchangeOutcome.NotSent) {
     const failure = resultAfterFailure(context, SendOutcome.NotRun, {
@@ -106,22 +107,19 @@
   }
   const { response } = result;
   const metadata = codec.decodeResponse(response.status, response.headers);
-  const { rate_limit } = metadata;
   const origin = originOf(
     { ...response, metadata },
     context.admitted.metadata.attempt_id,
   );
-  if (origin !== ResponseOrigin.Own) {
+  const isOwn = origin === ResponseOrigin.Own;
+  reports.record(endpoint, metadata.report, isOwn ? sent_ms : undefined);
+  if (!isOwn) {
     discardResponse(response);
     return resultAfterFailure(context, SendOutcome.MayHaveRun, {
       first_byte_ms: received_ms,
       reason: origin,
     });
   }
-  if (metadata.load !== undefined) {
-    load.forEndpoint(endpoint).recordLoad(metadata.load, received_ms);
-  }
-  context.dependencies.rateLimits.observe(endpoint, { rate_limit, sent_ms });
   if (metadata.not_run) {
     // A copy of it may follow where the answer to the next request is due.
     discardResponse(response);
@@ -153,6 +151,7 @@
     first_byte_ms: received_ms,
     status: response.status,
   });
+  const { rate_limit } = metadata.report;
   return rate_limit.kind === RateLimitKind.Limited
     ? { ...sent, limit_per_s: rate_limit.per_s }
     : sent;
--- a/src/forwarding/dependencies.ts
+++ b/src/forwarding/dependencies.ts
@@ -3,6 +3,7 @@
 import type { ActiveConfiguration } from "../store_sync/active_configuration.ts";
 import type { GraphOptions } from "../batching/stage_graph.ts";
 import type { EndpointAgents } from "../endpoints/endpoint_agents.ts";
+import type { EndpointReports } from "../endpoint_reports/endpoint_reports.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { ForwardMetrics } from "../metrics/forward_metrics.ts";
 import type { ObservedLoad } from "../routing/observed_load.ts";
@@ -21,6 +22,7 @@
   retryBudget: PoolRetryBudgets;
   quarantine: QuarantineService;
   rateLimits: RateLimitService;
+  reports: EndpointReports;
   stageGraph: GraphOptions;
   metrics: ForwardMetrics;
   /** Aborts when the host is about to stop and ends the requests left. */
--- a/src/forwarding/protocol_codec.ts
+++ b/src/forwarding/protocol_codec.ts
@@ -4,9 +4,9 @@
  * names.
  */
 import type { PieceRequest, PieceResponse } from "../batching/types.ts";
+import type { EndpointReport } from "../endpoint_reports/endpoint_report.ts";
 import type { RawHeaders } from "../endpoints/exchange.ts";
 import type { PromptPart, RouteEndpoint } from "../routes/types.ts";
-import type { ReportedLoad } from "../routing/observed_load.ts";
 
 /** Metadata from the headers of a caller's request. */
 export interface RequestMetadata {
@@ -63,24 +63,8 @@
   inputs_gone: boolean;
   /** Whether the body is a stream of server-sent events. */
   stream: boolean;
-  /** The endpoint's load; undefined if it reported none. */
-  load: ReportedLoad | undefined;
-  rate_limit: NamedRateLimit;
-}
-
-/** The rate limit that a response of an endpoint names. */
-export type NamedRateLimit =
-  | { kind: RateLimitKind.None }
-  /** Requests per second that the endpoint takes from all hosts together. */
-  | { kind: RateLimitKind.Limited; per_s: number }
-  /** Malformed: what the endpoint named before stays in force. */
-  | { kind: RateLimitKind.Unreadable };
-
-/** The kinds of {@linkcode NamedRateLimit}. */
-export enum RateLimitKind {
-  None = "none",
-  Limited = "limited",
-  Unreadable = "unreadable",
+  /** What the endpoint says of itself. */
+  report: EndpointReport;
 }
 
 /** An HTTP request to an endpoint, ready to send. */
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -20,6 +20,7 @@
   createStateSnapshot,
 } from "./store_sync/state_snapshot.ts";
 import { type CheckResult, formatFindings } from "./findings/finding.ts";
+import { EndpointReports } from "./endpoint_reports/endpoint_reports.ts";
 import { EndpointAgents } from "./endpoints/endpoint_agents.ts";
 import type { GatewayAdapter, GatewayStore } from "./forwarding/adapter.ts";
 import {
@@ -233,6 +234,16 @@
     peers,
     log,
     now,
+  });
+  const load = new ObservedLoad();
+  const reports = new EndpointReports({
+    self,
+    hosts: () => members.addresses(),
+    peers,
+    load,
+    rateLimits,
+    log,
+    now,
     signal,
   });
   const feedClients = new FeedStreamClients({ log, now });
@@ -300,6 +311,8 @@
     store,
     quarantine,
     rateLimits,
+    load,
+    reports,
     syncOptions,
     configurationListeners,
     endpointListeners,
@@ -364,10 +377,11 @@
     configuration: context.configuration,
     endpoints: context.endpoints,
     agents: context.agents,
-    load: new ObservedLoad(),
+    load: context.load,
     retryBudget: context.retryBudget,
     quarantine: context.quarantine,
     rateLimits: context.rateLimits,
+    reports: context.reports,
     stageGraph: {
       run: (job, signal) => jobRouter.run(job, signal),
       free: (freed) => jobRouter.free(freed),
@@ -402,9 +416,9 @@
     },
     snapshot: () => createStateSnapshot(syncOptions),
     handlePermitRequest: (request) => context.rateLimits.handleRequest(request),
-    handleLimitReport: (notice) => context.rateLimits.handleReport(notice),
-    handleLimitNotice: (notice, targets) =>
-      context.rateLimits.handleNotice(notice, targets),
+    handleEndpointReport: (notice) => context.reports.handleReport(notice),
+    handleEndpointNotice: (notice, targets) =>
+      context.reports.handleNotice(notice, targets),
     handleCrashReport: (report) => context.quarantine.handleReport(report),
     handleAnsweredParts: (parts) => context.quarantine.handleAnswered(parts),
     handleNotice: (notice, route) =>
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -11,6 +11,10 @@
 import { HttpClient } from "../utils/http_client.ts";
 import { createHttpFetch } from "../utils/http_fetch.ts";
 import { FREED_PATH, JOB_PATH } from "./job_messages.ts";
+import type {
+  EndpointNotice,
+  EndpointNoticePeers,
+} from "../endpoint_reports/endpoint_notices.ts";
 import type { NoticeRoute } from "../quarantine/quarantine_notices.ts";
 import type { QuarantinePeers } from "../quarantine/quarantine_service.ts";
 import type {
@@ -19,11 +23,7 @@
   QuarantineNotice,
 } from "../quarantine/types.ts";
 import type { RateLimitPeers } from "../rate_limits/rate_limit_service.ts";
-import type {
-  LimitNotice,
-  PermitReply,
-  PermitRequest,
-} from "../rate_limits/types.ts";
+import type { PermitReply, PermitRequest } from "../rate_limits/types.ts";
 import type { GatewayRpcRouter } from "./gateway_rpc_router.ts";
 
 /** Timeout of calls that the peer answers without waiting. */
@@ -45,7 +45,11 @@
  * host does not respond or responds with an error.
  */
 export class GatewayClients
-  implements BatcherPeers, QuarantinePeers, RateLimitPeers {
+  implements
+    BatcherPeers,
+    EndpointNoticePeers,
+    QuarantinePeers,
+    RateLimitPeers {
   #connections = new Map<string, PeerConnection>();
 
   /** Runs a job at another host. */
@@ -114,15 +118,15 @@
     return await this.#connectionTo(address).trpc.permit.mutate(request);
   }
 
-  /** Tells the issuer of an endpoint that its limit starts or ends. */
-  async reportLimit(address: string, notice: LimitNotice): Promise<void> {
+  /** Tells the host that tells all others what an endpoint says of itself. */
+  async reportEndpoint(address: string, notice: EndpointNotice): Promise<void> {
     await this.#connectionTo(address).trpc.limit_report.mutate(notice);
   }
 
   /** Tells a host, which passes the notice on to the targets. */
-  async announceLimit(
+  async announceEndpoint(
     address: string,
-    notice: LimitNotice,
+    notice: EndpointNotice,
     targets: string[],
   ): Promise<void> {
     const { trpc } = this.#connectionTo(address);
--- a/src/peers/gateway_rpc_router.ts
+++ b/src/peers/gateway_rpc_router.ts
@@ -1,6 +1,10 @@
 /** tRPC procedures between gateway hosts; jobs use plain HTTP instead. */
 import { initTRPC } from "@trpc/server";
 import { z } from "zod";
+import {
+  type EndpointNotice,
+  endpointNoticeSchema,
+} from "../endpoint_reports/endpoint_notices.ts";
 import type { NoticeRoute } from "../quarantine/quarantine_notices.ts";
 import {
   type CrashReply,
@@ -10,8 +14,6 @@
   quarantineNoticeSchema,
 } from "../quarantine/types.ts";
 import {
-  type LimitNotice,
-  limitNoticeSchema,
   type PermitReply,
   type PermitRequest,
   permitRequestSchema,
@@ -33,10 +35,10 @@
   handleAnsweredParts: (parts: string[]) => Promise<void>;
   /** Handles, as the issuer, a request for a permit to send a request. */
   handlePermitRequest: (request: PermitRequest) => PermitReply;
-  /** Handles, as the issuer, the start or the end of a limit. */
-  handleLimitReport: (notice: LimitNotice) => void;
+  /** Tells all hosts what an endpoint has begun to say of itself. */
+  handleEndpointReport: (notice: EndpointNotice) => void;
   /** Passes the notice on to the targets. */
-  handleLimitNotice: (notice: LimitNotice, targets: string[]) => void;
+  handleEndpointNotice: (notice: EndpointNotice, targets: string[]) => void;
   /** Passes the notice on to the targets; resolves to parts that got answers. */
   handleNotice: (
     notice: QuarantineNotice,
@@ -65,12 +67,12 @@
       .mutation(({ input }) => handlers.handleAnsweredParts(input)),
     permit: trpc.procedure.input(permitRequestSchema)
       .mutation(({ input }) => handlers.handlePermitRequest(input)),
-    limit_report: trpc.procedure.input(limitNoticeSchema)
-      .mutation(({ input }) => handlers.handleLimitReport(input)),
+    limit_report: trpc.procedure.input(endpointNoticeSchema)
+      .mutation(({ input }) => handlers.handleEndpointReport(input)),
     limit: trpc.procedure
-      .input(limitNoticeSchema.extend({ targets: z.array(z.string()) }))
+      .input(endpointNoticeSchema.extend({ targets: z.array(z.string()) }))
       .mutation(({ input: { targets, ...notice } }) =>
-        handlers.handleLimitNotice(notice, targets)
+        handlers.handleEndpointNotice(notice, targets)
       ),
     notice: trpc.procedure
       .input(noticeRouteSchema.extend({ notice: quarantineNoticeSchema }))
--- a/src/rate_limits/known_limits.ts
+++ b/src/rate_limits/known_limits.ts
@@ -5,8 +5,8 @@
 import {
   type NamedRateLimit,
   RateLimitKind,
-} from "../forwarding/protocol_codec.ts";
-import type { LimitNotice } from "./types.ts";
+} from "../endpoint_reports/endpoint_report.ts";
+import type { EndpointNotice } from "../endpoint_reports/endpoint_notices.ts";
 
 interface KnownLimit {
   per_s: number;
@@ -39,7 +39,7 @@
   observe(
     { endpoint, rate_limit, sent_ms }: ObservedLimit,
     now_ms: number,
-  ): LimitNotice | undefined {
+  ): EndpointNotice | undefined {
     const known = this.#limits.get(endpoint);
     switch (rate_limit.kind) {
       case RateLimitKind.Unreadable:
@@ -57,7 +57,7 @@
   }
 
   /** Applies the notice of another host; false if nothing changed. */
-  apply({ endpoint, per_s }: LimitNotice, now_ms: number): boolean {
+  apply({ endpoint, per_s }: EndpointNotice, now_ms: number): boolean {
     if (per_s === undefined) return this.#limits.delete(endpoint);
     if (this.#limits.has(endpoint)) return false;
     this.#set(endpoint, per_s, now_ms);
--- a/src/rate_limits/types.ts
+++ b/src/rate_limits/types.ts
@@ -27,17 +27,7 @@
   retry_after_ms: z.number().nonnegative(),
 });
 
-/** The start or the end of an endpoint's limit. */
-export const limitNoticeSchema = z.object({
-  /** Incarnation of the endpoint. */
-  endpoint: z.string(),
-  /** Requests per second; undefined at the end. */
-  per_s: z.number().nonnegative().optional(),
-});
-
 /** A request for permission to send one request to an endpoint. */
 export type PermitRequest = z.infer<typeof permitRequestSchema>;
 /** The reply to a {@linkcode PermitRequest}. */
 export type PermitReply = z.infer<typeof permitReplySchema>;
-/** The start or the end of an endpoint's limit. */
-export type LimitNotice = z.infer<typeof limitNoticeSchema>;
--- a/test/batching/pacing.test.ts
+++ b/test/batching/pacing.test.ts
@@ -5,7 +5,7 @@
 import {
   type NamedRateLimit,
   RateLimitKind,
-} from "../../src/forwarding/protocol_codec.ts";
+} from "../../src/endpoint_reports/endpoint_report.ts";
 import { RouteEndpointState } from "../../src/routes/types.ts";
 
 const LIMITS = {
--- a/test/rate_limits/known_limits.test.ts
+++ b/test/rate_limits/known_limits.test.ts
@@ -3,7 +3,7 @@
 import {
   type NamedRateLimit,
   RateLimitKind,
-} from "../../src/forwarding/protocol_codec.ts";
+} from "../../src/endpoint_reports/endpoint_report.ts";
 import { KnownLimits } from "../../src/rate_limits/known_limits.ts";
 
 const NONE: NamedRateLimit = { kind: RateLimitKind.None };
--- a/test/rate_limits/rate_limit_service.test.ts
+++ b/test/rate_limits/rate_limit_service.test.ts
@@ -5,7 +5,8 @@
 import {
   type NamedRateLimit,
   RateLimitKind,
-} from "../../src/forwarding/protocol_codec.ts";
+} from "../../src/endpoint_reports/endpoint_report.ts";
+import { EndpointNotices } from "../../src/endpoint_reports/endpoint_notices.ts";
 import { createLogger } from "../../src/logging/logger.ts";
 import { rankCandidates } from "../../src/membership/rendezvous_hash.ts";
 import { incarnationOf } from "../../src/routes/incarnation.ts";
@@ -32,6 +33,7 @@
 
 class Cluster {
   readonly services = new Map<string, RateLimitService>();
+  readonly notices = new Map<RateLimitService, EndpointNotices>();
   readonly lost = new Set<string>();
   now_ms = 0;
   calls = 0;
@@ -56,16 +58,40 @@
       peers: {
         requestPermit: async (address, request) =>
           await at(address).handleRequest(request),
-        reportLimit: async (address, notice) =>
-          await at(address).handleReport(notice),
-        announceLimit: async (address, notice, targets) =>
-          await at(address).handleNotice(notice, targets),
       },
       log: this.#log,
       now: () => this.now_ms,
-      signal: new AbortController().signal,
     });
+    const noticesAt = (address: string) =>
+      this.notices.get(at(address)) as EndpointNotices;
     this.services.set(self, service);
+    this.notices.set(
+      service,
+      new EndpointNotices({
+        self,
+        hosts: () => [...this.services.keys()].sort(),
+        peers: {
+          reportEndpoint: async (address, notice) =>
+            await noticesAt(address).handleReport(notice),
+          announceEndpoint: async (address, notice, targets) =>
+            await noticesAt(address).handleNotice(notice, targets),
+        },
+        apply: (notice) => service.apply(notice),
+        log: this.#log,
+        now: () => this.now_ms,
+        signal: new AbortController().signal,
+      }),
+    );
+  }
+
+  /** Has a host get a response, and tell the others what is new. */
+  observe(
+    service: RateLimitService | undefined,
+    observed: { rate_limit: NamedRateLimit; sent_ms: number },
+  ): void {
+    if (service === undefined) throw new Error("no such host");
+    const notice = service.observe(ENDPOINT, observed);
+    if (notice !== undefined) this.notices.get(service)?.report(notice);
   }
 
   get live(): RateLimitService[] {
@@ -93,7 +119,7 @@
   test(`${count} hosts together keep to ${per_s} a second and use it`, async () => {
     const cluster = new Cluster(count);
     const rate_limit = limited(per_s);
-    cluster.live[0]?.observe(ENDPOINT, { rate_limit, sent_ms: 0 });
+    cluster.observe(cluster.live[0], { rate_limit, sent_ms: 0 });
     await sleep(10);
     assert.ok(cluster.live.every((service) => service.isLimited(ENDPOINT)));
     cluster.calls = 0;
@@ -109,10 +135,10 @@
 test("an answer without a limit ends it at all hosts", async () => {
   const cluster = new Cluster(7);
   const observed = { rate_limit: limited(3), sent_ms: 0 };
-  cluster.live[0]?.observe(ENDPOINT, observed);
+  cluster.observe(cluster.live[0], observed);
   await sleep(10);
   cluster.now_ms = 100;
-  cluster.live[5]?.observe(ENDPOINT, { rate_limit: NONE, sent_ms: 50 });
+  cluster.observe(cluster.live[5], { rate_limit: NONE, sent_ms: 50 });
   await sleep(10);
   assert.ok(cluster.live.every((service) => !service.isLimited(ENDPOINT)));
 });
@@ -120,7 +146,7 @@
 test("the loss of the issuer moves its duty to another host", async () => {
   const cluster = new Cluster(5);
   const observed = { rate_limit: limited(2), sent_ms: 0 };
-  for (const service of cluster.live) service.observe(ENDPOINT, observed);
+  for (const service of cluster.live) cluster.observe(service, observed);
   await sleep(10);
   const [first] = [...cluster.services.keys()];
   for (const lost of cluster.services.keys()) {
@@ -135,7 +161,7 @@
 test("a malformed reply of the issuer is no permit", async () => {
   const cluster = new Cluster(2);
   const observed = { rate_limit: limited(2), sent_ms: 0 };
-  for (const service of cluster.live) service.observe(ENDPOINT, observed);
+  for (const service of cluster.live) cluster.observe(service, observed);
   await sleep(10);
   for (const service of cluster.live) {
     Object.assign(service, { handleRequest: () => ({ granted: "yes" }) });
@@ -149,7 +175,7 @@
 test("a host that reaches no issuer sends nothing, and asks again soon", async () => {
   const cluster = new Cluster(7);
   const observed = { rate_limit: limited(2), sent_ms: 0 };
-  for (const service of cluster.live) service.observe(ENDPOINT, observed);
+  for (const service of cluster.live) cluster.observe(service, observed);
   await sleep(10);
   const ranking = rankCandidates(incarnationOf(ENDPOINT), [
     ...cluster.services.keys(),
