Take an endpoint that says that it is leaving out of use at once

Callers saw requests go on to an endpoint that had said in its answers that it leaves: Server-Leaving was read nowhere, so a host went on until the store's entry told it, and for as long as it likes while it is out of touch with the store (the users' rule DRAIN counts from the answer that this host passed on).

The word is decoded with the rest of an endpoint's report and taken in from every answer at its head: whole bodies, streams, refusals, stage calls, requests that free results, and answers that are discarded because they belong to another request, if they bear a request's id; not from a 421, which another incarnation gives. A plain 1 counts, also repeated; anything else says nothing. The endpoint registry keeps it for the incarnation for good, over whatever entry the store or a peer delivers later, so choice, permits, reserved sends, repeats, resumptions, stage calls and shards all see it, in touch or not. Results that it holds are still read and freed. Hosts of an earlier release take the notice for the limit that it also carries, and theirs have no such field.

A pool whose endpoints all leave refuses at once, and no longer after the stages have run in vain; the same goes for an empty pool.

--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -1,5 +1,6 @@
 /** HTTP client for batched calls to endpoints. */
 import { setTimeout as delay } from "node:timers/promises";
+import type { EndpointReports } from "../endpoint_reports/endpoint_reports.ts";
 import type { EndpointAgents } from "../endpoints/endpoint_agents.ts";
 import {
   discardResponse,
@@ -10,6 +11,7 @@
 import type {
   EncodedRequest,
   ProtocolCodec,
+  ResponseMetadata,
 } from "../forwarding/protocol_codec.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { RouteEndpoint, RoutePool } from "../routes/types.ts";
@@ -49,11 +51,9 @@
   agents: EndpointAgents;
   /** The pool of this name; undefined if it is not configured. */
   pool: (name: string) => RoutePool | undefined;
-  /**
-   * The pool of the endpoint at an address, for its connection limit; undefined
-   * if the endpoint is unknown.
-   */
-  poolAt: (address: string) => RoutePool | undefined;
+  /** The endpoint at an address; undefined if it is unknown. */
+  endpointAt: (address: string) => RouteEndpoint | undefined;
+  reports: Pick<EndpointReports, "record">;
   log: Logger;
   /** Monotonic clock, in milliseconds. */
   now: () => number;
@@ -152,12 +152,12 @@
   const { codec, recentHandles, timeout_ms } = options;
   const response = await callEndpoint({
     address: endpoint.address,
+    endpoint,
     call: codec.encodePieceBatch(endpoint, requests),
-    max_connections: options.pool(endpoint.pool)?.max_connections ?? 1,
     timeout_ms,
   }, options);
   if (response.kind === "failed") return failed(response.reason);
-  const metadata = codec.decodeResponse(response.status, response.headers);
+  const { metadata } = response;
   const { rate_limit } = metadata.report;
   options.freePacer.observe(endpoint.address, rate_limit);
   if (metadata.wrong_endpoint) return failed("wrong_endpoint");
@@ -182,8 +182,8 @@
 ): Promise<boolean> {
   const response = await callEndpoint({
     address,
+    endpoint: options.endpointAt(address),
     call: options.codec.encodeFreeRequest(address, handles),
-    max_connections: options.poolAt(address)?.max_connections ?? 1,
     timeout_ms: FREE_TIMEOUT_MS,
   }, options);
   if (response.kind === "complete" && response.status === HTTP_OK) {
@@ -202,7 +202,7 @@
   | {
     kind: "complete";
     status: number;
-    headers: string[];
+    metadata: ResponseMetadata;
     /** Empty unless the status is 200. */
     body: Buffer;
     /**
@@ -218,18 +218,19 @@
  * other response may be a copy of an earlier one, or be followed by a copy.
  */
 async function callEndpoint(
-  { address, call, max_connections, timeout_ms }: {
+  { address, endpoint, call, timeout_ms }: {
     address: string;
+    endpoint: RouteEndpoint | undefined;
     call: EncodedRequest;
-    max_connections: number;
     timeout_ms: number;
   },
-  { agents }: PieceClientOptions,
+  { agents, codec, pool, reports }: PieceClientOptions,
 ): Promise<EndpointResponse> {
   const fail = (reason: string): EndpointResponse => {
     agents.closeIdleConnections(address);
     return { kind: "failed", reason };
   };
+  const max_connections = pool(endpoint?.pool ?? "")?.max_connections ?? 1;
   const expiry = new AbortController();
   const timer = setTimeout(() => expiry.abort(CALL_EXPIRED), timeout_ms);
   try {
@@ -243,10 +244,14 @@
       return fail(result.reason);
     }
     const { status, headers, socket } = result.response;
+    const metadata = codec.decodeResponse(status, headers);
+    if (endpoint !== undefined && !metadata.wrong_endpoint) {
+      reports.record(endpoint, metadata.report, undefined);
+    }
     const complete = {
       kind: "complete" as const,
       status,
-      headers,
+      metadata,
       closeConnection: () => void socket.destroy(),
     };
     if (status !== HTTP_OK) {
--- a/src/endpoint_reports/endpoint_notices.ts
+++ b/src/endpoint_reports/endpoint_notices.ts
@@ -13,8 +13,13 @@
 export const endpointNoticeSchema = z.object({
   /** Incarnation of the endpoint. */
   endpoint: z.string(),
-  /** Requests per second that it takes; undefined without a limit. */
+  /**
+   * Requests per second that it takes; undefined without a limit. A notice of
+   * leaving carries it only for hosts of an earlier release.
+   */
   per_s: z.number().nonnegative().optional(),
+  /** Whether it is leaving; missing from hosts of an earlier release. */
+  leaving: z.boolean().optional(),
 });
 
 /** What an endpoint has begun to say of itself. */
@@ -39,7 +44,7 @@
   /** Addresses of all hosts, this one included. */
   hosts: () => string[];
   peers: EndpointNoticePeers;
-  /** Applies the notice of another host, or this host's own. */
+  /** Applies a notice that was passed on by another host, or is to be. */
   apply: (notice: EndpointNotice) => void;
   log: Logger;
   now: () => number;
@@ -47,10 +52,17 @@
   signal: AbortSignal;
 }
 
+/** Pauses before a host that missed the notice of a leaving is told again. */
+const REDELIVERY_DELAYS_MS = [400, 1_200];
+/** Leaving endpoints that are remembered; the oldest are dropped. */
+const MAX_ENDPOINTS = 4_096;
+
 /** Sends notices about endpoints to all hosts and applies them here. */
 export class EndpointNotices {
   #options: EndpointNoticesOptions;
   #rankedHosts: RankedHosts;
+  /** Endpoints of whose leaving this host has told all others. */
+  #toldLeaving = new Set<string>();
 
   constructor(options: EndpointNoticesOptions) {
     this.#options = options;
@@ -70,6 +82,7 @@
 
   /** Handles another host's report: tells all hosts. */
   handleReport(notice: EndpointNotice): void {
+    if (notice.leaving === true && !this.#isFirstToldOf(notice)) return;
     const { self, hosts } = this.#options;
     const targets = hosts().filter((address) => address !== self);
     this.handleNotice(notice, targets);
@@ -87,8 +100,19 @@
       },
       onFailure: (peer, error) =>
         log.info({ event: "notice_failed", peer, error: error.message }),
-      redeliveryDelays_ms: [],
+      redeliveryDelays_ms: notice.leaving === true ? REDELIVERY_DELAYS_MS : [],
       signal,
     });
   }
+
+  /** Hosts that learn of a leaving together report it each; true for the first. */
+  #isFirstToldOf({ endpoint }: EndpointNotice): boolean {
+    if (this.#toldLeaving.has(endpoint)) return false;
+    this.#toldLeaving.add(endpoint);
+    const [oldest = ""] = this.#toldLeaving;
+    if (this.#toldLeaving.size > MAX_ENDPOINTS) {
+      this.#toldLeaving.delete(oldest);
+    }
+    return true;
+  }
 }
--- a/src/endpoint_reports/endpoint_report.ts
+++ b/src/endpoint_reports/endpoint_report.ts
@@ -6,6 +6,8 @@
   /** The endpoint's load; undefined if it reported none. */
   load: ReportedLoad | undefined;
   rate_limit: NamedRateLimit;
+  /** Whether this incarnation is leaving, which is final. */
+  leaving: boolean;
 }
 
 /** The rate limit that a response of an endpoint names. */
--- a/src/endpoint_reports/endpoint_reports.ts
+++ b/src/endpoint_reports/endpoint_reports.ts
@@ -4,8 +4,10 @@
  */
 import type { Logger } from "../logging/logger.ts";
 import type { RateLimitService } from "../rate_limits/rate_limit_service.ts";
+import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 import type { ObservedLoad } from "../routing/observed_load.ts";
+import type { EndpointRegistry } from "../store_sync/endpoint_registry.ts";
 import {
   type EndpointNotice,
   type EndpointNoticePeers,
@@ -13,6 +15,12 @@
 } from "./endpoint_notices.ts";
 import type { EndpointReport } from "./endpoint_report.ts";
 
+/** From what a host learns that an endpoint is leaving. */
+export enum LeavingSource {
+  Response = "response",
+  Peer = "peer",
+}
+
 /** Dependencies of an {@linkcode EndpointReports}. */
 export interface EndpointReportsOptions {
   /** Address at which peers reach this host. */
@@ -22,6 +30,9 @@
   peers: EndpointNoticePeers;
   load: ObservedLoad;
   rateLimits: RateLimitService;
+  endpoints: EndpointRegistry;
+  /** Called when this host learns that an endpoint is leaving. */
+  onLeaving: (source: LeavingSource) => void;
   log: Logger;
   now: () => number;
   /** Aborts when this host stops. */
@@ -37,13 +48,14 @@
     this.#options = options;
     this.#notices = new EndpointNotices({
       ...options,
-      apply: (notice) => options.rateLimits.apply(notice),
+      apply: (notice) => this.#apply(notice),
     });
   }
 
   /**
    * Takes in what a response says. `sent_ms` is the time at which its request
-   * was sent; undefined if it answers another request than this one.
+   * was sent; undefined if that isn't known, or if its rate limit is kept to
+   * without permits.
    */
   record(
     endpoint: RouteEndpoint,
@@ -54,6 +66,16 @@
     if (report.load !== undefined) {
       load.forEndpoint(endpoint).recordLoad(report.load, now());
     }
+    const incarnation = incarnationOf(endpoint);
+    if (
+      report.leaving && this.#markLeaving(incarnation, LeavingSource.Response)
+    ) {
+      this.#notices.report({
+        endpoint: incarnation,
+        per_s: rateLimits.limitPerS(endpoint),
+        leaving: true,
+      });
+    }
     if (sent_ms === undefined) return;
     const { rate_limit } = report;
     const notice = rateLimits.observe(endpoint, { rate_limit, sent_ms });
@@ -69,4 +91,19 @@
   handleNotice(notice: EndpointNotice, targets: string[]): void {
     this.#notices.handleNotice(notice, targets);
   }
+
+  #apply(notice: EndpointNotice): void {
+    if (notice.leaving === true) {
+      this.#markLeaving(notice.endpoint, LeavingSource.Peer);
+    } else this.#options.rateLimits.apply(notice);
+  }
+
+  /** Takes an incarnation out of use; false if it was already. */
+  #markLeaving(incarnation: string, source: LeavingSource): boolean {
+    const { endpoints, onLeaving, log } = this.#options;
+    if (!endpoints.markLeaving(incarnation)) return false;
+    log.info({ event: "endpoint_leaving", incarnation, source });
+    onLeaving(source);
+    return true;
+  }
 }
--- a/src/forwarding/complete_exchange.ts
+++ b/src/forwarding/complete_exchange.ts
@@ -112,7 +112,9 @@
     context.admitted.metadata.attempt_id,
   );
   const isOwn = origin === ResponseOrigin.Own;
-  reports.record(endpoint, metadata.report, isOwn ? sent_ms : undefined);
+  if (isFromEndpoint(metadata, isOwn)) {
+    reports.record(endpoint, metadata.report, isOwn ? sent_ms : undefined);
+  }
   if (!isOwn) {
     discardResponse(response);
     return resultAfterFailure(context, SendOutcome.MayHaveRun, {
@@ -172,6 +174,17 @@
   return { outcome, observedOutcome, first_byte_ms, reason };
 }
 
+/**
+ * Whether a response was written by the incarnation that the request was sent
+ * to. One that belongs to another request of it bears that request's id.
+ */
+function isFromEndpoint(
+  { wrong_endpoint, attempt_id }: ResponseMetadata,
+  isOwn: boolean,
+): boolean {
+  return !wrong_endpoint && (isOwn || attempt_id !== undefined);
+}
+
 /** The result of a send that the endpoint reported as not run. */
 function resultAfterNotRun(
   metadata: ResponseMetadata,
--- a/src/forwarding/take_endpoint.ts
+++ b/src/forwarding/take_endpoint.ts
@@ -20,14 +20,13 @@
 
 /**
  * Before the stages of a request whose endpoints all limit their rate, takes the
- * send at one of them; false if there is none, so that no stage runs in vain.
+ * send at one of them; false if there is none, or no endpoint, so that no stage
+ * runs in vain.
  */
 export async function reserveIfLimited(context: RunContext): Promise<boolean> {
   const { endpoints, rateLimits, now } = context.dependencies;
   const ready = endpoints.readyInPool(context.pool, now());
-  const areLimited = ready.length > 0 &&
-    ready.every((endpoint) => rateLimits.isLimited(endpoint));
-  if (!areLimited) return true;
+  if (ready.some((endpoint) => !rateLimits.isLimited(endpoint))) return true;
   context.reservedSend = await reserveSend(context, new Set());
   return context.reservedSend !== undefined;
 }
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -242,6 +242,11 @@
     peers,
     load,
     rateLimits,
+    endpoints,
+    onLeaving(source) {
+      metrics.leavingEndpoints.inc({ source });
+      for (const listener of endpointListeners) listener();
+    },
     log,
     now,
     signal,
@@ -342,7 +347,8 @@
       codec: context.adapter.codec,
       agents: context.agents,
       pool,
-      poolAt: (address) => pool(endpoints.findByAddress(address)?.pool ?? ""),
+      endpointAt: (address) => endpoints.findByAddress(address),
+      reports: context.reports,
       log,
       now,
     }),
--- a/src/metrics/forward_metrics.ts
+++ b/src/metrics/forward_metrics.ts
@@ -62,6 +62,12 @@
     help: "Endpoints that crashed before they began to answer this host",
     registers: [this.registry],
   });
+  readonly leavingEndpoints = new Counter({
+    name: "sesamequay_endpoints_leaving_total",
+    help: "Endpoints that said that they are leaving, by who told this host",
+    labelNames: ["source"],
+    registers: [this.registry],
+  });
   readonly configurationVersion = new Gauge({
     name: "sesamequay_configuration_version",
     help: "Version of the configuration in force",
--- a/src/rate_limits/rate_limit_service.ts
+++ b/src/rate_limits/rate_limit_service.ts
@@ -79,8 +79,13 @@
 
   /** Whether the endpoint names a limit. */
   isLimited(endpoint: RouteEndpoint): boolean {
+    return this.limitPerS(endpoint) !== undefined;
+  }
+
+  /** Requests per second that the endpoint allows; undefined if not named. */
+  limitPerS(endpoint: RouteEndpoint): number | undefined {
     const { now } = this.#options;
-    return this.#known.find(incarnationOf(endpoint), now()) !== undefined;
+    return this.#known.find(incarnationOf(endpoint), now())?.per_s;
   }
 
   /** Time until a send to the endpoint may be permitted, in milliseconds. */
--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -1,3 +1,4 @@
+import { incarnationOf } from "../routes/incarnation.ts";
 import { type RouteEndpoint, RouteEndpointState } from "../routes/types.ts";
 import { EndpointTombstones } from "./endpoint_tombstones.ts";
 import { GRACE_PERIOD_AFTER_OUTAGE_MS } from "./watch_cache.ts";
@@ -27,6 +28,8 @@
   /** When the entry is used after all. */
   held_until_ms: number;
 }
+/** Leaving incarnations that are remembered; the oldest are dropped. */
+const MAX_LEAVING = 4_096;
 
 /**
  * Holds the endpoints that this host knows of. Its source is the feed of the
@@ -42,6 +45,9 @@
  * An older copy also brings back entries of endpoints that have left. They are
  * held back until they are written again or, if they have not lapsed by then,
  * until {@linkcode RETURNED_ENTRY_HOLD_MS} has passed.
+ *
+ * An incarnation that has said itself that it is leaving stays so, whatever an
+ * entry says: the source or a peer may be behind.
  */
 export class EndpointRegistry {
   #entries = new Map<string, RegistryEntry>();
@@ -54,6 +60,8 @@
   /** Whether the next list is the first one since a restoration. */
   #restored = false;
   #graceEnd_ms = 0;
+  /** Incarnations that have said themselves that they are leaving. */
+  #leaving = new Set<string>();
 
   /** Whether the source is answering this host. */
   get sourceAvailable(): boolean {
@@ -65,6 +73,23 @@
     return this.#entries.size === 0;
   }
 
+  /** Incarnations that have said themselves that they are leaving. */
+  get leaving(): string[] {
+    return [...this.#leaving];
+  }
+
+  /** Marks an incarnation as leaving for good; false if it was already. */
+  markLeaving(incarnation: string): boolean {
+    if (this.#leaving.has(incarnation)) return false;
+    this.#leaving.add(incarnation);
+    const [oldest = ""] = this.#leaving;
+    if (this.#leaving.size > MAX_LEAVING) this.#leaving.delete(oldest);
+    for (const entry of this.#entries.values()) {
+      entry.endpoint = this.#withOwnWord(entry.endpoint);
+    }
+    return true;
+  }
+
   /** Marks the source as unavailable, which stops entries from expiring. */
   markSourceUnavailable(): void {
     this.#sourceUnavailable = true;
@@ -206,10 +231,17 @@
     const previous = this.#entries.get(name)?.endpoint;
     if (previous !== undefined) this.#tombstones.add(previous);
     this.#tombstones.delete(value);
-    this.#entries.set(name, { endpoint: value, expires_ms: undefined });
+    const endpoint = this.#withOwnWord(value);
+    this.#entries.set(name, { endpoint, expires_ms: undefined });
     this.#newestByAddress = undefined;
   }
 
+  #withOwnWord(endpoint: RouteEndpoint): RouteEndpoint {
+    return this.#leaving.has(incarnationOf(endpoint))
+      ? { ...endpoint, state: RouteEndpointState.Leaving }
+      : endpoint;
+  }
+
   #remove(name: string, now_ms: number): void {
     const entry = this.#entries.get(name);
     if (entry === undefined) return;
--- a/src/store_sync/state_snapshot.ts
+++ b/src/store_sync/state_snapshot.ts
@@ -15,6 +15,11 @@
   endpoints_fresh: boolean;
   /** Undefined from hosts of an older release. */
   quarantined: QuarantinedParts[] | undefined;
+  /**
+   * Incarnations that have said themselves that they are leaving; missing from
+   * hosts of an older release.
+   */
+  leaving?: string[];
 }
 
 /** Feeds of which hosts compare how far they have read. */
@@ -90,6 +95,7 @@
     endpoints: endpoints.all(now()),
     endpoints_fresh: endpoints.sourceAvailable,
     quarantined: quarantine.entries.all(),
+    leaving: endpoints.leaving,
   };
 }
 
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -308,6 +308,7 @@
       configuration.applyIfNewer(received, peer);
     }
     options.quarantine.addFromPeer(snapshot.quarantined ?? []);
+    for (const each of snapshot.leaving ?? []) endpoints.markLeaving(each);
     // A stale list is better than none.
     const isUsable = snapshot.endpoints_fresh || endpoints.isEmpty;
     if (endpoints.sourceAvailable || !isUsable) return;
--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -110,6 +110,8 @@
    * the connection stays open.
    */
   raw_response: string | undefined;
+  /** Whether its responses say that it is leaving; undefined says nothing. */
+  leaving: string | undefined;
   /** Arrivals of requests and of calls for pieces, as `performance.now()`. */
   arrivals_ms: number[] = [];
   /** Crashes so far. */
@@ -195,6 +197,9 @@
       response.setHeader("server-limit", String(this.rate_limit_per_s));
     }
     response.once("finish", () => this.#answeredSockets.add(request.socket));
+    if (this.leaving !== undefined) {
+      response.setHeader("server-leaving", this.leaving);
+    }
     const expected = request.headers["x-expect-instance"];
     if (expected !== undefined && expected !== this.id) {
       response.writeHead(421, {
--- a/stand_ins/deployment/piece_calls.ts
+++ b/stand_ins/deployment/piece_calls.ts
@@ -17,7 +17,8 @@
     codec: deploymentCodec,
     agents,
     pool: () => undefined,
-    poolAt: () => undefined,
+    endpointAt: () => undefined,
+    reports: { record: () => {} },
     log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
     now: () => performance.now(),
   });
--- a/test/platform/codec.test.ts
+++ b/test/platform/codec.test.ts
@@ -97,9 +97,38 @@
     "empty rate limit": read(200, ["Server-Limit", ""]),
     "huge rate limit": read(200, ["Server-Limit", "9".repeat(400)]),
     "load in words": read(200, ["X-Instance-Load", "a,b,c"]),
+    leaving: read(200, ["Server-Leaving", "1"]),
   });
 });
 
+test("only a plain 1 says that an endpoint is leaving", () => {
+  const read = (...values: string[]) =>
+    deploymentCodec.decodeResponse(
+      503,
+      values.flatMap((value) => ["Server-Leaving", value]),
+    ).report.leaving;
+  for (const values of [["1"], [" 1 "], ["1", "1"], ["1, 1"]]) {
+    assert.equal(read(...values), true, values.join("|"));
+  }
+  for (
+    const values of [
+      [],
+      [""],
+      ["0"],
+      ["true"],
+      ["yes"],
+      ["01"],
+      ["1.0"],
+      ["-1"],
+      ["1", "0"],
+      ["1,"],
+      ["1 1"],
+    ]
+  ) {
+    assert.equal(read(...values), false, values.join("|"));
+  }
+});
+
 test("piece results are decoded in order, with failure reasons", (t) => {
   const body = Buffer.from(JSON.stringify({
     items: [
--- a/test/store_sync/local_state.test.ts
+++ b/test/store_sync/local_state.test.ts
@@ -3,6 +3,7 @@
 import { ActiveConfiguration } from "../../src/store_sync/active_configuration.ts";
 import { EndpointRegistry } from "../../src/store_sync/endpoint_registry.ts";
 import { GRACE_PERIOD_AFTER_OUTAGE_MS } from "../../src/store_sync/watch_cache.ts";
+import { incarnationOf } from "../../src/routes/incarnation.ts";
 import {
   type RouteConfiguration,
   type RouteEndpoint,
@@ -106,3 +107,44 @@
   );
   assert.deepEqual(ids(registry, 10), []);
 });
+
+test("an incarnation that said that it is leaving stays so, whatever entries say", () => {
+  const registry = new EndpointRegistry();
+  registry.replaceAll([item("one"), item("other")], 0);
+  const incarnation = incarnationOf(item("one").value);
+  assert.equal(registry.markLeaving(incarnation), true);
+  assert.equal(registry.markLeaving(incarnation), false);
+  const assertOut = () => {
+    assert.deepEqual(ids(registry, 1), ["other"]);
+    const states = registry.inPool("desk", 1).map(({ id, state }) =>
+      `${id} ${state}`
+    );
+    assert.ok(states.includes("one leaving"));
+  };
+  assertOut();
+  registry.applyChanges([{ ...item("one"), deleted: false }], 1);
+  assertOut();
+  registry.replaceAll([item("one"), item("other")], 1);
+  assertOut();
+  registry.replaceFromPeer([item("one"), item("other")], 1);
+  assertOut();
+  registry.markSourceUnavailable();
+  assertOut();
+  registry.applyChanges([{ ...item("one"), deleted: true }], 1);
+  registry.applyChanges([{ ...item("one"), deleted: false }], 2);
+  assertOut();
+  const restarted = item("one", { born_ms: 2 });
+  registry.applyChanges([{ ...restarted, deleted: false }], 3);
+  assert.deepEqual(ids(registry, 4).sort(), ["one", "other"]);
+});
+
+test("an incarnation that said that it is leaving before its entry is known never becomes ready", () => {
+  const registry = new EndpointRegistry();
+  registry.markLeaving(incarnationOf(item("one").value));
+  registry.replaceAll([item("one"), item("other")], 0);
+  assert.deepEqual(ids(registry, 1), ["other"]);
+  assert.deepEqual(
+    registry.all(1).map(({ id, state }) => `${id} ${state}`),
+    ["one leaving", "other ready"],
+  );
+});
