Keep requests from an endpoint that refused with Retry-After until its time ends

The time is decoded into the endpoint's report and kept for the incarnation in EndpointPauses, for this host alone, from the receipt of the refusal. Within it the endpoint is no candidate for a request, a repeat or a stage call, a send that was reserved there is not made, and requests that free results are held back and made afterwards, also when the endpoint refused them; after the third refusal they are logged as failed. Requests that wait in the agent for a connection had left every check behind and would have gone out one by one, up to the whole pause long: they are failed as not sent and go elsewhere (for a leaving endpoint too).

While all endpoints of a pool pause, a request waits for the first one that takes it again if it would still be in time, by reserveAhead as for limits; else it is refused at once, before its stages, with the earliest time. A batcher does the same with jobs. A pause is no failure: the exchange counts as full.

Seconds may have fractions. Of several values the longest counts; 0, negative numbers, dates and anything else that is no decimal number pause nothing and leave the back-off as it was; MAX_PAUSE_MS, a minute, bounds the rest, since a wrong unit must not take an endpoint out for hours. A 429 pauses nothing. The bare connection with which a crash is told from a broken one sends no request and stays.

Ruled out: that a pause outlasts a restart, since it is bound to the incarnation.

--- a/src/batching/admit_job.ts
+++ b/src/batching/admit_job.ts
@@ -32,7 +32,7 @@
   queue: PoolQueue,
   { ready, now_ms }: { ready: readonly EndpointTracker[]; now_ms: number },
 ): PoolLoad {
-  const accepting = ready.filter((tracker) => tracker.acceptsCalls(now_ms));
+  const { serving, starts_in_ms } = servingTrackers(ready, now_ms);
   const due_ms = now_ms + job.due_in_ms;
   let pieces_ahead = 0;
   for (const other of queue.jobs) {
@@ -40,12 +40,13 @@
       pieces_ahead += other.waiting.length;
     }
   }
-  const slowness = accepting.reduce((sum, each) => sum + each.slowness, 0) /
-    Math.max(1, accepting.length);
+  const slowness = serving.reduce((sum, each) => sum + each.slowness, 0) /
+    Math.max(1, serving.length);
   const waiting_pieces = countWaitingPieces(queue.jobs);
   queue.rates.advance(waiting_pieces, now_ms);
   return {
-    endpoints: accepting.length,
+    endpoints: serving.length,
+    starts_in_ms,
     slowness,
     pieces_ahead,
     waiting_pieces,
@@ -54,6 +55,24 @@
   };
 }
 
+/**
+ * The endpoints that accept calls; without any, those that pause, with the time
+ * until the first of them accepts calls again.
+ */
+function servingTrackers(
+  ready: readonly EndpointTracker[],
+  now_ms: number,
+): { serving: readonly EndpointTracker[]; starts_in_ms: number | undefined } {
+  const accepting = ready.filter((tracker) => tracker.acceptsCalls(now_ms));
+  if (accepting.length > 0) {
+    return { serving: accepting, starts_in_ms: undefined };
+  }
+  const pausing = ready.filter((tracker) => tracker.pauseMs(now_ms) > 0);
+  if (pausing.length === 0) return { serving: [], starts_in_ms: undefined };
+  const pauses_ms = pausing.map((tracker) => tracker.pauseMs(now_ms));
+  return { serving: pausing, starts_in_ms: Math.ceil(Math.min(...pauses_ms)) };
+}
+
 /**
  * Queue wait in milliseconds, rounded. JSON cannot carry the infinite wait of a
  * pool without endpoints that accept calls: it is reported as the retention
@@ -98,7 +117,8 @@
   load: PoolLoad,
   { limits, now_ms }: { limits: BatchLimits; now_ms: number },
 ): QueuedJob[] {
-  const latest_due_ms = now_ms + limits.call_ms * load.slowness;
+  const latest_due_ms = now_ms + (load.starts_in_ms ?? 0) +
+    limits.call_ms * load.slowness;
   const isLate = (queued: QueuedJob) =>
     !queued.started && queued.due_ms < latest_due_ms &&
     isFirstStage(queued.job);
--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -55,6 +55,8 @@
   pool: (name: string) => RoutePool | undefined;
   /** The endpoints of a pool, leaving ones included. */
   endpoints: (pool: string) => readonly RouteEndpoint[];
+  /** Time for which an endpoint itself wants no calls, in milliseconds. */
+  pauseMs: (endpoint: RouteEndpoint) => number;
   client: PieceClient;
   /** Frees results through the batcher that accounts for their memory. */
   freeAtBatcher: (freed: FreedResults) => void;
@@ -207,8 +209,14 @@
   }
 
   #readyTrackers(queue: PoolQueue): EndpointTracker[] {
-    const ofPool = this.#options.endpoints(queue.pool);
-    return readyTrackers(queue, endpointsOfShard(ofPool, queue.shard));
+    const { endpoints, pauseMs, now } = this.#options;
+    const ofShard = endpointsOfShard(endpoints(queue.pool), queue.shard);
+    const trackers = readyTrackers(queue, ofShard);
+    for (const tracker of trackers) {
+      const pause_ms = pauseMs(tracker.endpoint);
+      tracker.pauseUntil(pause_ms > 0 ? now() + pause_ms : -Infinity);
+    }
+    return trackers;
   }
 
   /** Dispatches now, or after a short delay if the last one started no call. */
--- a/src/batching/endpoint_tracker.ts
+++ b/src/batching/endpoint_tracker.ts
@@ -47,6 +47,8 @@
   #callsInFlight = 0;
   #consecutiveFailures = 0;
   #backoffUntil_ms = 0;
+  /** Until when the endpoint itself wants no calls. */
+  #pausedUntil_ms = -Infinity;
   #expectedCallEnd_ms = 0;
   #lastCallStart_ms = -Infinity;
   /** Shortest time between the starts of calls; 0 without a rate limit. */
@@ -74,9 +76,19 @@
     });
   }
 
-  /** Whether it is not backing off; it may still be at capacity. */
+  /** Records until when the endpoint itself wants no calls. */
+  pauseUntil(until_ms: number): void {
+    this.#pausedUntil_ms = until_ms;
+  }
+
+  /** Time until its pause ends, in milliseconds; 0 without one. */
+  pauseMs(now_ms: number): number {
+    return Math.max(0, this.#pausedUntil_ms - now_ms);
+  }
+
+  /** Whether it neither backs off nor pauses; it may still be at capacity. */
   acceptsCalls(now_ms: number): boolean {
-    return now_ms >= this.#backoffUntil_ms;
+    return now_ms >= this.#backoffUntil_ms && this.pauseMs(now_ms) === 0;
   }
 
   /** Expected time until a call can start, in milliseconds. */
@@ -192,10 +204,11 @@
     this.#reservedBytes -= result.bytes;
   }
 
-  /** When backoff and rate limit allow the next call. */
+  /** When backoff, pause and rate limit allow the next call. */
   get #earliestCall_ms(): number {
     return Math.max(
       this.#backoffUntil_ms,
+      this.#pausedUntil_ms,
       this.#lastCallStart_ms + this.#callInterval_ms,
     );
   }
--- a/src/batching/expected_wait.ts
+++ b/src/batching/expected_wait.ts
@@ -9,8 +9,13 @@
 
 /** A pool's load as its batcher sees it. */
 export interface PoolLoad {
-  /** Number of endpoints that accept calls. */
+  /** Number of endpoints that accept calls, or that will after a pause. */
   endpoints: number;
+  /**
+   * Time until the first of them accepts calls, in milliseconds; undefined if one
+   * does now.
+   */
+  starts_in_ms?: number;
   /** Their mean ratio of actual to configured call time. */
   slowness: number;
   /** Number of waiting pieces that are called before the new job's. */
@@ -64,7 +69,8 @@
   );
   const own_call_ms = (limits.call_ms + pieces * limits.piece_ms) *
     load.slowness;
-  return (load.waiting_pieces + pieces) / spare_rate + own_call_ms;
+  return (load.starts_in_ms ?? 0) +
+    (load.waiting_pieces + pieces) / spare_rate + own_call_ms;
 }
 
 /** Expected time until all waiting pieces are in calls, in milliseconds. */
@@ -81,7 +87,8 @@
   load: PoolLoad,
   limits: BatchLimits,
 ): number {
-  return load.endpoints === 0 ? Infinity : pieces / serviceRate(load, limits);
+  if (load.endpoints === 0) return Infinity;
+  return (load.starts_in_ms ?? 0) + pieces / serviceRate(load, limits);
 }
 
 /** Share of the service rate that late jobs get even in a burst. */
--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -1,7 +1,10 @@
 /** HTTP client for batched calls to endpoints. */
 import { setTimeout as delay } from "node:timers/promises";
 import type { EndpointReports } from "../endpoint_reports/endpoint_reports.ts";
-import type { EndpointAgents } from "../endpoints/endpoint_agents.ts";
+import {
+  ENDPOINT_UNAVAILABLE,
+  type EndpointAgents,
+} from "../endpoints/endpoint_agents.ts";
 import {
   discardResponse,
   ExchangeOutcome,
@@ -37,6 +40,8 @@
 const MAX_RECENT_HANDLES = 512;
 /** Timeout of a call that frees results. */
 const FREE_TIMEOUT_MS = 1_000;
+/** Calls that are made to free results while the endpoint refuses them. */
+const MAX_FREE_CALLS = 3;
 
 /** Results that the next call to an endpoint frees. */
 interface PendingFree {
@@ -53,7 +58,7 @@
   pool: (name: string) => RoutePool | undefined;
   /** The endpoint at an address; undefined if it is unknown. */
   endpointAt: (address: string) => RouteEndpoint | undefined;
-  reports: Pick<EndpointReports, "record">;
+  reports: Pick<EndpointReports, "record" | "pauseMs">;
   log: Logger;
   /** Monotonic clock, in milliseconds. */
   now: () => number;
@@ -110,13 +115,15 @@
     }
     const batch = [...handles];
     const wait_ms = Math.max(FREE_BATCH_WINDOW_MS, freePacer.take(address));
-    const freed = delay(wait_ms).then(() => {
-      pendingByAddress.delete(address);
-      return freeResults(address, batch, options);
-    }).catch((error: Error) => {
-      logFault(error, options.log);
-      return false;
-    });
+    const freed = delay(wait_ms)
+      .then(() => waitOutPause(address, options))
+      .then(() => {
+        pendingByAddress.delete(address);
+        return freeResults(address, batch, options);
+      }).catch((error: Error) => {
+        logFault(error, options.log);
+        return false;
+      });
     pendingByAddress.set(address, { handles: batch, freed });
     return freed;
   };
@@ -156,12 +163,18 @@
     call: codec.encodePieceBatch(endpoint, requests),
     timeout_ms,
   }, options);
-  if (response.kind === "failed") return failed(response.reason);
+  if (response.kind === "failed") {
+    return response.reason === ENDPOINT_UNAVAILABLE
+      ? { kind: PieceCallResultKind.Full }
+      : failed(response.reason);
+  }
   const { metadata } = response;
   const { rate_limit } = metadata.report;
   options.freePacer.observe(endpoint.address, rate_limit);
   if (metadata.wrong_endpoint) return failed("wrong_endpoint");
-  if (metadata.not_run) return { kind: PieceCallResultKind.Full, rate_limit };
+  if (metadata.not_run || metadata.report.pause_ms > 0) {
+    return { kind: PieceCallResultKind.Full, rate_limit };
+  }
   if (response.status !== HTTP_OK) {
     return { ...failed(`status_${response.status}`), rate_limit };
   }
@@ -175,17 +188,36 @@
   return { kind: PieceCallResultKind.Answered, responses, rate_limit };
 }
 
+/** Waits while the endpoint at an address wants no requests. */
+async function waitOutPause(
+  address: string,
+  { endpointAt, reports }: PieceClientOptions,
+): Promise<void> {
+  while (true) {
+    const endpoint = endpointAt(address);
+    const wait_ms = endpoint === undefined ? 0 : reports.pauseMs(endpoint);
+    if (wait_ms === 0) return;
+    await delay(Math.ceil(wait_ms), undefined, { ref: false });
+  }
+}
+
 async function freeResults(
   address: string,
   handles: string[],
   options: PieceClientOptions,
 ): Promise<boolean> {
-  const response = await callEndpoint({
-    address,
-    endpoint: options.endpointAt(address),
-    call: options.codec.encodeFreeRequest(address, handles),
-    timeout_ms: FREE_TIMEOUT_MS,
-  }, options);
+  const free = () =>
+    callEndpoint({
+      address,
+      endpoint: options.endpointAt(address),
+      call: options.codec.encodeFreeRequest(address, handles),
+      timeout_ms: FREE_TIMEOUT_MS,
+    }, options);
+  let response = await free();
+  for (let calls = 1; calls < MAX_FREE_CALLS && isHeldBack(response); calls++) {
+    await waitOutPause(address, options);
+    response = await free();
+  }
   if (response.kind === "complete" && response.status === HTTP_OK) {
     return true;
   }
@@ -198,6 +230,13 @@
   return false;
 }
 
+/** Whether the endpoint wants the same request once more, later. */
+function isHeldBack(response: EndpointResponse): boolean {
+  return response.kind === "failed"
+    ? response.reason === ENDPOINT_UNAVAILABLE
+    : response.metadata.report.pause_ms > 0;
+}
+
 type EndpointResponse =
   | {
     kind: "complete";
@@ -241,7 +280,9 @@
       signal: expiry.signal,
     });
     if (result.kind !== ExchangeOutcome.ResponseReceived) {
-      return fail(result.reason);
+      return result.reason === ENDPOINT_UNAVAILABLE
+        ? { kind: "failed", reason: result.reason }
+        : fail(result.reason);
     }
     const { status, headers, socket } = result.response;
     const metadata = codec.decodeResponse(status, headers);
--- a/src/endpoint_reports/endpoint_reports.ts
+++ b/src/endpoint_reports/endpoint_reports.ts
@@ -4,7 +4,7 @@
  */
 import type { Logger } from "../logging/logger.ts";
 import type { RateLimitService } from "../rate_limits/rate_limit_service.ts";
-import { incarnationOf } from "../routes/incarnation.ts";
+import { addressOfIncarnation, incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 import type { ObservedLoad } from "../routing/observed_load.ts";
 import type { EndpointRegistry } from "../store_sync/endpoint_registry.ts";
@@ -13,6 +13,7 @@
   type EndpointNoticePeers,
   EndpointNotices,
 } from "./endpoint_notices.ts";
+import { EndpointPauses } from "./endpoint_pauses.ts";
 import type { EndpointReport } from "./endpoint_report.ts";
 
 /** From what a host learns that an endpoint is leaving. */
@@ -31,8 +32,10 @@
   load: ObservedLoad;
   rateLimits: RateLimitService;
   endpoints: EndpointRegistry;
-  /** Called when this host learns that an endpoint is leaving. */
-  onLeaving: (source: LeavingSource) => void;
+  /** Called when this host learns that the endpoint at an address is leaving. */
+  onLeaving: (address: string, source: LeavingSource) => void;
+  /** Called when the endpoint at an address wants no requests for a while. */
+  onPause: (address: string) => void;
   log: Logger;
   now: () => number;
   /** Aborts when this host stops. */
@@ -43,6 +46,7 @@
 export class EndpointReports {
   #options: EndpointReportsOptions;
   #notices: EndpointNotices;
+  #pauses = new EndpointPauses();
 
   constructor(options: EndpointReportsOptions) {
     this.#options = options;
@@ -66,6 +70,7 @@
     if (report.load !== undefined) {
       load.forEndpoint(endpoint).recordLoad(report.load, now());
     }
+    if (report.pause_ms > 0) this.#beginPause(endpoint, report.pause_ms);
     const incarnation = incarnationOf(endpoint);
     if (
       report.leaving && this.#markLeaving(incarnation, LeavingSource.Response)
@@ -82,6 +87,17 @@
     if (notice !== undefined) this.#notices.report(notice);
   }
 
+  /**
+   * Time until the endpoint takes requests of this host again, in milliseconds;
+   * 0 if it does.
+   */
+  pauseMs(endpoint: RouteEndpoint): number {
+    return this.#pauses.remainingMs(
+      incarnationOf(endpoint),
+      this.#options.now(),
+    );
+  }
+
   /** Handles another host's report: tells all hosts. */
   handleReport(notice: EndpointNotice): void {
     this.#notices.handleReport(notice);
@@ -98,12 +114,25 @@
     } else this.#options.rateLimits.apply(notice);
   }
 
+  #beginPause(endpoint: RouteEndpoint, pause_ms: number): void {
+    const { onPause, log, now } = this.#options;
+    const incarnation = incarnationOf(endpoint);
+    const wait_ms = this.#pauses.begin(incarnation, pause_ms, now());
+    if (wait_ms === undefined) return;
+    log.info({
+      event: "endpoint_pause",
+      endpoint: endpoint.id,
+      wait_ms: Math.round(wait_ms),
+    });
+    onPause(endpoint.address);
+  }
+
   /** Takes an incarnation out of use; false if it was already. */
   #markLeaving(incarnation: string, source: LeavingSource): boolean {
     const { endpoints, onLeaving, log } = this.#options;
     if (!endpoints.markLeaving(incarnation)) return false;
     log.info({ event: "endpoint_leaving", incarnation, source });
-    onLeaving(source);
+    onLeaving(addressOfIncarnation(incarnation), source);
     return true;
   }
 }
--- a/src/endpoints/endpoint_agents.ts
+++ b/src/endpoints/endpoint_agents.ts
@@ -6,6 +6,9 @@
 /** Fraction of an endpoint's connection limit that all hosts together use. */
 const MAX_CONNECTION_FRACTION = 0.85;
 
+/** Reason of a request that waited for an endpoint that takes none any more. */
+export const ENDPOINT_UNAVAILABLE = "endpoint_unavailable";
+
 /** Holds one keep-alive agent for each endpoint address. */
 export class EndpointAgents {
   #agents = new Map<string, StrictKeepAliveAgent>();
@@ -39,6 +42,11 @@
     this.#agents.get(address)?.closeIdleSockets();
   }
 
+  /** Fails the requests that wait for a connection to an address. */
+  failQueued(address: string): void {
+    this.#agents.get(address)?.failQueued(ENDPOINT_UNAVAILABLE);
+  }
+
   /** Removes the agents of all other addresses; calls in flight go on. */
   retainOnly(addresses: ReadonlySet<string>): void {
     for (const [address, agent] of this.#agents) {
--- a/src/endpoints/strict_keep_alive_agent.ts
+++ b/src/endpoints/strict_keep_alive_agent.ts
@@ -4,6 +4,7 @@
  * response, so the connection is closed.
  */
 import { Agent, type ClientRequest } from "node:http";
+import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 
 /** A keep-alive agent that closes idle connections on which data arrives. */
@@ -38,6 +39,20 @@
     return true;
   }
 
+  /** Fails the requests that wait for a connection, with this error. */
+  failQueued(message: string): void {
+    for (const name of Object.keys(this.requests)) {
+      const queued = this.requests[name] ?? [];
+      // @ts-expect-error: the type is read-only, but Node itself deletes these.
+      delete this.requests[name];
+      for (const request of queued) {
+        request.destroy(new Error(message));
+        // Without a connection, Node reports the error only on this call.
+        request.onSocket(undefined as unknown as Socket);
+      }
+    }
+  }
+
   /** Closes the idle connections; those in use stay open. */
   closeIdleSockets(): void {
     for (const sockets of Object.values(this.freeSockets)) {
--- a/src/forwarding/complete_exchange.ts
+++ b/src/forwarding/complete_exchange.ts
@@ -4,6 +4,7 @@
  */
 import type { StageResult } from "../batching/types.ts";
 import { RateLimitKind } from "../endpoint_reports/endpoint_report.ts";
+import { ENDPOINT_UNAVAILABLE } from "../endpoints/endpoint_agents.ts";
 import {
   discardResponse,
   type EndpointResponse,
@@ -90,6 +91,17 @@
 ): Promise<SendResult> {
   const { now, codec, reports } = context.dependencies;
   const received_ms = now();
+  if (
+    result.kind === ExchangeOutcome.NotSent &&
+    result.reason === ENDPOINT_UNAVAILABLE
+  ) {
+    return {
+      outcome: SendOutcome.NotRun,
+      observedOutcome: ObservedOutcome.Full,
+      first_byte_ms: received_ms,
+      reason: result.reason,
+    };
+  }
   if (result.kind === ExchangeOutcome.NotSent) {
     const failure = resultAfterFailure(context, SendOutcome.NotRun, {
       first_byte_ms: received_ms,
@@ -152,6 +164,7 @@
   const sent = resultAfterRelay(context, relayed, {
     first_byte_ms: received_ms,
     status: response.status,
+    isPausing: metadata.report.pause_ms > 0,
   });
   const { rate_limit } = metadata.report;
   return rate_limit.kind === RateLimitKind.Limited
@@ -232,6 +245,17 @@
   };
 }
 
+/** How a complete response counts for the endpoint's health. */
+function observedOutcomeOf(
+  status: number,
+  isPausing: boolean,
+): ObservedOutcome {
+  if (isPausing) return ObservedOutcome.Full;
+  return status >= MIN_SERVER_ERROR_STATUS
+    ? ObservedOutcome.Error
+    : ObservedOutcome.Success;
+}
+
 async function relayResponseStream(
   context: RunContext,
   response: EndpointResponse,
@@ -258,7 +282,11 @@
 function resultAfterRelay(
   context: RunContext,
   relayed: RelayResult,
-  { first_byte_ms, status }: { first_byte_ms: number; status: number },
+  { first_byte_ms, status, isPausing }: {
+    first_byte_ms: number;
+    status: number;
+    isPausing: boolean;
+  },
 ): SendResult {
   const { response, progress } = context.inbound;
   context.bufferedError = relayed.buffered ?? context.bufferedError;
@@ -267,9 +295,7 @@
       outcome: relayed.delivered
         ? SendOutcome.Answered
         : SendOutcome.MayHaveRun,
-      observedOutcome: status >= MIN_SERVER_ERROR_STATUS
-        ? ObservedOutcome.Error
-        : ObservedOutcome.Success,
+      observedOutcome: observedOutcomeOf(status, isPausing),
       first_byte_ms: relayed.first_byte_ms ?? first_byte_ms,
       reason: `status_${status}`,
       event_count: relayed.event_count,
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -17,7 +17,7 @@
 import { sendOnce } from "./send_once.ts";
 import {
   chooseEndpoint,
-  limitWaitMs,
+  earliestSendMs,
   reserveIfLimited,
   takeEndpoint,
 } from "./take_endpoint.ts";
@@ -293,6 +293,9 @@
   return refused({
     reason: RejectionReason.NoEndpoint,
     message: "No endpoint can take it now",
-    retry_after_ms: Math.max(NO_ENDPOINT_RETRY_AFTER_MS, limitWaitMs(context)),
+    retry_after_ms: Math.max(
+      NO_ENDPOINT_RETRY_AFTER_MS,
+      earliestSendMs(context),
+    ),
   });
 }
--- a/src/forwarding/take_endpoint.ts
+++ b/src/forwarding/take_endpoint.ts
@@ -1,6 +1,6 @@
 /**
- * Chooses the endpoint for the next send of a request, within the rates that
- * endpoints name.
+ * Chooses the endpoint for the next send of a request, within the rates and the
+ * pauses that endpoints name.
  */
 import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
@@ -19,14 +19,17 @@
 }
 
 /**
- * Before the stages of a request whose endpoints all limit their rate, takes the
- * send at one of them; false if there is none, or no endpoint, so that no stage
- * runs in vain.
+ * Before the stages of a request whose endpoints all limit their rate or pause,
+ * takes the send at one of them; false if there is none, or no endpoint, so that
+ * no stage runs in vain.
  */
 export async function reserveIfLimited(context: RunContext): Promise<boolean> {
-  const { endpoints, rateLimits, now } = context.dependencies;
-  const ready = endpoints.readyInPool(context.pool, now());
-  if (ready.some((endpoint) => !rateLimits.isLimited(endpoint))) return true;
+  const { endpoints, rateLimits, reports, now } = context.dependencies;
+  const takesAny = endpoints.readyInPool(context.pool, now())
+    .some((endpoint) =>
+      !rateLimits.isLimited(endpoint) && reports.pauseMs(endpoint) === 0
+    );
+  if (takesAny) return true;
   context.reservedSend = await reserveSend(context, new Set());
   return context.reservedSend !== undefined;
 }
@@ -42,7 +45,7 @@
     context.reservedSend = undefined;
     if (send === undefined) return undefined;
     const wait_ms = send.at_ms - now();
-    if (wait_ms > 0) await abortableDelay(wait_ms, context.signal);
+    if (wait_ms > 0) await abortableDelay(Math.ceil(wait_ms), context.signal);
     if (context.stopReason === undefined && isReady(context, send.endpoint)) {
       return send.endpoint;
     }
@@ -75,15 +78,15 @@
   context: RunContext,
   tried: ReadonlySet<string>,
 ): Promise<ReservedSend | undefined> {
-  const { endpoints, rateLimits, load, now, log } = context.dependencies;
-  const { route, priority, metadata } = context.admitted;
+  const { endpoints, load, now, log } = context.dependencies;
+  const { route, metadata } = context.admitted;
   const max_wait_ms = context.inbound.arrived_ms + route.target_latency_ms -
     load.firstByteMs(context.pool) - now();
   const [endpoint] = endpoints.readyInPool(context.pool, now())
     .filter(({ id }) => !tried.has(id))
-    .sort((a, b) => rateLimits.waitMs(a) - rateLimits.waitMs(b));
+    .sort((a, b) => sendWaitMs(context, a) - sendWaitMs(context, b));
   if (endpoint === undefined || max_wait_ms <= 0) return undefined;
-  const wait_ms = await rateLimits.reserve(endpoint, { priority, max_wait_ms });
+  const wait_ms = await reserveAt(endpoint, context, max_wait_ms);
   log.info({
     event: "permit",
     attempt: metadata.attempt_id,
@@ -97,12 +100,33 @@
     : { endpoint, at_ms: now() + wait_ms };
 }
 
-/** Whether an endpoint still accepts new work. */
+/**
+ * Takes a later send at an endpoint. Resolves to the time until the send, in
+ * milliseconds, or to undefined if there is none in time.
+ */
+async function reserveAt(
+  endpoint: RouteEndpoint,
+  { admitted, dependencies }: RunContext,
+  max_wait_ms: number,
+): Promise<number | undefined> {
+  const { rateLimits, reports } = dependencies;
+  const pause_ms = reports.pauseMs(endpoint);
+  if (pause_ms === 0) {
+    const { priority } = admitted;
+    return await rateLimits.reserve(endpoint, { priority, max_wait_ms });
+  }
+  // A permit can't be asked for ahead for a time that others grant from now on.
+  const isInTime = pause_ms <= max_wait_ms && !rateLimits.isLimited(endpoint);
+  return isInTime ? pause_ms : undefined;
+}
+
+/** Whether an endpoint still accepts new work, and now. */
 function isReady(
   { pool, dependencies }: RunContext,
   endpoint: RouteEndpoint,
 ): boolean {
-  const { endpoints, now } = dependencies;
+  const { endpoints, reports, now } = dependencies;
+  if (reports.pauseMs(endpoint) > 0) return false;
   const incarnation = incarnationOf(endpoint);
   return endpoints.readyInPool(pool, now())
     .some((ready) => incarnationOf(ready) === incarnation);
@@ -113,12 +137,11 @@
   context: RunContext,
   tried: ReadonlySet<string>,
 ): RouteEndpoint | undefined {
-  const { endpoints, rateLimits, configuration, load, now, random } =
-    context.dependencies;
+  const { endpoints, configuration, load, now, random } = context.dependencies;
   const now_ms = now();
   const candidates = endpoints.readyInPool(context.pool, now_ms)
     .filter((endpoint) =>
-      !tried.has(endpoint.id) && rateLimits.waitMs(endpoint) === 0
+      !tried.has(endpoint.id) && sendWaitMs(context, endpoint) === 0
     );
   if (candidates.length === 0) return undefined;
   const selection = { candidates, load, now_ms, random };
@@ -128,10 +151,19 @@
     : chooseOfTwo(selection);
 }
 
-/** Time until some endpoint's rate limit allows a send, in milliseconds. */
-export function limitWaitMs({ pool, dependencies }: RunContext): number {
-  const { endpoints, rateLimits, now } = dependencies;
-  const waits_ms = endpoints.readyInPool(pool, now())
-    .map((endpoint) => rateLimits.waitMs(endpoint));
+/** Time until an endpoint's limit and pause allow a send, in milliseconds. */
+function sendWaitMs(
+  { dependencies }: RunContext,
+  endpoint: RouteEndpoint,
+): number {
+  const { rateLimits, reports } = dependencies;
+  return Math.max(rateLimits.waitMs(endpoint), reports.pauseMs(endpoint));
+}
+
+/** Time until some endpoint takes a send, in milliseconds. */
+export function earliestSendMs(context: RunContext): number {
+  const { endpoints, now } = context.dependencies;
+  const waits_ms = endpoints.readyInPool(context.pool, now())
+    .map((endpoint) => sendWaitMs(context, endpoint));
   return waits_ms.length === 0 ? 0 : Math.min(...waits_ms);
 }
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -236,6 +236,7 @@
     now,
   });
   const load = new ObservedLoad();
+  const agents = new EndpointAgents(() => members.count);
   const reports = new EndpointReports({
     self,
     hosts: () => members.addresses(),
@@ -243,8 +244,13 @@
     load,
     rateLimits,
     endpoints,
-    onLeaving(source) {
+    onPause(address) {
+      metrics.endpointPauses.inc();
+      agents.failQueued(address);
+    },
+    onLeaving(address, source) {
       metrics.leavingEndpoints.inc({ source });
+      agents.failQueued(address);
       for (const listener of endpointListeners) listener();
     },
     log,
@@ -321,7 +327,7 @@
     syncOptions,
     configurationListeners,
     endpointListeners,
-    agents: new EndpointAgents(() => members.count),
+    agents,
     retryBudget: new PoolRetryBudgets(settings.repeats, () => members.count),
     now,
     random,
@@ -343,6 +349,7 @@
   const batcher: Batcher = new Batcher({
     pool,
     endpoints: (name) => endpoints.inPool(name, now()),
+    pauseMs: (endpoint) => context.reports.pauseMs(endpoint),
     client: createPieceClient({
       codec: context.adapter.codec,
       agents: context.agents,
--- a/src/metrics/forward_metrics.ts
+++ b/src/metrics/forward_metrics.ts
@@ -68,6 +68,11 @@
     labelNames: ["source"],
     registers: [this.registry],
   });
+  readonly endpointPauses = new Counter({
+    name: "sesamequay_endpoint_pauses_total",
+    help: "Times that an endpoint refused this host's requests for a while",
+    registers: [this.registry],
+  });
   readonly configurationVersion = new Gauge({
     name: "sesamequay_configuration_version",
     help: "Version of the configuration in force",
--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -17,6 +17,8 @@
   None = "none",
   /** Rejects the request as not executed, because it is at capacity. */
   Full = "full",
+  /** Rejects the request with status 503, without saying that it has not run. */
+  Refused = "refused",
   /** Responds with status 500, or fails every piece of a call. */
   Error = "error",
   /** Executes the request and resets the connection before responding. */
@@ -110,6 +112,8 @@
    * the connection stays open.
    */
   raw_response: string | undefined;
+  /** Seconds for which its rejections with status 503 want no requests. */
+  retry_after: string | undefined;
   /** Whether its responses say that it is leaving; undefined says nothing. */
   leaving: string | undefined;
   /** Arrivals of requests and of calls for pieces, as `performance.now()`. */
@@ -209,9 +213,15 @@
       return void response.end();
     }
     if (request.url === "/v1/stage-run") {
-      return this.#computePieces(response, body);
+      return this.#computePieces(request, response, body);
     }
     if (request.url === "/v1/stage-free") {
+      if (this.retry_after !== undefined) {
+        const fault = this.#nextFault();
+        if (fault === EngineFault.Full) {
+          return this.#reject(request, response, fault);
+        }
+      }
       this.freed.push(...JSON.parse(body).handles);
       return void response.writeHead(200).end("{}");
     }
@@ -226,18 +236,30 @@
     return this.fault;
   }
 
+  #reject(
+    request: IncomingMessage,
+    response: ServerResponse,
+    fault: EngineFault,
+  ): void {
+    if (fault === EngineFault.Full) response.setHeader("x-not-executed", "1");
+    if (this.retry_after !== undefined) {
+      response.setHeader("retry-after", this.retry_after);
+    }
+    response.writeHead(503, this.#echoedId(request)).end();
+  }
+
   async #respond(
     request: IncomingMessage,
     response: ServerResponse,
     body: string,
   ): Promise<void> {
     const fault = this.#nextFault();
-    const notExecuted = { ...this.#echoedId(request), "x-not-executed": "1" };
-    if (fault === EngineFault.Full) {
-      return void response.writeHead(503, notExecuted).end();
+    if (fault === EngineFault.Full || fault === EngineFault.Refused) {
+      return this.#reject(request, response, fault);
     }
     if (fault === EngineFault.InputsGone) {
-      return void response.writeHead(409, notExecuted).end();
+      const headers = { ...this.#echoedId(request), "x-not-executed": "1" };
+      return void response.writeHead(409, headers).end();
     }
     this.receivedRequests.push({
       method: request.method ?? "",
@@ -353,10 +375,14 @@
     response.end();
   }
 
-  async #computePieces(response: ServerResponse, body: string): Promise<void> {
+  async #computePieces(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+  ): Promise<void> {
     const fault = this.#nextFault();
-    if (fault === EngineFault.Full) {
-      return void response.writeHead(503, { "x-not-executed": "1" }).end();
+    if (fault === EngineFault.Full || fault === EngineFault.Refused) {
+      return this.#reject(request, response, fault);
     }
     const pieces = JSON.parse(body).items as ReceivedPiece[];
     this.pieceCalls.push(pieces);
--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -20,6 +20,8 @@
   engines?: Record<Service, EngineOptions[]>;
   /** Merged into every version of the manifest. */
   manifestChanges?: Record<string, unknown>;
+  /** Connections that an engine accepts from all hosts; 100 by default. */
+  max_connections?: number;
   limits?: Record<string, number>;
   watch_ms?: number;
   /** Time limit of a gateway host's drain; 8 by default. */
@@ -92,7 +94,7 @@
   /** Writes the next version of the manifest, with these changes. */
   publishManifest(changes: Record<string, unknown>): void {
     this.store.put("config", "main", {
-      ...baseManifest(),
+      ...baseManifest(this.#options.max_connections),
       ...this.#options.manifestChanges,
       ...changes,
       version: this.version++,
@@ -232,7 +234,7 @@
   };
 }
 
-function baseManifest(): Record<string, unknown> {
+function baseManifest(max_connections = 100): Record<string, unknown> {
   const pieces = {
     slots: 1,
     queue: 2,
@@ -246,7 +248,7 @@
   const service = (name: Service, extra: object = {}) => ({
     name,
     health_path: "/health",
-    max_connections: 100,
+    max_connections,
     protocol: "h1",
     tls: false,
     ...extra,
--- a/stand_ins/deployment/piece_calls.ts
+++ b/stand_ins/deployment/piece_calls.ts
@@ -18,7 +18,7 @@
     agents,
     pool: () => undefined,
     endpointAt: () => undefined,
-    reports: { record: () => {} },
+    reports: { record: () => {}, pauseMs: () => 0 },
     log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
     now: () => performance.now(),
   });
--- a/test/batching/batcher.test.ts
+++ b/test/batching/batcher.test.ts
@@ -60,18 +60,21 @@
 }
 
 let endpoints: RouteEndpoint[];
+let pausedUntil_ms: Map<string, number>;
 
 afterEach(() => stopping.abort());
 
 beforeEach(() => {
   stopping = new AbortController();
   now_ms = 0;
+  pausedUntil_ms = new Map();
   calls = [];
   freed = [];
   endpoints = [endpoint("1")];
   batcher = new Batcher({
     pool: () => pool,
     endpoints: () => endpoints,
+    pauseMs: ({ id }) => Math.max(0, (pausedUntil_ms.get(id) ?? 0) - now_ms),
     client: {
       call: (at, requests) =>
         new Promise((respond) =>
@@ -249,3 +252,27 @@
   await respond(2);
   assert.equal((await outcome).kind, JobOutcomeKind.Completed);
 });
+
+test("a pausing endpoint gets no call, and the work goes to another one", () => {
+  endpoints = [endpoint("1"), endpoint("2")];
+  pausedUntil_ms.set("1", 2_000);
+  void run("a");
+  void run("b");
+  assert.deepEqual(calls.map(({ endpoint: id }) => id), ["2"]);
+});
+
+test("while all endpoints pause, a job waits if it would be in time, else it is refused with the earliest time", async () => {
+  endpoints = [endpoint("1"), endpoint("2")];
+  pausedUntil_ms.set("1", 3_000).set("2", 2_000);
+  void run("a");
+  const late = await batcher.runForPeer(
+    job("b", { due_in_ms: 500, expires_in_ms: 1_500 }),
+    stopping.signal,
+  );
+  assert.equal(calls.length, 0);
+  assert.ok(late.kind === JobOutcomeKind.Refused);
+  assert.ok(late.retry_after_ms >= 2_000 && late.retry_after_ms < 3_000);
+  now_ms = 2_000;
+  batcher.endpointsChanged();
+  assert.deepEqual(calls.map(({ endpoint: id }) => id), ["2"]);
+});
--- a/test/batching/burst_replay.test.ts
+++ b/test/batching/burst_replay.test.ts
@@ -68,6 +68,7 @@
         state: RouteEndpointState.Ready,
         born_ms: 1,
       })),
+    pauseMs: () => 0,
     client: {
       call: (_endpoint, requests) => computePieces(requests),
       free: () => Promise.resolve(true),
--- a/test/batching/job_router.test.ts
+++ b/test/batching/job_router.test.ts
@@ -57,6 +57,7 @@
   const local = new Batcher({
     pool: () => undefined,
     endpoints: () => [],
+    pauseMs: () => 0,
     client: {
       call: () => Promise.reject(new Error("unexpected call")),
       free: () => Promise.resolve(true),
--- a/test/platform/codec.test.ts
+++ b/test/platform/codec.test.ts
@@ -129,6 +129,29 @@
   }
 });
 
+test("a refusal names a pause in decimal seconds, and other values name none", () => {
+  const read = (status: number, ...values: string[]) =>
+    deploymentCodec.decodeResponse(
+      status,
+      values.flatMap((value) => ["Retry-After", value]),
+    ).report.pause_ms;
+  assert.equal(read(503, "2"), 2_000);
+  assert.equal(read(503, " 1.5 "), 1_500);
+  assert.equal(read(503, "0"), 0);
+  assert.equal(read(503, "1", "3"), 3_000);
+  assert.equal(read(503, "1, 0.5"), 1_000);
+  assert.equal(read(503, "9".repeat(400)), Infinity);
+  const date = "Wed, 21 Oct 2099 07:28:00 GMT";
+  for (const value of ["", "-2", "+2", "1e3", "0x10", "NaN", "soon", date]) {
+    assert.equal(read(503, value), 0, value);
+    assert.equal(read(503, "2", value), 0, value);
+  }
+  assert.equal(read(503), 0);
+  for (const status of [200, 421, 429, 500, 504]) {
+    assert.equal(read(status, "2"), 0);
+  }
+});
+
 test("piece results are decoded in order, with failure reasons", (t) => {
   const body = Buffer.from(JSON.stringify({
     items: [
