Don't take a second's silence of a sound endpoint for a failure

An endpoint that said nothing for 1.2 s and went on got no requests afterwards, for as long as others were well. Requests that may be sent again time out meanwhile (idempotent calls after twice the target latency, resumable streams before their head after five times the usual time and 600 ms, stage calls after 1.8 times the expected time and 150 ms). Each time-out counted as a lost connection: those of one moment doubled the backoff together, up to 4 s, and raised the failure share beyond a half, from which it falls by further exchanges alone, and there were none. A stage endpoint took the time-out for its slowness, which only answers lower.

Sending such work elsewhere stays. EndpointSilence tells a silence of up to 1.5 s, in which the endpoint answered nothing at all, from one that is longer, and from that of an endpoint which answers others: these count as before. A sound silence costs the shortest backoff once, no failure share and no slowness; the next stage call gets the time that the last one took, so that a slow endpoint is still learned. A connection that does not open in 400 ms counts the same way, since nothing was sent and the request goes elsewhere.

The time-outs and what a silence of 1 to 1.5 s meets there: before the head of a non-idempotent request, a stream that can't be resumed and the last permitted attempt, none; between events and within a body, none but the route's own; when results are freed, 1 s, which is logged and costs no more than memory until they expire; the quarantine's look whether an endpoint listens, 300 ms, which blames only a refused connection.

--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -383,6 +383,7 @@
     }
     switch (result.kind) {
       case PieceCallResultKind.Answered:
+        tracker.recordAnswer(now_ms);
         tracker.completeCall(
           { bytes, pieces: batch.length, elapsed_ms },
           limits,
@@ -395,9 +396,19 @@
         );
         break;
       case PieceCallResultKind.Full:
+        tracker.recordAnswer(now_ms);
         tracker.rejectCall(bytes, now_ms + RETRY_DELAY_MS);
         for (const { queued, piece } of batch) queued.waiting.unshift(piece);
         break;
+      case PieceCallResultKind.TimedOut:
+        tracker.timeOutCall({ bytes, pieces: batch.length, elapsed_ms }, {
+          limits,
+          now_ms,
+        });
+        for (const { queued, piece } of batch) {
+          this.#retryPiece(queued, piece, queue);
+        }
+        break;
       case PieceCallResultKind.Failed:
         tracker.failCall({ bytes, pieces: batch.length, elapsed_ms }, {
           limits,
--- a/src/batching/endpoint_tracker.ts
+++ b/src/batching/endpoint_tracker.ts
@@ -5,6 +5,7 @@
  */
 import type { NamedRateLimit } from "../endpoint_reports/endpoint_report.ts";
 import type { BatchLimits, RouteEndpoint } from "../routes/types.ts";
+import { EndpointSilence } from "../endpoints/endpoint_silence.ts";
 import { CALL_SHARE, intervalMs } from "./pacing.ts";
 
 /** Weight of the newest call in the moving average of slowness. */
@@ -44,6 +45,9 @@
   endpoint: RouteEndpoint;
   /** Moving average of actual to configured call time; 1 is as configured. */
   slowness = 1;
+  #silence = new EndpointSilence();
+  /** Slowness that calls since the last timeout are given time for. */
+  #patience = 1;
   #callsInFlight = 0;
   #consecutiveFailures = 0;
   #backoffUntil_ms = 0;
@@ -109,7 +113,7 @@
   /** Timeout of a call with this many pieces, in milliseconds. */
   callTimeoutMs(pieces: number, limits: BatchLimits): number {
     const configured_ms = limits.call_ms + pieces * limits.piece_ms;
-    const expected_slowness = Math.max(1, this.slowness);
+    const expected_slowness = Math.max(1, this.slowness, this.#patience);
     return configured_ms * expected_slowness * CALL_TIMEOUT_FACTOR +
       CALL_TIMEOUT_MARGIN_MS;
   }
@@ -133,6 +137,7 @@
   completeCall(call: EndedCall, limits: BatchLimits): void {
     this.#endCall(call.bytes);
     this.#consecutiveFailures = 0;
+    this.#patience = 1;
     const ratio = slownessOf(call, limits);
     this.slowness += SLOWNESS_SMOOTHING *
       (Math.max(ratio, 0.5) - this.slowness);
@@ -154,6 +159,31 @@
     return backoff_ms;
   }
 
+  /**
+   * Records a call without a response in time. While the endpoint may only be
+   * silent for a moment, it is called again soon, with more time, and does not
+   * count as slow.
+   */
+  timeOutCall(
+    call: EndedCall,
+    { limits, now_ms }: { limits: BatchLimits; now_ms: number },
+  ): void {
+    const sent_ms = now_ms - call.elapsed_ms;
+    if (!this.#silence.recordTimeout(sent_ms, now_ms)) {
+      this.failCall(call, { limits, now_ms });
+      return;
+    }
+    this.#endCall(call.bytes);
+    const until_ms = now_ms + INITIAL_BACKOFF_MS;
+    this.#backoffUntil_ms = Math.max(this.#backoffUntil_ms, until_ms);
+    this.#patience = Math.max(this.#patience, slownessOf(call, limits));
+  }
+
+  /** Records a response to any call. */
+  recordAnswer(now_ms: number): void {
+    this.#silence.recordAnswer(now_ms);
+  }
+
   /** Records that the endpoint rejected a call, full of other hosts' calls. */
   rejectCall(bytes: number, retry_at_ms: number): void {
     this.#endCall(bytes);
--- a/src/batching/piece_call.ts
+++ b/src/batching/piece_call.ts
@@ -13,12 +13,15 @@
   | { kind: PieceCallResultKind.Answered; responses: PieceResponse[] }
   /** The endpoint rejected the call because it is at capacity. */
   | { kind: PieceCallResultKind.Full }
+  /** No response in time. */
+  | { kind: PieceCallResultKind.TimedOut }
   | { kind: PieceCallResultKind.Failed; reason: string };
 
 /** Discriminates `PieceCallResult`. */
 export enum PieceCallResultKind {
   Answered = "answered",
   Full = "full",
+  TimedOut = "timed_out",
   Failed = "failed",
 }
 
--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -34,7 +34,10 @@
  * since the endpoint's next call may wait for their memory.
  */
 const FREE_BATCH_WINDOW_MS = 5;
-/** Abort reason; a string, since each Error would capture a stack trace. */
+/**
+ * Reason of a call without a response in time, and of its abort; a string, since
+ * each Error would capture a stack trace.
+ */
 const CALL_EXPIRED = "call_expired";
 /** Number of handles of each endpoint that are remembered. */
 const MAX_RECENT_HANDLES = 512;
@@ -164,8 +167,11 @@
     timeout_ms,
   }, options);
   if (response.kind === "failed") {
-    return response.reason === ENDPOINT_UNAVAILABLE
-      ? { kind: PieceCallResultKind.Full }
+    if (response.reason === ENDPOINT_UNAVAILABLE) {
+      return { kind: PieceCallResultKind.Full };
+    }
+    return response.reason === CALL_EXPIRED
+      ? { kind: PieceCallResultKind.TimedOut }
       : failed(response.reason);
   }
   const { metadata } = response;
@@ -265,12 +271,15 @@
   },
   { agents, codec, pool, reports }: PieceClientOptions,
 ): Promise<EndpointResponse> {
+  const expiry = new AbortController();
   const fail = (reason: string): EndpointResponse => {
     agents.closeIdleConnections(address);
-    return { kind: "failed", reason };
+    return {
+      kind: "failed",
+      reason: expiry.signal.aborted ? CALL_EXPIRED : reason,
+    };
   };
   const max_connections = pool(endpoint?.pool ?? "")?.max_connections ?? 1;
-  const expiry = new AbortController();
   const timer = setTimeout(() => expiry.abort(CALL_EXPIRED), timeout_ms);
   try {
     const result = await sendRequest({
--- a/src/forwarding/complete_exchange.ts
+++ b/src/forwarding/complete_exchange.ts
@@ -62,6 +62,11 @@
   ResponseOrigin.Foreign,
   ResponseOrigin.Unidentified,
 ]);
+/** Reasons of requests that got no response in time. */
+const TIMEOUT_REASONS: ReadonlySet<string> = new Set([
+  ABORTED_CODE,
+  "connect_timeout",
+]);
 const MIN_REDIRECT_STATUS = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
 /** Logged for a response that the endpoint broke off. */
@@ -89,34 +94,13 @@
     onResponse: () => void;
   },
 ): Promise<SendResult> {
-  const { now, codec, reports } = context.dependencies;
+  const { now, codec, reports, load } = context.dependencies;
   const received_ms = now();
-  if (
-    result.kind === ExchangeOutcome.NotSent &&
-    result.reason === ENDPOINT_UNAVAILABLE
-  ) {
-    return {
-      outcome: SendOutcome.NotRun,
-      observedOutcome: ObservedOutcome.Full,
-      first_byte_ms: received_ms,
-      reason: result.reason,
-    };
-  }
-  if (result.kind === ExchangeOutcome.NotSent) {
-    const failure = resultAfterFailure(context, SendOutcome.NotRun, {
-      first_byte_ms: received_ms,
-      reason: result.reason,
-    });
-    return result.malformed === true
-      ? { ...failure, observedOutcome: ObservedOutcome.NotSent }
-      : failure;
-  }
-  if (result.kind === ExchangeOutcome.ResponseLost) {
-    return resultAfterFailure(context, SendOutcome.MayHaveRun, {
-      first_byte_ms: received_ms,
-      reason: result.reason,
-    });
+  if (result.kind !== ExchangeOutcome.ResponseReceived) {
+    const times = { sent_ms, received_ms };
+    return resultWithoutResponse(context, result, { endpoint, ...times });
   }
+  load.forEndpoint(endpoint).silence.recordAnswer(received_ms);
   const { response } = result;
   const metadata = codec.decodeResponse(response.status, response.headers);
   const origin = originOf(
@@ -172,6 +156,38 @@
     : sent;
 }
 
+/** The result of a send without a response. */
+function resultWithoutResponse(
+  context: RunContext,
+  result: Exclude<ExchangeResult, { kind: ExchangeOutcome.ResponseReceived }>,
+  { endpoint, sent_ms, received_ms }: {
+    endpoint: RouteEndpoint;
+    sent_ms: number;
+    received_ms: number;
+  },
+): SendResult {
+  const { kind, reason } = result;
+  const notSent = kind === ExchangeOutcome.NotSent;
+  const failed = resultAfterFailure(
+    context,
+    notSent ? SendOutcome.NotRun : SendOutcome.MayHaveRun,
+    { first_byte_ms: received_ms, reason },
+  );
+  if (notSent && reason === ENDPOINT_UNAVAILABLE) {
+    return { ...failed, observedOutcome: ObservedOutcome.Full };
+  }
+  if (notSent && result.malformed === true) {
+    return { ...failed, observedOutcome: ObservedOutcome.NotSent };
+  }
+  const { silence } = context.dependencies.load.forEndpoint(endpoint);
+  const isSilence = context.stopReason === undefined &&
+    TIMEOUT_REASONS.has(reason) &&
+    silence.recordTimeout(sent_ms, received_ms);
+  return isSilence
+    ? { ...failed, observedOutcome: ObservedOutcome.Silent }
+    : failed;
+}
+
 /**
  * The result of a send without a valid response. It counts against the endpoint
  * unless this host stopped the request itself.
--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -61,7 +61,10 @@
     if (result.observedOutcome === ObservedOutcome.Success) {
       load.recordFirstByte(endpoint, result.first_byte_ms - started_ms);
     }
-    if (result.observedOutcome === ObservedOutcome.ConnectionFailed) {
+    if (
+      result.observedOutcome === ObservedOutcome.ConnectionFailed ||
+      result.observedOutcome === ObservedOutcome.Silent
+    ) {
       agents.closeIdleConnections(endpoint.address);
     }
     context.crashSuspicion = mayHaveCrashed(result)
--- a/src/routing/observed_load.ts
+++ b/src/routing/observed_load.ts
@@ -4,6 +4,7 @@
  * hosts use endpoint_state.ts instead. Does no I/O and reads no clock: callers
  * pass the time in.
  */
+import { EndpointSilence } from "../endpoints/endpoint_silence.ts";
 import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 
@@ -20,6 +21,8 @@
   Full = "full",
   /** No connection, or no complete and valid response. */
   ConnectionFailed = "broken",
+  /** No response in time, but no longer than a sound endpoint may take. */
+  Silent = "silent",
   /** It responded with a server error. */
   Error = "error",
   /** This host could not form the request: it tells nothing of the endpoint. */
@@ -42,6 +45,7 @@
 export class ObservedEndpoint {
   /** Requests of this host in flight. */
   in_flight = 0;
+  readonly silence = new EndpointSilence();
   /** Moving average of failed exchanges, 0 to 1. */
   failure_share = 0;
   /**
@@ -80,6 +84,11 @@
   /** Records how an exchange ended. */
   recordOutcome(outcome: ObservedOutcome, now_ms: number): void {
     if (outcome === ObservedOutcome.NotSent) return;
+    if (outcome === ObservedOutcome.Silent) {
+      const until_ms = now_ms + INITIAL_BACKOFF_MS;
+      this.#backoffUntil_ms = Math.max(this.#backoffUntil_ms, until_ms);
+      return;
+    }
     const failed = outcome === ObservedOutcome.ConnectionFailed ||
       outcome === ObservedOutcome.Error;
     this.failure_share += FAILURE_SMOOTHING *
--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -118,6 +118,8 @@
   leaving: string | undefined;
   /** Arrivals of requests and of calls for pieces, as `performance.now()`. */
   arrivals_ms: number[] = [];
+  /** Until when it neither answers nor goes on, as `performance.now()`. */
+  silentUntil_ms = 0;
   /** Crashes so far. */
   crashes = 0;
   /** What the fault `RepeatedRefusal` writes. */
@@ -197,6 +199,7 @@
     for await (const chunk of request) chunks.push(chunk);
     const body = Buffer.concat(chunks).toString();
     this.arrivals_ms.push(performance.now());
+    await this.#endOfSilence();
     if (this.rate_limit_per_s !== undefined) {
       response.setHeader("server-limit", String(this.rate_limit_per_s));
     }
@@ -228,6 +231,12 @@
     await this.#respond(request, response, body);
   }
 
+  async #endOfSilence(): Promise<void> {
+    while (performance.now() < this.silentUntil_ms) {
+      await sleep(Math.ceil(this.silentUntil_ms - performance.now()));
+    }
+  }
+
   #nextFault(): EngineFault {
     if (this.fault === EngineFault.None || this.remainingFaults <= 0) {
       return EngineFault.None;
@@ -275,6 +284,7 @@
       await this.#repeatRefusal(request.socket);
     }
     await sleep(this.#options.work_ms ?? 0);
+    await this.#endOfSilence();
     if (fault === EngineFault.NoResponse) return;
     if (fault === EngineFault.ResponseLost) {
       return void request.socket.resetAndDestroy();
@@ -371,6 +381,7 @@
       }
       response.write(`id: ${id}\ndata: ${id}\n\n`);
       await sleep(work_ms);
+      await this.#endOfSilence();
     }
     response.end();
   }
@@ -387,6 +398,7 @@
     const pieces = JSON.parse(body).items as ReceivedPiece[];
     this.pieceCalls.push(pieces);
     await sleep(this.#options.call_ms ?? 0);
+    await this.#endOfSilence();
     if (fault === EngineFault.NoResponse) return;
     const items = pieces.map(() =>
       fault === EngineFault.Error
--- a/test/batching/endpoint_tracker.test.ts
+++ b/test/batching/endpoint_tracker.test.ts
@@ -91,3 +91,28 @@
   });
   assert.ok(tracker.callTimeoutMs(10, limits) > 1.8 * first_ms);
 });
+
+test("a moment's silence costs a short backoff, and gives the next call more time", () => {
+  const tracker = createTracker();
+  const timeOut = (started_ms: number, elapsed_ms: number) => {
+    const call = { bytes: 0, pieces: 1 };
+    tracker.startCall({ ...call, now_ms: started_ms }, limits);
+    const now_ms = started_ms + elapsed_ms;
+    tracker.timeOutCall({ ...call, elapsed_ms }, { limits, now_ms });
+  };
+  const usual_ms = tracker.callTimeoutMs(1, limits);
+  timeOut(0, 528);
+  assert.equal(tracker.slowness, 1);
+  assert.ok(tracker.callTimeoutMs(1, limits) > 2 * usual_ms);
+  timeOut(828, 528);
+  assert.equal(tracker.slowness, 1);
+  assert.equal(tracker.acceptsCalls(1_655), false);
+  assert.equal(tracker.acceptsCalls(1_656), true);
+  timeOut(1_656, 1_000);
+  assert.ok(tracker.slowness > 4);
+  tracker.startCall({ bytes: 0, pieces: 1, now_ms: 3_000 }, limits);
+  tracker.recordAnswer(3_210);
+  tracker.completeCall({ bytes: 0, pieces: 1, elapsed_ms: 210 }, limits);
+  timeOut(4_000, 900);
+  assert.equal(tracker.acceptsCalls(5_200), true);
+});
