Soak: each request has one end while endpoints, configuration and hosts change

Twelve callers send requests through three hosts while endpoints answer with faults and with heads that no endpoint should send, configurations change (services, keys, an idle time-out of 30 ms, odd ones), odd entries come and go, and hosts drain and are replaced. Each request must end as a whole answer or refusal in time, or as a cut that a host's log names by its attempt id; a connection that was kept may also close on a request that no endpoint got. No line event=fault or end=no_outcome may appear.

Nothing else was found but faults of the soak itself (a caller that reused its closed connection; callers that opened connections to hosts out of rotation).

--- a/stand_ins/deployment/raw_caller.ts
+++ b/stand_ins/deployment/raw_caller.ts
@@ -76,6 +76,7 @@
 
   /** Closes the connection. */
   close(): void {
+    this.#closed = true;
     this.#socket.destroy();
   }
 
