End each call whose answer switches protocols, and each that can't be made

A status 101 makes Node's client close its connection and emit neither a response nor an error; the time-out then destroys what is closed already, and emits nothing either. Whoever waited for the call waited for good: an attempt of the own interface (its request had only its deadline's answer), a call to the object store or to a host (its feed was never read again), a request passed on to another entry host. The same clients threw, against their word, where a request can't be made at all (a port of 99999).

Cause: a call's end was taken from two events that need not come; 'close' always does.

The passing on to another entry host has the same change without a test of its own.

--- a/src/endpoints/endpoint_client.ts
+++ b/src/endpoints/endpoint_client.ts
@@ -60,7 +60,12 @@
   }
 
   async run(): Promise<AttemptResult> {
-    const clientRequest = this.#sendRequest();
+    let clientRequest: ClientRequest;
+    try {
+      clientRequest = this.#sendRequest();
+    } catch (error) {
+      return this.#failedResult(error as Error);
+    }
     const onCancel = () => this.#abort(clientRequest, AttemptOutcome.Cancelled);
     const attemptTimer = setTimeout(
       () => this.#abort(clientRequest, AttemptOutcome.TimedOut),
@@ -228,6 +233,11 @@
   return new Promise((resolve, reject) => {
     clientRequest.once("response", resolve);
     clientRequest.on("error", reject);
+    // Neither an error nor a response follows a switch of protocols.
+    clientRequest.once(
+      "close",
+      () => reject(new Error("The connection was closed")),
+    );
   });
 }
 
--- a/src/http_api/proxy_request.ts
+++ b/src/http_api/proxy_request.ts
@@ -48,6 +48,10 @@
     );
     proxiedRequest.on("timeout", () => proxiedRequest.destroy());
     proxiedRequest.on("error", resolveFailure);
+    // Neither an error nor a response follows a switch of protocols.
+    proxiedRequest.on("close", () => {
+      if (!response.headersSent) resolveFailure();
+    });
     response.once("close", () => proxiedRequest.destroy());
     proxiedRequest.on("response", (targetResponse) => {
       response.writeHead(
--- a/src/utils/http_client.ts
+++ b/src/utils/http_client.ts
@@ -3,7 +3,12 @@
  * connection and all idle connections are closed, so that the next request uses
  * a new connection.
  */
-import { Agent, type IncomingHttpHeaders, request } from "node:http";
+import {
+  Agent,
+  type ClientRequest,
+  type IncomingHttpHeaders,
+  request,
+} from "node:http";
 import type { Address } from "../settings/settings.ts";
 
 /** A request to be sent. */
@@ -52,15 +57,13 @@
   send(options: HttpRequest): Promise<HttpResponse> {
     return new Promise((resolve, reject) => {
       let sent = false;
-      const outgoing = request({
-        agent: this.#agent,
-        host: this.address.ip,
-        port: this.address.port,
-        method: options.method,
-        path: options.path,
-        headers: requestHeaders(options),
-        signal: options.signal,
-      });
+      let outgoing: ClientRequest;
+      try {
+        outgoing = this.#open(options);
+      } catch (error) {
+        reject(new HttpRequestError((error as Error).message, sent));
+        return;
+      }
       const timer = setTimeout(() => {
         outgoing.destroy(
           new Error(`No answer within ${options.timeout_ms} ms`),
@@ -76,6 +79,8 @@
         else socket.once("connect", () => sent = true);
       });
       outgoing.on("error", fail);
+      // Neither an error nor a response follows a switch of protocols.
+      outgoing.on("close", () => fail(new Error("The connection was closed")));
       outgoing.on("response", (incoming) => {
         let body = "";
         incoming.setEncoding("utf8");
@@ -96,6 +101,18 @@
     });
   }
 
+  #open(options: HttpRequest): ClientRequest {
+    return request({
+      agent: this.#agent,
+      host: this.address.ip,
+      port: this.address.port,
+      method: options.method,
+      path: options.path,
+      headers: requestHeaders(options),
+      signal: options.signal,
+    });
+  }
+
   /** Closes all connections. */
   close(): void {
     this.#agent.destroy();
