--- a/test/endpoints/endpoint_client.test.ts
+++ b/test/endpoints/endpoint_client.test.ts
@@ -1,34 +1,28 @@
 /** Attempts at endpoints whose answer is no response end in time. */
 import assert from "node:assert/strict";
-import { once } from "node:events";
-import { type AddressInfo, createServer, type Server } from "node:net";
 import { afterEach, beforeEach, test } from "node:test";
 import { type Attempt, AttemptOutcome } from "../../src/endpoints/attempt.ts";
 import { createEndpointClient } from "../../src/endpoints/endpoint_client.ts";
 import { EndpointConnections } from "../../src/endpoints/endpoint_connections.ts";
 import { EndpointProtocol } from "../../src/records/types.ts";
+import { RawServer } from "../../stand_ins/raw_server.ts";
 
 const TIMEOUT_MS = 300;
 /** Longest time after its time-out at which an attempt may end. */
 const LATE_MS = 500;
 
-let server: Server;
+let server: RawServer;
 let connections: EndpointConnections;
-let answer: string;
 
 beforeEach(async () => {
-  server = createServer((socket) => {
-    socket.on("error", () => {});
-    socket.once("data", () => socket.write(answer));
-  });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
+  server = new RawServer();
+  await server.start();
   connections = new EndpointConnections();
 });
 
 afterEach(() => {
   connections.close();
-  server.close();
+  server.stop();
 });
 
 function attemptAt(address: string): Attempt {
@@ -68,9 +62,8 @@
 
 for (const [text, outcome] of ANSWERS) {
   test(`an attempt is ${outcome} after ${JSON.stringify(text.slice(0, 30))}`, async () => {
-    answer = text;
-    const { port } = server.address() as AddressInfo;
-    assert.deepEqual(await outcomeOf(`127.0.0.1:${port}`), {
+    server.answer = text;
+    assert.deepEqual(await outcomeOf(`127.0.0.1:${server.port}`), {
       outcome,
       sent: true,
     });
--- a/test/utils/http_client.test.ts
+++ b/test/utils/http_client.test.ts
@@ -1,32 +1,25 @@
 /** Answers that are no response end a call of the JSON client in time. */
 import assert from "node:assert/strict";
-import { once } from "node:events";
-import { type AddressInfo, createServer, type Server } from "node:net";
 import { afterEach, beforeEach, test } from "node:test";
 import { HttpClient, HttpRequestError } from "../../src/utils/http_client.ts";
+import { RawServer } from "../../stand_ins/raw_server.ts";
 
 const TIMEOUT_MS = 300;
 /** Longest time after its time-out at which a call may end. */
 const LATE_MS = 500;
 
-let server: Server;
+let server: RawServer;
 let client: HttpClient;
-let answer: string;
 
 beforeEach(async () => {
-  server = createServer((socket) => {
-    socket.on("error", () => {});
-    socket.once("data", () => socket.write(answer));
-  });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
-  client = new HttpClient({ ip: "127.0.0.1", port });
+  server = new RawServer();
+  await server.start();
+  client = new HttpClient({ ip: "127.0.0.1", port: server.port });
 });
 
 afterEach(() => {
   client.close();
-  server.close();
+  server.stop();
 });
 
 const ANSWERS = [
@@ -38,7 +31,7 @@
 
 for (const text of ANSWERS) {
   test(`a call ends in time after ${JSON.stringify(text.slice(0, 30))}`, async () => {
-    answer = text;
+    server.answer = text;
     const call = client.send({
       method: "GET",
       path: "/",
