Let followers go back with a store that names no higher epoch

Only followers of streams that had broken off were blind: the store cuts its watches, its readers pass themselves over for a moment and end their streams, and in a new stream a list below the follower's position can't be told from a reader that lags.

A watch cache now remembers the newest position that its source has gone back from, and names it in its lists (retracted), so that a follower's copy of it knows it from the first line on. A follower at such a position lists again and takes the list. If all readers that were tried in one read answer with less than the follower has, the follower asks the store itself, whose word counts: at most one list, after the readers have failed as before.

A store that names no epoch and readers that notice at different moments can still show a follower the old list once more; that ends when the last reader has noticed.

--- a/src/peers/feed_stream_client.ts
+++ b/src/peers/feed_stream_client.ts
@@ -194,7 +194,11 @@
     if (position === undefined) return this.close("no revision");
     switch (result.kind) {
       case FeedResultKind.Listed:
-        cache.replaceAll(result.items, position);
+        cache.replaceAll(
+          result.items,
+          position,
+          decodePosition(result.retracted?.epoch, result.retracted?.revision),
+        );
         break;
       case FeedResultKind.Changed:
         if (!isSameEpoch(position, cache.position)) {
--- a/src/store_sync/object_feed.ts
+++ b/src/store_sync/object_feed.ts
@@ -31,11 +31,21 @@
 
 /** Result of a list or a watch. */
 export type FeedResult<T> =
-  | FeedReading & { kind: FeedResultKind.Listed; items: FeedItem<T>[] }
+  | FeedReading & {
+    kind: FeedResultKind.Listed;
+    items: FeedItem<T>[];
+    /** Newest position that the source has gone back from; undefined if none. */
+    retracted?: FeedPosition | undefined;
+  }
   | FeedReading & { kind: FeedResultKind.Changed; changes: FeedChange<T>[] }
   /** Changes since that revision are no longer kept: list again. */
   | { kind: FeedResultKind.RevisionTooOld }
-  | { kind: FeedResultKind.Unavailable; reason: string };
+  | {
+    kind: FeedResultKind.Unavailable;
+    reason: string;
+    /** Whether the source answers, but with less than the caller has. */
+    isBehind?: boolean;
+  };
 
 /** The kinds of {@linkcode FeedResult}. */
 export enum FeedResultKind {
--- a/src/store_sync/relayed_feed.ts
+++ b/src/store_sync/relayed_feed.ts
@@ -140,6 +140,7 @@
 ): Promise<FeedResult<T>> {
   const { readers, self, signal } = options;
   let storeFailed = false;
+  let isBehind = false;
   for (
     let attempt = 0;
     attempt < MAX_ATTEMPTS_PER_READ && !signal.aborted;
@@ -159,29 +160,38 @@
     const addresses = readers.readersToFollow();
     if (addresses.length === 0) break;
     const result = await readFromFirstPeer(addresses, { fromPeer, options });
-    if (result !== undefined) return result;
+    if (result.kind !== FeedResultKind.Unavailable) return result;
+    isBehind ||= result.isBehind === true;
   }
+  // Readers that answer with less than this host has may all be right.
+  if (isBehind && !storeFailed && !signal.aborted) return await fromStore();
   return { kind: FeedResultKind.Unavailable, reason: "no source answers" };
 }
 
-/** Returns the first result from several hosts; undefined if all fail. */
+/** Returns the first result from several hosts; unavailable if all fail. */
 async function readFromFirstPeer<T>(
   addresses: readonly string[],
   { fromPeer, options }: {
     fromPeer: FeedSources<T>["fromPeer"];
     options: RelayedFeedOptions<T>;
   },
-): Promise<FeedResult<T> | undefined> {
+): Promise<FeedResult<T>> {
+  let isBehind = false;
   const call = async (address: string) => {
     const result = await callPeer(() => fromPeer(address));
     if (result.kind === FeedResultKind.Unavailable) {
       recordFailure(address, result.reason, options);
+      isBehind ||= result.isBehind === true;
       throw new Error(result.reason);
     }
     options.readers.markResponsive(address);
     return result;
   };
-  return await Promise.any(addresses.map(call)).catch(() => undefined);
+  return await Promise.any(addresses.map(call)).catch(() => ({
+    kind: FeedResultKind.Unavailable,
+    reason: "no reader answers",
+    isBehind,
+  }));
 }
 
 async function callPeer<T>(
--- a/src/store_sync/watch_cache.ts
+++ b/src/store_sync/watch_cache.ts
@@ -40,6 +40,8 @@
   /** Oldest revision of this epoch from which changes can be served. */
   #oldest_revision = Infinity;
   #position: FeedPosition = START_POSITION;
+  /** Newest position that the source has gone back from, within its epoch. */
+  #retracted: FeedPosition | undefined;
   #sourceUnavailable = true;
   /** Whether a result or an outage has been recorded yet. */
   #updated = false;
@@ -51,10 +53,21 @@
     return this.#position;
   }
 
-  /** Replaces all items; returns true if any item differs from before. */
-  replaceAll(items: readonly FeedItem<T>[], position: FeedPosition): boolean {
+  /**
+   * Replaces all items; returns true if any item differs from before. `retracted`
+   * is a position that the source has gone back from before.
+   */
+  replaceAll(
+    items: readonly FeedItem<T>[],
+    position: FeedPosition,
+    retracted?: FeedPosition,
+  ): boolean {
     const { revision } = position;
     const previous = this.#entries;
+    if (comparePositions(position, this.#position) < 0) {
+      this.#retracted = this.#position;
+    }
+    this.#retracted = retracted ?? this.#retracted;
     this.#entries = new Map(items.map(({ name, value }) => [
       name,
       { value, deleted: false, revision },
@@ -105,12 +118,14 @@
     this.#position = newerPosition(this.#position, position);
   }
 
-  /** Lists all items; unavailable if the cache is older than `oldest`. */
+  /**
+   * Lists all items; unavailable if the cache is older than `oldest`, unless that
+   * is a position from which its source has gone back.
+   */
   list(oldest: FeedPosition, now_ms: number): FeedResult<T> {
     if (this.#sourceUnavailable) return UNAVAILABLE;
-    if (comparePositions(this.#position, oldest) < 0) {
-      return this.#behind(oldest);
-    }
+    const isBehind = comparePositions(this.#position, oldest) < 0;
+    if (isBehind && !this.#isRetracted(oldest)) return this.#behind(oldest);
     const items = [...this.#entries]
       .filter(([, { deleted }]) => !deleted)
       .map(([name, { value }]) => ({ name, value }));
@@ -118,6 +133,7 @@
       kind: FeedResultKind.Listed,
       items,
       ...this.#position,
+      retracted: this.#retracted,
       unsettled_ms: this.#remainingGraceMs(now_ms),
     };
   }
@@ -171,13 +187,21 @@
     });
   }
 
-  /** Whether a position lies in an older epoch or before what is kept. */
+  /** Whether a position lies in an older epoch, before what is kept or retracted. */
   #hasLeft(position: FeedPosition): boolean {
+    if (this.#isRetracted(position)) return true;
     return isSameEpoch(position, this.#position)
       ? position.revision < this.#oldest_revision
       : comparePositions(position, this.#position) < 0;
   }
 
+  #isRetracted(position: FeedPosition): boolean {
+    const retracted = this.#retracted;
+    return retracted !== undefined && retracted.epoch === position.epoch &&
+      position.revision <= retracted.revision &&
+      comparePositions(this.#position, position) < 0;
+  }
+
   #hasChanges(position: FeedPosition): boolean {
     if (this.#hasLeft(position)) return true;
     if (!isSameEpoch(position, this.#position)) return false;
@@ -190,7 +214,7 @@
   #behind(asked: FeedPosition): FeedResult<T> {
     const [wanted, read] = [asked, this.#position].map(formatPosition);
     const reason = `behind: asked ${wanted}, read ${read}`;
-    return { kind: FeedResultKind.Unavailable, reason };
+    return { kind: FeedResultKind.Unavailable, reason, isBehind: true };
   }
 
   #recordRead({ epoch, revision }: FeedPosition): void {
--- a/test/store_sync/relayed_feed.test.ts
+++ b/test/store_sync/relayed_feed.test.ts
@@ -200,3 +200,13 @@
   await new Promise((resolve) => setTimeout(resolve, 10));
   assert.deepEqual(readers.readersToFollow(), [first, second]);
 });
+
+test("a follower whose readers all stand behind it asks the store", async () => {
+  const behind: FeedResult<number> = { ...UNAVAILABLE, isBehind: true };
+  respond = (address) => address === "store" ? listed(3) : behind;
+  const read = await feedAt(follower).watch(at(300), 100, signal);
+  assert.deepEqual(read, listed(3));
+  respond = () => UNAVAILABLE;
+  const away = await feedAt(follower).watch(at(300), 100, signal);
+  assert.equal(away.kind, FeedResultKind.Unavailable);
+});
--- a/test/store_sync/watch_cache.test.ts
+++ b/test/store_sync/watch_cache.test.ts
@@ -107,6 +107,7 @@
   const expected = {
     kind: FeedResultKind.Unavailable,
     reason: "behind: asked 2:10, read 1:300",
+    isBehind: true,
   };
   assert.deepEqual(cache.list(at(10, 2), 0), expected);
   assert.deepEqual(cache.changesSince(at(10, 2), 0), expected);
@@ -128,3 +129,18 @@
   cache.replaceAll([item("a")], at(10, 2));
   await waiting;
 });
+
+test("a follower goes back with a reader whose store names no new epoch", () => {
+  const cache = new WatchCache<number>();
+  cache.replaceAll([item("a")], at(300));
+  cache.replaceAll([item("b")], at(10));
+  assert.equal(
+    summary(cache.changesSince(at(300), 0)),
+    FeedResultKind.RevisionTooOld,
+  );
+  assert.equal(summary(cache.list(at(300), 0)), "all to 10: b");
+  assert.equal(summary(cache.list(at(301), 0)), FeedResultKind.Unavailable);
+  cache.applyChanges([], at(310));
+  assert.equal(summary(cache.list(at(301), 0)), "all to 310: b");
+  assert.equal(summary(cache.list(at(311), 0)), FeedResultKind.Unavailable);
+});
