Let missing entries wait for the newest grace period, not their first

A store that came back and was away again within its grace period made hosts drop endpoints at its second return: their entries had been missing since the first, and their time ran out while nobody could write. And an endpoint whose time had run out, in a pool that nobody asked for, counted as there again with the next outage.

The cause: each entry kept the end of the grace period in which it was first missed, and only a question about its pool dropped it. There is one grace period for all now: an entry is missing or not, and those whose time is over are dropped before an outage, a restoration or a peer's word begins a new one.

Evidence: 'an entry that is missing since one outage is kept through the grace period of the next' failed before ([] where [ 'late' ] is expected), 'an endpoint that was dropped after one outage does not come back with the next' with [ 'gone' ] where [] is expected, both in test/store_sync/restored_endpoints.test.ts.

--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -18,8 +18,8 @@
 
 interface RegistryEntry {
   endpoint: RouteEndpoint;
-  /** When the endpoint is dropped; undefined while its entry is in the store. */
-  expires_ms: number | undefined;
+  /** Whether its entry is missing; it is dropped after the grace period. */
+  missing: boolean;
 }
 
 /** An entry that came back although its endpoint was gone. */
@@ -90,6 +90,13 @@
     return true;
   }
 
+  /** Drops the endpoints whose entries are missing after the grace period. */
+  dropExpired(now_ms: number): void {
+    for (const [name, entry] of this.#entries) {
+      if (this.#isExpired(entry, now_ms)) this.#drop(name);
+    }
+  }
+
   /** Marks the source as unavailable, which stops entries from expiring. */
   markSourceUnavailable(): void {
     this.#sourceUnavailable = true;
@@ -107,6 +114,7 @@
    */
   markSourceRestored(now_ms: number): void {
     this.#restored = true;
+    this.dropExpired(now_ms);
     this.extendGracePeriod(now_ms + GRACE_PERIOD_AFTER_OUTAGE_MS);
   }
 
@@ -151,9 +159,9 @@
   inPool(pool: string, now_ms: number): RouteEndpoint[] {
     this.#useReturned(now_ms);
     const found: RouteEndpoint[] = [];
-    for (const [name, { endpoint, expires_ms }] of this.#entries) {
-      if (this.#isExpired(expires_ms, now_ms)) this.#drop(name);
-      else if (endpoint.pool === pool) found.push(endpoint);
+    for (const [name, entry] of this.#entries) {
+      if (this.#isExpired(entry, now_ms)) this.#drop(name);
+      else if (entry.endpoint.pool === pool) found.push(entry.endpoint);
     }
     return found;
   }
@@ -179,7 +187,7 @@
   all(now_ms: number): RouteEndpoint[] {
     this.#useReturned(now_ms);
     return [...this.#entries.values()]
-      .filter(({ expires_ms }) => !this.#isExpired(expires_ms, now_ms))
+      .filter((entry) => !this.#isExpired(entry, now_ms))
       .map(({ endpoint }) => endpoint);
   }
 
@@ -195,9 +203,8 @@
     return newest;
   }
 
-  #isExpired(expires_ms: number | undefined, now_ms: number): boolean {
-    return expires_ms !== undefined && !this.#sourceUnavailable &&
-      now_ms >= expires_ms;
+  #isExpired({ missing }: RegistryEntry, now_ms: number): boolean {
+    return missing && !this.#sourceUnavailable && now_ms >= this.#graceEnd_ms;
   }
 
   /** Puts the entries of a list; returns the names of those that are used. */
@@ -232,7 +239,7 @@
     if (previous !== undefined) this.#tombstones.add(previous);
     this.#tombstones.delete(value);
     const endpoint = this.#withOwnWord(value);
-    this.#entries.set(name, { endpoint, expires_ms: undefined });
+    this.#entries.set(name, { endpoint, missing: false });
     this.#newestByAddress = undefined;
   }
 
@@ -246,7 +253,7 @@
     const entry = this.#entries.get(name);
     if (entry === undefined) return;
     if (this.#sourceUnavailable || now_ms < this.#graceEnd_ms) {
-      entry.expires_ms ??= this.#graceEnd_ms;
+      entry.missing = true;
     } else this.#drop(name);
   }
 
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -157,6 +157,7 @@
       notifyListeners();
     },
     onSourceUnavailable() {
+      endpoints.dropExpired(now());
       endpoints.markSourceUnavailable();
       void pollPeers(options, state);
     },
@@ -166,8 +167,10 @@
       void abortableDelay(RETURNED_ENTRY_HOLD_MS, options.signal)
         .then(notifyListeners);
     },
-    onGracePeriod: (unsettled_ms) =>
-      endpoints.extendGracePeriod(now() + unsettled_ms),
+    onGracePeriod(unsettled_ms) {
+      endpoints.dropExpired(now());
+      endpoints.extendGracePeriod(now() + unsettled_ms);
+    },
   }, {
     ...feedOptions("endpoints", options),
     coalesce_ms: ENDPOINT_COALESCE_MS,
--- a/test/store_sync/restored_endpoints.test.ts
+++ b/test/store_sync/restored_endpoints.test.ts
@@ -163,6 +163,31 @@
   assert.deepEqual(ids(registry, end_ms), ["here", "left"]);
 });
 
+test("an entry that is missing since one outage is kept through the grace period of the next", () => {
+  const registry = new EndpointRegistry();
+  registry.replaceAll([item("late")], 0);
+  registry.markSourceUnavailable();
+  registry.markSourceAvailable(10_000);
+  registry.replaceAll([], 10_000);
+  registry.markSourceUnavailable();
+  registry.markSourceAvailable(20_000);
+  registry.replaceAll([], 20_000);
+  assert.deepEqual(ids(registry, 20_000), ["late"]);
+  const settled_ms = 20_000 + GRACE_PERIOD_AFTER_OUTAGE_MS;
+  assert.deepEqual(ids(registry, settled_ms), []);
+});
+
+test("an endpoint that was dropped after one outage does not come back with the next", () => {
+  const registry = new EndpointRegistry();
+  registry.replaceAll([item("gone")], 0);
+  registry.markSourceUnavailable();
+  registry.markSourceAvailable(10_000);
+  registry.replaceAll([], 10_000);
+  registry.dropExpired(20_000);
+  registry.markSourceUnavailable();
+  assert.deepEqual(ids(registry, 30_000), []);
+});
+
 const ADDRESS = "127.0.0.1:9000";
 
 test("an address belongs to the endpoint that started there last", () => {
