--- a/test/claims/claims.test.ts
+++ b/test/claims/claims.test.ts
@@ -9,42 +9,9 @@
 import { Journal, JournalLookupKind } from "../../src/claims/journal.ts";
 import { MintedKeys } from "../../src/claims/minted_keys.ts";
 import { ClaimCommitter } from "../../src/claims/claim_committer.ts";
-import {
-  type BucketClaims,
-  ClaimReplyKind,
-  type ClaimRequest,
-} from "../../src/claims/types.ts";
-import {
-  type Outcome,
-  OutcomeKind,
-  Reason,
-} from "../../src/pipelines/outcome.ts";
+import { type BucketClaims, ClaimReplyKind } from "../../src/claims/types.ts";
 import { FakePlatform } from "../fake_platform.ts";
-
-const COMPLETED: Outcome = {
-  kind: OutcomeKind.Completed,
-  output: "stamped",
-  stages: [],
-};
-const NOT_RUN: Outcome = {
-  kind: OutcomeKind.NotRun,
-  reason: Reason.DeadlinePassed,
-  message: "",
-  retry_after_ms: undefined,
-  stages: [],
-};
-
-function claimRequest(attempt_id: string, change: Partial<ClaimRequest> = {}) {
-  return {
-    claim_id: "key",
-    shard: 0,
-    bucket: 5,
-    attempt_id,
-    body_digest: "body",
-    timeout_ms: 1_000,
-    ...change,
-  };
-}
+import { claimRequest, COMPLETED, NOT_RUN } from "./sample_claims.ts";
 
 function createCommitter(platform: FakePlatform, signal: AbortSignal) {
   return new ClaimCommitter({
--- a/test/claims/shard_claims.test.ts
+++ b/test/claims/shard_claims.test.ts
@@ -3,41 +3,9 @@
 import { test } from "node:test";
 import { applyClaim, applyOutcome } from "../../src/claims/claim_rules.ts";
 import { ShardClaims } from "../../src/claims/shard_claims.ts";
-import {
-  type BucketClaims,
-  ClaimReplyKind,
-  type ClaimRequest,
-} from "../../src/claims/types.ts";
-import {
-  type Outcome,
-  OutcomeKind,
-  Reason,
-} from "../../src/pipelines/outcome.ts";
+import { type BucketClaims, ClaimReplyKind } from "../../src/claims/types.ts";
 import { FakePlatform } from "../fake_platform.ts";
-
-const COMPLETED: Outcome = {
-  kind: OutcomeKind.Completed,
-  output: "stamped",
-  stages: [],
-};
-const NOT_RUN: Outcome = {
-  kind: OutcomeKind.NotRun,
-  reason: Reason.DeadlinePassed,
-  message: "",
-  retry_after_ms: undefined,
-  stages: [],
-};
-
-function claimRequest(attempt_id: string): ClaimRequest {
-  return {
-    claim_id: "key",
-    shard: 0,
-    bucket: 5,
-    attempt_id,
-    body_digest: "body",
-    timeout_ms: 1_000,
-  };
-}
+import { claimRequest, COMPLETED, NOT_RUN } from "./sample_claims.ts";
 
 /** A host, and the state that the owner of all its shards commits. */
 function setUp() {
--- a/test/forwarding/newer_than_the_store.test.ts
+++ b/test/forwarding/newer_than_the_store.test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { afterEach, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { Engine } from "../../stand_ins/deployment/engine.ts";
 import {
   ApiKey,
   defaultEngines,
@@ -49,17 +50,9 @@
 test("an entry that names the address of another pool's endpoint costs that endpoint nothing", async () => {
   await startFleet();
   const stranger = fleet.engine(Service.Model);
-  fleet.store.put("servers", "ghost", {
-    service: Service.Desk,
-    address: stranger.address,
-    zone: "az-1",
-    version: "v1",
-    slots: 8,
-    state: "ready",
-    cold_remaining_ms: 0,
-    sequence: 1,
-    born: 1,
-  });
+  const ghost = new Engine({ id: "ghost" });
+  ghost.address = stranger.address;
+  fleet.registerEngine(Service.Desk, ghost, { zone: "az-1" });
   await waitUntil(() => hasLogged(0, "endpoint=ghost pool=desk state=ready"));
   for (let n = 0; n < 20; n++) assert.equal(await callStatus("/stamp/x"), 200);
   assert.ok(hasLogged(0, "endpoint=ghost "));
