Test restorations of the endpoints' feed with whole hosts

The registry's tests call the hook of a restoration themselves, so they can't tell whether a host calls it and hands the result to its requests. Two tests with a running host now do: an endpoint that has left gets no request when an older copy brings its entry back, and does again once it has written its entry; endpoints that the copy lacks go on serving until they have written theirs.

--- a/test/forwarding/newer_than_the_store.test.ts
+++ b/test/forwarding/newer_than_the_store.test.ts
@@ -158,3 +158,61 @@
   assert.ok(hasLogged(1, "event=entry_repair withdrawn=true"));
   assert.equal(await answered, 200);
 });
+
+/** Calls while the store's content settles after a restoration. */
+async function statusesFor(duration_ms: number): Promise<number[]> {
+  const statuses: number[] = [];
+  const end_ms = performance.now() + duration_ms;
+  while (performance.now() < end_ms) {
+    statuses.push(await callStatus("/stamp/x"));
+    await sleep(20);
+  }
+  return statuses;
+}
+
+test("an endpoint that has left gets no request when an older copy brings its entry back", async () => {
+  await startFleet();
+  const left = fleet.engine(Service.Desk);
+  const copy = fleet.store.copy();
+  fleet.store.remove("servers", left.id);
+  await waitUntil(() =>
+    hasLogged(0, `endpoint=${left.id} pool=desk state=removed`)
+  );
+  const arrivals = left.arrivals_ms.length;
+  fleet.gateways[0]?.logLines.splice(0);
+  fleet.store.restore(copy);
+  await waitUntil(() => hasLogged(0, "event=endpoints count="));
+  const statuses = await statusesFor(1_000);
+  assert.ok(statuses.every((status) => status === 200));
+  assert.equal(left.arrivals_ms.length, arrivals);
+  // An endpoint that is alive after all writes its entry again.
+  fleet.registerEngine(Service.Desk, left);
+  await waitUntil(() =>
+    hasLogged(0, `endpoint=${left.id} pool=desk state=ready`)
+  );
+  await statusesFor(500);
+  assert.ok(left.arrivals_ms.length > arrivals);
+});
+
+test("endpoints that the restored store lacks serve until they have written their entries again", async () => {
+  await startFleet();
+  const engines = [0, 1].map((n) => fleet.engine(Service.Desk, n));
+  for (const { id } of engines) fleet.store.remove("servers", id);
+  const copy = fleet.store.copy();
+  for (const engine of engines) fleet.registerEngine(Service.Desk, engine);
+  await waitUntil(() =>
+    engines.every(({ id }) =>
+      hasLogged(0, `endpoint=${id} pool=desk state=ready`)
+    )
+  );
+  fleet.gateways[0]?.logLines.splice(0);
+  fleet.store.restore(copy);
+  await waitUntil(() => hasLogged(0, "event=endpoints count="));
+  const before = await statusesFor(1_000);
+  for (const engine of engines) fleet.registerEngine(Service.Desk, engine);
+  const after = await statusesFor(2_500);
+  assert.deepEqual(
+    [...before, ...after].filter((status) => status !== 200),
+    [],
+  );
+});
