Pause after a list that answers a watch

A host could hang for good again, in a loop of microtasks: of about 20 runs of the test with odd revisions, four at a time, three were still running after 40 s and had to be ended, and one run of the whole file ended after 248 s without a verdict for that test. The new tests of a watch that is answered by a list at once were both called more than 5,000 times without a pause.

Cause: followers keep their readers' streams in memory, so a watch of a reader that no longer has the changes is answered by its list without any I/O. Two readers that differ, one of which has gone back with its store, answer a follower in turn, each from the other's position, for as long as they differ, and no line of either is read meanwhile.

--- a/src/store_sync/sync_feed.ts
+++ b/src/store_sync/sync_feed.ts
@@ -144,6 +144,9 @@
       : reader.handle(result);
     switch (outcome) {
       case ReadOutcome.Listed:
+        // Peers may answer each watch with a list, and differ again and again.
+        if (position === undefined) break;
+        await abortableDelay(backoff.nextDelayMs(), signal);
         break;
       case ReadOutcome.Changed:
         backoff.reset();
--- a/test/store_sync/hostile_replies.test.ts
+++ b/test/store_sync/hostile_replies.test.ts
@@ -75,6 +75,14 @@
     list: (call) => listed(at(100, call)),
     watch: (call) => changed(at(100, call)),
   },
+  "a watch that answers with a list at once": {
+    list: () => listed(at(100, 1)),
+    watch: () => listed(at(100, 1)),
+  },
+  "a watch that answers with one of two lists in turn": {
+    list: () => listed(at(100, 1)),
+    watch: (call) => listed(at(call % 2 === 0 ? 300 : 10, 1)),
+  },
   "two epochs in turn": {
     list: (call) => listed(at(100, call % 2)),
     watch: (call) => changed(at(100, call % 2), ["a"]),
