Keep the results of sends apart from the evaluation of responses

The types of a send's result and the functions that make one from a failure, a refusal or a relay are in send_result.ts now. A pure move: the lines are the same; 94 tests of gateway, faults, resumed streams and foreign refusals pass.

--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -3,13 +3,13 @@
 import { CallKind, type RouteEndpoint } from "../routes/types.ts";
 import { ObservedOutcome } from "../routing/observed_load.ts";
 import type { RunContext } from "./run_context.ts";
+import { completeExchange } from "./complete_exchange.ts";
 import {
-  completeExchange,
   mayHaveCrashed,
   SendOutcome,
   type SendResult,
   type StageInputs,
-} from "./complete_exchange.ts";
+} from "./send_result.ts";
 
 /**
  * A safe call without a response is retried after this many times the route's
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -13,7 +13,7 @@
 } from "./request_outcome.ts";
 import { RequestStage } from "./request_progress.ts";
 import { type RunContext, StopReason } from "./run_context.ts";
-import { SendOutcome, type StageInputs } from "./complete_exchange.ts";
+import { SendOutcome, type StageInputs } from "./send_result.ts";
 import { sendOnce } from "./send_once.ts";
 import {
   chooseEndpoint,
