Keep an endpoint out of use whose entry once said that it is leaving

An endpoint whose entry had said that it leaves was used again by every host when the store came back from an older copy in which the entry said ready, or when a peer that was behind listed it so: callers' requests went to an endpoint that was about to exit, later than the users' DRAIN allows.

Cause: only an endpoint's own word was kept for the incarnation. What its entry said was replaced by the next entry, and a tombstone holds back only what is gone, not what is leaving; after the hold a returned entry was used as well.

The registry now remembers the incarnations whose entries said so, beside those that said it themselves: a host that knows it from the entry still tells the others when the endpoint says it. A new incarnation is used at once.

Evidence: three tests of test/store_sync/restored_endpoints.test.ts (a copy, a peer, a copy whose entry does not lapse) failed before with [ 'here', 'leaving' ] where [ 'here' ] is expected.

--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -46,8 +46,9 @@
  * held back until they are written again or, if they have not lapsed by then,
  * until {@linkcode RETURNED_ENTRY_HOLD_MS} has passed.
  *
- * An incarnation that has said itself that it is leaving stays so, whatever an
- * entry says: the source or a peer may be behind.
+ * An incarnation that is leaving, by its own word or by its entry, stays so
+ * whatever an entry says later: the source or a peer may be behind, and an older
+ * copy may say that it is ready.
  */
 export class EndpointRegistry {
   #entries = new Map<string, RegistryEntry>();
@@ -62,6 +63,8 @@
   #graceEnd_ms = 0;
   /** Incarnations that have said themselves that they are leaving. */
   #leaving = new Set<string>();
+  /** Incarnations whose entries have said that they are leaving. */
+  #leavingByEntry = new Set<string>();
 
   /** Whether the source is answering this host. */
   get sourceAvailable(): boolean {
@@ -81,11 +84,9 @@
   /** Marks an incarnation as leaving for good; false if it was already. */
   markLeaving(incarnation: string): boolean {
     if (this.#leaving.has(incarnation)) return false;
-    this.#leaving.add(incarnation);
-    const [oldest = ""] = this.#leaving;
-    if (this.#leaving.size > MAX_LEAVING) this.#leaving.delete(oldest);
+    remember(this.#leaving, incarnation);
     for (const entry of this.#entries.values()) {
-      entry.endpoint = this.#withOwnWord(entry.endpoint);
+      entry.endpoint = this.#asKnown(entry.endpoint);
     }
     return true;
   }
@@ -238,13 +239,19 @@
     const previous = this.#entries.get(name)?.endpoint;
     if (previous !== undefined) this.#tombstones.add(previous);
     this.#tombstones.delete(value);
-    const endpoint = this.#withOwnWord(value);
+    if (value.state === RouteEndpointState.Leaving) {
+      remember(this.#leavingByEntry, incarnationOf(value));
+    }
+    const endpoint = this.#asKnown(value);
     this.#entries.set(name, { endpoint, missing: false });
     this.#newestByAddress = undefined;
   }
 
-  #withOwnWord(endpoint: RouteEndpoint): RouteEndpoint {
-    return this.#leaving.has(incarnationOf(endpoint))
+  /** The endpoint in its state: once leaving, an incarnation stays so. */
+  #asKnown(endpoint: RouteEndpoint): RouteEndpoint {
+    const incarnation = incarnationOf(endpoint);
+    return this.#leaving.has(incarnation) ||
+        this.#leavingByEntry.has(incarnation)
       ? { ...endpoint, state: RouteEndpointState.Leaving }
       : endpoint;
   }
@@ -278,3 +285,10 @@
     }
   }
 }
+
+/** Adds a leaving incarnation; drops the oldest beyond the bound. */
+function remember(leaving: Set<string>, incarnation: string): void {
+  leaving.add(incarnation);
+  const [oldest = ""] = leaving;
+  if (leaving.size > MAX_LEAVING) leaving.delete(oldest);
+}
--- a/test/store_sync/restored_endpoints.test.ts
+++ b/test/store_sync/restored_endpoints.test.ts
@@ -201,3 +201,37 @@
   registry.applyChanges([{ ...newer, deleted: true }], 10);
   assert.equal(registry.findByAddress(ADDRESS)?.id, "older");
 });
+
+const DRAINING = { state: RouteEndpointState.Leaving };
+
+test("an endpoint whose entry said that it is leaving is not used when an older copy says that it is ready", () => {
+  const registry = new EndpointRegistry();
+  registry.replaceAll([item("here"), item("leaving")], 0);
+  registry.applyChanges([changed("leaving", DRAINING)], 10_000);
+  registry.markSourceRestored(RESTORED_MS);
+  registry.replaceAll([item("here"), item("leaving")], RESTORED_MS);
+  assert.deepEqual(ids(registry, RESTORED_MS), ["here"]);
+  registry.applyChanges([changed("leaving")], RESTORED_MS + 1_200);
+  const end_ms = RESTORED_MS + RETURNED_ENTRY_HOLD_MS;
+  assert.deepEqual(ids(registry, end_ms), ["here"]);
+  registry.applyChanges([changed("leaving", { born_ms: 2 })], end_ms);
+  assert.deepEqual(ids(registry, end_ms), ["here", "leaving"]);
+});
+
+test("an endpoint whose entry said that it is leaving is not used when a peer says that it is ready", () => {
+  const registry = new EndpointRegistry();
+  registry.replaceAll([item("here"), item("leaving", DRAINING)], 0);
+  registry.markSourceUnavailable();
+  registry.replaceFromPeer([item("here"), item("leaving")], RESTORED_MS);
+  assert.deepEqual(ids(registry, RESTORED_MS), ["here"]);
+});
+
+test("an endpoint that left after its entry said so is not used when its entry comes back and does not lapse", () => {
+  const registry = new EndpointRegistry();
+  registry.replaceAll([item("here"), item("leaving", DRAINING)], 0);
+  registry.applyChanges([removed("leaving")], 10_000);
+  registry.markSourceRestored(RESTORED_MS);
+  registry.replaceAll([item("here"), item("leaving")], RESTORED_MS);
+  const end_ms = RESTORED_MS + RETURNED_ENTRY_HOLD_MS;
+  assert.deepEqual(ids(registry, end_ms), ["here"]);
+});
