Fail requests that wait for a connection when an entry ends an endpoint's use

Requests that waited in the agent for a connection to an endpoint were sent there after its entry had said that it is leaving, or had been removed: a host that knew it went on sending, one request after the other, for as long as the queue lasted (the users' DRAIN), also to an endpoint that had gone.

Cause: such requests have left every check behind them. They were failed for an endpoint that says itself that it is leaving or pauses, but not if the store says so, which is the usual way. Whenever the endpoints change, those that wait for an address without an endpoint that takes new work are now failed as not sent; they go elsewhere, as with the endpoint's own word, and those that free results are repeated. retainOnly of the agents, which nothing called, is gone.

Not covered: an endpoint that is dropped when a grace period ends is noticed with the next change of the endpoints, since nothing tells of that end.

--- a/src/endpoints/endpoint_agents.ts
+++ b/src/endpoints/endpoint_agents.ts
@@ -47,12 +47,13 @@
     this.#agents.get(address)?.failQueued(ENDPOINT_UNAVAILABLE);
   }
 
-  /** Removes the agents of all other addresses; calls in flight go on. */
-  retainOnly(addresses: ReadonlySet<string>): void {
-    for (const [address, agent] of this.#agents) {
-      if (addresses.has(address)) continue;
-      agent.closeIdleSockets();
-      this.#agents.delete(address);
+  /**
+   * Fails the requests that wait for a connection to any other address; those
+   * in flight go on.
+   */
+  failQueuedExcept(addresses: ReadonlySet<string>): void {
+    for (const address of this.#agents.keys()) {
+      if (!addresses.has(address)) this.failQueued(address);
     }
   }
 
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -98,7 +98,11 @@
   context.configurationListeners.push((table) =>
     gatewayServer.applyLimits(table.configuration.limits)
   );
-  context.endpointListeners.push(() => batching.batcher.endpointsChanged());
+  const { endpoints, agents, now } = context;
+  context.endpointListeners.push(
+    () => agents.failQueuedExcept(endpoints.readyAddresses(now())),
+    () => batching.batcher.endpointsChanged(),
+  );
   const servers = createServers(context, batching);
   const { promise: stopped, resolve } = Promise.withResolvers<void>();
 
--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -192,6 +192,13 @@
       .map(({ endpoint }) => endpoint);
   }
 
+  /** Addresses of the endpoints that accept new work. */
+  readyAddresses(now_ms: number): Set<string> {
+    const ready = this.all(now_ms)
+      .filter(({ state }) => state === RouteEndpointState.Ready);
+    return new Set(ready.map(({ address }) => address));
+  }
+
   #newestEndpoints(): Map<string, RouteEndpoint> {
     if (this.#newestByAddress !== undefined) return this.#newestByAddress;
     const newest = new Map<string, RouteEndpoint>();
