Keep a feed running after an error in a read or in a listener

A host whose listener of a feed threw once, or whose read of the store did, never read that feed again, whatever came later: its endpoints, configuration or quarantine stayed as they were until the process ended, with one line event=fault from the handler of unhandled rejections. No listener is known to throw; one that does, on an entry that nobody thought of, blinds every host at once.

Cause: syncFeed awaits the read and calls the listeners without a handler, and its caller doesn't await it. A read that throws now counts as a source that does not answer; a listener that throws is logged, and the feed is listed again after the growing pause, since a part of what the listener got may not be applied.

The other loops were read: the comparison with peers and the polling of peers handle what they call. Not mended: if the hook of a restoration throws, the restoration is not noticed once more.

--- a/src/store_sync/sync_feed.ts
+++ b/src/store_sync/sync_feed.ts
@@ -135,9 +135,10 @@
     const callSignal = position === undefined
       ? progress.listSignal(signal)
       : progress.watchSignal(signal);
-    const result = position === undefined
-      ? await feed.list(callSignal)
-      : await watchUnlessAborted(feed, position, { wait_ms, callSignal });
+    const result = await readUnlessAborted(feed, position, {
+      wait_ms,
+      callSignal,
+    });
     if (signal.aborted) return;
     const outcome = result === undefined || callSignal.aborted
       ? reader.handleOvertaken()
@@ -163,13 +164,20 @@
   }
 }
 
-async function watchUnlessAborted<T>(
+/** Lists, or watches from a position; undefined if it was aborted before. */
+async function readUnlessAborted<T>(
   feed: ObjectFeed<T>,
-  position: FeedPosition,
+  position: FeedPosition | undefined,
   { wait_ms, callSignal }: { wait_ms: number; callSignal: AbortSignal },
 ): Promise<FeedResult<T> | undefined> {
-  if (callSignal.aborted) return undefined;
-  return await feed.watch(position, wait_ms, callSignal);
+  try {
+    if (position === undefined) return await feed.list(callSignal);
+    if (callSignal.aborted) return undefined;
+    return await feed.watch(position, wait_ms, callSignal);
+  } catch (error) {
+    const { message } = error as Error;
+    return { kind: FeedResultKind.Unavailable, reason: message };
+  }
 }
 
 /** What a result has brought. */
@@ -197,8 +205,23 @@
     this.#options = options;
   }
 
-  /** Handles a result of a list or a watch. */
+  /**
+   * Handles a result of a list or a watch. If a listener throws, the feed is
+   * listed again: it must not stop for good.
+   */
   handle(result: FeedResult<T>): ReadOutcome {
+    try {
+      return this.#deliver(result);
+    } catch (error) {
+      const { name, log } = this.#options;
+      const { stack } = error as Error;
+      log.error({ event: "fault", stage: "feed", source: name, error: stack });
+      this.position = undefined;
+      return ReadOutcome.Failed;
+    }
+  }
+
+  #deliver(result: FeedResult<T>): ReadOutcome {
     if (result.kind === FeedResultKind.Unavailable) {
       return this.#handleUnavailable(result.reason);
     }
