End a request that waits for a connection when its time ends

A caller's request that waited in the agent for a connection to an endpoint got its answer 150 ms after its deadline, when the caller had given up: neither an answer nor a refusal reached it (1,145 ms with a deadline of 1,000). At the end of a drain it got 502, and after its deadline 504, "may have run", though it was never sent. One that may be sent again was not: the time-out of its send had no effect while it waited. A call for pieces outlived its time-out the same way.

Cause: Node's client tells of the abort of a request that waits in an agent's queue only when a connection becomes free, so the exchange did not end, and the request counted as sent meanwhile; the bound for stopped requests of 150 ms ended it instead. The exchange now ends with the abort while there is no connection, as not sent: Node never writes a request that was destroyed before. The endpoint counts as full, not as broken. A deadline that passes is told as "may have run" only if it may have, no longer after each send that did not run.

--- a/src/endpoints/exchange.ts
+++ b/src/endpoints/exchange.ts
@@ -57,6 +57,9 @@
   first_on_connection: boolean;
 }
 
+/** Reason of a request that was aborted while it waited for a connection. */
+export const NO_CONNECTION = "no_connection";
+
 /** Timeout for opening a connection. */
 const CONNECT_TIMEOUT_MS = 400;
 /** Lower ones are informational: a response with another status follows. */
@@ -94,7 +97,13 @@
           : ExchangeOutcome.NotSent,
         reason,
       });
+    let waits = true;
+    // Node tells of the abort only when a connection is free.
+    endpointRequest.signal.addEventListener("abort", () => {
+      if (waits) resolveFailure(NO_CONNECTION);
+    }, { once: true });
     clientRequest.on("socket", (socket) => {
+      waits = false;
       if (!socket.connecting) {
         connected = true;
         return;
--- a/src/forwarding/rejection.ts
+++ b/src/forwarding/rejection.ts
@@ -18,7 +18,7 @@
   NotReady = "not_ready",
   /** Not run: its stages are not expected to complete in time. */
   StagesTooSlow = "no_room",
-  /** Not run: its deadline passed before it was sent to an endpoint. */
+  /** Not run: its deadline passed before an endpoint took it. */
   TooLate = "too_late",
   /** Not run: endpoints crash on a part of its prompt. */
   Quarantined = "quarantined",
@@ -30,7 +30,7 @@
   FaultAfterSend = "fault_after_send",
   /** May have run: its endpoint gave no complete response. */
   EndpointLost = "endpoint_lost",
-  /** May have run: its deadline passed after it was sent. */
+  /** May have run: its deadline passed after an endpoint may have taken it. */
   TimedOut = "timed_out",
 }
 
--- a/src/forwarding/send_result.ts
+++ b/src/forwarding/send_result.ts
@@ -1,7 +1,11 @@
 /** The result of one send of a request, and what it tells of the endpoint. */
 import type { StageResult } from "../batching/types.ts";
 import { ENDPOINT_UNAVAILABLE } from "../endpoints/endpoint_agents.ts";
-import { ExchangeOutcome, type ExchangeResult } from "../endpoints/exchange.ts";
+import {
+  ExchangeOutcome,
+  type ExchangeResult,
+  NO_CONNECTION,
+} from "../endpoints/exchange.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 import { ObservedOutcome } from "../routing/observed_load.ts";
 import type { ResponseMetadata } from "./protocol_codec.ts";
@@ -52,6 +56,11 @@
   ResponseOrigin.Foreign,
   ResponseOrigin.Unidentified,
 ]);
+/** Reasons of requests that were not sent since their endpoint takes none now. */
+const FULL_REASONS: ReadonlySet<string> = new Set([
+  ENDPOINT_UNAVAILABLE,
+  NO_CONNECTION,
+]);
 /** Reasons of requests that got no response in time. */
 const TIMEOUT_REASONS: ReadonlySet<string> = new Set([
   ABORTED_CODE,
@@ -88,7 +97,7 @@
     notSent ? SendOutcome.NotRun : SendOutcome.MayHaveRun,
     { first_byte_ms: received_ms, reason },
   );
-  if (notSent && reason === ENDPOINT_UNAVAILABLE) {
+  if (notSent && FULL_REASONS.has(reason)) {
     return { ...failed, observedOutcome: ObservedOutcome.Full };
   }
   if (notSent && result.malformed === true) {
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -278,7 +278,7 @@
     return { kind: OutcomeKind.ErrorPassedOn, buffered: bufferedError };
   }
   if (stopReason === StopReason.DeadlinePassed) {
-    const reason = context.sendCount > 0
+    const reason = context.mayHaveRun
       ? RejectionReason.TimedOut
       : RejectionReason.TooLate;
     return refused({ reason, message: "Its time ran out" });
