End a request that is passed on to another host whatever that answers

A caller's request that an entry host passes on to the host that made its key never ended if that host answered with a status that Node's writer refuses: the error was thrown in an event handler, so nothing settled the call, its response stayed open and the drain waited for it. An address at which no request can be made rejected the call, against its word, where "not sent" lets this host serve the request itself.

Writing the head and making the request are handled now, as at the other clients.

--- a/src/http_api/proxy_request.ts
+++ b/src/http_api/proxy_request.ts
@@ -1,5 +1,6 @@
 /** Proxies a caller's request to another host and relays its response. */
 import {
+  type ClientRequest,
   type IncomingHttpHeaders,
   type IncomingMessage,
   request as openRequest,
@@ -28,18 +29,13 @@
   target: { address: string; forwardingHost: string; timeout_ms: number },
 ): Promise<ProxyOutcome> {
   return new Promise((resolve) => {
-    const { ip, port } = parseAddress(target.address);
-    const { request, body } = original;
     let connected = false;
-    const proxiedRequest = openRequest({
-      agent: false,
-      host: ip,
-      port,
-      method: request.method,
-      path: request.url,
-      headers: proxiedHeaders(request.headers, body, target.forwardingHost),
-      timeout: target.timeout_ms,
-    });
+    let proxiedRequest: ClientRequest;
+    try {
+      proxiedRequest = createRequest(original, target);
+    } catch {
+      return resolve(ProxyOutcome.NotSent);
+    }
     const resolveFailure = () =>
       resolve(connected ? ProxyOutcome.ResponseLost : ProxyOutcome.NotSent);
     proxiedRequest.on(
@@ -54,10 +50,16 @@
     });
     response.once("close", () => proxiedRequest.destroy());
     proxiedRequest.on("response", (targetResponse) => {
-      response.writeHead(
-        targetResponse.statusCode ?? 502,
-        targetResponse.headers,
-      );
+      targetResponse.on("error", () => {});
+      try {
+        response.writeHead(
+          targetResponse.statusCode ?? 502,
+          targetResponse.headers,
+        );
+      } catch {
+        proxiedRequest.destroy();
+        return resolveFailure();
+      }
       targetResponse.on("error", () => {
         response.destroy();
         resolve(ProxyOutcome.ResponseRelayed);
@@ -65,7 +67,27 @@
       targetResponse.on("end", () => resolve(ProxyOutcome.ResponseRelayed));
       targetResponse.pipe(response);
     });
-    proxiedRequest.end(body);
+    proxiedRequest.end(original.body);
+  });
+}
+
+function createRequest(
+  { request, body }: { request: IncomingMessage; body: string },
+  { address, forwardingHost, timeout_ms }: {
+    address: string;
+    forwardingHost: string;
+    timeout_ms: number;
+  },
+): ClientRequest {
+  const { ip, port } = parseAddress(address);
+  return openRequest({
+    agent: false,
+    host: ip,
+    port,
+    method: request.method,
+    path: request.url,
+    headers: proxiedHeaders(request.headers, body, forwardingHost),
+    timeout: timeout_ms,
   });
 }
 
