Let heartbeats of a feed stream claim only what was streamed

A host that follows a reader could miss a list for good: heartbeats named the position that the reader had read, also in the 20 ms in which the whole list of a feed was still due after its history was lost. A follower whose watch ended in that time took the position without the content; the list that followed stood at the position that it already had, so it asked for nothing more.

Cause: the pause before a list is sent again (made so that a hostile source causes no loop) opened a time between a cache's position and what a stream has sent; before, the list followed in the same turn. While a list is due, heartbeats name the last position that was streamed for that feed.

Evidence: test/peers/feed_heartbeats.test.ts failed before with "60 before 10", and passes three times of three; the other 40 tests of test/peers, hostile replies and the series of restorations pass. It was not seen in a run with hosts: a watch of 5 s must end within 20 ms of a heartbeat that falls into such a pause.

--- a/src/peers/feed_stream.ts
+++ b/src/peers/feed_stream.ts
@@ -53,6 +53,12 @@
   epochs?: Partial<Record<FeedName, number>>;
 }
 
+/**
+ * The last streamed position of each feed whose whole list is still to be sent:
+ * a heartbeat must not claim what the follower has not been sent.
+ */
+type HeldPositions = Map<FeedName, FeedPosition>;
+
 /** Options of {@linkcode serveFeedStream}. */
 export interface FeedStreamOptions {
   caches: WatchCaches;
@@ -89,20 +95,23 @@
     return;
   }
   response.writeHead(HTTP_OK, { "content-type": "application/x-ndjson" });
+  const held: HeldPositions = new Map();
   const heartbeat = setInterval(
-    () => writeLine(response, positionsOf(options.caches)),
+    () => writeLine(response, positionsOf(options.caches, held)),
     STREAM_HEARTBEAT_INTERVAL_MS,
   );
   response.once("close", () => clearInterval(heartbeat));
   for (const feed of Object.values(FeedName)) {
-    void streamFeed(feed, response, options);
+    void streamFeed(feed, response, { ...options, held });
   }
 }
 
 async function streamFeed(
   feed: FeedName,
   response: ServerResponse,
-  { caches, selfIsReader, now }: FeedStreamOptions,
+  { caches, selfIsReader, now, held }: FeedStreamOptions & {
+    held: HeldPositions;
+  },
 ): Promise<void> {
   const cache: WatchCache<unknown> = caches[feed];
   let position: FeedPosition | undefined;
@@ -114,6 +123,7 @@
       case FeedResultKind.Unavailable:
         return void response.end();
       case FeedResultKind.RevisionTooOld:
+        if (position !== undefined) held.set(feed, position);
         position = undefined;
         await delay(RELIST_PAUSE_MS);
         continue;
@@ -128,6 +138,7 @@
           );
           writeLine(response, { feed, read: serialised });
         }
+        held.delete(feed);
         position = createPosition(result.epoch, result.revision);
     }
     await cache.waitForChanges(position, STREAM_HEARTBEAT_INTERVAL_MS);
@@ -135,21 +146,24 @@
   }
 }
 
-function positionsOf(
-  { configuration, endpoints, gateways, quarantined }: WatchCaches,
-): FeedPositions {
+function positionsOf(caches: WatchCaches, held: HeldPositions): FeedPositions {
+  const of = (feed: FeedName) => held.get(feed) ?? caches[feed].position;
+  const configuration = of(FeedName.Configuration);
+  const endpoints = of(FeedName.Endpoints);
+  const gateways = of(FeedName.Gateways);
+  const quarantined = of(FeedName.Quarantined);
   return {
     revisions: {
-      configuration: configuration.position.revision,
-      endpoints: endpoints.position.revision,
-      gateways: gateways.position.revision,
-      quarantined: quarantined.position.revision,
+      configuration: configuration.revision,
+      endpoints: endpoints.revision,
+      gateways: gateways.revision,
+      quarantined: quarantined.revision,
     },
     epochs: {
-      configuration: configuration.position.epoch,
-      endpoints: endpoints.position.epoch,
-      gateways: gateways.position.epoch,
-      quarantined: quarantined.position.epoch,
+      configuration: configuration.epoch,
+      endpoints: endpoints.epoch,
+      gateways: gateways.epoch,
+      quarantined: quarantined.epoch,
     },
   };
 }
