Forget the hosts that did not write their entries again after a restoration

Each shared limit (connections to an endpoint, rates, retries) is divided by the count of hosts, so endpoints got less than they take, and news were sent to an address that no one answers.

Cause: kept entries were dropped by a later list only, and the feed of hosts is watched, not listed; a deletion is no change where the store has no entry. The listener now remembers what the store has, by lists and changes, and falls back to that when the time is over.

Ruled out: that a host that is slow to write is lost for good, since its entry is a change.

--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -21,7 +21,7 @@
 import type { QuarantinedParts } from "../quarantine/types.ts";
 import type { RouteConfiguration, RouteEndpoint } from "../routes/types.ts";
 import { FeedProgress, syncFeed } from "./sync_feed.ts";
-import { createMemberListener } from "./member_listener.ts";
+import { createMemberListener, KEEP_MISSING_MS } from "./member_listener.ts";
 import type { FeedItem, ObjectFeed } from "./object_feed.ts";
 import { deserialiseConfiguration, peerPosition } from "./state_snapshot.ts";
 
@@ -186,7 +186,12 @@
       log.info({ event: "members", count: members.count });
     },
   });
-  return syncFeed(feeds.gateways, listener, {
+  const onSourceRestored = () => {
+    listener.onSourceRestored();
+    void abortableDelay(KEEP_MISSING_MS + 1, options.signal)
+      .then(listener.dropMissing);
+  };
+  return syncFeed(feeds.gateways, { ...listener, onSourceRestored }, {
     ...feedOptions("gateways", options),
     wait_ms: MEMBER_WATCH_TIMEOUT_MS,
     coalesce_ms: MEMBER_COALESCE_MS,
