Don't let an earlier incarnation take a known endpoint's place

A host that had started after an endpoint's restart took the earlier incarnation for the present one when an older copy of the store brought its entry back: its requests went to an address without the endpoint, or were refused by it, until it had written its entry again. A host without the store dropped an endpoint that had started again when a peer that was behind still listed the earlier incarnation: it then had neither.

Cause: an earlier incarnation was known only by its tombstone, which a host has only if it saw the change; and an entry that is held back counted as not listed. An entry whose incarnation began before the known one is held back now as one that had gone is, for the same bounded time, and a name that a peer lists in any incarnation is not dropped.

Ruled out: an endpoint whose clock went back stays unusable; its change is taken as it is, and a list's entry after the hold.

--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -143,7 +143,8 @@
   replaceFromPeer(items: FeedItem<RouteEndpoint>[], now_ms: number): void {
     const present = this.#putAll(items, { now_ms, mayHaveReturned: true });
     for (const name of this.#entries.keys()) {
-      if (!present.has(name)) this.#delete(name);
+      const isListed = present.has(name) || this.#returned.has(name);
+      if (!isListed) this.#delete(name);
     }
   }
 
@@ -225,7 +226,7 @@
     const used = new Set<string>();
     for (const item of items) {
       const { name, value } = item;
-      const wasGone = value !== undefined && this.#tombstones.has(value);
+      const wasGone = value !== undefined && this.#hasEnded(value, name);
       const held_until_ms = previous.get(name)?.held_until_ms ??
         (mayHaveReturned ? now_ms + RETURNED_ENTRY_HOLD_MS : now_ms);
       if (wasGone && now_ms < held_until_ms) {
@@ -238,6 +239,13 @@
     return used;
   }
 
+  /** Whether an incarnation is known to be gone, or a later one has started. */
+  #hasEnded(endpoint: RouteEndpoint, name: string): boolean {
+    const known = this.#entries.get(name)?.endpoint;
+    return this.#tombstones.has(endpoint) ||
+      (known !== undefined && endpoint.born_ms < known.born_ms);
+  }
+
   #put({ name, value }: FeedItem<RouteEndpoint>): void {
     if (value === undefined) {
       this.#delete(name);
--- a/test/store_sync/restored_endpoints.test.ts
+++ b/test/store_sync/restored_endpoints.test.ts
@@ -235,3 +235,24 @@
   const end_ms = RESTORED_MS + RETURNED_ENTRY_HOLD_MS;
   assert.deepEqual(ids(registry, end_ms), ["here"]);
 });
+
+test("an endpoint is not replaced by an earlier incarnation that this host never knew", () => {
+  const registry = new EndpointRegistry();
+  registry.replaceAll([item("again", { born_ms: 2 })], 0);
+  registry.markSourceRestored(RESTORED_MS);
+  registry.replaceAll([item("again", { born_ms: 1 })], RESTORED_MS);
+  const [endpoint] = registry.readyInPool("desk", RESTORED_MS);
+  assert.equal(endpoint?.born_ms, 2);
+  const end_ms = RESTORED_MS + RETURNED_ENTRY_HOLD_MS;
+  assert.equal(registry.readyInPool("desk", end_ms)[0]?.born_ms, 1);
+});
+
+test("an endpoint that started again is kept when a peer still lists its earlier incarnation", () => {
+  const registry = new EndpointRegistry();
+  registry.replaceAll([item("again", { born_ms: 1 })], 0);
+  registry.applyChanges([changed("again", { born_ms: 2 })], 10_000);
+  registry.markSourceUnavailable();
+  registry.replaceFromPeer([item("again", { born_ms: 1 })], RESTORED_MS);
+  const [endpoint] = registry.readyInPool("desk", RESTORED_MS);
+  assert.equal(endpoint?.born_ms, 2);
+});
