--- a/src/claims/granted_claims.ts
+++ b/src/claims/granted_claims.ts
@@ -5,6 +5,7 @@
   ClaimRequest,
   OutcomeReport,
 } from "./types.ts";
+import { dropOldest } from "../utils/drop_oldest.ts";
 
 /** Claims to keep; beyond this the oldest are dropped. */
 const MAX_CLAIMS = 2_000;
@@ -25,8 +26,7 @@
     const key = keyOf(request);
     const { state, reply } = applyClaim(this.#claims.get(key), request);
     this.#claims.set(key, state);
-    const [oldest] = this.#claims.keys();
-    if (this.#claims.size > MAX_CLAIMS) this.#claims.delete(oldest ?? "");
+    dropOldest(this.#claims, MAX_CLAIMS);
     return reply;
   }
 
--- a/src/endpoint_reports/endpoint_notices.ts
+++ b/src/endpoint_reports/endpoint_notices.ts
@@ -8,6 +8,7 @@
 import type { Logger } from "../logging/logger.ts";
 import { RankedHosts } from "../membership/ranked_hosts.ts";
 import { spread } from "../peers/spread.ts";
+import { dropOldest } from "../utils/drop_oldest.ts";
 
 /** What an endpoint has begun to say of itself. */
 export const endpointNoticeSchema = z.object({
@@ -109,10 +110,7 @@
   #isFirstToldOf({ endpoint }: EndpointNotice): boolean {
     if (this.#toldLeaving.has(endpoint)) return false;
     this.#toldLeaving.add(endpoint);
-    const [oldest = ""] = this.#toldLeaving;
-    if (this.#toldLeaving.size > MAX_ENDPOINTS) {
-      this.#toldLeaving.delete(oldest);
-    }
+    dropOldest(this.#toldLeaving, MAX_ENDPOINTS);
     return true;
   }
 }
--- a/src/endpoint_reports/endpoint_pauses.ts
+++ b/src/endpoint_reports/endpoint_pauses.ts
@@ -2,6 +2,7 @@
  * The endpoints that refused a request of this host and want none for a while.
  * Does no I/O and reads no clock: callers pass the time in.
  */
+import { dropOldest } from "../utils/drop_oldest.ts";
 
 /** Longest pause; a longer one is a mistake that must not cost the endpoint. */
 export const MAX_PAUSE_MS = 60_000;
@@ -26,8 +27,7 @@
     // The endpoint that began last stands last in the map.
     this.#until_ms.delete(incarnation);
     this.#until_ms.set(incarnation, Math.max(known_ms, now_ms + wait_ms));
-    const [oldest = ""] = this.#until_ms.keys();
-    if (this.#until_ms.size > MAX_ENDPOINTS) this.#until_ms.delete(oldest);
+    dropOldest(this.#until_ms, MAX_ENDPOINTS);
     return known_ms > now_ms ? undefined : wait_ms;
   }
 
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -4,6 +4,7 @@
  * that a wrong entry ends. Pure: callers pass the time in.
  */
 import { type QuarantinedParts, quarantineName } from "./types.ts";
+import { dropOldest } from "../utils/drop_oldest.ts";
 
 /** Entries that are kept; beyond this the oldest are dropped. */
 const MAX_ENTRIES = 256;
@@ -76,8 +77,7 @@
       since_ms: now_ms,
       stored_probes: undefined,
     });
-    const [oldest] = this.#entries.keys();
-    if (this.#entries.size > MAX_ENTRIES) this.#entries.delete(oldest ?? "");
+    dropOldest(this.#entries, MAX_ENTRIES);
     return true;
   }
 
@@ -97,8 +97,7 @@
     this.#entries.delete(name);
     this.#ended.delete(name);
     this.#ended.set(name, now_ms);
-    const [oldest] = this.#ended.keys();
-    if (this.#ended.size > MAX_ENDED) this.#ended.delete(oldest ?? "");
+    dropOldest(this.#ended, MAX_ENDED);
   }
 
   /** Adds the store's entries and removes those that it no longer has. */
--- a/src/rate_limits/known_limits.ts
+++ b/src/rate_limits/known_limits.ts
@@ -7,6 +7,7 @@
   RateLimitKind,
 } from "../endpoint_reports/endpoint_report.ts";
 import type { EndpointNotice } from "../endpoint_reports/endpoint_notices.ts";
+import { dropOldest } from "../utils/drop_oldest.ts";
 
 interface KnownLimit {
   per_s: number;
@@ -91,7 +92,6 @@
     // The endpoint that was named last stands last in the map.
     this.#limits.delete(endpoint);
     this.#limits.set(endpoint, { per_s, named_ms: now_ms, refused_until_ms });
-    const [oldest] = this.#limits.keys();
-    if (this.#limits.size > MAX_ENDPOINTS) this.#limits.delete(oldest ?? "");
+    dropOldest(this.#limits, MAX_ENDPOINTS);
   }
 }
--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -3,6 +3,7 @@
 import { EndpointTombstones } from "./endpoint_tombstones.ts";
 import { GRACE_PERIOD_AFTER_OUTAGE_MS } from "./watch_cache.ts";
 import type { FeedChange, FeedItem } from "./object_feed.ts";
+import { dropOldest } from "../utils/drop_oldest.ts";
 
 /** Interval at which an endpoint writes its entry. */
 const ENDPOINT_HEARTBEAT_MS = 1_200;
@@ -304,6 +305,5 @@
 /** Adds a leaving incarnation; drops the oldest beyond the bound. */
 function remember(leaving: Set<string>, incarnation: string): void {
   leaving.add(incarnation);
-  const [oldest = ""] = leaving;
-  if (leaving.size > MAX_LEAVING) leaving.delete(oldest);
+  dropOldest(leaving, MAX_LEAVING);
 }
--- a/src/store_sync/endpoint_tombstones.ts
+++ b/src/store_sync/endpoint_tombstones.ts
@@ -1,5 +1,6 @@
 import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
+import { dropOldest } from "../utils/drop_oldest.ts";
 
 /** Tombstones to keep; beyond this the oldest are dropped. */
 const MAX_TOMBSTONES = 2_000;
@@ -16,10 +17,7 @@
     const incarnation = incarnationOf(endpoint);
     this.#incarnations.delete(incarnation);
     this.#incarnations.add(incarnation);
-    const [oldest] = this.#incarnations;
-    if (this.#incarnations.size > MAX_TOMBSTONES) {
-      this.#incarnations.delete(oldest ?? "");
-    }
+    dropOldest(this.#incarnations, MAX_TOMBSTONES);
   }
 
   /** Whether an incarnation is known to be gone. */
