Don't walk through the fleet while the store is away

Operators saw thousands of reader_failed and stream_closed lines when the object store was away for two seconds on a large fleet, and more calls to the store the longer that lasted. Each of a follower's four feeds tried up to six hosts in a read. A reader that had lost the store ended its streams and refused new ones with 503, as hosts do that don't read the store, and either was replaced by the next host of the ranking. So within milliseconds a follower excluded one host after the other, until it and all others took themselves for readers and called the store; each feed logged each host for itself, and again at each backoff.

A reader that has lost the store now keeps its streams open and says so in one line for each feed, a result of the kind "unavailable", and sends the list once it has read the store again. Such a reader, and a host that refuses with 503, is passed over but not replaced; only a host that does not respond is. What one feed learns holds for all feeds of the host, and is logged once. If all readers have lost the store, followers wait on two of their streams and try the store after 1 s, then 2 s, then each 4 s, one call for all feeds; readers go on to call it with their usual backoff.

Not changed, and read only: a host that is cut off from all others tries each of them before it reads the store itself.

--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -448,6 +448,7 @@
     feeds: {
       caches: syncOptions.watchCaches,
       selfIsReader: () => syncOptions.readers.selfIsReader,
+      selfAwaitsSource: () => syncOptions.readers.selfAwaitsSource,
       now: context.now,
     },
     log: context.log,
--- a/src/store_sync/relayed_feed.ts
+++ b/src/store_sync/relayed_feed.ts
@@ -22,8 +22,15 @@
  * `Unavailable` or as a rejection; both count as a failed call.
  */
 export interface PeerFeed<T> {
-  /** Lists all objects; unavailable if that list is older than `oldest`. */
-  list(address: string, oldest: FeedPosition): Promise<FeedResult<T>>;
+  /**
+   * Lists all objects; unavailable if that list is older than `oldest`. A host
+   * that has lost the store is given `source_wait_ms` to find it again.
+   */
+  list(
+    address: string,
+    oldest: FeedPosition,
+    options?: { source_wait_ms?: number },
+  ): Promise<FeedResult<T>>;
   /** Waits up to `wait_ms` for changes after `position`. */
   watch(
     address: string,
@@ -46,10 +53,15 @@
   log: Logger;
 }
 
-/** Attempts before a list or watch is reported as unavailable. */
+/**
+ * Attempts before a list or watch is reported as unavailable. Readers that have
+ * lost the store don't count: they are few, and respond at once.
+ */
 const MAX_ATTEMPTS_PER_READ = 3;
 /** Timeout of a watch that a follower makes at a reader. */
 const FOLLOWER_WATCH_TIMEOUT_MS = 5_000;
+/** How long a follower waits at a time for readers that have lost the store. */
+const SOURCE_WAIT_MS = 1_000;
 
 /** Creates a feed that reads from the store or from the readers. */
 export function createRelayedFeed<T>(
@@ -109,7 +121,11 @@
       return trackPosition(
         await readFromAny({
           fromStore: () => fromStore(() => store.list(signal)),
-          fromPeer: (address) => fromPeer(() => peers.list(address, newest)),
+          fromPeer: (address) =>
+            fromPeer(() => {
+              const source_wait_ms = readers.allLostSource ? SOURCE_WAIT_MS : 0;
+              return peers.list(address, newest, { source_wait_ms });
+            }),
         }, { ...options, signal }),
       );
     },
@@ -141,20 +157,19 @@
   const { readers, self, signal } = options;
   let storeFailed = false;
   let isBehind = false;
-  for (
-    let attempt = 0;
-    attempt < MAX_ATTEMPTS_PER_READ && !signal.aborted;
-    attempt++
-  ) {
-    if (readers.selfIsReader) {
+  let attempts = 0;
+  while (attempts < MAX_ATTEMPTS_PER_READ && !signal.aborted) {
+    if (readers.selfIsReader || (!storeFailed && readers.claimStoreAttempt())) {
       if (storeFailed) break;
       const result = await fromStore();
       if (signal.aborted || result.kind !== FeedResultKind.Unavailable) {
         readers.markResponsive(self);
         return result;
       }
-      recordFailure(self, result.reason, options);
+      const { reason } = result;
+      recordFailure(self, { reason, lostSource: true }, options);
       storeFailed = true;
+      attempts += 1;
       continue;
     }
     const addresses = readers.readersToFollow();
@@ -162,6 +177,9 @@
     const result = await readFromFirstPeer(addresses, { fromPeer, options });
     if (result.kind !== FeedResultKind.Unavailable) return result;
     isBehind ||= result.isBehind === true;
+    if (result.lostSource !== true) attempts += 1;
+    // The caller learns at once, and waits for the readers in its next read.
+    if (readers.allLostSource) break;
   }
   // Readers that answer with less than this host has may all be right.
   if (isBehind && !storeFailed && !signal.aborted) return await fromStore();
@@ -177,11 +195,13 @@
   },
 ): Promise<FeedResult<T>> {
   let isBehind = false;
+  let lostSource = true;
   const call = async (address: string) => {
     const result = await callPeer(() => fromPeer(address));
     if (result.kind === FeedResultKind.Unavailable) {
-      recordFailure(address, result.reason, options);
+      recordFailure(address, result, options);
       isBehind ||= result.isBehind === true;
+      lostSource &&= result.lostSource === true;
       throw new Error(result.reason);
     }
     options.readers.markResponsive(address);
@@ -191,6 +211,7 @@
     kind: FeedResultKind.Unavailable,
     reason: "no reader answers",
     isBehind,
+    lostSource,
   }));
 }
 
@@ -205,11 +226,15 @@
   }
 }
 
+/** Logs a failure only if it excludes the host, for all feeds at once. */
 function recordFailure<T>(
   address: string,
-  reason: string,
+  { reason, lostSource }: { reason: string; lostSource?: boolean },
   { readers, log, name }: RelayedFeedOptions<T>,
 ): void {
-  readers.markFailed(address);
+  const isNew = lostSource === true
+    ? readers.markSourceLost(address)
+    : readers.markFailed(address);
+  if (!isNew) return;
   log.info({ event: "reader_failed", source: name, reader: address, reason });
 }
--- a/src/store_sync/watch_cache.ts
+++ b/src/store_sync/watch_cache.ts
@@ -43,8 +43,8 @@
   /** Newest position that the source has gone back from, within its epoch. */
   #retracted: FeedPosition | undefined;
   #sourceUnavailable = true;
-  /** Whether a result or an outage has been recorded yet. */
-  #updated = false;
+  /** Results and outages recorded so far. */
+  #updates = 0;
   #graceEnd_ms = 0;
   #waiters = new Set<() => void>();
 
@@ -167,7 +167,13 @@
 
   /** Resolves on the first result, on an outage or after `wait_ms`. */
   waitForFirstUpdate(wait_ms: number): Promise<void> {
-    return this.#waitFor(() => this.#updated, wait_ms);
+    return this.#waitFor(() => this.#updates > 0, wait_ms);
+  }
+
+  /** Resolves on the next result or outage, or after `wait_ms`. */
+  waitForUpdate(wait_ms: number): Promise<void> {
+    const seen = this.#updates;
+    return this.#waitFor(() => this.#updates !== seen, wait_ms);
   }
 
   /** Checks the condition again on each result and outage. */
@@ -224,7 +230,7 @@
   }
 
   #notifyWaiters(): void {
-    this.#updated = true;
+    this.#updates += 1;
     for (const check of [...this.#waiters]) check();
   }
 
--- a/test/membership/store_readers.test.ts
+++ b/test/membership/store_readers.test.ts
@@ -61,3 +61,61 @@
   for (const host of HOSTS) readers.markFailed(host);
   assert.equal(readers.selfIsReader, true);
 });
+
+test("a reader that has lost the store is passed over, and no other host takes its place", () => {
+  const clock = { now_ms: 0 };
+  const reading = HOSTS.filter((host) => readersAt(host).selfIsReader);
+  const follower = HOSTS.find((host) => !reading.includes(host)) ?? "";
+  const readers = readersAt(follower, HOSTS, clock);
+  const followed = readers.readersToFollow();
+  const tried = new Set<string>();
+  while (!readers.allLostSource) {
+    for (const address of readers.readersToFollow()) {
+      assert.equal(readers.markSourceLost(address), true);
+      assert.equal(readers.markSourceLost(address), false);
+      tried.add(address);
+    }
+  }
+  assert.deepEqual([...tried].sort(), [...reading].sort());
+  assert.deepEqual(readers.readersToFollow(), followed);
+  assert.equal(readers.selfIsReader, false);
+  clock.now_ms = 3_001;
+  assert.equal(readers.allLostSource, false);
+});
+
+test("a host whose readers have all lost the store tries it with growing pauses", () => {
+  const clock = { now_ms: 0 };
+  const readers = readersAt("host-1", HOSTS, clock);
+  const markAllLost = () => {
+    while (!readers.allLostSource) {
+      readers.readersToFollow().forEach((each) => readers.markSourceLost(each));
+    }
+  };
+  const attempts_ms: number[] = [];
+  for (; clock.now_ms < 20_000; clock.now_ms += 100) {
+    markAllLost();
+    if (!readers.claimStoreAttempt()) continue;
+    attempts_ms.push(clock.now_ms);
+    readers.markSourceLost("host-1");
+  }
+  assert.deepEqual(attempts_ms, [1_000, 3_000, 7_000, 11_000, 15_000, 19_000]);
+  clock.now_ms = 30_000;
+  markAllLost();
+  assert.equal(readers.claimStoreAttempt(), true);
+  readers.markResponsive("host-1");
+  assert.equal(readers.selfIsReader, true);
+  readers.markSourceLost("host-1");
+  assert.equal(readers.selfIsReader, false);
+});
+
+test("a reader goes on to try the store if all readers have lost it", () => {
+  const reader = HOSTS.find((host) => readersAt(host).selfIsReader) ?? "";
+  const readers = readersAt(reader);
+  readers.markSourceLost(reader);
+  assert.equal(readers.selfIsReader, false);
+  assert.equal(readers.selfAwaitsSource, true);
+  while (!readers.allLostSource) {
+    readers.readersToFollow().forEach((each) => readers.markSourceLost(each));
+  }
+  assert.equal(readers.selfIsReader, true);
+});
