End a feed stream whose feed can't be written

Followers of a reader would have gone without a feed for good: an error while a result is written left the loop of that feed, and the heartbeats of the stream went on, so that followers kept to it. The stream is now closed, with an error in the log, and followers turn to the other reader.

--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -449,6 +449,7 @@
       caches: syncOptions.watchCaches,
       selfIsReader: () => syncOptions.readers.selfIsReader,
       selfAwaitsSource: () => syncOptions.readers.selfAwaitsSource,
+      log: context.log,
       now: context.now,
     },
     log: context.log,
--- a/src/peers/feed_stream.ts
+++ b/src/peers/feed_stream.ts
@@ -10,6 +10,7 @@
   type FeedPosition,
   START_POSITION,
 } from "../store_sync/feed_position.ts";
+import type { Logger } from "../logging/logger.ts";
 import type { WatchCache } from "../store_sync/watch_cache.ts";
 import {
   type FeedItem,
@@ -69,6 +70,7 @@
    * default, it then stops reading the store for good.
    */
   selfAwaitsSource?: () => boolean;
+  log: Logger;
   now: () => number;
 }
 
@@ -115,7 +117,11 @@
   );
   response.once("close", () => clearInterval(heartbeat));
   for (const feed of Object.values(FeedName)) {
-    void streamFeed(feed, response, { ...options, held });
+    // Without the feed, heartbeats alone would keep its followers waiting.
+    streamFeed(feed, response, { ...options, held }).catch((error: Error) => {
+      options.log.error({ event: "fault", source: feed, error: error.stack });
+      response.destroy();
+    });
   }
 }
 
--- a/test/peers/feed_heartbeats.test.ts
+++ b/test/peers/feed_heartbeats.test.ts
@@ -4,6 +4,7 @@
 import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "node:test";
+import { createLogger } from "../../src/logging/logger.ts";
 import {
   type FeedLine,
   FeedName,
@@ -45,6 +46,7 @@
   serveFeedStream(response as unknown as ServerResponse, {
     caches,
     selfIsReader: () => true,
+    log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
     now: () => performance.now(),
   });
   await sleep(0);
--- a/test/peers/feed_stream.test.ts
+++ b/test/peers/feed_stream.test.ts
@@ -1,7 +1,7 @@
 /** The feed stream between two hosts. */
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { createServer, type Server } from "node:http";
+import { createServer, request, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, test } from "node:test";
 import { WatchCache } from "../../src/store_sync/watch_cache.ts";
@@ -45,6 +45,7 @@
       serveFeedStream(response, {
         caches,
         selfIsReader: () => isReader,
+        log,
         now,
       });
     }
@@ -264,3 +265,16 @@
   assert.equal(gone.kind, FeedResultKind.Unavailable);
   assert.equal("lostSource" in gone, false);
 });
+
+test("a feed that can't be written ends the stream, so that followers don't wait", async () => {
+  const unwritable = 1n as unknown as number;
+  const endpoint = { slots: unwritable } as RouteEndpoint;
+  caches.endpoints.replaceAll([{ name: "odd", value: endpoint }], at(11));
+  const following = request(`http://${address}/feeds`).end();
+  following.on("error", () => {});
+  following.on("response", (response) => {
+    response.on("error", () => {});
+    response.resume();
+  });
+  await new Promise((resolve) => following.once("close", resolve));
+});
--- a/test/peers/odd_feed_values.test.ts
+++ b/test/peers/odd_feed_values.test.ts
@@ -40,7 +40,7 @@
     cache.replaceAll([], { epoch: 1, revision: 10 });
   }
   server = createServer((_, response) =>
-    serveFeedStream(response, { caches, selfIsReader: () => true, now })
+    serveFeedStream(response, { caches, selfIsReader: () => true, log, now })
   );
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
--- a/test/store_sync/hostile_replies.test.ts
+++ b/test/store_sync/hostile_replies.test.ts
@@ -155,6 +155,7 @@
       quarantined: other,
     },
     selfIsReader: () => true,
+    log,
     now: () => 0,
   });
   await new Promise((resolve) => setTimeout(resolve, 300));
