Log the endpoints whose state a list changes, not only a watch's

An operator, and the test that every host learns of a draining endpoint in time, look for the line event=endpoint of a host. A host that learns the same news from a list, as after a watch that a peer has overtaken, said only event=endpoints count=8. Lists now log one line for each endpoint that they change, but for a host's first.

--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -9,6 +9,7 @@
 import type { RouteTable } from "../routes/route_table.ts";
 import { abortableDelay } from "../utils/delay.ts";
 import type { ActiveConfiguration } from "./active_configuration.ts";
+import { changedEndpoints, logEndpoint } from "./endpoint_changes.ts";
 import { ConfigurationCatchUp } from "./configuration_catch_up.ts";
 import {
   type EndpointRegistry,
@@ -140,19 +141,19 @@
   };
   return syncFeed(feeds.endpoints, {
     onList(items) {
+      const before = endpoints.all(now());
       endpoints.replaceAll(items, now());
       log.info({ event: "endpoints", count: items.length });
+      for (const each of changedEndpoints(before, endpoints.all(now()))) {
+        logEndpoint(log, each);
+      }
       notifyListeners();
     },
     onChanges(changes) {
       endpoints.applyChanges(changes, now());
       for (const { name, value, deleted } of changes) {
-        log.info({
-          event: "endpoint",
-          endpoint: name,
-          pool: value?.pool,
-          state: deleted ? "removed" : value?.state ?? "unreadable",
-        });
+        const state = deleted ? "removed" : value?.state ?? "unreadable";
+        logEndpoint(log, { id: name, pool: value?.pool, state });
       }
       notifyListeners();
     },
