Split the sync of feeds: progress, reader of results, and peers apart

The progress of a feed, the reader that delivers its results and what a host takes over from peers are modules of their own now.

--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -9,7 +9,7 @@
 import { createPieceClient } from "./batching/piece_client.ts";
 import { ActiveConfiguration } from "./store_sync/active_configuration.ts";
 import { EndpointRegistry } from "./store_sync/endpoint_registry.ts";
-import { FeedProgress } from "./store_sync/sync_feed.ts";
+import { FeedProgress } from "./store_sync/feed_progress.ts";
 import { WatchCache } from "./store_sync/watch_cache.ts";
 import {
   runStoreSync,
--- a/src/store_sync/member_listener.ts
+++ b/src/store_sync/member_listener.ts
@@ -4,7 +4,7 @@
 } from "../membership/gateway_members.ts";
 import type { OwnEntry } from "../membership/own_entry.ts";
 import type { FeedItem } from "./object_feed.ts";
-import type { FeedListener } from "./sync_feed.ts";
+import type { FeedListener } from "./feed_reader.ts";
 
 /** Dependencies of a listener of the gateway hosts' feed. */
 export interface MemberListenerOptions {
--- a/test/store_sync/feed_position.test.ts
+++ b/test/store_sync/feed_position.test.ts
@@ -10,7 +10,7 @@
   createChangeRevisions,
   peerPosition,
 } from "../../src/store_sync/state_snapshot.ts";
-import { FeedProgress } from "../../src/store_sync/sync_feed.ts";
+import { FeedProgress } from "../../src/store_sync/feed_progress.ts";
 import { at } from "./at_position.ts";
 
 test("a lower revision of a higher epoch is newer", () => {
--- a/test/store_sync/restoration_series.test.ts
+++ b/test/store_sync/restoration_series.test.ts
@@ -16,7 +16,8 @@
   createRelayedFeed,
   type PeerFeed,
 } from "../../src/store_sync/relayed_feed.ts";
-import { FeedProgress, syncFeed } from "../../src/store_sync/sync_feed.ts";
+import { FeedProgress } from "../../src/store_sync/feed_progress.ts";
+import { syncFeed } from "../../src/store_sync/sync_feed.ts";
 import { WatchCache } from "../../src/store_sync/watch_cache.ts";
 
 const SEED = 31;
--- a/test/store_sync/restorations.test.ts
+++ b/test/store_sync/restorations.test.ts
@@ -7,7 +7,8 @@
   type FeedResult,
   FeedResultKind,
 } from "../../src/store_sync/object_feed.ts";
-import { FeedProgress, syncFeed } from "../../src/store_sync/sync_feed.ts";
+import { FeedProgress } from "../../src/store_sync/feed_progress.ts";
+import { syncFeed } from "../../src/store_sync/sync_feed.ts";
 import {
   GRACE_PERIOD_AFTER_OUTAGE_MS,
   WatchCache,
--- a/test/store_sync/throwing_listener.test.ts
+++ b/test/store_sync/throwing_listener.test.ts
@@ -6,11 +6,9 @@
   type FeedResult,
   FeedResultKind,
 } from "../../src/store_sync/object_feed.ts";
-import {
-  type FeedListener,
-  FeedProgress,
-  syncFeed,
-} from "../../src/store_sync/sync_feed.ts";
+import { FeedProgress } from "../../src/store_sync/feed_progress.ts";
+import type { FeedListener } from "../../src/store_sync/feed_reader.ts";
+import { syncFeed } from "../../src/store_sync/sync_feed.ts";
 import { WatchCache } from "../../src/store_sync/watch_cache.ts";
 import { at } from "./at_position.ts";
 
