--- a/src/membership/store_readers.ts
+++ b/src/membership/store_readers.ts
@@ -4,6 +4,10 @@
 const INITIAL_EXCLUSION_MS = 3_000;
 const MAX_EXCLUSION_MS = 6_000;
 
+/** First and longest pause of a follower between its own attempts at the store. */
+const INITIAL_STORE_PAUSE_MS = 1_000;
+const MAX_STORE_PAUSE_MS = 4_000;
+
 /** Two, because a reader may be cut off from the store without noticing. */
 const READERS_TO_FOLLOW = 2;
 
@@ -20,10 +24,6 @@
   now: () => number;
 }
 
-/** First and longest pause of a follower between its own attempts at the store. */
-const INITIAL_STORE_PAUSE_MS = 1_000;
-const MAX_STORE_PAUSE_MS = 4_000;
-
 interface Exclusion {
   until_ms: number;
   duration_ms: number;
