--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -448,7 +448,6 @@
     feeds: {
       caches: syncOptions.watchCaches,
       selfIsReader: () => syncOptions.readers.selfIsReader,
-      selfAwaitsSource: () => syncOptions.readers.selfAwaitsSource,
       log: context.log,
       now: context.now,
     },
--- a/src/peers/feed_stream.ts
+++ b/src/peers/feed_stream.ts
@@ -65,11 +65,6 @@
   caches: WatchCaches;
   /** Whether this host reads the store itself. */
   selfIsReader: () => boolean;
-  /**
-   * Whether others follow this host, but it does not read the store for now; by
-   * default, it then stops reading the store for good.
-   */
-  selfAwaitsSource?: () => boolean;
   log: Logger;
   now: () => number;
 }
@@ -88,23 +83,15 @@
   return request.url === FEEDS_PATH;
 }
 
-/** Result that is sent while this host has lost the store. */
-const SOURCE_LOST = {
-  kind: FeedResultKind.Unavailable,
-  reason: "the source is lost",
-} as const;
-
 /**
  * Serves one follower until it disconnects or this host stops reading the store.
- * Responds with status 503 if this host does not read the store. A host that has
- * lost the store says so once and lists again when it is back, so that followers
- * need not connect again; those of earlier releases close the stream.
+ * Responds with status 503 if this host does not read the store.
  */
 export function serveFeedStream(
   response: ServerResponse,
   options: FeedStreamOptions,
 ): void {
-  if (!hasFollowers(options)) {
+  if (!options.selfIsReader()) {
     response.writeHead(HTTP_UNAVAILABLE, { "content-length": 0 });
     response.end();
     return;
@@ -128,23 +115,19 @@
 async function streamFeed(
   feed: FeedName,
   response: ServerResponse,
-  options: FeedStreamOptions & { held: HeldPositions },
+  { caches, selfIsReader, now, held }: FeedStreamOptions & {
+    held: HeldPositions;
+  },
 ): Promise<void> {
-  const { held } = options;
-  const cache: WatchCache<unknown> = options.caches[feed];
+  const cache: WatchCache<unknown> = caches[feed];
   let position: FeedPosition | undefined;
-  let toldLost = false;
   while (!response.destroyed && !response.writableEnded) {
-    if (!hasFollowers(options)) return void response.end();
-    const result = readCache(cache, position, options);
+    const result = position === undefined
+      ? cache.list(START_POSITION, now())
+      : cache.changesSince(position, now());
     switch (result.kind) {
       case FeedResultKind.Unavailable:
-        if (!toldLost) writeLine(response, { feed, read: SOURCE_LOST });
-        toldLost = true;
-        if (position !== undefined) held.set(feed, position);
-        position = undefined;
-        await cache.waitForUpdate(STREAM_HEARTBEAT_INTERVAL_MS);
-        continue;
+        return void response.end();
       case FeedResultKind.RevisionTooOld:
         if (position !== undefined) held.set(feed, position);
         position = undefined;
@@ -163,30 +146,12 @@
         }
         held.delete(feed);
         position = createPosition(result.epoch, result.revision);
-        toldLost = false;
     }
     await cache.waitForChanges(position, STREAM_HEARTBEAT_INTERVAL_MS);
+    if (!selfIsReader()) return void response.end();
   }
 }
 
-function hasFollowers(
-  { selfIsReader, selfAwaitsSource }: FeedStreamOptions,
-): boolean {
-  return selfIsReader() || selfAwaitsSource?.() === true;
-}
-
-/** What this host has read from the store itself, not from a peer. */
-function readCache(
-  cache: WatchCache<unknown>,
-  position: FeedPosition | undefined,
-  { selfIsReader, now }: FeedStreamOptions,
-): FeedResult<unknown> {
-  if (!selfIsReader()) return SOURCE_LOST;
-  return position === undefined
-    ? cache.list(START_POSITION, now())
-    : cache.changesSince(position, now());
-}
-
 function positionsOf(caches: WatchCaches, held: HeldPositions): FeedPositions {
   const of = (feed: FeedName) => held.get(feed) ?? caches[feed].position;
   const configuration = of(FeedName.Configuration);
--- a/src/peers/feed_stream_client.ts
+++ b/src/peers/feed_stream_client.ts
@@ -10,7 +10,6 @@
 import { deserialiseConfiguration } from "../store_sync/state_snapshot.ts";
 import type { Logger } from "../logging/logger.ts";
 import { readFeedValues } from "./read_feed_values.ts";
-import { abortableDelay } from "../utils/delay.ts";
 import { parseAddress } from "../settings/settings.ts";
 import {
   type FeedLine,
@@ -32,23 +31,10 @@
 const MAX_LINE_LENGTH = 16_777_216;
 
 const HTTP_OK = 200;
-const HTTP_UNAVAILABLE = 503;
-
-/** First and longest pause before a host that refused is asked again. */
-const INITIAL_REFUSAL_PAUSE_MS = 50;
-const MAX_REFUSAL_PAUSE_MS = 800;
-
-/** When a host that does not read the store is asked again. */
-interface Refusals {
-  pause_ms: number;
-  reopen_ms: number;
-}
 
 /** Opens and caches one stream per followed host. */
 export class FeedStreamClients {
   #clients = new Map<string, FeedStreamClient>();
-  #refusals = new Map<string, Refusals>();
-  #closed = new AbortController();
   #options: { log: Logger; now: () => number };
 
   constructor(options: { log: Logger; now: () => number }) {
@@ -59,76 +45,40 @@
   feed<T>(feed: FeedName): PeerFeed<T> {
     const { now } = this.#options;
     return {
-      list: async (address, oldest, { source_wait_ms = 0 } = {}) => {
-        const client = await this.#open(address, feed);
-        const cache: WatchCache<unknown> = client.caches[feed];
-        if (client.hasLostSource(feed) && source_wait_ms > 0) {
-          await cache.waitForUpdate(source_wait_ms);
-        }
-        const result = cache.list(oldest, now()) as FeedResult<T>;
-        return client.explain(feed, result);
+      list: async (address, oldest) => {
+        const cache = await this.#openCache(address, feed);
+        return cache.list(oldest, now()) as FeedResult<T>;
       },
       watch: async (address, position, wait_ms) => {
-        const client = await this.#open(address, feed);
-        const cache: WatchCache<unknown> = client.caches[feed];
+        const cache = await this.#openCache(address, feed);
         await cache.waitForChanges(position, wait_ms);
-        const result = cache.changesSince(position, now()) as FeedResult<T>;
-        return client.explain(feed, result);
+        return cache.changesSince(position, now()) as FeedResult<T>;
       },
     };
   }
 
   /** Closes every stream. */
   close(): void {
-    this.#closed.abort();
     for (const client of this.#clients.values()) client.close("closed");
     this.#clients.clear();
   }
 
   /** Opens the stream if necessary and waits for its first result. */
-  async #open(address: string, feed: FeedName): Promise<FeedStreamClient> {
-    await this.#pauseAfterRefusal(address);
+  async #openCache(
+    address: string,
+    feed: FeedName,
+  ): Promise<WatchCache<unknown>> {
     const now_ms = this.#options.now();
     this.#closeUnused(now_ms);
-    this.#forgetRefusals(now_ms);
     let client = this.#clients.get(address);
     if (client === undefined || client.closed) {
-      client = new FeedStreamClient(address, {
-        ...this.#options,
-        onResponse: (isRefused) => this.#recordResponse(address, isRefused),
-      });
+      client = new FeedStreamClient(address, this.#options);
       this.#clients.set(address, client);
     }
     client.last_used_ms = now_ms;
-    await client.caches[feed].waitForFirstUpdate(FIRST_RESULT_TIMEOUT_MS);
-    return client;
-  }
-
-  /** All feeds wait for the same moment and share the stream opened then. */
-  async #pauseAfterRefusal(address: string): Promise<void> {
-    const { reopen_ms = 0 } = this.#refusals.get(address) ?? {};
-    const pause_ms = reopen_ms - this.#options.now();
-    if (pause_ms <= 0) return;
-    await abortableDelay(pause_ms, this.#closed.signal);
-    if (this.#closed.signal.aborted) throw new Error("closed");
-  }
-
-  #recordResponse(address: string, isRefused: boolean): void {
-    if (!isRefused) return void this.#refusals.delete(address);
-    const previous_ms = this.#refusals.get(address)?.pause_ms ?? 0;
-    const pause_ms = Math.min(
-      MAX_REFUSAL_PAUSE_MS,
-      Math.max(INITIAL_REFUSAL_PAUSE_MS, previous_ms * 2),
-    );
-    const reopen_ms = this.#options.now() + pause_ms;
-    this.#refusals.set(address, { pause_ms, reopen_ms });
-  }
-
-  #forgetRefusals(now_ms: number): void {
-    for (const [address, { reopen_ms }] of this.#refusals) {
-      if (now_ms - reopen_ms < UNUSED_TIMEOUT_MS) continue;
-      this.#refusals.delete(address);
-    }
+    const cache: WatchCache<unknown> = client.caches[feed];
+    await cache.waitForFirstUpdate(FIRST_RESULT_TIMEOUT_MS);
+    return cache;
   }
 
   #closeUnused(now_ms: number): void {
@@ -142,13 +92,6 @@
   }
 }
 
-interface FeedStreamClientOptions {
-  log: Logger;
-  now: () => number;
-  /** Called once the host responds. */
-  onResponse: (isRefused: boolean) => void;
-}
-
 /** The stream of one followed host. */
 class FeedStreamClient {
   readonly caches: WatchCaches = {
@@ -159,17 +102,16 @@
   };
   last_used_ms = 0;
   closed = false;
-  /** Whether the host responded that it does not read the store. */
-  #isRefused = false;
-  /** The feeds of which the host says that it has lost the source. */
-  #lost = new Set<FeedName>();
   #address: string;
   #partialLine = "";
   #silenceTimer: NodeJS.Timeout;
   #request: ClientRequest;
-  #options: FeedStreamClientOptions;
+  #options: { log: Logger; now: () => number };
 
-  constructor(address: string, options: FeedStreamClientOptions) {
+  constructor(
+    address: string,
+    options: { log: Logger; now: () => number },
+  ) {
     this.#address = address;
     this.#options = options;
     const { ip, port } = parseAddress(address);
@@ -200,25 +142,9 @@
     });
   }
 
-  /** Whether the stream is open and waits for the source of this feed. */
-  hasLostSource(feed: FeedName): boolean {
-    return !this.closed && this.#lost.has(feed);
-  }
-
-  /** Adds to an unavailable result whether the host has lost the store. */
-  explain<T>(feed: FeedName, result: FeedResult<T>): FeedResult<T> {
-    if (result.kind !== FeedResultKind.Unavailable) return result;
-    if (this.#isRefused || this.hasLostSource(feed)) {
-      return { ...result, reason: "reads no store", lostSource: true };
-    }
-    return result;
-  }
-
   #read(response: IncomingMessage): void {
     response.on("error", (error) => this.close(error.message));
     response.on("close", () => this.close("ended"));
-    this.#isRefused = response.statusCode === HTTP_UNAVAILABLE;
-    this.#options.onResponse(this.#isRefused);
     if (response.statusCode !== HTTP_OK) {
       return this.close(`status ${response.statusCode}`);
     }
@@ -253,12 +179,6 @@
       }
       return;
     }
-    if (line.read.kind === FeedResultKind.Unavailable) {
-      this.#cache(line.feed).markSourceUnavailable();
-      this.#lost.add(line.feed);
-      return;
-    }
-    this.#lost.delete(line.feed);
     const result = mapConfigurations(
       line.feed,
       readFeedValues(line.feed, line.read),
--- a/src/store_sync/object_feed.ts
+++ b/src/store_sync/object_feed.ts
@@ -45,8 +45,6 @@
     reason: string;
     /** Whether the source answers, but with less than the caller has. */
     isBehind?: boolean;
-    /** Whether the host responds, but does not read the store at present. */
-    lostSource?: boolean;
   };
 
 /** The kinds of {@linkcode FeedResult}. */
--- a/src/store_sync/relayed_feed.ts
+++ b/src/store_sync/relayed_feed.ts
@@ -22,15 +22,8 @@
  * `Unavailable` or as a rejection; both count as a failed call.
  */
 export interface PeerFeed<T> {
-  /**
-   * Lists all objects; unavailable if that list is older than `oldest`. A host
-   * that has lost the store is given `source_wait_ms` to find it again.
-   */
-  list(
-    address: string,
-    oldest: FeedPosition,
-    options?: { source_wait_ms?: number },
-  ): Promise<FeedResult<T>>;
+  /** Lists all objects; unavailable if that list is older than `oldest`. */
+  list(address: string, oldest: FeedPosition): Promise<FeedResult<T>>;
   /** Waits up to `wait_ms` for changes after `position`. */
   watch(
     address: string,
@@ -53,15 +46,10 @@
   log: Logger;
 }
 
-/**
- * Attempts before a list or watch is reported as unavailable. Readers that have
- * lost the store don't count: they are few, and respond at once.
- */
+/** Attempts before a list or watch is reported as unavailable. */
 const MAX_ATTEMPTS_PER_READ = 3;
 /** Timeout of a watch that a follower makes at a reader. */
 const FOLLOWER_WATCH_TIMEOUT_MS = 5_000;
-/** How long a follower waits at a time for readers that have lost the store. */
-const SOURCE_WAIT_MS = 1_000;
 
 /** Creates a feed that reads from the store or from the readers. */
 export function createRelayedFeed<T>(
@@ -121,11 +109,7 @@
       return trackPosition(
         await readFromAny({
           fromStore: () => fromStore(() => store.list(signal)),
-          fromPeer: (address) =>
-            fromPeer(() => {
-              const source_wait_ms = readers.allLostSource ? SOURCE_WAIT_MS : 0;
-              return peers.list(address, newest, { source_wait_ms });
-            }),
+          fromPeer: (address) => fromPeer(() => peers.list(address, newest)),
         }, { ...options, signal }),
       );
     },
@@ -157,19 +141,20 @@
   const { readers, self, signal } = options;
   let storeFailed = false;
   let isBehind = false;
-  let attempts = 0;
-  while (attempts < MAX_ATTEMPTS_PER_READ && !signal.aborted) {
-    if (readers.selfIsReader || (!storeFailed && readers.claimStoreAttempt())) {
+  for (
+    let attempt = 0;
+    attempt < MAX_ATTEMPTS_PER_READ && !signal.aborted;
+    attempt++
+  ) {
+    if (readers.selfIsReader) {
       if (storeFailed) break;
       const result = await fromStore();
       if (signal.aborted || result.kind !== FeedResultKind.Unavailable) {
         readers.markResponsive(self);
         return result;
       }
-      const { reason } = result;
-      recordFailure(self, { reason, lostSource: true }, options);
+      recordFailure(self, result.reason, options);
       storeFailed = true;
-      attempts += 1;
       continue;
     }
     const addresses = readers.readersToFollow();
@@ -177,9 +162,6 @@
     const result = await readFromFirstPeer(addresses, { fromPeer, options });
     if (result.kind !== FeedResultKind.Unavailable) return result;
     isBehind ||= result.isBehind === true;
-    if (result.lostSource !== true) attempts += 1;
-    // The caller learns at once, and waits for the readers in its next read.
-    if (readers.allLostSource) break;
   }
   // Readers that answer with less than this host has may all be right.
   if (isBehind && !storeFailed && !signal.aborted) return await fromStore();
@@ -195,13 +177,11 @@
   },
 ): Promise<FeedResult<T>> {
   let isBehind = false;
-  let lostSource = true;
   const call = async (address: string) => {
     const result = await callPeer(() => fromPeer(address));
     if (result.kind === FeedResultKind.Unavailable) {
-      recordFailure(address, result, options);
+      recordFailure(address, result.reason, options);
       isBehind ||= result.isBehind === true;
-      lostSource &&= result.lostSource === true;
       throw new Error(result.reason);
     }
     options.readers.markResponsive(address);
@@ -211,7 +191,6 @@
     kind: FeedResultKind.Unavailable,
     reason: "no reader answers",
     isBehind,
-    lostSource,
   }));
 }
 
@@ -226,15 +205,11 @@
   }
 }
 
-/** Logs a failure only if it excludes the host, for all feeds at once. */
 function recordFailure<T>(
   address: string,
-  { reason, lostSource }: { reason: string; lostSource?: boolean },
+  reason: string,
   { readers, log, name }: RelayedFeedOptions<T>,
 ): void {
-  const isNew = lostSource === true
-    ? readers.markSourceLost(address)
-    : readers.markFailed(address);
-  if (!isNew) return;
+  readers.markFailed(address);
   log.info({ event: "reader_failed", source: name, reader: address, reason });
 }
--- a/src/store_sync/sync_feed.ts
+++ b/src/store_sync/sync_feed.ts
@@ -67,13 +67,9 @@
         if (now() - start_ms >= MIN_IDLE_WATCH_MS) backoff.reset();
         else await abortableDelay(backoff.nextDelayMs(), signal);
         break;
-      case ReadOutcome.Failed: {
-        // A list may have waited for its source; it must not miss its return.
-        const spent_ms = position === undefined ? now() - start_ms : 0;
-        const pause_ms = Math.max(0, backoff.nextDelayMs() - spent_ms);
-        await abortableDelay(pause_ms, signal);
+      case ReadOutcome.Failed:
+        await abortableDelay(backoff.nextDelayMs(), signal);
         break;
-      }
     }
   }
 }
--- a/src/store_sync/watch_cache.ts
+++ b/src/store_sync/watch_cache.ts
@@ -43,8 +43,8 @@
   /** Newest position that the source has gone back from, within its epoch. */
   #retracted: FeedPosition | undefined;
   #sourceUnavailable = true;
-  /** Results and outages recorded so far. */
-  #updates = 0;
+  /** Whether a result or an outage has been recorded yet. */
+  #updated = false;
   #graceEnd_ms = 0;
   #waiters = new Set<() => void>();
 
@@ -167,13 +167,7 @@
 
   /** Resolves on the first result, on an outage or after `wait_ms`. */
   waitForFirstUpdate(wait_ms: number): Promise<void> {
-    return this.#waitFor(() => this.#updates > 0, wait_ms);
-  }
-
-  /** Resolves on the next result or outage, or after `wait_ms`. */
-  waitForUpdate(wait_ms: number): Promise<void> {
-    const seen = this.#updates;
-    return this.#waitFor(() => this.#updates !== seen, wait_ms);
+    return this.#waitFor(() => this.#updated, wait_ms);
   }
 
   /** Checks the condition again on each result and outage. */
@@ -230,7 +224,7 @@
   }
 
   #notifyWaiters(): void {
-    this.#updates += 1;
+    this.#updated = true;
     for (const check of [...this.#waiters]) check();
   }
 
