--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -69,6 +69,7 @@
   bufferedError: BufferedResponse | undefined;
   #stopController = new AbortController();
   #stopReason: StopReason | undefined;
+  #stopped_ms = Infinity;
   #stopped = Promise.withResolvers<void>();
 
   constructor(
@@ -116,6 +117,13 @@
     return this.#stopReason;
   }
 
+  /** Milliseconds since it was stopped; undefined if it was not. */
+  get sinceStopMs(): number | undefined {
+    return this.#stopReason === undefined
+      ? undefined
+      : this.dependencies.now() - this.#stopped_ms;
+  }
+
   /** Resolves when the request is stopped. */
   get stopped(): Promise<void> {
     return this.#stopped.promise;
@@ -128,7 +136,10 @@
 
   /** Stops the request; the first reason is kept. */
   stop(reason: StopReason): void {
-    this.#stopReason ??= reason;
+    if (this.#stopReason === undefined) {
+      this.#stopReason = reason;
+      this.#stopped_ms = this.dependencies.now();
+    }
     this.#stopController.abort(this.#stopReason);
     this.#stopped.resolve();
   }
--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -2,7 +2,7 @@
 import { type ExchangeResult, sendRequest } from "../endpoints/exchange.ts";
 import { CallKind, type RouteEndpoint } from "../routes/types.ts";
 import { ObservedOutcome } from "../routing/observed_load.ts";
-import type { RunContext } from "./run_context.ts";
+import { type RunContext, StopReason } from "./run_context.ts";
 import { completeExchange } from "./complete_exchange.ts";
 import {
   mayHaveCrashed,
@@ -71,6 +71,7 @@
       ? reportBrokenSend(context, endpoint)
       : undefined;
     metrics.sends.inc({ outcome: result.observedOutcome });
+    recordWorkAfterCallerLeft(context);
     logSend(context, endpoint, { result, started_ms });
     return result;
   } finally {
@@ -80,6 +81,14 @@
   }
 }
 
+function recordWorkAfterCallerLeft(
+  { stopReason, sinceStopMs = 0, dependencies }: RunContext,
+): void {
+  if (stopReason !== StopReason.CallerDisconnected) return;
+  const { workAfterCallerLeft } = dependencies.metrics;
+  workAfterCallerLeft.observe({ work: "send" }, sinceStopMs);
+}
+
 function isNotRun(outcome: SendOutcome): boolean {
   return outcome === SendOutcome.NotRun || outcome === SendOutcome.InputsLost;
 }
@@ -147,6 +156,7 @@
   const { log, now, load, configuration } = context.dependencies;
   const endpointLoad = load.forEndpoint(endpoint);
   const { prompt } = context.admitted.metadata;
+  const { sinceStopMs } = context;
   const failed = result.observedOutcome === ObservedOutcome.ConnectionFailed;
   log.info({
     event: "send",
@@ -168,5 +178,8 @@
       ? prompt.map(({ id }) => id).join(",")
       : undefined,
     stopped: context.stopReason,
+    after_stop_ms: sinceStopMs === undefined
+      ? undefined
+      : Math.round(sinceStopMs),
   });
 }
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -46,6 +46,7 @@
 import { isConnectionRefused } from "./quarantine/probe_endpoint.ts";
 import { QuarantineService } from "./quarantine/quarantine_service.ts";
 import { ForwardMetrics } from "./metrics/forward_metrics.ts";
+import { measureLoopLag } from "./metrics/loop_lag.ts";
 import { createMetricsServer } from "./metrics/metrics_server.ts";
 import { GatewayClients } from "./peers/gateway_clients.ts";
 import { createGatewayPeerServer } from "./peers/gateway_peer_server.ts";
@@ -159,6 +160,9 @@
       peers: context.self,
       availability_zone: settings.host.availability_zone,
     });
+    const { metrics, log, now, signal } = context;
+    const onLag = (lag_ms: number) => metrics.loopLag.observe(lag_ms);
+    measureLoopLag({ onLag, log, now, signal });
     void runStoreSync(context.syncOptions);
     void context.ownEntry.announce();
   }
--- a/src/metrics/forward_metrics.ts
+++ b/src/metrics/forward_metrics.ts
@@ -51,6 +51,19 @@
     labelNames: ["outcome"],
     registers: [this.registry],
   });
+  readonly workAfterCallerLeft = new Histogram({
+    name: "sesamequay_work_after_caller_left_ms",
+    help: "Time from a caller's close to the end of the work for it",
+    labelNames: ["work"],
+    buckets: LATENCY_BUCKETS_MS,
+    registers: [this.registry],
+  });
+  readonly loopLag = new Histogram({
+    name: "sesamequay_loop_lag_ms",
+    help: "Delay of a periodic timer of the event loop",
+    buckets: LATENCY_BUCKETS_MS,
+    registers: [this.registry],
+  });
   readonly storeCalls = new Counter({
     name: "sesamequay_store_calls_total",
     help: "Calls to the object store by operation and kind of object",
