Count requests whose callers have left, or that were cut, as such

What callers saw: nothing; operators read the wrong cause. A request whose caller left while its stages ran was counted and logged as no_endpoint, one whose caller left within its answer, or that was cut at its deadline, as well served. So GONE couldn't be counted, and too little served looked like a lack of endpoints.

Cause: outcomeAfterFailedStages and the label of a relayed answer knew no caller that left and no cut. What a request came to is decided in one place now, after whatever was decided for it; a close by this host is no close by the caller.

Three of the tests in callers_that_left.test.ts failed before (outcome=no_endpoint, well, well).

--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -23,6 +23,8 @@
  */
 export enum StopReason {
   CallerDisconnected = "caller_gone",
+  /** This host closed the connection within the response. */
+  ResponseCut = "response_cut",
   DeadlinePassed = "timed_out",
   /** The host is about to stop. */
   HostStopping = "host_stopping",
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -49,7 +49,13 @@
     context.remainingMs(),
   );
   response.once("close", () => {
-    if (!response.writableFinished) context.stop(StopReason.CallerDisconnected);
+    if (response.writableFinished) return;
+    const { cutCause } = context.inbound.progress;
+    context.stop(
+      cutCause === undefined
+        ? StopReason.CallerDisconnected
+        : StopReason.ResponseCut,
+    );
   });
   const { endOfDrain } = context.dependencies;
   const onEndOfDrain = () => context.stop(StopReason.HostStopping);
@@ -59,10 +65,10 @@
     context.dependencies.now(),
   );
   try {
-    const outcome = await Promise.race([
-      serveInStages(context),
-      outcomeAfterStop(context),
-    ]);
+    const outcome = asCallerSaw(
+      context,
+      await Promise.race([serveInStages(context), outcomeAfterStop(context)]),
+    );
     context.recordOutcome(labelOf(outcome));
     return outcome;
   } catch (error) {
@@ -85,6 +91,23 @@
   return unansweredOutcome(context);
 }
 
+/**
+ * What an outcome came to: whatever was decided, a caller that has left did not
+ * get it, and one whose response was cut did not get it whole.
+ */
+function asCallerSaw(
+  { stopReason, inbound }: RunContext,
+  outcome: RequestOutcome,
+): RequestOutcome {
+  const { cutCause } = inbound.progress;
+  if (cutCause !== undefined) {
+    return { kind: OutcomeKind.Cut, cause: cutCause };
+  }
+  return stopReason === StopReason.CallerDisconnected
+    ? { kind: OutcomeKind.CallerGone }
+    : outcome;
+}
+
 function labelOf(outcome: RequestOutcome): string {
   switch (outcome.kind) {
     case OutcomeKind.Relayed:
@@ -268,9 +291,6 @@
 function unansweredOutcome(context: RunContext): RequestOutcome {
   const { response } = context.inbound;
   const { stopReason, bufferedError } = context;
-  if (stopReason === StopReason.CallerDisconnected) {
-    return { kind: OutcomeKind.CallerGone };
-  }
   if (response.headersSent) {
     return { kind: OutcomeKind.Cut, cause: stopReason ?? "not_resumed" };
   }
--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -23,6 +23,8 @@
   /** Connections that an engine accepts from all hosts; 100 by default. */
   max_connections?: number;
   limits?: Record<string, number>;
+  /** Time that a call for pieces takes by the manifest; 20 by default. */
+  call_ms?: number;
   watch_ms?: number;
   /** Time limit of a gateway host's drain; 8 by default. */
   drain_timeout_s?: number;
@@ -94,7 +96,7 @@
   /** Writes the next version of the manifest, with these changes. */
   publishManifest(changes: Record<string, unknown>): void {
     this.store.put("config", "main", {
-      ...baseManifest(this.#options.max_connections),
+      ...baseManifest(this.#options),
       ...this.#options.manifestChanges,
       ...changes,
       version: this.version++,
@@ -234,12 +236,14 @@
   };
 }
 
-function baseManifest(max_connections = 100): Record<string, unknown> {
+function baseManifest(
+  { max_connections = 100, call_ms = 20 }: GatewayFleetOptions,
+): Record<string, unknown> {
   const pieces = {
     slots: 1,
     queue: 2,
     batch: 20,
-    call_ms: 20,
+    call_ms,
     item_ms: 1,
     headroom_mb: 10,
     handle_s: 4,
