End a call for pieces after the last request that waits for it has gone

What was seen: a caller sends a request with stages and leaves after 0.1 s; its endpoint works on the pieces for all the call's time (3 s), with one host and with four. The batcher marked the job as ended, and nobody ended the call.

A call knows its jobs now. It goes on while one of them waits, as another request's pieces may be in it; 250 ms after the last has left it is ended. Ending costs a connection, and the results of a call that the endpoint finishes all the same can't be freed, as their handles are lost: so a call that ends within the 250 ms is left to end, and the memory of an ended one counts as taken until its results expire. A job whose caller has left before it arrives isn't queued.

The test of the fleet failed before with one host and with four; those of the batcher show that a call goes on while one job stays.

--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -27,6 +27,7 @@
 } from "./piece_call.ts";
 import { planCall, type PlannedPieces } from "./plan_call.ts";
 import { ResultMemory } from "./result_memory.ts";
+import { SharedCall } from "./shared_call.ts";
 import {
   countWaitingPieces,
   createPoolQueue,
@@ -60,6 +61,8 @@
   client: PieceClient;
   /** Frees results through the batcher that accounts for their memory. */
   freeAtBatcher: (freed: FreedResults) => void;
+  /** Receives how long a call went on for nobody, in milliseconds. */
+  onUnwantedCall: (unwanted_ms: number) => void;
   log: Logger;
   /** Monotonic time in milliseconds. */
   now: () => number;
@@ -79,6 +82,11 @@
 const MIN_IDLE_DISPATCH_INTERVAL_MS = 10;
 /** Interval at which waiting jobs are checked against the load. */
 const REVIEW_INTERVAL_MS = 100;
+const CANCELLED: JobOutcome = {
+  kind: JobOutcomeKind.Failed,
+  reason: "cancelled",
+};
+
 /** Batches and runs the stage jobs of the pools assigned to this host. */
 export class Batcher {
   #queues = new Map<string, PoolQueue>();
@@ -118,6 +126,7 @@
       });
     }
     const queue = this.#queueOf(job);
+    if (signal.aborted) return Promise.resolve(CANCELLED);
     const refusal = this.#checkAdmission(job, queue, limits);
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((resolve) => {
@@ -129,12 +138,10 @@
         now_ms,
       );
       queue.jobs.add(queued);
-      signal.addEventListener("abort", () => {
-        this.#finishJob(queued, queue, {
-          kind: JobOutcomeKind.Failed,
-          reason: "cancelled",
-        });
-      });
+      signal.addEventListener(
+        "abort",
+        () => this.#finishJob(queued, queue, CANCELLED),
+      );
       this.#dispatchSoon(queue);
     });
   }
@@ -348,6 +355,7 @@
     );
     this.#memory.offerInputs(planned, limits);
     this.#memory.freeIfShort(queue, tracker);
+    const call = new SharedCall(planned.map(({ job }) => job), now);
     const result = await client.call(
       tracker.endpoint,
       batch.map(({ queued, piece }) => ({
@@ -356,8 +364,12 @@
         stage: queued.job.stage,
         remaining_ms: Math.max(1, Math.round(queued.expires_ms - started_ms)),
       })),
-      tracker.callTimeoutMs(batch.length, limits),
+      {
+        timeout_ms: tracker.callTimeoutMs(batch.length, limits),
+        signal: call.signal,
+      },
     );
+    call.end();
     const now_ms = now();
     const elapsed_ms = now_ms - started_ms;
     log.info({
@@ -377,7 +389,13 @@
         ? result.reason
         : undefined,
       faults: describeFaults(result),
+      unwanted_ms: call.unwantedMs === undefined
+        ? undefined
+        : Math.round(call.unwantedMs),
     });
+    if (call.unwantedMs !== undefined) {
+      this.#options.onUnwantedCall(call.unwantedMs);
+    }
     if (result.rate_limit !== undefined) {
       tracker.recordRateLimit(result.rate_limit);
     }
@@ -409,6 +427,9 @@
           this.#retryPiece(queued, piece, queue);
         }
         break;
+      case PieceCallResultKind.Cancelled:
+        tracker.cancelCall({ bytes }, { limits, now_ms });
+        break;
       case PieceCallResultKind.Failed:
         tracker.failCall({ bytes, pieces: batch.length, elapsed_ms }, {
           limits,
@@ -501,6 +522,7 @@
     if (queued.ended) return;
     queued.ended = true;
     queue.jobs.delete(queued);
+    for (const call of queued.calls) call.leave(queued);
     queued.waiting = [];
     if (outcome.kind !== JobOutcomeKind.Completed) {
       for (const result of queued.results) {
--- a/src/batching/endpoint_tracker.ts
+++ b/src/batching/endpoint_tracker.ts
@@ -179,6 +179,20 @@
     this.#patience = Math.max(this.#patience, slownessOf(call, limits));
   }
 
+  /**
+   * Records a call that this host has ended. The endpoint may go on with it, and
+   * its results take memory that nobody can free.
+   */
+  cancelCall(
+    { bytes }: Pick<EndedCall, "bytes">,
+    { limits, now_ms }: { limits: BatchLimits; now_ms: number },
+  ): void {
+    this.#endCall(bytes);
+    const busyUntil_ms = Math.max(now_ms, this.#expectedCallEnd_ms);
+    this.#backoffUntil_ms = Math.max(this.#backoffUntil_ms, busyUntil_ms);
+    this.#addUnknownResult(bytes, busyUntil_ms + limits.retention_ms);
+  }
+
   /** Records a response to any call. */
   recordAnswer(now_ms: number): void {
     this.#silence.recordAnswer(now_ms);
@@ -192,12 +206,7 @@
 
   /** Records that memory presumed free is taken by another host's result. */
   addUntrackedResult(bytes: number, now_ms: number): void {
-    this.#untrackedResults += 1;
-    const expires_ms = now_ms + UNTRACKED_RESULT_LIFETIME_MS;
-    this.addResult(`unknown ${this.#untrackedResults}`, {
-      bytes,
-      expires_ms,
-    });
+    this.#addUnknownResult(bytes, now_ms + UNTRACKED_RESULT_LIFETIME_MS);
   }
 
   /** Records a result that takes memory until it is removed or expires. */
@@ -243,6 +252,11 @@
     );
   }
 
+  #addUnknownResult(bytes: number, expires_ms: number): void {
+    this.#untrackedResults += 1;
+    this.addResult(`unknown ${this.#untrackedResults}`, { bytes, expires_ms });
+  }
+
   #endCall(bytes: number): void {
     this.#callsInFlight -= 1;
     this.#reservedBytes -= bytes;
--- a/src/batching/piece_call.ts
+++ b/src/batching/piece_call.ts
@@ -15,6 +15,8 @@
   | { kind: PieceCallResultKind.Full }
   /** No response in time. */
   | { kind: PieceCallResultKind.TimedOut }
+  /** Its signal has aborted. */
+  | { kind: PieceCallResultKind.Cancelled }
   | { kind: PieceCallResultKind.Failed; reason: string };
 
 /** Discriminates `PieceCallResult`. */
@@ -22,16 +24,24 @@
   Answered = "answered",
   Full = "full",
   TimedOut = "timed_out",
+  Cancelled = "cancelled",
   Failed = "failed",
 }
 
+/** Limits of one call to an endpoint. */
+export interface PieceCallOptions {
+  timeout_ms: number;
+  /** Its abort closes the connection. */
+  signal: AbortSignal;
+}
+
 /** Sends the batcher's calls to endpoints. */
 export interface PieceClient {
   /** Has an endpoint compute pieces; a failure is reported in the result. */
   call(
     endpoint: RouteEndpoint,
     requests: PieceRequest[],
-    timeout_ms: number,
+    options: PieceCallOptions,
   ): Promise<PieceCallResult>;
   /**
    * Frees results; resolves to whether the endpoint confirmed it. A failure is
--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -19,6 +19,7 @@
 import type { Logger } from "../logging/logger.ts";
 import type { RouteEndpoint, RoutePool } from "../routes/types.ts";
 import {
+  type PieceCallOptions,
   type PieceCallResult,
   PieceCallResultKind,
   type PieceClient,
@@ -131,12 +132,12 @@
     return freed;
   };
   return {
-    call: (endpoint, requests, timeout_ms) =>
+    call: (endpoint, requests, limits) =>
       callForPieces(endpoint, requests, {
         ...options,
+        ...limits,
         recentHandles,
         freePacer,
-        timeout_ms,
       }).catch((error: Error) => {
         logFault(error, options.log);
         return failed(error.message);
@@ -153,20 +154,21 @@
 async function callForPieces(
   endpoint: RouteEndpoint,
   requests: PieceRequest[],
-  options: PieceClientOptions & {
+  options: PieceClientOptions & PieceCallOptions & {
     recentHandles: RecentHandles;
     freePacer: FreePacer;
-    timeout_ms: number;
   },
 ): Promise<PieceCallResult> {
-  const { codec, recentHandles, timeout_ms } = options;
+  const { codec, recentHandles, timeout_ms, signal } = options;
   const response = await callEndpoint({
     address: endpoint.address,
     endpoint,
     call: codec.encodePieceBatch(endpoint, requests),
     timeout_ms,
+    signal,
   }, options);
   if (response.kind === "failed") {
+    if (signal.aborted) return { kind: PieceCallResultKind.Cancelled };
     if (response.reason === ENDPOINT_UNAVAILABLE) {
       return { kind: PieceCallResultKind.Full };
     }
@@ -263,17 +265,21 @@
  * other response may be a copy of an earlier one, or be followed by a copy.
  */
 async function callEndpoint(
-  { address, endpoint, call, timeout_ms }: {
+  { address, endpoint, call, timeout_ms, signal }: {
     address: string;
     endpoint: RouteEndpoint | undefined;
     call: EncodedRequest;
     timeout_ms: number;
+    signal?: AbortSignal;
   },
   { agents, codec, pool, reports }: PieceClientOptions,
 ): Promise<EndpointResponse> {
   const expiry = new AbortController();
+  const signals = signal === undefined
+    ? [expiry.signal]
+    : [expiry.signal, signal];
   const fail = (reason: string): EndpointResponse => {
-    agents.closeIdleConnections(address);
+    if (signal?.aborted !== true) agents.closeIdleConnections(address);
     return {
       kind: "failed",
       reason: expiry.signal.aborted ? CALL_EXPIRED : reason,
@@ -286,7 +292,7 @@
       address,
       agent: agents.agentFor(address, max_connections),
       ...call,
-      signal: expiry.signal,
+      signal: AbortSignal.any(signals),
     });
     if (result.kind !== ExchangeOutcome.ResponseReceived) {
       return result.reason === ENDPOINT_UNAVAILABLE
--- a/src/batching/pool_queue.ts
+++ b/src/batching/pool_queue.ts
@@ -8,6 +8,7 @@
 import { EndpointTracker } from "./endpoint_tracker.ts";
 import { expectedJobMs } from "./expected_wait.ts";
 import { fullCallMs, type WaitingJob } from "./plan_call.ts";
+import type { SharedCall } from "./shared_call.ts";
 import type { JobOutcome, Piece, StageJob, StageResult } from "./types.ts";
 
 /** A job in a pool's queue, with its results so far. */
@@ -21,6 +22,8 @@
   unfinished: number;
   /** Failed attempts of all pieces together. */
   failures: number;
+  /** Calls in flight for its pieces. */
+  calls: Set<SharedCall>;
   /** Whether `resolve` has been called. */
   ended: boolean;
   resolve: (outcome: JobOutcome) => void;
@@ -86,6 +89,7 @@
     results: job.pieces.map(() => undefined),
     unfinished: job.pieces.length,
     failures: 0,
+    calls: new Set(),
     ended: false,
     resolve,
   };
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -368,6 +368,11 @@
       now,
     }),
     freeAtBatcher: (freed) => jobRouter.free(freed),
+    onUnwantedCall: (unwanted_ms) =>
+      context.metrics.workAfterCallerLeft.observe(
+        { work: "stage_call" },
+        unwanted_ms,
+      ),
     log,
     now,
   });
--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -103,6 +103,8 @@
   freed: string[] = [];
   /** Requests whose connection closed before the response was complete. */
   abortedRequests = 0;
+  /** Calls for pieces whose connection closed before the response. */
+  abortedCalls = 0;
   /** Connections accepted so far. */
   connections = 0;
   /** Requests per second that its responses allow; undefined names none. */
@@ -397,6 +399,9 @@
     }
     const pieces = JSON.parse(body).items as ReceivedPiece[];
     this.pieceCalls.push(pieces);
+    response.once("close", () => {
+      if (!response.writableFinished) this.abortedCalls += 1;
+    });
     await sleep(this.#options.call_ms ?? 0);
     await this.#endOfSilence();
     if (fault === EngineFault.NoResponse) return;
--- a/test/batching/batcher.test.ts
+++ b/test/batching/batcher.test.ts
@@ -1,6 +1,7 @@
 /** The batcher, with a client to whose calls the test responds. */
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { Batcher } from "../../src/batching/batcher.ts";
 import {
   type PieceCallResult,
@@ -22,6 +23,7 @@
 interface PendingCall {
   endpoint: string;
   requests: PieceRequest[];
+  signal: AbortSignal;
   respond: (result: PieceCallResult) => void;
 }
 
@@ -76,9 +78,9 @@
     endpoints: () => endpoints,
     pauseMs: ({ id }) => Math.max(0, (pausedUntil_ms.get(id) ?? 0) - now_ms),
     client: {
-      call: (at, requests) =>
+      call: (at, requests, { signal }) =>
         new Promise((respond) =>
-          void calls.push({ endpoint: at.id, requests, respond })
+          void calls.push({ endpoint: at.id, requests, signal, respond })
         ),
       free: (_address, handles) => {
         freed.push(...handles);
@@ -86,6 +88,7 @@
       },
     },
     freeAtBatcher: () => {},
+    onUnwantedCall: () => {},
     log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
     now: () => now_ms,
   });
@@ -184,6 +187,52 @@
   assert.deepEqual(freed, ["a/0", "a/1"]);
 });
 
+/** Longer than a call goes on for nobody. */
+const UNWANTED_MS = 400;
+
+test("a call is ended once the last of its jobs has left", async () => {
+  const [first, second] = [new AbortController(), new AbortController()];
+  void run("a");
+  const left = [run("b", first.signal), run("c", second.signal)];
+  await respond(0);
+  first.abort();
+  await sleep(UNWANTED_MS);
+  assert.equal(calls[1]?.signal.aborted, false);
+  second.abort();
+  await sleep(UNWANTED_MS);
+  assert.equal(calls[1]?.signal.aborted, true);
+  await respond(1, { kind: PieceCallResultKind.Cancelled });
+  for (const outcome of await Promise.all(left)) {
+    assert.equal(outcome.kind, JobOutcomeKind.Failed);
+  }
+  now_ms += 1_000;
+  const next = run("d");
+  await respond(2);
+  assert.equal((await next).kind, JobOutcomeKind.Completed);
+});
+
+test("the memory of an ended call counts as taken", async () => {
+  const caller = new AbortController();
+  const large = { result_bytes: 500 };
+  void batcher.runForPeer(job("a", large), caller.signal);
+  caller.abort();
+  await respond(0, { kind: PieceCallResultKind.Cancelled });
+  now_ms += 1_000;
+  void batcher.runForPeer(job("b", large), stopping.signal);
+  assert.equal(calls.length, 1);
+  now_ms += 5_000;
+  void batcher.runForPeer(job("c", large), stopping.signal);
+  assert.equal(calls.length, 2);
+});
+
+test("a job whose caller has left before it arrives makes no call", async () => {
+  assert.equal(
+    (await run("a", AbortSignal.abort())).kind,
+    JobOutcomeKind.Failed,
+  );
+  assert.equal(calls.length, 0);
+});
+
 test("a job whose inputs are gone has the outcome inputs_gone", async () => {
   const outcome = run("a");
   const gone = { ok: false as const, fault: PieceFault.InputsGone };
--- a/test/batching/burst_replay.test.ts
+++ b/test/batching/burst_replay.test.ts
@@ -74,6 +74,7 @@
       free: () => Promise.resolve(true),
     },
     freeAtBatcher: () => {},
+    onUnwantedCall: () => {},
     log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
     now: () => now_ms,
   });
--- a/test/batching/foreign_answers.test.ts
+++ b/test/batching/foreign_answers.test.ts
@@ -19,6 +19,10 @@
 } from "../../stand_ins/deployment/piece_calls.ts";
 
 const CALL_TIMEOUT_MS = 2_000;
+const LIMITS = {
+  timeout_ms: CALL_TIMEOUT_MS,
+  signal: new AbortController().signal,
+};
 const DELAYS_MS = [0, 5, 50];
 
 const FAULTS = JSON.stringify({ items: [{ reason: "late" }] });
@@ -91,7 +95,7 @@
       attempt_id: key,
       stage: 0,
       remaining_ms: 1_000,
-    }], CALL_TIMEOUT_MS);
+    }], LIMITS);
   return {
     call,
     free: (handle: string) => client.free(endpoint.address, [handle]),
--- a/test/batching/job_router.test.ts
+++ b/test/batching/job_router.test.ts
@@ -63,6 +63,7 @@
       free: () => Promise.resolve(true),
     },
     freeAtBatcher: () => {},
+    onUnwantedCall: () => {},
     log,
     now: () => performance.now(),
   });
--- a/test/batching/piece_client.test.ts
+++ b/test/batching/piece_client.test.ts
@@ -13,6 +13,10 @@
 } from "../../stand_ins/deployment/piece_calls.ts";
 
 const CALL_TIMEOUT_MS = 2_000;
+const LIMITS = {
+  timeout_ms: CALL_TIMEOUT_MS,
+  signal: new AbortController().signal,
+};
 
 let server: Server;
 let endpoint: RouteEndpoint;
@@ -51,7 +55,7 @@
     stage: 0,
     remaining_ms: 1_000,
   }));
-  return client.call(endpoint, pieces, CALL_TIMEOUT_MS);
+  return client.call(endpoint, pieces, LIMITS);
 }
 
 test("a copy of an earlier answer is not taken for the answer to a later call", async () => {
--- a/test/forwarding/callers_that_left.test.ts
+++ b/test/forwarding/callers_that_left.test.ts
@@ -61,6 +61,28 @@
   assert.equal(counted, 1);
 });
 
+/** Time after a caller's close in which endpoints must be left. */
+const LEAVE_MS = 500;
+
+for (const gateways of [1, 4]) {
+  test(`a call for pieces ends after its only caller has left, with ${gateways} hosts`, async () => {
+    const call_ms = 1_500;
+    const engines = [{ id: "encode-1", call_ms }];
+    const caller = await start(Service.Encode, engines, { gateways, call_ms });
+    const headers = { "x-pieces": "2,0", "x-deadline-ms": "4000" };
+    caller.write(rawRequest("/review/x", headers));
+    const engine = fleet.engine(Service.Encode);
+    await waitUntil(() => engine.pieceCalls.length === 1);
+    caller.close();
+    await waitUntil(() => engine.abortedCalls === 1, LEAVE_MS);
+    await waitUntil(() => findLine(/event=stage_call/) !== undefined);
+    assert.match(
+      findLine(/event=stage_call/) ?? "",
+      /outcome=cancelled unwanted_ms=\d+/,
+    );
+  });
+}
+
 test("one that leaves within its answer isn't counted as answered", async () => {
   const caller = await start(Service.Model, [
     { id: "model-1", events: 20, work_ms: 20 },
