Don't send what would be cut at the end of the drain

Cause: whether a host takes requests was asked once, by the head. A request is weighed before its stages and before each send now: it goes on only if the last answers of its route (the longest of 64, for idempotent ones nine of ten) came in the time that the drain has left; where nothing is known of the route, if all of its time fits. Else it is refused as not run, with a time to return of 20 ms.

--- a/src/forwarding/dependencies.ts
+++ b/src/forwarding/dependencies.ts
@@ -5,10 +5,12 @@
 import type { EndpointAgents } from "../endpoints/endpoint_agents.ts";
 import type { EndpointReports } from "../endpoint_reports/endpoint_reports.ts";
 import type { Logger } from "../logging/logger.ts";
+import type { DrainWindow } from "../lifecycle/drain_window.ts";
 import type { ForwardMetrics } from "../metrics/forward_metrics.ts";
 import type { ObservedLoad } from "../routing/observed_load.ts";
 import type { QuarantineService } from "../quarantine/quarantine_service.ts";
 import type { RateLimitService } from "../rate_limits/rate_limit_service.ts";
+import type { ServiceTimes } from "../routing/service_times.ts";
 import type { PoolRetryBudgets } from "../routing/repeat_budget.ts";
 import type { ProtocolCodec } from "./protocol_codec.ts";
 
@@ -25,8 +27,8 @@
   reports: EndpointReports;
   stageGraph: GraphOptions;
   metrics: ForwardMetrics;
-  /** Aborts when the host is about to stop and ends the requests left. */
-  endOfDrain: AbortSignal;
+  drain: DrainWindow;
+  serviceTimes: ServiceTimes;
   /** Whether new requests are accepted. */
   acceptsRequests: () => boolean;
   /**
--- a/src/forwarding/forward_request.ts
+++ b/src/forwarding/forward_request.ts
@@ -57,7 +57,7 @@
   const read = await readBody(
     request,
     admitted.max_body_bytes,
-    dependencies.endOfDrain,
+    dependencies.drain.signal,
   );
   if (read.kind === BodyReadOutcome.Aborted) {
     return { kind: OutcomeKind.CallerGone };
--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -36,7 +36,7 @@
   endpoint: RouteEndpoint,
   inputs: StageInputs,
 ): Promise<SendResult> {
-  const { load, now, metrics, agents } = context.dependencies;
+  const { load, now, metrics, agents, serviceTimes } = context.dependencies;
   const endpointLoad = load.forEndpoint(endpoint);
   const started_ms = now();
   const { progress } = context.inbound;
@@ -61,6 +61,12 @@
     if (result.observedOutcome === ObservedOutcome.Success) {
       load.recordFirstByte(endpoint, result.first_byte_ms - started_ms);
     }
+    if (
+      result.outcome === SendOutcome.Answered &&
+      context.stopReason === undefined
+    ) {
+      serviceTimes.record(context.admitted.route.name, now() - started_ms);
+    }
     if (
       result.observedOutcome === ObservedOutcome.ConnectionFailed ||
       result.observedOutcome === ObservedOutcome.Silent
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -5,6 +5,7 @@
 import { type GraphOutcome, runStages } from "../batching/stage_graph.ts";
 import { JobOutcomeKind } from "../batching/types.ts";
 import { setTimeout as delay } from "node:timers/promises";
+import { fitsDrain } from "./fits_drain.ts";
 import { HOST_STOPPING, QUARANTINED, RejectionReason } from "./rejection.ts";
 import {
   OutcomeKind,
@@ -57,7 +58,7 @@
         : StopReason.ResponseCut,
     );
   });
-  const { endOfDrain } = context.dependencies;
+  const endOfDrain = context.dependencies.drain.signal;
   const onEndOfDrain = () => context.stop(StopReason.HostStopping);
   endOfDrain.addEventListener("abort", onEndOfDrain);
   context.dependencies.retryBudget.recordRequest(
@@ -120,6 +121,7 @@
 }
 
 async function serveInStages(context: RunContext): Promise<RequestOutcome> {
+  if (!fitsDrain(context)) return refused(HOST_STOPPING);
   if (needsStages(context)) {
     return await reserveIfLimited(context)
       ? await serveWithStages(context)
@@ -244,6 +246,10 @@
     progress.stage = RequestStage.ChoosingEndpoint;
     const endpoint = await takeEndpoint(context, tried);
     if (context.isQuarantined) return quarantinedOutcome(context);
+    if (!fitsDrain(context)) {
+      context.stop(StopReason.HostStopping);
+      break;
+    }
     if (endpoint === undefined || !tryTakeSend(context)) break;
     progress.sends += 1;
     progress.stage = RequestStage.Sending;
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -1,5 +1,4 @@
 /** Creates the components of a gateway host and connects them. */
-import { setMaxListeners } from "node:events";
 import type { Server } from "node:http";
 import { Batcher } from "./batching/batcher.ts";
 import { JobRouter } from "./batching/job_router.ts";
@@ -28,6 +27,7 @@
   GatewayServer,
 } from "./forwarding/gateway_server.ts";
 import type { ForwardingDependencies } from "./forwarding/dependencies.ts";
+import { DrainWindow } from "./lifecycle/drain_window.ts";
 import { drainGateway } from "./lifecycle/drain_gateway.ts";
 import {
   HostLifecycle,
@@ -55,6 +55,7 @@
 import type { RoutePool } from "./routes/types.ts";
 import { RateLimitService } from "./rate_limits/rate_limit_service.ts";
 import { ObservedLoad } from "./routing/observed_load.ts";
+import { ServiceTimes } from "./routing/service_times.ts";
 import { PoolRetryBudgets } from "./routing/repeat_budget.ts";
 import type { GatewaySettings } from "./settings/gateway_settings.ts";
 import { type Address, formatAddress } from "./settings/settings.ts";
@@ -129,7 +130,7 @@
       lifecycle: context.lifecycle,
       server: gatewayServer,
       runningJobs: () => batching.batcher.activeJobs,
-      endRequests: () => context.endOfDrain.abort(),
+      window: context.drain,
       withdrawEntry: () => context.ownEntry.withdraw(),
       timeout_ms: context.settings.drain.timeout_ms,
       log: context.log,
@@ -309,14 +310,12 @@
     signal,
   };
   metrics.exportFeedPositions(() => syncOptions.progress);
-  const endOfDrain = new AbortController();
-  setMaxListeners(0, endOfDrain.signal);
   return {
     settings: { ...settings },
     adapter,
     self,
     stopping,
-    endOfDrain,
+    drain: new DrainWindow(now),
     signal,
     log,
     lifecycle,
@@ -419,7 +418,8 @@
       now: context.now,
     },
     metrics: context.metrics,
-    endOfDrain: context.endOfDrain.signal,
+    drain: context.drain,
+    serviceTimes: new ServiceTimes(),
     acceptsRequests: () => lifecycle.state !== HostLifecycleState.Draining,
     isShuttingDown: () => lifecycle.isShuttingDown,
     log: context.log,
--- a/src/lifecycle/drain_gateway.ts
+++ b/src/lifecycle/drain_gateway.ts
@@ -4,6 +4,7 @@
 import type { GatewayServer } from "../forwarding/gateway_server.ts";
 import type { Logger } from "../logging/logger.ts";
 import { abortableDelay } from "../utils/delay.ts";
+import type { DrainWindow } from "./drain_window.ts";
 import { type HostLifecycle, HostLifecycleEvent } from "./host_lifecycle.ts";
 
 /** Dependencies and time limit of a drain. */
@@ -12,8 +13,8 @@
   server: GatewayServer;
   /** Number of stage jobs running here for other hosts. */
   runningJobs: () => number;
-  /** Ends the requests that are still running, each with a response. */
-  endRequests: () => void;
+  /** Its end ends the requests that are still running, each with a response. */
+  window: DrainWindow;
   /**
    * Removes this host's entry from the store, so that peers choose other hosts.
    */
@@ -42,6 +43,7 @@
 ): Promise<void> {
   const { lifecycle, server, runningJobs, log, now, signal } = options;
   const end_ms = now() + options.timeout_ms;
+  options.window.begin(end_ms - RESPONSE_RESERVE_MS);
   options.withdrawEntry().catch((error: Error) =>
     log.warn({ event: "withdraw_failed", error: error.message })
   );
@@ -57,7 +59,7 @@
   await waitWhileBusy(end_ms - RESPONSE_RESERVE_MS);
   if (server.running > 0) {
     log.warn({ event: "drain_ends_requests", running: server.running });
-    options.endRequests();
+    options.window.end();
   }
   await waitWhileBusy(end_ms - SHUTDOWN_RESERVE_MS);
   log.info({ event: "drained", running: server.running, jobs: runningJobs() });
