Don't count a send that this host has ended as well served

What was seen in the log: a request whose caller left, or whose time ran out without any answer, is logged as outcome=well, its endpoint's failures are forgotten, and the time until the stop counts as the time to its first byte.

Such a send has an outcome of its own, stopped, that tells nothing of its endpoint. Two tests failed before.

--- a/src/forwarding/send_result.ts
+++ b/src/forwarding/send_result.ts
@@ -123,7 +123,7 @@
 ): SendResult {
   const observedOutcome = context.stopReason === undefined
     ? ObservedOutcome.ConnectionFailed
-    : ObservedOutcome.Success;
+    : ObservedOutcome.Stopped;
   return { outcome, observedOutcome, first_byte_ms, reason };
 }
 
--- a/src/routing/observed_load.ts
+++ b/src/routing/observed_load.ts
@@ -27,8 +27,15 @@
   Error = "error",
   /** This host could not form the request: it tells nothing of the endpoint. */
   NotSent = "not_sent",
+  /** This host ended it, for its caller or its time: it tells nothing either. */
+  Stopped = "stopped",
 }
 
+const OUTCOMES_WITHOUT_NEWS: ReadonlySet<ObservedOutcome> = new Set([
+  ObservedOutcome.NotSent,
+  ObservedOutcome.Stopped,
+]);
+
 /** The weight of a load report halves in this time. */
 const LOAD_REPORT_HALF_LIFE_MS = 300;
 /** Weight of the newest exchange in the moving average of failures. */
@@ -83,7 +90,7 @@
 
   /** Records how an exchange ended. */
   recordOutcome(outcome: ObservedOutcome, now_ms: number): void {
-    if (outcome === ObservedOutcome.NotSent) return;
+    if (OUTCOMES_WITHOUT_NEWS.has(outcome)) return;
     if (outcome === ObservedOutcome.Silent) {
       const until_ms = now_ms + INITIAL_BACKOFF_MS;
       this.#backoffUntil_ms = Math.max(this.#backoffUntil_ms, until_ms);
--- a/test/forwarding/callers_that_left.test.ts
+++ b/test/forwarding/callers_that_left.test.ts
@@ -1,6 +1,7 @@
 /** Callers that close their connection while their request is served. */
 import assert from "node:assert/strict";
-import { afterEach, test } from "node:test";
+import { afterEach, mock, test } from "node:test";
+import { ObservedLoad } from "../../src/routing/observed_load.ts";
 import type { EngineOptions } from "../../stand_ins/deployment/engine.ts";
 import {
   defaultEngines,
@@ -17,7 +18,10 @@
 
 let fleet: GatewayFleet;
 
-afterEach(() => fleet.stop());
+afterEach(() => {
+  mock.restoreAll();
+  fleet.stop();
+});
 
 async function start(
   service: Service,
@@ -129,3 +133,19 @@
   );
   assert.equal(counted, 1);
 });
+
+test("a send that its caller has ended doesn't count as well served", async () => {
+  const recordFirstByte = mock.method(
+    ObservedLoad.prototype,
+    "recordFirstByte",
+  );
+  const caller = await start(Service.Desk, [{ id: "desk-1", work_ms: 400 }]);
+  caller.write(rawRequest("/stamp/x", { "x-attempt-id": "left" }));
+  await waitUntil(() =>
+    fleet.engine(Service.Desk).receivedRequests.length === 1
+  );
+  caller.close();
+  await waitUntil(() => findLine(/event=send attempt=left/) !== undefined);
+  assert.match(findLine(/event=send attempt=left/) ?? "", /outcome=stopped/);
+  assert.equal(recordFirstByte.mock.callCount(), 0);
+});
--- a/test/routing/choose_route_endpoint.test.ts
+++ b/test/routing/choose_route_endpoint.test.ts
@@ -110,3 +110,13 @@
   assert.ok(load.forEndpoint(busy).estimatedRequests(0) > 6);
   assert.ok(load.forEndpoint(busy).estimatedRequests(3_000) < 0.1);
 });
+
+test("a send that its host has ended tells nothing of its endpoint", () => {
+  const observed = new ObservedLoad().forEndpoint(endpoint("a"));
+  observed.recordOutcome(ObservedOutcome.ConnectionFailed, 0);
+  const { failure_share } = observed;
+  observed.recordOutcome(ObservedOutcome.Stopped, 100);
+  assert.equal(observed.failure_share, failure_share);
+  observed.recordOutcome(ObservedOutcome.ConnectionFailed, 300);
+  assert.ok(observed.isBackingOff(750));
+});
