Don't begin work for a caller that left before its request was read

What was seen: while a host's loop is late (0.7 s in the test), a request and the close of its connection wait side by side; the request is read first and sent, over half a second after its caller left, and the endpoint begins to work. The same with a job from another host.

Cause: the close is learned only when the loop looks for input again; nobody looked before work began. Before its stages, before it chooses an endpoint, after a wait for a send, and before a job of another host is run, a request lets the loop look for input once more and ends there if its sender has left.

Ruled out: a job message that is broken off has no end; it ended before too, and its test stays.

--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -16,6 +16,7 @@
 import { type RunContext, StopReason } from "./run_context.ts";
 import { SendOutcome, type StageInputs } from "./send_result.ts";
 import { sendOnce } from "./send_once.ts";
+import { stopIfCallerLeft } from "./stop_if_caller_left.ts";
 import {
   chooseEndpoint,
   earliestSendMs,
@@ -122,6 +123,7 @@
 
 async function serveInStages(context: RunContext): Promise<RequestOutcome> {
   if (!fitsDrain(context)) return refused(HOST_STOPPING);
+  if (needsStages(context)) await stopIfCallerLeft(context);
   if (needsStages(context)) {
     return await reserveIfLimited(context)
       ? await serveWithStages(context)
@@ -244,12 +246,11 @@
   const { progress } = context.inbound;
   while (progress.sends < MAX_SENDS && context.stopReason === undefined) {
     progress.stage = RequestStage.ChoosingEndpoint;
+    await stopIfCallerLeft(context);
     const endpoint = await takeEndpoint(context, tried);
     if (context.isQuarantined) return quarantinedOutcome(context);
-    if (!fitsDrain(context)) {
-      context.stop(StopReason.HostStopping);
-      break;
-    }
+    if (!fitsDrain(context)) context.stop(StopReason.HostStopping);
+    if (context.stopReason !== undefined) break;
     if (endpoint === undefined || !tryTakeSend(context)) break;
     progress.sends += 1;
     progress.stage = RequestStage.Sending;
--- a/src/forwarding/take_endpoint.ts
+++ b/src/forwarding/take_endpoint.ts
@@ -10,6 +10,7 @@
 } from "../routing/choose_route_endpoint.ts";
 import { abortableDelay } from "../utils/delay.ts";
 import type { RunContext } from "./run_context.ts";
+import { stopIfCallerLeft } from "./stop_if_caller_left.ts";
 
 /** A send that may be made, at once or later. */
 export interface ReservedSend {
@@ -45,7 +46,10 @@
     context.reservedSend = undefined;
     if (send === undefined) return undefined;
     const wait_ms = send.at_ms - now();
-    if (wait_ms > 0) await abortableDelay(Math.ceil(wait_ms), context.signal);
+    if (wait_ms > 0) {
+      await abortableDelay(Math.ceil(wait_ms), context.signal);
+      await stopIfCallerLeft(context);
+    }
     if (context.stopReason === undefined && isReady(context, send.endpoint)) {
       return send.endpoint;
     }
--- a/src/peers/job_messages.ts
+++ b/src/peers/job_messages.ts
@@ -6,6 +6,7 @@
 import { z } from "zod";
 import type { FreedResults, JobOutcome, StageJob } from "../batching/types.ts";
 import type { Logger } from "../logging/logger.ts";
+import { hasSenderLeft } from "../utils/sender_left.ts";
 
 /** HTTP path for stage jobs. */
 export const JOB_PATH = "/jobs";
@@ -64,7 +65,12 @@
   response: ServerResponse,
   handlers: JobHandlers,
 ): Promise<void> {
+  const callerLeft = new AbortController();
+  response.once("close", () => {
+    if (!response.writableFinished) callerLeft.abort(CALLER_LEFT);
+  });
   const content = await readJson(request);
+  if (callerLeft.signal.aborted) return;
   if (request.url === FREED_PATH) {
     const freed = freedSchema.safeParse(content);
     if (!freed.success) return reject(request, response, handlers.log);
@@ -73,10 +79,7 @@
   }
   const job = jobSchema.safeParse(content);
   if (!job.success) return reject(request, response, handlers.log);
-  const callerLeft = new AbortController();
-  response.once("close", () => {
-    if (!response.writableFinished) callerLeft.abort(CALLER_LEFT);
-  });
+  if (await hasSenderLeft(request)) return;
   const outcome = await handlers.run(job.data as StageJob, callerLeft.signal);
   sendJson(response, HTTP_OK, outcome);
 }
@@ -106,7 +109,7 @@
   response.end(text);
 }
 
-/** Reads a JSON body; undefined if it is too large or malformed. */
+/** Reads a JSON body; undefined if it is too large, malformed or broken off. */
 function readJson(request: IncomingMessage): Promise<unknown> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -117,6 +120,7 @@
       else chunks.push(chunk);
     });
     request.on("error", () => resolve(undefined));
+    request.on("close", () => resolve(undefined));
     request.on("end", () => resolve(parseJson(Buffer.concat(chunks))));
   });
 }
