Quarantine a request that comes again and crashes endpoints

A request without shared parts had no trait by which its crashes could meet: now the request as a whole is one (a digest of method, host name, target, organisation and body), beside its prompt parts, in the same evidence, notices, store entries, probes and restoration. And crashes within 300 ms counted as one, though a request that is sent again at once meets the next endpoint within 60 ms: what was sent after a crash and met another has met two now, told by the ages of the send and of its break in the report.

After the body is read, and before each send, a request is looked up by all its traits while there is any entry. A whole answer of a plain request, or the first event of a stream, clears it.

--- a/src/forwarding/complete_exchange.ts
+++ b/src/forwarding/complete_exchange.ts
@@ -84,8 +84,7 @@
   onResponse();
   const isStream = use === ResponseUse.Stream;
   const { quarantine } = context.dependencies;
-  const recordAnswered = () =>
-    quarantine.recordAnswered(context.admitted.metadata.prompt);
+  const recordAnswered = () => quarantine.recordAnswered(context.traits.all);
   const relayed = isStream
     ? await relayResponseStream(context, response, { inputs, recordAnswered })
     : await relayBuffered(context.inbound.response, response, {
--- a/src/forwarding/forward_request.ts
+++ b/src/forwarding/forward_request.ts
@@ -3,10 +3,11 @@
  * sending it to endpoints. What it comes to is returned; finish_request.ts
  * carries it out.
  */
-import { admit } from "./admit.ts";
+import { admit, type AdmittedRequest } from "./admit.ts";
 import type { ForwardingDependencies } from "./dependencies.ts";
 import { BodyReadOutcome, readBody } from "./read_body.ts";
 import { QuarantineDecision } from "../quarantine/quarantine_service.ts";
+import { sharedParts } from "../quarantine/request_traits.ts";
 import {
   HOST_STOPPING,
   QUARANTINED,
@@ -46,12 +47,10 @@
   const { admitted } = admission;
   progress.attempt_id = admitted.metadata.attempt_id;
   progress.route = admitted.route.name;
-  const decision = dependencies.quarantine.admit(admitted.metadata.prompt);
-  if (decision === QuarantineDecision.Reject) {
-    logRejection(dependencies, inbound, QUARANTINED);
-    const { kind } = admitted.route;
-    dependencies.metrics.requests.inc({ kind, outcome: QUARANTINED.reason });
-    return refused(QUARANTINED);
+  const parts = sharedParts(admitted.metadata.prompt);
+  const byParts = dependencies.quarantine.admit(parts);
+  if (byParts === QuarantineDecision.Reject) {
+    return refuseQuarantined(inbound, admitted, dependencies);
   }
   progress.stage = RequestStage.ReadingBody;
   const read = await readBody(
@@ -72,13 +71,37 @@
     };
     return refused(rejection, true);
   }
-  return await serveAdmittedRequest(
-    new RunContext(inbound, admitted, {
-      body: read.body,
-      isProbe: decision === QuarantineDecision.AdmitAsProbe,
-      dependencies,
-    }),
-  );
+  const context = new RunContext(inbound, admitted, {
+    body: read.body,
+    dependencies,
+  });
+  const decision = byParts === QuarantineDecision.AdmitAsProbe
+    ? byParts
+    : admitWhole(context);
+  if (decision === QuarantineDecision.Reject) {
+    return refuseQuarantined(inbound, admitted, dependencies);
+  }
+  context.isProbe = decision === QuarantineDecision.AdmitAsProbe;
+  return await serveAdmittedRequest(context);
+}
+
+/** Decides by all traits of a request, once its body has been read. */
+function admitWhole({ traits, dependencies }: RunContext): QuarantineDecision {
+  const { quarantine } = dependencies;
+  return quarantine.entries.isEmpty
+    ? QuarantineDecision.Admit
+    : quarantine.admit(traits.all);
+}
+
+function refuseQuarantined(
+  inbound: InboundRequest,
+  { route }: AdmittedRequest,
+  dependencies: ForwardingDependencies,
+): RequestOutcome {
+  logRejection(dependencies, inbound, QUARANTINED);
+  const { reason } = QUARANTINED;
+  dependencies.metrics.requests.inc({ kind: route.kind, outcome: reason });
+  return refused(QUARANTINED);
 }
 
 function logRejection(
--- a/src/forwarding/rejection.ts
+++ b/src/forwarding/rejection.ts
@@ -20,7 +20,7 @@
   StagesTooSlow = "no_room",
   /** Not run: its deadline passed before an endpoint took it. */
   TooLate = "too_late",
-  /** Not run: endpoints crash on a part of its prompt. */
+  /** Not run: endpoints crash on it or on a part of its prompt. */
   Quarantined = "quarantined",
   /** Not run: no endpoint accepted it. */
   NoEndpoint = "no_endpoint",
@@ -75,7 +75,7 @@
 /** Sent when endpoints crash on the request; no later time is better. */
 export const QUARANTINED: Rejection = {
   reason: RejectionReason.Quarantined,
-  message: "Endpoints crash on a part of its prompt",
+  message: "Endpoints crash on it",
 };
 
 /** Sent when the handling of a request throws before its first send. */
--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -1,6 +1,8 @@
 /** State of one admitted request, shared by the modules that serve it. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { CallKind } from "../routes/types.ts";
+import { RequestTraits } from "../quarantine/request_traits.ts";
+import { hostnameOf } from "../routes/route_table.ts";
 import { sharedPrefix } from "../routing/choose_route_endpoint.ts";
 import type { AdmittedRequest } from "./admit.ts";
 import type { ForwardingDependencies } from "./dependencies.ts";
@@ -40,8 +42,8 @@
   readonly inbound: InboundRequest;
   readonly admitted: AdmittedRequest;
   readonly body: Buffer | undefined;
-  /** Whether it may reach an endpoint although its prompt is quarantined. */
-  readonly isProbe: boolean;
+  /** Whether it may reach an endpoint although it is quarantined. */
+  isProbe = false;
   readonly dependencies: ForwardingDependencies;
   /** Time after which a response is useless, on the monotonic clock. */
   readonly expires_ms: number;
@@ -54,6 +56,8 @@
    * The prompt prefix shared with other requests; undefined if there is none.
    */
   readonly sharedPromptPrefix: string | undefined;
+  /** What may crash endpoints. */
+  readonly traits: RequestTraits;
   /** Pool that serves it, chosen once at random by the route's weights. */
   readonly pool: string;
   /** Send that is already taken from its endpoint's rate limit. */
@@ -77,16 +81,14 @@
   constructor(
     inbound: InboundRequest,
     admitted: AdmittedRequest,
-    { body, isProbe, dependencies }: {
+    { body, dependencies }: {
       body: Buffer | undefined;
-      isProbe: boolean;
       dependencies: ForwardingDependencies;
     },
   ) {
     this.inbound = inbound;
     this.admitted = admitted;
     this.body = body;
-    this.isProbe = isProbe;
     this.dependencies = dependencies;
     const { route, metadata } = admitted;
     const limit_ms = Math.min(
@@ -101,6 +103,15 @@
     this.first_byte_by_ms = inbound.arrived_ms + first_byte_limit_ms -
       RESPONSE_MARGIN_MS;
     this.sharedPromptPrefix = sharedPrefix(metadata.prompt);
+    const { method = "GET", url = "/", headers } = inbound.request;
+    this.traits = new RequestTraits({
+      method,
+      hostname: hostnameOf(headers.host ?? ""),
+      target: url,
+      organisation: admitted.organisation?.name,
+      body,
+      prompt: metadata.prompt,
+    });
     this.pool = selectWeightedPool(admitted, dependencies.random);
   }
 
@@ -151,10 +162,10 @@
     return Math.max(1, this.expires_ms - this.dependencies.now());
   }
 
-  /** Whether endpoints crash on its prompt, so that it must not be sent. */
+  /** Whether endpoints crash on it, so that it must not be sent. */
   get isQuarantined(): boolean {
     return !this.isProbe &&
-      this.dependencies.quarantine.isQuarantined(this.admitted.metadata.prompt);
+      this.dependencies.quarantine.isQuarantined(this.traits);
   }
 
   /** Whether the request may be run more than once. */
--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -74,7 +74,7 @@
       agents.closeIdleConnections(endpoint.address);
     }
     context.crashSuspicion = mayHaveCrashed(result)
-      ? reportBrokenSend(context, endpoint)
+      ? reportBrokenSend(context, endpoint, started_ms)
       : undefined;
     metrics.sends.inc({ outcome: result.observedOutcome });
     recordWorkAfterCallerLeft(context);
@@ -100,11 +100,17 @@
 }
 
 function reportBrokenSend(
-  { admitted, dependencies }: RunContext,
+  { admitted, dependencies, traits }: RunContext,
   endpoint: RouteEndpoint,
+  sent_ms: number,
 ): Promise<boolean> {
-  const { attempt_id, prompt } = admitted.metadata;
-  return dependencies.quarantine.recordBroken({ endpoint, attempt_id, prompt });
+  const { attempt_id } = admitted.metadata;
+  return dependencies.quarantine.recordBroken({
+    endpoint,
+    attempt_id,
+    traits: traits.all,
+    sent_ms,
+  });
 }
 
 /**
--- a/src/quarantine/crash_ledger.ts
+++ b/src/quarantine/crash_ledger.ts
@@ -27,6 +27,12 @@
   at_ms: number;
 }
 
+/** A crash as one of the requests that the endpoint held met it. */
+interface MetCrash extends Crash {
+  /** When the request was sent there; -Infinity if that isn't known. */
+  sent_ms: number;
+}
+
 interface PartCrashes {
   crashes: Crash[];
   addresses: Set<string>;
@@ -54,10 +60,16 @@
   /** Records the requests that an endpoint held when it crashed. */
   record({ address, requests }: CrashReport, now_ms: number): void {
     this.#dropExpired(now_ms);
-    for (const { attempt_id, parts } of requests) {
+    for (const { attempt_id, parts, ...ages } of requests) {
+      const { sent_ago_ms = Infinity, broke_ago_ms = 0 } = ages;
+      const crash = {
+        address,
+        at_ms: now_ms - broke_ago_ms,
+        sent_ms: now_ms - sent_ago_ms,
+      };
       for (const part of parts) {
         const evidence = this.#crashesOf(part, parts);
-        addCrash(evidence.crashes, { address, at_ms: now_ms });
+        addCrash(evidence.crashes, crash);
         addUpTo(evidence.addresses, address, MIN_ENDPOINTS);
         addUpTo(evidence.attempts, attempt_id, MIN_REQUESTS);
         const present = new Set(parts);
@@ -120,11 +132,12 @@
   }
 }
 
-function addCrash(crashes: Crash[], crash: Crash): void {
+function addCrash(crashes: Crash[], { sent_ms, ...crash }: MetCrash): void {
   const isKnown = crashes.some(({ address, at_ms }) => {
     const interval_ms = crash.at_ms - at_ms;
-    return interval_ms < MIN_CRASH_INTERVAL_MS ||
-      (address === crash.address && interval_ms < SAME_CRASH_MS);
+    if (address === crash.address && interval_ms < SAME_CRASH_MS) return true;
+    // What was sent after a crash and met another met two.
+    return interval_ms < MIN_CRASH_INTERVAL_MS && sent_ms <= at_ms;
   });
   if (!isKnown && crashes.length < QUARANTINE_CRASHES) crashes.push(crash);
 }
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -33,6 +33,11 @@
   /** Whether the next list is the first one since a restoration. */
   #restored = false;
 
+  /** Whether there is no entry. */
+  get isEmpty(): boolean {
+    return this.#entries.size === 0;
+  }
+
   /** All entries. */
   all(): QuarantinedParts[] {
     return [...this.#entries.values()].map(({ quarantined }) => quarantined);
--- a/src/quarantine/quarantine_service.ts
+++ b/src/quarantine/quarantine_service.ts
@@ -9,7 +9,7 @@
  */
 import type { Logger } from "../logging/logger.ts";
 import { RankedHosts } from "../membership/ranked_hosts.ts";
-import type { PromptPart, RouteEndpoint } from "../routes/types.ts";
+import type { RouteEndpoint } from "../routes/types.ts";
 import type { FeedChange } from "../store_sync/object_feed.ts";
 import { abortableDelay } from "../utils/delay.ts";
 import { AnsweredParts } from "./answered_parts.ts";
@@ -21,6 +21,7 @@
 } from "./quarantine_notices.ts";
 import { Quarantine } from "./quarantine.ts";
 import { type QuarantineStore, QuarantineWriter } from "./quarantine_store.ts";
+import type { RequestTraits } from "./request_traits.ts";
 import { repairStored } from "./repair_stored.ts";
 import {
   type CrashReply,
@@ -30,7 +31,6 @@
   quarantineName,
   type QuarantineNotice,
   readEntries,
-  sharedParts,
 } from "./types.ts";
 
 /** Calls to other hosts; they reject if the host does not respond. */
@@ -64,7 +64,10 @@
 export interface BrokenSend {
   endpoint: RouteEndpoint;
   attempt_id: string;
-  prompt: readonly PromptPart[];
+  /** Traits of the request. */
+  traits: readonly string[];
+  /** Time of the send, on the monotonic clock. */
+  sent_ms: number;
 }
 
 /** Whether a request may reach an endpoint. */
@@ -81,8 +84,13 @@
 /** Reports of one host about one crash share a message within this time. */
 const REPORT_WINDOW_MS = 20;
 
+interface BrokenRequest extends Omit<BrokenSend, "endpoint"> {
+  /** When the send broke, on the monotonic clock. */
+  broke_ms: number;
+}
+
 interface OpenReport {
-  requests: CrashReport["requests"];
+  requests: BrokenRequest[];
   suspects: Promise<string[]>;
 }
 
@@ -120,29 +128,29 @@
     });
   }
 
-  /** Decides whether a request with this prompt may reach an endpoint. */
-  admit(prompt: readonly PromptPart[]): QuarantineDecision {
-    const found = this.entries.find(sharedParts(prompt));
+  /** Decides whether a request with these traits may reach an endpoint. */
+  admit(traits: readonly string[]): QuarantineDecision {
+    const found = this.entries.find(traits);
     if (found === undefined) return QuarantineDecision.Admit;
     return this.#takeProbe(found)
       ? QuarantineDecision.AdmitAsProbe
       : QuarantineDecision.Reject;
   }
 
-  /** Whether requests with this prompt are rejected, but for probes. */
-  isQuarantined(prompt: readonly PromptPart[]): boolean {
-    return this.entries.find(sharedParts(prompt)) !== undefined;
+  /** Whether requests with these traits are rejected, but for probes. */
+  isQuarantined(traits: RequestTraits): boolean {
+    return !this.entries.isEmpty &&
+      this.entries.find(traits.all) !== undefined;
   }
 
-  /** Records that an endpoint began to answer a request with this prompt. */
-  recordAnswered(prompt: readonly PromptPart[]): void {
-    const parts = sharedParts(prompt);
-    if (parts.length === 0) return;
-    this.#answered.record(parts, this.#options.now());
-    if (this.entries.withAny(parts).length === 0) return;
+  /** Records that an endpoint began to answer a request with these traits. */
+  recordAnswered(traits: readonly string[]): void {
+    this.#answered.record(traits, this.#options.now());
+    if (this.entries.withAny(traits).length === 0) return;
+    const answered = [...traits];
     void this.#callLedgers({
-      local: () => this.handleAnswered(parts),
-      remote: (ledger) => this.#options.peers.reportAnswered(ledger, parts),
+      local: () => this.handleAnswered(answered),
+      remote: (ledger) => this.#options.peers.reportAnswered(ledger, answered),
     });
   }
 
@@ -150,13 +158,13 @@
    * Reports a broken send if its endpoint has crashed. Resolves to whether the
    * request is suspected, and so must not be sent to another endpoint.
    */
-  async recordBroken(send: BrokenSend): Promise<boolean> {
-    const parts = sharedParts(send.prompt);
-    if (parts.length === 0) return false;
-    const { address } = send.endpoint;
+  async recordBroken(
+    { endpoint, attempt_id, traits, sent_ms }: BrokenSend,
+  ): Promise<boolean> {
+    const { address } = endpoint;
     let open = this.#openReports.get(address);
     if (open === undefined) {
-      const requests: CrashReport["requests"] = [];
+      const requests: BrokenRequest[] = [];
       const suspects = this.#report(address, requests).catch(
         (error: Error) => {
           this.#options.log.error({
@@ -170,9 +178,10 @@
       open = { requests, suspects };
       this.#openReports.set(address, open);
     }
-    open.requests.push({ attempt_id: send.attempt_id, parts });
+    const broke_ms = this.#options.now();
+    open.requests.push({ attempt_id, traits, sent_ms, broke_ms });
     const suspects = await open.suspects;
-    return parts.some((part) => suspects.includes(part));
+    return traits.some((trait) => suspects.includes(trait));
   }
 
   /** Handles a report as a ledger. */
@@ -244,9 +253,9 @@
 
   async #report(
     address: string,
-    requests: CrashReport["requests"],
+    requests: BrokenRequest[],
   ): Promise<string[]> {
-    const { isRefused, onCrash, peers, log, signal } = this.#options;
+    const { isRefused, onCrash, peers, log, now, signal } = this.#options;
     await abortableDelay(REPORT_WINDOW_MS, signal);
     this.#openReports.delete(address);
     if (!await isRefused(address)) return [];
@@ -256,7 +265,10 @@
       address,
       attempts: requests.map(({ attempt_id }) => attempt_id).join(","),
     });
-    const report = { address, requests };
+    const report = {
+      address,
+      requests: requests.map((request) => createCrashedRequest(request, now())),
+    };
     const replies = await this.#callLedgers({
       local: () => this.handleReport(report),
       remote: async (ledger) =>
@@ -305,3 +317,15 @@
     });
   }
 }
+
+function createCrashedRequest(
+  { attempt_id, traits, sent_ms, broke_ms }: BrokenRequest,
+  now_ms: number,
+): CrashReport["requests"][number] {
+  return {
+    attempt_id,
+    parts: [...traits],
+    sent_ago_ms: now_ms - sent_ms,
+    broke_ago_ms: now_ms - broke_ms,
+  };
+}
--- a/src/quarantine/types.ts
+++ b/src/quarantine/types.ts
@@ -1,7 +1,6 @@
 /** Messages about endpoints that crash and about quarantined prompt parts. */
 import { createHash } from "node:crypto";
 import { z } from "zod";
-import type { PromptPart } from "../routes/types.ts";
 
 const partsSchema = z.array(z.string());
 
@@ -11,8 +10,12 @@
   address: z.string(),
   requests: z.array(z.object({
     attempt_id: z.string(),
-    /** Prompt parts that other requests may share; the endpoint wrote no event. */
+    /** Traits of the request; the endpoint did not begin to answer it. */
     parts: partsSchema,
+    /** Age of the send at the time of the report, in milliseconds. */
+    sent_ago_ms: z.number().nonnegative().optional(),
+    /** Time since the send broke, in milliseconds. */
+    broke_ago_ms: z.number().nonnegative().optional(),
   })),
 });
 
@@ -85,8 +88,3 @@
   return createHash("sha256").update([...parts].sort().join()).digest("hex")
     .slice(0, NAME_LENGTH);
 }
-
-/** Ids of the parts that other requests may share: all but the last. */
-export function sharedParts(prompt: readonly PromptPart[]): string[] {
-  return [...new Set(prompt.slice(0, -1).map(({ id }) => id))];
-}
--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -82,6 +82,10 @@
   call_ms?: number;
   /** Id of the prompt part on which it crashes when it begins a response. */
   crash_part?: string;
+  /** Body of the requests under which it crashes while it executes them. */
+  crash_body?: string;
+  /** Key of the pieces on which it crashes while it computes them. */
+  crash_key?: string;
   /** Time from a crash until it listens again. */
   restart_ms?: number;
 }
@@ -287,6 +291,7 @@
     }
     await sleep(this.#options.work_ms ?? 0);
     await this.#endOfSilence();
+    if (body === this.#options.crash_body) return this.crash();
     if (fault === EngineFault.NoResponse) return;
     if (fault === EngineFault.ResponseLost) {
       return void request.socket.resetAndDestroy();
@@ -404,6 +409,12 @@
     });
     await sleep(this.#options.call_ms ?? 0);
     await this.#endOfSilence();
+    const { crash_key } = this.#options;
+    if (
+      crash_key !== undefined && pieces.some(({ key }) => key === crash_key)
+    ) {
+      return this.crash();
+    }
     if (fault === EngineFault.NoResponse) return;
     const items = pieces.map(() =>
       fault === EngineFault.Error
--- a/test/quarantine/crash_ledger.test.ts
+++ b/test/quarantine/crash_ledger.test.ts
@@ -90,3 +90,26 @@
   for (let n = 0; n < 5_000; n++) report(ledger, "e1", [`p${n}`])(1_000 + n);
   assert.deepEqual(ledger.suspects(), []);
 });
+
+test("a request that was sent after a crash and met another met two", () => {
+  const ledger = new CrashLedger();
+  const crash = (address: string, attempt_id: string, now_ms: number) => {
+    const times = { sent_ago_ms: 40, broke_ago_ms: 20 };
+    const requests = [{ attempt_id, parts: ["request:x"], ...times }];
+    ledger.record({ address, requests }, now_ms);
+  };
+  crash("e1", "first", 1_000);
+  crash("e2", "first", 1_060);
+  crash("e3", "second", 1_120);
+  assert.deepEqual(causes(ledger), [["request:x"]]);
+});
+
+test("a request that endpoints of one rack held when it went met one crash", () => {
+  const ledger = new CrashLedger();
+  for (const [n, attempt_id] of ["a", "b", "c"].entries()) {
+    const times = { sent_ago_ms: 400, broke_ago_ms: 20 };
+    const requests = [{ attempt_id, parts: ["x"], ...times }];
+    ledger.record({ address: `e${n}`, requests }, 1_000 + 50 * n);
+  }
+  assert.deepEqual(ledger.suspects(), []);
+});
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -2,7 +2,8 @@
 import { test } from "node:test";
 import { AnsweredParts } from "../../src/quarantine/answered_parts.ts";
 import { Quarantine } from "../../src/quarantine/quarantine.ts";
-import { quarantineName, sharedParts } from "../../src/quarantine/types.ts";
+import { sharedParts } from "../../src/quarantine/request_traits.ts";
+import { quarantineName } from "../../src/quarantine/types.ts";
 
 const MINUTE_MS = 60_000;
 
--- a/test/quarantine/quarantine_service.test.ts
+++ b/test/quarantine/quarantine_service.test.ts
@@ -96,7 +96,8 @@
         this.live[host % this.live.length]?.recordBroken({
           endpoint: endpoint(number),
           attempt_id: `attempt-${this.#attempts++}`,
-          prompt: prompt(parts),
+          traits: parts,
+          sent_ms: this.now_ms - 500,
         })
       ),
     );
@@ -105,15 +106,11 @@
   /** For each live host, whether it rejects requests with these parts. */
   rejects(parts: string[]): boolean[] {
     return this.live.map((service) =>
-      service.admit(prompt(parts)) === QuarantineDecision.Reject
+      service.admit(parts) === QuarantineDecision.Reject
     );
   }
 }
 
-function prompt(parts: string[]) {
-  return [...parts, "own"].map((id) => ({ id, tokens: 1 }));
-}
-
 function endpoint(number: number): RouteEndpoint {
   return {
     id: `e${number}`,
@@ -153,7 +150,7 @@
   const cluster = new Cluster(7);
   for (const number of [1, 2, 3, 4, 5]) {
     await cluster.crash(number, ["a", "x"]);
-    cluster.live[(number + 3) % 7]?.recordAnswered(prompt(["a", "b"]));
+    cluster.live[(number + 3) % 7]?.recordAnswered(["a", "b"]);
   }
   assert.ok(cluster.rejects(["a", "x"]).every((rejects) => rejects));
   assert.ok(cluster.rejects(["a", "b"]).every((rejects) => !rejects));
@@ -201,9 +198,9 @@
   await crashThrice(cluster, ["x"]);
   const late = cluster.start("10.0.0.9:1");
   late.replaceStored([...cluster.stored.values()]);
-  assert.equal(late.admit(prompt(["x"])), QuarantineDecision.Reject);
+  assert.equal(late.admit(["x"]), QuarantineDecision.Reject);
   late.replaceStored([]);
-  assert.equal(late.admit(prompt(["x"])), QuarantineDecision.Admit);
+  assert.equal(late.admit(["x"]), QuarantineDecision.Admit);
 });
 
 test("a notice that a host does not receive is delivered again", async () => {
@@ -223,9 +220,9 @@
   const cluster = new Cluster(3);
   await crashThrice(cluster, ["x"]);
   const late = cluster.start("10.0.0.9:1");
-  assert.equal(late.admit(prompt(["x"])), QuarantineDecision.Admit);
+  assert.equal(late.admit(["x"]), QuarantineDecision.Admit);
   await cluster.crash(4, ["x"], [cluster.live.indexOf(late)]);
-  assert.equal(late.admit(prompt(["x"])), QuarantineDecision.Reject);
+  assert.equal(late.admit(["x"]), QuarantineDecision.Reject);
 });
 
 test("malformed replies and entries change nothing and break nothing", async () => {
@@ -248,7 +245,7 @@
     first?.entries.all().filter(({ parts }) => parts[0] !== "x"),
     [],
   );
-  assert.equal(first?.admit(prompt(["a"])), QuarantineDecision.Admit);
+  assert.equal(first?.admit(["a"]), QuarantineDecision.Admit);
 });
 
 test("a ledger writes an entry that the store lacks", async () => {
@@ -291,7 +288,7 @@
   const cluster = new Cluster(7);
   await crashThrice(cluster, ["x"]);
   const copy = [...cluster.stored.values()];
-  cluster.live[3]?.recordAnswered(prompt(["x"]));
+  cluster.live[3]?.recordAnswered(["x"]);
   await sleep(50);
   assert.equal(cluster.stored.size, 0);
   restore(cluster, copy);
@@ -307,7 +304,7 @@
   await crashThrice(cluster, ["x"]);
   const [late] = [...cluster.stored.values()];
   assert.ok(late !== undefined);
-  cluster.live[3]?.recordAnswered(prompt(["x"]));
+  cluster.live[3]?.recordAnswered(["x"]);
   await sleep(50);
   const name = quarantineName(late.parts);
   cluster.stored.set(name, late);
@@ -360,11 +357,11 @@
 test("an answer to a quarantined part releases it everywhere, and narrows an entry of several parts", async () => {
   const cluster = new Cluster(7);
   await crashThrice(cluster, ["x", "y"]);
-  cluster.live[4]?.recordAnswered(prompt(["y"]));
+  cluster.live[4]?.recordAnswered(["y"]);
   await sleep(50);
   assert.ok(cluster.rejects(["x"]).every((rejects) => rejects));
   assert.ok(cluster.rejects(["y"]).every((rejects) => !rejects));
-  cluster.live[2]?.recordAnswered(prompt(["x"]));
+  cluster.live[2]?.recordAnswered(["x"]);
   await sleep(50);
   assert.ok(cluster.rejects(["x"]).every((rejects) => !rejects));
   assert.equal(cluster.stored.size, 0);
@@ -379,7 +376,7 @@
   for (const service of cluster.live) {
     service.replaceStored([...cluster.stored.values()]);
   }
-  cluster.live[0]?.recordAnswered(prompt(["y"]));
+  cluster.live[0]?.recordAnswered(["y"]);
   await sleep(50);
   assert.ok(cluster.rejects(["x"]).every((rejects) => rejects));
   assert.ok(cluster.rejects(["y"]).every((rejects) => !rejects));
@@ -395,7 +392,7 @@
   );
   await cluster.crash(1, ["x"]);
   await cluster.crash(2, ["x"]);
-  others[0]?.recordAnswered(prompt(["x"]));
+  others[0]?.recordAnswered(["x"]);
   cluster.lost.add(
     [...cluster.services].find(([_, s]) => s === others[0])?.[0] ?? "",
   );
@@ -411,7 +408,7 @@
     wait_ms: 0,
   });
   assert.deepEqual(answered, ["x"]);
-  assert.equal(others[0]?.admit(prompt(["x"])), QuarantineDecision.Admit);
+  assert.equal(others[0]?.admit(["x"]), QuarantineDecision.Admit);
 });
 
 test("only the first ledger lets a probe through, and all hosts know of it", async () => {
@@ -420,7 +417,7 @@
   cluster.now_ms += HOUR_MS;
   const probes = () =>
     cluster.live.filter((service) =>
-      service.admit(prompt(["x"])) === QuarantineDecision.AdmitAsProbe
+      service.admit(["x"]) === QuarantineDecision.AdmitAsProbe
     ).length;
   assert.equal(probes(), 1);
   await sleep(20);
