Bound and quarantine pieces of a request that crash endpoints

Its pieces had no key by which crashes could meet.

A job carries the fingerprint of its request; the request at that pool is a trait of its own, in the same evidence, so an answer of its stage doesn't clear its main request, nor the other way round. Any job of a call may be the cause, so after a crash (nothing listens at the address; a reset or a refusal that came before the call is none) its jobs are called apart: in groups of half the size, then alone; a job that met three crashes fails, and its request is refused as not run.

Plain crashes blame nobody, before and now.

--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -18,6 +18,7 @@
   loadAheadOf,
   reportableWaitMs,
 } from "./admit_job.ts";
+import { type BrokenCall, recordCrash } from "./crashed_calls.ts";
 import type { PoolLoad } from "./expected_wait.ts";
 import { endpointsOfShard } from "./pool_shards.ts";
 import {
@@ -40,6 +41,7 @@
   zoneWaits,
 } from "./pool_queue.ts";
 import {
+  ENDPOINTS_CRASH,
   type FreedResults,
   type JobOutcome,
   JobOutcomeKind,
@@ -61,6 +63,13 @@
   client: PieceClient;
   /** Frees results through the batcher that accounts for their memory. */
   freeAtBatcher: (freed: FreedResults) => void;
+  /**
+   * Reports a call that its endpoint broke off; resolves to whether the endpoint
+   * has crashed.
+   */
+  hasCrashed: (call: BrokenCall) => Promise<boolean>;
+  /** Called when endpoints have computed all pieces of a job. */
+  onCompleted: (job: StageJob) => void;
   /** Receives how long a call went on for nobody, in milliseconds. */
   onUnwantedCall: (unwanted_ms: number) => void;
   log: Logger;
@@ -435,6 +444,13 @@
           limits,
           now_ms,
         });
+        if (result.broken === true) {
+          await this.#recordBrokenCall(queue, {
+            endpoint: tracker.endpoint,
+            jobs: planned.map(({ job }) => job),
+            sent_ms: started_ms,
+          });
+        }
         for (const { queued, piece } of batch) {
           this.#retryPiece(queued, piece, queue);
         }
@@ -443,6 +459,17 @@
     this.#dispatchWithin(queue, 0);
   }
 
+  /** Finds out whether the endpoint has crashed, and limits what its jobs may do. */
+  async #recordBrokenCall(queue: PoolQueue, call: BrokenCall): Promise<void> {
+    if (!await this.#options.hasCrashed(call)) return;
+    for (const queued of recordCrash(call.jobs)) {
+      this.#finishJob(queued, queue, {
+        kind: JobOutcomeKind.Failed,
+        reason: ENDPOINTS_CRASH,
+      });
+    }
+  }
+
   #handlePieceResponse(
     { queued, piece, queue, tracker, limits }: {
       queued: QueuedJob;
@@ -479,6 +506,7 @@
       }
       const load = this.#loadAheadOf(queued.job, queue);
       const wait_ms = reportableWaitMs(load, limits);
+      this.#options.onCompleted(queued.job);
       this.#finishJob(queued, queue, {
         kind: JobOutcomeKind.Completed,
         results,
--- a/src/batching/piece_call.ts
+++ b/src/batching/piece_call.ts
@@ -17,7 +17,12 @@
   | { kind: PieceCallResultKind.TimedOut }
   /** Its signal has aborted. */
   | { kind: PieceCallResultKind.Cancelled }
-  | { kind: PieceCallResultKind.Failed; reason: string };
+  | {
+    kind: PieceCallResultKind.Failed;
+    reason: string;
+    /** Whether the endpoint broke off a call that it may have begun. */
+    broken?: boolean;
+  };
 
 /** Discriminates `PieceCallResult`. */
 export enum PieceCallResultKind {
--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -174,7 +174,7 @@
     }
     return response.reason === CALL_EXPIRED
       ? { kind: PieceCallResultKind.TimedOut }
-      : failed(response.reason);
+      : failed(response.reason, response.broken);
   }
   const { metadata } = response;
   const { rate_limit } = metadata.report;
@@ -258,7 +258,12 @@
      */
     closeConnection: () => void;
   }
-  | { kind: "failed"; reason: string };
+  | {
+    kind: "failed";
+    reason: string;
+    /** Whether the endpoint broke the call off after it was sent. */
+    broken: boolean;
+  };
 
 /**
  * Calls an endpoint. Its connection is kept only after status 200, since any
@@ -278,11 +283,12 @@
   const signals = signal === undefined
     ? [expiry.signal]
     : [expiry.signal, signal];
-  const fail = (reason: string): EndpointResponse => {
+  const fail = (reason: string, broken: boolean): EndpointResponse => {
     if (signal?.aborted !== true) agents.closeIdleConnections(address);
     return {
       kind: "failed",
       reason: expiry.signal.aborted ? CALL_EXPIRED : reason,
+      broken,
     };
   };
   const max_connections = pool(endpoint?.pool ?? "")?.max_connections ?? 1;
@@ -296,8 +302,8 @@
     });
     if (result.kind !== ExchangeOutcome.ResponseReceived) {
       return result.reason === ENDPOINT_UNAVAILABLE
-        ? { kind: "failed", reason: result.reason }
-        : fail(result.reason);
+        ? { kind: "failed", reason: result.reason, broken: false }
+        : fail(result.reason, result.kind === ExchangeOutcome.ResponseLost);
     }
     const { status, headers, socket } = result.response;
     const metadata = codec.decodeResponse(status, headers);
@@ -317,12 +323,12 @@
     const body = await readFullBody(result.response, MAX_RESPONSE_BYTES);
     if (body !== undefined) return { ...complete, body };
     discardResponse(result.response);
-    return fail("cut");
+    return fail("cut", true);
   } finally {
     clearTimeout(timer);
   }
 }
 
-function failed(reason: string): PieceCallResult {
-  return { kind: PieceCallResultKind.Failed, reason };
+function failed(reason: string, broken = false): PieceCallResult {
+  return { kind: PieceCallResultKind.Failed, reason, broken };
 }
--- a/src/batching/plan_call.ts
+++ b/src/batching/plan_call.ts
@@ -29,6 +29,8 @@
   waiting_pieces: number;
   /** Whether a call has taken any of its pieces. */
   started: boolean;
+  /** Number of jobs in a call with its pieces, at the most. */
+  max_call_jobs: number;
 }
 
 /** An endpoint that can start a call now. */
@@ -78,8 +80,10 @@
   const planned: PlannedPieces<Job>[] = [];
   let remaining_pieces = limits.pieces_per_call;
   let free_bytes = endpoint.free_result_bytes;
+  let max_jobs = Infinity;
   for (const job of eligible) {
-    if (remaining_pieces === 0) break;
+    if (remaining_pieces === 0 || planned.length >= max_jobs) break;
+    if (planned.length >= job.max_call_jobs) continue;
     const taken = Math.min(
       job.waiting_pieces,
       remaining_pieces,
@@ -89,6 +93,7 @@
     );
     if (taken <= 0) continue;
     planned.push({ job, pieces: taken });
+    max_jobs = Math.min(max_jobs, job.max_call_jobs);
     remaining_pieces -= taken;
     free_bytes -= taken * job.result_bytes;
   }
--- a/src/batching/pool_queue.ts
+++ b/src/batching/pool_queue.ts
@@ -22,6 +22,8 @@
   unfinished: number;
   /** Failed attempts of all pieces together. */
   failures: number;
+  /** Endpoints that crashed during calls for its pieces. */
+  crashes: number;
   /** Calls in flight for its pieces. */
   calls: Set<SharedCall>;
   /** Whether `resolve` has been called. */
@@ -89,6 +91,8 @@
     results: job.pieces.map(() => undefined),
     unfinished: job.pieces.length,
     failures: 0,
+    crashes: 0,
+    max_call_jobs: Infinity,
     calls: new Set(),
     ended: false,
     resolve,
--- a/src/batching/stage_graph.ts
+++ b/src/batching/stage_graph.ts
@@ -19,6 +19,8 @@
 export interface GraphRequest {
   /** Id of the caller's attempt. */
   attempt_id: string;
+  /** What tells the request from others, the same for each attempt. */
+  fingerprint: string;
   route: Route;
   /** 0 is the most urgent. */
   priority: number;
@@ -169,11 +171,13 @@
 
   #createJob(index: number, pieces: Piece[], lastRead: number[]): StageJob {
     const stage = this.#stages[index] as PieceStage;
-    const { attempt_id, priority, due_ms, expires_ms } = this.#request;
+    const { attempt_id, fingerprint, priority, due_ms, expires_ms } =
+      this.#request;
     const now_ms = this.#options.now();
     const remaining = this.#timeOfDependents(index);
     return {
       attempt_id,
+      request: fingerprint,
       pool: stage.pool,
       stage: index,
       pieces,
--- a/src/batching/types.ts
+++ b/src/batching/types.ts
@@ -21,6 +21,8 @@
 export interface StageJob {
   /** Id of the caller's attempt. */
   attempt_id: string;
+  /** Fingerprint of the request; undefined from hosts that send none. */
+  request?: string;
   /** Name of the pool whose endpoints compute the pieces. */
   pool: string;
   /** Shard of the pool that runs the job; undefined if it has no shards. */
@@ -98,6 +100,9 @@
   { kind: JobOutcomeKind.HandedBack }
 >;
 
+/** Reason of a job that failed since endpoints crash on its pieces. */
+export const ENDPOINTS_CRASH = "endpoints_crash";
+
 /** Discriminates `JobOutcome`; the values are sent between hosts. */
 export enum JobOutcomeKind {
   Completed = "made",
--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -111,6 +111,9 @@
       organisation: admitted.organisation?.name,
       body,
       prompt: metadata.prompt,
+      stagePools: route.stages.filter((_, index) =>
+        (metadata.pieces[index] ?? 0) > 0
+      ).map(({ pool }) => pool),
     });
     this.pool = selectWeightedPool(admitted, dependencies.random);
   }
--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -105,12 +105,13 @@
   sent_ms: number,
 ): Promise<boolean> {
   const { attempt_id } = admitted.metadata;
-  return dependencies.quarantine.recordBroken({
+  const { suspected } = dependencies.quarantine.recordBroken({
     endpoint,
     attempt_id,
-    traits: traits.all,
+    traits: traits.own,
     sent_ms,
   });
+  return suspected;
 }
 
 /**
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -3,7 +3,7 @@
  * answered.
  */
 import { type GraphOutcome, runStages } from "../batching/stage_graph.ts";
-import { JobOutcomeKind } from "../batching/types.ts";
+import { ENDPOINTS_CRASH, JobOutcomeKind } from "../batching/types.ts";
 import { setTimeout as delay } from "node:timers/promises";
 import { fitsDrain } from "./fits_drain.ts";
 import { HOST_STOPPING, QUARANTINED, RejectionReason } from "./rejection.ts";
@@ -170,6 +170,7 @@
     : chooseEndpoint(context, new Set())?.availability_zone;
   const outcome = await runStages({
     attempt_id: metadata.attempt_id,
+    fingerprint: context.traits.fingerprint,
     route,
     priority,
     pieces: metadata.pieces,
@@ -224,6 +225,7 @@
   if (context.stopReason === StopReason.HostStopping) {
     return refused(HOST_STOPPING);
   }
+  if (outcome.reason === ENDPOINTS_CRASH) return refused(QUARANTINED);
   const expired = context.stopReason === StopReason.DeadlinePassed ||
     outcome.reason === "expired";
   return refused({
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -5,6 +5,7 @@
 import { listShards } from "./batching/pool_shards.ts";
 import { PoolWaits } from "./batching/pool_waits.ts";
 import { estimateStageTime } from "./batching/expected_wait.ts";
+import { createCrashRecorder } from "./batching/crash_recorder.ts";
 import { createPieceClient } from "./batching/piece_client.ts";
 import { ActiveConfiguration } from "./store_sync/active_configuration.ts";
 import { EndpointRegistry } from "./store_sync/endpoint_registry.ts";
@@ -367,6 +368,7 @@
       now,
     }),
     freeAtBatcher: (freed) => jobRouter.free(freed),
+    ...createCrashRecorder(context.quarantine),
     onUnwantedCall: (unwanted_ms) =>
       context.metrics.workAfterCallerLeft.observe(
         { work: "stage_call" },
--- a/src/peers/job_messages.ts
+++ b/src/peers/job_messages.ts
@@ -37,6 +37,7 @@
 
 const jobSchema = z.object({
   attempt_id: z.string(),
+  request: z.string().optional(),
   pool: z.string(),
   shard: z.string().optional(),
   stage: z.number(),
--- a/src/quarantine/quarantine_service.ts
+++ b/src/quarantine/quarantine_service.ts
@@ -70,6 +70,14 @@
   sent_ms: number;
 }
 
+/** What a broken send has come to; the promises never reject. */
+export interface CrashVerdict {
+  /** Whether its endpoint has crashed. */
+  crashed: Promise<boolean>;
+  /** Whether the request is suspected, and must not be sent to another endpoint. */
+  suspected: Promise<boolean>;
+}
+
 /** Whether a request may reach an endpoint. */
 export enum QuarantineDecision {
   Admit = "admit",
@@ -91,6 +99,7 @@
 
 interface OpenReport {
   requests: BrokenRequest[];
+  crashed: Promise<boolean>;
   suspects: Promise<string[]>;
 }
 
@@ -154,34 +163,20 @@
     });
   }
 
-  /**
-   * Reports a broken send if its endpoint has crashed. Resolves to whether the
-   * request is suspected, and so must not be sent to another endpoint.
-   */
-  async recordBroken(
+  /** Reports a broken send if its endpoint has crashed. */
+  recordBroken(
     { endpoint, attempt_id, traits, sent_ms }: BrokenSend,
-  ): Promise<boolean> {
+  ): CrashVerdict {
     const { address } = endpoint;
-    let open = this.#openReports.get(address);
-    if (open === undefined) {
-      const requests: BrokenRequest[] = [];
-      const suspects = this.#report(address, requests).catch(
-        (error: Error) => {
-          this.#options.log.error({
-            event: "fault",
-            stage: "crash_report",
-            error: error.stack,
-          });
-          return [];
-        },
-      );
-      open = { requests, suspects };
-      this.#openReports.set(address, open);
-    }
+    const open = this.#openReports.get(address) ?? this.#openReport(address);
     const broke_ms = this.#options.now();
     open.requests.push({ attempt_id, traits, sent_ms, broke_ms });
-    const suspects = await open.suspects;
-    return traits.some((trait) => suspects.includes(trait));
+    return {
+      crashed: open.crashed,
+      suspected: open.suspects.then((suspects) =>
+        traits.some((trait) => suspects.includes(trait))
+      ),
+    };
   }
 
   /** Handles a report as a ledger. */
@@ -251,14 +246,31 @@
     });
   }
 
+  /** Gathers the requests that one endpoint held when it broke. */
+  #openReport(address: string): OpenReport {
+    const { isRefused, log, signal } = this.#options;
+    const requests: BrokenRequest[] = [];
+    const crashed = abortableDelay(REPORT_WINDOW_MS, signal).then(() => {
+      this.#openReports.delete(address);
+      return isRefused(address);
+    });
+    const suspects = crashed.then((isCrash) =>
+      isCrash ? this.#report(address, requests) : []
+    ).catch((error: Error) => {
+      log.error({ event: "fault", stage: "crash_report", error: error.stack });
+      return [];
+    });
+    const open = { requests, crashed, suspects };
+    this.#openReports.set(address, open);
+    return open;
+  }
+
+  /** Reports a crash to the ledgers; resolves to what they suspect. */
   async #report(
     address: string,
     requests: BrokenRequest[],
   ): Promise<string[]> {
-    const { isRefused, onCrash, peers, log, now, signal } = this.#options;
-    await abortableDelay(REPORT_WINDOW_MS, signal);
-    this.#openReports.delete(address);
-    if (!await isRefused(address)) return [];
+    const { onCrash, peers, log, now } = this.#options;
     onCrash();
     log.info({
       event: "endpoint_crash",
--- a/src/quarantine/request_traits.ts
+++ b/src/quarantine/request_traits.ts
@@ -16,6 +16,8 @@
   organisation: string | undefined;
   body: Buffer | undefined;
   prompt: readonly PromptPart[];
+  /** Pools that compute pieces for it. */
+  stagePools: readonly string[];
 }
 
 /** Ids of prompt parts are hexadecimal, so they never look like this. */
@@ -27,20 +29,37 @@
   /** Ids of the prompt parts that other requests may share: all but the last. */
   readonly parts: readonly string[];
   #content: RequestContent;
-  #all: readonly string[] | undefined;
+  #fingerprint: string | undefined;
 
   constructor(content: RequestContent) {
     this.#content = content;
     this.parts = sharedParts(content.prompt);
   }
 
-  /** The shared parts and the request's fingerprint. */
+  /** What tells the request from others, the same for each attempt. */
+  get fingerprint(): string {
+    this.#fingerprint ??= fingerprintOf(this.#content);
+    return this.#fingerprint;
+  }
+
+  /** What an endpoint of the request's own pool may crash on. */
+  get own(): readonly string[] {
+    return [...this.parts, this.fingerprint];
+  }
+
+  /** What any endpoint may crash on, those of its stages included. */
   get all(): readonly string[] {
-    this.#all ??= [...this.parts, fingerprintOf(this.#content)];
-    return this.#all;
+    const { stagePools } = this.#content;
+    const stages = stagePools.map((pool) => stageTrait(this.fingerprint, pool));
+    return [...this.own, ...stages];
   }
 }
 
+/** What endpoints of a pool crash on if they crash on a request's pieces. */
+export function stageTrait(fingerprint: string, pool: string): string {
+  return `${fingerprint}/${pool}`;
+}
+
 /** Ids of the parts that other requests may share: all but the last. */
 export function sharedParts(prompt: readonly PromptPart[]): string[] {
   return [...new Set(prompt.slice(0, -1).map(({ id }) => id))];
--- a/test/batching/batcher.test.ts
+++ b/test/batching/batcher.test.ts
@@ -88,6 +88,8 @@
       },
     },
     freeAtBatcher: () => {},
+    hasCrashed: () => Promise.resolve(false),
+    onCompleted: () => {},
     onUnwantedCall: () => {},
     log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
     now: () => now_ms,
--- a/test/batching/burst_replay.test.ts
+++ b/test/batching/burst_replay.test.ts
@@ -74,6 +74,8 @@
       free: () => Promise.resolve(true),
     },
     freeAtBatcher: () => {},
+    hasCrashed: () => Promise.resolve(false),
+    onCompleted: () => {},
     onUnwantedCall: () => {},
     log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
     now: () => now_ms,
--- a/test/batching/job_router.test.ts
+++ b/test/batching/job_router.test.ts
@@ -63,6 +63,8 @@
       free: () => Promise.resolve(true),
     },
     freeAtBatcher: () => {},
+    hasCrashed: () => Promise.resolve(false),
+    onCompleted: () => {},
     onUnwantedCall: () => {},
     log,
     now: () => performance.now(),
--- a/test/batching/plan_call.test.ts
+++ b/test/batching/plan_call.test.ts
@@ -41,6 +41,7 @@
     result_bytes: 10,
     waiting_pieces: 2,
     started: false,
+    max_call_jobs: Infinity,
     ...change,
   };
 }
@@ -159,3 +160,11 @@
   assert.ok(busy_ms > 10 * fullCallMs(limits));
   assert.equal(expectedJobMs(2, { ...load, endpoints: 0 }, limits), Infinity);
 });
+
+test("a job that met a crash shares a call with as few jobs as it may", () => {
+  const jobs = [job("a"), job("b", { max_call_jobs: 2 }), job("c")];
+  assert.deepEqual(plan(jobs), ["a:2", "b:2"]);
+  const alone = job("alone", { max_call_jobs: 1 });
+  assert.deepEqual(plan([alone, ...jobs]), ["alone:2"]);
+  assert.deepEqual(plan([job("a"), alone, job("c")]), ["a:2", "c:2"]);
+});
--- a/test/batching/stage_graph.test.ts
+++ b/test/batching/stage_graph.test.ts
@@ -73,6 +73,7 @@
 
 function run(pieces: number[], stages = STAGES) {
   return runStages({
+    fingerprint: "request:f",
     attempt_id: "a",
     route: routeOf(stages),
     priority: 1,
--- a/test/quarantine/quarantine_service.test.ts
+++ b/test/quarantine/quarantine_service.test.ts
@@ -98,7 +98,7 @@
           attempt_id: `attempt-${this.#attempts++}`,
           traits: parts,
           sent_ms: this.now_ms - 500,
-        })
+        }).suspected
       ),
     );
   }
--- a/test/quarantine/request_traits.test.ts
+++ b/test/quarantine/request_traits.test.ts
@@ -12,17 +12,25 @@
   organisation: "docks",
   body: Buffer.from("body"),
   prompt: ["a", "b", "own"].map((id) => ({ id, tokens: 1 })),
+  stagePools: ["encode"],
 };
 
 function fingerprint(changes: Partial<RequestContent> = {}): string {
-  return new RequestTraits({ ...CONTENT, ...changes }).all.at(-1) ?? "";
+  return new RequestTraits({ ...CONTENT, ...changes }).fingerprint;
 }
 
-test("the traits of a request are its shared prompt parts and its fingerprint", () => {
-  const { parts, all } = new RequestTraits(CONTENT);
-  assert.deepEqual(parts, ["a", "b"]);
-  assert.deepEqual(all.slice(0, -1), ["a", "b"]);
-  assert.match(all.at(-1) ?? "", /^request:[0-9a-f]{32}$/);
+test("the traits of a request are its shared prompt parts, its fingerprint, and that in each pool of its stages", () => {
+  const traits = new RequestTraits(CONTENT);
+  const { fingerprint } = traits;
+  assert.match(fingerprint, /^request:[0-9a-f]{32}$/);
+  assert.deepEqual(traits.parts, ["a", "b"]);
+  assert.deepEqual(traits.own, ["a", "b", fingerprint]);
+  assert.deepEqual(traits.all, [
+    "a",
+    "b",
+    fingerprint,
+    `${fingerprint}/encode`,
+  ]);
 });
 
 test("requests that differ in anything but their attempt have other fingerprints", () => {
