--- a/scripts/profile_gateway.ts
+++ b/scripts/profile_gateway.ts
@@ -1,6 +1,6 @@
 /**
  * Sends a fixed load through two gateways in this process, to be run under the
- * CPU profiler: `node --cpu-prof --import tsx scripts/profile_gateway.ts`.
+ * CPU profiler: `npx node --cpu-prof --import tsx scripts/profile_gateway.ts`.
  */
 import { sendJsonRequest } from "../stand_ins/json_client.ts";
 import { ApiKey, GatewayFleet } from "../stand_ins/deployment/gateway_fleet.ts";
