--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -4,7 +4,6 @@
  * is harmless, so the assignment needs no consensus: while two hosts batch for
  * one pool, the only cost is that each call holds fewer pieces.
  */
-import type { Logger } from "../logging/logger.ts";
 import {
   type BatchLimits,
   type RouteEndpoint,
@@ -18,17 +17,12 @@
   loadAheadOf,
   reportableWaitMs,
 } from "./admit_job.ts";
-import { type BrokenCall, recordCrash } from "./crashed_calls.ts";
+import { CallRunner, type CallRunnerOptions } from "./call_runner.ts";
 import type { PoolLoad } from "./expected_wait.ts";
 import { endpointsOfShard } from "./pool_shards.ts";
-import {
-  describeFaults,
-  PieceCallResultKind,
-  type PieceClient,
-} from "./piece_call.ts";
-import { planCall, type PlannedPieces } from "./plan_call.ts";
+import { createFinishJob, type FinishJob } from "./finish_job.ts";
+import { planCall } from "./plan_call.ts";
 import { ResultMemory } from "./result_memory.ts";
-import { SharedCall } from "./shared_call.ts";
 import {
   countWaitingPieces,
   createPoolQueue,
@@ -36,56 +30,37 @@
   hasWaitingPieces,
   isWorthCalling,
   type PoolQueue,
-  type QueuedJob,
   readyTrackers,
   zoneWaits,
 } from "./pool_queue.ts";
 import {
-  ENDPOINTS_CRASH,
   type FreedResults,
   type JobOutcome,
   JobOutcomeKind,
-  type Piece,
-  PieceFault,
-  type PieceResponse,
   type StageJob,
-  type StageResult,
 } from "./types.ts";
 
 /** Dependencies of a `Batcher`. */
-export interface BatcherOptions {
+export interface BatcherOptions extends
+  Pick<
+    CallRunnerOptions,
+    | "client"
+    | "freeAtBatcher"
+    | "hasCrashed"
+    | "onCompleted"
+    | "onUnwantedCall"
+    | "log"
+    | "now"
+  > {
   /** The pool of this name; undefined if it is not configured. */
   pool: (name: string) => RoutePool | undefined;
   /** The endpoints of a pool, leaving ones included. */
   endpoints: (pool: string) => readonly RouteEndpoint[];
   /** Time for which an endpoint itself wants no calls, in milliseconds. */
   pauseMs: (endpoint: RouteEndpoint) => number;
-  client: PieceClient;
-  /** Frees results through the batcher that accounts for their memory. */
-  freeAtBatcher: (freed: FreedResults) => void;
-  /**
-   * Reports a call that its endpoint broke off; resolves to whether the endpoint
-   * has crashed.
-   */
-  hasCrashed: (call: BrokenCall) => Promise<boolean>;
-  /** Called when endpoints have computed all pieces of a job. */
-  onCompleted: (job: StageJob) => void;
-  /** Receives how long a call went on for nobody, in milliseconds. */
-  onUnwantedCall: (unwanted_ms: number) => void;
-  log: Logger;
-  /** Monotonic time in milliseconds. */
-  now: () => number;
 }
 
-/**
- * Retries before a job fails, as an average over its pieces: a job of n pieces
- * fails at the first failure beyond 4n.
- */
-const MAX_RETRIES_PER_PIECE = 4;
-/**
- * Delay before a full endpoint is called again, and before the next dispatch
- * while pieces are waiting.
- */
+/** Delay before the next dispatch while pieces are waiting. */
 const RETRY_DELAY_MS = 40;
 /** Minimum time between a dispatch that starts no call and the next one. */
 const MIN_IDLE_DISPATCH_INTERVAL_MS = 10;
@@ -100,6 +75,8 @@
 export class Batcher {
   #queues = new Map<string, PoolQueue>();
   #memory: ResultMemory;
+  #finishJob: FinishJob;
+  #calls: CallRunner;
   #options: BatcherOptions;
   #draining = false;
 
@@ -109,6 +86,14 @@
       ...options,
       onFreed: (queue) => this.#dispatchSoon(queue),
     });
+    this.#finishJob = createFinishJob(this.#memory);
+    this.#calls = new CallRunner({
+      ...options,
+      memory: this.#memory,
+      finishJob: this.#finishJob,
+      onCallEnded: (queue) => this.#dispatchWithin(queue, 0),
+      reportableWaitMs: (job, queue) => this.#reportableWaitMs(job, queue),
+    });
   }
 
   /**
@@ -224,6 +209,13 @@
     });
   }
 
+  #reportableWaitMs(job: StageJob, queue: PoolQueue): number {
+    const limits = this.#options.pool(queue.pool)?.batch;
+    return limits === undefined
+      ? 0
+      : reportableWaitMs(this.#loadAheadOf(job, queue), limits);
+  }
+
   #readyTrackers(queue: PoolQueue): EndpointTracker[] {
     const { endpoints, pauseMs, now } = this.#options;
     const ofShard = endpointsOfShard(endpoints(queue.pool), queue.shard);
@@ -298,7 +290,7 @@
       }, { now_ms, limits, zone_wait_ms });
       if (planned.length === 0) continue;
       started = true;
-      void this.#runCall(queue, { tracker, planned, limits });
+      void this.#calls.run({ queue, tracker, planned, limits });
     }
     return started;
   }
@@ -335,234 +327,4 @@
       this.#finishJob(queued, queue, createRefusal(load, limits));
     }
   }
-
-  async #runCall(
-    queue: PoolQueue,
-    { tracker, planned, limits }: {
-      tracker: EndpointTracker;
-      planned: PlannedPieces<QueuedJob>[];
-      limits: BatchLimits;
-    },
-  ): Promise<void> {
-    const { now, client, log } = this.#options;
-    const started_ms = now();
-    queue.rates.recordCall(
-      planned.reduce((sum, { pieces }) => sum + pieces, 0),
-      countWaitingPieces(queue.jobs),
-      started_ms,
-    );
-    const batch = planned.flatMap(({ job: queued, pieces }) =>
-      queued.waiting.splice(0, pieces).map((piece) => ({ queued, piece }))
-    );
-    const bytes = batch.reduce(
-      (sum, { queued }) => sum + queued.result_bytes,
-      0,
-    );
-    tracker.startCall(
-      { bytes, pieces: batch.length, now_ms: started_ms },
-      limits,
-    );
-    this.#memory.offerInputs(planned, limits);
-    this.#memory.freeIfShort(queue, tracker);
-    const call = new SharedCall(planned.map(({ job }) => job), now);
-    const result = await client.call(
-      tracker.endpoint,
-      batch.map(({ queued, piece }) => ({
-        ...piece,
-        attempt_id: queued.job.attempt_id,
-        stage: queued.job.stage,
-        remaining_ms: Math.max(1, Math.round(queued.expires_ms - started_ms)),
-      })),
-      {
-        timeout_ms: tracker.callTimeoutMs(batch.length, limits),
-        signal: call.signal,
-      },
-    );
-    call.end();
-    const now_ms = now();
-    const elapsed_ms = now_ms - started_ms;
-    log.info({
-      event: "stage_call",
-      pool: queue.pool,
-      shard: queue.shard,
-      endpoint: tracker.endpoint.id,
-      zone: tracker.endpoint.availability_zone,
-      pieces: batch.length,
-      jobs: planned.length,
-      waiting: countWaitingPieces(queue.jobs),
-      room_bytes: tracker.freeResultBytes(now_ms, limits),
-      slowness: Number(tracker.slowness.toFixed(2)),
-      elapsed_ms: Math.round(elapsed_ms),
-      outcome: result.kind,
-      reason: result.kind === PieceCallResultKind.Failed
-        ? result.reason
-        : undefined,
-      faults: describeFaults(result),
-      unwanted_ms: call.unwantedMs === undefined
-        ? undefined
-        : Math.round(call.unwantedMs),
-    });
-    if (call.unwantedMs !== undefined) {
-      this.#options.onUnwantedCall(call.unwantedMs);
-    }
-    if (result.rate_limit !== undefined) {
-      tracker.recordRateLimit(result.rate_limit);
-    }
-    switch (result.kind) {
-      case PieceCallResultKind.Answered:
-        tracker.recordAnswer(now_ms);
-        tracker.completeCall(
-          { bytes, pieces: batch.length, elapsed_ms },
-          limits,
-        );
-        batch.forEach((each, index) =>
-          this.#handlePieceResponse(
-            { ...each, queue, tracker, limits },
-            result.responses[index],
-          )
-        );
-        break;
-      case PieceCallResultKind.Full:
-        tracker.recordAnswer(now_ms);
-        tracker.rejectCall(bytes, now_ms + RETRY_DELAY_MS);
-        for (const { queued, piece } of batch) queued.waiting.unshift(piece);
-        break;
-      case PieceCallResultKind.TimedOut:
-        tracker.timeOutCall({ bytes, pieces: batch.length, elapsed_ms }, {
-          limits,
-          now_ms,
-        });
-        for (const { queued, piece } of batch) {
-          this.#retryPiece(queued, piece, queue);
-        }
-        break;
-      case PieceCallResultKind.Cancelled:
-        tracker.cancelCall({ bytes }, { limits, now_ms });
-        break;
-      case PieceCallResultKind.Failed:
-        tracker.failCall({ bytes, pieces: batch.length, elapsed_ms }, {
-          limits,
-          now_ms,
-        });
-        if (result.broken === true) {
-          await this.#recordBrokenCall(queue, {
-            endpoint: tracker.endpoint,
-            jobs: planned.map(({ job }) => job),
-            sent_ms: started_ms,
-          });
-        }
-        for (const { queued, piece } of batch) {
-          this.#retryPiece(queued, piece, queue);
-        }
-        break;
-    }
-    this.#dispatchWithin(queue, 0);
-  }
-
-  /** Finds out whether the endpoint has crashed, and limits what its jobs may do. */
-  async #recordBrokenCall(queue: PoolQueue, call: BrokenCall): Promise<void> {
-    if (!await this.#options.hasCrashed(call)) return;
-    for (const queued of recordCrash(call.jobs)) {
-      this.#finishJob(queued, queue, {
-        kind: JobOutcomeKind.Failed,
-        reason: ENDPOINTS_CRASH,
-      });
-    }
-  }
-
-  #handlePieceResponse(
-    { queued, piece, queue, tracker, limits }: {
-      queued: QueuedJob;
-      piece: Piece;
-      queue: PoolQueue;
-      tracker: EndpointTracker;
-      limits: BatchLimits;
-    },
-    response: PieceResponse | undefined,
-  ): void {
-    if (response === undefined) return this.#retryPiece(queued, piece, queue);
-    if (response.ok) {
-      const { handle } = response;
-      const { address, availability_zone } = tracker.endpoint;
-      tracker.addResult(handle, {
-        bytes: queued.result_bytes,
-        expires_ms: this.#options.now() + limits.retention_ms,
-      });
-      if (queued.ended) {
-        this.#memory.free(queue, {
-          pool: queue.pool,
-          address,
-          handles: [handle],
-        });
-        return;
-      }
-      const index = queued.job.pieces.indexOf(piece);
-      queued.results[index] = { handle, address, availability_zone };
-      queued.unfinished -= 1;
-      if (queued.unfinished > 0) return;
-      const results = queued.results as StageResult[];
-      for (const freed of queued.job.last_read) {
-        this.#options.freeAtBatcher(freed);
-      }
-      const load = this.#loadAheadOf(queued.job, queue);
-      const wait_ms = reportableWaitMs(load, limits);
-      this.#options.onCompleted(queued.job);
-      this.#finishJob(queued, queue, {
-        kind: JobOutcomeKind.Completed,
-        results,
-        wait_ms,
-      });
-      return;
-    }
-    switch (response.fault) {
-      case PieceFault.DeadlinePassed:
-        return this.#finishJob(queued, queue, {
-          kind: JobOutcomeKind.Failed,
-          reason: "expired",
-        });
-      case PieceFault.InputsGone:
-        return this.#finishJob(queued, queue, {
-          kind: JobOutcomeKind.InputsGone,
-        });
-      case PieceFault.OutOfMemory:
-        tracker.addUntrackedResult(queued.result_bytes, this.#options.now());
-        queued.waiting.unshift(piece);
-        return;
-      case PieceFault.Error:
-        return this.#retryPiece(queued, piece, queue);
-    }
-  }
-
-  #retryPiece(queued: QueuedJob, piece: Piece, queue: PoolQueue): void {
-    queued.failures += 1;
-    if (queued.failures <= MAX_RETRIES_PER_PIECE * queued.job.pieces.length) {
-      queued.waiting.unshift(piece);
-      return;
-    }
-    this.#finishJob(queued, queue, {
-      kind: JobOutcomeKind.Failed,
-      reason: "endpoints_fail",
-    });
-  }
-
-  /** Resolves a job; unless it completed, frees the results it has so far. */
-  #finishJob(queued: QueuedJob, queue: PoolQueue, outcome: JobOutcome): void {
-    if (queued.ended) return;
-    queued.ended = true;
-    queue.jobs.delete(queued);
-    for (const call of queued.calls) call.leave(queued);
-    queued.waiting = [];
-    if (outcome.kind !== JobOutcomeKind.Completed) {
-      for (const result of queued.results) {
-        if (result === undefined) continue;
-        const { address, handle } = result;
-        this.#memory.free(queue, {
-          pool: queue.pool,
-          address,
-          handles: [handle],
-        });
-      }
-    }
-    queued.resolve(outcome);
-  }
 }
