--- /dev/null
+++ b/src/gateway/batching_components.ts
@@ -0,0 +1,62 @@
+/** The components of a gateway host that form batches and route jobs. */
+import { Batcher } from "../batching/batcher.ts";
+import { JobRouter } from "../batching/job_router.ts";
+import { listShards } from "../batching/pool_shards.ts";
+import { PoolWaits } from "../batching/pool_waits.ts";
+import { createCrashRecorder } from "../batching/crash_recorder.ts";
+import { createPieceClient } from "../batching/piece_client.ts";
+import type { RoutePool } from "../routes/types.ts";
+import type { HostContext } from "./host_context.ts";
+
+/** Components that form batches and route jobs to the hosts that do. */
+export interface BatchingComponents {
+  batcher: Batcher;
+  jobRouter: JobRouter;
+  /** Finds a pool by name; undefined if it is not configured. */
+  pool: (name: string) => RoutePool | undefined;
+}
+
+/** Creates them. */
+export function createBatching(context: HostContext): BatchingComponents {
+  const { configuration, endpoints, members, peers, log, now } = context;
+  const pool = (name: string) =>
+    configuration.routeTable?.configuration.pools.get(name);
+  const batcher: Batcher = new Batcher({
+    pool,
+    endpoints: (name) => endpoints.inPool(name, now()),
+    pauseMs: (endpoint) => context.reports.pauseMs(endpoint),
+    client: createPieceClient({
+      codec: context.adapter.codec,
+      agents: context.agents,
+      pool,
+      endpointAt: (address) => endpoints.findByAddress(address),
+      reports: context.reports,
+      log,
+      now,
+    }),
+    freeAtBatcher: (freed) => jobRouter.free(freed),
+    ...createCrashRecorder(context.quarantine),
+    onUnwantedCall: (unwanted_ms) =>
+      context.metrics.workAfterCallerLeft.observe(
+        { work: "stage_call" },
+        unwanted_ms,
+      ),
+    log,
+    now,
+  });
+  const waits = new PoolWaits();
+  const jobRouter: JobRouter = new JobRouter({
+    self: context.self,
+    batchers: () => members.batchers(context.lifecycle.isShuttingDown),
+    local: batcher,
+    peers,
+    waits,
+    zone: context.settings.host.availability_zone,
+    shards: (name) => listShards(endpoints.inPool(name, now())),
+    zoneAt: (address) => endpoints.findByAddress(address)?.availability_zone,
+    log,
+    now,
+    signal: context.signal,
+  });
+  return { batcher, jobRouter, pool };
+}
--- /dev/null
+++ b/src/gateway/host_context.ts
@@ -0,0 +1,215 @@
+/** The components of a gateway host that most others need. */
+import { ActiveConfiguration } from "../store_sync/active_configuration.ts";
+import { EndpointRegistry } from "../store_sync/endpoint_registry.ts";
+import { FeedProgress } from "../store_sync/feed_progress.ts";
+import { WatchCache } from "../store_sync/watch_cache.ts";
+import type { StoreSyncOptions } from "../store_sync/store_sync.ts";
+import { EndpointReports } from "../endpoint_reports/endpoint_reports.ts";
+import { EndpointAgents } from "../endpoints/endpoint_agents.ts";
+import type { GatewayAdapter, GatewayStore } from "../forwarding/adapter.ts";
+import { DrainWindow } from "../lifecycle/drain_window.ts";
+import {
+  HostLifecycle,
+  HostLifecycleEvent,
+} from "../lifecycle/host_lifecycle.ts";
+import {
+  createLogger,
+  LineRateLimiter,
+  type WriteLine,
+} from "../logging/logger.ts";
+import { StoreReaders } from "../membership/store_readers.ts";
+import { GatewayMembers } from "../membership/gateway_members.ts";
+import { OwnEntry } from "../membership/own_entry.ts";
+import { isConnectionRefused } from "../quarantine/probe_endpoint.ts";
+import { QuarantineService } from "../quarantine/quarantine_service.ts";
+import { ForwardMetrics } from "../metrics/forward_metrics.ts";
+import { GatewayClients } from "../peers/gateway_clients.ts";
+import { FeedStreamClients } from "../peers/feed_stream_client.ts";
+import { createRelayedFeeds } from "../peers/create_relayed_feeds.ts";
+import { RateLimitService } from "../rate_limits/rate_limit_service.ts";
+import { ObservedLoad } from "../routing/observed_load.ts";
+import { PoolRetryBudgets } from "../routing/repeat_budget.ts";
+import type { GatewaySettings } from "../settings/gateway_settings.ts";
+import { formatAddress } from "../settings/settings.ts";
+import { abortableDelay } from "../utils/delay.ts";
+
+/** External dependencies of a gateway host. */
+export interface GatewayHostEnvironment {
+  adapter: GatewayAdapter;
+  /** Monotonic clock, in milliseconds. */
+  now: () => number;
+  random: () => number;
+  writeLine: WriteLine;
+}
+
+/** The components that the others of a gateway host are built from. */
+export type HostContext = ReturnType<typeof createHostContext>;
+
+/** Creates them; nothing runs yet. */
+export function createHostContext(
+  settings: GatewaySettings,
+  environment: GatewayHostEnvironment,
+) {
+  const { adapter, now, random, writeLine } = environment;
+  const { host, listen } = settings;
+  const self = formatAddress(listen.peers);
+  const member = {
+    address: self,
+    availability_zone: host.availability_zone,
+    cores: host.cores,
+    started_ms: Date.now(),
+  };
+  const stopping = new AbortController();
+  const log = createLogger({
+    level: settings.log.level,
+    host: host.name,
+    writeLine,
+    rateLimiter: new LineRateLimiter(settings.log.lines_per_s, now),
+  });
+  const lifecycle = new HostLifecycle((state) =>
+    log.info({ event: "lifecycle", state })
+  );
+  const metrics = new ForwardMetrics(() => quarantine.entries.all().length);
+  const configurationListeners: StoreSyncOptions["configurationListeners"] = [];
+  const endpointListeners: StoreSyncOptions["endpointListeners"] = [];
+  const configuration = new ActiveConfiguration((table, source) => {
+    const { version } = table.configuration;
+    log.info({ event: "configuration", version, source });
+    metrics.configurationVersion.set(version);
+    for (const listener of configurationListeners) listener(table);
+    lifecycle.handle(HostLifecycleEvent.Configured);
+  });
+  const endpoints = new EndpointRegistry();
+  const members = new GatewayMembers(member);
+  const peers = new GatewayClients();
+  const store: GatewayStore = adapter.openStore(
+    settings.object_store.address,
+    (call) => metrics.storeCalls.inc({ ...call }),
+  );
+  const signal = stopping.signal;
+  const ownEntry = new OwnEntry({
+    name: host.name,
+    member,
+    announce: store.announce,
+    withdraw: store.withdraw,
+    hostCount: () => members.count,
+    log,
+    random,
+    delay: abortableDelay,
+    signal,
+  });
+  const quarantine = new QuarantineService({
+    self,
+    hosts: () => members.addresses(),
+    peers,
+    store,
+    isRefused: isConnectionRefused,
+    onCrash: () => metrics.endpointCrashes.inc(),
+    log,
+    now,
+    random,
+    signal,
+  });
+  const rateLimits = new RateLimitService({
+    self,
+    hosts: () => members.addresses(),
+    peers,
+    log,
+    now,
+  });
+  const load = new ObservedLoad();
+  const agents = new EndpointAgents(() => members.count);
+  const reports = new EndpointReports({
+    self,
+    hosts: () => members.addresses(),
+    peers,
+    load,
+    rateLimits,
+    endpoints,
+    onPause(address) {
+      metrics.endpointPauses.inc();
+      agents.failQueued(address);
+    },
+    onLeaving(address, source) {
+      metrics.leavingEndpoints.inc({ source });
+      agents.failQueued(address);
+      for (const listener of endpointListeners) listener();
+    },
+    log,
+    now,
+    signal,
+  });
+  const feedClients = new FeedStreamClients({ log, now });
+  const readers = new StoreReaders({
+    self,
+    hosts: () => members.addresses(),
+    cores: () => members.cores(),
+    readerCount: settings.object_store.readers,
+    now,
+  });
+  const syncOptions: StoreSyncOptions = {
+    feeds: createRelayedFeeds(store, {
+      feedClients,
+      readers,
+      self,
+      log,
+    }),
+    watchCaches: {
+      configuration: new WatchCache(),
+      endpoints: new WatchCache(),
+      gateways: new WatchCache(),
+      quarantined: new WatchCache(),
+    },
+    readers,
+    peers,
+    configuration,
+    endpoints,
+    members,
+    ownEntry,
+    quarantine,
+    seeds: settings.seeds.filter((seed) => seed !== self),
+    configurationListeners,
+    endpointListeners,
+    watch_ms: settings.object_store.watch_ms,
+    progress: {
+      configuration: new FeedProgress(),
+      endpoints: new FeedProgress(),
+      gateways: new FeedProgress(),
+      quarantined: new FeedProgress(),
+    },
+    log,
+    now,
+    random,
+    signal,
+  };
+  metrics.exportFeedPositions(() => syncOptions.progress);
+  return {
+    settings: { ...settings },
+    adapter,
+    self,
+    stopping,
+    drain: new DrainWindow(now),
+    signal,
+    log,
+    lifecycle,
+    metrics,
+    configuration,
+    endpoints,
+    members,
+    ownEntry,
+    peers,
+    feedClients,
+    store,
+    quarantine,
+    rateLimits,
+    load,
+    reports,
+    syncOptions,
+    configurationListeners,
+    endpointListeners,
+    agents,
+    retryBudget: new PoolRetryBudgets(settings.repeats, () => members.count),
+    now,
+    random,
+  };
+}
