Close the connection of a peer whose message has no end

What was seen: a peer's message without end was read for ever: a job or a list of freed results after its refusal, a message to a tRPC procedure into memory, as the gateway's peer server named no largest size (the users' list: bytes without end).

tRPC gets a bound of 4 MiB, as job messages have; when a response is out and its request has not ended, its connection closes, on the peer servers of both kinds of host.

--- a/src/peers/gateway_peer_server.ts
+++ b/src/peers/gateway_peer_server.ts
@@ -1,6 +1,7 @@
 /** HTTP server for calls from other gateway hosts. */
 import { createServer, type Server } from "node:http";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import { closeIfIncomplete } from "../utils/close_if_incomplete.ts";
 import {
   type FeedStreamOptions,
   isFeedStreamRequest,
@@ -18,15 +19,21 @@
 
 /** Idle time after which a peer's connection is closed. */
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
+/** Largest message to a tRPC procedure: 4 MiB. */
+const MAX_BODY_BYTES = 4_194_304;
 
 /** Creates the server, which is not yet listening. */
 export function createGatewayPeerServer(
   handlers: GatewayRpcHandlers & JobHandlers & { feeds: FeedStreamOptions },
 ): Server {
-  const trpc = createHTTPHandler({ router: createGatewayRpcRouter(handlers) });
+  const trpc = createHTTPHandler({
+    router: createGatewayRpcRouter(handlers),
+    maxBodySize: MAX_BODY_BYTES,
+  });
   return createServer(
     { keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true },
     (request, response) => {
+      closeIfIncomplete(request, response);
       if (isJobMessage(request)) {
         void serveJobMessage(request, response, handlers);
       } else if (isFeedStreamRequest(request)) {
--- a/src/peers/peer_server.ts
+++ b/src/peers/peer_server.ts
@@ -2,6 +2,7 @@
 import { timingSafeEqual } from "node:crypto";
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import { closeIfIncomplete } from "../utils/close_if_incomplete.ts";
 import { sha256Hex } from "../utils/sha256.ts";
 import { CallerRole, type PeerRpcRouter } from "./peer_rpc_router.ts";
 
@@ -23,7 +24,10 @@
     maxBodySize: MAX_BODY_BYTES,
     createContext: ({ req }) => ({ role: resolveRole(req, secrets) }),
   });
-  return createServer(handler);
+  return createServer((request, response) => {
+    closeIfIncomplete(request, response);
+    handler(request, response);
+  });
 }
 
 function resolveRole(
