Don't let a stage that was cancelled hide why its request was refused

What callers saw: a request with two stages that begin at once (on the grown site only class knot-qa has such) was refused as no_endpoint with 250 ms to return, while its other stage was refused for want of room with the true time.

Cause: when a stage is refused, the stages beside it are cancelled, and the first outcome by number was taken for the request's. The first in time is taken now. The test failed before.

--- a/src/batching/stage_graph.ts
+++ b/src/batching/stage_graph.ts
@@ -77,6 +77,10 @@
   #results: (StageResult[] | undefined)[];
   /** Stages whose results are freed, here or by the job that read them last. */
   #freed = new Set<number>();
+  /** The first stage's outcome that was no success; others follow from it. */
+  #failure:
+    | Exclude<FinalJobOutcome, { kind: JobOutcomeKind.Completed }>
+    | undefined;
   #aborter = new AbortController();
 
   constructor(request: GraphRequest, options: GraphOptions) {
@@ -95,21 +99,18 @@
         wait_ms: excess_ms,
       };
     }
-    const running = new Map<number, Promise<FinalJobOutcome | undefined>>();
-    const runOnce = (index: number): Promise<FinalJobOutcome | undefined> => {
+    const running = new Map<number, Promise<void>>();
+    const runOnce = (index: number): Promise<void> => {
       const known = running.get(index);
       if (known !== undefined) return known;
       const started = this.#runStage(index, runOnce);
       running.set(index, started);
       return started;
     };
-    const outcomes = await Promise.all(
-      this.#stages.map((_, index) => runOnce(index)),
-    );
-    const failed = outcomes.find((outcome) => outcome !== undefined);
-    if (failed !== undefined && failed.kind !== JobOutcomeKind.Completed) {
+    await Promise.all(this.#stages.map((_, index) => runOnce(index)));
+    if (this.#failure !== undefined) {
       this.#freeAll();
-      return failed;
+      return this.#failure;
     }
     const results = this.#finalStages().flatMap((index) =>
       this.#results[index] ?? []
@@ -121,19 +122,18 @@
     };
   }
 
-  /** Runs a stage after its dependencies; undefined on success. */
+  /** Runs a stage after its dependencies, unless a stage has failed. */
   async #runStage(
     index: number,
-    runOnce: (index: number) => Promise<FinalJobOutcome | undefined>,
-  ): Promise<FinalJobOutcome | undefined> {
+    runOnce: (index: number) => Promise<void>,
+  ): Promise<void> {
     const stage = this.#stages[index] as PieceStage;
-    const dependencies = await Promise.all(stage.after.map(runOnce));
-    const failed = dependencies.find((outcome) => outcome !== undefined);
-    if (failed !== undefined) return failed;
+    await Promise.all(stage.after.map(runOnce));
+    if (this.#failure !== undefined) return;
     const pieces = this.#piecesOf(index, stage);
     if (pieces.length === 0) {
       this.#results[index] = [];
-      return undefined;
+      return;
     }
     const { signal } = this.#request;
     const lastRead = stage.after.filter((each) =>
@@ -144,13 +144,13 @@
       AbortSignal.any([signal, this.#aborter.signal]),
     );
     if (outcome.kind !== JobOutcomeKind.Completed) {
+      this.#failure ??= outcome;
       this.#aborter.abort();
-      return outcome;
+      return;
     }
     this.#results[index] = outcome.results;
     if (this.#aborter.signal.aborted) this.#free(index);
     for (const dependency of lastRead) this.#freed.add(dependency);
-    return undefined;
   }
 
   /** The pieces of a stage whose dependencies have results. */
--- a/test/batching/stage_graph.test.ts
+++ b/test/batching/stage_graph.test.ts
@@ -71,7 +71,20 @@
   });
 }
 
-function run(pieces: number[], stages = STAGES) {
+/** Runs a job until it is cancelled. */
+function runUntilCancelled(
+  _job: StageJob,
+  signal: AbortSignal,
+): Promise<FinalJobOutcome> {
+  return new Promise((resolve) =>
+    signal.addEventListener(
+      "abort",
+      () => resolve({ kind: JobOutcomeKind.Failed, reason: "cancelled" }),
+    )
+  );
+}
+
+function run(pieces: number[], stages = STAGES, pendingStage?: number) {
   return runStages({
     fingerprint: "request:f",
     attempt_id: "a",
@@ -84,7 +97,8 @@
     expires_ms: 6_000,
     signal: new AbortController().signal,
   }, {
-    run: runJob,
+    run: (job, signal) =>
+      job.stage === pendingStage ? runUntilCancelled(job, signal) : runJob(job),
     free: ({ handles }: FreedResults) => void freed.push(...handles),
     stageTime: ({ pool }) => ({
       min_ms: 200,
@@ -193,3 +207,12 @@
   assert.equal(outcome.results.length, 3);
   assert.ok(jobs.every(({ pool }) => pool !== "heavy"));
 });
+
+test("a stage that is cancelled since another was refused doesn't hide the refusal", async () => {
+  for (const [refused, pending] of [[0, 1], [1, 0]]) {
+    failAt = refused;
+    const outcome = await run([1, 1, 1, 1], STAGES, pending);
+    assert.ok(outcome.kind === JobOutcomeKind.Refused);
+    assert.equal(outcome.retry_after_ms, 70);
+  }
+});
