--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -88,6 +88,16 @@
     );
   }
 
+  /** Waits until every gateway knows all others. */
+  async waitForMembers(): Promise<void> {
+    const text = `event=members count=${this.gateways.length}`;
+    await waitUntil(() =>
+      this.gateways.every(({ logLines }) =>
+        logLines.some((line) => line.includes(text))
+      )
+    );
+  }
+
   /** Stops everything. */
   stop(): void {
     for (const { gateway } of this.gateways) gateway.stop();
--- a/test/quarantine/crashing_pieces.test.ts
+++ b/test/quarantine/crashing_pieces.test.ts
@@ -7,7 +7,6 @@
   defaultEngines,
   GatewayFleet,
   Service,
-  waitUntil,
 } from "../../stand_ins/deployment/gateway_fleet.ts";
 import { sendJsonRequest } from "../../stand_ins/json_client.ts";
 
@@ -41,11 +40,7 @@
     engines: { ...defaultEngines(), [Service.Encode]: engines },
   });
   await fleet.start();
-  await waitUntil(() =>
-    fleet.gateways.every(({ logLines }) =>
-      logLines.some((line) => line.includes(`event=members count=${GATEWAYS}`))
-    )
-  );
+  await fleet.waitForMembers();
 }
 
 async function call(gateway: number, key: string): Promise<number> {
--- a/test/quarantine/crashing_prompt_part.test.ts
+++ b/test/quarantine/crashing_prompt_part.test.ts
@@ -39,11 +39,7 @@
     },
   });
   await fleet.start();
-  await waitUntil(() =>
-    fleet.gateways.every(({ logLines }) =>
-      logLines.some((line) => line.includes(`event=members count=${GATEWAYS}`))
-    )
-  );
+  await fleet.waitForMembers();
 }
 
 function models() {
--- a/test/quarantine/crashing_request.test.ts
+++ b/test/quarantine/crashing_request.test.ts
@@ -45,11 +45,7 @@
     },
   });
   await fleet.start();
-  await waitUntil(() =>
-    fleet.gateways.every(({ logLines }) =>
-      logLines.some((line) => line.includes(`event=members count=${GATEWAYS}`))
-    )
-  );
+  await fleet.waitForMembers();
 }
 
 /** Sends one request; resolves to its status, 0 if the connection broke. */
