Read the hosts' lines of a soak after they could be written

Traced: the lines of one such request show the cut itself (outcome=cut), and a program of twenty lines with Node's http shows that a client in the same process sees the end of a connection that is destroyed in a timer before the server's response closes, 400 of 400 times: the poll comes before the closing callbacks. So the lines were read too early. They are read 100 ms later; each cut must have its line as before, and one without is printed with all its lines.

--- a/test/forwarding/request_ends_soak.test.ts
+++ b/test/forwarding/request_ends_soak.test.ts
@@ -28,6 +28,8 @@
 const DEADLINE_MS = 1_200;
 /** Longest time after its deadline at which a request may end. */
 const LATE_MS = 1_000;
+/** Time after its caller's in which a host writes of a cut. */
+const HOST_LINE_MS = 100;
 const HOSTS = 3;
 const PATHS = ["/stamp/x", "/lookup/x", "/review/x", "/draft/x", "/gone/x"];
 
@@ -240,11 +242,17 @@
       replaceHosts(soak),
     ]);
     t.diagnostic(`seed ${seed}: ${JSON.stringify([...soak.ends])}`);
+    // In one process, a caller sees a cut before its host does.
+    await sleep(HOST_LINE_MS);
     const lines = logLines();
     const cuts = lines.filter((line) => line.includes("event=request_cut"));
     const unaccounted = soak.unfinished.filter((attempt) =>
       !cuts.some((line) => line.includes(`attempt=${attempt} `))
     );
+    for (const attempt of unaccounted) {
+      const own = lines.filter((line) => line.includes(`attempt=${attempt} `));
+      t.diagnostic([`${attempt} has no line of its cut:`, ...own].join("\n"));
+    }
     const faults = lines.filter((line) =>
       /event=fault|end=no_outcome/.test(line)
     );
