Hand a job back where its pool isn't known yet

What callers saw: a host that has started and has no configuration yet is known to the others as one that batches; the jobs that they sent it failed at once with unknown_pool, and their requests were refused as no_endpoint.

The test failed before.

--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -97,11 +97,11 @@
   }
 
   /**
-   * Runs a job sent by another host. While this host drains, the job is handed
-   * back so that the sender picks another batcher.
+   * Runs a job sent by another host. While this host drains, or does not know the
+   * pool yet, the job is handed back so that the sender picks another batcher.
    */
   runForPeer(job: StageJob, signal: AbortSignal): Promise<JobOutcome> {
-    if (this.#draining) {
+    if (this.#draining || this.#options.pool(job.pool) === undefined) {
       return Promise.resolve({ kind: JobOutcomeKind.HandedBack });
     }
     return this.run(job, signal);
--- a/test/batching/batcher.test.ts
+++ b/test/batching/batcher.test.ts
@@ -61,6 +61,7 @@
   };
 }
 
+let isConfigured: boolean;
 let endpoints: RouteEndpoint[];
 let pausedUntil_ms: Map<string, number>;
 
@@ -69,12 +70,13 @@
 beforeEach(() => {
   stopping = new AbortController();
   now_ms = 0;
+  isConfigured = true;
   pausedUntil_ms = new Map();
   calls = [];
   freed = [];
   endpoints = [endpoint("1")];
   batcher = new Batcher({
-    pool: () => pool,
+    pool: () => isConfigured ? pool : undefined,
     endpoints: () => endpoints,
     pauseMs: ({ id }) => Math.max(0, (pausedUntil_ms.get(id) ?? 0) - now_ms),
     client: {
@@ -258,6 +260,15 @@
   assert.equal((await own).kind, JobOutcomeKind.Completed);
 });
 
+test("a host that doesn't know a pool yet hands its jobs back", async () => {
+  isConfigured = false;
+  assert.equal((await run("a")).kind, JobOutcomeKind.HandedBack);
+  isConfigured = true;
+  const outcome = run("b");
+  await respond(0);
+  assert.equal((await outcome).kind, JobOutcomeKind.Completed);
+});
+
 test("a job that cannot finish in time is refused at once with a retry time", async () => {
   for (let n = 0; n < 10; n++) void run(`${n}`);
   const outcome = await batcher.runForPeer(
