Let the test of a crash that can't be told never resolve again

Its fake returned a promise where a verdict with two is expected now, so it waited for nothing. It returns two that never resolve; it passes, as it did before the verdict came.

--- a/test/forwarding/request_ends.test.ts
+++ b/test/forwarding/request_ends.test.ts
@@ -158,7 +158,10 @@
   mock.method(
     QuarantineService.prototype,
     "recordBroken",
-    () => new Promise(() => {}),
+    () => ({
+      crashed: new Promise(() => {}),
+      suspected: new Promise(() => {}),
+    }),
   );
   for (const engine of fleet.engines.get(Service.Desk) ?? []) {
     engine.fault = EngineFault.ResponseLost;
