--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -182,6 +182,10 @@
     this.#server.closeAllConnections();
   }
 
+  get listening(): boolean {
+    return this.#server.listening;
+  }
+
   /** Stops listening and resets every channel. */
   crash(): void {
     this.#server.close();
