--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -5,6 +5,7 @@
   ENDPOINT_UNAVAILABLE,
   type EndpointAgents,
 } from "../endpoints/endpoint_agents.ts";
+import { type BodyLimits, BytesReadKind } from "../bodies/read_bytes.ts";
 import {
   discardResponse,
   ExchangeOutcome,
@@ -63,6 +64,8 @@
   /** The endpoint at an address; undefined if it is unknown. */
   endpointAt: (address: string) => RouteEndpoint | undefined;
   reports: Pick<EndpointReports, "record" | "pauseMs">;
+  /** Limits of all responses that this host holds. */
+  responseLimits: BodyLimits;
   log: Logger;
   /** Monotonic clock, in milliseconds. */
   now: () => number;
@@ -277,7 +280,7 @@
     timeout_ms: number;
     signal?: AbortSignal;
   },
-  { agents, codec, pool, reports }: PieceClientOptions,
+  { agents, codec, pool, reports, responseLimits }: PieceClientOptions,
 ): Promise<EndpointResponse> {
   const expiry = new AbortController();
   const signals = signal === undefined
@@ -320,10 +323,15 @@
       discardResponse(result.response);
       return { ...complete, body: Buffer.alloc(0) };
     }
-    const body = await readFullBody(result.response, MAX_RESPONSE_BYTES);
-    if (body !== undefined) return { ...complete, body };
-    discardResponse(result.response);
-    return fail("cut", true);
+    const read = await readFullBody(result.response, {
+      max_bytes: MAX_RESPONSE_BYTES,
+      limits: responseLimits,
+    });
+    if (read.kind !== BytesReadKind.Complete) {
+      return fail(read.kind, read.kind === BytesReadKind.BrokenOff);
+    }
+    read.held?.release();
+    return { ...complete, body: read.bytes };
   } finally {
     clearTimeout(timer);
   }
--- a/src/defaults.ts
+++ b/src/defaults.ts
@@ -51,6 +51,7 @@
 /** Default settings of a gateway host. */
 export const DEFAULT_GATEWAY_SETTINGS = {
   cores: 1,
+  memory_mb: 350,
   watch_ms: 8_000,
   readers: 8,
   repeats: { ratio: 0.1, slack: 10, window_s: 10 },
--- a/src/endpoints/completions.ts
+++ b/src/endpoints/completions.ts
@@ -52,7 +52,7 @@
   // The connection is reused, so leaving the loop must not destroy it.
   const chunks = response.iterator({ destroyOnReturn: false });
   for await (const chunk of chunks) {
-    lengthLimit.add((chunk as string).length);
+    lengthLimit.add(Buffer.byteLength(chunk as string));
     parser.feed(chunk as string);
     for (const data of pendingData.splice(0)) {
       if (data === TERMINAL_EVENT_DATA) return { output: texts.join(""), cost };
--- a/src/endpoints/exchange.ts
+++ b/src/endpoints/exchange.ts
@@ -5,6 +5,12 @@
  */
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { Socket } from "node:net";
+import {
+  type BytesRead,
+  BytesReadKind,
+  readBytes,
+  type ReadBytesOptions,
+} from "../bodies/read_bytes.ts";
 import { parseAddress } from "../settings/settings.ts";
 import type { StrictKeepAliveAgent } from "./strict_keep_alive_agent.ts";
 
@@ -172,29 +178,21 @@
 }
 
 /**
- * Reads the body of a response. Resolves to undefined if it was truncated or is
- * longer than `max_bytes`.
+ * Reads the body of a response. A truncated one counts as broken off; the
+ * connection of one that is not complete is closed.
  */
-export function readFullBody(
+export async function readFullBody(
   response: EndpointResponse,
-  max_bytes: number,
-): Promise<Buffer | undefined> {
-  const { body } = response;
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    body.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > max_bytes) body.destroy();
-      else chunks.push(chunk);
-    });
-    body.on(
-      "end",
-      () => resolve(isComplete(response) ? Buffer.concat(chunks) : undefined),
-    );
-    body.on("error", () => resolve(undefined));
-    body.on("close", () => resolve(undefined));
-  });
+  options: ReadBytesOptions,
+): Promise<BytesRead> {
+  const read = await readBytes(response.body, options);
+  if (read.kind !== BytesReadKind.Complete) {
+    discardResponse(response);
+    return read;
+  }
+  if (isComplete(response)) return read;
+  read.held?.release();
+  return { kind: BytesReadKind.BrokenOff };
 }
 
 /**
--- a/src/endpoints/message_body.ts
+++ b/src/endpoints/message_body.ts
@@ -1,11 +1,12 @@
 /** Bodies of requests and responses, whose transfer is reported as it goes. */
 import type { ClientRequest, IncomingMessage } from "node:http";
+import { BytesReadKind, readBytes } from "../bodies/read_bytes.ts";
 import { AttemptError, AttemptOutcome } from "./attempt.ts";
 
 /** Part of a request body whose transfer counts as progress: 256 KiB. */
 const BODY_PART_BYTES = 262_144;
-/** Larger responses are cut off: 64 Mi characters. */
-const MAX_RESPONSE_LENGTH = 67_108_864;
+/** Larger responses are cut off: 64 MiB. */
+const MAX_RESPONSE_BYTES = 67_108_864;
 
 /**
  * Writes a body part by part and ends the request; calls `onProgress` when a
@@ -26,36 +27,29 @@
 }
 
 /** Reads a body as text; rejects if it is broken off or too long. */
-export function readText(
+export async function readText(
   response: IncomingMessage,
   onProgress: () => void,
 ): Promise<string> {
-  return new Promise((resolve, reject) => {
-    const lengthLimit = new LengthLimit();
-    let text = "";
-    response.setEncoding("utf8");
-    response.on("data", (chunk: string) => {
-      onProgress();
-      text += chunk;
-      try {
-        lengthLimit.add(chunk.length);
-      } catch (error) {
-        response.destroy(error as Error);
-      }
-    });
-    response.on("error", reject);
-    response.on("end", () => resolve(text));
-  });
+  const max_bytes = MAX_RESPONSE_BYTES;
+  const read = await readBytes(response, { max_bytes, onProgress });
+  if (read.kind === BytesReadKind.Complete) return read.bytes.toString("utf8");
+  response.destroy();
+  if (read.kind === BytesReadKind.TooLarge) throw tooLong();
+  throw new AttemptError(AttemptOutcome.Truncated, "The answer was cut");
+}
+
+function tooLong(): AttemptError {
+  return new AttemptError(AttemptOutcome.Failed, "The answer is too long");
 }
 
 /** Limits the length of one response. */
 export class LengthLimit {
   #length = 0;
 
-  /** Adds received characters; throws if the response is too long. */
-  add(characters: number): void {
-    this.#length += characters;
-    if (this.#length <= MAX_RESPONSE_LENGTH) return;
-    throw new AttemptError(AttemptOutcome.Failed, "The answer is too long");
+  /** Adds received bytes; throws if the response is too long. */
+  add(bytes: number): void {
+    this.#length += bytes;
+    if (this.#length > MAX_RESPONSE_BYTES) throw tooLong();
   }
 }
--- a/src/forwarding/complete_exchange.ts
+++ b/src/forwarding/complete_exchange.ts
@@ -91,6 +91,9 @@
       headers: codec.filterResponseHeaders(response.headers),
       withhold: response.status >= MIN_SERVER_ERROR_STATUS && context.mayRetry,
       closeConnection: context.dependencies.isShuttingDown(),
+      limits: context.dependencies.responseLimits,
+      cut: (reason) =>
+        context.inbound.progress.cut(context.inbound.response, reason),
     });
   if (!isStream && relayed.complete) recordAnswered();
   const sent = resultAfterRelay(context, relayed, {
@@ -136,7 +139,7 @@
     recordAnswered: () => void;
   },
 ): Promise<RelayResult> {
-  const { codec, isShuttingDown } = context.dependencies;
+  const { codec, isShuttingDown, responseLimits } = context.dependencies;
   const relayed = await relayStream(context.inbound.response, response, {
     headers: codec.filterResponseHeaders(response.headers),
     resumable: context.admitted.route.resumable,
@@ -144,6 +147,7 @@
       ? context.lastEventId
       : undefined,
     closeConnection: isShuttingDown(),
+    limits: responseLimits,
     onFirstBytes: inputs.freeResults,
     onFirstEvent: recordAnswered,
   });
--- a/src/forwarding/dependencies.ts
+++ b/src/forwarding/dependencies.ts
@@ -1,6 +1,7 @@
 /** Dependencies of request forwarding, built once for each gateway host. */
 import type { EndpointRegistry } from "../store_sync/endpoint_registry.ts";
 import type { ActiveConfiguration } from "../store_sync/active_configuration.ts";
+import type { BodyLimits } from "../bodies/read_bytes.ts";
 import type { GraphOptions } from "../batching/stage_graph.ts";
 import type { EndpointAgents } from "../endpoints/endpoint_agents.ts";
 import type { EndpointReports } from "../endpoint_reports/endpoint_reports.ts";
@@ -27,6 +28,10 @@
   reports: EndpointReports;
   stageGraph: GraphOptions;
   metrics: ForwardMetrics;
+  /** Limits of all bodies of callers' requests that this host holds. */
+  requestLimits: BodyLimits;
+  /** Limits of all responses of endpoints that this host holds. */
+  responseLimits: BodyLimits;
   drain: DrainWindow;
   serviceTimes: ServiceTimes;
   /** Whether new requests are accepted. */
--- a/src/forwarding/forward_request.ts
+++ b/src/forwarding/forward_request.ts
@@ -10,6 +10,7 @@
 import { sharedParts } from "../quarantine/request_traits.ts";
 import {
   HOST_STOPPING,
+  NO_MEMORY,
   QUARANTINED,
   type Rejection,
   RejectionReason,
@@ -53,11 +54,11 @@
     return refuseQuarantined(inbound, admitted, dependencies);
   }
   progress.stage = RequestStage.ReadingBody;
-  const read = await readBody(
-    request,
-    admitted.max_body_bytes,
-    dependencies.drain.signal,
-  );
+  const read = await readBody(request, {
+    max_bytes: admitted.max_body_bytes,
+    limits: dependencies.requestLimits,
+    signal: dependencies.drain.signal,
+  });
   if (read.kind === BodyReadOutcome.Aborted) {
     return { kind: OutcomeKind.CallerGone };
   }
@@ -71,6 +72,12 @@
     };
     return refused(rejection, true);
   }
+  if (read.kind === BodyReadOutcome.NoMemory) {
+    logRejection(dependencies, inbound, NO_MEMORY);
+    return refused(NO_MEMORY, true);
+  }
+  inbound.response.once("close", () => read.held?.release());
+  if (inbound.response.closed) read.held?.release();
   const context = new RunContext(inbound, admitted, {
     body: read.body,
     dependencies,
--- a/src/forwarding/rejection.ts
+++ b/src/forwarding/rejection.ts
@@ -16,6 +16,8 @@
   HeadersTooLarge = "headers_too_large",
   /** Not run: this host has no configuration yet, or is stopping. */
   NotReady = "not_ready",
+  /** Not run: the bodies of requests take too much of this host's memory. */
+  NoMemory = "no_memory",
   /** Not run: its stages are not expected to complete in time. */
   StagesTooSlow = "no_room",
   /** Not run: its deadline passed before an endpoint took it. */
@@ -41,6 +43,7 @@
   [RejectionReason.BodyTooLarge]: 413,
   [RejectionReason.HeadersTooLarge]: 431,
   [RejectionReason.NotReady]: 503,
+  [RejectionReason.NoMemory]: 503,
   [RejectionReason.StagesTooSlow]: 503,
   [RejectionReason.TooLate]: 503,
   [RejectionReason.Quarantined]: 503,
@@ -72,6 +75,13 @@
   retry_after_ms: 20,
 };
 
+/** Sent when this host holds too many bodies of requests. */
+export const NO_MEMORY: Rejection = {
+  reason: RejectionReason.NoMemory,
+  message: "This host holds too many requests",
+  retry_after_ms: 250,
+};
+
 /** Sent when endpoints crash on the request; no later time is better. */
 export const QUARANTINED: Rejection = {
   reason: RejectionReason.Quarantined,
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -8,6 +8,7 @@
   type RawHeaders,
   readFullBody,
 } from "../endpoints/exchange.ts";
+import { type BodyLimits, BytesReadKind } from "../bodies/read_bytes.ts";
 import { EventSplitter } from "./event_splitter.ts";
 
 /** A complete response of an endpoint, held in memory. */
@@ -38,14 +39,18 @@
   last_event_id?: string;
   /** Number of complete events of a stream. */
   event_count?: number;
-  /** Why a stream was broken off by this host; undefined if it wasn't. */
-  cut_reason?: StreamCutReason;
+  /** Why the response was broken off by this host; undefined if it wasn't. */
+  cut_reason?: ResponseCutReason;
   /** Whether a stream can go on after `last_event_id`. */
   position_known?: boolean;
 }
 
-/** Why this host breaks a stream off. The values appear in the logs. */
-export enum StreamCutReason {
+/** Why this host breaks a response off. The values appear in the logs. */
+export enum ResponseCutReason {
+  /** It is larger than this host keeps of one response. */
+  TooLarge = "response_too_large",
+  /** Responses took too much of this host's memory, and it was the largest. */
+  Dropped = "response_dropped",
   EventTooLarge = "event_too_large",
   OutOfOrder = "events_out_of_order",
 }
@@ -56,11 +61,17 @@
   headers: RawHeaders;
   /** Whether the caller's connection closes after the response. */
   closeConnection: boolean;
+  /** Limits of all responses that this host holds. */
+  limits: BodyLimits;
 }
 
 const FRAMING_HEADERS = ["content-length", "transfer-encoding"];
-/** Largest response that is buffered in memory: 16 MiB. */
-const MAX_BUFFERED_RESPONSE_BYTES = 16_777_216;
+
+const CUT_REASONS = {
+  [BytesReadKind.TooLarge]: ResponseCutReason.TooLarge,
+  [BytesReadKind.Dropped]: ResponseCutReason.Dropped,
+  [BytesReadKind.BrokenOff]: undefined,
+};
 
 /**
  * Relays a response that is not a stream once it is complete. With `withhold`
@@ -69,13 +80,25 @@
 export async function relayBuffered(
   callerResponse: ServerResponse,
   endpointResponse: EndpointResponse,
-  options: ResponseRelayOptions & { withhold: boolean },
+  options: ResponseRelayOptions & {
+    withhold: boolean;
+    /** Breaks off a response that the caller has not read yet. */
+    cut: (reason: ResponseCutReason) => void;
+  },
 ): Promise<RelayResult> {
-  const body = await readFullBody(
-    endpointResponse,
-    MAX_BUFFERED_RESPONSE_BYTES,
-  );
-  if (body === undefined) return { complete: false, delivered: false };
+  const { limits, cut } = options;
+  const read = await readFullBody(endpointResponse, { limits });
+  if (read.kind !== BytesReadKind.Complete) {
+    return {
+      complete: false,
+      delivered: false,
+      cut_reason: CUT_REASONS[read.kind],
+    };
+  }
+  const { bytes: body, held } = read;
+  held?.keep(() => cut(ResponseCutReason.Dropped));
+  if (callerResponse.closed) held?.release();
+  else callerResponse.once("close", () => held?.release());
   const { status, status_text } = endpointResponse;
   const bufferedResponse = {
     status,
@@ -137,9 +160,10 @@
     const splitter = new EventSplitter(options.continues_after);
     let first_byte_ms: number | undefined;
     let finished = false;
-    const finish = (complete: boolean, cut_reason?: StreamCutReason) => {
+    const finish = (complete: boolean, cut_reason?: ResponseCutReason) => {
       if (finished) return;
       finished = true;
+      held.release();
       const progress = {
         first_byte_ms,
         last_event_id: options.resumable ? splitter.lastEventId : undefined,
@@ -156,6 +180,9 @@
       callerResponse.end(unsent);
       resolve({ complete, delivered: true, ...progress });
     };
+    const held = options.limits.memory.hold(() =>
+      finish(false, ResponseCutReason.Dropped)
+    );
     const relayChunk = (chunk: Buffer) => {
       if (finished) return;
       if (first_byte_ms === undefined) {
@@ -165,10 +192,14 @@
       const isFirst = splitter.eventCount === 0;
       const completeEvents = splitter.push(chunk);
       if (isFirst && splitter.eventCount > 0) options.onFirstEvent();
-      if (splitter.outOfOrder) return finish(false, StreamCutReason.OutOfOrder);
+      if (splitter.outOfOrder) {
+        return finish(false, ResponseCutReason.OutOfOrder);
+      }
       if (splitter.overflowed) {
-        return finish(false, StreamCutReason.EventTooLarge);
+        return finish(false, ResponseCutReason.EventTooLarge);
       }
+      held.resize(splitter.incompleteEvent.length);
+      if (finished) return;
       const bytes = options.resumable ? completeEvents : chunk;
       if (bytes.length === 0 || callerResponse.destroyed) return;
       writeHeadOnce(callerResponse, endpointResponse, options);
--- a/src/forwarding/send_result.ts
+++ b/src/forwarding/send_result.ts
@@ -9,7 +9,7 @@
 import type { RouteEndpoint } from "../routes/types.ts";
 import { ObservedOutcome } from "../routing/observed_load.ts";
 import type { ResponseMetadata } from "./protocol_codec.ts";
-import type { RelayResult } from "./relay.ts";
+import { type RelayResult, ResponseCutReason } from "./relay.ts";
 import { ResponseOrigin } from "./response_origin.ts";
 import { ResponseUse } from "./response_use.ts";
 import type { RunContext } from "./run_context.ts";
@@ -55,6 +55,7 @@
   ABORTED_CODE,
   ResponseOrigin.Foreign,
   ResponseOrigin.Unidentified,
+  ...Object.values(ResponseCutReason),
 ]);
 /** Reasons of requests that were not sent since their endpoint takes none now. */
 const FULL_REASONS: ReadonlySet<string> = new Set([
--- a/src/gateway/batching_components.ts
+++ b/src/gateway/batching_components.ts
@@ -31,6 +31,7 @@
       pool,
       endpointAt: (address) => endpoints.findByAddress(address),
       reports: context.reports,
+      responseLimits: context.responseLimits,
       log,
       now,
     }),
--- a/src/gateway/forwarding_components.ts
+++ b/src/gateway/forwarding_components.ts
@@ -33,6 +33,8 @@
       now: context.now,
     },
     metrics: context.metrics,
+    requestLimits: context.requestLimits,
+    responseLimits: context.responseLimits,
     drain: context.drain,
     serviceTimes: new ServiceTimes(),
     acceptsRequests: () => lifecycle.state !== HostLifecycleState.Draining,
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -1,4 +1,10 @@
 /** The components of a gateway host that most others need. */
+import {
+  BODY_MEMORY_SHARE,
+  BodyKind,
+  BodyMemory,
+} from "../bodies/body_memory.ts";
+import type { BodyLimits } from "../bodies/read_bytes.ts";
 import { ActiveConfiguration } from "../store_sync/active_configuration.ts";
 import { EndpointRegistry } from "../store_sync/endpoint_registry.ts";
 import { FeedProgress } from "../store_sync/feed_progress.ts";
@@ -118,6 +124,16 @@
     now,
   });
   const load = new ObservedLoad();
+  const createLimits = (kind: BodyKind): BodyLimits => ({
+    memory: new BodyMemory({
+      kind,
+      max_bytes: host.memory_bytes * BODY_MEMORY_SHARE,
+      onDrop: () => metrics.bodiesDropped.inc({ kind }),
+      log,
+    }),
+  });
+  const requestLimits = createLimits(BodyKind.Request);
+  const responseLimits = createLimits(BodyKind.Response);
   const agents = new EndpointAgents(() => members.count);
   const reports = new EndpointReports({
     self,
@@ -182,6 +198,10 @@
     random,
     signal,
   };
+  metrics.exportHeldBodies({
+    [BodyKind.Request]: requestLimits.memory,
+    [BodyKind.Response]: responseLimits.memory,
+  });
   metrics.exportFeedPositions(() => syncOptions.progress);
   return {
     settings: { ...settings },
@@ -203,6 +223,8 @@
     quarantine,
     rateLimits,
     load,
+    requestLimits,
+    responseLimits,
     reports,
     syncOptions,
     configurationListeners,
--- a/src/http_api/read_request.ts
+++ b/src/http_api/read_request.ts
@@ -10,6 +10,7 @@
 } from "../claims/idempotency_key.ts";
 import type { RecordSet } from "../records/record_set.ts";
 import type { Organisation, Pipeline, Rank } from "../records/types.ts";
+import { BytesReadKind, readBytes } from "../bodies/read_bytes.ts";
 import { sha256Hex } from "../utils/sha256.ts";
 import { RequestError, RequestFault } from "./problem.ts";
 
@@ -212,29 +213,18 @@
   );
 }
 
-function readText(
+async function readText(
   request: IncomingMessage,
   max_bytes: number,
 ): Promise<string> {
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    request.on("data", (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes <= max_bytes) return void chunks.push(chunk);
-      request.pause();
-      reject(
-        new RequestError(
-          RequestFault.BodyTooLarge,
-          `Send at most ${max_bytes} bytes`,
-        ),
-      );
-    });
-    request.on("end", () => resolve(Buffer.concat(chunks).toString("utf8")));
-    request.on("error", reject);
-    request.on("close", () => {
-      if (request.complete) return;
-      reject(new RequestError(RequestFault.BadBody, "The body was cut"));
-    });
-  });
+  const read = await readBytes(request, { max_bytes });
+  if (read.kind === BytesReadKind.Complete) return read.bytes.toString("utf8");
+  if (read.kind === BytesReadKind.TooLarge) {
+    request.pause();
+    throw new RequestError(
+      RequestFault.BodyTooLarge,
+      `Send at most ${max_bytes} bytes`,
+    );
+  }
+  throw new RequestError(RequestFault.BadBody, "The body was cut");
 }
--- a/src/metrics/forward_metrics.ts
+++ b/src/metrics/forward_metrics.ts
@@ -86,6 +86,12 @@
     help: "Times that an endpoint refused this host's requests for a while",
     registers: [this.registry],
   });
+  readonly bodiesDropped = new Counter({
+    name: "sesamequay_bodies_dropped_total",
+    help: "Bodies that were dropped since bodies exceeded their memory",
+    labelNames: ["kind"],
+    registers: [this.registry],
+  });
   readonly configurationVersion = new Gauge({
     name: "sesamequay_configuration_version",
     help: "Version of the configuration in force",
@@ -121,6 +127,21 @@
     });
   }
 
+  /** Exports the memory that the bodies of each kind take. */
+  exportHeldBodies(memories: Record<string, { held_bytes: number }>): void {
+    new Gauge({
+      name: "sesamequay_held_body_bytes",
+      help: "Memory that bodies take",
+      labelNames: ["kind"],
+      registers: [this.registry],
+      collect() {
+        for (const [kind, { held_bytes }] of Object.entries(memories)) {
+          this.set({ kind }, held_bytes);
+        }
+      },
+    });
+  }
+
   /** `quarantinedEntries` is called when the metrics are read. */
   constructor(quarantinedEntries: () => number) {
     new Gauge({
--- a/src/peers/job_messages.ts
+++ b/src/peers/job_messages.ts
@@ -3,6 +3,7 @@
  * request needs several of these messages; all rarer calls use tRPC.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { BytesReadKind, readBytes } from "../bodies/read_bytes.ts";
 import { z } from "zod";
 import type { FreedResults, JobOutcome, StageJob } from "../batching/types.ts";
 import type { Logger } from "../logging/logger.ts";
@@ -111,19 +112,11 @@
 }
 
 /** Reads a JSON body; undefined if it is too large, malformed or broken off. */
-function readJson(request: IncomingMessage): Promise<unknown> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    request.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > MAX_MESSAGE_BYTES) resolve(undefined);
-      else chunks.push(chunk);
-    });
-    request.on("error", () => resolve(undefined));
-    request.on("close", () => resolve(undefined));
-    request.on("end", () => resolve(parseJson(Buffer.concat(chunks))));
-  });
+async function readJson(request: IncomingMessage): Promise<unknown> {
+  const read = await readBytes(request, { max_bytes: MAX_MESSAGE_BYTES });
+  return read.kind === BytesReadKind.Complete
+    ? parseJson(read.bytes)
+    : undefined;
 }
 
 function parseJson(bytes: Buffer): unknown {
--- a/src/settings/gateway_settings.ts
+++ b/src/settings/gateway_settings.ts
@@ -16,6 +16,7 @@
     availability_zone: z.string().min(1),
     cores: z.number().positive().optional(),
     core_share: z.number().positive().max(1).optional(),
+    memory_mb: z.number().positive().optional(),
   }),
   listen: z.strictObject({
     callers: addressSchema,
@@ -53,6 +54,8 @@
     availability_zone: string;
     /** Number of CPU cores that it may use; may be a fraction. */
     cores: number;
+    /** Memory that its process may use. */
+    memory_bytes: number;
   };
   listen: {
     callers: Address;
@@ -80,6 +83,7 @@
 }
 
 const MS_PER_S = 1_000;
+const BYTES_PER_MB = 1_000_000;
 
 /** Reads and checks settings in `file`; a read error is a finding. */
 export function loadGatewaySettings(
@@ -113,6 +117,7 @@
   const { callers, readiness, peers, metrics } = user.listen;
   const {
     cores,
+    memory_mb,
     watch_ms,
     readers,
     repeats,
@@ -126,6 +131,7 @@
       name: user.host.name,
       availability_zone: user.host.availability_zone,
       cores: (user.host.cores ?? cores) * (user.host.core_share ?? 1),
+      memory_bytes: (user.host.memory_mb ?? memory_mb) * BYTES_PER_MB,
     },
     listen: {
       callers: parseAddress(callers),
--- a/src/utils/http_client.ts
+++ b/src/utils/http_client.ts
@@ -9,6 +9,7 @@
   type IncomingHttpHeaders,
   request,
 } from "node:http";
+import { BytesReadKind, readBytes } from "../bodies/read_bytes.ts";
 import type { Address } from "../settings/settings.ts";
 
 /** A request to be sent. */
@@ -80,21 +81,28 @@
       });
       outgoing.on("error", fail);
       // Neither an error nor a response follows a switch of protocols.
-      outgoing.on("close", () => fail(new Error("The connection was closed")));
+      const onClose = () => fail(new Error("The connection was closed"));
+      outgoing.on("close", onClose);
       outgoing.on("response", (incoming) => {
-        let body = "";
-        incoming.setEncoding("utf8");
-        incoming.on("data", (chunk: string) => {
-          body += chunk;
-          if (body.length <= MAX_RESPONSE_BYTES) return;
-          outgoing.destroy(new Error("The answer is too long"));
-        });
-        incoming.on("error", fail);
-        incoming.on("aborted", () => fail(new Error("The answer was cut")));
-        incoming.on("end", () => {
+        outgoing.off("close", onClose);
+        const reading = readBytes(incoming, { max_bytes: MAX_RESPONSE_BYTES });
+        void reading.then((read) => {
+          if (read.kind !== BytesReadKind.Complete) {
+            const error = new Error(
+              read.kind === BytesReadKind.TooLarge
+                ? "The answer is too long"
+                : "The answer was cut",
+            );
+            outgoing.destroy(error);
+            return fail(error);
+          }
           clearTimeout(timer);
           const { statusCode = 0, headers } = incoming;
-          resolve({ status: statusCode, headers, body });
+          resolve({
+            status: statusCode,
+            headers,
+            body: read.bytes.toString("utf8"),
+          });
         });
       });
       outgoing.end(options.body);
--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -32,6 +32,8 @@
   drain_timeout_s?: number;
   /** Number of gateway hosts that read the object store themselves. */
   readers?: number;
+  /** Memory of a gateway host. */
+  memory_mb?: number;
 }
 
 /** Services of the deployment. */
@@ -174,6 +176,7 @@
         host: {
           name: `gateway-${number}`,
           availability_zone: ZONES[(number - 1) % ZONES.length] ?? "",
+          memory_mb: this.#options.memory_mb,
         },
         listen: { callers, readiness, peers, metrics },
         seeds,
--- a/stand_ins/deployment/piece_calls.ts
+++ b/stand_ins/deployment/piece_calls.ts
@@ -4,6 +4,7 @@
 import { createPieceClient } from "../../src/batching/piece_client.ts";
 import type { EndpointAgents } from "../../src/endpoints/endpoint_agents.ts";
 import { createLogger } from "../../src/logging/logger.ts";
+import { createBodyLimits } from "./body_limits.ts";
 import {
   type RouteEndpoint,
   RouteEndpointState,
@@ -13,13 +14,15 @@
 export function createSingleConnectionClient(
   agents: EndpointAgents,
 ): PieceClient {
+  const log = createLogger({ level: "error", host: "h", writeLine: () => {} });
   return createPieceClient({
     codec: deploymentCodec,
     agents,
     pool: () => undefined,
     endpointAt: () => undefined,
     reports: { record: () => {}, pauseMs: () => 0 },
-    log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
+    responseLimits: createBodyLimits({ max_bytes: 10_000_000, log }),
+    log,
     now: () => performance.now(),
   });
 }
--- a/test/endpoint_reports/queued_requests.test.ts
+++ b/test/endpoint_reports/queued_requests.test.ts
@@ -1,5 +1,6 @@
 /** Requests that wait for a connection to an endpoint that takes none any more. */
 import assert from "node:assert/strict";
+import { BytesReadKind } from "../../src/bodies/read_bytes.ts";
 import { once } from "node:events";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -52,11 +53,12 @@
   held[0]?.();
   const result = await running;
   assert.ok(result.kind === ExchangeOutcome.ResponseReceived);
-  const body = await readFullBody(result.response, 100);
-  assert.equal(body?.toString(), "whole");
+  const read = await readFullBody(result.response, { max_bytes: 100 });
+  assert.ok(read.kind === BytesReadKind.Complete);
+  assert.equal(read.bytes.toString(), "whole");
   const later = await send("/later");
   assert.ok(later.kind === ExchangeOutcome.ResponseReceived);
-  await readFullBody(later.response, 100);
+  await readFullBody(later.response, { max_bytes: 100 });
   assert.deepEqual(targets, ["/running", "/later"]);
   agents.close();
   server.close();
--- a/test/endpoints/aborted_in_queue.test.ts
+++ b/test/endpoints/aborted_in_queue.test.ts
@@ -54,7 +54,7 @@
   for (const answer of [() => running, () => send("/later", never)]) {
     const result = await answer();
     assert.ok(result.kind === ExchangeOutcome.ResponseReceived);
-    await readFullBody(result.response, 100);
+    await readFullBody(result.response, { max_bytes: 100 });
   }
   agents.close();
   server.close();
--- a/test/forwarding/endless_bytes.test.ts
+++ b/test/forwarding/endless_bytes.test.ts
@@ -4,11 +4,10 @@
  * and not take the bytes for an answer.
  */
 import assert from "node:assert/strict";
-import { once } from "node:events";
-import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { parseAddress } from "../../src/settings/settings.ts";
 import { HttpClient } from "../../src/utils/http_client.ts";
+import { EndlessServer } from "../../stand_ins/deployment/endless_server.ts";
 import {
   ApiKey,
   GatewayFleet,
@@ -34,48 +33,14 @@
   "event": HEAD + "content-type: text/event-stream\r\n\r\nid: 1\ndata: ",
 };
 
-interface EndlessServer {
-  address: string;
-  /** Number of connections that are still open. */
-  open: () => number;
-  /** Most bytes that one connection took. */
-  mostBytes: () => number;
-}
-
-/** A server that answers every request with a beginning and endless bytes. */
 async function startServer(
   t: TestContext,
   beginning: string,
 ): Promise<EndlessServer> {
-  const sockets = new Set<Socket>();
-  let mostBytes = 0;
-  const server = createServer((socket) => {
-    sockets.add(socket);
-    const write = () => {
-      while (!socket.destroyed && socket.write(CHUNK));
-    };
-    socket.once("data", () => {
-      socket.write(beginning);
-      write();
-    });
-    socket.on("drain", write);
-    socket.on("error", () => {});
-    socket.once("close", () => {
-      sockets.delete(socket);
-      mostBytes = Math.max(mostBytes, socket.bytesWritten);
-    });
-  });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  t.after(() => {
-    server.close();
-    for (const socket of sockets) socket.destroy();
-  });
-  return {
-    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-    open: () => sockets.size,
-    mostBytes: () => mostBytes,
-  };
+  const server = new EndlessServer({ beginning, part: CHUNK });
+  t.after(() => server.stop());
+  await server.start();
+  return server;
 }
 
 async function startFleet(
@@ -116,8 +81,8 @@
         },
       }).then((response) => response.status, () => "cut");
       assert.notEqual(status, 200);
-      await waitUntil(() => server.open() === 0);
-      assert.ok(server.mostBytes() < MAX_BYTES_READ, `${server.mostBytes()}`);
+      await waitUntil(() => server.open === 0);
+      assert.ok(server.mostBytes < MAX_BYTES_READ, `${server.mostBytes}`);
     });
   }
 }
@@ -130,6 +95,6 @@
     client.send({ method: "GET", path: "/", timeout_ms: 20_000 }),
     /too long/,
   );
-  await waitUntil(() => server.open() === 0);
-  assert.ok(server.mostBytes() < MAX_BYTES_READ);
+  await waitUntil(() => server.open === 0);
+  assert.ok(server.mostBytes < MAX_BYTES_READ);
 });
