--- a/src/bodies/read_bytes.ts
+++ b/src/bodies/read_bytes.ts
@@ -2,10 +2,12 @@
 import type { IncomingMessage } from "node:http";
 import type { BodyMemory, HeldBody } from "./body_memory.ts";
 import { ByteBuffer } from "./byte_buffer.ts";
+import { ChunkPacer, PacedBody } from "./chunk_pacer.ts";
 
 /** What bodies of one host and kind share. */
 export interface BodyLimits {
   memory: BodyMemory;
+  pacer: ChunkPacer;
 }
 
 /** The kinds of {@linkcode BytesRead}. */
@@ -72,7 +74,8 @@
       buffer.append(bytes);
       held?.resize(buffer.capacity);
     };
-    body.on("data", add);
+    const pacer = limits?.pacer ?? new ChunkPacer();
+    new PacedBody(body, pacer, add);
     body.on(
       "end",
       () => settle({ kind: BytesReadKind.Complete, bytes: buffer.bytes, held }),
--- a/src/endpoints/completions.ts
+++ b/src/endpoints/completions.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage } from "node:http";
 import { createParser } from "eventsource-parser";
+import { RecordSplitter } from "../bodies/record_splitter.ts";
 import { AttemptError, AttemptOutcome, type StageResponse } from "./attempt.ts";
 import { LengthLimit } from "./message_body.ts";
 
@@ -48,12 +49,13 @@
   const texts: string[] = [];
   const lengthLimit = new LengthLimit();
   let cost = 0;
-  response.setEncoding("utf8");
+  // The parser would search an incomplete line again for each chunk.
+  const lines = new RecordSplitter(["\n", "\r"]);
   // The connection is reused, so leaving the loop must not destroy it.
   const chunks = response.iterator({ destroyOnReturn: false });
   for await (const chunk of chunks) {
-    lengthLimit.add(Buffer.byteLength(chunk as string));
-    parser.feed(chunk as string);
+    lengthLimit.add((chunk as Buffer).length);
+    parser.feed(lines.push(chunk as Buffer).toString("utf8"));
     for (const data of pendingData.splice(0)) {
       if (data === TERMINAL_EVENT_DATA) return { output: texts.join(""), cost };
       const event = parseEvent(data);
--- a/src/forwarding/event_splitter.ts
+++ b/src/forwarding/event_splitter.ts
@@ -2,11 +2,10 @@
  * Splits a stream of server-sent events at event boundaries, so that a stream
  * that breaks inside an event can be resumed after the last complete event.
  */
+import { RecordSplitter } from "../bodies/record_splitter.ts";
 
 /** Empty lines, which end an event, by the kind of line end. */
-const EVENT_BOUNDARIES = ["\n\n", "\r\n\r\n", "\r\r"].map((text) =>
-  Buffer.from(text)
-);
+const EVENT_BOUNDARIES = ["\n\n", "\r\n\r\n", "\r\r"];
 const EVENT_BOUNDARY_PATTERN = /\n\n|\r\n\r\n|\r\r/;
 const EVENT_ID_LINE = /^id:[ ]?(.*)$/m;
 /** A line that is not a comment. */
@@ -26,7 +25,7 @@
 
 /** Buffers bytes and returns complete events. */
 export class EventSplitter {
-  #incompleteEvent: Buffer = Buffer.alloc(0);
+  #splitter = new RecordSplitter(EVENT_BOUNDARIES);
   #continuesAfter: string | undefined;
   /** Id of the last complete event that has one; undefined before the first. */
   lastEventId: string | undefined;
@@ -51,16 +50,8 @@
    * are out of order.
    */
   push(chunk: Buffer): Buffer {
-    const bytes = this.#incompleteEvent.length === 0
-      ? chunk
-      : Buffer.concat([this.#incompleteEvent, chunk]);
-    const end = endOfLastEvent(bytes);
-    if (end === 0) {
-      this.#incompleteEvent = bytes;
-      return Buffer.alloc(0);
-    }
-    this.#incompleteEvent = bytes.subarray(end);
-    const completeEvents = bytes.subarray(0, end);
+    const completeEvents = this.#splitter.push(chunk);
+    if (completeEvents.length === 0) return completeEvents;
     const events = parseEvents(completeEvents);
     if (!this.#areInOrder(events)) {
       this.outOfOrder = true;
@@ -72,17 +63,22 @@
 
   /** Bytes of the event that is not complete yet. */
   get incompleteEvent(): Buffer {
-    return this.#incompleteEvent;
+    return this.#splitter.incomplete;
+  }
+
+  /** Bytes of memory that the incomplete event takes. */
+  get heldBytes(): number {
+    return this.#splitter.capacity;
   }
 
   /** Whether the bytes so far end within an event. */
   get endsInsideEvent(): boolean {
-    return this.#incompleteEvent.some((byte) => !LINE_ENDS.has(byte));
+    return this.incompleteEvent.some((byte) => !LINE_ENDS.has(byte));
   }
 
   /** Whether the incomplete event is too large; the stream must then end. */
   get overflowed(): boolean {
-    return this.#incompleteEvent.length > MAX_EVENT_BYTES;
+    return this.incompleteEvent.length > MAX_EVENT_BYTES;
   }
 
   #areInOrder(events: ParsedEvent[]): boolean {
@@ -120,12 +116,3 @@
   );
   return isOrdered ? BigInt(id) > BigInt(previous) : id !== previous;
 }
-
-/** Length of the bytes up to the end of the last event; 0 without one. */
-function endOfLastEvent(bytes: Buffer): number {
-  const ends = EVENT_BOUNDARIES.map((boundary) => {
-    const start = bytes.lastIndexOf(boundary);
-    return start < 0 ? 0 : start + boundary.length;
-  });
-  return Math.max(...ends);
-}
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -8,6 +8,7 @@
   type RawHeaders,
   readFullBody,
 } from "../endpoints/exchange.ts";
+import { PacedBody } from "../bodies/chunk_pacer.ts";
 import { type BodyLimits, BytesReadKind } from "../bodies/read_bytes.ts";
 import { EventSplitter } from "./event_splitter.ts";
 
@@ -189,8 +190,10 @@
         first_byte_ms = performance.now();
         options.onFirstBytes();
       }
-      const isFirst = splitter.eventCount === 0;
+      const eventsBefore = splitter.eventCount;
       const completeEvents = splitter.push(chunk);
+      paced.charge(splitter.eventCount - eventsBefore);
+      const isFirst = eventsBefore === 0;
       if (isFirst && splitter.eventCount > 0) options.onFirstEvent();
       if (splitter.outOfOrder) {
         return finish(false, ResponseCutReason.OutOfOrder);
@@ -198,7 +201,7 @@
       if (splitter.overflowed) {
         return finish(false, ResponseCutReason.EventTooLarge);
       }
-      held.resize(splitter.incompleteEvent.length);
+      held.resize(splitter.heldBytes);
       if (finished) return;
       const bytes = options.resumable ? completeEvents : chunk;
       if (bytes.length === 0 || callerResponse.destroyed) return;
@@ -207,9 +210,10 @@
       endpointResponse.body.pause();
       callerResponse.once("drain", () => endpointResponse.body.resume());
     };
-    endpointResponse.body.on(
-      "data",
-      (chunk: Buffer) => rejectIfThrown(() => relayChunk(chunk)),
+    const paced = new PacedBody(
+      endpointResponse.body,
+      options.limits.pacer,
+      (bytes) => rejectIfThrown(() => relayChunk(bytes)),
     );
     endpointResponse.body.on(
       "end",
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -4,6 +4,7 @@
   BodyKind,
   BodyMemory,
 } from "../bodies/body_memory.ts";
+import { ChunkPacer } from "../bodies/chunk_pacer.ts";
 import type { BodyLimits } from "../bodies/read_bytes.ts";
 import { ActiveConfiguration } from "../store_sync/active_configuration.ts";
 import { EndpointRegistry } from "../store_sync/endpoint_registry.ts";
@@ -131,6 +132,7 @@
       onDrop: () => metrics.bodiesDropped.inc({ kind }),
       log,
     }),
+    pacer: new ChunkPacer(),
   });
   const requestLimits = createLimits(BodyKind.Request);
   const responseLimits = createLimits(BodyKind.Response);
--- a/src/peers/feed_stream_client.ts
+++ b/src/peers/feed_stream_client.ts
@@ -3,6 +3,8 @@
  * host, kept open until it is no longer used.
  */
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import { ChunkPacer, PacedBody } from "../bodies/chunk_pacer.ts";
+import { RecordSplitter } from "../bodies/record_splitter.ts";
 import { WatchCache } from "../store_sync/watch_cache.ts";
 import { decodePosition, isSameEpoch } from "../store_sync/feed_position.ts";
 import { type FeedResult, FeedResultKind } from "../store_sync/object_feed.ts";
@@ -28,7 +30,7 @@
 const FIRST_RESULT_TIMEOUT_MS = 800;
 
 /** Longest line of a stream: 16 MiB. */
-const MAX_LINE_LENGTH = 16_777_216;
+const MAX_LINE_BYTES = 16_777_216;
 
 const HTTP_OK = 200;
 
@@ -103,7 +105,7 @@
   last_used_ms = 0;
   closed = false;
   #address: string;
-  #partialLine = "";
+  #splitter = new RecordSplitter(["\n"]);
   #silenceTimer: NodeJS.Timeout;
   #request: ClientRequest;
   #options: { log: Logger; now: () => number };
@@ -148,15 +150,14 @@
     if (response.statusCode !== HTTP_OK) {
       return this.close(`status ${response.statusCode}`);
     }
-    response.setEncoding("utf8");
-    response.on("data", (text: string) => {
+    new PacedBody(response, new ChunkPacer(), (bytes) => {
       this.#silenceTimer.refresh();
-      const lines = (this.#partialLine + text).split("\n");
-      this.#partialLine = lines.pop() ?? "";
-      if (this.#partialLine.length > MAX_LINE_LENGTH) {
+      const lines = this.#splitter.push(bytes).toString("utf8").split("\n");
+      if (this.#splitter.incomplete.length > MAX_LINE_BYTES) {
         return this.close("line too long");
       }
-      for (const line of lines) this.#handleLine(line);
+      // What follows the last line end is empty.
+      for (const line of lines.slice(0, -1)) this.#handleLine(line);
     });
   }
 
--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -40,6 +40,8 @@
    * connection is in use again.
    */
   RepeatedRefusal = "repeated_refusal",
+  /** Writes small chunks of a body without end, until its caller closes. */
+  EndlessBody = "endless_body",
 }
 
 /** A refusal that was given before, as it is written once more. */
@@ -92,6 +94,9 @@
 
 const DEFAULT_RESTART_MS = 300;
 const STREAM_TYPE = "text/event-stream";
+const ENDLESS_CHUNKS = Buffer.from("5\r\nxxxxx\r\n".repeat(1_000));
+/** Pause between two writes of endless chunks. */
+const ENDLESS_INTERVAL_MS = 10;
 
 /** An engine stand-in that listens in this process. */
 export class Engine {
@@ -318,6 +323,9 @@
       await sleep(20);
       return void socket.resetAndDestroy();
     }
+    if (fault === EngineFault.EndlessBody) {
+      return await writeWithoutEnd(request.socket, headers);
+    }
     const { events = 0, crash_part } = this.#options;
     if (
       crash_part !== undefined &&
@@ -425,3 +433,19 @@
     response.end(JSON.stringify({ items }));
   }
 }
+
+async function writeWithoutEnd(
+  socket: Socket,
+  headers: Record<string, string>,
+): Promise<void> {
+  const lines = Object.entries({
+    ...headers,
+    "content-type": STREAM_TYPE,
+    "transfer-encoding": "chunked",
+  }).map(([name, value]) => `${name}: ${value}\r\n`);
+  socket.write(`HTTP/1.1 200 OK\r\n${lines.join("")}\r\n`);
+  while (!socket.destroyed) {
+    if (!socket.writableNeedDrain) socket.write(ENDLESS_CHUNKS);
+    await sleep(ENDLESS_INTERVAL_MS);
+  }
+}
--- a/test/forwarding/request_ends_soak.test.ts
+++ b/test/forwarding/request_ends_soak.test.ts
@@ -213,6 +213,18 @@
   }
 }
 
+/** Bytes of bodies that hosts hold, from their metrics. */
+async function heldBodyBytes(): Promise<number> {
+  let sum = 0;
+  for (const { metrics, logLines } of fleet.gateways) {
+    if (logLines.some((line) => line.includes("event=drained"))) continue;
+    const text = await (await fetch(`http://${metrics}/metrics`)).text();
+    const values = text.matchAll(/^sesamequay_held_body_bytes\{.*\} (\d+)/gm);
+    for (const [, value] of values) sum += Number(value);
+  }
+  return sum;
+}
+
 function logLines(): string[] {
   return fleet.gateways.flatMap(({ logLines }) => logLines);
 }
@@ -256,10 +268,12 @@
     const faults = lines.filter((line) =>
       /event=fault|end=no_outcome/.test(line)
     );
-    assert.deepEqual({ faults, unaccounted, late: soak.late }, {
+    const heldBytes = await heldBodyBytes();
+    assert.deepEqual({ faults, unaccounted, late: soak.late, heldBytes }, {
       faults: [],
       unaccounted: [],
       late: [],
+      heldBytes: 0,
     });
   });
 }
