--- a/src/defaults.ts
+++ b/src/defaults.ts
@@ -53,6 +53,7 @@
   cores: 1,
   memory_mb: 350,
   watch_ms: 8_000,
+  silence_ms: 3_000,
   readers: 8,
   repeats: { ratio: 0.1, slack: 10, window_s: 10 },
   drain_timeout_s: 30,
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -31,6 +31,7 @@
 import { QuarantineService } from "../quarantine/quarantine_service.ts";
 import { ForwardMetrics } from "../metrics/forward_metrics.ts";
 import { GatewayClients } from "../peers/gateway_clients.ts";
+import { FeedName } from "../peers/feed_stream.ts";
 import { FeedStreamClients } from "../peers/feed_stream_client.ts";
 import { createRelayedFeeds } from "../peers/create_relayed_feeds.ts";
 import { RateLimitService } from "../rate_limits/rate_limit_service.ts";
@@ -170,6 +171,12 @@
       feedClients,
       readers,
       self,
+      silence_ms: settings.object_store.silence_ms,
+      onSilence(silent) {
+        for (const feed of Object.values(FeedName)) {
+          if (feed !== silent) syncOptions.progress[feed].doubtConnection();
+        }
+      },
       log,
     }),
     watchCaches: {
--- a/src/peers/create_relayed_feeds.ts
+++ b/src/peers/create_relayed_feeds.ts
@@ -13,32 +13,47 @@
   readers: StoreReaders;
   /** This host's address for peers. */
   self: string;
+  /** Time in which the silence of a connection to the store must be made good. */
+  silence_ms: number;
+  /** Called when a watch of a feed found its connection to the store silent. */
+  onSilence: (name: FeedName) => void;
   log: Logger;
 }
 
 /**
- * Longest watches at the store of a host that may have followers. Changes of
- * configuration and endpoints must reach them within two seconds even if the
- * watches of all readers fall silent; members only steer load, and hosts tell each other
- * of quarantined parts.
+ * Time from the end of a watch to the list that follows its silence: the time-out
+ * of the watch's answer, that of the list, and a pause between the two.
  */
-const MAX_STORE_WATCH_MS: Record<FeedName, number> = {
-  [FeedName.Configuration]: 1_500,
-  [FeedName.Endpoints]: 1_500,
-  [FeedName.Gateways]: 20_000,
-  [FeedName.Quarantined]: 20_000,
-};
+const RECOVERY_FROM_SILENCE_MS = 1_500;
+const MIN_STORE_WATCH_MS = 200;
+
+/**
+ * Longest watch of a feed whose changes must be known `silence_ms` after its
+ * connection fell silent.
+ */
+export function maxWatchMs(silence_ms: number): number {
+  return Math.max(MIN_STORE_WATCH_MS, silence_ms - RECOVERY_FROM_SILENCE_MS);
+}
 
 /** Wraps each feed of the store in a relayed feed. */
 export function createRelayedFeeds(
   store: StoreFeeds,
-  { feedClients, ...options }: CreateRelayedFeedsOptions,
+  { feedClients, silence_ms, onSilence, ...options }: CreateRelayedFeedsOptions,
 ): StoreFeeds {
+  const watch_ms = maxWatchMs(silence_ms);
+  // Members only steer load, and hosts tell each other of quarantined parts.
+  const maxStoreWatchMs: Record<FeedName, number> = {
+    [FeedName.Configuration]: watch_ms,
+    [FeedName.Endpoints]: watch_ms,
+    [FeedName.Gateways]: Infinity,
+    [FeedName.Quarantined]: Infinity,
+  };
   const relay = <T>(name: FeedName, feed: ObjectFeed<T>) =>
     createRelayedFeed({
       ...options,
       name,
-      max_store_watch_ms: MAX_STORE_WATCH_MS[name],
+      max_store_watch_ms: maxStoreWatchMs[name],
+      onSilence: () => onSilence(name),
       store: feed,
       peers: feedClients.feed<T>(name),
     });
--- a/src/settings/gateway_settings.ts
+++ b/src/settings/gateway_settings.ts
@@ -28,6 +28,7 @@
   object_store: z.strictObject({
     address: addressSchema,
     watch_ms: z.int().positive().optional(),
+    silence_ms: z.int().positive().optional(),
     readers: z.int().positive().optional(),
   }),
   repeats: z.strictObject({
@@ -69,6 +70,8 @@
     address: Address;
     /** Longest duration of one watch. */
     watch_ms: number;
+    /** Time in which the silence of a connection must be made good. */
+    silence_ms: number;
     /** Number of hosts that read the store; the others read from these. */
     readers: number;
   };
@@ -119,6 +122,7 @@
     cores,
     memory_mb,
     watch_ms,
+    silence_ms,
     readers,
     repeats,
     drain_timeout_s,
@@ -143,6 +147,7 @@
     object_store: {
       address: parseAddress(user.object_store.address),
       watch_ms: user.object_store.watch_ms ?? watch_ms,
+      silence_ms: user.object_store.silence_ms ?? silence_ms,
       readers: user.object_store.readers ?? readers,
     },
     repeats: {
--- a/src/store_sync/feed_progress.ts
+++ b/src/store_sync/feed_progress.ts
@@ -6,8 +6,13 @@
   START_POSITION,
 } from "./feed_position.ts";
 
-/** Abort reason of a watch that a peer has overtaken. */
-const STALE_WATCH = "overtaken";
+/** Why a watch was aborted. The values are log events. */
+export enum WatchAbortReason {
+  /** A peer has read further. */
+  Overtaken = "watch_overtaken",
+  /** Another connection to the store, as old as its own, fell silent. */
+  ConnectionInDoubt = "watch_in_doubt",
+}
 
 /**
  * Tracks how far a feed has been read. Hosts compare these positions to detect a
@@ -30,10 +35,15 @@
     if (comparePositions(peer, this.position) <= 0) return false;
     if (this.#isRefuted(peer)) return false;
     this.#overtakenBy = peer;
-    this.#watchAbort.abort(STALE_WATCH);
+    this.#watchAbort.abort(WatchAbortReason.Overtaken);
     return true;
   }
 
+  /** Aborts the current watch since its connection may have fallen silent. */
+  doubtConnection(): void {
+    this.#watchAbort.abort(WatchAbortReason.ConnectionInDoubt);
+  }
+
   /** Creates the abort signal of a list and of the watches that follow it. */
   listSignal(signal: AbortSignal): AbortSignal {
     this.#watchAbort = new AbortController();
--- a/src/store_sync/feed_reader.ts
+++ b/src/store_sync/feed_reader.ts
@@ -10,7 +10,7 @@
   isContinuation,
   START_POSITION,
 } from "./feed_position.ts";
-import type { FeedProgress } from "./feed_progress.ts";
+import type { FeedProgress, WatchAbortReason } from "./feed_progress.ts";
 import {
   type FeedChange,
   type FeedItem,
@@ -112,9 +112,9 @@
     }
   }
 
-  /** Handles that a peer has read further than the watch. */
-  handleOvertaken(): ReadOutcome {
-    return this.#listAgain("watch_overtaken");
+  /** Handles that the watch was aborted. */
+  handleAborted(reason: WatchAbortReason): ReadOutcome {
+    return this.#listAgain(reason);
   }
 
   #handleUnavailable(reason: string): ReadOutcome {
--- a/src/store_sync/object_feed.ts
+++ b/src/store_sync/object_feed.ts
@@ -45,6 +45,11 @@
     reason: string;
     /** Whether the source answers, but with less than the caller has. */
     isBehind?: boolean;
+    /**
+     * Whether an open connection brought nothing in time; another may work. All
+     * that were open then are in doubt.
+     */
+    isSilent?: boolean;
   };
 
 /** The kinds of {@linkcode FeedResult}. */
--- a/src/store_sync/relayed_feed.ts
+++ b/src/store_sync/relayed_feed.ts
@@ -41,8 +41,10 @@
   readers: StoreReaders;
   /** This host's address for peers. */
   self: string;
-  /** Longest watch at the store of a host that may have followers. */
+  /** Longest watch at the store. */
   max_store_watch_ms: number;
+  /** Called when a watch at the store found its connection silent. */
+  onSilence: () => void;
   log: Logger;
 }
 
@@ -85,18 +87,35 @@
     wait_ms: number,
     signal: AbortSignal,
   ): Promise<FeedResult<T>> => {
+    const limited_ms = Math.min(wait_ms, options.max_store_watch_ms);
     if (readers.mayHaveFollowers) {
-      const limited_ms = Math.min(wait_ms, options.max_store_watch_ms);
       return await store.watch(position, limited_ms, signal);
     }
     const { followersExpected } = readers;
     const watchSignal = AbortSignal.any([signal, followersExpected]);
-    const result = await store.watch(position, wait_ms, watchSignal);
+    const result = await store.watch(position, limited_ms, watchSignal);
     return followersExpected.aborted &&
         result.kind === FeedResultKind.Unavailable
       ? { kind: FeedResultKind.Changed, changes: [], ...position }
       : result;
   };
+  /**
+   * Lists at once if the connection of the watch was silent: others may work, and
+   * peers may have lost theirs at the same time.
+   */
+  const watchOrList = async (
+    position: FeedPosition,
+    wait_ms: number,
+    signal: AbortSignal,
+  ): Promise<FeedResult<T>> => {
+    const result = await watchStore(position, wait_ms, signal);
+    if (result.kind !== FeedResultKind.Unavailable || !result.isSilent) {
+      return result;
+    }
+    options.log.info({ event: "connection_silent", source: options.name });
+    options.onSilence();
+    return await store.list(signal);
+  };
   /** The store may go back; peers never answer with less than was asked for. */
   const trackPosition = (result: FeedResult<T>): FeedResult<T> => {
     if ("revision" in result) {
@@ -119,7 +138,7 @@
           fromStore: () =>
             fromStore(() =>
               canWatchStore
-                ? watchStore(position, wait_ms, signal)
+                ? watchOrList(position, wait_ms, signal)
                 : store.list(signal)
             ),
           fromPeer: (address) => fromPeer(() => watchPeer(address, position)),
--- a/src/store_sync/sync_feed.ts
+++ b/src/store_sync/sync_feed.ts
@@ -1,6 +1,7 @@
 /** Keeps a local copy of a feed in sync until the signal aborts. */
 import { abortableDelay, Backoff } from "../utils/delay.ts";
 import type { FeedPosition } from "./feed_position.ts";
+import type { WatchAbortReason } from "./feed_progress.ts";
 import {
   type FeedListener,
   FeedReader,
@@ -51,7 +52,7 @@
     });
     if (signal.aborted) return;
     const outcome = result === undefined || callSignal.aborted
-      ? reader.handleOvertaken()
+      ? reader.handleAborted(callSignal.reason as WatchAbortReason)
       : reader.handle(result);
     switch (outcome) {
       case ReadOutcome.Listed:
--- a/src/utils/http_client.ts
+++ b/src/utils/http_client.ts
@@ -37,11 +37,17 @@
 export class HttpRequestError extends Error {
   /** Whether the request may have reached the server. */
   readonly sent: boolean;
+  /** Whether it got no response in time, though its connection was open. */
+  readonly silent: boolean;
 
-  constructor(message: string, sent: boolean) {
+  constructor(
+    message: string,
+    { sent, silent = false }: { sent: boolean; silent?: boolean },
+  ) {
     super(message);
     this.name = "HttpRequestError";
     this.sent = sent;
+    this.silent = silent;
   }
 }
 
@@ -62,10 +68,12 @@
       try {
         outgoing = this.#open(options);
       } catch (error) {
-        reject(new HttpRequestError((error as Error).message, sent));
+        reject(new HttpRequestError((error as Error).message, { sent }));
         return;
       }
+      let timedOut = false;
       const timer = setTimeout(() => {
+        timedOut = true;
         outgoing.destroy(
           new Error(`No answer within ${options.timeout_ms} ms`),
         );
@@ -73,7 +81,8 @@
       }, options.timeout_ms);
       const fail = (error: Error) => {
         clearTimeout(timer);
-        reject(new HttpRequestError(error.message, sent));
+        const silent = timedOut && sent;
+        reject(new HttpRequestError(error.message, { sent, silent }));
       };
       outgoing.on("socket", (socket) => {
         if (!socket.connecting) sent = true;
--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -27,9 +27,12 @@
   call_ms?: number;
   /** Time-out of all routes; 2,000 by default. */
   timeout_ms?: number;
+  /** Longest watch; 300 by default. */
   watch_ms?: number;
   /** Time limit of a gateway host's drain; 8 by default. */
   drain_timeout_s?: number;
+  /** Through what gateway hosts reach the object store; nothing by default. */
+  storeLink?: (address: string) => Promise<string>;
   /** Number of gateway hosts that read the object store themselves. */
   readers?: number;
   /** Memory of a gateway host. */
@@ -69,6 +72,7 @@
   /** Version of the next manifest. */
   version = 1;
   #options: GatewayFleetOptions;
+  #storeAddress = "";
 
   constructor(options: GatewayFleetOptions = {}) {
     this.#options = options;
@@ -77,6 +81,9 @@
   /** Starts everything and waits until every gateway is ready to serve. */
   async start(): Promise<void> {
     await this.store.start();
+    const { storeLink } = this.#options;
+    this.#storeAddress = await storeLink?.(this.store.address) ??
+      this.store.address;
     await this.#startEngines();
     this.publishManifest({});
     for (let n = 1; n <= (this.#options.gateways ?? 1); n++) {
@@ -181,7 +188,7 @@
         listen: { callers, readiness, peers, metrics },
         seeds,
         object_store: {
-          address: this.store.address,
+          address: this.#storeAddress,
           watch_ms: this.#options.watch_ms ?? 300,
           readers: this.#options.readers,
         },
--- a/test/peers/create_relayed_feeds.test.ts
+++ b/test/peers/create_relayed_feeds.test.ts
@@ -48,6 +48,8 @@
       feedClients: new FeedStreamClients({ log, now }),
       readers: readersAt(self),
       self,
+      silence_ms: 3_000,
+      onSilence: () => {},
       log,
     },
   );
--- a/test/store_sync/relayed_feed.test.ts
+++ b/test/store_sync/relayed_feed.test.ts
@@ -71,6 +71,7 @@
     readers,
     self,
     max_store_watch_ms: 1_500,
+    onSilence: () => {},
     log,
   });
 }
@@ -158,6 +159,7 @@
     readers,
     self: follower,
     max_store_watch_ms: 1_500,
+    onSilence: () => {},
     log,
   });
   await feed.list(signal);
@@ -192,6 +194,7 @@
     readers,
     self: follower,
     max_store_watch_ms: 1_500,
+    onSilence: () => {},
     log,
   });
   const { promise: answered, resolve } = Promise.withResolvers<void>();
--- a/test/store_sync/restoration_series.test.ts
+++ b/test/store_sync/restoration_series.test.ts
@@ -183,6 +183,7 @@
       readers,
       self,
       max_store_watch_ms: STORE_WATCH_MS,
+      onSilence: () => {},
       log,
     });
     void syncFeed(feed, {
