--- a/src/forwarding/complete_exchange.ts
+++ b/src/forwarding/complete_exchange.ts
@@ -84,7 +84,8 @@
   onResponse();
   const isStream = use === ResponseUse.Stream;
   const { quarantine } = context.dependencies;
-  const recordAnswered = () => quarantine.recordAnswered(context.traits.all);
+  const recordAnswered = () =>
+    quarantine.recordAnswered(context.traits.all, endpoint.address);
   const relayed = isStream
     ? await relayResponseStream(context, response, { inputs, recordAnswered })
     : await relayBuffered(context.inbound.response, response, {
--- a/src/forwarding/take_endpoint.ts
+++ b/src/forwarding/take_endpoint.ts
@@ -143,11 +143,12 @@
 ): RouteEndpoint | undefined {
   const { endpoints, configuration, load, now, random } = context.dependencies;
   const now_ms = now();
-  const candidates = endpoints.readyInPool(context.pool, now_ms)
+  const available = endpoints.readyInPool(context.pool, now_ms)
     .filter((endpoint) =>
       !tried.has(endpoint.id) && sendWaitMs(context, endpoint) === 0
     );
-  if (candidates.length === 0) return undefined;
+  if (available.length === 0) return undefined;
+  const candidates = withoutSuspected(context, available);
   const selection = { candidates, load, now_ms, random };
   const pool = configuration.routeTable?.configuration.pools.get(context.pool);
   return pool?.model_engine === true && context.sharedPromptPrefix !== undefined
@@ -155,6 +156,17 @@
     : chooseOfTwo(selection);
 }
 
+/** Leaves out those that crashed under such a request, if others remain. */
+function withoutSuspected(
+  { traits, dependencies }: RunContext,
+  endpoints: RouteEndpoint[],
+): RouteEndpoint[] {
+  const avoided = dependencies.quarantine.addressesToAvoid(traits);
+  if (avoided.size === 0) return endpoints;
+  const others = endpoints.filter(({ address }) => !avoided.has(address));
+  return others.length > 0 ? others : endpoints;
+}
+
 /** Time until an endpoint's limit and pause allow a send, in milliseconds. */
 function sendWaitMs(
   { dependencies }: RunContext,
--- a/src/quarantine/crash_ledger.ts
+++ b/src/quarantine/crash_ledger.ts
@@ -1,8 +1,11 @@
 /**
  * Finds prompt parts on which endpoints crash. A crash ends every request that
  * the endpoint holds, so a part is suspected only if it was in several crashes,
- * at different times, endpoints and requests, and no request with it got an
- * answer since. Does no I/O and reads no clock: callers pass the time in.
+ * at different times and in different requests, and no request with it got an
+ * answer since. It is a cause if the crashes were at different endpoints. If all
+ * were at one, as in a pool of one, it takes more of them, and the endpoint must
+ * have answered other requests between the last two: otherwise it may fail by
+ * itself. Does no I/O and reads no clock: callers pass the time in.
  */
 import type { CrashReport } from "./types.ts";
 
@@ -10,6 +13,8 @@
 const SUSPECT_CRASHES = 2;
 /** Crashes from which a part is quarantined. */
 const QUARANTINE_CRASHES = 3;
+/** Crashes of one endpoint that it takes, if no other has crashed. */
+const SINGLE_ENDPOINT_CRASHES = 5;
 /** Different endpoints and requests that this takes. */
 const MIN_ENDPOINTS = 2;
 const MIN_REQUESTS = 2;
@@ -41,10 +46,14 @@
   companions: Set<string>;
 }
 
-/** A suspected part and the time of its first crash. */
+/** A suspected part and its crashes. */
 export interface SuspectedPart {
   part: string;
   first_crash_ms: number;
+  /** Time of the last crash but one. */
+  last_but_one_ms: number;
+  /** Some of the addresses at which endpoints crashed, at least one. */
+  addresses: string[];
 }
 
 /** Parts that together crash endpoints, and the time of their first crash. */
@@ -84,9 +93,11 @@
   suspects(): SuspectedPart[] {
     return [...this.#evidence]
       .filter(([_, { crashes }]) => crashes.length >= SUSPECT_CRASHES)
-      .map(([part, { crashes }]) => ({
+      .map(([part, { crashes, addresses }]) => ({
         part,
         first_crash_ms: crashes[0]?.at_ms ?? 0,
+        last_but_one_ms: crashes.at(-2)?.at_ms ?? 0,
+        addresses: [...addresses],
       }));
   }
 
@@ -98,10 +109,13 @@
     }
   }
 
-  /** Parts to quarantine, each with those that always came with it. */
-  findCauses(): CrashCause[] {
+  /**
+   * Parts to quarantine, each with those that always came with it. Endpoints at
+   * `answering` have answered requests since their last crash but one.
+   */
+  findCauses(answering: ReadonlySet<string> = new Set()): CrashCause[] {
     return [...this.#evidence]
-      .filter(([_, evidence]) => isCause(evidence))
+      .filter(([_, evidence]) => isCause(evidence, answering))
       .map(([part, { companions, crashes }]) => ({
         parts: [part, ...companions].sort(),
         first_crash_ms: crashes[0]?.at_ms ?? 0,
@@ -139,7 +153,10 @@
     // What was sent after a crash and met another met two.
     return interval_ms < MIN_CRASH_INTERVAL_MS && sent_ms <= at_ms;
   });
-  if (!isKnown && crashes.length < QUARANTINE_CRASHES) crashes.push(crash);
+  if (isKnown) return;
+  crashes.push(crash);
+  // The first one tells since when an answer counts.
+  if (crashes.length > SINGLE_ENDPOINT_CRASHES) crashes.splice(1, 1);
 }
 
 /** Adds a value while the set has fewer than `count`. */
@@ -147,7 +164,14 @@
   if (values.size < count) values.add(value);
 }
 
-function isCause({ crashes, addresses, attempts }: PartCrashes): boolean {
-  return crashes.length >= QUARANTINE_CRASHES &&
-    addresses.size >= MIN_ENDPOINTS && attempts.size >= MIN_REQUESTS;
+function isCause(
+  { crashes, addresses, attempts }: PartCrashes,
+  answering: ReadonlySet<string>,
+): boolean {
+  if (attempts.size < MIN_REQUESTS) return false;
+  if (addresses.size >= MIN_ENDPOINTS) {
+    return crashes.length >= QUARANTINE_CRASHES;
+  }
+  return crashes.length >= SINGLE_ENDPOINT_CRASHES &&
+    [...addresses].every((address) => answering.has(address));
 }
--- a/src/quarantine/ledger_service.ts
+++ b/src/quarantine/ledger_service.ts
@@ -4,7 +4,8 @@
  */
 import type { Logger } from "../logging/logger.ts";
 import { abortableDelay } from "../utils/delay.ts";
-import { CrashLedger } from "./crash_ledger.ts";
+import { CrashLedger, type SuspectedPart } from "./crash_ledger.ts";
+import { answeringTrait } from "./request_traits.ts";
 import type { QuarantineNotices } from "./quarantine_notices.ts";
 import type { Quarantine } from "./quarantine.ts";
 import type { QuarantineWriter } from "./quarantine_store.ts";
@@ -83,12 +84,17 @@
     const { notices, now, signal, log } = this.#options;
     await abortableDelay(QUESTION_WINDOW_MS, signal);
     this.#question = undefined;
+    const suspects = this.#ledger.suspects();
     const answered = await notices.announce({
       kind: NoticeKind.AskAnswered,
-      questions: this.#ledger.suspects().map(({ part, first_crash_ms }) => ({
-        part,
-        within_ms: now() - first_crash_ms,
-      })),
+      questions: [
+        ...suspects.map(({ part, first_crash_ms, addresses }) => ({
+          part,
+          within_ms: now() - first_crash_ms,
+          addresses,
+        })),
+        ...questionsOfEndpoints(suspects, now()),
+      ],
     });
     this.#ledger.clear(answered);
     log.info({
@@ -96,14 +102,18 @@
       suspects: this.#ledger.suspects().map(({ part }) => part).join(","),
       answered: answered.join(","),
     });
-    await this.#quarantineCauses();
+    const addresses = suspects.flatMap((suspect) => suspect.addresses);
+    const answering = addresses.filter((address) =>
+      answered.includes(answeringTrait(address))
+    );
+    await this.#quarantineCauses(new Set(answering));
   }
 
   /** Quarantines what the ledger finds; resolves when the hosts know of it. */
-  async #quarantineCauses(): Promise<void> {
+  async #quarantineCauses(answering: ReadonlySet<string>): Promise<void> {
     const { now } = this.#options;
     await Promise.all(
-      this.#ledger.findCauses().map(({ parts, first_crash_ms }) =>
+      this.#ledger.findCauses(answering).map(({ parts, first_crash_ms }) =>
         this.#add({ parts, probes: 0 }, now() - first_crash_ms)
       ),
     );
@@ -139,3 +149,20 @@
     void writer.remove(name);
   }
 }
+
+/**
+ * Asks of endpoints that alone crashed on a part whether they have answered
+ * requests since their last crash but one.
+ */
+function questionsOfEndpoints(suspects: SuspectedPart[], now_ms: number) {
+  const since_ms = new Map<string, number>();
+  for (const { addresses: [address, other], last_but_one_ms } of suspects) {
+    if (address === undefined || other !== undefined) continue;
+    const known_ms = since_ms.get(address) ?? -Infinity;
+    since_ms.set(address, Math.max(known_ms, last_but_one_ms));
+  }
+  return [...since_ms].map(([address, crashed_ms]) => ({
+    part: answeringTrait(address),
+    within_ms: now_ms - crashed_ms,
+  }));
+}
--- a/src/quarantine/quarantine_notices.ts
+++ b/src/quarantine/quarantine_notices.ts
@@ -4,6 +4,7 @@
 import { abortableDelay } from "../utils/delay.ts";
 import type { AnsweredParts } from "./answered_parts.ts";
 import type { Quarantine } from "./quarantine.ts";
+import type { SuspectedTraits } from "./suspected_traits.ts";
 import {
   NoticeKind,
   noticeReplySchema,
@@ -34,6 +35,7 @@
   deliver: DeliverNotice;
   quarantine: Quarantine;
   answered: AnsweredParts;
+  suspected: SuspectedTraits;
   log: Logger;
   now: () => number;
   signal: AbortSignal;
@@ -99,9 +101,7 @@
   #apply(notice: QuarantineNotice): string[] {
     switch (notice.kind) {
       case NoticeKind.AskAnswered:
-        return notice.questions
-          .filter(({ part, within_ms }) => this.#isAnswered(part, within_ms))
-          .map(({ part }) => part);
+        return this.#applyQuestions(notice.questions);
       case NoticeKind.Quarantine:
         return this.#applyQuarantine(notice);
       case NoticeKind.Release:
@@ -110,6 +110,23 @@
     }
   }
 
+  /** The parts that got answers here; the others are suspected. */
+  #applyQuestions(
+    questions: Extract<
+      QuarantineNotice,
+      { kind: NoticeKind.AskAnswered }
+    >["questions"],
+  ): string[] {
+    const answered: string[] = [];
+    for (const { part, within_ms, addresses } of questions) {
+      if (this.#isAnswered(part, within_ms)) answered.push(part);
+      else if (addresses !== undefined) {
+        this.#options.suspected.record(part, addresses, this.#options.now());
+      }
+    }
+    return answered;
+  }
+
   /** Adds an entry, unless one of its parts got an answer here. */
   #applyQuarantine(
     { quarantined, within_ms }: Extract<
--- a/src/quarantine/quarantine_service.ts
+++ b/src/quarantine/quarantine_service.ts
@@ -21,7 +21,8 @@
 } from "./quarantine_notices.ts";
 import { Quarantine } from "./quarantine.ts";
 import { type QuarantineStore, QuarantineWriter } from "./quarantine_store.ts";
-import type { RequestTraits } from "./request_traits.ts";
+import { answeringTrait, type RequestTraits } from "./request_traits.ts";
+import { SuspectedTraits } from "./suspected_traits.ts";
 import { repairStored } from "./repair_stored.ts";
 import {
   type CrashReply,
@@ -86,6 +87,7 @@
   Reject = "reject",
 }
 
+const NO_ADDRESSES: ReadonlySet<string> = new Set();
 const RANKING_KEY = "crashes";
 /** Hosts that keep the evidence, in case one is lost. */
 const LEDGERS = 2;
@@ -108,6 +110,7 @@
   /** The entries that this host knows of. */
   readonly entries = new Quarantine();
   #answered = new AnsweredParts();
+  #suspected = new SuspectedTraits();
   #options: QuarantineServiceOptions;
   #rankedHosts: RankedHosts;
   #notices: QuarantineNotices;
@@ -128,6 +131,7 @@
       deliver: (...message) => options.peers.notify(...message),
       quarantine,
       answered: this.#answered,
+      suspected: this.#suspected,
     });
     this.#ledgerService = new LedgerService({
       ...options,
@@ -152,9 +156,27 @@
       this.entries.find(traits.all) !== undefined;
   }
 
-  /** Records that an endpoint began to answer a request with these traits. */
-  recordAnswered(traits: readonly string[]): void {
-    this.#answered.record(traits, this.#options.now());
+  /**
+   * Addresses at which endpoints crashed under requests that had one of these
+   * traits; the next one should go elsewhere.
+   */
+  addressesToAvoid(traits: RequestTraits): ReadonlySet<string> {
+    return this.#suspected.isEmpty
+      ? NO_ADDRESSES
+      : this.#suspected.addressesToAvoid(traits.own, this.#options.now());
+  }
+
+  /**
+   * Records that an endpoint began to answer a request with these traits, with
+   * its address as far as it is known.
+   */
+  recordAnswered(traits: readonly string[], address?: string): void {
+    const now_ms = this.#options.now();
+    this.#answered.record(traits, now_ms);
+    if (address !== undefined) {
+      this.#answered.record([answeringTrait(address)], now_ms);
+    }
+    this.#suspected.clear(traits);
     if (this.entries.withAny(traits).length === 0) return;
     const answered = [...traits];
     void this.#callLedgers({
--- a/src/quarantine/request_traits.ts
+++ b/src/quarantine/request_traits.ts
@@ -60,6 +60,11 @@
   return `${fingerprint}/${pool}`;
 }
 
+/** Stands for any request that the endpoint at an address answers. */
+export function answeringTrait(address: string): string {
+  return `endpoint:${address}`;
+}
+
 /** Ids of the parts that other requests may share: all but the last. */
 export function sharedParts(prompt: readonly PromptPart[]): string[] {
   return [...new Set(prompt.slice(0, -1).map(({ id }) => id))];
--- a/src/quarantine/types.ts
+++ b/src/quarantine/types.ts
@@ -54,6 +54,8 @@
       part: z.string(),
       /** Age up to which an answer counts, in milliseconds. */
       within_ms: z.number(),
+      /** Where requests with it crashed endpoints; the next goes elsewhere. */
+      addresses: z.array(z.string()).optional(),
     })),
   }),
   z.object({
--- a/test/quarantine/crash_ledger.test.ts
+++ b/test/quarantine/crash_ledger.test.ts
@@ -21,7 +21,12 @@
   report(ledger, "e1", ["a", "x"])(1_000);
   assert.deepEqual(ledger.suspects(), []);
   report(ledger, "e2", ["b", "x"])(2_000);
-  assert.deepEqual(ledger.suspects(), [{ part: "x", first_crash_ms: 1_000 }]);
+  assert.deepEqual(ledger.suspects(), [{
+    part: "x",
+    first_crash_ms: 1_000,
+    last_but_one_ms: 1_000,
+    addresses: ["e1", "e2"],
+  }]);
   assert.deepEqual(causes(ledger), []);
   report(ledger, "e1", ["c", "x"])(4_000);
   assert.deepEqual(causes(ledger), [["x"]]);
@@ -62,6 +67,29 @@
   assert.deepEqual(causes(ledger), []);
 });
 
+test("a part on which the only endpoint crashes is a cause if the endpoint answers others", () => {
+  const ledger = new CrashLedger();
+  const answering = new Set(["e1"]);
+  for (const n of [1, 2, 3, 4]) report(ledger, "e1", ["x"])(n * 2_000);
+  assert.deepEqual(ledger.findCauses(answering), []);
+  report(ledger, "e1", ["x"])(10_000);
+  assert.deepEqual(ledger.findCauses(new Set(["e2"])), []);
+  assert.deepEqual(ledger.findCauses(answering), [
+    { parts: ["x"], first_crash_ms: 2_000 },
+  ]);
+  const [suspect] = ledger.suspects();
+  assert.equal(suspect?.last_but_one_ms, 8_000);
+});
+
+test("a part that got an answer is no cause, however often its endpoint crashes", () => {
+  const ledger = new CrashLedger();
+  for (let n = 1; n <= 20; n++) {
+    report(ledger, "e1", ["shared", `own-${n}`])(n * 3_500);
+    ledger.clear(["shared"]);
+    assert.deepEqual(ledger.findCauses(new Set(["e1"])), []);
+  }
+});
+
 test("one request that is sent again after each crash makes no part a cause", () => {
   const ledger = new CrashLedger();
   for (const n of [1, 2, 3, 4]) {
