--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -124,6 +124,9 @@
   Leaving = "leaving",
 }
 
+/** Start of an endpoint whose entry tells none. */
+export const UNKNOWN_START_MS = 0;
+
 /** One incarnation of an endpoint: its run from one start to the next. */
 export interface RouteEndpoint {
   id: string;
--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -1,5 +1,9 @@
 import { incarnationOf } from "../routes/incarnation.ts";
-import { type RouteEndpoint, RouteEndpointState } from "../routes/types.ts";
+import {
+  type RouteEndpoint,
+  RouteEndpointState,
+  UNKNOWN_START_MS,
+} from "../routes/types.ts";
 import { EndpointTombstones } from "./endpoint_tombstones.ts";
 import { GRACE_PERIOD_AFTER_OUTAGE_MS } from "./watch_cache.ts";
 import type { FeedChange, FeedItem } from "./object_feed.ts";
@@ -56,6 +60,7 @@
   #returned = new Map<string, ReturnedEntry>();
   #tombstones = new EndpointTombstones();
   /** Cached for `findByAddress`, and cleared when the entries change. */
+  #startsAreTold = false;
   #newestByAddress: Map<string, RouteEndpoint> | undefined;
   /** Also true before the first read. */
   #sourceUnavailable = true;
@@ -125,6 +130,20 @@
     this.#graceEnd_ms = Math.max(this.#graceEnd_ms, until_ms);
   }
 
+  /**
+   * Takes the values from entries that no endpoint wrote: once any endpoint has
+   * told when it started, one that tells none is another writer's.
+   */
+  withoutForeign<Item extends FeedItem<RouteEndpoint>>(items: Item[]): Item[] {
+    const tellsStart = ({ value }: Item) =>
+      value !== undefined && value.born_ms !== UNKNOWN_START_MS;
+    this.#startsAreTold ||= items.some(tellsStart);
+    if (!this.#startsAreTold) return items;
+    return items.map((item) =>
+      tellsStart(item) ? item : { ...item, value: undefined }
+    );
+  }
+
   /** Replaces all entries with a list from the source. */
   replaceAll(items: FeedItem<RouteEndpoint>[], now_ms: number): void {
     this.#sourceUnavailable = false;
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -137,7 +137,8 @@
     for (const listener of endpointListeners) listener();
   };
   return syncFeed(feeds.endpoints, {
-    onList(items) {
+    onList(listed) {
+      const items = endpoints.withoutForeign(listed);
       const before = endpoints.all(now());
       endpoints.replaceAll(items, now());
       log.info({ event: "endpoints", count: items.length });
@@ -146,7 +147,8 @@
       }
       notifyListeners();
     },
-    onChanges(changes) {
+    onChanges(changed) {
+      const changes = endpoints.withoutForeign(changed);
       endpoints.applyChanges(changes, now());
       for (const { name, value, deleted } of changes) {
         const state = deleted ? "removed" : value?.state ?? "unreadable";
--- a/test/platform/odd_entries.test.ts
+++ b/test/platform/odd_entries.test.ts
@@ -89,6 +89,9 @@
   ["slots without bound", { slots: 1e308 }],
   ["a start without bound", { born: 1e300 }],
   ["a start before all time", { born: -1 }],
+  ["a version that is no text", { version: 7 }],
+  ["a sequence that is no number", { sequence: "4" }],
+  ["a remaining time that is no number", { cold_remaining_ms: "soon" }],
   ["a service of a megabyte", { service: MEGABYTE }],
   ["a zone of a megabyte", { zone: MEGABYTE }],
 ];
