Let streams leave an endpoint that starts again and again

Cause: what a host has observed is kept by incarnation, so an endpoint had a clean record after each crash.

Restarts are counted by id; an endpoint with two in 30 s comes last in the ranking of a prefix. It is still used when the others are full, or are none.

--- a/src/routing/choose_route_endpoint.ts
+++ b/src/routing/choose_route_endpoint.ts
@@ -39,7 +39,8 @@
 /**
  * Chooses the first endpoint that is not full, in the prefix's rendezvous
  * ranking of the endpoints, or the least loaded one if all are full; undefined
- * without candidates.
+ * without candidates. One that starts again and again comes last: all streams of
+ * its prefixes would break with it each time.
  */
 export function chooseByPrefix(
   prefix: string,
@@ -48,8 +49,13 @@
   const usable = usableEndpoints(context);
   const byId = new Map(usable.map((endpoint) => [endpoint.id, endpoint]));
   const { load, now_ms } = context;
-  for (const id of rankCandidates(prefix, [...byId.keys()])) {
-    const endpoint = byId.get(id) as RouteEndpoint;
+  const ranked = rankCandidates(prefix, [...byId.keys()])
+    .map((id) => byId.get(id) as RouteEndpoint);
+  const unstable = new Set(
+    ranked.filter((each) => load.restarts.isUnstable(each, now_ms)),
+  );
+  const stable = ranked.filter((each) => !unstable.has(each));
+  for (const endpoint of [...stable, ...unstable]) {
     const requests = load.forEndpoint(endpoint).estimatedRequests(now_ms);
     if (requests < endpoint.slots * MAX_SLOT_SHARE) return endpoint;
   }
--- a/src/routing/observed_load.ts
+++ b/src/routing/observed_load.ts
@@ -7,6 +7,7 @@
 import { EndpointSilence } from "../endpoints/endpoint_silence.ts";
 import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
+import { Restarts } from "./restarts.ts";
 
 /** Number of requests that an endpoint reported with a response. */
 export interface ReportedLoad {
@@ -113,6 +114,8 @@
 
 /** The observations of all endpoints, one set for each incarnation. */
 export class ObservedLoad {
+  /** Kept by id, since the observations of a new incarnation start anew. */
+  readonly restarts = new Restarts();
   #endpoints = new Map<string, ObservedEndpoint>();
   #poolFirstByte_ms = new Map<string, number>();
 
--- a/test/routing/choose_route_endpoint.test.ts
+++ b/test/routing/choose_route_endpoint.test.ts
@@ -81,6 +81,32 @@
   assert.notEqual(chooseByPrefix("subject", choice()), first);
 });
 
+test("a prefix leaves an endpoint that starts again and again, and comes back later", () => {
+  const first = chooseByPrefix("subject", choice());
+  assert.ok(first !== undefined);
+  const restarted = (born_ms: number) =>
+    endpoints.map((each) => each === first ? { ...each, born_ms } : each);
+  assert.equal(
+    chooseByPrefix("subject", choice(restarted(2), 1_000))?.id,
+    first.id,
+  );
+  const second = chooseByPrefix("subject", choice(restarted(3), 4_000));
+  assert.notEqual(second?.id, first.id);
+  assert.equal(
+    chooseByPrefix("subject", choice(restarted(3), 31_000))?.id,
+    first.id,
+  );
+});
+
+test("the only endpoint is chosen although it starts again and again", () => {
+  const [only] = endpoints as [RouteEndpoint];
+  for (const born_ms of [1, 2, 3, 4]) {
+    const candidates = [{ ...only, born_ms }];
+    const chosen = chooseByPrefix("subject", choice(candidates, born_ms));
+    assert.equal(chosen?.id, only.id);
+  }
+});
+
 test("an endpoint backs off for a while after a connection failure", () => {
   const first = chooseByPrefix("subject", choice());
   assert.ok(first !== undefined);
