Limit a body by what its reader allows, and remember restarts of few endpoints

A host with little memory would have refused sound bodies of callers that its configuration allows: the share of one body applied to them too.

--- a/src/bodies/read_bytes.ts
+++ b/src/bodies/read_bytes.ts
@@ -33,7 +33,7 @@
 
 /** Options of {@linkcode readBytes}. */
 export interface ReadBytesOptions {
-  /** Limit of the body, if there is one beside those of the host. */
+  /** Limit of the body; by default, that of one body on its host. */
   max_bytes?: number;
   /** The host's limits, if its budget counts the body. */
   limits?: BodyLimits;
@@ -47,11 +47,12 @@
  */
 export function readBytes(
   body: IncomingMessage,
-  { max_bytes = Infinity, limits, onProgress }: ReadBytesOptions,
+  { limits, onProgress, ...options }: ReadBytesOptions,
 ): Promise<BytesRead> {
   return new Promise((resolve) => {
     const buffer = new ByteBuffer();
-    const max = Math.min(max_bytes, limits?.memory.max_body_bytes ?? Infinity);
+    const max_bytes = options.max_bytes ?? limits?.memory.max_body_bytes ??
+      Infinity;
     let isSettled = false;
     const settle = (result: BytesRead) => {
       if (isSettled) return;
@@ -68,7 +69,7 @@
     const add = (bytes: Buffer) => {
       if (isSettled) return;
       onProgress?.();
-      if (buffer.length + bytes.length > max) {
+      if (buffer.length + bytes.length > max_bytes) {
         return settle({ kind: BytesReadKind.TooLarge });
       }
       buffer.append(bytes);
--- a/src/routing/restarts.ts
+++ b/src/routing/restarts.ts
@@ -4,10 +4,13 @@
  */
 import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
+import { dropOldest } from "../utils/drop_oldest.ts";
 
 /** An endpoint that starts this often within the window fails again and again. */
 const MAX_RESTARTS = 2;
 const WINDOW_MS = 30_000;
+/** Endpoints that are remembered; beyond this the oldest are dropped. */
+const MAX_ENDPOINTS = 4_096;
 
 interface KnownEndpoint {
   incarnation: string;
@@ -25,6 +28,7 @@
     const known = this.#endpoints.get(endpoint.id);
     if (known === undefined) {
       this.#endpoints.set(endpoint.id, { incarnation, restarts_ms: [] });
+      dropOldest(this.#endpoints, MAX_ENDPOINTS);
       return false;
     }
     if (known.incarnation !== incarnation) {
