--- a/test/forwarding/held_responses.test.ts
+++ b/test/forwarding/held_responses.test.ts
@@ -6,11 +6,10 @@
 import { test } from "node:test";
 import { EndlessServer } from "../../stand_ins/deployment/endless_server.ts";
 import {
-  ApiKey,
   GatewayFleet,
   Service,
 } from "../../stand_ins/deployment/gateway_fleet.ts";
-import { sendJsonRequest } from "../../stand_ins/json_client.ts";
+import { sendForStatus } from "./send_for_status.ts";
 
 const MEMORY_MB = 40;
 /** The memory of a host, and room for what is on the way to it. */
@@ -18,22 +17,14 @@
 const BYTES_PER_S = 2_000_000;
 const ENDLESS_REQUESTS = 40;
 const OBSERVED_MS = 3_000;
+const DEADLINE_MS = 6_000;
 const ATTEMPT_ID = "a1";
 const BEGINNING = "HTTP/1.1 200 OK\r\n" + `x-attempt-id: ${ATTEMPT_ID}\r\n` +
   "x-response-signature: s\r\ntransfer-encoding: chunked\r\n\r\n";
 const PART = Buffer.from(`1000\r\n${"x".repeat(0x1000)}\r\n`);
 
-function send(callers: string, path: string, id: string) {
-  return sendJsonRequest(callers, path, {
-    method: "POST",
-    text: "x",
-    headers: {
-      host: "fleet.example",
-      "x-attempt-id": id,
-      "x-key": ApiKey.Docks,
-      "x-deadline-ms": "6000",
-    },
-  }).then((response) => response.status, () => "cut");
+function send(callers: string, path: string, attempt_id: string) {
+  return sendForStatus(callers, { path, attempt_id, deadline_ms: DEADLINE_MS });
 }
 
 test("responses without end exceed no host's memory, and others are answered", async (t) => {
@@ -47,7 +38,7 @@
   const fleet = new GatewayFleet({
     gateways: 1,
     memory_mb: MEMORY_MB,
-    timeout_ms: 6_000,
+    timeout_ms: DEADLINE_MS,
   });
   t.after(() => fleet.stop());
   await fleet.start();
--- a/test/forwarding/small_chunks.test.ts
+++ b/test/forwarding/small_chunks.test.ts
@@ -8,12 +8,12 @@
 import { test } from "node:test";
 import { EndlessServer } from "../../stand_ins/deployment/endless_server.ts";
 import {
-  ApiKey,
   GatewayFleet,
   Service,
 } from "../../stand_ins/deployment/gateway_fleet.ts";
-import { sendJsonRequest } from "../../stand_ins/json_client.ts";
+import { sendForStatus } from "./send_for_status.ts";
 
+const DEADLINE_MS = 4_000;
 const ATTEMPT_ID = "a1";
 const CHUNKS_PER_PART = 1_000;
 const STAMP_INTERVAL_MS = 50;
@@ -55,17 +55,8 @@
   ["an event that may not be resumed", "/review/x", STREAM_HEAD, chunks("xx")],
 ] as const;
 
-function send(callers: string, path: string, id: string) {
-  return sendJsonRequest(callers, path, {
-    method: "POST",
-    text: "x",
-    headers: {
-      host: "fleet.example",
-      "x-attempt-id": id,
-      "x-key": ApiKey.Docks,
-      "x-deadline-ms": "4000",
-    },
-  }).then((response) => response.status, () => "cut");
+function send(callers: string, path: string, attempt_id: string) {
+  return sendForStatus(callers, { path, attempt_id, deadline_ms: DEADLINE_MS });
 }
 
 for (const [what, path, head, part] of ENDLESS) {
@@ -82,7 +73,7 @@
     const delay = monitorEventLoopDelay({ resolution: 10 });
     delay.enable();
     const endless = send(callers, path, ATTEMPT_ID);
-    const stamps: Promise<number | string>[] = [];
+    const stamps: Promise<number | "cut">[] = [];
     const end_ms = performance.now() + OBSERVED_MS;
     while (performance.now() < end_ms) {
       stamps.push(send(callers, "/stamp/x", `stamp-${stamps.length}`));
