--- a/src/batching/call_runner.ts
+++ b/src/batching/call_runner.ts
@@ -152,6 +152,7 @@
       zone: tracker.endpoint.availability_zone,
       pieces: batch.length,
       jobs: planned.length,
+      late: batch.filter(({ queued }) => queued.due_ms < now_ms).length,
       waiting: countWaitingPieces(queue.jobs),
       room_bytes: tracker.freeResultBytes(now_ms, limits),
       slowness: Number(tracker.slowness.toFixed(2)),
