SHORT: a pool's rate is that of calls that were limited

What callers saw: part of why urgent and other requests were refused or admitted by a wrong estimate. A batcher measures how fast its pool works off a backlog, and took any time in which a piece waited as backlog, also that between two calls, and pieces that wait for their own availability zone. So the measured rate was that of the arrivals, however much more the pool could do: event=job_refused of a pool with endpoints for 0.55 pieces a ms and more told service_per_ms=0.35, arrivals_per_ms=0.38. Alone it did little, as a pool refused only what its own queue could not end.

Change: a call counts if it was limited, by its size or by memory (it splits a job). Class of fault: a measure of demand taken for one of capacity. The new test failed before (0.0625 for undefined); the others keep their bounds, their calls are now named limited.

--- a/src/batching/backlog_rates.ts
+++ b/src/batching/backlog_rates.ts
@@ -10,6 +10,15 @@
 /** Backlogged time, so weighted, from which the measured rate is used. */
 const MIN_BACKLOG_MS = 300;
 
+/** Pieces that a call has taken. */
+export interface TakenPieces {
+  pieces: number;
+  /** Number of pieces that waited before it. */
+  waiting_pieces: number;
+  /** Whether it took as many as it may carry, or had memory for. */
+  limited: boolean;
+}
+
 /** Rates of one pool queue, in pieces per millisecond. */
 export class BacklogRates {
   #at_ms: number;
@@ -18,6 +27,8 @@
   #arrived_pieces = 0;
   #backlog_ms = 0;
   #taken_pieces = 0;
+  /** Whether the last call was limited, so that what waits is a backlog. */
+  #limited = false;
 
   constructor(now_ms: number) {
     this.#at_ms = now_ms;
@@ -29,10 +40,11 @@
     this.#arrived_pieces += pieces;
   }
 
-  /** Counts pieces that a call took; `waiting_pieces` waited before it. */
-  recordCall(pieces: number, waiting_pieces: number, now_ms: number): void {
+  /** Counts pieces that a call took. */
+  recordCall({ pieces, waiting_pieces, limited }: TakenPieces, now_ms: number) {
     this.advance(waiting_pieces, now_ms);
-    this.#taken_pieces += pieces;
+    if (this.#limited) this.#taken_pieces += pieces;
+    this.#limited = limited;
   }
 
   /** Rate at which pieces arrive; 0 before the first. */
@@ -60,6 +72,7 @@
     this.#arrived_pieces *= decay;
     this.#taken_pieces *= decay;
     this.#backlog_ms *= decay;
-    if (waiting_pieces > 0) this.#backlog_ms += passed_ms;
+    this.#limited &&= waiting_pieces > 0;
+    if (this.#limited) this.#backlog_ms += passed_ms;
   }
 }
--- a/src/batching/call_runner.ts
+++ b/src/batching/call_runner.ts
@@ -1,6 +1,7 @@
 /** Runs a batcher's calls to endpoints and handles what comes of them. */
 import type { Logger } from "../logging/logger.ts";
 import type { BatchLimits } from "../routes/types.ts";
+import type { TakenPieces } from "./backlog_rates.ts";
 import { type BrokenCall, recordCrash } from "./crashed_calls.ts";
 import type { EndedCall, EndpointTracker } from "./endpoint_tracker.ts";
 import type { FinishJob } from "./finish_job.ts";
@@ -117,11 +118,10 @@
     const { queue, tracker, planned, limits } = call;
     const { now, memory } = this.#options;
     const started_ms = now();
-    queue.rates.recordCall(
-      planned.reduce((sum, { pieces }) => sum + pieces, 0),
-      countWaitingPieces(queue.jobs),
-      started_ms,
-    );
+    queue.rates.recordCall({
+      ...takenPieces(planned, limits),
+      waiting_pieces: countWaitingPieces(queue.jobs),
+    }, started_ms);
     const batch = planned.flatMap(({ job: queued, pieces }) =>
       queued.waiting.splice(0, pieces).map((piece) => ({ queued, piece }))
     );
@@ -304,6 +304,18 @@
   }
 }
 
+/** How many pieces a planned call takes, and whether it is limited in that. */
+function takenPieces(
+  planned: readonly PlannedPieces<QueuedJob>[],
+  { pieces_per_call }: BatchLimits,
+): Pick<TakenPieces, "pieces" | "limited"> {
+  const pieces = planned.reduce((sum, each) => sum + each.pieces, 0);
+  const splitsJob = planned.some(({ job, pieces: taken }) =>
+    taken < job.waiting.length
+  );
+  return { pieces, limited: splitsJob || pieces === pieces_per_call };
+}
+
 function createPieceRequest(
   { queued, piece }: TakenPiece,
   now_ms: number,
--- a/test/batching/backlog_rates.test.ts
+++ b/test/batching/backlog_rates.test.ts
@@ -26,16 +26,28 @@
 test("calls that memory keeps small are measured, not their configured size", () => {
   const rates = new BacklogRates(0);
   for (let now_ms = 0; now_ms < 5 * SECOND_MS; now_ms += 100) {
-    rates.recordCall(1, 80, now_ms);
+    rates.recordCall({ pieces: 1, waiting_pieces: 80, limited: true }, now_ms);
   }
   assertNear(rates.service_per_ms, 0.01);
 });
 
+test("calls that could have taken more don't tell how fast a backlog is worked off", () => {
+  const rates = new BacklogRates(0);
+  for (let now_ms = 0; now_ms < 5 * SECOND_MS; now_ms += 100) {
+    rates.recordArrival(5, 0, now_ms);
+    rates.recordCall(
+      { pieces: 5, waiting_pieces: 9, limited: false },
+      now_ms + 80,
+    );
+  }
+  assert.equal(rates.service_per_ms, undefined);
+});
+
 test("time without a backlog does not lower the service rate", () => {
   const rates = new BacklogRates(0);
   assert.equal(rates.service_per_ms, undefined);
   for (let now_ms = 0; now_ms < 2 * SECOND_MS; now_ms += 100) {
-    rates.recordCall(5, 10, now_ms);
+    rates.recordCall({ pieces: 5, waiting_pieces: 10, limited: true }, now_ms);
   }
   rates.recordArrival(1, 0, 3 * SECOND_MS);
   assertNear(rates.service_per_ms, 0.05);
@@ -45,7 +57,7 @@
   const rates = new BacklogRates(0);
   for (let now_ms = 0; now_ms < 2 * SECOND_MS; now_ms += 100) {
     rates.recordArrival(5, 10, now_ms);
-    rates.recordCall(1, 10, now_ms);
+    rates.recordCall({ pieces: 1, waiting_pieces: 10, limited: true }, now_ms);
   }
   rates.advance(0, 30 * SECOND_MS);
   assert.equal(rates.service_per_ms, undefined);
@@ -55,7 +67,7 @@
 test("an old backlog is forgotten", () => {
   const rates = new BacklogRates(0);
   for (let now_ms = 0; now_ms < 2 * SECOND_MS; now_ms += 100) {
-    rates.recordCall(5, 10, now_ms);
+    rates.recordCall({ pieces: 5, waiting_pieces: 10, limited: true }, now_ms);
   }
   rates.recordArrival(1, 0, 10 * SECOND_MS);
   assert.equal(rates.service_per_ms, undefined);
