SHORT: the first stage admits a request for all of its stages

What callers saw: from the first burst on requests waited until nearly their target or their deadline in the last pool of a pipeline (register-audit, half within 1,374 ms for an aim of 1,500), and hundreds heard nothing until their deadline.

Cause: the first stage looked at its own pool only, and a host knew the wait of the others from its own jobs of the last second, some four a second at 66 hosts.

Class of fault: admission where the load isn't known.

Change: the batcher of a first stage asks those of the later stages for their queues, twice a second and pool, counts what it has admitted and is on its way, and refuses at once, with the time by which it would be late, what the last stage would serve too late. Less urgent requests leave the rate that more urgent ones ask for.

--- a/src/batching/admit_job.ts
+++ b/src/batching/admit_job.ts
@@ -5,7 +5,8 @@
  * In a burst, work that cannot be on time yields to all work that can, so it
  * would wait until its deadline. It is refused at once, on arrival or as soon as
  * the burst has overtaken it, with the time in which the queue is worked off.
- * Work of later stages is not refused for that, since earlier ones have run.
+ * Work of later stages is not refused on arrival, since earlier ones have run,
+ * but as soon as its inputs would be gone before it is called.
  */
 import type { BatchLimits } from "../routes/types.ts";
 import type { EndpointTracker } from "./endpoint_tracker.ts";
@@ -23,23 +24,38 @@
 } from "./pool_queue.ts";
 import { type JobOutcome, JobOutcomeKind, type StageJob } from "./types.ts";
 
+/** Endpoints of a pool that are ready, and the time of the estimate. */
+interface LoadContext {
+  ready: readonly EndpointTracker[];
+  now_ms: number;
+}
+
 /**
- * The pool's load as a new job meets it, with the queue's rates as of now. Only pieces of jobs that are due no
- * later are counted as ahead of it; endpoints that back off are left out.
+ * The pool's load as a new job meets it, with the queue's rates as of now. Only
+ * pieces of jobs that are due no later are counted as ahead of it; endpoints that
+ * back off are left out.
  */
 export function loadAheadOf(
   job: StageJob,
   queue: PoolQueue,
-  { ready, now_ms }: { ready: readonly EndpointTracker[]; now_ms: number },
+  context: LoadContext,
 ): PoolLoad {
-  const { serving, starts_in_ms } = servingTrackers(ready, now_ms);
-  const due_ms = now_ms + job.due_in_ms;
+  const due_ms = context.now_ms + job.due_in_ms;
   let pieces_ahead = 0;
   for (const other of queue.jobs) {
     if (other.started || other.due_ms <= due_ms) {
       pieces_ahead += other.waiting.length;
     }
   }
+  return { ...loadOf(queue, context), pieces_ahead };
+}
+
+/** The pool's load with all that waits ahead, and the queue's rates as of now. */
+export function loadOf(
+  queue: PoolQueue,
+  { ready, now_ms }: LoadContext,
+): PoolLoad {
+  const { serving, starts_in_ms } = servingTrackers(ready, now_ms);
   const slowness = serving.reduce((sum, each) => sum + each.slowness, 0) /
     Math.max(1, serving.length);
   const waiting_pieces = countWaitingPieces(queue.jobs);
@@ -48,7 +64,7 @@
     endpoints: serving.length,
     starts_in_ms,
     slowness,
-    pieces_ahead,
+    pieces_ahead: waiting_pieces,
     waiting_pieces,
     arrivals_per_ms: queue.rates.arrivals_per_ms,
     service_per_ms: queue.rates.service_per_ms,
@@ -83,10 +99,12 @@
   return Number.isFinite(wait_ms) ? Math.round(wait_ms) : limits.retention_ms;
 }
 
-/** A refusal, with the expected job time in milliseconds that caused it. */
+/** A refusal, with the expected time in milliseconds that caused it. */
 export interface JobRefusal {
   outcome: JobOutcome;
   expected_ms: number;
+  /** Pool of a later stage in which the request would wait too long. */
+  waits_in?: string;
 }
 
 /**
@@ -109,8 +127,8 @@
 }
 
 /**
- * The waiting first-stage jobs that are late and, as the load is now, would
- * still wait when they expire.
+ * The waiting jobs that are late and, as the load is now, would still wait when
+ * they expire or their inputs are gone.
  */
 export function findUnservableJobs(
   queue: PoolQueue,
@@ -153,6 +171,7 @@
   };
 }
 
-function isFirstStage({ pieces }: StageJob): boolean {
+/** Whether a job reads no results of earlier stages. */
+export function isFirstStage({ pieces }: Pick<StageJob, "pieces">): boolean {
   return pieces.every(({ inputs }) => inputs === undefined);
 }
--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -4,21 +4,23 @@
  * is harmless, so the assignment needs no consensus: while two hosts batch for
  * one pool, the only cost is that each call holds fewer pieces.
  */
-import {
-  type BatchLimits,
-  type RouteEndpoint,
-  type RoutePool,
-} from "../routes/types.ts";
+import { type BatchLimits, type RouteEndpoint } from "../routes/types.ts";
 import { EndpointTracker } from "./endpoint_tracker.ts";
 import {
   checkJobAdmission,
   createRefusal,
   findUnservableJobs,
   loadAheadOf,
+  loadOf,
   reportableWaitMs,
 } from "./admit_job.ts";
 import { CallRunner, type CallRunnerOptions } from "./call_runner.ts";
 import type { PoolLoad } from "./expected_wait.ts";
+import {
+  PipelineAdmission,
+  type PipelineAdmissionOptions,
+} from "./pipeline_admission.ts";
+import { createLoadReport, type PoolLoadReport } from "./pool_load_report.ts";
 import { endpointsOfShard } from "./pool_shards.ts";
 import { createFinishJob, type FinishJob } from "./finish_job.ts";
 import { planCall } from "./plan_call.ts";
@@ -42,6 +44,7 @@
 
 /** Dependencies of a `Batcher`. */
 export interface BatcherOptions extends
+  PipelineAdmissionOptions,
   Pick<
     CallRunnerOptions,
     | "client"
@@ -52,8 +55,6 @@
     | "log"
     | "now"
   > {
-  /** The pool of this name; undefined if it is not configured. */
-  pool: (name: string) => RoutePool | undefined;
   /** The endpoints of a pool, leaving ones included. */
   endpoints: (pool: string) => readonly RouteEndpoint[];
   /** Time for which an endpoint itself wants no calls, in milliseconds. */
@@ -66,6 +67,11 @@
 const MIN_IDLE_DISPATCH_INTERVAL_MS = 10;
 /** Interval at which waiting jobs are checked against the load. */
 const REVIEW_INTERVAL_MS = 100;
+const NO_LOAD: PoolLoadReport = {
+  pieces_per_ms: 0,
+  call_ms: 0,
+  waiting_by_due: [],
+};
 const CANCELLED: JobOutcome = {
   kind: JobOutcomeKind.Failed,
   reason: "cancelled",
@@ -78,10 +84,12 @@
   #finishJob: FinishJob;
   #calls: CallRunner;
   #options: BatcherOptions;
+  #pipelines: PipelineAdmission;
   #draining = false;
 
   constructor(options: BatcherOptions) {
     this.#options = options;
+    this.#pipelines = new PipelineAdmission(options);
     this.#memory = new ResultMemory({
       ...options,
       onFreed: (queue) => this.#dispatchSoon(queue),
@@ -186,7 +194,9 @@
     limits: BatchLimits,
   ): JobOutcome | undefined {
     const load = this.#loadAheadOf(job, queue);
-    const refusal = checkJobAdmission(job, load, limits);
+    const now_ms = this.#options.now();
+    const refusal = checkJobAdmission(job, load, limits) ??
+      this.#pipelines.check(job, { load, limits, now_ms });
     if (refusal === undefined) return undefined;
     this.#options.log.info({
       event: "job_refused",
@@ -196,11 +206,29 @@
       pieces: job.pieces.length,
       ...load,
       expected_ms: Math.round(refusal.expected_ms),
+      waits_in: refusal.waits_in,
       expires_in_ms: Math.round(job.expires_in_ms),
     });
     return refusal.outcome;
   }
 
+  /** The load of a pool or of one shard of it, for the batchers of others. */
+  reportLoad(queueName: { pool: string; shard?: string }): PoolLoadReport {
+    const queue = this.#queueOf(queueName);
+    const limits = this.#options.pool(queue.pool)?.batch;
+    if (limits === undefined) return NO_LOAD;
+    const now_ms = this.#options.now();
+    const load = loadOf(queue, {
+      ready: this.#readyTrackers(queue),
+      now_ms,
+    });
+    const waiting = [...queue.jobs].map((queued) => ({
+      pieces: queued.waiting.length,
+      due_in_ms: queued.due_ms - now_ms,
+    }));
+    return createLoadReport(load, limits, waiting);
+  }
+
   #loadAheadOf(job: StageJob, queue: PoolQueue): PoolLoad {
     const now_ms = this.#options.now();
     return loadAheadOf(job, queue, {
--- a/src/batching/expected_wait.ts
+++ b/src/batching/expected_wait.ts
@@ -100,7 +100,7 @@
  * Rate at which calls take pieces, per millisecond: the measured one, but at
  * most that of full calls in their configured time.
  */
-function serviceRate(
+export function serviceRate(
   { endpoints, slowness, service_per_ms = Infinity }: PoolLoad,
   limits: BatchLimits,
 ): number {
--- a/src/batching/job_router.ts
+++ b/src/batching/job_router.ts
@@ -10,6 +10,8 @@
 import type { PoolWaits } from "./pool_waits.ts";
 import { abortableDelay } from "../utils/delay.ts";
 import type { Batcher } from "./batcher.ts";
+import type { QueueAddress } from "./known_pool_loads.ts";
+import type { PoolLoadReport } from "./pool_load_report.ts";
 import {
   type FinalJobOutcome,
   type FreedResults,
@@ -30,6 +32,11 @@
   free(address: string, freed: FreedResults[]): Promise<void>;
   /** Resolves to whether the host accepts jobs. */
   ping(address: string): Promise<boolean>;
+  /** Asks for the load of a pool, or of one shard, for which it batches. */
+  loadReport(
+    address: string,
+    queue: { pool: string; shard?: string },
+  ): Promise<PoolLoadReport>;
 }
 
 /** Dependencies of a `JobRouter`. */
@@ -202,6 +209,25 @@
     }
   }
 
+  /** The queues of a pool, one for each shard, with their batchers. */
+  queuesOf(pool: string): QueueAddress[] {
+    const shards = this.#options.shards(pool);
+    if (shards.length === 0) return [{ pool, batcher: this.batcherOf(pool) }];
+    return shards.map((shard) => ({
+      pool,
+      shard,
+      batcher: this.batcherOf(pool, shard),
+    }));
+  }
+
+  /** Asks the batcher of a queue for its load; rejects without a response. */
+  async askLoad({ batcher, ...queue }: QueueAddress): Promise<PoolLoadReport> {
+    const { self, local, peers } = this.#options;
+    return batcher === self
+      ? local.reportLoad(queue)
+      : await peers.loadReport(batcher, queue);
+  }
+
   /** Address of the host that, as seen from here, batches a pool or shard. */
   batcherOf(pool: string, shard?: string): string {
     const now_ms = this.#options.now();
--- a/src/batching/stage_graph.ts
+++ b/src/batching/stage_graph.ts
@@ -10,6 +10,7 @@
   type FinalJobOutcome,
   type FreedResults,
   JobOutcomeKind,
+  type LaterStage,
   type Piece,
   type StageJob,
   type StageResult,
@@ -174,7 +175,7 @@
     const { attempt_id, fingerprint, priority, due_ms, expires_ms } =
       this.#request;
     const now_ms = this.#options.now();
-    const remaining = this.#timeOfDependents(index);
+    const remaining = this.#chainAfter(index);
     return {
       attempt_id,
       request: fingerprint,
@@ -190,6 +191,8 @@
       last_read: lastRead.flatMap((dependency) =>
         this.#freedResultsOf(dependency)
       ),
+      later: remaining.stages,
+      target_in_ms: due_ms - now_ms,
     };
   }
 
@@ -229,19 +232,22 @@
     return [...bytesByZone].sort(([, a], [, b]) => b - a)[0]?.[0];
   }
 
-  /** Duration of the longest chain of stages that depend on this one. */
-  #timeOfDependents(index: number): StageTime {
-    let longest: StageTime = { min_ms: 0, expected_ms: 0 };
+  /** The longest chain of stages that depend on this one, and its duration. */
+  #chainAfter(index: number): StageTime & { stages: LaterStage[] } {
+    let longest = { min_ms: 0, expected_ms: 0, stages: [] as LaterStage[] };
     for (const dependent of this.#dependents(index)) {
-      if ((this.#request.pieces[dependent] ?? 0) === 0) continue;
+      const pieces = this.#request.pieces[dependent] ?? 0;
+      if (pieces === 0) continue;
       const own = this.#stageTime(dependent);
-      const after = this.#timeOfDependents(dependent);
+      const after = this.#chainAfter(dependent);
+      const expected_ms = own.expected_ms + after.expected_ms;
+      const pool = this.#stages[dependent]?.pool ?? "";
       longest = {
         min_ms: Math.max(longest.min_ms, own.min_ms + after.min_ms),
-        expected_ms: Math.max(
-          longest.expected_ms,
-          own.expected_ms + after.expected_ms,
-        ),
+        expected_ms: Math.max(longest.expected_ms, expected_ms),
+        stages: expected_ms > longest.expected_ms
+          ? [{ pool, pieces }, ...after.stages]
+          : longest.stages,
       };
     }
     return longest;
@@ -261,7 +267,7 @@
     const remaining_ms = expires_ms - this.#options.now();
     const paths_ms = this.#stages.map((_, index) =>
       (pieces[index] ?? 0) === 0 ? 0 : this.#stageTime(index).expected_ms +
-        this.#timeOfDependents(index).expected_ms
+        this.#chainAfter(index).expected_ms
     );
     return Math.max(0, Math.max(...paths_ms) - remaining_ms);
   }
--- a/src/batching/types.ts
+++ b/src/batching/types.ts
@@ -17,6 +17,12 @@
   inputs: string[] | undefined;
 }
 
+/** A stage that follows a job, with the number of its pieces. */
+export interface LaterStage {
+  pool: string;
+  pieces: number;
+}
+
 /** All pieces of one stage of one request. */
 export interface StageJob {
   /** Id of the caller's attempt. */
@@ -50,6 +56,16 @@
   input_bytes: number;
   /** Inputs that no other job will read: freed once this job has read them. */
   last_read: FreedResults[];
+  /**
+   * The longest chain of stages that follow, in order; undefined from hosts that
+   * send none.
+   */
+  later?: LaterStage[];
+  /**
+   * Time left until all stages must have ended for the request to meet its target
+   * latency, in milliseconds; undefined from hosts that send none.
+   */
+  target_in_ms?: number;
 }
 
 /** Results at one endpoint that are no longer needed. */
--- a/src/gateway/batching_components.ts
+++ b/src/gateway/batching_components.ts
@@ -1,6 +1,7 @@
 /** The components of a gateway host that form batches and route jobs. */
 import { Batcher } from "../batching/batcher.ts";
 import { JobRouter } from "../batching/job_router.ts";
+import { KnownPoolLoads } from "../batching/known_pool_loads.ts";
 import { listShards } from "../batching/pool_shards.ts";
 import { PoolWaits } from "../batching/pool_waits.ts";
 import { createCrashRecorder } from "../batching/crash_recorder.ts";
@@ -36,6 +37,7 @@
       now,
     }),
     freeAtBatcher: (freed) => jobRouter.free(freed),
+    laterLoad: (name) => knownLoads.loadOf(name),
     ...createCrashRecorder(context.quarantine),
     onUnwantedCall: (unwanted_ms) =>
       context.metrics.workAfterCallerLeft.observe(
@@ -59,5 +61,12 @@
     now,
     signal: context.signal,
   });
+  const knownLoads: KnownPoolLoads = new KnownPoolLoads({
+    queuesOf: (name) => jobRouter.queuesOf(name),
+    ask: (queue) => jobRouter.askLoad(queue),
+    log,
+    now,
+    signal: context.signal,
+  });
   return { batcher, jobRouter, pool };
 }
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -24,6 +24,7 @@
     free(freedResults) {
       for (const freed of freedResults) batcher.free(freed);
     },
+    reportLoad: (queue) => batcher.reportLoad(queue),
     snapshot: () => createStateSnapshot(syncOptions),
     handlePermitRequest: (request) => context.rateLimits.handleRequest(request),
     handleEndpointReport: (notice) => context.reports.handleReport(notice),
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -1,6 +1,7 @@
 /** Clients of other gateway hosts, one for each address. */
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
 import type { BatcherPeers } from "../batching/job_router.ts";
+import type { PoolLoadReport } from "../batching/pool_load_report.ts";
 import type { FreedResults, JobOutcome, StageJob } from "../batching/types.ts";
 import type {
   ChangeRevisions,
@@ -73,6 +74,14 @@
     return await this.#connectionTo(address).trpc.ping.query();
   }
 
+  /** Asks a batcher for the load of a pool or of one shard of it. */
+  async loadReport(
+    address: string,
+    queue: { pool: string; shard?: string },
+  ): Promise<PoolLoadReport> {
+    return await this.#connectionTo(address).trpc.load.query(queue);
+  }
+
   /** Fetches the last change revisions of another host. */
   async changeRevisions(address: string): Promise<ChangeRevisions> {
     return await this.#connectionTo(address).trpc.progress.query();
--- a/src/peers/gateway_rpc_router.ts
+++ b/src/peers/gateway_rpc_router.ts
@@ -5,6 +5,7 @@
   type EndpointNotice,
   endpointNoticeSchema,
 } from "../endpoint_reports/endpoint_notices.ts";
+import type { PoolLoadReport } from "../batching/pool_load_report.ts";
 import type { NoticeRoute } from "../quarantine/quarantine_notices.ts";
 import {
   type CrashReply,
@@ -27,6 +28,8 @@
 export interface GatewayRpcHandlers {
   /** Whether the host forms batches, which it does while it is ready. */
   isBatching: () => boolean;
+  /** Reports the load of a pool, or of one shard of it. */
+  reportLoad: (queue: { pool: string; shard?: string }) => PoolLoadReport;
   snapshot: () => StateSnapshot;
   changeRevisions: () => ChangeRevisions;
   /** Handles a report as a ledger. */
@@ -46,6 +49,12 @@
   ) => Promise<string[]>;
 }
 
+const queueSchema = z.object({
+  pool: z.string(),
+  /** Undefined if the pool has no shards. */
+  shard: z.string().optional(),
+});
+
 const noticeRouteSchema = z.object({
   /** Addresses of the hosts to which the notice is passed on. */
   targets: z.array(z.string()),
@@ -59,6 +68,8 @@
 export function createGatewayRpcRouter(handlers: GatewayRpcHandlers) {
   return trpc.router({
     ping: trpc.procedure.query(() => handlers.isBatching()),
+    load: trpc.procedure.input(queueSchema)
+      .query(({ input }) => handlers.reportLoad(input)),
     progress: trpc.procedure.query(() => handlers.changeRevisions()),
     beliefs: trpc.procedure.query(() => handlers.snapshot()),
     crash: trpc.procedure.input(crashReportSchema)
--- a/src/peers/job_messages.ts
+++ b/src/peers/job_messages.ts
@@ -54,6 +54,9 @@
   home_zone: z.string().optional(),
   input_bytes: z.number(),
   last_read: freedSchema,
+  later: z.array(z.object({ pool: z.string(), pieces: z.number() }))
+    .optional(),
+  target_in_ms: z.number().optional(),
 });
 
 /** Whether a request is for a path of this module. */
--- a/test/batching/batcher.test.ts
+++ b/test/batching/batcher.test.ts
@@ -90,6 +90,7 @@
       },
     },
     freeAtBatcher: () => {},
+    laterLoad: () => undefined,
     hasCrashed: () => Promise.resolve(false),
     onCompleted: () => {},
     onUnwantedCall: () => {},
--- a/test/batching/burst_replay.test.ts
+++ b/test/batching/burst_replay.test.ts
@@ -74,6 +74,7 @@
       free: () => Promise.resolve(true),
     },
     freeAtBatcher: () => {},
+    laterLoad: () => undefined,
     hasCrashed: () => Promise.resolve(false),
     onCompleted: () => {},
     onUnwantedCall: () => {},
--- a/test/batching/job_router.test.ts
+++ b/test/batching/job_router.test.ts
@@ -53,6 +53,8 @@
     },
     free: () => Promise.resolve(),
     ping: (address) => Promise.reject(new Error(`${address} does not respond`)),
+    loadReport: (address, { pool }) =>
+      Promise.reject(new Error(`${address} does not report ${pool}`)),
   };
   const local = new Batcher({
     pool: () => undefined,
@@ -63,6 +65,7 @@
       free: () => Promise.resolve(true),
     },
     freeAtBatcher: () => {},
+    laterLoad: () => undefined,
     hasCrashed: () => Promise.resolve(false),
     onCompleted: () => {},
     onUnwantedCall: () => {},
@@ -200,3 +203,13 @@
     reason: "unknown_pool",
   });
 });
+
+test("the load of a pool is asked of its batcher, also of this host itself", async () => {
+  const router = createRouter();
+  hosts = ["a"];
+  const [queue] = router.queuesOf("pool");
+  assert.deepEqual(queue, { pool: "pool", batcher: "a" });
+  await assert.rejects(router.askLoad(queue!), /a does not report pool/);
+  const own = { pool: "pool", batcher: "self" };
+  assert.equal((await router.askLoad(own)).pieces_per_ms, 0);
+});
