SHORT: among an organisation's requests those on the more urgent route go first

What callers saw: in a burst of slip-narrate (priority 2, aim 3 s) register-audit (priority 1, aim 1.5 s) was refused or late first.

With equal priorities the longer aim wins, as what is due later can wait longer.

Change: stages order requests by the organisation's priority, then by the route's. Endpoints and permits get the organisation's as before.

--- a/src/forwarding/admit.ts
+++ b/src/forwarding/admit.ts
@@ -22,6 +22,8 @@
   metadata: RequestMetadata;
   /** 0 is the most urgent. */
   priority: number;
+  /** Order among requests that wait for stages; the smallest goes first. */
+  stage_priority: number;
   max_body_bytes: number;
 }
 
@@ -65,18 +67,28 @@
   if (table.requiresKey(route) && organisation === undefined) {
     return reject(RejectionReason.UnknownKey, "The key is missing or unknown");
   }
+  const priority = organisation?.priority ?? route.priority;
   return {
     ok: true,
     admitted: {
       route,
       organisation,
       metadata,
-      priority: organisation?.priority ?? route.priority,
+      priority,
+      stage_priority: stagePriority(priority, route),
       max_body_bytes: limits.body_bytes,
     },
   };
 }
 
+/**
+ * Orders requests by their priority and those of the same priority, such as all
+ * of one organisation, by that of their route.
+ */
+function stagePriority(priority: number, route: Route): number {
+  return priority + route.priority / (route.priority + 1);
+}
+
 function reject(
   reason: RejectionReason,
   message: string,
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -161,7 +161,7 @@
 
 async function runInputStages(context: RunContext): Promise<GraphOutcome> {
   context.inbound.progress.stage = RequestStage.Stages;
-  const { route, metadata, priority } = context.admitted;
+  const { route, metadata, stage_priority } = context.admitted;
   const { stageGraph, metrics, load, now, log } = context.dependencies;
   const started_ms = now();
   // The zone of the endpoint that would serve the request now.
@@ -172,7 +172,7 @@
     attempt_id: metadata.attempt_id,
     fingerprint: context.traits.fingerprint,
     route,
-    priority,
+    priority: stage_priority,
     pieces: metadata.pieces,
     piece_key: metadata.piece_key,
     home_zone,
