SHORT: late jobs of later stages end once their inputs would be gone

What callers saw: requests that had passed a stage or two waited until their deadline, or until the results that they read had lapsed, and then heard that it was too late.

Cause: jobs that are late yield to all that are on time, and only those of first stages were looked at again. The price of the work before them is no reason to wait: it is lost all the same, and the results that wait take the memory that others need.

Change: the look that first stages get each 100 ms is for all; a job is of use until it expires, or until the inputs that it is the last to read lapse. Its caller is refused at once, truly, as its endpoint has not got the request.

Both tests failed before: jobs of a later stage at twice the capacity ended as failed after 5 s, and requests in a burst of 1.8 times the last pool's rate failed (16 of 1,663, after 5.4 to 5.7 s: inputs_gone).

--- a/src/batching/admit_job.ts
+++ b/src/batching/admit_job.ts
@@ -138,19 +138,18 @@
   const latest_due_ms = now_ms + (load.starts_in_ms ?? 0) +
     limits.call_ms * load.slowness;
   const isLate = (queued: QueuedJob) =>
-    !queued.started && queued.due_ms < latest_due_ms &&
-    isFirstStage(queued.job);
+    !queued.started && queued.due_ms < latest_due_ms;
   const late = [...queue.jobs].filter(isLate)
     .sort((a, b) => a.priority - b.priority || a.due_ms - b.due_ms);
   let waiting_pieces = load.waiting_pieces -
     late.reduce((sum, { waiting }) => sum + waiting.length, 0);
-  return late.filter(({ waiting, expires_ms }) => {
+  return late.filter(({ waiting, useful_until_ms }) => {
     const expected_ms = expectedLateJobMs(
       waiting.length,
       { ...load, waiting_pieces },
       limits,
     );
-    const servable = now_ms + expected_ms <= expires_ms;
+    const servable = now_ms + expected_ms <= useful_until_ms;
     if (servable) waiting_pieces += waiting.length;
     return !servable;
   });
--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -133,7 +133,10 @@
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((resolve) => {
       const now_ms = this.#options.now();
-      const queued = createQueuedJob(job, now_ms, resolve);
+      const queued = createQueuedJob(job, {
+        now_ms,
+        inputs_kept_ms: this.#inputsKeptMs(job),
+      }, resolve);
       queue.rates.recordArrival(
         job.pieces.length,
         countWaitingPieces(queue.jobs),
@@ -179,6 +182,14 @@
     for (const queue of this.#queues.values()) this.#dispatchSoon(queue);
   }
 
+  /** How long endpoints keep the results that a job is the last to read. */
+  #inputsKeptMs({ last_read }: StageJob): number {
+    const retentions_ms = last_read.map(({ pool }) =>
+      this.#options.pool(pool)?.batch?.retention_ms ?? Infinity
+    );
+    return Math.min(...retentions_ms);
+  }
+
   #queueOf({ pool, shard }: { pool: string; shard?: string }): PoolQueue {
     const key = shard === undefined ? pool : `${pool}/${shard}`;
     const known = this.#queues.get(key);
--- a/src/batching/pool_queue.ts
+++ b/src/batching/pool_queue.ts
@@ -26,6 +26,11 @@
   crashes: number;
   /** Calls in flight for its pieces. */
   calls: Set<SharedCall>;
+  /**
+   * When it expires, or when the inputs that it reads last are expected to be
+   * gone, in monotonic milliseconds.
+   */
+  useful_until_ms: number;
   /** Whether `resolve` has been called. */
   ended: boolean;
   resolve: (outcome: JobOutcome) => void;
@@ -71,7 +76,7 @@
 /** Creates a job's queue entry; `resolve` is called once, with its outcome. */
 export function createQueuedJob(
   job: StageJob,
-  now_ms: number,
+  { now_ms, inputs_kept_ms }: { now_ms: number; inputs_kept_ms: number },
   resolve: (outcome: JobOutcome) => void,
 ): QueuedJob {
   return {
@@ -79,6 +84,7 @@
     priority: job.priority,
     due_ms: now_ms + job.due_in_ms,
     expires_ms: now_ms + job.expires_in_ms,
+    useful_until_ms: now_ms + Math.min(job.expires_in_ms, inputs_kept_ms),
     home_zone: job.home_zone,
     result_bytes: job.result_bytes,
     waiting: [...job.pieces],
--- a/test/batching/burst_replay.test.ts
+++ b/test/batching/burst_replay.test.ts
@@ -125,7 +125,11 @@
     expires_in_ms: EXPIRES_IN_MS,
     home_zone: undefined,
     input_bytes: 0,
-    last_read: [],
+    last_read: inputs === undefined ? [] : [{
+      pool: pool.name,
+      address: "10.0.1.1:80",
+      handles: inputs,
+    }],
   }, signal).then((outcome) =>
     void ended.push({ arrived_ms, elapsed_ms: now_ms - arrived_ms, outcome })
   );
@@ -179,6 +183,15 @@
   assert.ok(on_time > 0.8 * possible, `${on_time} of ${possible} on time`);
 });
 
+test("in a burst at a later stage no job waits until its inputs are gone", async () => {
+  await replayBurst(2, { inputs: ["10.0.1.1:80/1"] });
+  assert.deepEqual(endedAs(JobOutcomeKind.Failed), []);
+  const refused = endedAs(JobOutcomeKind.Refused);
+  assert.ok(refused.length > 0);
+  const latest_ms = Math.max(...refused.map(({ elapsed_ms }) => elapsed_ms));
+  assert.ok(latest_ms < pool.batch!.retention_ms, `after ${latest_ms} ms`);
+});
+
 test("in a burst at a later stage, which refuses nothing, most of the work is on time", async () => {
   await replayBurst(1.3, { inputs: ["10.0.1.1:80/1"] });
   const possible = CAPACITY_JOBS_PER_S * BURST_MS / 1_000;
--- a/test/batching/pipeline_burst.test.ts
+++ b/test/batching/pipeline_burst.test.ts
@@ -97,6 +97,12 @@
   assert.ok(median_ms < LIMITS.call_ms, `${median_ms} ms`);
 });
 
+test("in a burst beyond the last pool's rate no request is held until its deadline", async () => {
+  const { failed, longest_unserved_ms } = await replay([requestsAt(0.6, 1.8)]);
+  assert.equal(failed, 0);
+  assert.ok(longest_unserved_ms < 0.75 * 6_000, `${longest_unserved_ms} ms`);
+});
+
 test("in a burst beyond the last pool's rate, what it can do is on time", async () => {
   const { asked, on_time } = await replay([requestsAt(0.6, 1.8)]);
   const burst_s = (BURST_TO_MS - BURST_FROM_MS) / 1_000;
