--- a/src/forwarding/complete_exchange.ts
+++ b/src/forwarding/complete_exchange.ts
@@ -16,6 +16,7 @@
 import { originOf, ResponseOrigin } from "./response_origin.ts";
 import { ResponseUse, useOf } from "./response_use.ts";
 import type { RunContext } from "./run_context.ts";
+import { recordStreamEnd, recordStreamOrigin } from "./stream_origin.ts";
 import {
   MIN_SERVER_ERROR_STATUS,
   resultAfterFailure,
@@ -86,8 +87,12 @@
   const { quarantine } = context.dependencies;
   const recordAnswered = () =>
     quarantine.recordAnswered(context.traits.all, endpoint.address);
+  const onFirstEvent = () => {
+    recordAnswered();
+    recordStreamOrigin(context, endpoint);
+  };
   const relayed = isStream
-    ? await relayResponseStream(context, response, { inputs, recordAnswered })
+    ? await relayResponseStream(context, response, { inputs, onFirstEvent })
     : await relayBuffered(context.inbound.response, response, {
       headers: codec.filterResponseHeaders(response.headers),
       withhold: response.status >= MIN_SERVER_ERROR_STATUS && context.mayRetry,
@@ -97,6 +102,7 @@
         context.inbound.progress.cut(context.inbound.response, reason),
     });
   if (!isStream && relayed.complete) recordAnswered();
+  if (isStream) recordStreamEnd(context, relayed);
   const sent = resultAfterRelay(context, relayed, {
     first_byte_ms: received_ms,
     status: response.status,
@@ -135,9 +141,9 @@
 async function relayResponseStream(
   context: RunContext,
   response: EndpointResponse,
-  { inputs, recordAnswered }: {
+  { inputs, onFirstEvent }: {
     inputs: StageInputs;
-    recordAnswered: () => void;
+    onFirstEvent: () => void;
   },
 ): Promise<RelayResult> {
   const { codec, isShuttingDown, responseLimits } = context.dependencies;
@@ -150,7 +156,7 @@
     closeConnection: isShuttingDown(),
     limits: responseLimits,
     onFirstBytes: inputs.freeResults,
-    onFirstEvent: recordAnswered,
+    onFirstEvent,
   });
   context.lastEventId = relayed.last_event_id ?? context.lastEventId;
   return relayed;
--- a/src/forwarding/protocol_codec.ts
+++ b/src/forwarding/protocol_codec.ts
@@ -28,6 +28,11 @@
   piece_key: string;
   /** Id of the event after which the caller resumes a stream. */
   last_event_id: string | undefined;
+  /**
+   * Id of the attempt that brought the first event of the resumed stream;
+   * undefined if the caller names none.
+   */
+  resumed_attempt_id: string | undefined;
 }
 
 /** The metadata of a request, or why its headers are malformed. */
--- a/src/forwarding/rejection.ts
+++ b/src/forwarding/rejection.ts
@@ -24,6 +24,13 @@
   TooLate = "too_late",
   /** Not run: endpoints crash on it or on a part of its prompt. */
   Quarantined = "quarantined",
+  /**
+   * Not run: it is not known which software version wrote the stream that it
+   * resumes.
+   */
+  VersionUnknown = "version_unknown",
+  /** Not run: no endpoint has the software version of the stream. */
+  VersionGone = "version_gone",
   /** Not run: no endpoint accepted it. */
   NoEndpoint = "no_endpoint",
   /** Not run: this host failed before it sent the request. */
@@ -47,6 +54,8 @@
   [RejectionReason.StagesTooSlow]: 503,
   [RejectionReason.TooLate]: 503,
   [RejectionReason.Quarantined]: 503,
+  [RejectionReason.VersionUnknown]: 503,
+  [RejectionReason.VersionGone]: 503,
   [RejectionReason.NoEndpoint]: 503,
   [RejectionReason.FaultBeforeSend]: 503,
   [RejectionReason.FaultAfterSend]: 502,
@@ -88,6 +97,18 @@
   message: "Endpoints crash on it",
 };
 
+/** Sent when a stream can't be resumed without joining two versions. */
+export const VERSION_UNKNOWN: Rejection = {
+  reason: RejectionReason.VersionUnknown,
+  message: "The software version of the stream is not known: begin it anew",
+};
+
+/** Sent when no endpoint is left that could go on with a stream. */
+export const VERSION_GONE: Rejection = {
+  reason: RejectionReason.VersionGone,
+  message: "No endpoint has the stream's software version: begin it anew",
+};
+
 /** Sent when the handling of a request throws before its first send. */
 export const FAULT_BEFORE_SEND: Rejection = {
   reason: RejectionReason.FaultBeforeSend,
--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -1,6 +1,7 @@
 /** State of one admitted request, shared by the modules that serve it. */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { CallKind } from "../routes/types.ts";
+import { CallKind, type RouteEndpoint } from "../routes/types.ts";
+import { UNNAMED } from "../stream_origins/version_history.ts";
 import { RequestTraits } from "../quarantine/request_traits.ts";
 import { hostnameOf } from "../routes/route_table.ts";
 import { sharedPrefix } from "../routing/choose_route_endpoint.ts";
@@ -58,8 +59,16 @@
   readonly sharedPromptPrefix: string | undefined;
   /** What may crash endpoints. */
   readonly traits: RequestTraits;
-  /** Pool that serves it, chosen once at random by the route's weights. */
-  readonly pool: string;
+  /**
+   * Pool that serves it, chosen once at random by the route's weights; that of
+   * the first event for a stream that its caller resumes.
+   */
+  pool: string;
+  /**
+   * Software version that wrote the caller's first event, at which alone the
+   * stream may go on; undefined before that event.
+   */
+  streamVersion: string | undefined;
   /** Send that is already taken from its endpoint's rate limit. */
   reservedSend: ReservedSend | undefined;
   /**
@@ -183,6 +192,26 @@
     return this.idempotent && this.sendCount < this.admitted.route.max_attempts;
   }
 
+  /**
+   * Identifies the stream over all attempts of its caller: the first one, which
+   * the later ones name.
+   */
+  get streamKey(): string {
+    const { metadata, organisation } = this.admitted;
+    const { attempt_id, resumed_attempt_id = attempt_id } = metadata;
+    return `${organisation?.name ?? ""}/${resumed_attempt_id}`;
+  }
+
+  /** Endpoints that are ready and may serve it, by its software version. */
+  readyEndpoints(): RouteEndpoint[] {
+    const { endpoints, now } = this.dependencies;
+    const ready = endpoints.readyInPool(this.pool, now());
+    if (this.streamVersion === undefined) return ready;
+    return ready.filter(({ software_version = UNNAMED }) =>
+      software_version === this.streamVersion
+    );
+  }
+
   /** Records the request's outcome in the metrics and in its final log line. */
   recordOutcome(outcome: string): void {
     const { log, now, metrics } = this.dependencies;
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -16,6 +16,7 @@
 import { type RunContext, StopReason } from "./run_context.ts";
 import { SendOutcome, type StageInputs } from "./send_result.ts";
 import { sendOnce } from "./send_once.ts";
+import { resolveStreamOrigin } from "./stream_origin.ts";
 import { stopIfCallerLeft } from "./stop_if_caller_left.ts";
 import {
   chooseEndpoint,
@@ -123,6 +124,8 @@
 
 async function serveInStages(context: RunContext): Promise<RequestOutcome> {
   if (!fitsDrain(context)) return refused(HOST_STOPPING);
+  const rejection = await resolveStreamOrigin(context);
+  if (rejection !== undefined) return refused(rejection);
   if (needsStages(context)) await stopIfCallerLeft(context);
   if (needsStages(context)) {
     return await reserveIfLimited(context)
--- /dev/null
+++ b/src/forwarding/stream_origin.ts
@@ -0,0 +1,95 @@
+/**
+ * Keeps a stream at the software version that wrote its first event, over all
+ * sends of one request and all attempts of its caller.
+ */
+import type { RouteEndpoint } from "../routes/types.ts";
+import type { ResolvedOrigin } from "../stream_origins/types.ts";
+import { UNNAMED } from "../stream_origins/version_history.ts";
+import { type Rejection, VERSION_GONE, VERSION_UNKNOWN } from "./rejection.ts";
+import type { RelayResult } from "./relay.ts";
+import type { RunContext } from "./run_context.ts";
+
+/** Time that a request may have been on its way to this host. */
+const AGE_MARGIN_MS = 1_000;
+
+/**
+ * Records which version wrote the first event that the caller gets. Events of a
+ * route that can't be resumed are never followed by those of another endpoint.
+ */
+export function recordStreamOrigin(
+  context: RunContext,
+  endpoint: RouteEndpoint,
+): void {
+  if (!context.admitted.route.resumable) return;
+  if (context.streamVersion !== undefined) return;
+  context.streamVersion = endpoint.software_version ?? UNNAMED;
+  const { streamOrigins } = context.dependencies;
+  streamOrigins.recordFirstEvent(context.streamKey, endpoint);
+}
+
+/** Forgets a stream that its caller has whole, as nobody will resume it. */
+export function recordStreamEnd(
+  context: RunContext,
+  { complete, delivered }: RelayResult,
+): void {
+  if (!complete || !delivered) return;
+  context.dependencies.streamOrigins.forget(context.streamKey);
+}
+
+/**
+ * Finds the version at which a resumed stream must go on. Resolves to a rejection
+ * if it can't: without the version, and without an endpoint that has it.
+ */
+export async function resolveStreamOrigin(
+  context: RunContext,
+): Promise<Rejection | undefined> {
+  const { metadata, route } = context.admitted;
+  if (!route.resumable || metadata.last_event_id === undefined) {
+    return undefined;
+  }
+  const { streamOrigins, log, metrics } = context.dependencies;
+  const max_age_ms = maxAgeMs(context);
+  const origin = await streamOrigins.resolve({
+    key: metadata.resumed_attempt_id === undefined
+      ? undefined
+      : context.streamKey,
+    pools: route.pools.map(({ pool }) => pool),
+    max_age_ms,
+  });
+  context.pool = origin?.pool ?? context.pool;
+  context.streamVersion = origin?.version;
+  const mayGoOn = route.pools.some(({ pool }) => pool === origin?.pool);
+  const endpoints = mayGoOn ? context.readyEndpoints().length : 0;
+  const rejection = rejectionOf(origin, endpoints);
+  const outcome = rejection?.reason ?? "goes_on";
+  log.info({
+    event: "stream_resumed",
+    attempt: metadata.attempt_id,
+    resumes: metadata.resumed_attempt_id,
+    pool: context.pool,
+    version: origin?.version,
+    source: origin?.source,
+    max_age_ms: Math.round(max_age_ms),
+    endpoints,
+    outcome,
+  });
+  metrics.resumedStreams.inc({ outcome, source: origin?.source ?? "none" });
+  return rejection;
+}
+
+function rejectionOf(
+  origin: ResolvedOrigin,
+  endpoints: number,
+): Rejection | undefined {
+  if (origin === undefined) return VERSION_UNKNOWN;
+  return endpoints === 0 ? VERSION_GONE : undefined;
+}
+
+/** The longest time since the caller can have sent its first attempt. */
+function maxAgeMs({ admitted, inbound, dependencies }: RunContext): number {
+  const { timeout_ms } = admitted.route;
+  const { deadline_ms = 0 } = admitted.metadata;
+  const elapsed_ms = dependencies.now() - inbound.arrived_ms;
+  const limit_ms = deadline_ms > timeout_ms ? 2 * deadline_ms : timeout_ms;
+  return limit_ms - deadline_ms + elapsed_ms + AGE_MARGIN_MS;
+}
--- a/src/forwarding/take_endpoint.ts
+++ b/src/forwarding/take_endpoint.ts
@@ -25,8 +25,8 @@
  * no stage runs in vain.
  */
 export async function reserveIfLimited(context: RunContext): Promise<boolean> {
-  const { endpoints, rateLimits, reports, now } = context.dependencies;
-  const takesAny = endpoints.readyInPool(context.pool, now())
+  const { rateLimits, reports } = context.dependencies;
+  const takesAny = context.readyEndpoints()
     .some((endpoint) =>
       !rateLimits.isLimited(endpoint) && reports.pauseMs(endpoint) === 0
     );
@@ -82,11 +82,11 @@
   context: RunContext,
   tried: ReadonlySet<string>,
 ): Promise<ReservedSend | undefined> {
-  const { endpoints, load, now, log } = context.dependencies;
+  const { load, now, log } = context.dependencies;
   const { route, metadata } = context.admitted;
   const max_wait_ms = context.inbound.arrived_ms + route.target_latency_ms -
     load.firstByteMs(context.pool) - now();
-  const [endpoint] = endpoints.readyInPool(context.pool, now())
+  const [endpoint] = context.readyEndpoints()
     .filter(({ id }) => !tried.has(id))
     .sort((a, b) => sendWaitMs(context, a) - sendWaitMs(context, b));
   if (endpoint === undefined || max_wait_ms <= 0) return undefined;
@@ -125,14 +125,10 @@
 }
 
 /** Whether an endpoint still accepts new work, and now. */
-function isReady(
-  { pool, dependencies }: RunContext,
-  endpoint: RouteEndpoint,
-): boolean {
-  const { endpoints, reports, now } = dependencies;
-  if (reports.pauseMs(endpoint) > 0) return false;
+function isReady(context: RunContext, endpoint: RouteEndpoint): boolean {
+  if (context.dependencies.reports.pauseMs(endpoint) > 0) return false;
   const incarnation = incarnationOf(endpoint);
-  return endpoints.readyInPool(pool, now())
+  return context.readyEndpoints()
     .some((ready) => incarnationOf(ready) === incarnation);
 }
 
@@ -141,9 +137,9 @@
   context: RunContext,
   tried: ReadonlySet<string>,
 ): RouteEndpoint | undefined {
-  const { endpoints, configuration, load, now, random } = context.dependencies;
+  const { configuration, load, now, random } = context.dependencies;
   const now_ms = now();
-  const available = endpoints.readyInPool(context.pool, now_ms)
+  const available = context.readyEndpoints()
     .filter((endpoint) =>
       !tried.has(endpoint.id) && sendWaitMs(context, endpoint) === 0
     );
@@ -178,8 +174,7 @@
 
 /** Time until some endpoint takes a send, in milliseconds. */
 export function earliestSendMs(context: RunContext): number {
-  const { endpoints, now } = context.dependencies;
-  const waits_ms = endpoints.readyInPool(context.pool, now())
+  const waits_ms = context.readyEndpoints()
     .map((endpoint) => sendWaitMs(context, endpoint));
   return waits_ms.length === 0 ? 0 : Math.min(...waits_ms);
 }
--- a/src/gateway/forwarding_components.ts
+++ b/src/gateway/forwarding_components.ts
@@ -22,6 +22,7 @@
     quarantine: context.quarantine,
     rateLimits: context.rateLimits,
     reports: context.reports,
+    streamOrigins: context.streamOrigins,
     stageGraph: {
       run: (job, signal) => jobRouter.run(job, signal),
       free: (freed) => jobRouter.free(freed),
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -37,6 +37,7 @@
 import { RateLimitService } from "../rate_limits/rate_limit_service.ts";
 import { ObservedLoad } from "../routing/observed_load.ts";
 import { PoolRetryBudgets } from "../routing/repeat_budget.ts";
+import { StreamOriginService } from "../stream_origins/stream_origin_service.ts";
 import type { GatewaySettings } from "../settings/gateway_settings.ts";
 import { formatAddress } from "../settings/settings.ts";
 import { abortableDelay } from "../utils/delay.ts";
@@ -158,6 +159,20 @@
     now,
     signal,
   });
+  const streamOrigins = new StreamOriginService({
+    self,
+    hosts: () => members.addresses(),
+    peers,
+    log,
+    now,
+    random,
+  });
+  endpointListeners.push(() =>
+    streamOrigins.observeEndpoints(
+      endpoints.all(now()),
+      endpoints.sourceAvailable,
+    )
+  );
   const feedClients = new FeedStreamClients({ log, now });
   const readers = new StoreReaders({
     self,
@@ -235,6 +250,7 @@
     requestLimits,
     responseLimits,
     reports,
+    streamOrigins,
     syncOptions,
     configurationListeners,
     endpointListeners,
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -30,6 +30,9 @@
     handleEndpointReport: (notice) => context.reports.handleReport(notice),
     handleEndpointNotice: (notice, targets) =>
       context.reports.handleNotice(notice, targets),
+    handleOrigins: (origins) => context.streamOrigins.keep(origins),
+    findOrigin: (key) => context.streamOrigins.find(key) ?? null,
+    reportVersions: () => context.streamOrigins.history.report(context.now()),
     handleCrashReport: (report) => context.quarantine.handleReport(report),
     handleAnsweredParts: (parts) => context.quarantine.handleAnswered(parts),
     handleNotice: (notice, route) =>
--- a/src/metrics/forward_metrics.ts
+++ b/src/metrics/forward_metrics.ts
@@ -64,6 +64,12 @@
     buckets: LATENCY_BUCKETS_MS,
     registers: [this.registry],
   });
+  readonly resumedStreams = new Counter({
+    name: "sesamequay_resumed_streams_total",
+    help: "Streams that callers resumed, by outcome and source of the version",
+    labelNames: ["outcome", "source"],
+    registers: [this.registry],
+  });
   readonly storeCalls = new Counter({
     name: "sesamequay_store_calls_total",
     help: "Calls to the object store by operation and kind of object",
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -25,6 +25,9 @@
 } from "../quarantine/types.ts";
 import type { RateLimitPeers } from "../rate_limits/rate_limit_service.ts";
 import type { PermitReply, PermitRequest } from "../rate_limits/types.ts";
+import type { StreamOriginPeers } from "../stream_origins/stream_origin_service.ts";
+import type { StreamOrigin } from "../stream_origins/types.ts";
+import type { VersionReport } from "../stream_origins/version_history.ts";
 import type { GatewayRpcRouter } from "./gateway_rpc_router.ts";
 
 /** Timeout of calls that the peer answers without waiting. */
@@ -50,7 +53,8 @@
     BatcherPeers,
     EndpointNoticePeers,
     QuarantinePeers,
-    RateLimitPeers {
+    RateLimitPeers,
+    StreamOriginPeers {
   #connections = new Map<string, PeerConnection>();
 
   /** Runs a job at another host. */
@@ -96,6 +100,21 @@
     return { ...snapshot, endpoints };
   }
 
+  /** Hands copies of records of streams to a host. */
+  async keepOrigins(address: string, origins: StreamOrigin[]): Promise<void> {
+    await this.#connectionTo(address).trpc.keep_origins.mutate(origins);
+  }
+
+  /** Asks a host for its record of a stream; null if it has none. */
+  async askOrigin(address: string, key: string): Promise<StreamOrigin | null> {
+    return await this.#connectionTo(address).trpc.origin.query(key);
+  }
+
+  /** Asks a host which software versions have been in service. */
+  async askVersions(address: string): Promise<VersionReport> {
+    return await this.#connectionTo(address).trpc.versions.query();
+  }
+
   /** Reports a crash to a ledger. */
   async reportCrash(
     address: string,
--- a/src/peers/gateway_rpc_router.ts
+++ b/src/peers/gateway_rpc_router.ts
@@ -19,6 +19,11 @@
   type PermitRequest,
   permitRequestSchema,
 } from "../rate_limits/types.ts";
+import {
+  type StreamOrigin,
+  streamOriginSchema,
+} from "../stream_origins/types.ts";
+import type { VersionReport } from "../stream_origins/version_history.ts";
 import type {
   ChangeRevisions,
   StateSnapshot,
@@ -32,6 +37,12 @@
   reportLoad: (queue: { pool: string; shard?: string }) => PoolLoadReport;
   snapshot: () => StateSnapshot;
   changeRevisions: () => ChangeRevisions;
+  /** Keeps copies of records of streams. */
+  handleOrigins: (origins: StreamOrigin[]) => void;
+  /** This host's record of a stream; null if it has none. */
+  findOrigin: (key: string) => StreamOrigin | null;
+  /** Reports which software versions have been in service. */
+  reportVersions: () => VersionReport;
   /** Handles a report as a ledger. */
   handleCrashReport: (report: CrashReport) => Promise<CrashReply>;
   /** Handles answers to requests with quarantined prompt parts. */
@@ -72,6 +83,11 @@
       .query(({ input }) => handlers.reportLoad(input)),
     progress: trpc.procedure.query(() => handlers.changeRevisions()),
     beliefs: trpc.procedure.query(() => handlers.snapshot()),
+    keep_origins: trpc.procedure.input(z.array(streamOriginSchema))
+      .mutation(({ input }) => handlers.handleOrigins(input)),
+    origin: trpc.procedure.input(streamOriginSchema.shape.key)
+      .query(({ input }) => handlers.findOrigin(input)),
+    versions: trpc.procedure.query(() => handlers.reportVersions()),
     crash: trpc.procedure.input(crashReportSchema)
       .mutation(({ input }) => handlers.handleCrashReport(input)),
     answered: trpc.procedure.input(z.array(z.string()))
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -139,6 +139,8 @@
   state: RouteEndpointState;
   /** Start time in Unix milliseconds; tells incarnations of one id apart. */
   born_ms: number;
+  /** Version of its software; undefined if it names none. */
+  software_version?: string | undefined;
 }
 
 /** A part of a prompt that an engine may cache. */
--- a/src/store_sync/sound_values.ts
+++ b/src/store_sync/sound_values.ts
@@ -35,6 +35,7 @@
   slots: slotsSchema,
   state: z.enum(RouteEndpointState),
   born_ms: unixTimeSchema,
+  software_version: nameSchema.optional(),
 });
 
 const memberSchema = z.object({
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -159,9 +159,13 @@
     onSourceUnavailable() {
       endpoints.dropExpired(now());
       endpoints.markSourceUnavailable();
+      notifyListeners();
       void pollPeers(options, state);
     },
-    onSourceAvailable: () => endpoints.markSourceAvailable(now()),
+    onSourceAvailable() {
+      endpoints.markSourceAvailable(now());
+      notifyListeners();
+    },
     onSourceRestored() {
       endpoints.markSourceRestored(now());
       void abortableDelay(RETURNED_ENTRY_HOLD_MS, options.signal)
--- /dev/null
+++ b/src/stream_origins/stream_origin_service.ts
@@ -0,0 +1,259 @@
+/**
+ * Finds out at which software version a stream must go on. What two versions
+ * write doesn't fit together, and endpoints don't check it.
+ *
+ * The host that relays a first event remembers the version. While a pool has
+ * endpoints of several versions, two other hosts keep a copy, chosen by the
+ * attempt's id, so that a stream can be taken up after its host is gone. A host
+ * that finds no record may still conclude the version if no other was in service
+ * in the life of the stream. Without that the stream is not taken up: a guess
+ * would join two versions.
+ */
+import type { Logger } from "../logging/logger.ts";
+import { rankCandidates } from "../membership/rendezvous_hash.ts";
+import type { RouteEndpoint } from "../routes/types.ts";
+import { OriginMemory } from "./origin_memory.ts";
+import {
+  OriginSource,
+  type ResolvedOrigin,
+  type StreamOrigin,
+} from "./types.ts";
+import {
+  UNNAMED,
+  VersionHistory,
+  type VersionReport,
+} from "./version_history.ts";
+
+/** Calls to other hosts; they reject if the host does not respond. */
+export interface StreamOriginPeers {
+  /** Hands copies to a host. */
+  keepOrigins(address: string, origins: StreamOrigin[]): Promise<void>;
+  /** Asks a host for its record of a stream; null if it has none. */
+  askOrigin(address: string, key: string): Promise<StreamOrigin | null>;
+  /** Asks a host which versions have been in service. */
+  askVersions(address: string): Promise<VersionReport>;
+}
+
+/** Dependencies of a `StreamOriginService`. */
+export interface StreamOriginOptions {
+  /** Address at which peers reach this host. */
+  self: string;
+  /** Addresses of all hosts. */
+  hosts: () => readonly string[];
+  peers: StreamOriginPeers;
+  log: Logger;
+  /** Monotonic time in milliseconds. */
+  now: () => number;
+  /** Returns a number from 0 up to, not including, 1. */
+  random: () => number;
+}
+
+/** A stream that a caller takes up. */
+export interface ResumedStream {
+  /** Undefined if the caller does not name the stream's first attempt. */
+  key: string | undefined;
+  /** The pools in which it can have begun. */
+  pools: string[];
+  /** Longest time since its first attempt, in milliseconds. */
+  max_age_ms: number;
+}
+
+/** Hosts that keep a copy of each record. */
+const KEEPERS = 2;
+/** Copies for one host within this time share a message. */
+const BATCH_WINDOW_MS = 20;
+/** Hosts that are asked for what was in service before this host started. */
+const ASKED_FOR_VERSIONS = 3;
+/** Time until they are asked again. */
+const MIN_ASK_INTERVAL_MS = 1_000;
+/** A version that left longer ago has no streams that go on. */
+const MIXED_WINDOW_MS = 60_000;
+
+/** Remembers and finds out the versions of streams that may be resumed. */
+export class StreamOriginService {
+  /** Which versions have been in service. */
+  readonly history = new VersionHistory();
+  #memory = new OriginMemory();
+  #options: StreamOriginOptions;
+  /** Copies that wait to be sent, by address. */
+  #outgoing = new Map<string, StreamOrigin[]>();
+  #mixedPools = new Set<string>();
+  /** The questions that are being answered; undefined if there are none. */
+  #asking: Promise<void> | undefined;
+  #asked_ms = -Infinity;
+
+  constructor(options: StreamOriginOptions) {
+    this.#options = options;
+  }
+
+  /** Records the endpoints that are in service now; see `VersionHistory`. */
+  observeEndpoints(
+    endpoints: readonly RouteEndpoint[],
+    complete: boolean,
+  ): void {
+    const now_ms = this.#options.now();
+    this.history.observe(endpoints, { now_ms, complete });
+    for (const pool of new Set(endpoints.map((each) => each.pool))) {
+      this.#noteMixedPool(pool, now_ms);
+    }
+  }
+
+  /** Records that an endpoint wrote the first event of a stream. */
+  recordFirstEvent(
+    key: string,
+    { pool, software_version = UNNAMED }: RouteEndpoint,
+  ): void {
+    const now_ms = this.#options.now();
+    const origin = { key, pool, version: software_version };
+    this.#memory.record(origin, now_ms);
+    if (this.#mixedPools.has(pool)) this.#copy(origin);
+  }
+
+  /** Forgets a stream that has reached its caller whole. */
+  forget(key: string): void {
+    this.#memory.forget(key);
+  }
+
+  /** Keeps copies for another host. */
+  keep(origins: readonly StreamOrigin[]): void {
+    const now_ms = this.#options.now();
+    for (const origin of origins) this.#memory.record(origin, now_ms);
+  }
+
+  /** The record of a stream, if this host has one. */
+  find(key: string): StreamOrigin | undefined {
+    return this.#memory.find(key);
+  }
+
+  /** Finds out where a stream that a caller resumes must go on. */
+  async resolve(
+    { key, pools, max_age_ms }: ResumedStream,
+  ): Promise<ResolvedOrigin> {
+    const since_ms = this.#options.now() - max_age_ms;
+    const recorded = key === undefined
+      ? undefined
+      : await this.#findRecord(key);
+    if (recorded !== undefined) return recorded;
+    if (!this.history.isCompleteSince(since_ms)) await this.#askForVersions();
+    return this.#onlyVersion(pools, since_ms);
+  }
+
+  async #findRecord(key: string): Promise<ResolvedOrigin> {
+    const own = this.find(key);
+    if (own !== undefined) return { ...own, source: OriginSource.Own };
+    const kept = await this.#askKeepers(key);
+    if (kept === undefined) return undefined;
+    this.keep([kept]);
+    return { ...kept, source: OriginSource.Keeper };
+  }
+
+  /** The version of the only pool, if it had no other in all this time. */
+  #onlyVersion([pool, ...others]: string[], since_ms: number): ResolvedOrigin {
+    if (pool === undefined || others.length > 0) return undefined;
+    const versions = this.history.versionsSince(pool, since_ms);
+    const [version] = versions;
+    if (versions.length !== 1 || version === undefined) return undefined;
+    if (!this.history.isCompleteSince(since_ms)) return undefined;
+    return { pool, version, source: OriginSource.OnlyVersion };
+  }
+
+  #noteMixedPool(pool: string, now_ms: number): void {
+    const versions = this.history.versionsSince(pool, now_ms - MIXED_WINDOW_MS);
+    if (versions.length < 2) {
+      this.#mixedPools.delete(pool);
+      return;
+    }
+    if (this.#mixedPools.has(pool)) return;
+    this.#mixedPools.add(pool);
+    const origins = this.#memory.inPool(pool);
+    this.#options.log.info({
+      event: "versions",
+      pool,
+      versions: versions.join(","),
+      streams: origins.length,
+    });
+    for (const origin of origins) this.#copy(origin);
+  }
+
+  #keepersOf(key: string): string[] {
+    const { self, hosts } = this.#options;
+    const others = hosts().filter((address) => address !== self);
+    return rankCandidates(key, others).slice(0, KEEPERS);
+  }
+
+  #copy(origin: StreamOrigin): void {
+    for (const address of this.#keepersOf(origin.key)) {
+      const waiting = this.#outgoing.get(address);
+      if (waiting !== undefined) {
+        waiting.push(origin);
+        continue;
+      }
+      this.#outgoing.set(address, [origin]);
+      setTimeout(() => void this.#send(address), BATCH_WINDOW_MS);
+    }
+  }
+
+  async #send(address: string): Promise<void> {
+    const { peers, log } = this.#options;
+    const origins = this.#outgoing.get(address) ?? [];
+    this.#outgoing.delete(address);
+    try {
+      await peers.keepOrigins(address, origins);
+    } catch (error) {
+      log.warn({
+        event: "origins_not_kept",
+        peer: address,
+        streams: origins.length,
+        error: (error as Error).message,
+      });
+    }
+  }
+
+  async #askKeepers(key: string): Promise<StreamOrigin | undefined> {
+    const { peers, log } = this.#options;
+    const answers = await Promise.all(
+      this.#keepersOf(key).map(async (address) => {
+        try {
+          return await peers.askOrigin(address, key);
+        } catch (error) {
+          log.warn({
+            event: "origin_not_told",
+            peer: address,
+            stream: key,
+            error: (error as Error).message,
+          });
+          return null;
+        }
+      }),
+    );
+    return answers.find((origin) => origin !== null) ?? undefined;
+  }
+
+  /** Learns from other hosts what was in service before this one started. */
+  async #askForVersions(): Promise<void> {
+    const now_ms = this.#options.now();
+    if (now_ms - this.#asked_ms >= MIN_ASK_INTERVAL_MS) {
+      this.#asked_ms = now_ms;
+      this.#asking = this.#askHosts();
+    }
+    await this.#asking;
+  }
+
+  async #askHosts(): Promise<void> {
+    const { self, hosts, peers, log, now, random } = this.#options;
+    const order = rankCandidates(String(random()), hosts());
+    const asked = order.filter((address) => address !== self)
+      .slice(0, ASKED_FOR_VERSIONS);
+    await Promise.all(asked.map(async (address) => {
+      try {
+        this.history.merge(await peers.askVersions(address), now());
+      } catch (error) {
+        log.warn({
+          event: "versions_not_told",
+          peer: address,
+          error: (error as Error).message,
+        });
+      }
+    }));
+  }
+}
--- /dev/null
+++ b/src/stream_origins/types.ts
@@ -0,0 +1,33 @@
+/** Types of what is known of the start of streams that may be resumed. */
+import { z } from "zod";
+import { MAX_NAME_LENGTH } from "../store_sync/sound_values.ts";
+
+/** Longest id of an attempt with its organisation, in characters. */
+const MAX_KEY_LENGTH = 1_024;
+
+/** Which software version wrote the first event of a stream. */
+export const streamOriginSchema = z.object({
+  /** Organisation and id of the attempt that brought the first event. */
+  key: z.string().max(MAX_KEY_LENGTH),
+  pool: z.string().max(MAX_NAME_LENGTH),
+  /** Empty if the endpoint names none. */
+  version: z.string().max(MAX_NAME_LENGTH),
+});
+
+/** Which software version wrote the first event of a stream. */
+export type StreamOrigin = z.infer<typeof streamOriginSchema>;
+
+/** Where the version of a stream is known from; the values are logged. */
+export enum OriginSource {
+  /** This host relayed the first event, or took the stream up before. */
+  Own = "own",
+  /** A host that keeps a copy. */
+  Keeper = "keeper",
+  /** No other version was in service in the life of the stream. */
+  OnlyVersion = "only_version",
+}
+
+/** Where a stream must go on; undefined if that isn't known. */
+export type ResolvedOrigin =
+  | { pool: string; version: string; source: OriginSource }
+  | undefined;
--- /dev/null
+++ b/test/forwarding/stream_versions.test.ts
@@ -0,0 +1,417 @@
+/**
+ * Streams on routes that may be resumed, while endpoints of several software
+ * versions are in service: a stream goes on at the version that began it or not
+ * at all.
+ */
+import assert from "node:assert/strict";
+import { request } from "node:http";
+import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  type Engine,
+  EngineFault,
+  type EngineOptions,
+} from "../../stand_ins/deployment/engine.ts";
+import {
+  ApiKey,
+  GatewayFleet,
+  type RunningGateway,
+  Service,
+  waitUntil,
+} from "../../stand_ins/deployment/gateway_fleet.ts";
+
+const STREAMS = 24;
+const EVENTS = 6;
+const ROUTE_TIMEOUT_MS = 1_500;
+
+interface Stream {
+  status: number;
+  events: number;
+  complete: boolean;
+  retry_after: string | undefined;
+  reason: string | undefined;
+}
+
+interface StreamRequest {
+  attempt_id: string;
+  path?: string;
+  resumes?: string;
+  last_event_id?: number;
+  deadline_ms?: number;
+  /** Events after which the caller leaves. */
+  leaves_after?: number;
+}
+
+function call(
+  { callers }: RunningGateway,
+  asked: StreamRequest,
+): Promise<Stream> {
+  const { attempt_id, path = "/draft/x", deadline_ms = 1_400 } = asked;
+  const [host, port] = callers.split(":");
+  return new Promise((resolve) => {
+    let status = 0;
+    let text = "";
+    let complete = false;
+    let retry_after: string | undefined;
+    const end = () =>
+      resolve({
+        status,
+        events: text.match(/^id: \d+\ndata: \d+\n\n/gm)?.length ?? 0,
+        complete,
+        retry_after,
+        reason: /"title":"(\w+)"/.exec(text)?.[1],
+      });
+    const outgoing = request({
+      host,
+      port,
+      path,
+      method: "POST",
+      agent: false,
+      headers: {
+        host: "fleet.example",
+        "x-attempt-id": attempt_id,
+        "x-key": ApiKey.Docks,
+        "x-deadline-ms": String(deadline_ms),
+        ...(asked.resumes === undefined ? {} : { resumes: asked.resumes }),
+        ...(asked.last_event_id === undefined
+          ? {}
+          : { "last-event-id": String(asked.last_event_id) }),
+      },
+    });
+    outgoing.on("error", end);
+    outgoing.on("response", (incoming) => {
+      status = incoming.statusCode ?? 0;
+      retry_after = incoming.headers["retry-after"];
+      incoming.setEncoding("utf8");
+      incoming.on("data", (chunk: string) => {
+        text += chunk;
+        const events = text.match(/\n\n/g)?.length ?? 0;
+        if (events >= (asked.leaves_after ?? Infinity)) outgoing.destroy();
+      });
+      incoming.on("error", () => {});
+      incoming.on("close", () => {
+        complete = incoming.complete;
+        end();
+      });
+    });
+    outgoing.end("x");
+  });
+}
+
+function engineOptions(id: string): EngineOptions {
+  return { id, events: EVENTS, work_ms: 15 };
+}
+
+/** Starts a fleet whose model endpoints have these versions. */
+async function startFleet(
+  t: TestContext,
+  versions: (string | undefined)[],
+  gateways = 3,
+): Promise<GatewayFleet> {
+  const fleet = new GatewayFleet({
+    gateways,
+    timeout_ms: ROUTE_TIMEOUT_MS,
+    engines: {
+      [Service.Desk]: [{ id: "desk-1" }],
+      [Service.Model]: versions.map((_, n) => engineOptions(`model-${n}`)),
+      [Service.Encode]: [],
+      [Service.Rank]: [],
+    },
+  });
+  t.after(() => fleet.stop());
+  await fleet.start();
+  await fleet.waitForMembers();
+  await register(fleet, versions);
+  return fleet;
+}
+
+/** Writes the endpoints' versions and waits until every host has read them. */
+async function register(
+  fleet: GatewayFleet,
+  versions: (string | undefined)[],
+): Promise<void> {
+  const models = fleet.engines.get(Service.Model) ?? [];
+  const changes = ({ logLines }: RunningGateway) =>
+    logLines.filter((line) => line.includes("event=endpoint ")).length;
+  const before = fleet.gateways.map(changes);
+  const written = versions.map((version, n) => {
+    fleet.registerEngine(Service.Model, models[n] as Engine, {
+      version,
+      sequence: 2,
+    });
+  });
+  await waitUntil(() =>
+    fleet.gateways.every((gateway, n) =>
+      changes(gateway) >= (before[n] ?? 0) + written.length
+    )
+  );
+}
+
+/** Removes an endpoint's entry and waits until every host knows. */
+async function remove(fleet: GatewayFleet, id: string): Promise<void> {
+  fleet.store.remove("servers", id);
+  await waitUntil(() =>
+    fleet.gateways.every(({ logLines }) =>
+      logLines.some((line) =>
+        line.includes(`endpoint=${id} `) && line.includes("state=removed")
+      )
+    )
+  );
+}
+
+/** The endpoints that ran any of these attempts, by index, in order. */
+function endpointsOf(fleet: GatewayFleet, attempts: string[]): number[] {
+  const models = fleet.engines.get(Service.Model) ?? [];
+  const runs = models.flatMap(({ receivedRequests }, n) =>
+    receivedRequests.map(({ headers }) => ({
+      endpoint: n,
+      attempt: attempts.indexOf(String(headers["x-attempt-id"])),
+      after: Number(headers["last-event-id"] ?? 0),
+    }))
+  );
+  return runs.filter(({ attempt }) => attempt >= 0)
+    .sort((a, b) => a.attempt - b.attempt || a.after - b.after)
+    .map(({ endpoint }) => endpoint);
+}
+
+/** Number of streams whose endpoints are of several versions. */
+function countJoined(
+  fleet: GatewayFleet,
+  versions: (string | undefined)[],
+  streams: string[][],
+): number {
+  return streams.filter((attempts) => {
+    const used = endpointsOf(fleet, attempts).map((n) => versions[n]);
+    return new Set(used).size > 1;
+  }).length;
+}
+
+function at(fleet: GatewayFleet, n: number): RunningGateway {
+  return fleet.gateways[n % fleet.gateways.length] as RunningGateway;
+}
+
+const MIXED = ["v1", "v1", "v2", "v2"];
+
+test("a stream that its endpoint breaks off goes on at an endpoint of its version", async (t) => {
+  const fleet = await startFleet(t, MIXED);
+  let gone_on = 0;
+  const streams: string[][] = [];
+  for (let n = 0; n < STREAMS; n++) {
+    for (const engine of fleet.engines.get(Service.Model) ?? []) {
+      engine.fault = EngineFault.StreamTruncated;
+      engine.remainingFaults = 0;
+    }
+    const first = fleet.engine(Service.Model, n % MIXED.length);
+    first.remainingFaults = 1;
+    const attempt_id = `broken-${n}`;
+    const { complete, events } = await call(at(fleet, n), { attempt_id });
+    if (complete) assert.equal(events, EVENTS);
+    const used = endpointsOf(fleet, [attempt_id]);
+    if (used.length > 1 && complete) gone_on += 1;
+    streams.push([attempt_id]);
+  }
+  assert.equal(countJoined(fleet, MIXED, streams), 0);
+  assert.ok(gone_on > 0, "no stream went on at another endpoint");
+});
+
+/** Streams that their callers leave, then resume at another host. */
+async function leaveAndResume(
+  fleet: GatewayFleet,
+  prepare: () => Promise<void> = () => Promise.resolve(),
+): Promise<{ streams: string[][]; resumed: Stream[] }> {
+  const first = await Promise.all(
+    Array.from(
+      { length: STREAMS },
+      (_, n) =>
+        call(at(fleet, n), { attempt_id: `first-${n}`, leaves_after: 2 }),
+    ),
+  );
+  await prepare();
+  const resumed = await Promise.all(
+    first.map(({ events }, n) =>
+      call(at(fleet, n + 1), {
+        attempt_id: `second-${n}`,
+        resumes: `first-${n}`,
+        last_event_id: events,
+        deadline_ms: 1_000,
+      })
+    ),
+  );
+  const streams = first.map((_, n) => [`first-${n}`, `second-${n}`]);
+  return { streams, resumed };
+}
+
+function countGoneOn(resumed: Stream[]): number {
+  return resumed.filter(({ status, complete }) => status === 200 && complete)
+    .length;
+}
+
+test("a stream that its caller resumes at another host goes on at its version", async (t) => {
+  const fleet = await startFleet(t, MIXED);
+  const { streams, resumed } = await leaveAndResume(fleet);
+  assert.equal(countJoined(fleet, MIXED, streams), 0);
+  assert.equal(countGoneOn(resumed), STREAMS);
+});
+
+test("a stream goes on at its version after the host that began it is gone", async (t) => {
+  const fleet = await startFleet(t, MIXED, 4);
+  const { streams, resumed } = await leaveAndResume(fleet, async () => {
+    await sleep(100);
+    fleet.gateways.shift()?.gateway.stop();
+  });
+  assert.equal(countJoined(fleet, MIXED, streams), 0);
+  assert.ok(countGoneOn(resumed) > STREAMS / 2, `${countGoneOn(resumed)}`);
+});
+
+test("a stream that began before a release goes on at the version of that time", async (t) => {
+  const fleet = await startFleet(t, ["v1", "v1", "v1", "v1"]);
+  const after = ["v1", "v1", "v2", "v2"];
+  const { streams, resumed } = await leaveAndResume(
+    fleet,
+    () => register(fleet, after),
+  );
+  const joined = streams.filter((attempts) => {
+    const resumedAt = endpointsOf(fleet, attempts.slice(1));
+    return resumedAt.some((n) => after[n] !== "v1");
+  });
+  assert.equal(joined.length, 0);
+  assert.equal(countGoneOn(resumed), STREAMS);
+});
+
+test("a resumed stream is refused at once when its version has left", async (t) => {
+  const versions = ["v1", "v2"];
+  const fleet = await startFleet(t, versions);
+  const { streams, resumed } = await leaveAndResume(
+    fleet,
+    () => remove(fleet, "model-0"),
+  );
+  assert.equal(countJoined(fleet, versions, streams), 0);
+  const refused = resumed.filter(({ status }) => status === 503);
+  assert.ok(refused.length > 0);
+  for (const { reason } of refused) assert.equal(reason, "version_gone");
+  assert.ok(countGoneOn(resumed) > 0);
+});
+
+test("a broken stream is cut when its version has left", async (t) => {
+  const fleet = await startFleet(t, ["v1", "v2"]);
+  for (const engine of fleet.engines.get(Service.Model) ?? []) {
+    engine.fault = EngineFault.StreamTruncated;
+    engine.remainingFaults = 1;
+  }
+  const stream = await call(at(fleet, 0), { attempt_id: "cut" });
+  assert.equal(stream.complete, false);
+  assert.equal(stream.events, 1);
+});
+
+test("streams whose version no host knows any more are not joined", async (t) => {
+  const fleet = await startFleet(t, MIXED);
+  const { streams, resumed } = await leaveAndResume(fleet, async () => {
+    for (const { gateway } of fleet.gateways.splice(0)) gateway.stop();
+    for (let n = 5; n < 8; n++) await fleet.startGateway(n);
+    await waitUntil(() =>
+      fleet.gateways.every(({ logLines }) =>
+        logLines.some((line) => line.includes("state=ready")) &&
+        logLines.some((line) => line.includes("event=endpoints count=5"))
+      )
+    );
+  });
+  assert.equal(countJoined(fleet, MIXED, streams), 0);
+  for (const { status, reason } of resumed) {
+    assert.deepEqual({ status, reason }, {
+      status: 503,
+      reason: "version_unknown",
+    });
+  }
+});
+
+test("a host that starts beside others learns which versions were in service", async (t) => {
+  const fleet = await startFleet(t, ["v1", "v1"]);
+  const { resumed } = await leaveAndResume(fleet, async () => {
+    const started = await fleet.startGateway(9);
+    const others = fleet.gateways.splice(0, fleet.gateways.length, started);
+    t.after(() => others.forEach(({ gateway }) => gateway.stop()));
+    await waitUntil(() =>
+      started.logLines.some((line) => line.includes("state=ready")) &&
+      started.logLines.some((line) => line.includes("event=endpoints count=3"))
+    );
+    // So that the others know what was in service in the life of a stream.
+    await sleep(ROUTE_TIMEOUT_MS + 1_000);
+  });
+  assert.equal(countGoneOn(resumed), STREAMS);
+});
+
+test("a second resumption names the first attempt and keeps to its version", async (t) => {
+  const fleet = await startFleet(t, MIXED);
+  const streams: string[][] = [];
+  for (let n = 0; n < STREAMS; n++) {
+    const attempts = [`a-${n}`, `b-${n}`, `c-${n}`];
+    for (const [index, attempt_id] of attempts.entries()) {
+      const { status } = await call(at(fleet, n + index), {
+        attempt_id,
+        ...(index === 0
+          ? {}
+          : { resumes: attempts[0], last_event_id: index * 2 }),
+        leaves_after: index < 2 ? 2 : Infinity,
+      });
+      assert.equal(status, 200);
+    }
+    streams.push(attempts);
+  }
+  assert.equal(countJoined(fleet, MIXED, streams), 0);
+});
+
+test("a caller that doesn't name the stream's first attempt is refused while versions differ", async (t) => {
+  const fleet = await startFleet(t, MIXED);
+  const unnamed = { attempt_id: "x", last_event_id: 2 };
+  const { status, reason } = await call(at(fleet, 0), unnamed);
+  assert.deepEqual({ status, reason }, {
+    status: 503,
+    reason: "version_unknown",
+  });
+});
+
+test("a name of the first attempt that is malformed is told to the caller", async (t) => {
+  const fleet = await startFleet(t, ["v1"], 1);
+  const { status } = await call(at(fleet, 0), {
+    attempt_id: "x",
+    resumes: "two words",
+    last_event_id: 2,
+  });
+  assert.equal(status, 400);
+});
+
+test("a new stream that names another attempt, without events of it, begins anywhere", async (t) => {
+  const fleet = await startFleet(t, MIXED);
+  const { status, complete, events } = await call(at(fleet, 0), {
+    attempt_id: "x",
+    resumes: "never-seen",
+  });
+  assert.deepEqual({ status, complete, events }, {
+    status: 200,
+    complete: true,
+    events: EVENTS,
+  });
+});
+
+test("an organisation's streams are not found by the attempts of another", async (t) => {
+  const fleet = await startFleet(t, MIXED);
+  await call(at(fleet, 0), { attempt_id: "own", leaves_after: 2 });
+  const [host, port] = at(fleet, 0).callers.split(":");
+  const status = await new Promise((resolve) =>
+    request({
+      host,
+      port,
+      path: "/draft/x",
+      method: "POST",
+      headers: {
+        host: "fleet.example",
+        "x-attempt-id": "other",
+        "x-key": ApiKey.Mills,
+        "x-deadline-ms": "1000",
+        resumes: "own",
+        "last-event-id": "2",
+      },
+    }, (incoming) => resolve(incoming.resume().statusCode)).end("x")
+  );
+  assert.equal(status, 503);
+});
--- /dev/null
+++ b/test/stream_origins/version_history.test.ts
@@ -0,0 +1,93 @@
+/** Which software versions were in service, and since when that is known. */
+import assert from "node:assert/strict";
+import { beforeEach, test } from "node:test";
+import {
+  type RouteEndpoint,
+  RouteEndpointState,
+} from "../../src/routes/types.ts";
+import { VersionHistory } from "../../src/stream_origins/version_history.ts";
+
+let history: VersionHistory;
+beforeEach(() => history = new VersionHistory());
+
+function endpoint(software_version?: string, pool = "model"): RouteEndpoint {
+  return {
+    id: `${pool}-${software_version}`,
+    pool,
+    address: "10.0.0.1:80",
+    availability_zone: "a",
+    slots: 1,
+    state: RouteEndpointState.Ready,
+    born_ms: 1,
+    software_version,
+  };
+}
+
+function observe(
+  versions: (string | undefined)[],
+  now_ms: number,
+  complete = true,
+): void {
+  history.observe(versions.map((each) => endpoint(each)), { now_ms, complete });
+}
+
+test("a version that has left was in service until then", () => {
+  observe(["v1"], 0);
+  observe(["v1", "v2"], 1_000);
+  observe(["v2"], 5_000);
+  assert.deepEqual(history.versionsSince("model", 4_000), ["v1", "v2"]);
+  assert.deepEqual(history.versionsSince("model", 5_001), ["v2"]);
+  assert.deepEqual(history.versionsSince("other", 0), []);
+});
+
+test("endpoints that name no version count as one of their own", () => {
+  observe([undefined, "v1"], 0);
+  assert.equal(history.versionsSince("model", 0).length, 2);
+});
+
+test("what was in service before the first list is not known", () => {
+  assert.equal(history.isCompleteSince(0), false);
+  observe(["v1"], 1_000);
+  assert.equal(history.isCompleteSince(1_000), true);
+  assert.equal(history.isCompleteSince(999), false);
+});
+
+test("what was in service while the source was away is not known", () => {
+  observe(["v1"], 0);
+  observe(["v1"], 2_000, false);
+  assert.equal(history.isCompleteSince(1_000), false);
+  observe(["v1"], 3_000);
+  assert.equal(history.isCompleteSince(2_500), false);
+  assert.equal(history.isCompleteSince(3_000), true);
+});
+
+test("a host that has just started learns from another what was in service", () => {
+  const other = new VersionHistory();
+  other.observe([endpoint("v1")], { now_ms: 0, complete: true });
+  other.observe([endpoint("v2")], { now_ms: 60_000, complete: true });
+  observe(["v2"], 1_000);
+  history.merge(other.report(62_000), 1_500);
+  assert.equal(history.isCompleteSince(-60_500), true);
+  assert.equal(history.isCompleteSince(-60_501), false);
+  assert.deepEqual(history.versionsSince("model", -1_000).sort(), ["v1", "v2"]);
+  assert.deepEqual(history.versionsSince("model", 0), ["v2"]);
+});
+
+test("a host whose source is away does not believe that its list is complete", () => {
+  const other = new VersionHistory();
+  other.observe([endpoint("v1")], { now_ms: 0, complete: true });
+  observe(["v1"], 0, false);
+  history.merge(other.report(60_000), 1_000);
+  assert.equal(history.isCompleteSince(500), false);
+});
+
+test("a report of a host without a list tells of no time", () => {
+  assert.deepEqual(history.report(1_000), { known_for_ms: 0, versions: [] });
+});
+
+test("versions that left long ago are forgotten", () => {
+  observe(["v1"], 0);
+  observe(["v2"], 1_000);
+  observe(["v2"], 700_000);
+  assert.deepEqual(history.versionsSince("model", -Infinity), ["v2"]);
+});
