ORDER: correct the version of a stream whose endpoint's entry was behind

Cause: the version was that of the entry when the request was sent.

Change: a start breaks all connections, so a stream that still runs when the host learns of the start was written by the new incarnation. When such a stream breaks off, its record is corrected, also at the hosts that keep copies.

The test failed without the correction: the stream was cut after two events, as no endpoint of the believed version was left; now it goes on at the new one.

--- a/src/forwarding/complete_exchange.ts
+++ b/src/forwarding/complete_exchange.ts
@@ -102,7 +102,7 @@
         context.inbound.progress.cut(context.inbound.response, reason),
     });
   if (!isStream && relayed.complete) recordAnswered();
-  if (isStream) recordStreamEnd(context, relayed);
+  if (isStream) recordStreamEnd(context, relayed, endpoint);
   const sent = resultAfterRelay(context, relayed, {
     first_byte_ms: received_ms,
     status: response.status,
--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -69,6 +69,11 @@
    * stream may go on; undefined before that event.
    */
   streamVersion: string | undefined;
+  /**
+   * Endpoint that wrote the stream's first event; undefined before it, and for a
+   * stream that its caller resumes.
+   */
+  firstEventFrom: RouteEndpoint | undefined;
   /** Send that is already taken from its endpoint's rate limit. */
   reservedSend: ReservedSend | undefined;
   /**
--- a/src/forwarding/stream_origin.ts
+++ b/src/forwarding/stream_origin.ts
@@ -2,6 +2,7 @@
  * Keeps a stream at the software version that wrote its first event, over all
  * sends of one request and all attempts of its caller.
  */
+import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 import type { ResolvedOrigin } from "../stream_origins/types.ts";
 import { UNNAMED } from "../stream_origins/version_history.ts";
@@ -23,17 +24,51 @@
   if (!context.admitted.route.resumable) return;
   if (context.streamVersion !== undefined) return;
   context.streamVersion = endpoint.software_version ?? UNNAMED;
+  context.firstEventFrom = endpoint;
   const { streamOrigins } = context.dependencies;
   streamOrigins.recordFirstEvent(context.streamKey, endpoint);
 }
 
-/** Forgets a stream that its caller has whole, as nobody will resume it. */
+/**
+ * Corrects the version of a stream that broke off, if its endpoint is known by
+ * now to have started again. A start breaks all connections, so a stream that
+ * was running when the news came was written by the new incarnation; the entry
+ * was behind when the request was sent.
+ */
+function correctStreamOrigin(
+  context: RunContext,
+  sentTo: RouteEndpoint,
+): void {
+  if (context.firstEventFrom !== sentTo) return;
+  const { endpoints, log } = context.dependencies;
+  const current = endpoints.findById(sentTo.id);
+  if (current === undefined) return;
+  if (incarnationOf(current) === incarnationOf(sentTo)) return;
+  log.info({
+    event: "stream_version_corrected",
+    attempt: context.admitted.metadata.attempt_id,
+    endpoint: sentTo.id,
+    believed: context.streamVersion,
+    version: current.software_version,
+  });
+  context.streamVersion = undefined;
+  recordStreamOrigin(context, current);
+}
+
+/**
+ * Forgets a stream that its caller has whole, as nobody will resume it. Checks
+ * the version of one that broke off.
+ */
 export function recordStreamEnd(
   context: RunContext,
   { complete, delivered }: RelayResult,
+  sentTo: RouteEndpoint,
 ): void {
-  if (!complete || !delivered) return;
-  context.dependencies.streamOrigins.forget(context.streamKey);
+  if (complete && delivered) {
+    context.dependencies.streamOrigins.forget(context.streamKey);
+  } else {
+    correctStreamOrigin(context, sentTo);
+  }
 }
 
 /**
--- a/test/forwarding/stream_versions.test.ts
+++ b/test/forwarding/stream_versions.test.ts
@@ -278,6 +278,27 @@
   assert.equal(countGoneOn(resumed), STREAMS);
 });
 
+test("a stream of an endpoint whose entry was behind goes on at the version that wrote it", async (t) => {
+  const fleet = await startFleet(t, ["v1", "v2"], 1);
+  const behind = fleet.engine(Service.Model, 0);
+  const isSent = new Promise<void>((resolve) => behind.onReceived = resolve);
+  const answer = call(at(fleet, 0), { attempt_id: "behind" });
+  await isSent;
+  await sleep(40);
+  behind.silentUntil_ms = performance.now() + 400;
+  // It had started anew, with new software, before it got the stream.
+  const { logLines } = at(fleet, 0);
+  const before = logLines.length;
+  fleet.registerEngine(Service.Model, behind, { version: "v2", born: 2 });
+  await waitUntil(() =>
+    logLines.slice(before).some((line) => line.includes("endpoint=model-0"))
+  );
+  behind.crash();
+  const { complete, events } = await answer;
+  assert.deepEqual({ complete, events }, { complete: true, events: EVENTS });
+  assert.deepEqual(endpointsOf(fleet, ["behind"]), [0, 1]);
+});
+
 test("a resumed stream is refused at once when its version has left", async (t) => {
   const versions = ["v1", "v2"];
   const fleet = await startFleet(t, versions);
