ORDER: what a host may conclude when its source was away, and of hung streams

The history now goes on; a host concludes nothing while it is cut off from both the source and the hosts that keep copies, which is when others could use a version that it has not heard of. - A stream whose endpoint went dark and started again with other software would have been taken for the new incarnation's when its connection was found dead. Only one that brings an event after the news is.

--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -40,6 +40,8 @@
   last_event_id?: string;
   /** Number of complete events of a stream. */
   event_count?: number;
+  /** Arrival of the last of them, in milliseconds of the monotonic clock. */
+  last_event_ms?: number;
   /** Why the response was broken off by this host; undefined if it wasn't. */
   cut_reason?: ResponseCutReason;
   /** Whether a stream can go on after `last_event_id`. */
@@ -160,6 +162,7 @@
     };
     const splitter = new EventSplitter(options.continues_after);
     let first_byte_ms: number | undefined;
+    let last_event_ms: number | undefined;
     let finished = false;
     const finish = (complete: boolean, cut_reason?: ResponseCutReason) => {
       if (finished) return;
@@ -169,6 +172,7 @@
         first_byte_ms,
         last_event_id: options.resumable ? splitter.lastEventId : undefined,
         event_count: splitter.eventCount,
+        last_event_ms,
         position_known: splitter.positionKnown,
         cut_reason,
       };
@@ -193,6 +197,7 @@
       const eventsBefore = splitter.eventCount;
       const completeEvents = splitter.push(chunk);
       paced.charge(splitter.eventCount - eventsBefore);
+      if (splitter.eventCount > eventsBefore) last_event_ms = performance.now();
       const isFirst = eventsBefore === 0;
       if (isFirst && splitter.eventCount > 0) options.onFirstEvent();
       if (splitter.outOfOrder) {
--- a/src/forwarding/stream_origin.ts
+++ b/src/forwarding/stream_origin.ts
@@ -30,29 +30,30 @@
 }
 
 /**
- * Corrects the version of a stream that broke off, if its endpoint is known by
- * now to have started again. A start breaks all connections, so a stream that
- * was running when the news came was written by the new incarnation; the entry
- * was behind when the request was sent.
+ * Corrects the version of a stream that broke off, if its endpoint has started
+ * again and events came after this host learned of that: a start breaks all
+ * connections, so the new incarnation wrote the stream, and the entry was behind
+ * when the request was sent.
  */
 function correctStreamOrigin(
   context: RunContext,
+  { last_event_ms = -Infinity }: RelayResult,
   sentTo: RouteEndpoint,
 ): void {
   if (context.firstEventFrom !== sentTo) return;
-  const { endpoints, log } = context.dependencies;
-  const current = endpoints.findById(sentTo.id);
-  if (current === undefined) return;
-  if (incarnationOf(current) === incarnationOf(sentTo)) return;
+  const { streamOrigins, log } = context.dependencies;
+  const current = streamOrigins.incarnationOf(sentTo.id);
+  if (current === undefined || last_event_ms < current.known_since_ms) return;
+  if (incarnationOf(current.endpoint) === incarnationOf(sentTo)) return;
   log.info({
     event: "stream_version_corrected",
     attempt: context.admitted.metadata.attempt_id,
     endpoint: sentTo.id,
     believed: context.streamVersion,
-    version: current.software_version,
+    version: current.endpoint.software_version,
   });
   context.streamVersion = undefined;
-  recordStreamOrigin(context, current);
+  recordStreamOrigin(context, current.endpoint);
 }
 
 /**
@@ -61,13 +62,13 @@
  */
 export function recordStreamEnd(
   context: RunContext,
-  { complete, delivered }: RelayResult,
+  relayed: RelayResult,
   sentTo: RouteEndpoint,
 ): void {
-  if (complete && delivered) {
+  if (relayed.complete && relayed.delivered) {
     context.dependencies.streamOrigins.forget(context.streamKey);
   } else {
-    correctStreamOrigin(context, sentTo);
+    correctStreamOrigin(context, relayed, sentTo);
   }
 }
 
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -162,16 +162,14 @@
   const streamOrigins = new StreamOriginService({
     self,
     hosts: () => members.addresses(),
+    sourceAvailable: () => endpoints.sourceAvailable,
     peers,
     log,
     now,
     random,
   });
   endpointListeners.push(() =>
-    streamOrigins.observeEndpoints(
-      endpoints.all(now()),
-      endpoints.sourceAvailable,
-    )
+    streamOrigins.observeEndpoints(endpoints.all(now()))
   );
   const feedClients = new FeedStreamClients({ log, now });
   const readers = new StoreReaders({
--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -202,11 +202,6 @@
     return this.#newestEndpoints().get(address);
   }
 
-  /** The last known incarnation of an endpoint; undefined if it has none. */
-  findById(id: string): RouteEndpoint | undefined {
-    return this.#entries.get(id)?.endpoint;
-  }
-
   /**
    * Lists every endpoint, including those that are leaving, for peers that
    * cannot reach the source.
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -159,13 +159,9 @@
     onSourceUnavailable() {
       endpoints.dropExpired(now());
       endpoints.markSourceUnavailable();
-      notifyListeners();
       void pollPeers(options, state);
     },
-    onSourceAvailable() {
-      endpoints.markSourceAvailable(now());
-      notifyListeners();
-    },
+    onSourceAvailable: () => endpoints.markSourceAvailable(now()),
     onSourceRestored() {
       endpoints.markSourceRestored(now());
       void abortableDelay(RETURNED_ENTRY_HOLD_MS, options.signal)
--- a/src/stream_origins/stream_origin_service.ts
+++ b/src/stream_origins/stream_origin_service.ts
@@ -6,12 +6,14 @@
  * endpoints of several versions, two other hosts keep a copy, chosen by the
  * attempt's id, so that a stream can be taken up after its host is gone. A host
  * that finds no record may still conclude the version if no other was in service
- * in the life of the stream. Without that the stream is not taken up: a guess
- * would join two versions.
+ * in the life of the stream, unless it is cut off from both the source of the
+ * endpoints and the keepers. Else the stream is not taken up: a guess would join
+ * two versions.
  */
 import type { Logger } from "../logging/logger.ts";
 import { rankCandidates } from "../membership/rendezvous_hash.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
+import { EndpointStarts, type KnownIncarnation } from "./endpoint_starts.ts";
 import { OriginMemory } from "./origin_memory.ts";
 import {
   OriginSource,
@@ -40,6 +42,8 @@
   self: string;
   /** Addresses of all hosts. */
   hosts: () => readonly string[];
+  /** Whether the source of the endpoints answers this host. */
+  sourceAvailable: () => boolean;
   peers: StreamOriginPeers;
   log: Logger;
   /** Monotonic time in milliseconds. */
@@ -74,6 +78,7 @@
   /** Which versions have been in service. */
   readonly history = new VersionHistory();
   #memory = new OriginMemory();
+  #starts = new EndpointStarts();
   #options: StreamOriginOptions;
   /** Copies that wait to be sent, by address. */
   #outgoing = new Map<string, StreamOrigin[]>();
@@ -86,18 +91,25 @@
     this.#options = options;
   }
 
-  /** Records the endpoints that are in service now; see `VersionHistory`. */
-  observeEndpoints(
-    endpoints: readonly RouteEndpoint[],
-    complete: boolean,
-  ): void {
+  /** Records the endpoints that are in service now. */
+  observeEndpoints(endpoints: readonly RouteEndpoint[]): void {
+    if (endpoints.length === 0) return;
     const now_ms = this.#options.now();
-    this.history.observe(endpoints, { now_ms, complete });
+    this.history.observe(endpoints, now_ms);
+    this.#starts.observe(endpoints, now_ms);
     for (const pool of new Set(endpoints.map((each) => each.pool))) {
       this.#noteMixedPool(pool, now_ms);
     }
   }
 
+  /**
+   * The incarnation of an endpoint, and when this host learned of it; undefined
+   * if it has left.
+   */
+  incarnationOf(id: string): KnownIncarnation | undefined {
+    return this.#starts.find(id);
+  }
+
   /** Records that an endpoint wrote the first event of a stream. */
   recordFirstEvent(
     key: string,
@@ -130,21 +142,16 @@
     { key, pools, max_age_ms }: ResumedStream,
   ): Promise<ResolvedOrigin> {
     const since_ms = this.#options.now() - max_age_ms;
-    const recorded = key === undefined
-      ? undefined
-      : await this.#findRecord(key);
-    if (recorded !== undefined) return recorded;
-    if (!this.history.isCompleteSince(since_ms)) await this.#askForVersions();
-    return this.#onlyVersion(pools, since_ms);
-  }
-
-  async #findRecord(key: string): Promise<ResolvedOrigin> {
-    const own = this.find(key);
+    const own = key === undefined ? undefined : this.find(key);
     if (own !== undefined) return { ...own, source: OriginSource.Own };
-    const kept = await this.#askKeepers(key);
-    if (kept === undefined) return undefined;
-    this.keep([kept]);
-    return { ...kept, source: OriginSource.Keeper };
+    const { kept, isInTouch } = await this.#askKeepers(key ?? "");
+    if (kept !== undefined) {
+      this.keep([kept]);
+      return { ...kept, source: OriginSource.Keeper };
+    }
+    if (!isInTouch && !this.#options.sourceAvailable()) return undefined;
+    if (!this.history.isKnownSince(since_ms)) await this.#askForVersions();
+    return this.#onlyVersion(pools, since_ms);
   }
 
   /** The version of the only pool, if it had no other in all this time. */
@@ -153,7 +160,7 @@
     const versions = this.history.versionsSince(pool, since_ms);
     const [version] = versions;
     if (versions.length !== 1 || version === undefined) return undefined;
-    if (!this.history.isCompleteSince(since_ms)) return undefined;
+    if (!this.history.isKnownSince(since_ms)) return undefined;
     return { pool, version, source: OriginSource.OnlyVersion };
   }
 
@@ -209,24 +216,33 @@
     }
   }
 
-  async #askKeepers(key: string): Promise<StreamOrigin | undefined> {
+  /**
+   * Asks the keepers of a record. `isInTouch` says whether one of them answered,
+   * so that a record that others have made would be known.
+   */
+  async #askKeepers(
+    key: string,
+  ): Promise<{ kept: StreamOrigin | undefined; isInTouch: boolean }> {
     const { peers, log } = this.#options;
-    const answers = await Promise.all(
-      this.#keepersOf(key).map(async (address) => {
-        try {
-          return await peers.askOrigin(address, key);
-        } catch (error) {
-          log.warn({
-            event: "origin_not_told",
-            peer: address,
-            stream: key,
-            error: (error as Error).message,
-          });
-          return null;
-        }
-      }),
-    );
-    return answers.find((origin) => origin !== null) ?? undefined;
+    const keepers = this.#keepersOf(key);
+    const answers = await Promise.all(keepers.map(async (address) => {
+      try {
+        return await peers.askOrigin(address, key);
+      } catch (error) {
+        log.warn({
+          event: "origin_not_told",
+          peer: address,
+          stream: key,
+          error: (error as Error).message,
+        });
+        return undefined;
+      }
+    }));
+    const answered = answers.filter((answer) => answer !== undefined);
+    return {
+      kept: answered.find((origin) => origin !== null) ?? undefined,
+      isInTouch: answered.length > 0 || keepers.length === 0,
+    };
   }
 
   /** Learns from other hosts what was in service before this one started. */
--- /dev/null
+++ b/test/stream_origins/stream_origin_service.test.ts
@@ -0,0 +1,184 @@
+/** What a host concludes of a stream, from records and from what it saw. */
+import assert from "node:assert/strict";
+import { beforeEach, test } from "node:test";
+import { createLogger } from "../../src/logging/logger.ts";
+import {
+  type RouteEndpoint,
+  RouteEndpointState,
+} from "../../src/routes/types.ts";
+import { StreamOriginService } from "../../src/stream_origins/stream_origin_service.ts";
+import {
+  OriginSource,
+  type StreamOrigin,
+} from "../../src/stream_origins/types.ts";
+import type { VersionReport } from "../../src/stream_origins/version_history.ts";
+
+let now_ms: number;
+let sourceAvailable: boolean;
+let record: StreamOrigin | null;
+let isCutOff: boolean;
+let report: VersionReport;
+let kept: StreamOrigin[];
+let service: StreamOriginService;
+
+beforeEach(() => {
+  now_ms = 10_000;
+  sourceAvailable = true;
+  record = null;
+  isCutOff = false;
+  report = { known_for_ms: 0, versions: [] };
+  const received: StreamOrigin[] = [];
+  kept = received;
+  const answer = <T>(value: T): Promise<T> =>
+    isCutOff ? Promise.reject(new Error("timeout")) : Promise.resolve(value);
+  service = new StreamOriginService({
+    self: "host-1",
+    hosts: () => ["host-1", "host-2", "host-3", "host-4"],
+    sourceAvailable: () => sourceAvailable,
+    peers: {
+      async keepOrigins(_address, origins) {
+        await answer(undefined);
+        received.push(...origins);
+      },
+      askOrigin: () => answer(record),
+      askVersions: () => answer(report),
+    },
+    log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
+    now: () => now_ms,
+    random: () => 0.5,
+  });
+});
+
+function endpoint(software_version: string): RouteEndpoint {
+  return {
+    id: software_version,
+    pool: "model",
+    address: "10.0.0.1:80",
+    availability_zone: "a",
+    slots: 1,
+    state: RouteEndpointState.Ready,
+    born_ms: 1,
+    software_version,
+  };
+}
+
+function observe(...versions: string[]): void {
+  service.observeEndpoints(versions.map(endpoint));
+}
+
+function resolve(pools = ["model"]) {
+  return service.resolve({ key: "docks/a", pools, max_age_ms: 5_000 });
+}
+
+async function passTime(): Promise<void> {
+  await new Promise((done) => setTimeout(done, 40));
+}
+
+test("the host that relayed the first event knows the version", async () => {
+  observe("v1", "v2");
+  service.recordFirstEvent("docks/a", endpoint("v2"));
+  const { version, source } = await resolve() ?? {};
+  assert.deepEqual({ version, source }, {
+    version: "v2",
+    source: OriginSource.Own,
+  });
+});
+
+test("records are copied while versions differ, those before too", async () => {
+  observe("v1");
+  service.recordFirstEvent("docks/a", endpoint("v1"));
+  await passTime();
+  assert.deepEqual(kept, []);
+  observe("v1", "v2");
+  service.recordFirstEvent("docks/b", endpoint("v2"));
+  await passTime();
+  const keys = kept.map(({ key, version }) => `${key} ${version}`).sort();
+  assert.deepEqual(keys, [
+    "docks/a v1",
+    "docks/a v1",
+    "docks/b v2",
+    "docks/b v2",
+  ]);
+});
+
+test("a keeper's record goes before what the history tells", async () => {
+  observe("v1");
+  now_ms += 60_000;
+  record = { key: "docks/a", pool: "model", version: "v0" };
+  assert.equal((await resolve())?.version, "v0");
+});
+
+test("a version is concluded if no other was in service in the stream's life", async () => {
+  observe("v1", "v2");
+  now_ms += 1_000;
+  observe("v2");
+  assert.equal(await resolve(), undefined);
+  now_ms += 6_000;
+  assert.equal((await resolve())?.source, OriginSource.OnlyVersion);
+});
+
+test("a host that has just started concludes it from what others know", async () => {
+  observe("v1");
+  assert.equal(await resolve(), undefined);
+  now_ms += 1_000;
+  report = {
+    known_for_ms: 60_000,
+    versions: [{ pool: "model", version: "v1", gone_for_ms: 0 }],
+  };
+  assert.equal((await resolve())?.version, "v1");
+});
+
+test("a host that has just started hears of versions that have left", async () => {
+  observe("v2");
+  report = {
+    known_for_ms: 60_000,
+    versions: [
+      { pool: "model", version: "v1", gone_for_ms: 2_000 },
+      { pool: "model", version: "v2", gone_for_ms: 0 },
+    ],
+  };
+  assert.equal(await resolve(), undefined);
+});
+
+test("a host that is cut off from the source and from the keepers concludes nothing", async () => {
+  observe("v1");
+  now_ms += 60_000;
+  sourceAvailable = false;
+  assert.equal((await resolve())?.version, "v1");
+  isCutOff = true;
+  assert.equal(await resolve(), undefined);
+  sourceAvailable = true;
+  assert.equal((await resolve())?.version, "v1");
+});
+
+test("of a stream that several pools may have begun only a record tells", async () => {
+  observe("v1");
+  now_ms += 60_000;
+  assert.equal(await resolve(["model", "canary"]), undefined);
+  record = { key: "docks/a", pool: "canary", version: "v1" };
+  assert.equal((await resolve(["model", "canary"]))?.pool, "canary");
+});
+
+test("a whole stream is forgotten", async () => {
+  observe("v1", "v2");
+  service.recordFirstEvent("docks/a", endpoint("v2"));
+  service.forget("docks/a");
+  assert.equal(await resolve(), undefined);
+});
+
+test("the last word on a stream's version counts", async () => {
+  observe("v1", "v2");
+  service.recordFirstEvent("docks/a", endpoint("v1"));
+  service.recordFirstEvent("docks/a", endpoint("v2"));
+  assert.equal((await resolve())?.version, "v2");
+});
+
+test("it is told since when an incarnation is known", () => {
+  observe("v1");
+  now_ms += 1_000;
+  service.observeEndpoints([endpoint("v1")]);
+  assert.equal(service.incarnationOf("v1")?.known_since_ms, 10_000);
+  service.observeEndpoints([{ ...endpoint("v1"), born_ms: 2 }]);
+  assert.equal(service.incarnationOf("v1")?.known_since_ms, 11_000);
+  assert.equal(service.incarnationOf("v2"), undefined);
+});
