SHORT: a later pool without an endpoint that accepts calls is no reason to refuse early

Found by reading the admission for all stages again: while every endpoint of a later pool backs off after an error, for 300 ms mostly, its batcher reports no rate, and the first stage refused all requests with the longest time to return, although they would arrive there after the backoff. It decides alone then, as without news; the later stage refuses what it really can't take, as before.

--- a/src/batching/pipeline_admission.ts
+++ b/src/batching/pipeline_admission.ts
@@ -108,7 +108,10 @@
     };
   }
 
-  /** The stages after a first stage; undefined if one has an unknown load. */
+  /**
+   * The stages after a first stage; undefined if one has an unknown load, or no
+   * endpoint that accepts calls now: it may have one when the request arrives.
+   */
   #knownStages(
     { pieces, later = [], target_in_ms }: StageJob,
   ): KnownStage[] | undefined {
@@ -117,7 +120,7 @@
     const stages: KnownStage[] = [];
     for (const stage of later.toReversed()) {
       const load = this.#options.laterLoad(stage.pool);
-      if (load === undefined) return undefined;
+      if (load === undefined || load.pieces_per_ms === 0) return undefined;
       stages.unshift({ ...stage, load, due_in_ms });
       due_in_ms -= load.call_ms;
     }
@@ -157,7 +160,7 @@
       this.#admittedTo(pool).onTheWay(now_ms + due_in_ms, now_ms);
   }
 
-  /** Rate that more urgent pieces leave to a priority; 0 if none are called. */
+  /** Rate that more urgent pieces leave to a priority. */
   #spareRate(
     { pool, load: { pieces_per_ms } }: KnownStage,
     priority: number,
