--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -4,26 +4,21 @@
  * is harmless, so the assignment needs no consensus: while two hosts batch for
  * one pool, the only cost is that each call holds fewer pieces.
  */
-import { type BatchLimits, type RouteEndpoint } from "../routes/types.ts";
-import { EndpointTracker } from "./endpoint_tracker.ts";
+import type { BatchLimits } from "../routes/types.ts";
 import {
   checkJobAdmission,
   createRefusal,
   findUnservableJobs,
-  loadAheadOf,
-  loadOf,
-  reportableWaitMs,
 } from "./admit_job.ts";
 import { CallRunner, type CallRunnerOptions } from "./call_runner.ts";
-import type { PoolLoad } from "./expected_wait.ts";
 import {
   PipelineAdmission,
   type PipelineAdmissionOptions,
 } from "./pipeline_admission.ts";
-import { createLoadReport, type PoolLoadReport } from "./pool_load_report.ts";
-import { endpointsOfShard } from "./pool_shards.ts";
+import type { PoolLoadReport } from "./pool_load_report.ts";
 import { createFinishJob, type FinishJob } from "./finish_job.ts";
 import { planCall } from "./plan_call.ts";
+import { QueueLoads, type QueueLoadsOptions } from "./queue_loads.ts";
 import { ResultMemory } from "./result_memory.ts";
 import {
   countWaitingPieces,
@@ -32,7 +27,6 @@
   hasWaitingPieces,
   isWorthCalling,
   type PoolQueue,
-  readyTrackers,
   zoneWaits,
 } from "./pool_queue.ts";
 import {
@@ -43,22 +37,20 @@
 } from "./types.ts";
 
 /** Dependencies of a `Batcher`. */
-export interface BatcherOptions extends
-  PipelineAdmissionOptions,
-  Pick<
-    CallRunnerOptions,
-    | "client"
-    | "freeAtBatcher"
-    | "hasCrashed"
-    | "onCompleted"
-    | "onUnwantedCall"
-    | "log"
-    | "now"
-  > {
-  /** The endpoints of a pool, leaving ones included. */
-  endpoints: (pool: string) => readonly RouteEndpoint[];
-  /** Time for which an endpoint itself wants no calls, in milliseconds. */
-  pauseMs: (endpoint: RouteEndpoint) => number;
+export interface BatcherOptions
+  extends
+    PipelineAdmissionOptions,
+    QueueLoadsOptions,
+    Pick<
+      CallRunnerOptions,
+      | "client"
+      | "freeAtBatcher"
+      | "hasCrashed"
+      | "onCompleted"
+      | "onUnwantedCall"
+      | "log"
+      | "now"
+    > {
 }
 
 /** Delay before the next dispatch while pieces are waiting. */
@@ -67,11 +59,6 @@
 const MIN_IDLE_DISPATCH_INTERVAL_MS = 10;
 /** Interval at which waiting jobs are checked against the load. */
 const REVIEW_INTERVAL_MS = 100;
-const NO_LOAD: PoolLoadReport = {
-  pieces_per_ms: 0,
-  call_ms: 0,
-  waiting_by_due: [],
-};
 const CANCELLED: JobOutcome = {
   kind: JobOutcomeKind.Failed,
   reason: "cancelled",
@@ -84,11 +71,13 @@
   #finishJob: FinishJob;
   #calls: CallRunner;
   #options: BatcherOptions;
+  #loads: QueueLoads;
   #pipelines: PipelineAdmission;
   #draining = false;
 
   constructor(options: BatcherOptions) {
     this.#options = options;
+    this.#loads = new QueueLoads(options);
     this.#pipelines = new PipelineAdmission(options);
     this.#memory = new ResultMemory({
       ...options,
@@ -100,7 +89,8 @@
       memory: this.#memory,
       finishJob: this.#finishJob,
       onCallEnded: (queue) => this.#dispatchWithin(queue, 0),
-      reportableWaitMs: (job, queue) => this.#reportableWaitMs(job, queue),
+      reportableWaitMs: (job, queue) =>
+        this.#loads.reportableWaitMs(job, queue),
     });
   }
 
@@ -204,7 +194,7 @@
     queue: PoolQueue,
     limits: BatchLimits,
   ): JobOutcome | undefined {
-    const load = this.#loadAheadOf(job, queue);
+    const load = this.#loads.aheadOf(job, queue);
     const now_ms = this.#options.now();
     const refusal = checkJobAdmission(job, load, limits) ??
       this.#pipelines.check(job, { load, limits, now_ms });
@@ -225,45 +215,7 @@
 
   /** The load of a pool or of one shard of it, for the batchers of others. */
   reportLoad(queueName: { pool: string; shard?: string }): PoolLoadReport {
-    const queue = this.#queueOf(queueName);
-    const limits = this.#options.pool(queue.pool)?.batch;
-    if (limits === undefined) return NO_LOAD;
-    const now_ms = this.#options.now();
-    const load = loadOf(queue, {
-      ready: this.#readyTrackers(queue),
-      now_ms,
-    });
-    const waiting = [...queue.jobs].map((queued) => ({
-      pieces: queued.waiting.length,
-      due_in_ms: queued.due_ms - now_ms,
-    }));
-    return createLoadReport(load, limits, waiting);
-  }
-
-  #loadAheadOf(job: StageJob, queue: PoolQueue): PoolLoad {
-    const now_ms = this.#options.now();
-    return loadAheadOf(job, queue, {
-      ready: this.#readyTrackers(queue),
-      now_ms,
-    });
-  }
-
-  #reportableWaitMs(job: StageJob, queue: PoolQueue): number {
-    const limits = this.#options.pool(queue.pool)?.batch;
-    return limits === undefined
-      ? 0
-      : reportableWaitMs(this.#loadAheadOf(job, queue), limits);
-  }
-
-  #readyTrackers(queue: PoolQueue): EndpointTracker[] {
-    const { endpoints, pauseMs, now } = this.#options;
-    const ofShard = endpointsOfShard(endpoints(queue.pool), queue.shard);
-    const trackers = readyTrackers(queue, ofShard);
-    for (const tracker of trackers) {
-      const pause_ms = pauseMs(tracker.endpoint);
-      tracker.pauseUntil(pause_ms > 0 ? now() + pause_ms : -Infinity);
-    }
-    return trackers;
+    return this.#loads.report(this.#queueOf(queueName));
   }
 
   /** Dispatches now, or after a short delay if the last one started no call. */
@@ -310,7 +262,7 @@
     queue: PoolQueue,
     { limits, now_ms }: { limits: BatchLimits; now_ms: number },
   ): boolean {
-    const ready = this.#readyTrackers(queue);
+    const ready = this.#loads.readyTrackers(queue);
     const available = ready.filter((tracker) =>
       tracker.canStartCall(now_ms, limits)
     )
@@ -353,7 +305,7 @@
     queue.last_review_ms = now_ms;
     const [first] = queue.jobs;
     if (first === undefined) return;
-    const load = this.#loadAheadOf(first.job, queue);
+    const load = this.#loads.aheadOf(first.job, queue);
     for (const queued of findUnservableJobs(queue, load, { limits, now_ms })) {
       this.#options.log.info({
         event: "job_given_up",
