--- a/src/stream_origins/origin_memory.ts
+++ b/src/stream_origins/origin_memory.ts
@@ -7,7 +7,7 @@
 
 /** Streams that are remembered; the oldest are dropped. */
 const MAX_ORIGINS = 50_000;
-/** No caller takes up a stream that began longer ago. */
+/** No caller resumes a stream that began longer ago. */
 const KEPT_MS = 120_000;
 
 interface RememberedOrigin {
--- a/src/stream_origins/stream_origin_service.ts
+++ b/src/stream_origins/stream_origin_service.ts
@@ -4,10 +4,10 @@
  *
  * The host that relays a first event remembers the version. While a pool has
  * endpoints of several versions, two other hosts keep a copy, chosen by the
- * attempt's id, so that a stream can be taken up after its host is gone. A host
+ * attempt's id, so that a stream can be resumed after its host is gone. A host
  * that finds no record may still conclude the version if no other was in service
  * in the life of the stream, unless it is cut off from both the source of the
- * endpoints and the keepers. Else the stream is not taken up: a guess would join
+ * endpoints and the keepers. Else the stream is not resumed: a guess would join
  * two versions.
  */
 import type { Logger } from "../logging/logger.ts";
@@ -52,7 +52,7 @@
   random: () => number;
 }
 
-/** A stream that a caller takes up. */
+/** A stream that a caller resumes. */
 export interface ResumedStream {
   /** Undefined if the caller does not name the stream's first attempt. */
   key: string | undefined;
--- a/src/stream_origins/types.ts
+++ b/src/stream_origins/types.ts
@@ -19,7 +19,7 @@
 
 /** Where the version of a stream is known from; the values are logged. */
 export enum OriginSource {
-  /** This host relayed the first event, or took the stream up before. */
+  /** This host relayed the first event, or resumed the stream before. */
   Own = "own",
   /** A host that keeps a copy. */
   Keeper = "keeper",
