--- a/src/batching/pipeline_admission.ts
+++ b/src/batching/pipeline_admission.ts
@@ -26,8 +26,9 @@
 const MIN_SPARE_SHARE = 0.1;
 
 /**
- * Share of a pool's rate that is planned with where urgent work comes, since
- * what was admitted too much delays that as well, once it is due.
+ * Share of a pool's rate that less urgent requests are planned with. If more of
+ * them were admitted than can be done, they would delay urgent ones once they
+ * are due.
  */
 const PLANNED_SHARE = 0.95;
 
--- a/src/stream_origins/stream_origin_service.ts
+++ b/src/stream_origins/stream_origin_service.ts
@@ -144,6 +144,7 @@
     const since_ms = this.#options.now() - max_age_ms;
     const own = key === undefined ? undefined : this.find(key);
     if (own !== undefined) return { ...own, source: OriginSource.Own };
+    // Without a key this only tells whether the keepers answer.
     const { kept, isInTouch } = await this.#askKeepers(key ?? "");
     if (kept !== undefined) {
       this.keep([kept]);
