A host that comes to follow others ends its watches at the store

Its streams end, it has no other reader yet and reads the store itself; the list that it gets names the true readers, but watches of the other feeds have begun by then.

Change: each change of the hosts ends the watches of a host that isn't a reader any more.

--- a/src/membership/store_readers.ts
+++ b/src/membership/store_readers.ts
@@ -38,7 +38,8 @@
   #excluded = new Map<string, Exclusion>();
   /** Cached ranking; `hosts` is the joined list that it was computed for. */
   #ranked: { hosts: string; order: string[] } = { hosts: "", order: [] };
-  #followersExpected = new AbortController();
+  #outdatedWatches = new AbortController();
+  #hadFollowers = false;
   #options: StoreReadersOptions;
 
   constructor(options: StoreReadersOptions) {
@@ -52,19 +53,22 @@
   }
 
   /**
-   * Aborts once {@linkcode mayHaveFollowers} is true: watches at the store that
-   * began earlier are too long, and most hosts must follow others instead.
+   * Aborts the current watches at the store when a change of the hosts outdates
+   * them: they are too long once other hosts may follow this one, and needless
+   * once this host follows others.
    */
-  get followersExpected(): AbortSignal {
-    return this.#followersExpected.signal;
+  get outdatedWatches(): AbortSignal {
+    return this.#outdatedWatches.signal;
   }
 
   /** Must be called after each change of the hosts. */
   hostsChanged(): void {
-    const { aborted } = this.#followersExpected.signal;
-    if (this.mayHaveFollowers === aborted) return;
-    if (aborted) this.#followersExpected = new AbortController();
-    else this.#followersExpected.abort();
+    const { mayHaveFollowers } = this;
+    const isFirstFollowed = mayHaveFollowers && !this.#hadFollowers;
+    this.#hadFollowers = mayHaveFollowers;
+    if (!isFirstFollowed && this.selfIsReader) return;
+    this.#outdatedWatches.abort();
+    this.#outdatedWatches = new AbortController();
   }
 
   /** Whether this host reads the store itself. */
--- a/src/store_sync/relayed_feed.ts
+++ b/src/store_sync/relayed_feed.ts
@@ -81,20 +81,17 @@
       ? await peers.list(address, position)
       : result;
   };
-  /** Watches the store, for as long as no other host may follow this one. */
+  /** Watches the store until a change of the hosts outdates the watch. */
   const watchStore = async (
     position: FeedPosition,
     wait_ms: number,
     signal: AbortSignal,
   ): Promise<FeedResult<T>> => {
     const limited_ms = Math.min(wait_ms, options.max_store_watch_ms);
-    if (readers.mayHaveFollowers) {
-      return await store.watch(position, limited_ms, signal);
-    }
-    const { followersExpected } = readers;
-    const watchSignal = AbortSignal.any([signal, followersExpected]);
+    const { outdatedWatches } = readers;
+    const watchSignal = AbortSignal.any([signal, outdatedWatches]);
     const result = await store.watch(position, limited_ms, watchSignal);
-    return followersExpected.aborted &&
+    return outdatedWatches.aborted &&
         result.kind === FeedResultKind.Unavailable
       ? { kind: FeedResultKind.Changed, changes: [], ...position }
       : result;
--- a/test/store_sync/relayed_feed.test.ts
+++ b/test/store_sync/relayed_feed.test.ts
@@ -132,10 +132,10 @@
   assert.equal(read.kind, FeedResultKind.Unavailable);
 });
 
-test("a watch that began before the fleet was known ends once it is", async () => {
-  const hosts = [follower];
+/** A feed whose watches at the store wait until they are aborted. */
+function waitingFeed(self: string, hosts: string[]) {
   const readers = new StoreReaders({
-    self: follower,
+    self,
     hosts: () => hosts,
     cores: () => new Map(),
     readerCount: READERS,
@@ -145,23 +145,29 @@
     new Promise<FeedResult<number>>((resolve) =>
       signal.addEventListener("abort", () => resolve(UNAVAILABLE))
     );
-  const peers = {
-    list: () => Promise.resolve(listed(9)),
-    watch: () => Promise.resolve(changed(9)),
-  };
-  const feed = createRelayedFeed({
+  const feed = createRelayedFeed<number>({
     name: "f",
     store: {
       list: () => Promise.resolve(listed(5)),
       watch: (_position, _wait_ms, signal) => watchUntilAborted(signal),
     },
-    peers,
+    peers: {
+      list: () => Promise.resolve(listed(9)),
+      watch: () => Promise.resolve(changed(9)),
+    },
     readers,
-    self: follower,
+    self,
     max_store_watch_ms: 1_500,
     onSilence: () => {},
     log,
   });
+  return { feed, readers };
+}
+
+test("a watch that began before the fleet was known ends once it is", async () => {
+  const hosts = [follower];
+  const { feed, readers } = waitingFeed(follower, hosts);
+  readers.hostsChanged();
   await feed.list(signal);
   const watch = feed.watch(at(5), 8_000, signal);
   hosts.splice(0, 1, ...HOSTS);
@@ -171,6 +177,22 @@
   assert.deepEqual(await feed.watch(at(5), 8_000, signal), changed(9));
 });
 
+test("a watch of a reader ends once a change of the hosts makes it a follower", async () => {
+  const followers = HOSTS.filter((host) => !readersAt(host).selfIsReader);
+  const hosts = followers.slice(0, READERS + 1);
+  const firstReader =
+    hosts.find((host) => waitingFeed(host, hosts).readers.selfIsReader) ?? "";
+  const { feed, readers } = waitingFeed(firstReader, hosts);
+  readers.hostsChanged();
+  assert.ok(readers.mayHaveFollowers);
+  await feed.list(signal);
+  const watch = feed.watch(at(5), 8_000, signal);
+  hosts.splice(0, hosts.length, ...HOSTS);
+  readers.hostsChanged();
+  assert.deepEqual(await watch, changed(5));
+  assert.deepEqual(await feed.watch(at(5), 8_000, signal), changed(9));
+});
+
 test("a reader is not passed over because the other one answered sooner", async () => {
   const readers = readersAt(follower);
   const [first, second] = readers.readersToFollow();
