Test of a silent watch: leave the peer as the only way to learn of changes

Cause: a test that was left behind. Since hosts notice the silence of a connection by themselves (within 1.5 s by default), both that and the peer, asked each 0.5 to 1.5 s, bring the change; the test wants the peer's to come first. That silence is noticed has its own tests (silent_store.test.ts).

--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -29,6 +29,8 @@
   timeout_ms?: number;
   /** Longest watch; 300 by default. */
   watch_ms?: number;
+  /** `object_store.silence_ms` of the gateway hosts. */
+  silence_ms?: number;
   /** Time limit of a gateway host's drain; 8 by default. */
   drain_timeout_s?: number;
   /** Through what gateway hosts reach the object store; nothing by default. */
@@ -191,6 +193,7 @@
           address: this.#storeAddress,
           watch_ms: this.#options.watch_ms ?? 300,
           readers: this.#options.readers,
+          silence_ms: this.#options.silence_ms,
         },
         repeats: { ratio: 0.2, slack: 50, window_s: 10 },
         drain: { timeout_s: this.#options.drain_timeout_s ?? 8 },
--- a/test/forwarding/gateway_faults.test.ts
+++ b/test/forwarding/gateway_faults.test.ts
@@ -210,7 +210,8 @@
 });
 
 test("a host whose watch went silent learns of changes from a peer", async () => {
-  await startFleet({ gateways: 2, watch_ms: 15_000 });
+  // Only a peer can tell: the host itself would notice the silence much later.
+  await startFleet({ gateways: 2, watch_ms: 15_000, silence_ms: 30_000 });
   await waitUntil(() => hasLogged(0, "event=members count=2"));
   fleet.store.silenceOldestWatches(2);
   fleet.publishManifest({
