ORDER: the age of a stream is not bounded by its route's timeout

What callers could see: after all hosts were killed and the endpoints of one version had just left, streams that were resumed went on at the other version, answered 200.

Cause: a host without a record concludes a stream's version if no other was in service in its life, and took its life for at most the route's timeout. Callers may wait for longer (a route's timeout changes with the configuration), and an attempt tells only the time that is left. With 4.5 s to wait at a timeout of 1.5 s, hosts that were up for 2 s believed streams to be 1.5 s old that had begun before the kill. Class of fault: a bound taken from the wrong party.

Change: hosts remember the longest time left that attempts of a route brought in the last minute; a stream is as old as that allows. A host that has seen no other attempt of the route doubles the time left, as before.

--- a/src/forwarding/stream_origin.ts
+++ b/src/forwarding/stream_origin.ts
@@ -80,9 +80,9 @@
   context: RunContext,
 ): Promise<Rejection | undefined> {
   const { metadata, route } = context.admitted;
-  if (!route.resumable || metadata.last_event_id === undefined) {
-    return undefined;
-  }
+  if (!route.resumable) return undefined;
+  recordDeadline(context);
+  if (metadata.last_event_id === undefined) return undefined;
   const { streamOrigins, log, metrics } = context.dependencies;
   const max_age_ms = maxAgeMs(context);
   const origin = await streamOrigins.resolve({
@@ -121,11 +121,26 @@
   return endpoints === 0 ? VERSION_GONE : undefined;
 }
 
+function recordDeadline({ admitted, dependencies }: RunContext): void {
+  const { route, metadata } = admitted;
+  const { streamOrigins, now } = dependencies;
+  const { deadline_ms = 0 } = metadata;
+  streamOrigins.deadlines.record(route.name, deadline_ms, now());
+}
+
 /** The longest time since the caller can have sent its first attempt. */
 function maxAgeMs({ admitted, inbound, dependencies }: RunContext): number {
-  const { timeout_ms } = admitted.route;
-  const { deadline_ms = 0 } = admitted.metadata;
-  const elapsed_ms = dependencies.now() - inbound.arrived_ms;
-  const limit_ms = deadline_ms > timeout_ms ? 2 * deadline_ms : timeout_ms;
+  const { route, metadata } = admitted;
+  const { streamOrigins, now } = dependencies;
+  const { deadline_ms = 0 } = metadata;
+  // Callers may wait for longer than the route's timeout.
+  const longest_ms = Math.max(
+    route.timeout_ms,
+    streamOrigins.deadlines.longest(route.name, now()),
+  );
+  const limit_ms = deadline_ms > route.timeout_ms
+    ? Math.max(longest_ms, 2 * deadline_ms)
+    : longest_ms;
+  const elapsed_ms = now() - inbound.arrived_ms;
   return limit_ms - deadline_ms + elapsed_ms + AGE_MARGIN_MS;
 }
--- a/src/stream_origins/stream_origin_service.ts
+++ b/src/stream_origins/stream_origin_service.ts
@@ -14,6 +14,7 @@
 import { rankCandidates } from "../membership/rendezvous_hash.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 import { EndpointStarts, type KnownIncarnation } from "./endpoint_starts.ts";
+import { LongestDeadlines } from "./longest_deadlines.ts";
 import { OriginMemory } from "./origin_memory.ts";
 import {
   OriginSource,
@@ -77,6 +78,8 @@
 export class StreamOriginService {
   /** Which versions have been in service. */
   readonly history = new VersionHistory();
+  /** How long the callers of each route wait. */
+  readonly deadlines = new LongestDeadlines();
   #memory = new OriginMemory();
   #starts = new EndpointStarts();
   #options: StreamOriginOptions;
--- a/test/forwarding/stream_versions.test.ts
+++ b/test/forwarding/stream_versions.test.ts
@@ -221,12 +221,17 @@
 async function leaveAndResume(
   fleet: GatewayFleet,
   prepare: () => Promise<void> = () => Promise.resolve(),
+  deadline_ms?: number,
 ): Promise<{ streams: string[][]; resumed: Stream[] }> {
   const first = await Promise.all(
     Array.from(
       { length: STREAMS },
       (_, n) =>
-        call(at(fleet, n), { attempt_id: `first-${n}`, leaves_after: 2 }),
+        call(at(fleet, n), {
+          attempt_id: `first-${n}`,
+          leaves_after: 2,
+          deadline_ms,
+        }),
     ),
   );
   await prepare();
@@ -333,18 +338,29 @@
   assert.equal(stream.events, 1);
 });
 
+/** Stops all hosts and waits until others know this many model endpoints. */
+async function replaceHosts(
+  fleet: GatewayFleet,
+  models: number,
+): Promise<void> {
+  for (const { gateway } of fleet.gateways.splice(0)) gateway.stop();
+  for (let n = 5; n < 8; n++) await fleet.startGateway(n);
+  // Beside them there is one other endpoint.
+  const listed = `event=endpoints count=${models + 1}`;
+  await waitUntil(() =>
+    fleet.gateways.every(({ logLines }) =>
+      logLines.some((line) => line.includes("state=ready")) &&
+      logLines.some((line) => line.includes(listed))
+    )
+  );
+}
+
 test("streams whose version no host knows any more are not joined", async (t) => {
   const fleet = await startFleet(t, MIXED);
-  const { streams, resumed } = await leaveAndResume(fleet, async () => {
-    for (const { gateway } of fleet.gateways.splice(0)) gateway.stop();
-    for (let n = 5; n < 8; n++) await fleet.startGateway(n);
-    await waitUntil(() =>
-      fleet.gateways.every(({ logLines }) =>
-        logLines.some((line) => line.includes("state=ready")) &&
-        logLines.some((line) => line.includes("event=endpoints count=5"))
-      )
-    );
-  });
+  const { streams, resumed } = await leaveAndResume(
+    fleet,
+    () => replaceHosts(fleet, MIXED.length),
+  );
   assert.equal(countJoined(fleet, MIXED, streams), 0);
   for (const { status, reason } of resumed) {
     assert.deepEqual({ status, reason }, {
@@ -354,6 +370,22 @@
   }
 });
 
+test("streams of callers that wait for longer than the route's timeout are not joined after all hosts and a version have gone", async (t) => {
+  const versions = ["v1", "v2"];
+  const fleet = await startFleet(t, versions);
+  const deadline_ms = 3 * ROUTE_TIMEOUT_MS;
+  const { streams } = await leaveAndResume(fleet, async () => {
+    await remove(fleet, "model-0");
+    await replaceHosts(fleet, versions.length - 1);
+    for (const [n, host] of fleet.gateways.entries()) {
+      await call(host, { attempt_id: `new-${n}`, deadline_ms });
+    }
+    // By the route's timeout alone the streams would have begun after that.
+    await sleep(ROUTE_TIMEOUT_MS + 500);
+  }, deadline_ms);
+  assert.equal(countJoined(fleet, versions, streams), 0);
+});
+
 test("a host that starts beside others learns which versions were in service", async (t) => {
   const fleet = await startFleet(t, ["v1", "v1"]);
   const { resumed } = await leaveAndResume(fleet, async () => {
