ORDER: a version that was concluded is remembered

What callers saw: a stream that had been resumed at another host while one version served was refused (version_unknown) when it broke again in a release, as by then two versions had been in service in its life. The host that had resumed it knew better.

Change: what a host concludes is recorded like what it saw, and copied like it once versions differ. The new test failed before (no copies). The test of a host that is cut off now asks for another stream each time, as its first answer is remembered; it checks that this one still counts.

--- a/src/stream_origins/stream_origin_service.ts
+++ b/src/stream_origins/stream_origin_service.ts
@@ -118,10 +118,7 @@
     key: string,
     { pool, software_version = UNNAMED }: RouteEndpoint,
   ): void {
-    const now_ms = this.#options.now();
-    const origin = { key, pool, version: software_version };
-    this.#memory.record(origin, now_ms);
-    if (this.#mixedPools.has(pool)) this.#copy(origin);
+    this.#record({ key, pool, version: software_version });
   }
 
   /** Forgets a stream that has reached its caller whole. */
@@ -155,7 +152,17 @@
     }
     if (!isInTouch && !this.#options.sourceAvailable()) return undefined;
     if (!this.history.isKnownSince(since_ms)) await this.#askForVersions();
-    return this.#onlyVersion(pools, since_ms);
+    const concluded = this.#onlyVersion(pools, since_ms);
+    // Later attempts may come when other versions are in service.
+    if (concluded !== undefined && key !== undefined) {
+      this.#record({ key, pool: concluded.pool, version: concluded.version });
+    }
+    return concluded;
+  }
+
+  #record(origin: StreamOrigin): void {
+    this.#memory.record(origin, this.#options.now());
+    if (this.#mixedPools.has(origin.pool)) this.#copy(origin);
   }
 
   /** The version of the only pool, if it had no other in all this time. */
