--- a/test/forwarding/stream_versions.test.ts
+++ b/test/forwarding/stream_versions.test.ts
@@ -286,31 +286,50 @@
   assert.equal(countGoneOn(resumed), STREAMS);
 });
 
-test("a stream of an endpoint whose entry was behind goes on at the version that wrote it", async (t) => {
-  const fleet = await startFleet(t, ["v1", "v2"], 1);
-  const behind = fleet.engine(Service.Model, 0);
+/**
+ * Begins a stream at the first endpoint, which falls silent for `silence_ms` after
+ * an event, while its entry comes to say that it has started anew as `v2`.
+ */
+async function beginBeforeNews(
+  fleet: GatewayFleet,
+  silence_ms: number,
+): Promise<{ answer: Promise<Stream>; endpoint: Engine; seen: () => number }> {
+  const endpoint = fleet.engine(Service.Model, 0);
   let seen = 0;
   const answer = call(at(fleet, 0), {
-    attempt_id: "behind",
+    attempt_id: "a",
     onEvents: (events) => seen = events,
   });
   await waitUntil(() => seen >= 1);
-  // It is silent while the news comes, and goes on for an event after it.
-  behind.silentUntil_ms = performance.now() + 600;
-  // It had started anew, with new software, before it got the stream.
+  endpoint.silentUntil_ms = performance.now() + silence_ms;
   const { logLines } = at(fleet, 0);
   const before = logLines.length;
-  fleet.registerEngine(Service.Model, behind, { version: "v2", born: 2 });
+  fleet.registerEngine(Service.Model, endpoint, { version: "v2", born: 2 });
   await waitUntil(() =>
     logLines.slice(before).some((line) => line.includes("endpoint=model-0"))
   );
-  assert.ok(performance.now() < behind.silentUntil_ms, "the news came late");
-  const seenBefore = seen;
-  await waitUntil(() => seen > seenBefore);
-  behind.crash();
+  assert.ok(performance.now() < endpoint.silentUntil_ms, "the news came late");
+  return { answer, endpoint, seen: () => seen };
+}
+
+test("a stream of an endpoint whose entry was behind goes on at the version that wrote it", async (t) => {
+  const fleet = await startFleet(t, ["v1", "v2"], 1);
+  const { answer, endpoint, seen } = await beginBeforeNews(fleet, 600);
+  const seenBefore = seen();
+  await waitUntil(() => seen() > seenBefore);
+  endpoint.crash();
+  const { complete, events } = await answer;
+  assert.deepEqual({ complete, events }, { complete: true, events: EVENTS });
+  assert.deepEqual(endpointsOf(fleet, ["a"]), [0, 1]);
+});
+
+test("a stream that hung while its endpoint started anew with other software goes on at its own version", async (t) => {
+  const fleet = await startFleet(t, ["v1", "v1"], 1);
+  const { answer, endpoint } = await beginBeforeNews(fleet, 10_000);
+  endpoint.crash();
   const { complete, events } = await answer;
   assert.deepEqual({ complete, events }, { complete: true, events: EVENTS });
-  assert.deepEqual(endpointsOf(fleet, ["behind"]), [0, 1]);
+  assert.deepEqual(endpointsOf(fleet, ["a"]), [0, 1]);
 });
 
 test("a resumed stream is refused at once when its version has left", async (t) => {
