Tests: one caller of streams that may be resumed

The caller of stream_versions.test.ts moves to stand_ins, where a soak can use it too, and tells the ids of the events that it saw.

--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -139,6 +139,8 @@
   repeatedRefusals = 0;
   /** Whether its refusals echo the attempt id. */
   refusalsEchoId = true;
+  /** Software version, which its events name; undefined names none. */
+  software_version: string | undefined;
   /** Called when it has received a request that it executes. */
   onReceived: () => void = () => {};
   /** Called when it listens again after a crash. */
@@ -394,7 +396,8 @@
         await sleep(10);
         return void response.destroy();
       }
-      response.write(`id: ${id}\ndata: ${id}\n\n`);
+      const data = [id, this.software_version ?? []].flat().join(" ");
+      response.write(`id: ${id}\ndata: ${data}\n\n`);
       await sleep(work_ms);
       await this.#endOfSilence();
     }
--- a/test/forwarding/stream_versions.test.ts
+++ b/test/forwarding/stream_versions.test.ts
@@ -19,86 +19,21 @@
   Service,
   waitUntil,
 } from "../../stand_ins/deployment/gateway_fleet.ts";
+import {
+  callStream,
+  type SeenStream,
+  type StreamAttempt,
+} from "../../stand_ins/deployment/stream_caller.ts";
 
 const STREAMS = 24;
 const EVENTS = 6;
 const ROUTE_TIMEOUT_MS = 1_500;
 
-interface Stream {
-  status: number;
-  events: number;
-  complete: boolean;
-  retry_after: string | undefined;
-  reason: string | undefined;
-}
-
-interface StreamRequest {
-  attempt_id: string;
-  path?: string;
-  resumes?: string;
-  last_event_id?: number;
-  deadline_ms?: number;
-  /** Events after which the caller leaves. */
-  leaves_after?: number;
-  /** Called with the number of events whenever some have come. */
-  onEvents?: (events: number) => void;
-}
-
 function call(
   { callers }: RunningGateway,
-  asked: StreamRequest,
-): Promise<Stream> {
-  const { attempt_id, path = "/draft/x", deadline_ms = 1_400 } = asked;
-  const [host, port] = callers.split(":");
-  return new Promise((resolve) => {
-    let status = 0;
-    let text = "";
-    let complete = false;
-    let retry_after: string | undefined;
-    const end = () =>
-      resolve({
-        status,
-        events: text.match(/^id: \d+\ndata: \d+\n\n/gm)?.length ?? 0,
-        complete,
-        retry_after,
-        reason: /"title":"(\w+)"/.exec(text)?.[1],
-      });
-    const outgoing = request({
-      host,
-      port,
-      path,
-      method: "POST",
-      agent: false,
-      headers: {
-        host: "fleet.example",
-        "x-attempt-id": attempt_id,
-        "x-key": ApiKey.Docks,
-        "x-deadline-ms": String(deadline_ms),
-        ...(asked.resumes === undefined ? {} : { resumes: asked.resumes }),
-        ...(asked.last_event_id === undefined
-          ? {}
-          : { "last-event-id": String(asked.last_event_id) }),
-      },
-    });
-    outgoing.on("error", end);
-    outgoing.on("response", (incoming) => {
-      status = incoming.statusCode ?? 0;
-      retry_after = incoming.headers["retry-after"];
-      incoming.setEncoding("utf8");
-      incoming.on("data", (chunk: string) => {
-        text += chunk;
-        const events = text.match(/\n\n/g)?.length ?? 0;
-        asked.onEvents?.(events);
-        if (events >= (asked.leaves_after ?? Infinity)) outgoing.destroy();
-      });
-      incoming.on("error", () => {});
-      incoming.on("close", () => {
-        complete = incoming.complete;
-        end();
-      });
-    });
-    outgoing.end("x");
-  });
+  attempt: StreamAttempt,
+): Promise<SeenStream> {
+  return callStream(callers, attempt);
 }
 
 function engineOptions(id: string): EngineOptions {
@@ -193,6 +128,13 @@
   return fleet.gateways[n % fleet.gateways.length] as RunningGateway;
 }
 
+function assertWhole({ complete, event_ids }: SeenStream): void {
+  assert.deepEqual({ complete, events: event_ids.length }, {
+    complete: true,
+    events: EVENTS,
+  });
+}
+
 const MIXED = ["v1", "v1", "v2", "v2"];
 
 test("a stream that its endpoint breaks off goes on at an endpoint of its version", async (t) => {
@@ -207,8 +149,9 @@
     const first = fleet.engine(Service.Model, n % MIXED.length);
     first.remainingFaults = 1;
     const attempt_id = `broken-${n}`;
-    const { complete, events } = await call(at(fleet, n), { attempt_id });
-    if (complete) assert.equal(events, EVENTS);
+    const stream = await call(at(fleet, n), { attempt_id });
+    const { complete } = stream;
+    if (complete) assertWhole(stream);
     const used = endpointsOf(fleet, [attempt_id]);
     if (used.length > 1 && complete) gone_on += 1;
     streams.push([attempt_id]);
@@ -222,7 +165,7 @@
   fleet: GatewayFleet,
   prepare: () => Promise<void> = () => Promise.resolve(),
   deadline_ms?: number,
-): Promise<{ streams: string[][]; resumed: Stream[] }> {
+): Promise<{ streams: string[][]; resumed: SeenStream[] }> {
   const first = await Promise.all(
     Array.from(
       { length: STREAMS },
@@ -236,11 +179,11 @@
   );
   await prepare();
   const resumed = await Promise.all(
-    first.map(({ events }, n) =>
+    first.map(({ event_ids }, n) =>
       call(at(fleet, n + 1), {
         attempt_id: `second-${n}`,
         resumes: `first-${n}`,
-        last_event_id: events,
+        last_event_id: event_ids.length,
         deadline_ms: 1_000,
       })
     ),
@@ -249,7 +192,7 @@
   return { streams, resumed };
 }
 
-function countGoneOn(resumed: Stream[]): number {
+function countGoneOn(resumed: SeenStream[]): number {
   return resumed.filter(({ status, complete }) => status === 200 && complete)
     .length;
 }
@@ -293,7 +236,9 @@
 async function beginBeforeNews(
   fleet: GatewayFleet,
   silence_ms: number,
-): Promise<{ answer: Promise<Stream>; endpoint: Engine; seen: () => number }> {
+): Promise<
+  { answer: Promise<SeenStream>; endpoint: Engine; seen: () => number }
+> {
   const endpoint = fleet.engine(Service.Model, 0);
   let seen = 0;
   const answer = call(at(fleet, 0), {
@@ -318,8 +263,7 @@
   const seenBefore = seen();
   await waitUntil(() => seen() > seenBefore);
   endpoint.crash();
-  const { complete, events } = await answer;
-  assert.deepEqual({ complete, events }, { complete: true, events: EVENTS });
+  assertWhole(await answer);
   assert.deepEqual(endpointsOf(fleet, ["a"]), [0, 1]);
 });
 
@@ -327,8 +271,7 @@
   const fleet = await startFleet(t, ["v1", "v1"], 1);
   const { answer, endpoint } = await beginBeforeNews(fleet, 10_000);
   endpoint.crash();
-  const { complete, events } = await answer;
-  assert.deepEqual({ complete, events }, { complete: true, events: EVENTS });
+  assertWhole(await answer);
   assert.deepEqual(endpointsOf(fleet, ["a"]), [0, 1]);
 });
 
@@ -354,7 +297,7 @@
   }
   const stream = await call(at(fleet, 0), { attempt_id: "cut" });
   assert.equal(stream.complete, false);
-  assert.equal(stream.events, 1);
+  assert.deepEqual(stream.event_ids, [1]);
 });
 
 /** Stops all hosts and waits until others know this many model endpoints. */
@@ -463,15 +406,12 @@
 
 test("a new stream that names another attempt, without events of it, begins anywhere", async (t) => {
   const fleet = await startFleet(t, MIXED);
-  const { status, complete, events } = await call(at(fleet, 0), {
+  const stream = await call(at(fleet, 0), {
     attempt_id: "x",
     resumes: "never-seen",
   });
-  assert.deepEqual({ status, complete, events }, {
-    status: 200,
-    complete: true,
-    events: EVENTS,
-  });
+  assert.equal(stream.status, 200);
+  assertWhole(stream);
 });
 
 test("an organisation's streams are not found by the attempts of another", async (t) => {
