SHORT: say why a request would wait in a later stage

event=job_refused named the pool in which a request would wait too long, but not why: what waits there, what is on its way there, the pool's rate, or what more urgent requests ask for. It has all four now.

--- a/src/batching/admit_job.ts
+++ b/src/batching/admit_job.ts
@@ -103,8 +103,19 @@
 export interface JobRefusal {
   outcome: JobOutcome;
   expected_ms: number;
-  /** Pool of a later stage in which the request would wait too long. */
-  waits_in?: string;
+  /** The later stage in which the request would wait too long. */
+  waits_in?: LaterWait;
+}
+
+/** Why a request is expected to wait in a later stage. */
+export interface LaterWait {
+  pool: string;
+  /** Pieces that go before or with it: waiting there, and on the way there. */
+  pieces_waiting: number;
+  pieces_on_the_way: number;
+  /** Rate of the pool, and what more urgent pieces leave of it. */
+  pieces_per_ms: number;
+  spare_per_ms: number;
 }
 
 /**
--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -9,6 +9,7 @@
   checkJobAdmission,
   createRefusal,
   findUnservableJobs,
+  type LaterWait,
 } from "./admit_job.ts";
 import { CallRunner, type CallRunnerOptions } from "./call_runner.ts";
 import {
@@ -207,7 +208,7 @@
       pieces: job.pieces.length,
       ...load,
       expected_ms: Math.round(refusal.expected_ms),
-      waits_in: refusal.waits_in,
+      ...laterWaitFields(refusal.waits_in),
       expires_in_ms: Math.round(job.expires_in_ms),
     });
     return refusal.outcome;
@@ -319,3 +320,15 @@
     }
   }
 }
+
+/** The fields of a log line that tell why a request would wait in a later stage. */
+function laterWaitFields(wait: LaterWait | undefined): object {
+  if (wait === undefined) return {};
+  return {
+    waits_in: wait.pool,
+    later_waiting: wait.pieces_waiting,
+    later_on_the_way: wait.pieces_on_the_way,
+    later_per_ms: Number(wait.pieces_per_ms.toFixed(3)),
+    later_spare_per_ms: Number(wait.spare_per_ms.toFixed(3)),
+  };
+}
--- a/src/batching/pipeline_admission.ts
+++ b/src/batching/pipeline_admission.ts
@@ -12,6 +12,7 @@
 import {
   isFirstStage,
   type JobRefusal,
+  type LaterWait,
   reportableWaitMs,
 } from "./admit_job.ts";
 import {
@@ -55,8 +56,8 @@
   late_ms: number;
   /** When it arrives at each stage after the first, in milliseconds from now. */
   arrivals_ms: number[];
-  /** The last pool in which it is expected to wait; undefined if in none. */
-  waits_in: string | undefined;
+  /** The last stage in which it is expected to wait; undefined if in none. */
+  waits_in: LaterWait | undefined;
 }
 
 /** A stage that follows, with its pool's load and when it must have ended. */
@@ -136,29 +137,35 @@
     let on_time_ms = expectedJobMs(pieces.length, load, limits);
     let late_ms = expectedLateJobMs(pieces.length, load, limits);
     const arrivals_ms: number[] = [];
-    let waits_in: string | undefined;
+    let waits_in: LaterWait | undefined;
     for (const stage of stages) {
       arrivals_ms.push(on_time_ms);
-      const ahead = this.#piecesAhead(stage, stage.due_in_ms, now_ms);
-      const all = this.#piecesAhead(stage, Infinity, now_ms);
+      const pieces_waiting = waitingPieces(stage, stage.due_in_ms);
+      const pieces_on_the_way = this.#onTheWay(stage, stage.due_in_ms, now_ms);
+      const ahead = pieces_waiting + pieces_on_the_way;
+      const all = waitingPieces(stage, Infinity) +
+        this.#onTheWay(stage, Infinity, now_ms);
       const spare_per_ms = this.#spareRate(stage, priority, now_ms);
       const late_per_ms = this.#spareRate(stage, Infinity, now_ms);
-      const { call_ms } = stage.load;
-      if (ahead / spare_per_ms > on_time_ms) waits_in = stage.pool;
+      const { call_ms, pieces_per_ms } = stage.load;
+      if (ahead / spare_per_ms > on_time_ms) {
+        waits_in = {
+          pool: stage.pool,
+          pieces_waiting,
+          pieces_on_the_way,
+          pieces_per_ms,
+          spare_per_ms,
+        };
+      }
       on_time_ms = Math.max(on_time_ms, ahead / spare_per_ms) + call_ms;
       late_ms = Math.max(late_ms, all / late_per_ms) + call_ms;
     }
     return { on_time_ms, late_ms, arrivals_ms, waits_in };
   }
 
-  /** Pieces that are called no later than the stage's, its own included. */
-  #piecesAhead(
-    { pool, pieces, load }: KnownStage,
-    due_in_ms: number,
-    now_ms: number,
-  ): number {
-    return pieces + piecesDueBy(load, due_in_ms) +
-      this.#admittedTo(pool).onTheWay(now_ms + due_in_ms, now_ms);
+  /** Pieces that have yet to arrive and are due no later than the stage's. */
+  #onTheWay({ pool }: KnownStage, due_in_ms: number, now_ms: number): number {
+    return this.#admittedTo(pool).onTheWay(now_ms + due_in_ms, now_ms);
   }
 
   /** Rate that more urgent pieces leave to a priority. */
@@ -207,3 +214,11 @@
     return created;
   }
 }
+
+/** Pieces that wait and are due no later than the stage's, its own included. */
+function waitingPieces(
+  { pieces, load }: KnownStage,
+  due_in_ms: number,
+): number {
+  return pieces + piecesDueBy(load, due_in_ms);
+}
