--- a/test/forwarding/request_ends_soak.test.ts
+++ b/test/forwarding/request_ends_soak.test.ts
@@ -20,6 +20,7 @@
   RawCaller,
   rawRequest,
 } from "../../stand_ins/deployment/raw_caller.ts";
+import { createRandom } from "../../stand_ins/seeded_random.ts";
 
 const SEEDS = (process.env.SESAMEQUAY_SOAK_SEEDS ?? "1,2,3").split(",")
   .map(Number);
@@ -49,17 +50,6 @@
 
 afterEach(() => fleet.stop());
 
-/** Uniform in [0, 1) (mulberry32). */
-function createRandom(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
-  };
-}
-
 interface Soak {
   /** Hosts that callers open connections to, as a load balancer chooses them. */
   inRotation: RunningGateway[];
