SHORT: an endpoint that counts as slow is called again

Cause: a call without an answer makes its endpoint count as slow, by the time that it was waited for. A slow endpoint is called only while waiting for the others takes longer, and nothing but a call tells that it isn't slow any more. Before requests were admitted for all of their stages a burst made the queue long enough sooner or later; since then what would wait is refused at the first stage, the queue stays short, and the endpoint is lost for good. Class of fault: a measure that keeps out what would correct it.

Change: an endpoint that counts as slow is called again after two seconds in any case, with the one job that can wait best; what an answered call took replaces what was assumed of unanswered ones at once. The first two tests failed before, the third checks the size of such a call.

Ruled out: memory (2.5 of 5.4 MB free), backoff (4 s at most), entries (all ready).

--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -18,6 +18,7 @@
 } from "./pipeline_admission.ts";
 import type { PoolLoadReport } from "./pool_load_report.ts";
 import { createFinishJob, type FinishJob } from "./finish_job.ts";
+import type { EndpointTracker } from "./endpoint_tracker.ts";
 import { planCall } from "./plan_call.ts";
 import { QueueLoads, type QueueLoadsOptions } from "./queue_loads.ts";
 import { ResultMemory } from "./result_memory.ts";
@@ -26,6 +27,7 @@
   createPoolQueue,
   createQueuedJob,
   hasWaitingPieces,
+  isDueForRetry,
   isWorthCalling,
   type PoolQueue,
   zoneWaits,
@@ -269,10 +271,16 @@
     )
       .sort((a, b) => a.slowness - b.slowness);
     if (available.length === 0 || !hasWaitingPieces(queue)) return false;
-    const zone_wait_ms = zoneWaits(ready, queue.jobs, { limits, now_ms });
+    const context = { limits, now_ms };
+    const zone_wait_ms = zoneWaits(ready, queue.jobs, context);
+    const isDue = (tracker: EndpointTracker) =>
+      isDueForRetry(tracker, ready, queue.jobs, context);
+    // A retry takes what can wait best, before the others take all that waits.
+    const [retried, others] = [available.filter(isDue), available];
     let started = false;
-    for (const tracker of available) {
-      if (!isWorthCalling(tracker, ready, queue.jobs, { limits, now_ms })) {
+    for (const tracker of new Set([...retried, ...others])) {
+      const isRetry = retried.includes(tracker);
+      if (!isRetry && !isWorthCalling(tracker, ready, queue.jobs, context)) {
         continue;
       }
       const planned = planCall(queue.jobs, {
@@ -282,7 +290,12 @@
       }, { now_ms, limits, zone_wait_ms });
       if (planned.length === 0) continue;
       started = true;
-      void this.#calls.run({ queue, tracker, planned, limits });
+      void this.#calls.run({
+        queue,
+        tracker,
+        planned: isRetry ? planned.slice(-1) : planned,
+        limits,
+      });
     }
     return started;
   }
--- a/src/batching/endpoint_tracker.ts
+++ b/src/batching/endpoint_tracker.ts
@@ -10,6 +10,7 @@
 
 /** Weight of the newest call in the moving average of slowness. */
 const SLOWNESS_SMOOTHING = 0.3;
+const MIN_SLOWNESS = 0.5;
 /** Backoff doubles with each consecutive failure, between these bounds. */
 const INITIAL_BACKOFF_MS = 300;
 const MAX_BACKOFF_MS = 4_000;
@@ -45,6 +46,8 @@
   endpoint: RouteEndpoint;
   /** Moving average of actual to configured call time; 1 is as configured. */
   slowness = 1;
+  /** Whether calls without an answer tell its slowness, so that none was measured. */
+  #slownessAssumed = false;
   #silence = new EndpointSilence();
   /** Slowness that calls since the last timeout are given time for. */
   #patience = 1;
@@ -72,6 +75,11 @@
       now_ms >= this.#earliestCall_ms;
   }
 
+  /** Time since the last call was started, in milliseconds. */
+  sinceCallMs(now_ms: number): number {
+    return now_ms - this.#lastCallStart_ms;
+  }
+
   /** Records what a response says about the endpoint's rate limit. */
   recordRateLimit(rate_limit: NamedRateLimit): void {
     this.#callInterval_ms = intervalMs(rate_limit, {
@@ -132,15 +140,17 @@
 
   /**
    * Records a successful call. A call that took less than half its configured
-   * time counts as half, which bounds how far slowness can fall.
+   * time counts as half, which bounds how far slowness can fall. What it took goes
+   * before what was assumed of calls without an answer.
    */
   completeCall(call: EndedCall, limits: BatchLimits): void {
     this.#endCall(call.bytes);
     this.#consecutiveFailures = 0;
     this.#patience = 1;
-    const ratio = slownessOf(call, limits);
-    this.slowness += SLOWNESS_SMOOTHING *
-      (Math.max(ratio, 0.5) - this.slowness);
+    const ratio = Math.max(slownessOf(call, limits), MIN_SLOWNESS);
+    const weight = this.#slownessAssumed ? 1 : SLOWNESS_SMOOTHING;
+    this.slowness += weight * (ratio - this.slowness);
+    this.#slownessAssumed = false;
   }
 
   /** Records a failed call; returns the resulting backoff in milliseconds. */
@@ -155,7 +165,7 @@
     );
     this.#consecutiveFailures += 1;
     this.#backoffUntil_ms = now_ms + backoff_ms;
-    this.slowness = Math.max(this.slowness, slownessOf(call, limits));
+    this.#assumeSlowness(slownessOf(call, limits));
     return backoff_ms;
   }
 
@@ -252,6 +262,12 @@
     );
   }
 
+  #assumeSlowness(ratio: number): void {
+    if (ratio <= this.slowness) return;
+    this.slowness = ratio;
+    this.#slownessAssumed = true;
+  }
+
   #addUnknownResult(bytes: number, expires_ms: number): void {
     this.#untrackedResults += 1;
     this.addResult(`unknown ${this.#untrackedResults}`, { bytes, expires_ms });
--- a/src/batching/pool_queue.ts
+++ b/src/batching/pool_queue.ts
@@ -166,6 +166,11 @@
 
 /** An endpoint whose slowness reaches this ratio counts as slow. */
 const SLOWNESS_THRESHOLD = 1.5;
+/**
+ * Time after which a slow endpoint is called again in any case, since only a call
+ * tells whether it still is slow.
+ */
+const SLOW_RETRY_INTERVAL_MS = 2_000;
 
 /**
  * Whether to call this endpoint now. A slow endpoint is called only while
@@ -194,6 +199,20 @@
   return expectedJobMs(0, load, limits) > fullCallMs(limits) * tracker.slowness;
 }
 
+/**
+ * Whether to find out now if an endpoint still is slow that would not be called
+ * otherwise.
+ */
+export function isDueForRetry(
+  tracker: EndpointTracker,
+  ready: readonly EndpointTracker[],
+  jobs: Iterable<QueuedJob>,
+  context: { limits: BatchLimits; now_ms: number },
+): boolean {
+  return tracker.sinceCallMs(context.now_ms) >= SLOW_RETRY_INTERVAL_MS &&
+    !isWorthCalling(tracker, ready, jobs, context);
+}
+
 /**
  * Expected wait of a new job in each availability zone, in milliseconds: the
  * time until one of the zone's endpoints is available, plus the time of the
--- a/test/batching/batcher.test.ts
+++ b/test/batching/batcher.test.ts
@@ -280,6 +280,58 @@
   assert.ok(outcome.retry_after_ms > 0);
 });
 
+/** Runs one job after the other until an endpoint is called, for `limit_ms`. */
+async function runUntilCalled(id: string, limit_ms: number): Promise<boolean> {
+  const end_ms = now_ms + limit_ms;
+  for (let n = 0; now_ms < end_ms; n++) {
+    void run(`later-${n}`);
+    if (calls.at(-1)?.endpoint === id) return true;
+    await respond(calls.length - 1);
+  }
+  return false;
+}
+
+/** Lets an endpoint's call time out after so long that it counts as slow. */
+async function timeOutAt(id: string): Promise<void> {
+  endpoints = [endpoint(id)];
+  void run("a");
+  now_ms += 2_000;
+  endpoints = [endpoint(id), endpoint("2")];
+  await respond(0, { kind: PieceCallResultKind.TimedOut });
+  await respond(calls.length - 1);
+}
+
+test("an endpoint whose call timed out is called again, also while another one suffices", async () => {
+  await timeOutAt("1");
+  assert.ok(await runUntilCalled("1", 5_000));
+});
+
+test("an endpoint that is fast again after a timeout is called like the others", async () => {
+  await timeOutAt("1");
+  assert.ok(await runUntilCalled("1", 5_000));
+  await respond(calls.length - 1);
+  void run("b");
+  void run("c");
+  const lastTwo = calls.slice(-2).map((call) => call.endpoint).sort();
+  assert.deepEqual(lastTwo, ["1", "2"]);
+});
+
+test("an endpoint that counts as slow is called again for one job at a time", async () => {
+  await timeOutAt("1");
+  now_ms += 5_000;
+  // While both pause, jobs gather.
+  for (const id of ["1", "2"]) pausedUntil_ms.set(id, now_ms + 50);
+  for (const id of ["b", "c", "d"]) void run(id);
+  now_ms += 50;
+  batcher.endpointsChanged();
+  const retried = calls.find((call, n) => n > 1 && call.endpoint === "1");
+  assert.ok(retried !== undefined);
+  assert.equal(
+    new Set(retried.requests.map((each) => each.attempt_id)).size,
+    1,
+  );
+});
+
 test("freed memory is used again only once the endpoint confirms it", async () => {
   const large = { result_bytes: 500 };
   void batcher.runForPeer(job("a", large), stopping.signal);
