SHORT: a slow endpoint takes nothing off the rate of the others

What callers saw: while one endpoint of a pool counted as slow, requests were refused as if the pool could do far less than its other endpoints did.

Cause: a pool's rate was computed from the mean slowness of its endpoints. With three endpoints of which one counts as five times slower it was that of 1.3 endpoints, less than of the two sound ones alone; with a slowness of 16, as after calls without an answer, of a half. Class of fault: a mean of times where rates add up.

Change: the harmonic mean.

--- a/src/batching/admit_job.ts
+++ b/src/batching/admit_job.ts
@@ -56,8 +56,11 @@
   { ready, now_ms }: LoadContext,
 ): PoolLoad {
   const { serving, starts_in_ms } = servingTrackers(ready, now_ms);
-  const slowness = serving.reduce((sum, each) => sum + each.slowness, 0) /
-    Math.max(1, serving.length);
+  const relative_rate = serving.reduce(
+    (sum, each) => sum + 1 / each.slowness,
+    0,
+  );
+  const slowness = serving.length === 0 ? 0 : serving.length / relative_rate;
   const waiting_pieces = countWaitingPieces(queue.jobs);
   queue.rates.advance(waiting_pieces, now_ms);
   return {
--- a/src/batching/expected_wait.ts
+++ b/src/batching/expected_wait.ts
@@ -16,7 +16,10 @@
    * does now.
    */
   starts_in_ms?: number;
-  /** Their mean ratio of actual to configured call time. */
+  /**
+   * Their mean ratio of actual to configured call time; the harmonic one, as their
+   * rates add up.
+   */
   slowness: number;
   /** Number of waiting pieces that are called before the new job's. */
   pieces_ahead: number;
