SHORT: an endpoint that failed often is tried again

A host avoids an endpoint once half of its last exchanges failed, for as long as any other of its pool is sound, and only an exchange changes that share. After a few seconds of errors the endpoint is lost for this host until it starts again; at sites with many endpoints there always is a sound one.

Change: it is avoided for two seconds, then tried; each failure after that doubles the time, up to 16 s. Both new tests failed before.

--- a/src/routing/choose_route_endpoint.ts
+++ b/src/routing/choose_route_endpoint.ts
@@ -22,8 +22,6 @@
 
 /** Share of an endpoint's slots in use from which it counts as full. */
 const MAX_SLOT_SHARE = 0.85;
-/** Share of failures from which an endpoint is avoided. */
-const MAX_FAILURE_SHARE = 0.5;
 
 /**
  * Id of the longest prompt prefix that other requests are likely to share: the
@@ -88,7 +86,7 @@
     !load.forEndpoint(each).isBackingOff(now_ms)
   );
   const healthy = available.filter((each) =>
-    load.forEndpoint(each).failure_share < MAX_FAILURE_SHARE
+    !load.forEndpoint(each).isAvoided(now_ms)
   );
   if (healthy.length > 0) return healthy;
   return available.length > 0 ? available : [...candidates];
--- a/src/routing/observed_load.ts
+++ b/src/routing/observed_load.ts
@@ -41,6 +41,14 @@
 const LOAD_REPORT_HALF_LIFE_MS = 300;
 /** Weight of the newest exchange in the moving average of failures. */
 const FAILURE_SMOOTHING = 0.25;
+/** Share of failures from which an endpoint is avoided. */
+const MAX_FAILURE_SHARE = 0.5;
+/**
+ * Time for which it is avoided; doubles with each failure after such a time, up to
+ * the longest. Only an exchange tells that it is sound again.
+ */
+const INITIAL_AVOIDANCE_MS = 2_000;
+const MAX_AVOIDANCE_MS = 16_000;
 /** Backoff doubles with each consecutive connection failure, in this range. */
 const INITIAL_BACKOFF_MS = 250;
 const MAX_BACKOFF_MS = 4_000;
@@ -63,6 +71,8 @@
   first_byte_ms = 0;
   #consecutiveFailures = 0;
   #backoffUntil_ms = 0;
+  #avoidUntil_ms = -Infinity;
+  #avoidance_ms = INITIAL_AVOIDANCE_MS;
   #reported: ReportedLoad = { running: 0, waiting: 0 };
   #reported_ms = -Infinity;
   /** Requests of this host in flight at the time of the report. */
@@ -73,6 +83,12 @@
     return now_ms < this.#backoffUntil_ms;
   }
 
+  /** Whether it has failed too often to be used while others are sound. */
+  isAvoided(now_ms: number): boolean {
+    return this.failure_share >= MAX_FAILURE_SHARE &&
+      now_ms < this.#avoidUntil_ms;
+  }
+
   /** Records a load report. */
   recordLoad(load: ReportedLoad, now_ms: number): void {
     this.#reported = load;
@@ -101,6 +117,7 @@
       outcome === ObservedOutcome.Error;
     this.failure_share += FAILURE_SMOOTHING *
       (Number(failed) - this.failure_share);
+    this.#updateAvoidance(failed, now_ms);
     if (outcome === ObservedOutcome.Full) {
       this.#backoffUntil_ms = now_ms + BACKOFF_WHEN_FULL_MS;
     }
@@ -110,6 +127,15 @@
       this.#backoffUntil_ms = now_ms + Math.min(MAX_BACKOFF_MS, backoff_ms);
     } else this.#consecutiveFailures = 0;
   }
+
+  #updateAvoidance(failed: boolean, now_ms: number): void {
+    if (this.failure_share < MAX_FAILURE_SHARE) {
+      this.#avoidance_ms = INITIAL_AVOIDANCE_MS;
+    } else if (failed && now_ms >= this.#avoidUntil_ms) {
+      this.#avoidUntil_ms = now_ms + this.#avoidance_ms;
+      this.#avoidance_ms = Math.min(MAX_AVOIDANCE_MS, 2 * this.#avoidance_ms);
+    }
+  }
 }
 
 /** The observations of all endpoints, one set for each incarnation. */
--- a/test/routing/choose_route_endpoint.test.ts
+++ b/test/routing/choose_route_endpoint.test.ts
@@ -115,6 +115,36 @@
   assert.equal(chooseByPrefix("subject", choice(endpoints, 300)), first);
 });
 
+/** Lets an endpoint fail until it is avoided. */
+function failOften(failing: RouteEndpoint, now_ms: number): void {
+  for (let n = 0; n < 4; n++) {
+    load.forEndpoint(failing).recordOutcome(ObservedOutcome.Error, now_ms);
+  }
+}
+
+test("an endpoint that failed often is used again after a while, though others are healthy", () => {
+  const first = chooseByPrefix("subject", choice());
+  assert.ok(first !== undefined);
+  failOften(first, 0);
+  assert.notEqual(chooseByPrefix("subject", choice(endpoints, 1_000)), first);
+  assert.equal(chooseByPrefix("subject", choice(endpoints, 5_000)), first);
+});
+
+test("an endpoint that goes on failing is tried less and less often", () => {
+  const first = chooseByPrefix("subject", choice());
+  assert.ok(first !== undefined);
+  failOften(first, 0);
+  const tries_ms: number[] = [];
+  for (let now_ms = 0; now_ms < 60_000; now_ms += 100) {
+    if (chooseByPrefix("subject", choice(endpoints, now_ms)) !== first) {
+      continue;
+    }
+    tries_ms.push(now_ms);
+    load.forEndpoint(first).recordOutcome(ObservedOutcome.Error, now_ms);
+  }
+  assert.deepEqual(tries_ms, [2_000, 6_000, 14_000, 30_000, 46_000]);
+});
+
 test("a failing endpoint is avoided while others are healthy", () => {
   const [bad, good] = endpoints as [RouteEndpoint, RouteEndpoint];
   for (let n = 0; n < 5; n++) {
