SHORT: a request that comes back has the target of its first attempt

What callers saw: in a burst, requests that had been refused and came back got places that others could have used in time, and were answered late all the same.

Change: the batcher of a first stage knows a refused request again by its content. It is admitted by its first target; if it can't be on time any more it yields to those that can.

The test of the order failed before.

--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -22,6 +22,7 @@
 import { planCall } from "./plan_call.ts";
 import { QueueLoads, type QueueLoadsOptions } from "./queue_loads.ts";
 import { ResultMemory } from "./result_memory.ts";
+import { ReturningRequests } from "./returning_requests.ts";
 import {
   countWaitingPieces,
   createPoolQueue,
@@ -76,6 +77,7 @@
   #options: BatcherOptions;
   #loads: QueueLoads;
   #pipelines: PipelineAdmission;
+  #returning = new ReturningRequests();
   #draining = false;
 
   constructor(options: BatcherOptions) {
@@ -112,16 +114,17 @@
    * Runs a job of this host, also while it drains. The job fails with reason
    * `cancelled` when the signal aborts.
    */
-  run(job: StageJob, signal: AbortSignal): Promise<JobOutcome> {
-    const limits = this.#options.pool(job.pool)?.batch;
+  run(offered: StageJob, signal: AbortSignal): Promise<JobOutcome> {
+    const limits = this.#options.pool(offered.pool)?.batch;
     if (limits === undefined) {
       return Promise.resolve({
         kind: JobOutcomeKind.Failed,
         reason: "unknown_pool",
       });
     }
-    const queue = this.#queueOf(job);
+    const queue = this.#queueOf(offered);
     if (signal.aborted) return Promise.resolve(CANCELLED);
+    const job = this.#withFirstTarget(offered, limits);
     const refusal = this.#checkAdmission(job, queue, limits);
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((resolve) => {
@@ -192,6 +195,21 @@
     return created;
   }
 
+  /** The job with the target of its request's first attempt. */
+  #withFirstTarget(offered: StageJob, { call_ms }: BatchLimits): StageJob {
+    const now_ms = this.#options.now();
+    const job = this.#returning.withFirstTarget(offered, { call_ms, now_ms });
+    if (job === offered) return job;
+    this.#options.log.info({
+      event: "job_returned",
+      attempt: job.attempt_id,
+      pool: job.pool,
+      target_in_ms: Math.round(job.target_in_ms ?? Infinity),
+      due_in_ms: Math.round(job.due_in_ms),
+    });
+    return job;
+  }
+
   #checkAdmission(
     job: StageJob,
     queue: PoolQueue,
@@ -202,6 +220,7 @@
     const refusal = checkJobAdmission(job, load, limits) ??
       this.#pipelines.check(job, { load, limits, now_ms });
     if (refusal === undefined) return undefined;
+    this.#returning.recordRefusal(job, { arrived_ms: now_ms, now_ms });
     this.#options.log.info({
       event: "job_refused",
       attempt: job.attempt_id,
@@ -329,6 +348,9 @@
         ...load,
         expires_in_ms: Math.round(queued.expires_ms - now_ms),
       });
+      const { job, due_ms } = queued;
+      const arrived_ms = due_ms - job.due_in_ms;
+      this.#returning.recordRefusal(job, { arrived_ms, now_ms });
       this.#finishJob(queued, queue, createRefusal(load, limits));
     }
   }
--- a/test/batching/batcher.test.ts
+++ b/test/batching/batcher.test.ts
@@ -104,7 +104,7 @@
     attempt_id,
     pool: pool.name,
     stage: 0,
-    pieces: [0, 1].map((index) => ({ index, key: "k", inputs: undefined })),
+    pieces: piecesOf(2),
     result_bytes: 10,
     priority: 0,
     due_in_ms: 1_000,
@@ -116,6 +116,13 @@
   };
 }
 
+function piecesOf(count: number): StageJob["pieces"] {
+  return Array.from(
+    { length: count },
+    (_, index) => ({ index, key: "k", inputs: undefined }),
+  );
+}
+
 function run(attempt_id: string, signal = stopping.signal) {
   return batcher.runForPeer(job(attempt_id), signal);
 }
@@ -332,6 +339,31 @@
   );
 });
 
+test("a request that comes back too late to be on time goes after one that can be on time", async () => {
+  const offer = (attempt_id: string, change: Partial<StageJob>) =>
+    batcher.runForPeer(
+      job(attempt_id, {
+        request: attempt_id[0],
+        target_in_ms: 400,
+        due_in_ms: 400,
+        ...change,
+      }),
+      stopping.signal,
+    );
+  // 16 pieces take four calls of 140 ms, too long for what expires after 300.
+  void offer("w", { pieces: piecesOf(16), due_in_ms: 5_000 });
+  const refused = await offer("a1", { expires_in_ms: 300 });
+  assert.equal(refused.kind, JobOutcomeKind.Refused);
+  for (let call = 0; call < 3; call++) await respond(call);
+  // It is late by its first attempt, and would be due first by this one.
+  void offer("a2", { pieces: piecesOf(4) });
+  void offer("b1", { pieces: piecesOf(4), due_in_ms: 450 });
+  await respond(3);
+  assert.equal(calls[4]?.requests[0]?.attempt_id, "b1");
+  await respond(4);
+  assert.equal(calls[5]?.requests[0]?.attempt_id, "a2");
+});
+
 test("freed memory is used again only once the endpoint confirms it", async () => {
   const large = { result_bytes: 500 };
   void batcher.runForPeer(job("a", large), stopping.signal);
--- a/test/batching/pipeline_replay.ts
+++ b/test/batching/pipeline_replay.ts
@@ -251,13 +251,14 @@
   async #ask(kind: ReplayedClass): Promise<void> {
     const arrived_ms = this.#now_ms;
     const expires_ms = arrived_ms + kind.deadline_ms;
-    let outcome = await this.#runAttempt(kind, expires_ms);
+    const request = `request-${this.#attempts + 1}`;
+    let outcome = await this.#runAttempt(kind, { request, expires_ms });
     const refused_after_ms = this.#now_ms - arrived_ms;
     const isReturning = outcome.kind === JobOutcomeKind.Refused;
     if (outcome.kind === JobOutcomeKind.Refused) {
       const longest_ms = (expires_ms - this.#now_ms) / 3;
       await wait(Math.min(outcome.retry_after_ms, longest_ms));
-      outcome = await this.#runAttempt(kind, expires_ms);
+      outcome = await this.#runAttempt(kind, { request, expires_ms });
     }
     if (outcome.kind === JobOutcomeKind.Completed) {
       await wait(RESPONSE_MS);
@@ -274,7 +275,7 @@
 
   async #runAttempt(
     kind: ReplayedClass,
-    expires_ms: number,
+    { request, expires_ms }: { request: string; expires_ms: number },
   ): Promise<GraphOutcome> {
     this.#attempts += 1;
     const attempt_id = `attempt-${this.#attempts}`;
@@ -291,7 +292,7 @@
     );
     const outcome = await runStages({
       attempt_id,
-      fingerprint: attempt_id,
+      fingerprint: request,
       route: createRoute(kind),
       priority: kind.priority,
       pieces: kind.pieces,
