--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -5,24 +5,15 @@
  * one pool, the only cost is that each call holds fewer pieces.
  */
 import type { BatchLimits } from "../routes/types.ts";
-import {
-  checkJobAdmission,
-  createRefusal,
-  findUnservableJobs,
-  type LaterWait,
-} from "./admit_job.ts";
+import { createRefusal, findUnservableJobs } from "./admit_job.ts";
 import { CallRunner, type CallRunnerOptions } from "./call_runner.ts";
-import {
-  PipelineAdmission,
-  type PipelineAdmissionOptions,
-} from "./pipeline_admission.ts";
+import { JobAdmission } from "./job_admission.ts";
+import type { PipelineAdmissionOptions } from "./pipeline_admission.ts";
 import type { PoolLoadReport } from "./pool_load_report.ts";
 import { createFinishJob, type FinishJob } from "./finish_job.ts";
-import type { EndpointTracker } from "./endpoint_tracker.ts";
 import { planCall } from "./plan_call.ts";
 import { QueueLoads, type QueueLoadsOptions } from "./queue_loads.ts";
 import { ResultMemory } from "./result_memory.ts";
-import { ReturningRequests } from "./returning_requests.ts";
 import {
   countWaitingPieces,
   createPoolQueue,
@@ -76,14 +67,13 @@
   #calls: CallRunner;
   #options: BatcherOptions;
   #loads: QueueLoads;
-  #pipelines: PipelineAdmission;
-  #returning = new ReturningRequests();
+  #admission: JobAdmission;
   #draining = false;
 
   constructor(options: BatcherOptions) {
     this.#options = options;
     this.#loads = new QueueLoads(options);
-    this.#pipelines = new PipelineAdmission(options);
+    this.#admission = new JobAdmission({ ...options, loads: this.#loads });
     this.#memory = new ResultMemory({
       ...options,
       onFreed: (queue) => this.#dispatchSoon(queue),
@@ -124,8 +114,7 @@
     }
     const queue = this.#queueOf(offered);
     if (signal.aborted) return Promise.resolve(CANCELLED);
-    const job = this.#withFirstTarget(offered, limits);
-    const refusal = this.#checkAdmission(job, queue, limits);
+    const { job, refusal } = this.#admission.admit(offered, { queue, limits });
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((resolve) => {
       const now_ms = this.#options.now();
@@ -195,46 +184,6 @@
     return created;
   }
 
-  /** The job with the target of its request's first attempt. */
-  #withFirstTarget(offered: StageJob, { call_ms }: BatchLimits): StageJob {
-    const now_ms = this.#options.now();
-    const job = this.#returning.withFirstTarget(offered, { call_ms, now_ms });
-    if (job === offered) return job;
-    this.#options.log.info({
-      event: "job_returned",
-      attempt: job.attempt_id,
-      pool: job.pool,
-      target_in_ms: Math.round(job.target_in_ms ?? Infinity),
-      due_in_ms: Math.round(job.due_in_ms),
-    });
-    return job;
-  }
-
-  #checkAdmission(
-    job: StageJob,
-    queue: PoolQueue,
-    limits: BatchLimits,
-  ): JobOutcome | undefined {
-    const load = this.#loads.aheadOf(job, queue);
-    const now_ms = this.#options.now();
-    const refusal = checkJobAdmission(job, load, limits) ??
-      this.#pipelines.check(job, { load, limits, now_ms });
-    if (refusal === undefined) return undefined;
-    this.#returning.recordRefusal(job, { arrived_ms: now_ms, now_ms });
-    this.#options.log.info({
-      event: "job_refused",
-      attempt: job.attempt_id,
-      pool: job.pool,
-      shard: job.shard,
-      pieces: job.pieces.length,
-      ...load,
-      expected_ms: Math.round(refusal.expected_ms),
-      ...laterWaitFields(refusal.waits_in),
-      expires_in_ms: Math.round(job.expires_in_ms),
-    });
-    return refusal.outcome;
-  }
-
   /** The load of a pool or of one shard of it, for the batchers of others. */
   reportLoad(queueName: { pool: string; shard?: string }): PoolLoadReport {
     return this.#loads.report(this.#queueOf(queueName));
@@ -292,13 +241,15 @@
     if (available.length === 0 || !hasWaitingPieces(queue)) return false;
     const context = { limits, now_ms };
     const zone_wait_ms = zoneWaits(ready, queue.jobs, context);
-    const isDue = (tracker: EndpointTracker) =>
-      isDueForRetry(tracker, ready, queue.jobs, context);
-    // A retry takes what can wait best, before the others take all that waits.
-    const [retried, others] = [available.filter(isDue), available];
+    const retried = new Set(
+      available.filter((tracker) =>
+        isDueForRetry(tracker, ready, queue.jobs, context)
+      ),
+    );
     let started = false;
-    for (const tracker of new Set([...retried, ...others])) {
-      const isRetry = retried.includes(tracker);
+    // Before the others take all that waits, a retry takes what can wait best.
+    for (const tracker of new Set([...retried, ...available])) {
+      const isRetry = retried.has(tracker);
       if (!isRetry && !isWorthCalling(tracker, ready, queue.jobs, context)) {
         continue;
       }
@@ -306,7 +257,7 @@
         availability_zone: tracker.endpoint.availability_zone,
         free_result_bytes: tracker.freeResultBytes(now_ms, limits),
         slowness: tracker.slowness,
-      }, { now_ms, limits, zone_wait_ms });
+      }, { ...context, zone_wait_ms });
       if (planned.length === 0) continue;
       started = true;
       void this.#calls.run({
@@ -348,22 +299,8 @@
         ...load,
         expires_in_ms: Math.round(queued.expires_ms - now_ms),
       });
-      const { job, due_ms } = queued;
-      const arrived_ms = due_ms - job.due_in_ms;
-      this.#returning.recordRefusal(job, { arrived_ms, now_ms });
+      this.#admission.recordGivenUp(queued, now_ms);
       this.#finishJob(queued, queue, createRefusal(load, limits));
     }
   }
 }
-
-/** The fields of a log line that tell why a request would wait in a later stage. */
-function laterWaitFields(wait: LaterWait | undefined): object {
-  if (wait === undefined) return {};
-  return {
-    waits_in: wait.pool,
-    later_waiting: wait.pieces_waiting,
-    later_on_the_way: wait.pieces_on_the_way,
-    later_per_ms: Number(wait.pieces_per_ms.toFixed(3)),
-    later_spare_per_ms: Number(wait.spare_per_ms.toFixed(3)),
-  };
-}
