--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -247,7 +247,7 @@
       ),
     );
     let started = false;
-    // Before the others take all that waits, a retry takes what can wait best.
+    // Retries come first, with the job that can wait best: the others take all.
     for (const tracker of new Set([...retried, ...available])) {
       const isRetry = retried.has(tracker);
       if (!isRetry && !isWorthCalling(tracker, ready, queue.jobs, context)) {
--- a/src/batching/endpoint_tracker.ts
+++ b/src/batching/endpoint_tracker.ts
@@ -10,6 +10,7 @@
 
 /** Weight of the newest call in the moving average of slowness. */
 const SLOWNESS_SMOOTHING = 0.3;
+/** A call that is faster counts as this fast. */
 const MIN_SLOWNESS = 0.5;
 /** Backoff doubles with each consecutive failure, between these bounds. */
 const INITIAL_BACKOFF_MS = 300;
@@ -46,7 +47,7 @@
   endpoint: RouteEndpoint;
   /** Moving average of actual to configured call time; 1 is as configured. */
   slowness = 1;
-  /** Whether calls without an answer tell its slowness, so that none was measured. */
+  /** Whether the slowness follows from calls without an answer, not from a measure. */
   #slownessAssumed = false;
   #silence = new EndpointSilence();
   /** Slowness that calls since the last timeout are given time for. */
@@ -140,8 +141,8 @@
 
   /**
    * Records a successful call. A call that took less than half its configured
-   * time counts as half, which bounds how far slowness can fall. What it took goes
-   * before what was assumed of calls without an answer.
+   * time counts as half, which bounds how far slowness can fall. The measured time
+   * replaces what was assumed from calls without an answer.
    */
   completeCall(call: EndedCall, limits: BatchLimits): void {
     this.#endCall(call.bytes);
--- a/src/batching/expected_wait.ts
+++ b/src/batching/expected_wait.ts
@@ -17,7 +17,7 @@
    */
   starts_in_ms?: number;
   /**
-   * Their mean ratio of actual to configured call time; the harmonic one, as their
+   * Harmonic mean of their ratios of actual to configured call time, since their
    * rates add up.
    */
   slowness: number;
