ORDER: ask an endpoint when it started before a stream goes on

Cause: a host believes an entry until the next one comes, some tenths of a second or, over silent connections, seconds. Neither the endpoint that a stream began at nor the one at which it goes on was asked. Class of fault: a decision on old news where the other side could be asked.

Change: while a pool has several versions, the endpoint that began a broken stream and the one at which it would go on are asked for their start, in at most 300 ms each. If the first has started again, the version isn't known: the stream is cut, and resumptions are refused, also at the hosts that keep copies. The second is passed over.

--- a/src/forwarding/dependencies.ts
+++ b/src/forwarding/dependencies.ts
@@ -11,6 +11,7 @@
 import type { ObservedLoad } from "../routing/observed_load.ts";
 import type { QuarantineService } from "../quarantine/quarantine_service.ts";
 import type { RateLimitService } from "../rate_limits/rate_limit_service.ts";
+import type { CheckStart } from "../stream_origins/start_check.ts";
 import type { StreamOriginService } from "../stream_origins/stream_origin_service.ts";
 import type { ServiceTimes } from "../routing/service_times.ts";
 import type { PoolRetryBudgets } from "../routing/repeat_budget.ts";
@@ -29,6 +30,7 @@
   reports: EndpointReports;
   stageGraph: GraphOptions;
   streamOrigins: StreamOriginService;
+  checkStart: CheckStart;
   metrics: ForwardMetrics;
   /** Limits of all bodies of callers' requests that this host holds. */
   requestLimits: BodyLimits;
--- a/src/forwarding/protocol_codec.ts
+++ b/src/forwarding/protocol_codec.ts
@@ -103,6 +103,13 @@
     body: Buffer,
     pieceCount: number,
   ): PieceResponse[] | undefined;
+  /** A request for what an endpoint says of itself. */
+  encodeStatusRequest(address: string): EncodedRequest;
+  /**
+   * When the endpoint of a status started, as Unix time in milliseconds by its own
+   * clock; undefined if the body doesn't tell.
+   */
+  decodeStartTime(body: Buffer): number | undefined;
   /** A request to free stage results. */
   encodeFreeRequest(address: string, handles: string[]): EncodedRequest;
 }
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -16,7 +16,11 @@
 import { type RunContext, StopReason } from "./run_context.ts";
 import { SendOutcome, type StageInputs } from "./send_result.ts";
 import { sendOnce } from "./send_once.ts";
-import { resolveStreamOrigin } from "./stream_origin.ts";
+import {
+  confirmStreamOrigin,
+  isAtStreamVersion,
+  resolveStreamOrigin,
+} from "./stream_origin.ts";
 import { stopIfCallerLeft } from "./stop_if_caller_left.ts";
 import {
   chooseEndpoint,
@@ -256,7 +260,12 @@
     if (context.isQuarantined) return quarantinedOutcome(context);
     if (!fitsDrain(context)) context.stop(StopReason.HostStopping);
     if (context.stopReason !== undefined) break;
-    if (endpoint === undefined || !tryTakeSend(context)) break;
+    if (endpoint === undefined) break;
+    if (!await isAtStreamVersion(context, endpoint)) {
+      tried.add(endpoint.id);
+      continue;
+    }
+    if (!tryTakeSend(context)) break;
     progress.sends += 1;
     progress.stage = RequestStage.Sending;
     const { outcome, observedOutcome } = await sendOnce(
@@ -272,6 +281,7 @@
     }
     tried.add(endpoint.id);
     if (outcome !== SendOutcome.MayHaveRun) continue;
+    await confirmStreamOrigin(context);
     failures += 1;
     const { max_attempts } = context.admitted.route;
     if (!context.idempotent || failures >= max_attempts) break;
--- a/src/forwarding/stream_origin.ts
+++ b/src/forwarding/stream_origin.ts
@@ -5,7 +5,8 @@
 import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 import type { ResolvedOrigin } from "../stream_origins/types.ts";
-import { UNNAMED } from "../stream_origins/version_history.ts";
+import { StartCheck } from "../stream_origins/start_check.ts";
+import { UNKNOWN, UNNAMED } from "../stream_origins/version_history.ts";
 import { type Rejection, VERSION_GONE, VERSION_UNKNOWN } from "./rejection.ts";
 import type { RelayResult } from "./relay.ts";
 import type { RunContext } from "./run_context.ts";
@@ -72,6 +73,54 @@
   }
 }
 
+/**
+ * Makes sure, before a stream that broke off goes on anywhere, that its first event
+ * is of the version that its endpoint's entry named. If the endpoint has started
+ * again it wrote the event since: else the start would have broken the stream, and
+ * no endpoint is back so soon.
+ */
+export async function confirmStreamOrigin(context: RunContext): Promise<void> {
+  const { firstEventFrom, dependencies } = context;
+  const { streamOrigins, checkStart, log } = dependencies;
+  if (firstEventFrom === undefined) return;
+  if (!streamOrigins.isMixed(firstEventFrom.pool)) return;
+  const current = streamOrigins.incarnationOf(firstEventFrom.id);
+  const isKnown = current !== undefined &&
+    incarnationOf(current.endpoint) === incarnationOf(firstEventFrom);
+  if (!isKnown) return;
+  if (await checkStart(firstEventFrom) !== StartCheck.Restarted) return;
+  log.info({
+    event: "stream_version_unknown",
+    attempt: context.admitted.metadata.attempt_id,
+    endpoint: firstEventFrom.id,
+    believed: context.streamVersion,
+  });
+  context.streamVersion = UNKNOWN;
+  streamOrigins.recordUnknown(context.streamKey, firstEventFrom.pool);
+}
+
+/**
+ * Whether an endpoint still runs the software that its entry names, as far as a
+ * stream that goes on there must know.
+ */
+export async function isAtStreamVersion(
+  context: RunContext,
+  endpoint: RouteEndpoint,
+): Promise<boolean> {
+  const { streamVersion, dependencies } = context;
+  const { streamOrigins, checkStart, log } = dependencies;
+  if (streamVersion === undefined) return true;
+  if (!streamOrigins.isMixed(endpoint.pool)) return true;
+  if (await checkStart(endpoint) !== StartCheck.Restarted) return true;
+  log.info({
+    event: "endpoint_restarted",
+    attempt: context.admitted.metadata.attempt_id,
+    endpoint: endpoint.id,
+    believed: endpoint.software_version,
+  });
+  return false;
+}
+
 /**
  * Finds the version at which a resumed stream must go on. Resolves to a rejection
  * if it can't: without the version, and without an endpoint that has it.
--- a/src/gateway/forwarding_components.ts
+++ b/src/gateway/forwarding_components.ts
@@ -3,6 +3,7 @@
 import type { ForwardingDependencies } from "../forwarding/dependencies.ts";
 import { HostLifecycleState } from "../lifecycle/host_lifecycle.ts";
 import { ServiceTimes } from "../routing/service_times.ts";
+import { createStartCheck } from "../stream_origins/start_check.ts";
 import type { BatchingComponents } from "./batching_components.ts";
 import type { HostContext } from "./host_context.ts";
 
@@ -23,6 +24,11 @@
     rateLimits: context.rateLimits,
     reports: context.reports,
     streamOrigins: context.streamOrigins,
+    checkStart: createStartCheck({
+      ...context,
+      codec: context.adapter.codec,
+      pool,
+    }),
     stageGraph: {
       run: (job, signal) => jobRouter.run(job, signal),
       free: (freed) => jobRouter.free(freed),
--- /dev/null
+++ b/src/stream_origins/start_check.ts
@@ -0,0 +1,82 @@
+/**
+ * Asks an endpoint itself when it started. An entry may be behind: an endpoint that
+ * starts again under its id may run other software before its entry says so.
+ */
+import { type BodyLimits, BytesReadKind } from "../bodies/read_bytes.ts";
+import type { EndpointAgents } from "../endpoints/endpoint_agents.ts";
+import {
+  discardResponse,
+  ExchangeOutcome,
+  readFullBody,
+  sendRequest,
+} from "../endpoints/exchange.ts";
+import type { ProtocolCodec } from "../forwarding/protocol_codec.ts";
+import {
+  type RouteEndpoint,
+  type RoutePool,
+  UNKNOWN_START_MS,
+} from "../routes/types.ts";
+
+/** What an endpoint says of the incarnation that its entry names. */
+export enum StartCheck {
+  Same = "same",
+  /** It has started again since. */
+  Restarted = "restarted",
+  /** It gives no answer, or doesn't tell when it started. */
+  Unknown = "unknown",
+}
+
+/** Compares an endpoint's entry with what it says itself; never rejects. */
+export type CheckStart = (endpoint: RouteEndpoint) => Promise<StartCheck>;
+
+/** Dependencies of a start check. */
+export interface StartCheckOptions {
+  codec: ProtocolCodec;
+  agents: EndpointAgents;
+  /** The pool of this name; undefined if it is not configured. */
+  pool: (name: string) => RoutePool | undefined;
+  responseLimits: BodyLimits;
+}
+
+/** Short, as a stream waits for it. */
+const TIMEOUT_MS = 300;
+const MAX_STATUS_BYTES = 262_144;
+const HTTP_OK = 200;
+
+/** Creates a start check that asks endpoints over HTTP. */
+export function createStartCheck(options: StartCheckOptions): CheckStart {
+  return async (endpoint) => {
+    if (endpoint.born_ms === UNKNOWN_START_MS) return StartCheck.Unknown;
+    const born_ms = await askStart(endpoint, options);
+    if (born_ms === undefined) return StartCheck.Unknown;
+    return born_ms === endpoint.born_ms
+      ? StartCheck.Same
+      : StartCheck.Restarted;
+  };
+}
+
+/** When the endpoint says that it started; undefined if it doesn't tell. */
+async function askStart(
+  { address, pool: name }: RouteEndpoint,
+  { codec, agents, pool, responseLimits }: StartCheckOptions,
+): Promise<number | undefined> {
+  const max_connections = pool(name)?.max_connections ?? 1;
+  const result = await sendRequest({
+    address,
+    agent: agents.agentFor(address, max_connections),
+    ...codec.encodeStatusRequest(address),
+    signal: AbortSignal.timeout(TIMEOUT_MS),
+  });
+  if (result.kind !== ExchangeOutcome.ResponseReceived) return undefined;
+  if (result.response.status !== HTTP_OK) {
+    discardResponse(result.response);
+    return undefined;
+  }
+  const read = await readFullBody(result.response, {
+    max_bytes: MAX_STATUS_BYTES,
+    limits: responseLimits,
+  });
+  if (read.kind !== BytesReadKind.Complete) return undefined;
+  read.held?.release();
+  return codec.decodeStartTime(read.bytes);
+}
--- a/src/stream_origins/stream_origin_service.ts
+++ b/src/stream_origins/stream_origin_service.ts
@@ -22,6 +22,7 @@
   type StreamOrigin,
 } from "./types.ts";
 import {
+  UNKNOWN,
   UNNAMED,
   VersionHistory,
   type VersionReport,
@@ -121,6 +122,16 @@
     this.#record({ key, pool, version: software_version });
   }
 
+  /** Whether endpoints of several versions have lately been in service. */
+  isMixed(pool: string): boolean {
+    return this.#mixedPools.has(pool);
+  }
+
+  /** Records that it isn't known which version wrote the first event. */
+  recordUnknown(key: string, pool: string): void {
+    this.#record({ key, pool, version: UNKNOWN });
+  }
+
   /** Forgets a stream that has reached its caller whole. */
   forget(key: string): void {
     this.#memory.forget(key);
@@ -143,12 +154,12 @@
   ): Promise<ResolvedOrigin> {
     const since_ms = this.#options.now() - max_age_ms;
     const own = key === undefined ? undefined : this.find(key);
-    if (own !== undefined) return { ...own, source: OriginSource.Own };
+    if (own !== undefined) return recorded(own, OriginSource.Own);
     // Without a key this only tells whether the keepers answer.
     const { kept, isInTouch } = await this.#askKeepers(key ?? "");
     if (kept !== undefined) {
       this.keep([kept]);
-      return { ...kept, source: OriginSource.Keeper };
+      return recorded(kept, OriginSource.Keeper);
     }
     if (!isInTouch && !this.#options.sourceAvailable()) return undefined;
     if (!this.history.isKnownSince(since_ms)) await this.#askForVersions();
@@ -284,3 +295,7 @@
     }));
   }
 }
+
+function recorded(origin: StreamOrigin, source: OriginSource): ResolvedOrigin {
+  return origin.version === UNKNOWN ? undefined : { ...origin, source };
+}
--- a/src/stream_origins/version_history.ts
+++ b/src/stream_origins/version_history.ts
@@ -104,6 +104,8 @@
 
 /** Stands for the version of endpoints that name none. */
 export const UNNAMED = "";
+/** Stands for a version that isn't known, also if an entry should name it. */
+export const UNKNOWN = "\0";
 
 function keyOf(pool: string, version = UNNAMED): string {
   return `${version}/${pool}`;
--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -139,6 +139,8 @@
   repeatedRefusals = 0;
   /** Whether its refusals echo the attempt id. */
   refusalsEchoId = true;
+  /** When it started, as it says itself; Unix time in milliseconds. */
+  born_ms = 1;
   /** Software version, which its events name; undefined names none. */
   software_version: string | undefined;
   /** Called when it has received a request that it executes. */
@@ -199,6 +201,7 @@
     this.#server.listen(port, "127.0.0.1", () => {
       this.#server.removeAllListeners("error");
       const address = this.#server.address() as AddressInfo;
+      this.born_ms = Date.now();
       this.address = `127.0.0.1:${address.port}`;
       this.onRestart();
     });
@@ -211,6 +214,10 @@
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk);
     const body = Buffer.concat(chunks).toString();
+    if (request.url === "/v1/report") {
+      response.writeHead(200, { "content-type": "application/json" });
+      return void response.end(JSON.stringify({ born: this.born_ms }));
+    }
     this.arrivals_ms.push(performance.now());
     await this.#endOfSilence();
     if (this.rate_limit_per_s !== undefined) {
--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -138,7 +138,7 @@
       state: "ready",
       cold_remaining_ms: 0,
       sequence: 1,
-      born: 1,
+      born: engine.born_ms,
       ...changes,
     });
   }
@@ -220,7 +220,7 @@
         await engine.start();
         this.registerEngine(service as Service, engine);
         engine.onRestart = () =>
-          this.registerEngine(service as Service, engine, { born: Date.now() });
+          this.registerEngine(service as Service, engine);
       }
     }
   }
--- a/test/forwarding/stream_versions.test.ts
+++ b/test/forwarding/stream_versions.test.ts
@@ -275,6 +275,49 @@
   assert.deepEqual(endpointsOf(fleet, ["a"]), [0, 1]);
 });
 
+/** Streams that the first endpoint breaks off after an event. */
+async function breakAtFirst(
+  fleet: GatewayFleet,
+): Promise<{ attempt_id: string; stream: SeenStream }[]> {
+  const broken: { attempt_id: string; stream: SeenStream }[] = [];
+  const first = fleet.engine(Service.Model, 0);
+  for (let n = 0; n < STREAMS; n++) {
+    first.fault = EngineFault.StreamTruncated;
+    first.remainingFaults = 1;
+    const attempt_id = `broken-${n}`;
+    const stream = await call(at(fleet, 0), { attempt_id });
+    if (endpointsOf(fleet, [attempt_id])[0] === 0) {
+      broken.push({ attempt_id, stream });
+    }
+  }
+  assert.ok(broken.length > 0, "no stream was broken off");
+  return broken;
+}
+
+test("a stream that an endpoint began after a start that its entry doesn't tell is cut when it breaks", async (t) => {
+  const fleet = await startFleet(t, ["v1", "v1", "v2"], 1);
+  fleet.engine(Service.Model, 0).born_ms = 5;
+  for (const { attempt_id, stream } of await breakAtFirst(fleet)) {
+    assert.equal(stream.complete, false);
+    assert.deepEqual(endpointsOf(fleet, [attempt_id]), [0]);
+    const resumed = await call(at(fleet, 0), {
+      attempt_id: `resumed-${attempt_id}`,
+      resumes: attempt_id,
+      last_event_id: 1,
+    });
+    assert.equal(resumed.reason, "version_unknown");
+  }
+});
+
+test("a stream does not go on at an endpoint after a start that its entry doesn't tell", async (t) => {
+  const fleet = await startFleet(t, ["v1", "v1", "v1", "v2"], 1);
+  fleet.engine(Service.Model, 1).born_ms = 5;
+  for (const { attempt_id, stream } of await breakAtFirst(fleet)) {
+    assert.deepEqual(endpointsOf(fleet, [attempt_id]), [0, 2]);
+    assertWhole(stream);
+  }
+});
+
 test("a resumed stream is refused at once when its version has left", async (t) => {
   const versions = ["v1", "v2"];
   const fleet = await startFleet(t, versions);
--- a/test/forwarding/stream_versions_soak.test.ts
+++ b/test/forwarding/stream_versions_soak.test.ts
@@ -121,7 +121,6 @@
 function register(endpoint: Engine, changes: object = {}): void {
   fleet.registerEngine(Service.Model, endpoint, {
     version: endpoint.software_version,
-    born: Date.now(),
     ...changes,
   });
 }
