ORDER: a stream that hung says nothing of its endpoint's later start

Endpoints crash there for two seconds; a host that finds a connection dead after that asks the endpoint, which has started again, and took the stream for the new incarnation's.

Change: an endpoint's start counts only if the stream's last event came within 250 ms. The new test failed before (cut after the first endpoint in place of going on).

--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -74,6 +74,8 @@
    * stream that its caller resumes.
    */
   firstEventFrom: RouteEndpoint | undefined;
+  /** When the last event of a stream came, in monotonic time; or -Infinity. */
+  last_event_ms = -Infinity;
   /** Send that is already taken from its endpoint's rate limit. */
   reservedSend: ReservedSend | undefined;
   /**
--- a/src/forwarding/stream_origin.ts
+++ b/src/forwarding/stream_origin.ts
@@ -13,6 +13,8 @@
 
 /** Time that a request may have been on its way to this host. */
 const AGE_MARGIN_MS = 1_000;
+/** Shorter than any start of an endpoint takes. */
+const MIN_START_MS = 250;
 
 /**
  * Records which version wrote the first event that the caller gets. Events of a
@@ -66,6 +68,7 @@
   relayed: RelayResult,
   sentTo: RouteEndpoint,
 ): void {
+  context.last_event_ms = relayed.last_event_ms ?? context.last_event_ms;
   if (relayed.complete && relayed.delivered) {
     context.dependencies.streamOrigins.forget(context.streamKey);
   } else {
@@ -76,13 +79,14 @@
 /**
  * Makes sure, before a stream that broke off goes on anywhere, that its first event
  * is of the version that its endpoint's entry named. If the endpoint has started
- * again it wrote the event since: else the start would have broken the stream, and
- * no endpoint is back so soon.
+ * again though it has just sent an event, it wrote the stream since: a start takes
+ * longer. Of a stream that hung before it broke off this says nothing.
  */
 export async function confirmStreamOrigin(context: RunContext): Promise<void> {
-  const { firstEventFrom, dependencies } = context;
-  const { streamOrigins, checkStart, log } = dependencies;
+  const { firstEventFrom, last_event_ms, dependencies } = context;
+  const { streamOrigins, checkStart, log, now } = dependencies;
   if (firstEventFrom === undefined) return;
+  if (now() - last_event_ms > MIN_START_MS) return;
   if (!streamOrigins.isMixed(firstEventFrom.pool)) return;
   const current = streamOrigins.incarnationOf(firstEventFrom.id);
   const isKnown = current !== undefined &&
--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -182,13 +182,18 @@
     this.#server.closeAllConnections();
   }
 
+  /** Resets every connection. */
+  breakConnections(): void {
+    for (const socket of this.#sockets) socket.resetAndDestroy();
+  }
+
   /** Resets every connection and refuses new ones until it has restarted. */
   crash(): void {
     if (!this.#server.listening) return;
     this.crashes += 1;
     const { port } = this.#server.address() as AddressInfo;
     this.#server.close();
-    for (const socket of this.#sockets) socket.resetAndDestroy();
+    this.breakConnections();
     this.#restartTimer = setTimeout(
       () => this.#restart(port),
       this.#options.restart_ms ?? DEFAULT_RESTART_MS,
--- a/test/forwarding/stream_versions.test.ts
+++ b/test/forwarding/stream_versions.test.ts
@@ -28,6 +28,8 @@
 const STREAMS = 24;
 const EVENTS = 6;
 const ROUTE_TIMEOUT_MS = 1_500;
+/** Time in which an endpoint starts again. */
+const RESTART_MS = 600;
 
 function call(
   { callers }: RunningGateway,
@@ -309,6 +311,31 @@
   }
 });
 
+test("a stream that hung while its endpoint started anew, before its entry tells, goes on at its own version", async (t) => {
+  const fleet = await startFleet(t, ["v1", "v1", "v2"], 1);
+  const first = fleet.engine(Service.Model, 0);
+  let seen = 0;
+  let attempt_id = "";
+  let answer: Promise<SeenStream> | undefined;
+  for (let n = 0; endpointsOf(fleet, [attempt_id])[0] !== 0; n++) {
+    await answer;
+    seen = 0;
+    attempt_id = `hung-${n}`;
+    answer = call(at(fleet, 0), {
+      attempt_id,
+      onEvents: (events) => seen = events,
+    });
+    await waitUntil(() => seen >= 1);
+  }
+  first.silentUntil_ms = performance.now() + 10_000;
+  await sleep(RESTART_MS);
+  // Its connection is found dead only after it has started again.
+  first.born_ms = 5;
+  first.breakConnections();
+  assertWhole(await answer as SeenStream);
+  assert.deepEqual(endpointsOf(fleet, [attempt_id]), [0, 1]);
+});
+
 test("a stream does not go on at an endpoint after a start that its entry doesn't tell", async (t) => {
   const fleet = await startFleet(t, ["v1", "v1", "v1", "v2"], 1);
   fleet.engine(Service.Model, 1).born_ms = 5;
