SHORT: a stream that is resumed is not weighed against new requests

The logs: each had its version (own record or a copy), and was refused as no_room, after event=job_returned with target_in_ms=-794.

Cause: a resumed stream makes its stages again, and they were admitted as those of a new request: refused in a burst, and, since requests that come back have their first target, refused for good when it was past. But its caller has a part of the response, and the target of the first event means nothing any more.

Change: jobs of a request of which the caller has a part bear neither target nor later stages, as those of hosts of an earlier release, and are refused only if they would end after they expire.

--- a/src/batching/stage_graph.ts
+++ b/src/batching/stage_graph.ts
@@ -31,6 +31,11 @@
   piece_key: string;
   /** Availability zone that reads the final results, if it is known. */
   home_zone: string | undefined;
+  /**
+   * Whether the caller has a part of the response: then it is not weighed against
+   * requests that have yet to begin.
+   */
+  has_begun: boolean;
   /** When the final results must be ready to be on time, in monotonic time. */
   due_ms: number;
   /** When they become useless, in monotonic time. */
@@ -172,8 +177,8 @@
 
   #createJob(index: number, pieces: Piece[], lastRead: number[]): StageJob {
     const stage = this.#stages[index] as PieceStage;
-    const { attempt_id, fingerprint, priority, due_ms, expires_ms } =
-      this.#request;
+    const { attempt_id, fingerprint, priority, has_begun } = this.#request;
+    const { due_ms, expires_ms } = this.#request;
     const now_ms = this.#options.now();
     const remaining = this.#chainAfter(index);
     return {
@@ -191,8 +196,9 @@
       last_read: lastRead.flatMap((dependency) =>
         this.#freedResultsOf(dependency)
       ),
-      later: remaining.stages,
-      target_in_ms: due_ms - now_ms,
+      ...(has_begun
+        ? {}
+        : { later: remaining.stages, target_in_ms: due_ms - now_ms }),
     };
   }
 
--- a/src/batching/types.ts
+++ b/src/batching/types.ts
@@ -57,13 +57,13 @@
   /** Inputs that no other job will read: freed once this job has read them. */
   last_read: FreedResults[];
   /**
-   * The longest chain of stages that follow, in order; undefined from hosts that
-   * send none.
+   * The longest chain of stages that follow, in order; undefined if the caller has
+   * a part of the response, and from hosts that send none.
    */
   later?: LaterStage[];
   /**
    * Time left until all stages must have ended for the request to meet its target
-   * latency, in milliseconds; undefined from hosts that send none.
+   * latency, in milliseconds; undefined as `later` is.
    */
   target_in_ms?: number;
 }
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -183,6 +183,7 @@
     pieces: metadata.pieces,
     piece_key: metadata.piece_key,
     home_zone,
+    has_begun: context.streamVersion !== undefined,
     due_ms: context.inbound.arrived_ms + route.target_latency_ms -
       load.firstByteMs(context.pool),
     expires_ms: context.first_byte_by_ms,
--- a/test/batching/pipeline_replay.ts
+++ b/test/batching/pipeline_replay.ts
@@ -298,6 +298,7 @@
       pieces: kind.pieces,
       piece_key: attempt_id,
       home_zone: undefined,
+      has_begun: false,
       due_ms: this.#now_ms + kind.target_latency_ms - RESPONSE_MS,
       expires_ms,
       signal: deadline.signal,
--- a/test/batching/stage_graph.test.ts
+++ b/test/batching/stage_graph.test.ts
@@ -18,12 +18,14 @@
 let freed: string[];
 let failAt: number | undefined;
 let wait_ms: Record<string, number>;
+let has_begun: boolean;
 
 beforeEach(() => {
   jobs = [];
   freed = [];
   failAt = undefined;
   wait_ms = {};
+  has_begun = false;
 });
 
 const STAGES: PieceStage[] = [
@@ -93,6 +95,7 @@
     pieces,
     piece_key: "cafe",
     home_zone: "home",
+    has_begun,
     due_ms: 1_400,
     expires_ms: 6_000,
     signal: new AbortController().signal,
@@ -114,6 +117,18 @@
   return job;
 }
 
+test("a request of which the caller has a part is not weighed against those that have yet to begin", async () => {
+  has_begun = true;
+  await run([0, 1, 4, 10]);
+  assert.equal(jobs.length, 3);
+  for (const { later, target_in_ms } of jobs) {
+    assert.deepEqual({ later, target_in_ms }, {
+      later: undefined,
+      target_in_ms: undefined,
+    });
+  }
+});
+
 test("a stage reads all results of its dependencies, a stage without any gets the piece key", async () => {
   const outcome = await run([2, 1, 2, 3]);
   assert.ok(outcome.kind === JobOutcomeKind.Completed);
