--- a/src/quarantine/quarantine_service.ts
+++ b/src/quarantine/quarantine_service.ts
@@ -9,10 +9,13 @@
  */
 import type { Logger } from "../logging/logger.ts";
 import { RankedHosts } from "../membership/ranked_hosts.ts";
-import type { RouteEndpoint } from "../routes/types.ts";
 import type { FeedChange } from "../store_sync/object_feed.ts";
-import { abortableDelay } from "../utils/delay.ts";
 import { AnsweredParts } from "./answered_parts.ts";
+import {
+  type BrokenSend,
+  CrashReports,
+  type CrashVerdict,
+} from "./crash_reports.ts";
 import { LedgerService } from "./ledger_service.ts";
 import {
   type DeliverNotice,
@@ -61,24 +64,6 @@
   signal: AbortSignal;
 }
 
-/** A send that ended without an event of its response. */
-export interface BrokenSend {
-  endpoint: RouteEndpoint;
-  attempt_id: string;
-  /** Traits of the request. */
-  traits: readonly string[];
-  /** Time of the send, on the monotonic clock. */
-  sent_ms: number;
-}
-
-/** What a broken send has come to; the promises never reject. */
-export interface CrashVerdict {
-  /** Whether its endpoint has crashed. */
-  crashed: Promise<boolean>;
-  /** Whether the request is suspected, and must not be sent to another endpoint. */
-  suspected: Promise<boolean>;
-}
-
 /** Whether a request may reach an endpoint. */
 export enum QuarantineDecision {
   Admit = "admit",
@@ -91,19 +76,6 @@
 const RANKING_KEY = "crashes";
 /** Hosts that keep the evidence, in case one is lost. */
 const LEDGERS = 2;
-/** Reports of one host about one crash share a message within this time. */
-const REPORT_WINDOW_MS = 20;
-
-interface BrokenRequest extends Omit<BrokenSend, "endpoint"> {
-  /** When the send broke, on the monotonic clock. */
-  broke_ms: number;
-}
-
-interface OpenReport {
-  requests: BrokenRequest[];
-  crashed: Promise<boolean>;
-  suspects: Promise<string[]>;
-}
 
 /** Keeps requests with prompt parts that crash endpoints away from them. */
 export class QuarantineService {
@@ -116,8 +88,7 @@
   #notices: QuarantineNotices;
   #writer: QuarantineWriter;
   #ledgerService: LedgerService;
-  /** Reports that are being gathered, by endpoint address. */
-  #openReports = new Map<string, OpenReport>();
+  #crashReports: CrashReports;
   /** Whether the next list is the first one since a restoration. */
   #restored = false;
 
@@ -139,6 +110,10 @@
       notices: this.#notices,
       writer: this.#writer,
     });
+    this.#crashReports = new CrashReports({
+      ...options,
+      send: (report) => this.#sendReport(report),
+    });
   }
 
   /** Decides whether a request with these traits may reach an endpoint. */
@@ -186,19 +161,8 @@
   }
 
   /** Reports a broken send if its endpoint has crashed. */
-  recordBroken(
-    { endpoint, attempt_id, traits, sent_ms }: BrokenSend,
-  ): CrashVerdict {
-    const { address } = endpoint;
-    const open = this.#openReports.get(address) ?? this.#openReport(address);
-    const broke_ms = this.#options.now();
-    open.requests.push({ attempt_id, traits, sent_ms, broke_ms });
-    return {
-      crashed: open.crashed,
-      suspected: open.suspects.then((suspects) =>
-        traits.some((trait) => suspects.includes(trait))
-      ),
-    };
+  recordBroken(send: BrokenSend): CrashVerdict {
+    return this.#crashReports.record(send);
   }
 
   /** Handles a report as a ledger. */
@@ -268,41 +232,9 @@
     });
   }
 
-  /** Gathers the requests that one endpoint held when it broke. */
-  #openReport(address: string): OpenReport {
-    const { isRefused, log, signal } = this.#options;
-    const requests: BrokenRequest[] = [];
-    const crashed = abortableDelay(REPORT_WINDOW_MS, signal).then(() => {
-      this.#openReports.delete(address);
-      return isRefused(address);
-    });
-    const suspects = crashed.then((isCrash) =>
-      isCrash ? this.#report(address, requests) : []
-    ).catch((error: Error) => {
-      log.error({ event: "fault", stage: "crash_report", error: error.stack });
-      return [];
-    });
-    const open = { requests, crashed, suspects };
-    this.#openReports.set(address, open);
-    return open;
-  }
-
-  /** Reports a crash to the ledgers; resolves to what they suspect. */
-  async #report(
-    address: string,
-    requests: BrokenRequest[],
-  ): Promise<string[]> {
-    const { onCrash, peers, log, now } = this.#options;
-    onCrash();
-    log.info({
-      event: "endpoint_crash",
-      address,
-      attempts: requests.map(({ attempt_id }) => attempt_id).join(","),
-    });
-    const report = {
-      address,
-      requests: requests.map((request) => createCrashedRequest(request, now())),
-    };
+  /** Sends a report to the ledgers; resolves to what they suspect. */
+  async #sendReport(report: CrashReport): Promise<string[]> {
+    const { peers } = this.#options;
     const replies = await this.#callLedgers({
       local: () => this.handleReport(report),
       remote: async (ledger) =>
@@ -351,15 +283,3 @@
     });
   }
 }
-
-function createCrashedRequest(
-  { attempt_id, traits, sent_ms, broke_ms }: BrokenRequest,
-  now_ms: number,
-): CrashReport["requests"][number] {
-  return {
-    attempt_id,
-    parts: [...traits],
-    sent_ago_ms: now_ms - sent_ms,
-    broke_ago_ms: now_ms - broke_ms,
-  };
-}
