ORDER: a host concludes a stream's version only from a list that its source confirms

Cause: 'only one version was in service' was concluded from this host's list as long as the source looked open or one keeper answered, even with 'none'. Neither says that the list is current: a watch may be silent until its time-out, a host may follow one that is behind, or have stood still. Class: a conclusion from absence, drawn from knowledge of unknown age.

Now the source confirms the list after the question came, to this host (a watch that waits for nothing, at most ten a second, shared) or to one of two hosts that read the store. A version has an entry before a stream can begin at it, so what is confirmed then holds all versions of streams that began before. While the source answers none, more than half of up to five other hosts must answer.

--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -37,6 +37,7 @@
 import { RateLimitService } from "../rate_limits/rate_limit_service.ts";
 import { ObservedLoad } from "../routing/observed_load.ts";
 import { PoolRetryBudgets } from "../routing/repeat_budget.ts";
+import { createConfirmSource } from "../stream_origins/confirm_source.ts";
 import { StreamOriginService } from "../stream_origins/stream_origin_service.ts";
 import type { GatewaySettings } from "../settings/gateway_settings.ts";
 import { formatAddress } from "../settings/settings.ts";
@@ -162,7 +163,13 @@
   const streamOrigins = new StreamOriginService({
     self,
     hosts: () => members.addresses(),
-    sourceAvailable: () => endpoints.sourceAvailable,
+    sourceReaders: () => readers.readersToFollow(),
+    confirmSource: createConfirmSource({
+      source: store.endpoints,
+      position: () => syncOptions.progress.endpoints.position,
+      isReading: () => readers.selfIsReader && endpoints.sourceAvailable,
+      now,
+    }),
     peers,
     log,
     now,
--- a/src/peers/gateway_rpc_router.ts
+++ b/src/peers/gateway_rpc_router.ts
@@ -41,8 +41,8 @@
   handleOrigins: (origins: StreamOrigin[]) => void;
   /** This host's record of a stream; null if it has none. */
   findOrigin: (key: string) => StreamOrigin | null;
-  /** Reports which software versions have been in service. */
-  reportVersions: () => VersionReport;
+  /** Reports which software versions have been in service, up to now if it can. */
+  reportVersions: () => Promise<VersionReport>;
   /** Handles a report as a ledger. */
   handleCrashReport: (report: CrashReport) => Promise<CrashReply>;
   /** Handles answers to requests with quarantined prompt parts. */
--- a/src/stream_origins/stream_origin_service.ts
+++ b/src/stream_origins/stream_origin_service.ts
@@ -6,16 +6,19 @@
  * endpoints of several versions, two other hosts keep a copy, chosen by the
  * attempt's id, so that a stream can be resumed after its host is gone. A host
  * that finds no record may still conclude the version if no other was in service
- * in the life of the stream, unless it is cut off from both the source of the
- * endpoints and the keepers. Else the stream is not resumed: a guess would join
- * two versions.
+ * in the life of the stream. Its own list may be behind without its knowing, so
+ * the source must confirm the list first, to this host or to another one; while
+ * the source answers nobody, most of several other hosts must know of no other
+ * version. Else the stream is not resumed: a guess would join two versions.
  */
 import type { Logger } from "../logging/logger.ts";
 import { rankCandidates } from "../membership/rendezvous_hash.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
+import { SharedRuns } from "../utils/shared_runs.ts";
 import { EndpointStarts, type KnownIncarnation } from "./endpoint_starts.ts";
 import { LongestDeadlines } from "./longest_deadlines.ts";
 import { OriginMemory } from "./origin_memory.ts";
+import type { ConfirmSource } from "./confirm_source.ts";
 import {
   OriginSource,
   type ResolvedOrigin,
@@ -34,7 +37,7 @@
   keepOrigins(address: string, origins: StreamOrigin[]): Promise<void>;
   /** Asks a host for its record of a stream; null if it has none. */
   askOrigin(address: string, key: string): Promise<StreamOrigin | null>;
-  /** Asks a host which versions have been in service. */
+  /** Asks a host which versions have been in service, up to now if it can tell. */
   askVersions(address: string): Promise<VersionReport>;
 }
 
@@ -44,8 +47,9 @@
   self: string;
   /** Addresses of all hosts. */
   hosts: () => readonly string[];
-  /** Whether the source of the endpoints answers this host. */
-  sourceAvailable: () => boolean;
+  /** Hosts that read the source of the endpoints and may confirm it. */
+  sourceReaders: () => readonly string[];
+  confirmSource: ConfirmSource;
   peers: StreamOriginPeers;
   log: Logger;
   /** Monotonic time in milliseconds. */
@@ -70,11 +74,24 @@
 const BATCH_WINDOW_MS = 20;
 /** Hosts that are asked for what was in service before this host started. */
 const ASKED_FOR_VERSIONS = 3;
+/** Hosts of which most must answer while none can confirm the source. */
+const ASKED_WITHOUT_SOURCE = 5;
+/** Confirmations by other hosts are this far apart, and shared. */
+const MIN_CONFIRM_INTERVAL_MS = 100;
 /** Time until they are asked again. */
 const MIN_ASK_INTERVAL_MS = 1_000;
 /** A version that left longer ago has no streams that go on. */
 const MIXED_WINDOW_MS = 60_000;
 
+/** Up to when this host knows the versions; the values are logged. */
+enum Currency {
+  /** Up to now, by the source. */
+  Confirmed = "confirmed",
+  /** As far as most of several hosts, while the source answers none of them. */
+  Agreed = "agreed",
+  Unknown = "unknown",
+}
+
 /** Remembers and finds out the versions of streams that may be resumed. */
 export class StreamOriginService {
   /** Which versions have been in service. */
@@ -90,9 +107,14 @@
   /** The questions that are being answered; undefined if there are none. */
   #asking: Promise<void> | undefined;
   #asked_ms = -Infinity;
+  #currency: SharedRuns<Currency>;
 
   constructor(options: StreamOriginOptions) {
     this.#options = options;
+    this.#currency = new SharedRuns(() => this.#makeCurrent(), {
+      min_interval_ms: MIN_CONFIRM_INTERVAL_MS,
+      now: options.now,
+    });
   }
 
   /** Records the endpoints that are in service now. */
@@ -155,15 +177,12 @@
     const since_ms = this.#options.now() - max_age_ms;
     const own = key === undefined ? undefined : this.find(key);
     if (own !== undefined) return recorded(own, OriginSource.Own);
-    // Without a key this only tells whether the keepers answer.
-    const { kept, isInTouch } = await this.#askKeepers(key ?? "");
+    const kept = key === undefined ? undefined : await this.#askKeepers(key);
     if (kept !== undefined) {
       this.keep([kept]);
       return recorded(kept, OriginSource.Keeper);
     }
-    if (!isInTouch && !this.#options.sourceAvailable()) return undefined;
-    if (!this.history.isKnownSince(since_ms)) await this.#askForVersions();
-    const concluded = this.#onlyVersion(pools, since_ms);
+    const concluded = await this.#concludeVersion(pools, since_ms);
     // Later attempts may come when other versions are in service.
     if (concluded !== undefined && key !== undefined) {
       this.#record({ key, pool: concluded.pool, version: concluded.version });
@@ -176,6 +195,64 @@
     if (this.#mixedPools.has(origin.pool)) this.#copy(origin);
   }
 
+  /** What this host knows of the versions, and whether up to now. */
+  async reportVersions(): Promise<VersionReport> {
+    const is_current = await this.#confirmOwnSource();
+    return { ...this.history.report(this.#options.now()), is_current };
+  }
+
+  async #concludeVersion(
+    pools: string[],
+    since_ms: number,
+  ): Promise<ResolvedOrigin> {
+    const [pool, ...others] = pools;
+    if (pool === undefined || others.length > 0) return undefined;
+    if (this.history.versionsSince(pool, since_ms).length > 1) return undefined;
+    if (await this.#currency.next() === Currency.Unknown) return undefined;
+    if (!this.history.isKnownSince(since_ms)) await this.#askForVersions();
+    return this.#onlyVersion(pools, since_ms);
+  }
+
+  /** Makes what this host knows of the versions current, if it can. */
+  async #makeCurrent(): Promise<Currency> {
+    if (await this.#confirmOwnSource()) return Currency.Confirmed;
+    const { self, hosts, sourceReaders, random, log } = this.#options;
+    const readers = await this.#askVersionsOf(sourceReaders());
+    if (readers.some(({ is_current }) => is_current)) return Currency.Confirmed;
+    // The source may be away for all; then nobody hears of a new version.
+    const others = rankCandidates(String(random()), hosts())
+      .filter((address) => address !== self)
+      .slice(0, ASKED_WITHOUT_SOURCE);
+    const reports = await this.#askVersionsOf(others);
+    const isConfirmed = reports.some(({ is_current }) => is_current);
+    const currency = isConfirmed
+      ? Currency.Confirmed
+      : 2 * reports.length > others.length || others.length === 0
+      ? Currency.Agreed
+      : Currency.Unknown;
+    log.info({
+      event: "versions_unconfirmed",
+      asked: others.length,
+      answered: reports.length,
+      outcome: currency,
+    });
+    return currency;
+  }
+
+  /** Whether the source says that this host knows all versions up to now. */
+  async #confirmOwnSource(): Promise<boolean> {
+    const changed = await this.#options.confirmSource();
+    if (changed === undefined) return false;
+    const versions = changed.map(({ pool, software_version = UNNAMED }) => ({
+      pool,
+      version: software_version,
+      gone_for_ms: 0,
+    }));
+    const now_ms = this.#options.now();
+    this.history.merge({ known_for_ms: 0, versions }, now_ms);
+    return true;
+  }
+
   /** The version of the only pool, if it had no other in all this time. */
   #onlyVersion([pool, ...others]: string[], since_ms: number): ResolvedOrigin {
     if (pool === undefined || others.length > 0) return undefined;
@@ -238,33 +315,25 @@
     }
   }
 
-  /**
-   * Asks the keepers of a record. `isInTouch` says whether one of them answered,
-   * so that a record that others have made would be known.
-   */
-  async #askKeepers(
-    key: string,
-  ): Promise<{ kept: StreamOrigin | undefined; isInTouch: boolean }> {
+  /** Asks the keepers of a record; undefined if none has it. */
+  async #askKeepers(key: string): Promise<StreamOrigin | undefined> {
     const { peers, log } = this.#options;
-    const keepers = this.#keepersOf(key);
-    const answers = await Promise.all(keepers.map(async (address) => {
-      try {
-        return await peers.askOrigin(address, key);
-      } catch (error) {
-        log.warn({
-          event: "origin_not_told",
-          peer: address,
-          stream: key,
-          error: (error as Error).message,
-        });
-        return undefined;
-      }
-    }));
-    const answered = answers.filter((answer) => answer !== undefined);
-    return {
-      kept: answered.find((origin) => origin !== null) ?? undefined,
-      isInTouch: answered.length > 0 || keepers.length === 0,
-    };
+    const answers = await Promise.all(
+      this.#keepersOf(key).map(async (address) => {
+        try {
+          return await peers.askOrigin(address, key);
+        } catch (error) {
+          log.warn({
+            event: "origin_not_told",
+            peer: address,
+            stream: key,
+            error: (error as Error).message,
+          });
+          return null;
+        }
+      }),
+    );
+    return answers.find((origin) => origin !== null);
   }
 
   /** Learns from other hosts what was in service before this one started. */
@@ -278,21 +347,33 @@
   }
 
   async #askHosts(): Promise<void> {
-    const { self, hosts, peers, log, now, random } = this.#options;
+    const { self, hosts, random } = this.#options;
     const order = rankCandidates(String(random()), hosts());
     const asked = order.filter((address) => address !== self)
       .slice(0, ASKED_FOR_VERSIONS);
-    await Promise.all(asked.map(async (address) => {
+    await this.#askVersionsOf(asked);
+  }
+
+  /** Takes over what some hosts know; resolves to the reports that came. */
+  async #askVersionsOf(
+    addresses: readonly string[],
+  ): Promise<VersionReport[]> {
+    const { peers, log, now } = this.#options;
+    const reports = await Promise.all(addresses.map(async (address) => {
       try {
-        this.history.merge(await peers.askVersions(address), now());
+        const report = await peers.askVersions(address);
+        this.history.merge(report, now());
+        return report;
       } catch (error) {
         log.warn({
           event: "versions_not_told",
           peer: address,
           error: (error as Error).message,
         });
+        return undefined;
       }
     }));
+    return reports.filter((report) => report !== undefined);
   }
 }
 
--- a/src/stream_origins/version_history.ts
+++ b/src/stream_origins/version_history.ts
@@ -13,6 +13,11 @@
   /** For how long the host has known the endpoints, in milliseconds. */
   known_for_ms: number;
   versions: ReportedVersion[];
+  /**
+   * Whether the source has confirmed them since the question. Missing from hosts
+   * of an older release.
+   */
+  is_current?: boolean;
 }
 
 /** A version that is or was in service. */
--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -169,10 +169,11 @@
     return engine;
   }
 
-  /** Starts another gateway host. */
+  /** Starts another gateway host, by default with the store link of all. */
   async startGateway(
     number: number,
     seeds: string[] = [],
+    { store_address = this.#storeAddress } = {},
   ): Promise<RunningGateway> {
     const ports = [];
     for (let n = 0; n < 4; n++) ports.push(await findFreePort());
@@ -190,7 +191,7 @@
         listen: { callers, readiness, peers, metrics },
         seeds,
         object_store: {
-          address: this.#storeAddress,
+          address: store_address,
           watch_ms: this.#options.watch_ms ?? 300,
           readers: this.#options.readers,
           silence_ms: this.#options.silence_ms,
--- a/test/stream_origins/stream_origin_service.test.ts
+++ b/test/stream_origins/stream_origin_service.test.ts
@@ -7,6 +7,7 @@
   OriginSource,
   type StreamOrigin,
 } from "../../src/stream_origins/types.ts";
+import type { RouteEndpoint } from "../../src/routes/types.ts";
 import { sampleEndpoint } from "./sample_endpoint.ts";
 import type { VersionReport } from "../../src/stream_origins/version_history.ts";
 
@@ -14,6 +15,10 @@
 let sourceAvailable: boolean;
 let record: StreamOrigin | null;
 let isCutOff: boolean;
+/** Hosts that answer questions; undefined if all do. */
+let answering: string[] | undefined;
+/** Endpoints that have changed at the source since this host read it. */
+let changed: RouteEndpoint[];
 let report: VersionReport;
 let kept: StreamOrigin[];
 let service: StreamOriginService;
@@ -23,22 +28,27 @@
   sourceAvailable = true;
   record = null;
   isCutOff = false;
+  answering = undefined;
+  changed = [];
   report = { known_for_ms: 0, versions: [] };
   const received: StreamOrigin[] = [];
   kept = received;
-  const answer = <T>(value: T): Promise<T> =>
-    isCutOff ? Promise.reject(new Error("timeout")) : Promise.resolve(value);
+  const answer = <T>(value: T, address = ""): Promise<T> =>
+    isCutOff || answering?.includes(address) === false
+      ? Promise.reject(new Error("timeout"))
+      : Promise.resolve(value);
   service = new StreamOriginService({
     self: "host-1",
     hosts: () => ["host-1", "host-2", "host-3", "host-4"],
-    sourceAvailable: () => sourceAvailable,
+    sourceReaders: () => ["host-2", "host-3"],
+    confirmSource: () => Promise.resolve(sourceAvailable ? changed : undefined),
     peers: {
       async keepOrigins(_address, origins) {
         await answer(undefined);
         received.push(...origins);
       },
-      askOrigin: () => answer(record),
-      askVersions: () => answer(report),
+      askOrigin: (address) => answer(record, address),
+      askVersions: (address) => answer(report, address),
     },
     log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
     now: () => now_ms,
@@ -150,6 +160,33 @@
   assert.equal(await versionOf("docks/b"), "v1");
 });
 
+test("a host whose list is behind hears of a version from the source before it concludes", async () => {
+  observe("v1");
+  now_ms += 60_000;
+  changed = [sampleEndpoint("v2")];
+  assert.equal(await resolve(), undefined);
+});
+
+test("a host whose list is behind hears of a version from others before it concludes", async () => {
+  observe("v1");
+  now_ms += 60_000;
+  sourceAvailable = false;
+  const versions = [{ pool: "model", version: "v2", gone_for_ms: 0 }];
+  report = { known_for_ms: 60_000, versions, is_current: true };
+  assert.equal(await resolve(), undefined);
+});
+
+test("a keeper that has no record doesn't make a host that is out of step conclude", async () => {
+  observe("v1");
+  now_ms += 60_000;
+  sourceAvailable = false;
+  answering = ["host-2"];
+  assert.equal(await resolve(), undefined);
+  // While the source answers nobody, most of the others must.
+  answering = ["host-2", "host-3"];
+  assert.equal((await resolve())?.version, "v1");
+});
+
 test("of a stream that several pools may have begun only a record tells", async () => {
   observe("v1");
   now_ms += 60_000;
