ORDER, LOST: the versions of a pool outlast all hosts

Cause: a host knows what was in service only since its own start, or from hosts that are older; after all were lost there are none.

Hosts that read the store write for each pool whose streams may be resumed which versions serve, and those that left within two minutes, whenever that changes; a host whose history is too short reads that once. No time is written, so that clocks that jump don't matter. While no host runs no stream does, so the object may be of any age.

--- a/src/forwarding/adapter.ts
+++ b/src/forwarding/adapter.ts
@@ -5,6 +5,7 @@
 import type { QuarantinedParts } from "../quarantine/types.ts";
 import type { RouteConfiguration, RouteEndpoint } from "../routes/types.ts";
 import type { Address } from "../settings/settings.ts";
+import type { VersionStore } from "../stream_origins/stored_versions.ts";
 import type { ProtocolCodec } from "./protocol_codec.ts";
 
 /** Operations on the object store; the values are labels of a metric. */
@@ -23,7 +24,7 @@
 }
 
 /** The deployment's object store. */
-export interface GatewayStore extends QuarantineStore {
+export interface GatewayStore extends QuarantineStore, VersionStore {
   configuration: ObjectFeed<RouteConfiguration>;
   endpoints: ObjectFeed<RouteEndpoint>;
   gateways: ObjectFeed<GatewayMember>;
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -38,7 +38,9 @@
 import { ObservedLoad } from "../routing/observed_load.ts";
 import { PoolRetryBudgets } from "../routing/repeat_budget.ts";
 import { createConfirmSource } from "../stream_origins/confirm_source.ts";
+import { StoredVersions } from "../stream_origins/stored_versions.ts";
 import { StreamOriginService } from "../stream_origins/stream_origin_service.ts";
+import { VersionHistory } from "../stream_origins/version_history.ts";
 import type { GatewaySettings } from "../settings/gateway_settings.ts";
 import { formatAddress } from "../settings/settings.ts";
 import { abortableDelay } from "../utils/delay.ts";
@@ -160,7 +162,22 @@
     now,
     signal,
   });
+  const versionHistory = new VersionHistory();
+  const storedVersions = new StoredVersions({
+    store,
+    history: versionHistory,
+    isWriter: () => readers.selfIsReader && endpoints.sourceAvailable,
+    isResumable: (pool) =>
+      configuration.routeTable?.resumablePools.has(pool) ?? false,
+    epoch: () => syncOptions.progress.endpoints.position.epoch,
+    log,
+    now,
+    random,
+    signal,
+  });
   const streamOrigins = new StreamOriginService({
+    history: versionHistory,
+    learnStored: () => storedVersions.learn(),
     self,
     hosts: () => members.addresses(),
     sourceReaders: () => readers.readersToFollow(),
@@ -256,6 +273,7 @@
     responseLimits,
     reports,
     streamOrigins,
+    storedVersions,
     syncOptions,
     configurationListeners,
     endpointListeners,
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -113,6 +113,7 @@
     measureLoopLag({ onLag, log, now, signal });
     void runStoreSync(context.syncOptions);
     void context.ownEntry.announce();
+    void context.storedVersions.run();
   }
 
   return { log: context.log, stopped, stop, drain, reload, start };
--- a/src/routes/route_table.ts
+++ b/src/routes/route_table.ts
@@ -4,12 +4,18 @@
 /** A configuration indexed by host name and API key. */
 export class RouteTable {
   readonly configuration: RouteConfiguration;
+  /** Pools whose streams may be resumed. */
+  readonly resumablePools: ReadonlySet<string>;
   /** Routes by host name, longest prefix first. */
   #byHostname = new Map<string, Route[]>();
   #organisationByKey = new Map<string, RouteOrganisation>();
 
   constructor(configuration: RouteConfiguration) {
     this.configuration = configuration;
+    this.resumablePools = new Set(
+      configuration.routes.filter(({ resumable }) => resumable)
+        .flatMap(({ pools }) => pools.map(({ pool }) => pool)),
+    );
     for (const route of configuration.routes) {
       const known = this.#byHostname.get(route.hostname);
       if (known === undefined) this.#byHostname.set(route.hostname, [route]);
--- a/src/stream_origins/stream_origin_service.ts
+++ b/src/stream_origins/stream_origin_service.ts
@@ -27,7 +27,7 @@
 import {
   UNKNOWN,
   UNNAMED,
-  VersionHistory,
+  type VersionHistory,
   type VersionReport,
 } from "./version_history.ts";
 
@@ -43,6 +43,7 @@
 
 /** Dependencies of a `StreamOriginService`. */
 export interface StreamOriginOptions {
+  history: VersionHistory;
   /** Address at which peers reach this host. */
   self: string;
   /** Addresses of all hosts. */
@@ -50,6 +51,8 @@
   /** Hosts that read the source of the endpoints and may confirm it. */
   sourceReaders: () => readonly string[];
   confirmSource: ConfirmSource;
+  /** Adds to the history what the store knows of earlier versions. */
+  learnStored: () => Promise<void>;
   peers: StreamOriginPeers;
   log: Logger;
   /** Monotonic time in milliseconds. */
@@ -95,7 +98,7 @@
 /** Remembers and finds out the versions of streams that may be resumed. */
 export class StreamOriginService {
   /** Which versions have been in service. */
-  readonly history = new VersionHistory();
+  readonly history: VersionHistory;
   /** How long the callers of each route wait. */
   readonly deadlines = new LongestDeadlines();
   #memory = new OriginMemory();
@@ -111,6 +114,7 @@
 
   constructor(options: StreamOriginOptions) {
     this.#options = options;
+    this.history = options.history;
     this.#currency = new SharedRuns(() => this.#makeCurrent(), {
       min_interval_ms: MIN_CONFIRM_INTERVAL_MS,
       now: options.now,
@@ -209,8 +213,10 @@
     if (pool === undefined || others.length > 0) return undefined;
     if (this.history.versionsSince(pool, since_ms).length > 1) return undefined;
     if (await this.#currency.next() === Currency.Unknown) return undefined;
-    if (!this.history.isKnownSince(since_ms)) await this.#askForVersions();
-    return this.#onlyVersion(pools, since_ms);
+    const isKnown = () => this.history.isKnownSince(since_ms, pool);
+    if (!isKnown()) await this.#askForVersions();
+    if (!isKnown()) await this.#options.learnStored();
+    return isKnown() ? this.#onlyVersion(pool, since_ms) : undefined;
   }
 
   /** Makes what this host knows of the versions current, if it can. */
@@ -253,13 +259,11 @@
     return true;
   }
 
-  /** The version of the only pool, if it had no other in all this time. */
-  #onlyVersion([pool, ...others]: string[], since_ms: number): ResolvedOrigin {
-    if (pool === undefined || others.length > 0) return undefined;
+  /** The version of a pool, if it had no other in all this time. */
+  #onlyVersion(pool: string, since_ms: number): ResolvedOrigin {
     const versions = this.history.versionsSince(pool, since_ms);
     const [version] = versions;
     if (versions.length !== 1 || version === undefined) return undefined;
-    if (!this.history.isKnownSince(since_ms)) return undefined;
     return { pool, version, source: OriginSource.OnlyVersion };
   }
 
--- a/src/stream_origins/types.ts
+++ b/src/stream_origins/types.ts
@@ -17,6 +17,19 @@
 /** Which software version wrote the first event of a stream. */
 export type StreamOrigin = z.infer<typeof streamOriginSchema>;
 
+/** Most versions of a pool that are read. */
+const MAX_VERSIONS = 1_000;
+
+/** The versions of a pool that have lately been in service, as they are stored. */
+export const poolVersionsSchema = z.object({
+  pool: z.string().max(MAX_NAME_LENGTH),
+  /** In alphabetical order. */
+  versions: z.array(z.string().max(MAX_NAME_LENGTH)).min(1).max(MAX_VERSIONS),
+});
+
+/** The versions of a pool that have lately been in service, as they are stored. */
+export type PoolVersions = z.infer<typeof poolVersionsSchema>;
+
 /** Where the version of a stream is known from; the values are logged. */
 export enum OriginSource {
   /** This host relayed the first event, or resumed the stream before. */
--- a/src/stream_origins/version_history.ts
+++ b/src/stream_origins/version_history.ts
@@ -4,9 +4,12 @@
  * milliseconds of one monotonic clock.
  */
 import type { RouteEndpoint } from "../routes/types.ts";
+import type { PoolVersions } from "./types.ts";
 
 /** Versions that left longer ago are forgotten. */
 const KEPT_MS = 600_000;
+/** For how long the store names a version that has left: a stream's life. */
+const STORED_MS = 120_000;
 
 /** What a host tells others of the versions that it knows of. */
 export interface VersionReport {
@@ -34,6 +37,8 @@
   #gone_ms = new Map<string, Map<string, number>>();
   /** Since when the endpoints are known. */
   #known_since_ms = Infinity;
+  /** Since when the versions of a pool are known from the store. */
+  #stored_since_ms = new Map<string, number>();
 
   /** Records the endpoints that are in service now. */
   observe(endpoints: readonly RouteEndpoint[], now_ms: number): void {
@@ -71,6 +76,31 @@
     );
   }
 
+  /**
+   * Takes over what the store names. A version that this host doesn't know may
+   * have left just now.
+   */
+  mergeStored(stored: readonly PoolVersions[], now_ms: number): void {
+    for (const { pool, versions } of stored) {
+      const known = this.#versionsOf(pool);
+      for (const version of versions) {
+        if (!known.has(version)) known.set(version, now_ms);
+      }
+      if (this.#stored_since_ms.has(pool)) continue;
+      this.#stored_since_ms.set(pool, now_ms - STORED_MS);
+    }
+  }
+
+  /** What the store should name. */
+  toStore(now_ms: number): PoolVersions[] {
+    return [...this.#gone_ms.keys()]
+      .map((pool) => ({
+        pool,
+        versions: this.versionsSince(pool, now_ms - STORED_MS).sort(),
+      }))
+      .filter(({ versions }) => versions.length > 0);
+  }
+
   /** What this host knows, for others. */
   report(now_ms: number): VersionReport {
     const versions = [...this.#gone_ms].flatMap(([pool, byVersion]) =>
@@ -94,8 +124,10 @@
   }
 
   /** Whether the versions that were in service since then are known. */
-  isKnownSince(since_ms: number): boolean {
-    return this.#known_since_ms <= since_ms;
+  isKnownSince(since_ms: number, pool: string): boolean {
+    if (this.#known_since_ms === Infinity) return false;
+    const stored_since_ms = this.#stored_since_ms.get(pool) ?? Infinity;
+    return Math.min(this.#known_since_ms, stored_since_ms) <= since_ms;
   }
 
   #versionsOf(pool: string): Map<string, number> {
--- a/test/forwarding/stream_versions.test.ts
+++ b/test/forwarding/stream_versions.test.ts
@@ -402,6 +402,28 @@
   }
 });
 
+/** Longer than hosts take to write to the store what must outlast them. */
+const STORED_MS = 1_500;
+
+test("streams go on after all hosts were lost at once, while one version serves", async (t) => {
+  const fleet = await startFleet(t, ["v1", "v1"]);
+  const { resumed } = await leaveAndResume(fleet, async () => {
+    await sleep(STORED_MS);
+    await replaceHosts(fleet, 2);
+  });
+  assert.equal(countGoneOn(resumed), STREAMS);
+});
+
+test("a version that left before all hosts were lost at once is not forgotten", async (t) => {
+  const fleet = await startFleet(t, ["v1", "v2"]);
+  const { streams } = await leaveAndResume(fleet, async () => {
+    await remove(fleet, "model-0");
+    await sleep(STORED_MS);
+    await replaceHosts(fleet, 1);
+  });
+  assert.equal(countJoined(fleet, ["v1", "v2"], streams), 0);
+});
+
 test("streams of callers that wait for longer than the route's timeout are not joined after all hosts and a version have gone", async (t) => {
   const versions = ["v1", "v2"];
   const fleet = await startFleet(t, versions);
--- a/test/stream_origins/stream_origin_service.test.ts
+++ b/test/stream_origins/stream_origin_service.test.ts
@@ -9,7 +9,10 @@
 } from "../../src/stream_origins/types.ts";
 import type { RouteEndpoint } from "../../src/routes/types.ts";
 import { sampleEndpoint } from "./sample_endpoint.ts";
-import type { VersionReport } from "../../src/stream_origins/version_history.ts";
+import {
+  VersionHistory,
+  type VersionReport,
+} from "../../src/stream_origins/version_history.ts";
 
 let now_ms: number;
 let sourceAvailable: boolean;
@@ -38,6 +41,8 @@
       ? Promise.reject(new Error("timeout"))
       : Promise.resolve(value);
   service = new StreamOriginService({
+    history: new VersionHistory(),
+    learnStored: () => Promise.resolve(),
     self: "host-1",
     hosts: () => ["host-1", "host-2", "host-3", "host-4"],
     sourceReaders: () => ["host-2", "host-3"],
--- a/test/stream_origins/version_history.test.ts
+++ b/test/stream_origins/version_history.test.ts
@@ -26,10 +26,10 @@
 });
 
 test("what was in service before the first list is not known", () => {
-  assert.equal(history.isKnownSince(0), false);
+  assert.equal(history.isKnownSince(0, "model"), false);
   observe(["v1"], 1_000);
-  assert.equal(history.isKnownSince(1_000), true);
-  assert.equal(history.isKnownSince(999), false);
+  assert.equal(history.isKnownSince(1_000, "model"), true);
+  assert.equal(history.isKnownSince(999, "model"), false);
 });
 
 test("a host that has just started learns from another what was in service", () => {
@@ -38,8 +38,8 @@
   other.observe([sampleEndpoint("v2")], 60_000);
   observe(["v2"], 1_000);
   history.merge(other.report(62_000), 1_500);
-  assert.equal(history.isKnownSince(-60_500), true);
-  assert.equal(history.isKnownSince(-60_501), false);
+  assert.equal(history.isKnownSince(-60_500, "model"), true);
+  assert.equal(history.isKnownSince(-60_501, "model"), false);
   assert.deepEqual(history.versionsSince("model", -1_000).sort(), ["v1", "v2"]);
   assert.deepEqual(history.versionsSince("model", 0), ["v2"]);
 });
@@ -48,7 +48,7 @@
   const other = new VersionHistory();
   other.observe([sampleEndpoint("v1")], 0);
   history.merge(other.report(60_000), 1_000);
-  assert.equal(history.isKnownSince(500), false);
+  assert.equal(history.isKnownSince(500, "model"), false);
 });
 
 test("a report of a host without a list tells of no time", () => {
