RECOVER: exchanges with endpoints can go through another host

Callers of hosts that lost their links to all endpoints were refused, as no host passes a request on. src/relaying/ holds the sender's and the carrier's side of one exchange; all senders use one function. The routes still say "directly" for all: which endpoints are out of reach comes with src/reachability/. test/relaying: byte for byte, cancel, honest outcomes with a carrier that is killed, flow control, refusals as not run.

A refused connection counts as a crash of the endpoint only if other hosts are refused as well (test/quarantine/refusal_check.test.ts).

--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -10,7 +10,6 @@
   discardResponse,
   ExchangeOutcome,
   readFullBody,
-  sendRequest,
 } from "../endpoints/exchange.ts";
 import type {
   EncodedRequest,
@@ -18,6 +17,7 @@
   ResponseMetadata,
 } from "../forwarding/protocol_codec.ts";
 import type { Logger } from "../logging/logger.ts";
+import type { SendToEndpoint } from "../relaying/endpoint_sender.ts";
 import type { RouteEndpoint, RoutePool } from "../routes/types.ts";
 import {
   type PieceCallOptions,
@@ -59,6 +59,7 @@
 export interface PieceClientOptions {
   codec: ProtocolCodec;
   agents: EndpointAgents;
+  send: SendToEndpoint;
   /** The pool of this name; undefined if it is not configured. */
   pool: (name: string) => RoutePool | undefined;
   /** The endpoint at an address; undefined if it is unknown. */
@@ -280,7 +281,7 @@
     timeout_ms: number;
     signal?: AbortSignal;
   },
-  { agents, codec, pool, reports, responseLimits }: PieceClientOptions,
+  { agents, send, codec, pool, reports, responseLimits }: PieceClientOptions,
 ): Promise<EndpointResponse> {
   const expiry = new AbortController();
   const signals = signal === undefined
@@ -297,7 +298,7 @@
   const max_connections = pool(endpoint?.pool ?? "")?.max_connections ?? 1;
   const timer = setTimeout(() => expiry.abort(CALL_EXPIRED), timeout_ms);
   try {
-    const result = await sendRequest({
+    const result = await send(endpoint, {
       address,
       agent: agents.agentFor(address, max_connections),
       ...call,
@@ -306,7 +307,11 @@
     if (result.kind !== ExchangeOutcome.ResponseReceived) {
       return result.reason === ENDPOINT_UNAVAILABLE
         ? { kind: "failed", reason: result.reason, broken: false }
-        : fail(result.reason, result.kind === ExchangeOutcome.ResponseLost);
+        : fail(
+          result.reason,
+          result.kind === ExchangeOutcome.ResponseLost &&
+            result.way_failed !== true,
+        );
     }
     const { status, headers, socket } = result.response;
     const metadata = codec.decodeResponse(status, headers);
--- a/src/endpoints/exchange.ts
+++ b/src/endpoints/exchange.ts
@@ -29,6 +29,10 @@
   body: Buffer | undefined;
   /** Its abort closes the connection, and the endpoint then cancels the work. */
   signal: AbortSignal;
+  /** Id that the response must echo; undefined if it names no attempt. */
+  attempt_id?: string | undefined;
+  /** Largest head section of the response; Node's own limit by default. */
+  max_header_bytes?: number;
 }
 
 /** The result of an exchange; `reason` is an error code or message. */
@@ -39,9 +43,16 @@
     reason: string;
     /** Whether this host could not form the request; not the endpoint's fault. */
     malformed?: boolean;
+    /** Whether the way to the endpoint failed, rather than the endpoint. */
+    way_failed?: boolean;
   }
   /** The connection failed before a response: the request may have run. */
-  | { kind: ExchangeOutcome.ResponseLost; reason: string }
+  | {
+    kind: ExchangeOutcome.ResponseLost;
+    reason: string;
+    /** Whether the way to the endpoint failed, rather than the endpoint. */
+    way_failed?: boolean;
+  }
   | { kind: ExchangeOutcome.ResponseReceived; response: EndpointResponse };
 
 /** The kinds of {@linkcode ExchangeResult}. */
@@ -61,6 +72,8 @@
   socket: Socket;
   /** Whether no earlier response came on its connection. */
   first_on_connection: boolean;
+  /** Address of the host through which it came; undefined if directly. */
+  carrier?: string;
 }
 
 /** Reason of a request that was aborted while it waited for a connection. */
@@ -166,6 +179,7 @@
     path: endpointRequest.target,
     headers: endpointRequest.headers,
     signal: endpointRequest.signal,
+    maxHeaderSize: endpointRequest.max_header_bytes,
   });
 }
 
--- a/src/endpoints/strict_keep_alive_agent.ts
+++ b/src/endpoints/strict_keep_alive_agent.ts
@@ -32,6 +32,13 @@
     super.reuseSocket(socket, request);
   }
 
+  /** Whether a further request would have to wait for a connection. */
+  get isFull(): boolean {
+    const inUse = Object.values(this.sockets)
+      .reduce((sum, sockets) => sum + (sockets?.length ?? 0), 0);
+    return inUse >= this.maxSockets;
+  }
+
   /** Records a response; returns whether it is the first on its connection. */
   recordResponse(socket: Duplex): boolean {
     if (this.#answeredSockets.has(socket)) return false;
--- a/src/forwarding/dependencies.ts
+++ b/src/forwarding/dependencies.ts
@@ -13,6 +13,8 @@
 import type { RateLimitService } from "../rate_limits/rate_limit_service.ts";
 import type { CheckStart } from "../stream_origins/start_check.ts";
 import type { StreamOriginService } from "../stream_origins/stream_origin_service.ts";
+import type { EndpointRoutes } from "../reachability/types.ts";
+import type { SendToEndpoint } from "../relaying/endpoint_sender.ts";
 import type { ServiceTimes } from "../routing/service_times.ts";
 import type { PoolRetryBudgets } from "../routing/repeat_budget.ts";
 import type { ProtocolCodec } from "./protocol_codec.ts";
@@ -23,6 +25,9 @@
   configuration: ActiveConfiguration;
   endpoints: EndpointRegistry;
   agents: EndpointAgents;
+  /** Sends a request to an endpoint, directly or through another host. */
+  send: SendToEndpoint;
+  routes: EndpointRoutes;
   load: ObservedLoad;
   retryBudget: PoolRetryBudgets;
   quarantine: QuarantineService;
--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -1,5 +1,5 @@
 /** Sends a request once to one endpoint and records how that ended. */
-import { type ExchangeResult, sendRequest } from "../endpoints/exchange.ts";
+import { ExchangeOutcome, type ExchangeResult } from "../endpoints/exchange.ts";
 import { CallKind, type RouteEndpoint } from "../routes/types.ts";
 import { ObservedOutcome } from "../routing/observed_load.ts";
 import { type RunContext, StopReason } from "./run_context.ts";
@@ -28,6 +28,12 @@
  */
 const ABORT_REASON = "attempt_over";
 
+/** Outcomes that a failure on the way to the endpoint may cause. */
+const FAILED_OUTCOMES: ReadonlySet<ObservedOutcome> = new Set([
+  ObservedOutcome.ConnectionFailed,
+  ObservedOutcome.Silent,
+]);
+
 /**
  * Sends the request to one endpoint and relays its response, if it is valid.
  */
@@ -50,12 +56,15 @@
       inputs,
       signal,
     });
-    const result = await completeExchange(context, exchange, {
+    const completed = await completeExchange(context, exchange, {
       endpoint,
       sent_ms: started_ms,
       inputs,
       onResponse: () => clearTimeout(sendTimer),
     });
+    const result = hasWayFailed(context, endpoint, { completed, exchange })
+      ? { ...completed, observedOutcome: ObservedOutcome.Unreachable }
+      : completed;
     progress.mayHaveRun = mayHaveRunBefore || !isNotRun(result.outcome);
     endpointLoad.recordOutcome(result.observedOutcome, now());
     if (result.observedOutcome === ObservedOutcome.Success) {
@@ -78,7 +87,7 @@
       : undefined;
     metrics.sends.inc({ outcome: result.observedOutcome });
     recordWorkAfterCallerLeft(context);
-    logSend(context, endpoint, { result, started_ms });
+    logSend(context, endpoint, { result, started_ms, exchange });
     return result;
   } finally {
     clearTimeout(sendTimer);
@@ -87,6 +96,20 @@
   }
 }
 
+/** Whether a send failed on its way, which says nothing of the endpoint. */
+function hasWayFailed(
+  { dependencies }: RunContext,
+  endpoint: RouteEndpoint,
+  { completed, exchange }: { completed: SendResult; exchange: ExchangeResult },
+): boolean {
+  if (!FAILED_OUTCOMES.has(completed.observedOutcome)) return false;
+  if (exchange.kind !== ExchangeOutcome.ResponseReceived) {
+    return exchange.way_failed === true;
+  }
+  return exchange.response.carrier === undefined &&
+    dependencies.routes.isOutOfReach(endpoint);
+}
+
 function recordWorkAfterCallerLeft(
   { stopReason, sinceStopMs = 0, dependencies }: RunContext,
 ): void {
@@ -135,7 +158,7 @@
   endpoint: RouteEndpoint,
   { inputs, signal }: { inputs: StageInputs; signal: AbortSignal },
 ): Promise<ExchangeResult> {
-  const { codec, agents, configuration } = context.dependencies;
+  const { codec, agents, configuration, send } = context.dependencies;
   const { request, progress } = context.inbound;
   const { metadata, organisation, priority } = context.admitted;
   const pool = configuration.routeTable?.configuration.pools.get(context.pool);
@@ -154,17 +177,22 @@
       body_bytes: context.body?.length,
     }),
     body: context.body,
+    attempt_id: metadata.attempt_id,
     signal,
   };
   // Until the result is known.
   progress.mayHaveRun = true;
-  return await sendRequest(endpointRequest);
+  return await send(endpoint, endpointRequest);
 }
 
 function logSend(
   context: RunContext,
   endpoint: RouteEndpoint,
-  { result, started_ms }: { result: SendResult; started_ms: number },
+  { result, started_ms, exchange }: {
+    result: SendResult;
+    started_ms: number;
+    exchange: ExchangeResult;
+  },
 ): void {
   const { log, now, load, configuration } = context.dependencies;
   const endpointLoad = load.forEndpoint(endpoint);
@@ -178,6 +206,9 @@
     configuration: configuration.version,
     endpoint: endpoint.id,
     zone: endpoint.availability_zone,
+    carrier: exchange.kind === ExchangeOutcome.ResponseReceived
+      ? exchange.response.carrier
+      : undefined,
     send: context.sendCount,
     in_flight: endpointLoad.in_flight,
     failure_share: Number(endpointLoad.failure_share.toFixed(2)),
--- a/src/gateway/batching_components.ts
+++ b/src/gateway/batching_components.ts
@@ -29,6 +29,7 @@
     client: createPieceClient({
       codec: context.adapter.codec,
       agents: context.agents,
+      send: context.send,
       pool,
       endpointAt: (address) => endpoints.findByAddress(address),
       reports: context.reports,
--- a/src/gateway/forwarding_components.ts
+++ b/src/gateway/forwarding_components.ts
@@ -18,6 +18,8 @@
     configuration: context.configuration,
     endpoints: context.endpoints,
     agents: context.agents,
+    send: context.send,
+    routes: context.routes,
     load: context.load,
     retryBudget: context.retryBudget,
     quarantine: context.quarantine,
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -28,12 +28,16 @@
 import { GatewayMembers } from "../membership/gateway_members.ts";
 import { OwnEntry } from "../membership/own_entry.ts";
 import { isConnectionRefused } from "../quarantine/probe_endpoint.ts";
+import { createRefusalCheck } from "../quarantine/refusal_check.ts";
 import { QuarantineService } from "../quarantine/quarantine_service.ts";
-import { ForwardMetrics } from "../metrics/forward_metrics.ts";
+import { CarriedSide, ForwardMetrics } from "../metrics/forward_metrics.ts";
 import { GatewayClients } from "../peers/gateway_clients.ts";
 import { FeedName } from "../peers/feed_stream.ts";
 import { FeedStreamClients } from "../peers/feed_stream_client.ts";
 import { createRelayedFeeds } from "../peers/create_relayed_feeds.ts";
+import type { EndpointRoutes } from "../reachability/types.ts";
+import { CarrierConnections } from "../relaying/carrier_connections.ts";
+import { createEndpointSender } from "../relaying/endpoint_sender.ts";
 import { RateLimitService } from "../rate_limits/rate_limit_service.ts";
 import { ObservedLoad } from "../routing/observed_load.ts";
 import { PoolRetryBudgets } from "../routing/repeat_budget.ts";
@@ -112,7 +116,14 @@
     hosts: () => members.addresses(),
     peers,
     store,
-    isRefused: isConnectionRefused,
+    isRefused: createRefusalCheck({
+      self,
+      hosts: () => members.addresses(),
+      isRefusedHere: isConnectionRefused,
+      isRefusedAt: (address, endpoint) =>
+        peers.isEndpointRefused(address, endpoint),
+      random,
+    }),
     onCrash: () => metrics.endpointCrashes.inc(),
     log,
     now,
@@ -139,6 +150,25 @@
   const requestLimits = createLimits(BodyKind.Request);
   const responseLimits = createLimits(BodyKind.Response);
   const agents = new EndpointAgents(() => members.count);
+  const carriers = new CarrierConnections();
+  const routes: EndpointRoutes = {
+    carrierFor: () => undefined,
+    begin: () => ({
+      lost: new AbortController().signal,
+      recordBytes() {},
+      recordFailure() {},
+      end() {},
+    }),
+    recordCarrierFailure() {},
+    isCutOff: () => false,
+    isOutOfReach: () => false,
+  };
+  const send = createEndpointSender({
+    routes,
+    carriers,
+    onCarried: (outcome) =>
+      metrics.carriedExchanges.inc({ side: CarriedSide.Sender, outcome }),
+  });
   const reports = new EndpointReports({
     self,
     hosts: () => members.addresses(),
@@ -253,6 +283,9 @@
     configurationListeners,
     endpointListeners,
     agents,
+    carriers,
+    routes,
+    send,
     retryBudget: new PoolRetryBudgets(settings.repeats, () => members.count),
     now,
     random,
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -8,6 +8,8 @@
 import { HostLifecycleState } from "../lifecycle/host_lifecycle.ts";
 import { createMetricsServer } from "../metrics/metrics_server.ts";
 import { createGatewayPeerServer } from "../peers/gateway_peer_server.ts";
+import { isConnectionRefused } from "../quarantine/probe_endpoint.ts";
+import type { ExchangeCarrier } from "../relaying/exchange_carrier.ts";
 import type { Address } from "../settings/settings.ts";
 import type { BatchingComponents } from "./batching_components.ts";
 import type { HostContext } from "./host_context.ts";
@@ -15,7 +17,7 @@
 /** Creates the servers for peers, readiness and metrics, with their addresses. */
 export function createServers(
   context: HostContext,
-  { batcher }: BatchingComponents,
+  { batcher, carrier }: BatchingComponents & { carrier: ExchangeCarrier },
 ): [Server, Address][] {
   const { lifecycle, settings, adapter, syncOptions } = context;
   const peerServer = createGatewayPeerServer({
@@ -24,6 +26,7 @@
     free(freedResults) {
       for (const freed of freedResults) batcher.free(freed);
     },
+    serveExchange: (request, response) => carrier.serve(request, response),
     reportLoad: (queue) => batcher.reportLoad(queue),
     snapshot: () => createStateSnapshot(syncOptions),
     handlePermitRequest: (request) => context.rateLimits.handleRequest(request),
@@ -35,6 +38,10 @@
     reportVersions: () => context.streamOrigins.history.report(context.now()),
     handleCrashReport: (report) => context.quarantine.handleReport(report),
     handleAnsweredParts: (parts) => context.quarantine.handleAnswered(parts),
+    isEndpointRefused: (address) =>
+      context.endpoints.findByAddress(address) === undefined
+        ? Promise.resolve(true)
+        : isConnectionRefused(address),
     handleNotice: (notice, route) =>
       context.quarantine.handleNotice(notice, route),
     changeRevisions: () =>
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -15,6 +15,7 @@
   createHostContext,
   type GatewayHostEnvironment,
 } from "./gateway/host_context.ts";
+import { createExchangeCarrier } from "./gateway/relaying_components.ts";
 import { createServers } from "./gateway/servers.ts";
 
 /** A running gateway host. */
@@ -52,7 +53,8 @@
     () => agents.failQueuedExcept(endpoints.readyAddresses(now())),
     () => batching.batcher.endpointsChanged(),
   );
-  const servers = createServers(context, batching);
+  const carrier = createExchangeCarrier(context, batching);
+  const servers = createServers(context, { ...batching, carrier });
   const { promise: stopped, resolve } = Promise.withResolvers<void>();
 
   function stop(): void {
@@ -64,6 +66,7 @@
       server.closeAllConnections();
     }
     context.agents.close();
+    context.carriers.close();
     context.peers.close();
     context.feedClients.close();
     context.store.close();
@@ -76,7 +79,7 @@
     void drainGateway({
       lifecycle: context.lifecycle,
       server: gatewayServer,
-      runningJobs: () => batching.batcher.activeJobs,
+      runningJobs: () => batching.batcher.activeJobs + carrier.active,
       window: context.drain,
       withdrawEntry: () => context.ownEntry.withdraw(),
       timeout_ms: context.settings.drain.timeout_ms,
--- a/src/lifecycle/drain_gateway.ts
+++ b/src/lifecycle/drain_gateway.ts
@@ -11,7 +11,7 @@
 export interface DrainGatewayOptions {
   lifecycle: HostLifecycle;
   server: GatewayServer;
-  /** Number of stage jobs running here for other hosts. */
+  /** Number of stage jobs and exchanges running here for other hosts. */
   runningJobs: () => number;
   /** Its end ends the requests that are still running, each with a response. */
   window: DrainWindow;
--- a/src/metrics/forward_metrics.ts
+++ b/src/metrics/forward_metrics.ts
@@ -16,6 +16,12 @@
   6_400,
 ];
 
+/** Sides of an exchange that goes through another host. */
+export enum CarriedSide {
+  Sender = "sender",
+  Carrier = "carrier",
+}
+
 /** Metrics of forwarded requests, in a registry of their own. */
 export class ForwardMetrics {
   readonly registry = new Registry();
@@ -51,6 +57,12 @@
     labelNames: ["outcome"],
     registers: [this.registry],
   });
+  readonly carriedExchanges = new Counter({
+    name: "sesamequay_carried_exchanges_total",
+    help: "Exchanges with endpoints through another host, by side and outcome",
+    labelNames: ["side", "outcome"],
+    registers: [this.registry],
+  });
   readonly workAfterCallerLeft = new Histogram({
     name: "sesamequay_work_after_caller_left_ms",
     help: "Time from a caller's close to the end of the work for it",
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -128,6 +128,11 @@
     await this.#connectionTo(address).trpc.answered.mutate(parts);
   }
 
+  /** Asks a host whether its connections to an endpoint are refused. */
+  async isEndpointRefused(host: string, address: string): Promise<boolean> {
+    return await this.#connectionTo(host).trpc.refused.query(address);
+  }
+
   /** Delivers a notice, which the host passes on to the targets. */
   async notify(
     address: string,
--- a/src/peers/gateway_rpc_router.ts
+++ b/src/peers/gateway_rpc_router.ts
@@ -47,6 +47,8 @@
   handleCrashReport: (report: CrashReport) => Promise<CrashReply>;
   /** Handles answers to requests with quarantined prompt parts. */
   handleAnsweredParts: (parts: string[]) => Promise<void>;
+  /** Whether connections of this host to an endpoint's address are refused. */
+  isEndpointRefused: (address: string) => Promise<boolean>;
   /** Handles, as the issuer, a request for a permit to send a request. */
   handlePermitRequest: (request: PermitRequest) => PermitReply;
   /** Tells all hosts what an endpoint has begun to say of itself. */
@@ -92,6 +94,8 @@
       .mutation(({ input }) => handlers.handleCrashReport(input)),
     answered: trpc.procedure.input(z.array(z.string()))
       .mutation(({ input }) => handlers.handleAnsweredParts(input)),
+    refused: trpc.procedure.input(z.string())
+      .query(({ input }) => handlers.isEndpointRefused(input)),
     permit: trpc.procedure.input(permitRequestSchema)
       .mutation(({ input }) => handlers.handlePermitRequest(input)),
     limit_report: trpc.procedure.input(endpointNoticeSchema)
--- /dev/null
+++ b/src/relaying/endpoint_sender.ts
@@ -0,0 +1,231 @@
+/**
+ * The way of requests to endpoints: directly, or through another host while that
+ * one reaches the endpoint and this one doesn't. What becomes of a request
+ * (retries, budgets, deadlines) is decided by the code that sends it.
+ */
+import { ENDPOINT_UNAVAILABLE } from "../endpoints/endpoint_agents.ts";
+import {
+  discardResponse,
+  type EndpointRequest,
+  type EndpointResponse,
+  ExchangeOutcome,
+  type ExchangeResult,
+  sendRequest,
+} from "../endpoints/exchange.ts";
+import type { EndpointRoutes } from "../reachability/types.ts";
+import { incarnationOf } from "../routes/incarnation.ts";
+import type { RouteEndpoint } from "../routes/types.ts";
+import type { CarrierConnections } from "./carrier_connections.ts";
+import { sendDirectly } from "./direct_exchange.ts";
+import {
+  CarriedOutcome,
+  CarrierRefusal,
+  decodeResponseHead,
+  encodeHead,
+  EXCHANGE_PATH,
+  HEAD_HEADER,
+  MAX_HEAD_BYTES,
+  type ResponseHead,
+} from "./exchange_head.ts";
+
+/**
+ * Sends a request to an endpoint, of which undefined is an unknown one at the
+ * request's address; never rejects.
+ */
+export type SendToEndpoint = (
+  endpoint: RouteEndpoint | undefined,
+  request: EndpointRequest,
+) => Promise<ExchangeResult>;
+
+/** Dependencies of an endpoint sender. */
+export interface EndpointSenderOptions {
+  routes: EndpointRoutes;
+  carriers: CarrierConnections;
+  /** Called when an exchange through another host has a result. */
+  onCarried: (outcome: CarriedResult) => void;
+}
+
+/** Results of exchanges through another host. The values appear in metrics. */
+export enum CarriedResult {
+  Response = "response",
+  NotSent = "not_sent",
+  Lost = "lost",
+  CarrierRefused = "carrier_refused",
+  CarrierLost = "carrier_lost",
+}
+
+/** Reason of a request that no other host took. */
+export const NO_CARRIER = "no_carrier";
+/** Reason of a request whose carrier did not tell what came of it. */
+export const CARRIER_LOST = "carrier_lost";
+
+/** Carriers that are tried for one request while none has sent it. */
+const MAX_CARRIERS = 3;
+const HTTP_OK = 200;
+/** Refusals that hold for all endpoints. */
+const GENERAL_REFUSALS: ReadonlySet<CarrierRefusal> = new Set([
+  CarrierRefusal.CarrierDrains,
+  CarrierRefusal.CarrierFull,
+]);
+
+/** Creates the function by which all requests go to endpoints. */
+export function createEndpointSender(
+  options: EndpointSenderOptions,
+): SendToEndpoint {
+  const { routes } = options;
+  return async (endpoint, request) => {
+    if (endpoint === undefined) return await sendRequest(request);
+    const avoid = new Set<string>();
+    if (routes.carrierFor(endpoint, { avoid }) === undefined) {
+      const result = await sendDirectly(routes, endpoint, request);
+      if (!mayGoAnotherWay(result, request)) return result;
+      if (routes.carrierFor(endpoint, { avoid }) === undefined) return result;
+    }
+    while (avoid.size < MAX_CARRIERS) {
+      const carrier = routes.carrierFor(endpoint, { avoid });
+      if (carrier === undefined) break;
+      const result = await carry(carrier, { endpoint, request }, options);
+      if (result !== undefined) return result;
+      avoid.add(carrier);
+    }
+    return {
+      kind: ExchangeOutcome.NotSent,
+      reason: NO_CARRIER,
+      way_failed: true,
+    };
+  };
+}
+
+/** Whether a request that went directly may be sent through another host. */
+function mayGoAnotherWay(
+  result: ExchangeResult,
+  { signal }: EndpointRequest,
+): boolean {
+  return result.kind === ExchangeOutcome.NotSent && !signal.aborted &&
+    result.malformed !== true && result.reason !== ENDPOINT_UNAVAILABLE;
+}
+
+/**
+ * Sends a request through another host; resolves to undefined if that host has
+ * certainly not sent it and another may be tried.
+ */
+async function carry(
+  carrier: string,
+  { endpoint, request }: { endpoint: RouteEndpoint; request: EndpointRequest },
+  { routes, carriers, onCarried }: EndpointSenderOptions,
+): Promise<ExchangeResult | undefined> {
+  const end = carriers.begin(carrier);
+  const fail = (outcome: CarriedResult) => {
+    end();
+    onCarried(outcome);
+    if (request.signal.aborted) return;
+    carriers.closeIdle(carrier);
+    routes.recordCarrierFailure(carrier);
+  };
+  const result = await sendRequest(
+    encodeRequest(carrier, { endpoint, request, carriers }),
+  );
+  if (result.kind === ExchangeOutcome.NotSent) {
+    fail(CarriedResult.CarrierLost);
+    const { aborted } = request.signal;
+    return aborted || result.malformed === true ? result : undefined;
+  }
+  if (result.kind === ExchangeOutcome.ResponseLost) {
+    fail(CarriedResult.CarrierLost);
+    return lostByCarrier(request.signal.aborted ? result.reason : CARRIER_LOST);
+  }
+  const { response } = result;
+  if (response.status !== HTTP_OK) {
+    discardResponse(response);
+    fail(CarriedResult.CarrierRefused);
+    return undefined;
+  }
+  const head = decodeResponseHead(headOf(response));
+  if (head === undefined) {
+    discardResponse(response);
+    fail(CarriedResult.CarrierLost);
+    return lostByCarrier(CARRIER_LOST);
+  }
+  if (head.kind === CarriedOutcome.Response) {
+    response.body.once("close", end);
+    onCarried(CarriedResult.Response);
+    return {
+      kind: ExchangeOutcome.ResponseReceived,
+      response: carriedResponse(head, response, carrier),
+    };
+  }
+  // Its connection can be used again.
+  response.body.on("error", () => {}).resume();
+  end();
+  if (head.kind === CarriedOutcome.Refused) {
+    onCarried(CarriedResult.CarrierRefused);
+    if (GENERAL_REFUSALS.has(head.reason)) routes.recordCarrierFailure(carrier);
+    return undefined;
+  }
+  const isNotSent = head.kind === CarriedOutcome.NotSent;
+  onCarried(isNotSent ? CarriedResult.NotSent : CarriedResult.Lost);
+  return {
+    kind: isNotSent ? ExchangeOutcome.NotSent : ExchangeOutcome.ResponseLost,
+    reason: head.reason,
+  };
+}
+
+function encodeRequest(
+  carrier: string,
+  { endpoint, request, carriers }: {
+    endpoint: RouteEndpoint;
+    request: EndpointRequest;
+    carriers: CarrierConnections;
+  },
+): EndpointRequest {
+  const { method, target, headers, attempt_id, body, signal } = request;
+  const head = encodeHead({
+    endpoint: incarnationOf(endpoint),
+    method,
+    target,
+    headers,
+    attempt_id,
+  });
+  return {
+    address: carrier,
+    agent: carriers.agentFor(carrier),
+    method: "POST",
+    target: EXCHANGE_PATH,
+    headers: [
+      "Host",
+      carrier,
+      "Content-Length",
+      String(body?.length ?? 0),
+      HEAD_HEADER,
+      head,
+    ],
+    body,
+    signal,
+    max_header_bytes: MAX_HEAD_BYTES,
+  };
+}
+
+function headOf({ body }: EndpointResponse): string | string[] | undefined {
+  return body.headers[HEAD_HEADER];
+}
+
+function carriedResponse(
+  head: Extract<ResponseHead, { kind: CarriedOutcome.Response }>,
+  { body, socket }: EndpointResponse,
+  carrier: string,
+): EndpointResponse {
+  const { status, status_text, headers, first_on_connection } = head;
+  return {
+    status,
+    status_text,
+    headers,
+    body,
+    socket,
+    first_on_connection,
+    carrier,
+  };
+}
+
+function lostByCarrier(reason: string): ExchangeResult {
+  return { kind: ExchangeOutcome.ResponseLost, reason, way_failed: true };
+}
--- a/src/routing/observed_load.ts
+++ b/src/routing/observed_load.ts
@@ -28,12 +28,15 @@
   Error = "error",
   /** This host could not form the request: it tells nothing of the endpoint. */
   NotSent = "not_sent",
+  /** The way to the endpoint failed: it tells nothing either. */
+  Unreachable = "unreachable",
   /** This host ended it, for its caller or its time: it tells nothing either. */
   Stopped = "stopped",
 }
 
 const OUTCOMES_WITHOUT_NEWS: ReadonlySet<ObservedOutcome> = new Set([
   ObservedOutcome.NotSent,
+  ObservedOutcome.Unreachable,
   ObservedOutcome.Stopped,
 ]);
 
--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -94,6 +94,7 @@
     for (const entry of this.#entries.values()) {
       entry.endpoint = this.#asKnown(entry.endpoint);
     }
+    this.#newestByAddress = undefined;
     return true;
   }
 
--- a/src/stream_origins/start_check.ts
+++ b/src/stream_origins/start_check.ts
@@ -8,9 +8,9 @@
   discardResponse,
   ExchangeOutcome,
   readFullBody,
-  sendRequest,
 } from "../endpoints/exchange.ts";
 import type { ProtocolCodec } from "../forwarding/protocol_codec.ts";
+import type { SendToEndpoint } from "../relaying/endpoint_sender.ts";
 import {
   type RouteEndpoint,
   type RoutePool,
@@ -33,6 +33,7 @@
 export interface StartCheckOptions {
   codec: ProtocolCodec;
   agents: EndpointAgents;
+  send: SendToEndpoint;
   /** The pool of this name; undefined if it is not configured. */
   pool: (name: string) => RoutePool | undefined;
   responseLimits: BodyLimits;
@@ -57,11 +58,12 @@
 
 /** When the endpoint says that it started; undefined if it doesn't tell. */
 async function askStart(
-  { address, pool: name }: RouteEndpoint,
-  { codec, agents, pool, responseLimits }: StartCheckOptions,
+  endpoint: RouteEndpoint,
+  { codec, agents, send, pool, responseLimits }: StartCheckOptions,
 ): Promise<number | undefined> {
+  const { address, pool: name } = endpoint;
   const max_connections = pool(name)?.max_connections ?? 1;
-  const result = await sendRequest({
+  const result = await send(endpoint, {
     address,
     agent: agents.agentFor(address, max_connections),
     ...codec.encodeStatusRequest(address),
--- a/stand_ins/deployment/piece_calls.ts
+++ b/stand_ins/deployment/piece_calls.ts
@@ -3,6 +3,7 @@
 import type { PieceClient } from "../../src/batching/piece_call.ts";
 import { createPieceClient } from "../../src/batching/piece_client.ts";
 import type { EndpointAgents } from "../../src/endpoints/endpoint_agents.ts";
+import { sendRequest } from "../../src/endpoints/exchange.ts";
 import { createLogger } from "../../src/logging/logger.ts";
 import { createBodyLimits } from "./body_limits.ts";
 import {
@@ -18,6 +19,7 @@
   return createPieceClient({
     codec: deploymentCodec,
     agents,
+    send: (_endpoint, request) => sendRequest(request),
     pool: () => undefined,
     endpointAt: () => undefined,
     reports: { record: () => {}, pauseMs: () => 0 },
--- /dev/null
+++ b/test/relaying/endpoint_sender.test.ts
@@ -0,0 +1,402 @@
+/** Exchanges with endpoints that go through another host. */
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer, type RequestListener } from "node:http";
+import {
+  type AddressInfo,
+  createServer as createTcpServer,
+  type Socket,
+} from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { test, type TestContext } from "node:test";
+import {
+  discardResponse,
+  type EndpointResponse,
+  ExchangeOutcome,
+  type ExchangeResult,
+  headerValue,
+  isComplete,
+} from "../../src/endpoints/exchange.ts";
+import {
+  CarriedResult,
+  CARRIER_LOST,
+  NO_CARRIER,
+} from "../../src/relaying/endpoint_sender.ts";
+import { EndlessServer } from "../../stand_ins/deployment/endless_server.ts";
+import { waitUntil } from "../../stand_ins/deployment/gateway_fleet.ts";
+import {
+  ATTEMPT_ID,
+  createSender,
+  endpointAt,
+  routesThrough,
+  startCarrier,
+} from "./carried_exchanges.ts";
+
+const UNUSED_ADDRESS = "127.0.0.1:9";
+/** Time in which the endpoint's work must end after a caller has left. */
+const MAX_CANCEL_MS = 500;
+
+async function startEndpoint(t: TestContext, serve: RequestListener) {
+  const server = createServer(serve);
+  const sockets = new Set<Socket>();
+  let connections = 0;
+  server.on("connection", (socket) => {
+    connections += 1;
+    sockets.add(socket);
+    socket.once("close", () => sockets.delete(socket));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.after(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const { port } = server.address() as AddressInfo;
+  return {
+    endpoint: endpointAt(`127.0.0.1:${port}`),
+    connections: () => connections,
+    open: () => sockets.size,
+  };
+}
+
+/** An endpoint that writes these bytes in response to each connection's first. */
+async function startRawEndpoint(t: TestContext, text: string, ends: boolean) {
+  const server = createTcpServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => {
+      if (ends) socket.end(text, "latin1");
+      else socket.write(text, "latin1", () => socket.resetAndDestroy());
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  return endpointAt(`127.0.0.1:${port}`);
+}
+
+const own = { "x-attempt-id": ATTEMPT_ID, "x-response-signature": "s" };
+
+function responseOf(result: ExchangeResult): EndpointResponse {
+  assert.equal(result.kind, ExchangeOutcome.ResponseReceived);
+  if (result.kind !== ExchangeOutcome.ResponseReceived) throw new Error();
+  return result.response;
+}
+
+/** Reads a body to its end; tells whether the response was complete. */
+async function readAll(response: EndpointResponse) {
+  const chunks: Buffer[] = [];
+  response.body.on("data", (chunk) => chunks.push(chunk));
+  response.body.on("error", () => {});
+  await new Promise((resolve) => response.body.once("close", resolve));
+  return { bytes: Buffer.concat(chunks), complete: isComplete(response) };
+}
+
+test("a request and its response pass another host unchanged", async (t) => {
+  const sent = Buffer.from(Array.from({ length: 100_000 }, (_, n) => n % 256));
+  let seen: { method?: string; url?: string; headers: string[] } | undefined;
+  const { endpoint } = await startEndpoint(t, async (request, response) => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk);
+    seen = {
+      method: request.method ?? "",
+      url: request.url ?? "",
+      headers: request.rawHeaders,
+    };
+    response.writeHead(201, "Made it", [
+      ...Object.entries(own).flat(),
+      "X-Odd",
+      'caf\u00e9 "{}\\',
+      "X-Odd",
+      "twice",
+    ]);
+    response.end(Buffer.concat(chunks));
+  });
+  const host = await startCarrier(t, endpoint);
+  const { send, results } = createSender(t, routesThrough([host.address]));
+  const headers = [
+    "Host",
+    "fleet.example",
+    "X-Attempt-Id",
+    ATTEMPT_ID,
+    "X-Big",
+    "\u00ff".repeat(8_000),
+    "Content-Length",
+    String(sent.length),
+  ];
+  const result = await send(endpoint, {
+    method: "PUT",
+    target: "/a?b=%20c",
+    headers,
+    body: sent,
+  });
+  const response = responseOf(result);
+  const { bytes, complete } = await readAll(response);
+  assert.deepEqual([seen?.method, seen?.url], ["PUT", "/a?b=%20c"]);
+  assert.deepEqual(seen?.headers.slice(0, headers.length), headers);
+  assert.equal(response.status, 201);
+  assert.equal(response.status_text, "Made it");
+  assert.equal(headerValue(response.headers, "x-odd"), 'caf\u00e9 "{}\\');
+  assert.ok(bytes.equals(sent));
+  assert.ok(complete);
+  assert.equal(response.carrier, host.address);
+  assert.deepEqual(results, [CarriedResult.Response]);
+});
+
+test("a stream arrives as it is written, and its connections are kept", async (t) => {
+  const { endpoint, connections } = await startEndpoint(
+    t,
+    async (_request, response) => {
+      response.writeHead(200, { ...own, "content-type": "text/event-stream" });
+      response.write("id: 1\n\n");
+      await sleep(200);
+      response.end("id: 2\n\n");
+    },
+  );
+  const host = await startCarrier(t, endpoint);
+  const { send } = createSender(t, routesThrough([host.address]));
+  for (let run = 0; run < 3; run++) {
+    const started_ms = performance.now();
+    const response = responseOf(await send(endpoint));
+    const [first] = await once(response.body, "data");
+    assert.equal(String(first), "id: 1\n\n");
+    assert.ok(performance.now() - started_ms < 150);
+    const { bytes, complete } = await readAll(response);
+    assert.equal(String(bytes), "id: 2\n\n");
+    assert.ok(complete);
+  }
+  assert.equal(connections(), 1);
+});
+
+test("a stream that its endpoint breaks off does not look complete", async (t) => {
+  const { endpoint } = await startEndpoint(t, async (request, response) => {
+    response.writeHead(200, own);
+    response.write("half");
+    await sleep(20);
+    request.socket.resetAndDestroy();
+  });
+  const host = await startCarrier(t, endpoint);
+  const { send } = createSender(t, routesThrough([host.address]));
+  const read = await readAll(responseOf(await send(endpoint)));
+  assert.deepEqual([String(read.bytes), read.complete], ["half", false]);
+});
+
+test("a response without length is complete at its end, but not after a reset", async (t) => {
+  const text = `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${ATTEMPT_ID}\r\n` +
+    "X-Response-Signature: s\r\n\r\nbody";
+  for (const ends of [true, false]) {
+    const endpoint = await startRawEndpoint(t, text, ends);
+    const host = await startCarrier(t, endpoint);
+    const { send } = createSender(t, routesThrough([host.address]));
+    const response = responseOf(await send(endpoint));
+    const { bytes, complete } = await readAll(response);
+    assert.equal(complete, ends);
+    if (ends) assert.equal(String(bytes), "body");
+  }
+});
+
+test("the endpoint's work ends soon after the sender has left", async (t) => {
+  const { endpoint, open } = await startEndpoint(t, () => {});
+  const host = await startCarrier(t, endpoint);
+  const { send } = createSender(t, routesThrough([host.address]));
+  const caller = new AbortController();
+  const pending = send(endpoint, { signal: caller.signal });
+  await waitUntil(() => open() === 1);
+  caller.abort("caller_left");
+  const left_ms = performance.now();
+  await waitUntil(() => open() === 0);
+  assert.ok(performance.now() - left_ms < MAX_CANCEL_MS);
+  assert.equal((await pending).kind, ExchangeOutcome.ResponseLost);
+  await waitUntil(() => host.carrier.active === 0);
+});
+
+test("a stream ends at its endpoint soon after the sender discards it", async (t) => {
+  const { endpoint, open } = await startEndpoint(t, (_request, response) => {
+    response.writeHead(200, own).write("id: 1\n\n");
+  });
+  const host = await startCarrier(t, endpoint);
+  const { send } = createSender(t, routesThrough([host.address]));
+  const response = responseOf(await send(endpoint));
+  const left_ms = performance.now();
+  discardResponse(response);
+  await waitUntil(() => open() === 0);
+  assert.ok(performance.now() - left_ms < MAX_CANCEL_MS);
+});
+
+test("a request is told as not run only if the carrier had no connection", async (t) => {
+  const refusing = endpointAt(UNUSED_ADDRESS);
+  const first = await startCarrier(t, refusing);
+  const toRefusing = createSender(t, routesThrough([first.address]));
+  assert.deepEqual(await toRefusing.send(refusing), {
+    kind: ExchangeOutcome.NotSent,
+    reason: "ECONNREFUSED",
+  });
+  const { endpoint } = await startEndpoint(
+    t,
+    (request) => void request.socket.resetAndDestroy(),
+  );
+  const second = await startCarrier(t, endpoint);
+  const toResetting = createSender(t, routesThrough([second.address]));
+  assert.deepEqual(await toResetting.send(endpoint), {
+    kind: ExchangeOutcome.ResponseLost,
+    reason: "ECONNRESET",
+  });
+});
+
+test("a carrier that is killed before the response may have run the request", async (t) => {
+  let runs = 0;
+  const { endpoint } = await startEndpoint(t, () => void (runs += 1));
+  const [host, other] = [
+    await startCarrier(t, endpoint),
+    await startCarrier(t, endpoint),
+  ];
+  const routes = routesThrough([host.address, other.address]);
+  const { send, results } = createSender(t, routes);
+  const pending = send(endpoint);
+  await waitUntil(() => runs === 1);
+  host.kill();
+  assert.deepEqual(await pending, {
+    kind: ExchangeOutcome.ResponseLost,
+    reason: CARRIER_LOST,
+    way_failed: true,
+  });
+  assert.equal(runs, 1);
+  assert.deepEqual(results, [CarriedResult.CarrierLost]);
+  assert.deepEqual(routes.failures, [host.address]);
+});
+
+test("a response whose carrier is killed does not look complete", async (t) => {
+  const { endpoint } = await startEndpoint(t, (_request, response) => {
+    response.writeHead(200, own).write("half");
+  });
+  const host = await startCarrier(t, endpoint);
+  const { send } = createSender(t, routesThrough([host.address]));
+  const response = responseOf(await send(endpoint));
+  await once(response.body, "data");
+  host.kill();
+  assert.equal((await readAll(response)).complete, false);
+});
+
+test("another carrier takes what one has not sent", async (t) => {
+  const { endpoint } = await startEndpoint(
+    t,
+    (_request, response) => response.writeHead(200, own).end("done"),
+  );
+  const draining = await startCarrier(t, endpoint);
+  draining.isShuttingDown = true;
+  const stranger = await startCarrier(t, endpointAt(UNUSED_ADDRESS));
+  const host = await startCarrier(t, endpoint);
+  for (const first of [draining.address, stranger.address, UNUSED_ADDRESS]) {
+    const { send } = createSender(t, routesThrough([first, host.address]));
+    const { bytes } = await readAll(responseOf(await send(endpoint)));
+    assert.equal(String(bytes), "done");
+  }
+  const routes = routesThrough([draining.address, UNUSED_ADDRESS]);
+  const { send } = createSender(t, routes);
+  assert.deepEqual(await send(endpoint), {
+    kind: ExchangeOutcome.NotSent,
+    reason: NO_CARRIER,
+    way_failed: true,
+  });
+  assert.deepEqual(routes.failures, [draining.address, UNUSED_ADDRESS]);
+});
+
+test("a carrier sends no request on through a third host", async (t) => {
+  const { endpoint, connections } = await startEndpoint(
+    t,
+    (_request, response) => response.writeHead(200, own).end(),
+  );
+  const third = await startCarrier(t, endpoint);
+  const cutOff = {
+    ...routesThrough([third.address]),
+    isOutOfReach: () => true,
+  };
+  const host = await startCarrier(t, endpoint, { routes: cutOff });
+  const { send } = createSender(t, routesThrough([host.address]));
+  const result = await send(endpoint);
+  assert.equal(result.kind, ExchangeOutcome.NotSent);
+  assert.equal(connections(), 0);
+});
+
+test("carried requests do not wait for a connection of the carrier", async (t) => {
+  const { endpoint, open } = await startEndpoint(t, () => {});
+  // One connection for each host, so that a second request has to wait.
+  const host = await startCarrier(t, endpoint, { max_connections: 1 });
+  const { send } = createSender(t, routesThrough([host.address]));
+  const caller = new AbortController();
+  const first = send(endpoint, { signal: caller.signal });
+  await waitUntil(() => open() === 1);
+  const second = await send(endpoint);
+  assert.equal(second.kind, ExchangeOutcome.NotSent);
+  caller.abort("done");
+  await first;
+});
+
+test("the endpoint waits for a slow reader at the other end", async (t) => {
+  const server = new EndlessServer({
+    beginning: "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n",
+    part: Buffer.alloc(65_536, "x"),
+  });
+  await server.start();
+  t.after(() => server.stop());
+  const endpoint = endpointAt(server.address);
+  const host = await startCarrier(t, endpoint);
+  const { send } = createSender(t, routesThrough([host.address]));
+  const response = responseOf(
+    await send(endpoint, { attempt_id: undefined }),
+  );
+  response.body.pause();
+  let known = -1;
+  // Until the buffers on the way are full.
+  for (let n = 0; n < 100 && known !== server.openBytes; n++) {
+    known = server.openBytes;
+    await sleep(100);
+  }
+  assert.ok(known > 0);
+  assert.equal(server.openBytes, known);
+  // The buffers of two kernel connections and of two hosts.
+  assert.ok(known < 64_000_000, `${known} bytes on the way`);
+  discardResponse(response);
+});
+
+test("after a refusal as not run, the carrier's connection is not used again", async (t) => {
+  const { endpoint, connections } = await startEndpoint(
+    t,
+    (_request, response) =>
+      response.writeHead(503, {
+        "x-attempt-id": ATTEMPT_ID,
+        "x-not-executed": "1",
+        "retry-after": "2",
+        "content-length": 0,
+      }).end(),
+  );
+  const host = await startCarrier(t, endpoint);
+  const { send } = createSender(t, routesThrough([host.address]));
+  for (let run = 1; run <= 3; run++) {
+    const response = responseOf(await send(endpoint));
+    assert.equal(response.status, 503);
+    assert.equal(response.first_on_connection, true);
+    discardResponse(response);
+    await waitUntil(() => host.carrier.active === 0);
+    assert.equal(connections(), run);
+  }
+  assert.equal(host.reports[0]?.report.pause_ms, 2_000);
+  assert.notEqual(host.reports[0]?.sent_ms, undefined);
+  host.pause_ms = 100;
+  const held = await send(endpoint);
+  assert.equal(held.kind, ExchangeOutcome.NotSent);
+  assert.equal(connections(), 3);
+});
+
+test("exchanges in flight through a carrier are counted until they end", async (t) => {
+  const { endpoint, open } = await startEndpoint(t, (_request, response) => {
+    response.writeHead(200, own).write("a");
+  });
+  const host = await startCarrier(t, endpoint);
+  const { send, carriers } = createSender(t, routesThrough([host.address]));
+  const response = responseOf(await send(endpoint));
+  assert.equal(carriers.inFlight(host.address), 1);
+  assert.equal(open(), 1);
+  discardResponse(response);
+  await waitUntil(() => carriers.inFlight(host.address) === 0);
+});
--- a/test/stream_origins/start_check.test.ts
+++ b/test/stream_origins/start_check.test.ts
@@ -6,6 +6,7 @@
 import { test, type TestContext } from "node:test";
 import { deploymentCodec } from "../../platform/codec.ts";
 import { UNKNOWN_START_MS } from "../../src/routes/types.ts";
+import { sendRequest } from "../../src/endpoints/exchange.ts";
 import { EndpointAgents } from "../../src/endpoints/endpoint_agents.ts";
 import {
   createStartCheck,
@@ -37,6 +38,7 @@
   const checkStart = createStartCheck({
     codec: deploymentCodec,
     agents,
+    send: (_endpoint, request) => sendRequest(request),
     pool: () => undefined,
     responseLimits: createBodyLimits({ max_bytes: 1_000_000, log }),
   });
