RECOVER: a host finds out which endpoints it can't reach and who can

A host can't tell such a cut from endpoints that are down. It now tries an endpoint apart, by a status request on a connection of its own, when exchanges fail or are silent, and asks two or three hosts meanwhile; an endpoint counts as out of reach only if others got bytes from it while the attempt got none. Nothing uses it yet but the log and the failures forgotten at a loss.

--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -37,6 +37,8 @@
 import { RateLimitService } from "../rate_limits/rate_limit_service.ts";
 import { ObservedLoad } from "../routing/observed_load.ts";
 import { PoolRetryBudgets } from "../routing/repeat_budget.ts";
+import { createProbeReach } from "../reachability/probe_reach.ts";
+import { ReachabilityService } from "../reachability/reachability_service.ts";
 import { StreamOriginService } from "../stream_origins/stream_origin_service.ts";
 import type { GatewaySettings } from "../settings/gateway_settings.ts";
 import { formatAddress } from "../settings/settings.ts";
@@ -159,6 +161,23 @@
     now,
     signal,
   });
+  const reachability = new ReachabilityService({
+    zone: host.availability_zone,
+    zoneOf: (address) => members.zoneOf(address),
+    otherHosts: () => members.otherAddresses(),
+    carriedInFlight: () => 0,
+    readyIn: (pool) => endpoints.readyInPool(pool, now()),
+    endpointAt: (address) => endpoints.findByAddress(address),
+    peers,
+    probe: createProbeReach(adapter.codec),
+    onProbe: (outcome) => metrics.reachProbes.inc({ outcome }),
+    onLost: (endpoint) => load.forEndpoint(endpoint).forgetFailures(),
+    log,
+    now,
+    random,
+    signal,
+  });
+  metrics.exportLostEndpoints(reachability);
   const streamOrigins = new StreamOriginService({
     self,
     hosts: () => members.addresses(),
@@ -248,6 +267,7 @@
     requestLimits,
     responseLimits,
     reports,
+    reachability,
     streamOrigins,
     syncOptions,
     configurationListeners,
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -25,6 +25,7 @@
       for (const freed of freedResults) batcher.free(freed);
     },
     reportLoad: (queue) => batcher.reportLoad(queue),
+    reportReached: (endpoints) => context.reachability.answer(endpoints),
     snapshot: () => createStateSnapshot(syncOptions),
     handlePermitRequest: (request) => context.rateLimits.handleRequest(request),
     handleEndpointReport: (notice) => context.reports.handleReport(notice),
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -112,6 +112,7 @@
     const onLag = (lag_ms: number) => metrics.loopLag.observe(lag_ms);
     measureLoopLag({ onLag, log, now, signal });
     void runStoreSync(context.syncOptions);
+    void context.reachability.run();
     void context.ownEntry.announce();
   }
 
--- a/src/membership/gateway_members.ts
+++ b/src/membership/gateway_members.ts
@@ -20,6 +20,8 @@
   #self: GatewayMember;
   /** Cached results of `batchers`, cleared when the members change. */
   #batchers = new Map<boolean, string[]>();
+  /** Cached for `zoneOf`, and cleared when the members change. */
+  #zones: Map<string, string> | undefined;
 
   constructor(self: GatewayMember) {
     this.#self = self;
@@ -35,6 +37,7 @@
   ): void {
     if (!keepMissing) this.#members.clear();
     this.#batchers.clear();
+    this.#zones = undefined;
     for (const { name, value } of items) {
       const known = this.#members.get(name);
       const isOlder = known !== undefined && value !== undefined &&
@@ -46,6 +49,7 @@
   /** Applies changed entries. */
   applyChanges(changes: FeedChange<GatewayMember>[]): void {
     this.#batchers.clear();
+    this.#zones = undefined;
     for (const { name, value, deleted } of changes) {
       if (deleted || value === undefined) this.#members.delete(name);
       else this.#members.set(name, value);
@@ -69,6 +73,17 @@
       .filter((address) => address !== this.#self.address);
   }
 
+  /** The availability zone of another host; undefined if it is unknown. */
+  zoneOf(address: string): string | undefined {
+    this.#zones ??= new Map(
+      [...this.#members.values()].map((member) => [
+        member.address,
+        member.availability_zone,
+      ]),
+    );
+    return this.#zones.get(address);
+  }
+
   /** CPU cores of each host, by address. */
   cores(): Map<string, number> {
     const all = [this.#self, ...this.#members.values()];
--- a/src/metrics/forward_metrics.ts
+++ b/src/metrics/forward_metrics.ts
@@ -92,6 +92,12 @@
     help: "Times that an endpoint refused this host's requests for a while",
     registers: [this.registry],
   });
+  readonly reachProbes = new Counter({
+    name: "sesamequay_reach_probes_total",
+    help: "Attempts to reach endpoints that failed or were silent, by outcome",
+    labelNames: ["outcome"],
+    registers: [this.registry],
+  });
   readonly bodiesDropped = new Counter({
     name: "sesamequay_bodies_dropped_total",
     help: "Bodies that were dropped since bodies exceeded their memory",
@@ -133,6 +139,18 @@
     });
   }
 
+  /** Exports how many endpoints others reach and this host doesn't. */
+  exportLostEndpoints(reachability: { lostCount: number }): void {
+    new Gauge({
+      name: "sesamequay_endpoints_out_of_reach",
+      help: "Endpoints that other hosts reach and this host does not",
+      registers: [this.registry],
+      collect() {
+        this.set(reachability.lostCount);
+      },
+    });
+  }
+
   /** Exports the memory that the bodies of each kind take. */
   exportHeldBodies(memories: Record<string, { held_bytes: number }>): void {
     new Gauge({
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -25,6 +25,8 @@
 } from "../quarantine/types.ts";
 import type { RateLimitPeers } from "../rate_limits/rate_limit_service.ts";
 import type { PermitReply, PermitRequest } from "../rate_limits/types.ts";
+import type { ReachabilityPeers } from "../reachability/reachability_service.ts";
+import type { AskedEndpoint } from "../reachability/reachable_endpoints.ts";
 import type { StreamOriginPeers } from "../stream_origins/stream_origin_service.ts";
 import type { StreamOrigin } from "../stream_origins/types.ts";
 import type { VersionReport } from "../stream_origins/version_history.ts";
@@ -54,6 +56,7 @@
     EndpointNoticePeers,
     QuarantinePeers,
     RateLimitPeers,
+    ReachabilityPeers,
     StreamOriginPeers {
   #connections = new Map<string, PeerConnection>();
 
@@ -86,6 +89,14 @@
     return await this.#connectionTo(address).trpc.load.query(queue);
   }
 
+  /** Asks how long ago bytes came to a host directly from endpoints. */
+  async askReached(
+    address: string,
+    endpoints: AskedEndpoint[],
+  ): Promise<unknown> {
+    return await this.#connectionTo(address).trpc.reached.mutate(endpoints);
+  }
+
   /** Fetches the last change revisions of another host. */
   async changeRevisions(address: string): Promise<ChangeRevisions> {
     return await this.#connectionTo(address).trpc.progress.query();
--- a/src/peers/gateway_rpc_router.ts
+++ b/src/peers/gateway_rpc_router.ts
@@ -19,6 +19,9 @@
   type PermitRequest,
   permitRequestSchema,
 } from "../rate_limits/types.ts";
+import type { AskedEndpoint } from "../reachability/reachable_endpoints.ts";
+import { reachedQuestionSchema } from "../reachability/reached_question.ts";
+import type { ReachedAge } from "../reachability/types.ts";
 import {
   type StreamOrigin,
   streamOriginSchema,
@@ -35,6 +38,8 @@
   isBatching: () => boolean;
   /** Reports the load of a pool, or of one shard of it. */
   reportLoad: (queue: { pool: string; shard?: string }) => PoolLoadReport;
+  /** Reports how long ago bytes came to this host directly from endpoints. */
+  reportReached: (endpoints: AskedEndpoint[]) => Promise<ReachedAge[]>;
   snapshot: () => StateSnapshot;
   changeRevisions: () => ChangeRevisions;
   /** Keeps copies of records of streams. */
@@ -81,6 +86,9 @@
     ping: trpc.procedure.query(() => handlers.isBatching()),
     load: trpc.procedure.input(queueSchema)
       .query(({ input }) => handlers.reportLoad(input)),
+    // In a body, as the names would make a long path.
+    reached: trpc.procedure.input(reachedQuestionSchema)
+      .mutation(({ input }) => handlers.reportReached(input)),
     progress: trpc.procedure.query(() => handlers.changeRevisions()),
     beliefs: trpc.procedure.query(() => handlers.snapshot()),
     keep_origins: trpc.procedure.input(z.array(streamOriginSchema))
--- /dev/null
+++ b/src/reachability/endpoint_reach.ts
@@ -0,0 +1,157 @@
+/**
+ * Whether this host reaches one endpoint. Does no I/O and reads no clock: callers
+ * pass the time in.
+ */
+import type { RouteEndpoint } from "../routes/types.ts";
+
+/** How this host stands to an endpoint. */
+export enum ReachState {
+  /** Nothing speaks against it. */
+  Reached = "reached",
+  /** Exchanges failed or are silent, and it isn't known whether for all hosts. */
+  Doubted = "doubted",
+  /** Others reach it and this host doesn't. */
+  Lost = "lost",
+}
+
+/** What came of an attempt to reach an endpoint. */
+export enum ProbeOutcome {
+  /** Bytes came from it. */
+  Reached = "reached",
+  /** A connection was refused or reset; open ones may live on. */
+  Refused = "refused",
+  /** No connection came about in time. */
+  NoConnection = "no_connection",
+  /** It was connected, but no bytes came. */
+  Silent = "silent",
+}
+
+/** An attempt that did not reach the endpoint. */
+export interface FailedAttempt {
+  outcome: Exclude<ProbeOutcome, ProbeOutcome.Reached>;
+  from_ms: number;
+  until_ms: number;
+}
+
+/** A direct exchange that has not ended. */
+export interface OpenExchange {
+  began_ms: number;
+  /** When its last bytes came; -Infinity before the first. */
+  heard_ms: number;
+  /** Called if the endpoint proves out of reach while it is silent. */
+  onLost: () => void;
+}
+
+/** An endpoint that was tried and is sound may be silent for this long again. */
+const SOUND_SILENCE_MS = 2_000;
+/** Pauses between attempts at an endpoint that is doubted, doubling. */
+const MIN_DOUBT_PAUSE_MS = 250;
+const MAX_DOUBT_PAUSE_MS = 2_000;
+/** Pause between attempts at an endpoint that is lost. */
+const RETURN_PAUSE_MS = 1_000;
+/** Longest such pause, at an endpoint that was lost again after its return. */
+const MAX_RETURN_PAUSE_MS = 8_000;
+/** A loss this soon after a return doubles the pause. */
+const SOON_MS = 5_000;
+
+/** What this host knows of one endpoint. */
+export class EndpointReach {
+  state = ReachState.Reached;
+  endpoint: RouteEndpoint;
+  readonly exchanges = new Set<OpenExchange>();
+  /** When bytes last came on any direct way. */
+  heard_ms = -Infinity;
+  /** Start of the attempt under way; undefined without one. */
+  probing_since_ms: number | undefined;
+  /** The last attempt without bytes; undefined if bytes have come since. */
+  failed: FailedAttempt | undefined;
+  /** Start of the attempt without bytes that showed its loss. */
+  lost_from_ms = -Infinity;
+  /** Questions to other hosts during or after the last attempt. */
+  questions = 0;
+  /** When the next attempt is due. */
+  next_probe_ms = -Infinity;
+  #failures = 0;
+  /** When an attempt last got bytes. */
+  #probed_ms = -Infinity;
+  #returned_ms = -Infinity;
+  #returnPause_ms = RETURN_PAUSE_MS;
+
+  constructor(endpoint: RouteEndpoint) {
+    this.endpoint = endpoint;
+  }
+
+  /** Time for which no bytes came although an exchange waits; 0 without one. */
+  quietMs(now_ms: number): number {
+    let began_ms = Infinity;
+    for (const exchange of this.exchanges) {
+      began_ms = Math.min(began_ms, exchange.began_ms);
+    }
+    return Math.max(0, now_ms - Math.max(this.heard_ms, began_ms));
+  }
+
+  /** Records the start of an attempt. */
+  startProbe(now_ms: number): void {
+    this.probing_since_ms = now_ms;
+    this.questions = 0;
+  }
+
+  /**
+   * Makes an attempt due, since exchanges failed or are silent; not at once if one
+   * has just got bytes.
+   */
+  doubt(now_ms: number): void {
+    if (this.state !== ReachState.Reached) return;
+    this.state = ReachState.Doubted;
+    const earliest_ms = this.#probed_ms + MIN_DOUBT_PAUSE_MS;
+    this.next_probe_ms = Math.max(now_ms, earliest_ms);
+  }
+
+  /** Records that an attempt got bytes; silence is no reason for one until then. */
+  recordSound(now_ms: number): void {
+    this.#probed_ms = now_ms;
+    this.next_probe_ms = now_ms + SOUND_SILENCE_MS;
+  }
+
+  /** Records bytes; returns whether the endpoint was lost and is reached again. */
+  recordReached(now_ms: number): boolean {
+    const wasLost = this.state === ReachState.Lost;
+    this.heard_ms = now_ms;
+    this.state = ReachState.Reached;
+    this.failed = undefined;
+    this.#failures = 0;
+    if (wasLost) this.#returned_ms = now_ms;
+    return wasLost;
+  }
+
+  /** Records an attempt that did not reach the endpoint. */
+  recordFailed(failed: FailedAttempt): void {
+    this.failed = failed;
+    if (this.state === ReachState.Lost) {
+      this.next_probe_ms = failed.until_ms + this.#returnPause_ms;
+      return;
+    }
+    this.state = ReachState.Doubted;
+    const pause_ms = Math.min(
+      MAX_DOUBT_PAUSE_MS,
+      MIN_DOUBT_PAUSE_MS * 2 ** this.#failures,
+    );
+    this.#failures += 1;
+    this.next_probe_ms = failed.until_ms + pause_ms;
+  }
+
+  /** Records that others reach the endpoint and this host doesn't. */
+  recordLost(now_ms: number): void {
+    this.state = ReachState.Lost;
+    this.lost_from_ms = this.failed?.from_ms ?? now_ms;
+    this.#returnPause_ms = now_ms - this.#returned_ms < SOON_MS
+      ? Math.min(MAX_RETURN_PAUSE_MS, 2 * this.#returnPause_ms)
+      : RETURN_PAUSE_MS;
+    this.next_probe_ms = now_ms + this.#returnPause_ms;
+  }
+
+  /** Makes the next attempt due, unless its return has just failed. */
+  hastenReturn(now_ms: number): void {
+    if (this.#returnPause_ms === RETURN_PAUSE_MS) this.next_probe_ms = now_ms;
+  }
+}
--- /dev/null
+++ b/src/reachability/probe_reach.ts
@@ -0,0 +1,57 @@
+/** Tries whether bytes come from an endpoint, on a connection of its own. */
+import {
+  discardResponse,
+  ExchangeOutcome,
+  type ExchangeResult,
+  sendRequest,
+} from "../endpoints/exchange.ts";
+import { StrictKeepAliveAgent } from "../endpoints/strict_keep_alive_agent.ts";
+import type { ProtocolCodec } from "../forwarding/protocol_codec.ts";
+import { ProbeOutcome } from "./endpoint_reach.ts";
+
+/** Tries an endpoint; never rejects. */
+export type ProbeReach = (address: string) => Promise<ProbeOutcome>;
+
+/** A sound endpoint answers at once, as the request needs no slot. */
+const PROBE_TIMEOUT_MS = 800;
+const PROBE_OVER = "probe_over";
+const REFUSED_REASONS: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "ECONNRESET",
+  "EPIPE",
+  "closed",
+]);
+
+/** Creates a function that asks endpoints for their status. */
+export function createProbeReach(
+  codec: Pick<ProtocolCodec, "encodeStatusRequest">,
+): ProbeReach {
+  return async (address) => {
+    const agent = new StrictKeepAliveAgent(1);
+    const expiry = new AbortController();
+    const timer = setTimeout(() => expiry.abort(PROBE_OVER), PROBE_TIMEOUT_MS);
+    try {
+      const result = await sendRequest({
+        address,
+        agent,
+        ...codec.encodeStatusRequest(address),
+        signal: expiry.signal,
+      });
+      return outcomeOf(result);
+    } finally {
+      clearTimeout(timer);
+      agent.destroy();
+    }
+  };
+}
+
+function outcomeOf(result: ExchangeResult): ProbeOutcome {
+  if (result.kind === ExchangeOutcome.ResponseReceived) {
+    discardResponse(result.response);
+    return ProbeOutcome.Reached;
+  }
+  if (REFUSED_REASONS.has(result.reason)) return ProbeOutcome.Refused;
+  return result.kind === ExchangeOutcome.NotSent
+    ? ProbeOutcome.NoConnection
+    : ProbeOutcome.Silent;
+}
--- /dev/null
+++ b/src/reachability/reachable_endpoints.ts
@@ -0,0 +1,472 @@
+/**
+ * Decides which endpoints this host reaches. One that fails or is silent is
+ * doubted and tried apart; it counts as lost once other hosts got bytes from it
+ * while this one's attempt got none. Exchanges with lost ones go through those
+ * hosts, until an attempt gets bytes. Does no I/O and reads no clock: callers pass
+ * the time in.
+ */
+import { incarnationOf } from "../routes/incarnation.ts";
+import type { RouteEndpoint } from "../routes/types.ts";
+import {
+  EndpointReach,
+  type FailedAttempt,
+  type OpenExchange,
+  ProbeOutcome,
+  ReachState,
+} from "./endpoint_reach.ts";
+import { KnownCarriers, type KnownCarriersOptions } from "./known_carriers.ts";
+import type { ReachedAge } from "./types.ts";
+
+/** Dependencies of {@linkcode ReachableEndpoints}. */
+export interface ReachableEndpointsOptions extends KnownCarriersOptions {
+  /** The ready endpoints of a pool. */
+  readyIn: (pool: string) => readonly RouteEndpoint[];
+  /** Whether an incarnation is still in service. */
+  isInService: (endpoint: RouteEndpoint) => boolean;
+  /** Called when this host has lost an endpoint that others reach. */
+  onLost: (endpoint: RouteEndpoint, outcome: ProbeOutcome) => void;
+  /** Called when this host reaches it again, with the time of the loss. */
+  onReturn: (endpoint: RouteEndpoint, lost_ms: number) => void;
+}
+
+/** A question to other hosts. */
+export interface ReachedQuestion {
+  /** Addresses of the hosts that are asked. */
+  addresses: string[];
+  endpoints: AskedEndpoint[];
+}
+
+/** An endpoint that other hosts are asked about. */
+export interface AskedEndpoint {
+  /** Its incarnation. */
+  endpoint: string;
+  /** Bytes from it count if they came within this time. */
+  since_ago_ms: number;
+}
+
+/** No bytes from any endpoint for this long, with two or more in use. */
+const HOST_SILENCE_MS = 300;
+/** Upper bound when such silences have proved sound. */
+const MAX_HOST_SILENCE_MS = 1_000;
+/** No bytes from one endpoint in use for this long. */
+const ENDPOINT_SILENCE_MS = 1_000;
+/** Attempts at doubted endpoints at a time. */
+const MAX_PROBES = 4;
+/** Attempts after silence, while none is open for long. */
+const MAX_SILENCE_PROBES = 2;
+/** Pause between two attempts at lost endpoints. */
+const RETURN_SPACING_MS = 250;
+/** Time after a return in which the other lost endpoints are tried at once. */
+const RETURN_BURST_MS = 1_000;
+/** Other hosts are asked once an attempt is open for this long. */
+const ASK_AFTER_MS = 100;
+/** Bytes that came to others this long before an attempt ended count. */
+const SILENT_MARGIN_MS = 300;
+/** Least time between questions, with doubted endpoints and without. */
+const QUESTION_INTERVAL_MS = 250;
+const REFRESH_INTERVAL_MS = 1_000;
+/** Hosts that are asked at a time, with doubted endpoints and without. */
+const ASKED_HOSTS = 3;
+const REFRESH_HOSTS = 2;
+const MAX_ASKED_ENDPOINTS = 12;
+const MAX_QUESTIONS_PER_ATTEMPT = 3;
+/** More carriers than this are not looked for. */
+const ENOUGH_CARRIERS = 6;
+/** A host is cut off from a pool if it has lost this share of its endpoints. */
+const CUT_OFF_SHARE = 0.8;
+/** Endpoints lost in one silence of all from which it holds for the others. */
+const MIN_LOST_OF_ALL = 2;
+/** Reached endpoints that were not used for this long are forgotten. */
+const FORGET_AFTER_MS = 60_000;
+/** A connection was not made in time; other reasons may be the endpoint's. */
+const NO_CONNECTION_REASONS: ReadonlySet<string> = new Set([
+  "connect_timeout",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "ETIMEDOUT",
+]);
+const REFUSED_REASON = "ECONNREFUSED";
+
+/** Which endpoints this host reaches, and who reaches the others. */
+export class ReachableEndpoints {
+  readonly carriers: KnownCarriers;
+  #reaches = new Map<string, EndpointReach>();
+  #lost = new Set<EndpointReach>();
+  #options: ReachableEndpointsOptions;
+  /** When bytes last came directly from any endpoint. */
+  #heard_ms = -Infinity;
+  #hostSilence_ms = HOST_SILENCE_MS;
+  #asked_ms = -Infinity;
+  #returnProbe_ms = -Infinity;
+  #returned_ms = -Infinity;
+
+  constructor(options: ReachableEndpointsOptions) {
+    this.#options = options;
+    this.carriers = new KnownCarriers(options);
+  }
+
+  /** Records that a direct exchange began. */
+  begin(
+    endpoint: RouteEndpoint,
+    { now_ms, onLost }: { now_ms: number; onLost: () => void },
+  ): OpenExchange {
+    const exchange = { began_ms: now_ms, heard_ms: -Infinity, onLost };
+    this.#reachOf(endpoint).exchanges.add(exchange);
+    return exchange;
+  }
+
+  /** Records bytes of a direct exchange. */
+  recordBytes(
+    endpoint: RouteEndpoint,
+    exchange: OpenExchange,
+    now_ms: number,
+  ): void {
+    const reach = this.#reachOf(endpoint);
+    exchange.heard_ms = now_ms;
+    // A connection from before the loss may live on while new ones are refused.
+    if (
+      reach.state === ReachState.Lost && exchange.began_ms <= reach.lost_from_ms
+    ) return;
+    this.#recordReached(reach, now_ms);
+  }
+
+  /** Records that a direct exchange failed. */
+  recordFailure(
+    endpoint: RouteEndpoint,
+    reason: string,
+    now_ms: number,
+  ): void {
+    const reach = this.#reachOf(endpoint);
+    if (reason === REFUSED_REASON || NO_CONNECTION_REASONS.has(reason)) {
+      if (reach.state === ReachState.Lost || reach.failed !== undefined) return;
+      const outcome = reason === REFUSED_REASON
+        ? ProbeOutcome.Refused
+        : ProbeOutcome.NoConnection;
+      reach.questions = 0;
+      reach.recordFailed({ outcome, from_ms: now_ms, until_ms: now_ms });
+    } else reach.doubt(now_ms);
+  }
+
+  /** Records that a direct exchange has ended. */
+  end(endpoint: RouteEndpoint, exchange: OpenExchange): void {
+    this.#reachOf(endpoint).exchanges.delete(exchange);
+  }
+
+  /** Takes the endpoints that are to be tried now. */
+  takeProbes(now_ms: number): RouteEndpoint[] {
+    if (this.#reaches.size === 0) return [];
+    this.#forget(now_ms);
+    this.#doubtSilent(now_ms);
+    const probing = this.#probing();
+    const due = [...this.#reaches.values()].filter((reach) =>
+      reach.probing_since_ms === undefined && reach.next_probe_ms <= now_ms
+    ).sort((a, b) => a.next_probe_ms - b.next_probe_ms);
+    const doubted = due.filter(({ state }) => state === ReachState.Doubted)
+      .slice(0, Math.max(0, MAX_PROBES - probing.length));
+    const taken = [...doubted, ...this.#dueReturns(due, probing, now_ms)];
+    for (const reach of taken) reach.startProbe(now_ms);
+    return taken.map(({ endpoint }) => endpoint);
+  }
+
+  /** Records what came of an attempt. */
+  recordProbe(
+    endpoint: RouteEndpoint,
+    outcome: ProbeOutcome,
+    now_ms: number,
+  ): void {
+    const reach = this.#reachOf(endpoint);
+    const from_ms = reach.probing_since_ms ?? now_ms;
+    reach.probing_since_ms = undefined;
+    if (outcome === ProbeOutcome.Reached) {
+      const sound_ms = now_ms - Math.max(this.#heard_ms, 0);
+      this.#recordReached(reach, now_ms);
+      reach.recordSound(now_ms);
+      this.#hostSilence_ms = Math.min(
+        MAX_HOST_SILENCE_MS,
+        Math.max(this.#hostSilence_ms, 1.5 * sound_ms),
+      );
+      return;
+    }
+    // Bytes came on another way meanwhile.
+    if (reach.state === ReachState.Reached && reach.heard_ms >= from_ms) return;
+    reach.recordFailed({ outcome, from_ms, until_ms: now_ms });
+    this.#decide(reach, now_ms);
+  }
+
+  /** Takes the question that is to be asked now; undefined if none is. */
+  takeQuestion(
+    hosts: () => readonly string[],
+    now_ms: number,
+  ): ReachedQuestion | undefined {
+    const elapsed_ms = now_ms - this.#asked_ms;
+    if (elapsed_ms < QUESTION_INTERVAL_MS) return undefined;
+    const doubted = [...this.#reaches.values()].filter((reach) =>
+      isQuestionDue(reach, now_ms)
+    ).slice(0, MAX_ASKED_ENDPOINTS);
+    if (doubted.length === 0 && elapsed_ms < REFRESH_INTERVAL_MS) {
+      return undefined;
+    }
+    const asked = doubted.length > 0 ? doubted : this.#withFewCarriers(now_ms);
+    if (asked.length === 0) return undefined;
+    const addresses = this.#hostsToAsk(hosts(), {
+      count: doubted.length > 0 ? ASKED_HOSTS : REFRESH_HOSTS,
+      now_ms,
+    });
+    if (addresses.length === 0) return undefined;
+    this.#asked_ms = now_ms;
+    const endpoints = asked.map((reach) => {
+      reach.questions += 1;
+      return {
+        endpoint: incarnationOf(reach.endpoint),
+        since_ago_ms: Math.round(
+          reach.state === ReachState.Lost
+            ? REFRESH_INTERVAL_MS
+            : now_ms - attemptStart(reach, now_ms),
+        ),
+      };
+    });
+    return { addresses, endpoints };
+  }
+
+  /** Records a host's answer to a question. */
+  recordAnswer(
+    address: string,
+    { endpoints, ages, now_ms }: {
+      endpoints: readonly AskedEndpoint[];
+      ages: readonly ReachedAge[];
+      now_ms: number;
+    },
+  ): void {
+    endpoints.forEach(({ endpoint }, index) => {
+      const age_ms = ages[index] ?? null;
+      this.carriers.recordAnswer(address, endpoint, {
+        reached_ms: age_ms === null ? undefined : now_ms - age_ms,
+        now_ms,
+      });
+    });
+    for (const { endpoint } of endpoints) {
+      const reach = this.#reaches.get(endpoint);
+      if (reach !== undefined) this.#decide(reach, now_ms);
+    }
+  }
+
+  /** The host through which an exchange goes; undefined if it goes directly. */
+  carrierFor(
+    endpoint: RouteEndpoint,
+    { avoid, now_ms }: { avoid: ReadonlySet<string>; now_ms: number },
+  ): string | undefined {
+    if (this.#lost.size === 0) return undefined;
+    const reach = this.#reachOf(endpoint);
+    const isLost = reach.state === ReachState.Lost;
+    if (!isLost && !this.#hasLostAll()) return undefined;
+    // It is tried apart, so that a sound one is used directly again.
+    reach.doubt(now_ms);
+    return this.carriers.choose(incarnationOf(endpoint), { avoid, now_ms });
+  }
+
+  /** Whether others reach an endpoint and this host doesn't. */
+  isOutOfReach(endpoint: RouteEndpoint, now_ms: number): boolean {
+    if (this.#lost.size === 0) return false;
+    const incarnation = incarnationOf(endpoint);
+    const isLost = this.#reaches.get(incarnation)?.state === ReachState.Lost ||
+      this.#hasLostAll();
+    return isLost && this.carriers.carriersOf(incarnation, now_ms).length > 0;
+  }
+
+  /** Whether this host has lost nearly all endpoints of a pool. */
+  isCutOff(pool: string, now_ms: number): boolean {
+    if (this.#lost.size === 0) return false;
+    const ready = this.#options.readyIn(pool);
+    const lost = ready.filter((endpoint) =>
+      this.isOutOfReach(endpoint, now_ms)
+    );
+    const down = ready.filter((endpoint) =>
+      !lost.includes(endpoint) &&
+      this.#reaches.get(incarnationOf(endpoint))?.failed !== undefined
+    );
+    return lost.length > 0 &&
+      lost.length >= CUT_OFF_SHARE * (ready.length - down.length);
+  }
+
+  /** When bytes last came directly from an endpoint; undefined if it is lost. */
+  reachedMs(endpoint: RouteEndpoint): number | undefined {
+    const reach = this.#reaches.get(incarnationOf(endpoint));
+    return reach === undefined || reach.state === ReachState.Lost
+      ? undefined
+      : reach.heard_ms;
+  }
+
+  /** Records an attempt that was made for another host. */
+  recordAttempt(
+    endpoint: RouteEndpoint,
+    outcome: ProbeOutcome,
+    now_ms: number,
+  ): void {
+    if (outcome !== ProbeOutcome.Reached) return;
+    this.#recordReached(this.#reachOf(endpoint), now_ms);
+  }
+
+  /** Number of endpoints that are lost. */
+  get lostCount(): number {
+    return this.#lost.size;
+  }
+
+  #reachOf(endpoint: RouteEndpoint): EndpointReach {
+    const key = incarnationOf(endpoint);
+    const known = this.#reaches.get(key);
+    if (known !== undefined) return known;
+    const created = new EndpointReach(endpoint);
+    this.#reaches.set(key, created);
+    return created;
+  }
+
+  #probing(): EndpointReach[] {
+    return [...this.#reaches.values()].filter((reach) =>
+      reach.probing_since_ms !== undefined
+    );
+  }
+
+  /** Whether no endpoint was heard since the attempts that showed the losses. */
+  #hasLostAll(): boolean {
+    let lost = 0;
+    for (const { lost_from_ms } of this.#lost) {
+      if (lost_from_ms >= this.#heard_ms) lost += 1;
+      if (lost >= MIN_LOST_OF_ALL) return true;
+    }
+    return false;
+  }
+
+  #recordReached(reach: EndpointReach, now_ms: number): void {
+    this.#heard_ms = Math.max(this.#heard_ms, now_ms);
+    const { lost_from_ms } = reach;
+    if (!reach.recordReached(now_ms)) return;
+    this.#lost.delete(reach);
+    this.carriers.forget(incarnationOf(reach.endpoint));
+    this.#returned_ms = now_ms;
+    for (const each of this.#lost) each.hastenReturn(now_ms);
+    this.#options.onReturn(reach.endpoint, lost_from_ms);
+  }
+
+  /** Decides whether an endpoint that got no bytes is lost. */
+  #decide(reach: EndpointReach, now_ms: number): void {
+    const { failed, state, endpoint } = reach;
+    if (failed === undefined || state !== ReachState.Doubted) return;
+    if (!this.carriers.hasReached(incarnationOf(endpoint), evidence(failed))) {
+      return;
+    }
+    reach.recordLost(now_ms);
+    this.#lost.add(reach);
+    this.#options.onLost(endpoint, failed.outcome);
+    if (failed.outcome === ProbeOutcome.Refused) return;
+    for (const exchange of [...reach.exchanges]) {
+      if (exchange.heard_ms < failed.from_ms) exchange.onLost();
+    }
+  }
+
+  /** Doubts endpoints that say nothing although exchanges wait for them. */
+  #doubtSilent(now_ms: number): void {
+    const quiet = [...this.#reaches.values()].filter((reach) =>
+      reach.quietMs(now_ms) >= this.#hostSilence_ms
+    );
+    const isHostSilent = quiet.length >= 2 &&
+      now_ms - this.#heard_ms >= this.#hostSilence_ms;
+    const silent = quiet.filter((reach) =>
+      reach.state === ReachState.Reached && now_ms >= reach.next_probe_ms &&
+      (isHostSilent || reach.quietMs(now_ms) >= ENDPOINT_SILENCE_MS)
+    );
+    const isAlarmed = quiet.some(({ failed, probing_since_ms = Infinity }) =>
+      failed !== undefined || now_ms - probing_since_ms >= ASK_AFTER_MS
+    );
+    const count = isAlarmed
+      ? silent.length
+      : MAX_SILENCE_PROBES - this.#probing().length;
+    for (const reach of silent.slice(0, Math.max(0, count))) {
+      reach.doubt(now_ms);
+    }
+  }
+
+  /** Lost endpoints to try: one at a time, but several after a return. */
+  #dueReturns(
+    due: EndpointReach[],
+    probing: EndpointReach[],
+    now_ms: number,
+  ): EndpointReach[] {
+    const lost = due.filter(({ state }) => state === ReachState.Lost);
+    const open =
+      probing.filter(({ state }) => state === ReachState.Lost).length;
+    const isBurst = now_ms - this.#returned_ms < RETURN_BURST_MS;
+    if (!isBurst && now_ms - this.#returnProbe_ms < RETURN_SPACING_MS) {
+      return [];
+    }
+    const taken = lost.slice(0, Math.max(0, (isBurst ? MAX_PROBES : 1) - open));
+    if (taken.length > 0) this.#returnProbe_ms = now_ms;
+    return taken;
+  }
+
+  #withFewCarriers(now_ms: number): EndpointReach[] {
+    return [...this.#lost].filter((reach) =>
+      this.carriers.carriersOf(incarnationOf(reach.endpoint), now_ms).length <
+        ENOUGH_CARRIERS
+    ).sort((a, b) => a.questions - b.questions).slice(0, MAX_ASKED_ENDPOINTS);
+  }
+
+  /** Hosts to ask: one of this zone, as it is the better carrier, and others. */
+  #hostsToAsk(
+    hosts: readonly string[],
+    { count, now_ms }: { count: number; now_ms: number },
+  ): string[] {
+    const { zone, zoneOf } = this.#options;
+    const sound = hosts.filter((host) => this.carriers.isSound(host, now_ms));
+    const near = this.carriers.pickRandom(
+      sound.filter((host) => zoneOf(host) === zone),
+      1,
+    );
+    const others = sound.filter((host) => zoneOf(host) !== zone);
+    const far = this.carriers.pickRandom(others, count - near.length);
+    const rest = sound.filter((host) =>
+      !near.includes(host) && !far.includes(host)
+    );
+    const missing = count - near.length - far.length;
+    return [...near, ...far, ...this.carriers.pickRandom(rest, missing)];
+  }
+
+  #forget(now_ms: number): void {
+    for (const [key, reach] of this.#reaches) {
+      const { state, exchanges, heard_ms, probing_since_ms, endpoint } = reach;
+      if (probing_since_ms !== undefined || exchanges.size > 0) continue;
+      const isIdle = state === ReachState.Reached &&
+        now_ms - heard_ms > FORGET_AFTER_MS;
+      if (!isIdle && this.#options.isInService(endpoint)) continue;
+      this.#reaches.delete(key);
+      this.#lost.delete(reach);
+      this.carriers.forget(key);
+    }
+  }
+}
+
+/** The time within which others must have got bytes for a loss. */
+function evidence(
+  { outcome, from_ms, until_ms }: FailedAttempt,
+): { from_ms: number; until_ms: number } {
+  return outcome === ProbeOutcome.Silent
+    ? { from_ms, until_ms: until_ms - SILENT_MARGIN_MS }
+    : { from_ms, until_ms: Infinity };
+}
+
+function isQuestionDue(reach: EndpointReach, now_ms: number): boolean {
+  const { state, failed, probing_since_ms, questions } = reach;
+  if (state !== ReachState.Doubted) return false;
+  if (questions >= MAX_QUESTIONS_PER_ATTEMPT) return false;
+  if (probing_since_ms !== undefined) {
+    return now_ms - probing_since_ms >= ASK_AFTER_MS;
+  }
+  return failed !== undefined;
+}
+
+/** Start of the attempt under way, or of the last one. */
+function attemptStart(
+  { probing_since_ms, failed }: EndpointReach,
+  now_ms: number,
+): number {
+  return probing_since_ms ?? failed?.from_ms ?? now_ms;
+}
--- a/src/routing/observed_load.ts
+++ b/src/routing/observed_load.ts
@@ -128,6 +128,15 @@
     } else this.#consecutiveFailures = 0;
   }
 
+  /** Forgets failures that were this host's own and not the endpoint's. */
+  forgetFailures(): void {
+    this.failure_share = 0;
+    this.#consecutiveFailures = 0;
+    this.#backoffUntil_ms = 0;
+    this.#avoidUntil_ms = -Infinity;
+    this.#avoidance_ms = INITIAL_AVOIDANCE_MS;
+  }
+
   #updateAvoidance(failed: boolean, now_ms: number): void {
     if (this.failure_share < MAX_FAILURE_SHARE) {
       this.#avoidance_ms = INITIAL_AVOIDANCE_MS;
--- /dev/null
+++ b/test/reachability/reachable_endpoints.test.ts
@@ -0,0 +1,223 @@
+/** How a host finds out which endpoints it can't reach, and when it can again. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  createEndpoint,
+  Path,
+  SimulatedFleet,
+  type SimulatedHost,
+} from "./simulated_hosts.ts";
+
+/** Within this time of a cut, callers must be served well again. */
+const CONTACT_MS = 3_000;
+const NONE: ReadonlySet<string> = new Set();
+
+function createFleet(hosts = 5): SimulatedFleet {
+  return new SimulatedFleet(
+    hosts,
+    [1, 2, 3].map((n) => createEndpoint("desk", n))
+      .concat([4, 5, 6].map((n) => createEndpoint("model", n))),
+  );
+}
+
+/** Cuts the first hosts from all endpoints. */
+function cutHosts(fleet: SimulatedFleet, count: number, path: Path): void {
+  const cut = new Set(fleet.hosts.slice(0, count));
+  fleet.path = (host) => cut.has(host) ? path : Path.Open;
+}
+
+function carriers(fleet: SimulatedFleet, host: SimulatedHost): Set<string> {
+  const found = new Set<string>();
+  for (const endpoint of fleet.endpoints) {
+    for (let n = 0; n < 20; n++) {
+      const carrier = host.state.carrierFor(endpoint, {
+        avoid: NONE,
+        now_ms: fleet.now_ms,
+      });
+      if (carrier !== undefined) found.add(carrier);
+    }
+  }
+  return found;
+}
+
+for (const path of [Path.Hangs, Path.Swallows, Path.Refuses]) {
+  test(`a cut host (${path}) sends by way of others within half of contact_ms`, () => {
+    const fleet = createFleet();
+    fleet.run(2_000, { per_s: 30 });
+    cutHosts(fleet, 3, path);
+    fleet.run(CONTACT_MS / 2, { per_s: 30 });
+    for (const host of fleet.hosts.slice(0, 3)) {
+      for (const endpoint of fleet.endpoints) {
+        const carrier = host.state.carrierFor(endpoint, {
+          avoid: NONE,
+          now_ms: fleet.now_ms,
+        });
+        assert.ok(carrier !== undefined, `${host.address} ${endpoint.id}`);
+        const address = fleet.hosts.slice(3).map((each) => each.address);
+        assert.ok(address.includes(carrier));
+      }
+      assert.ok(host.state.isCutOff("desk", fleet.now_ms));
+      assert.ok(host.state.isCutOff("model", fleet.now_ms));
+    }
+    for (const host of fleet.hosts.slice(3)) {
+      assert.equal(host.state.lostCount, 0);
+      assert.ok(!host.state.isCutOff("desk", fleet.now_ms));
+    }
+  });
+
+  test(`a host with little traffic (${path}) finds its cut within contact_ms`, () => {
+    const fleet = createFleet();
+    fleet.run(2_000, { per_s: 3 });
+    cutHosts(fleet, 3, path);
+    fleet.run(CONTACT_MS, { per_s: 3 });
+    for (const host of fleet.hosts.slice(0, 3)) {
+      assert.ok(host.state.lostCount > 0);
+    }
+  });
+
+  test(`only the pool out of reach (${path}) goes by way of others`, () => {
+    const fleet = createFleet();
+    fleet.run(2_000, { per_s: 30 });
+    fleet.path = (host, { pool }) =>
+      host === fleet.host(0) && pool === "desk" ? path : Path.Open;
+    fleet.run(CONTACT_MS - 500, { per_s: 30 });
+    const { state } = fleet.host(0);
+    assert.ok(state.isCutOff("desk", fleet.now_ms));
+    assert.ok(!state.isCutOff("model", fleet.now_ms));
+    for (const endpoint of fleet.endpoints) {
+      assert.equal(
+        state.isOutOfReach(endpoint, fleet.now_ms),
+        endpoint.pool === "desk",
+        endpoint.id,
+      );
+    }
+  });
+
+  test(`a single endpoint out of reach (${path}) goes by way of others`, () => {
+    const fleet = createFleet();
+    fleet.run(2_000, { per_s: 30 });
+    fleet.path = (host, { id }) =>
+      host === fleet.host(0) && id === "desk-2" ? path : Path.Open;
+    fleet.run(CONTACT_MS - 500, { per_s: 30 });
+    const { state, losses } = fleet.host(0);
+    assert.deepEqual([...losses.keys()], ["desk-2"]);
+    assert.equal(state.lostCount, 1);
+    assert.ok(!state.isCutOff("desk", fleet.now_ms));
+  });
+
+  test(`after the cut (${path}) all goes directly again within 3 s`, () => {
+    const fleet = createFleet();
+    fleet.run(2_000, { per_s: 30 });
+    cutHosts(fleet, 3, path);
+    fleet.run(8_000, { per_s: 30 });
+    fleet.path = () => Path.Open;
+    fleet.run(3_000, { per_s: 30 });
+    for (const host of fleet.hosts) {
+      assert.equal(host.state.lostCount, 0);
+      assert.equal(carriers(fleet, host).size, 0);
+    }
+  });
+
+  test(`attempts during a cut (${path}) are bounded`, () => {
+    const fleet = createFleet();
+    fleet.run(2_000, { per_s: 30 });
+    cutHosts(fleet, 3, path);
+    fleet.run(CONTACT_MS, { per_s: 30 });
+    const before = fleet.hosts.map(({ probes }) => probes);
+    fleet.run(10_000, { per_s: 30 });
+    fleet.hosts.slice(0, 3).forEach(({ probes }, n) => {
+      // One at a time, each 250 ms at the most.
+      assert.ok(probes - (before[n] ?? 0) <= 40, `${probes}`);
+    });
+  });
+}
+
+test("an endpoint that is down for all hosts is not out of reach", () => {
+  for (const path of [Path.Hangs, Path.Swallows, Path.Refuses]) {
+    const fleet = createFleet();
+    fleet.run(2_000, { per_s: 30 });
+    fleet.path = (_, { id }) => id === "desk-1" ? path : Path.Open;
+    fleet.run(10_000, { per_s: 30 });
+    for (const host of fleet.hosts) {
+      assert.deepEqual([...host.losses.keys()], [], path);
+      assert.equal(carriers(fleet, host).size, 0);
+    }
+  }
+});
+
+test("endpoints that are silent for a second are not out of reach", () => {
+  const fleet = createFleet();
+  fleet.run(2_000, { per_s: 30 });
+  for (let n = 0; n < 20; n++) {
+    fleet.answers = ({ id }) => id !== `desk-${1 + n % 3}`;
+    fleet.run(1_000 + 10 * n, { per_s: 30 });
+    fleet.answers = () => true;
+    fleet.run(500 + 70 * n, { per_s: 30 });
+  }
+  fleet.answers = () => false;
+  fleet.run(1_200, { per_s: 30 });
+  fleet.answers = () => true;
+  fleet.run(2_000, { per_s: 30 });
+  for (const host of fleet.hosts) {
+    assert.deepEqual([...host.losses.keys()], []);
+  }
+});
+
+test("endpoints that take long for their answers are tried seldom", () => {
+  const fleet = createFleet();
+  fleet.work_ms = 1_500;
+  fleet.run(20_000, { per_s: 5 });
+  for (const host of fleet.hosts) {
+    assert.deepEqual([...host.losses.keys()], []);
+    // Each endpoint once in 2 s at the most.
+    assert.ok(host.probes <= 6 * 10, `${host.probes}`);
+  }
+});
+
+test("a way that comes and goes doesn't swing", () => {
+  const fleet = createFleet();
+  fleet.run(2_000, { per_s: 30 });
+  const [host] = fleet.hosts;
+  fleet.path = (each) =>
+    each === host && fleet.now_ms % 1_500 < 1_200 ? Path.Hangs : Path.Open;
+  fleet.run(30_000, { per_s: 30 });
+  for (const [id, losses] of host?.losses ?? []) {
+    assert.ok(losses.length <= 9, `${id} was lost ${losses.length} times`);
+  }
+});
+
+test("a cut of 60 of 360 hosts costs few messages", () => {
+  const fleet = new SimulatedFleet(
+    360,
+    Array.from({ length: 60 }, (_, n) => createEndpoint(`pool-${n % 6}`, n)),
+  );
+  const inZone = fleet.hosts.filter(({ zone }) => zone === "az-0").slice(0, 60);
+  fleet.run(1_000, { per_s: 10 });
+  const cut = new Set(inZone);
+  fleet.path = (host) => cut.has(host) ? Path.Hangs : Path.Open;
+  fleet.run(CONTACT_MS, { per_s: 10 });
+  const used = new Set<string>();
+  for (const host of inZone) {
+    for (const endpoint of fleet.endpoints) {
+      const carrier = host.state.carrierFor(endpoint, {
+        avoid: NONE,
+        now_ms: fleet.now_ms,
+      });
+      assert.ok(carrier !== undefined);
+      used.add(carrier);
+    }
+  }
+  assert.ok(used.size >= 60, `${used.size} carriers are used`);
+  fleet.run(7_000, { per_s: 10 });
+  for (const { question_bytes, probes } of inZone) {
+    assert.ok(question_bytes / 10 <= 2_000, `${question_bytes / 10} B/s`);
+    // One for each endpoint, then one each 250 ms.
+    assert.ok(probes <= 60 + 4 * 10, `${probes} attempts`);
+  }
+  const idle = fleet.hosts.filter((host) => !cut.has(host));
+  const asked = idle.reduce((sum, { questions }) => sum + questions, 0);
+  assert.ok(
+    asked <= idle.length,
+    `${asked} questions of hosts that aren't cut`,
+  );
+});
