--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -28,6 +28,7 @@
     },
     serveExchange: (request, response) => carrier.serve(request, response),
     reportLoad: (queue) => batcher.reportLoad(queue),
+    reportReached: (endpoints) => context.reachability.answer(endpoints),
     snapshot: () => createStateSnapshot(syncOptions),
     handlePermitRequest: (request) => context.rateLimits.handleRequest(request),
     handleEndpointReport: (notice) => context.reports.handleReport(notice),
