RECOVER: hosts cut off from all endpoints, in one process (three kinds of cut)

Each host reaches each endpoint through a link of its own, which hangs, is reset or refuses new connections.

--- a/src/endpoints/endpoint_agents.ts
+++ b/src/endpoints/endpoint_agents.ts
@@ -1,7 +1,10 @@
 /**
  * Keep-alive agents of a gateway host, within each endpoint's connection limit.
  */
-import { StrictKeepAliveAgent } from "./strict_keep_alive_agent.ts";
+import {
+  StrictKeepAliveAgent,
+  type TranslateAddress,
+} from "./strict_keep_alive_agent.ts";
 
 /** Fraction of an endpoint's connection limit that all hosts together use. */
 const MAX_CONNECTION_FRACTION = 0.85;
@@ -13,9 +16,11 @@
 export class EndpointAgents {
   #agents = new Map<string, StrictKeepAliveAgent>();
   #hostCount: () => number;
+  #translateAddress: TranslateAddress | undefined;
 
-  constructor(hostCount: () => number) {
+  constructor(hostCount: () => number, translateAddress?: TranslateAddress) {
     this.#hostCount = hostCount;
+    this.#translateAddress = translateAddress;
   }
 
   /**
@@ -32,7 +37,10 @@
       existing.maxSockets = maxSockets;
       return existing;
     }
-    const created = new StrictKeepAliveAgent(maxSockets);
+    const created = new StrictKeepAliveAgent(
+      maxSockets,
+      this.#translateAddress,
+    );
     this.#agents.set(address, created);
     return created;
   }
--- a/src/endpoints/strict_keep_alive_agent.ts
+++ b/src/endpoints/strict_keep_alive_agent.ts
@@ -3,17 +3,35 @@
  * connection belongs to no request and would be taken for the start of the next
  * response, so the connection is closed.
  */
-import { Agent, type ClientRequest } from "node:http";
+import { Agent, type ClientRequest, type ClientRequestArgs } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { parseAddress } from "../settings/settings.ts";
+
+/** Address at which this host connects to the server at an address. */
+export type TranslateAddress = (address: string) => string;
 
 /** A keep-alive agent that closes idle connections on which data arrives. */
 export class StrictKeepAliveAgent extends Agent {
   #unsolicitedDataHandlers = new WeakMap<Duplex, () => void>();
+  #translateAddress: TranslateAddress | undefined;
   #answeredSockets = new WeakSet<Duplex>();
 
-  constructor(maxSockets: number) {
+  constructor(maxSockets: number, translateAddress?: TranslateAddress) {
     super({ keepAlive: true, scheduling: "lifo", maxSockets });
+    this.#translateAddress = translateAddress;
+  }
+
+  override createConnection(
+    options: ClientRequestArgs,
+    onCreated?: (error: Error | null, stream: Duplex) => void,
+  ): Duplex | null | undefined {
+    if (this.#translateAddress === undefined) {
+      return super.createConnection(options, onCreated);
+    }
+    const announced = `${options.host}:${options.port}`;
+    const { ip, port } = parseAddress(this.#translateAddress(announced));
+    return super.createConnection({ ...options, host: ip, port }, onCreated);
   }
 
   override keepSocketAlive(socket: Duplex): boolean {
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -35,7 +35,6 @@
 import { FeedName } from "../peers/feed_stream.ts";
 import { FeedStreamClients } from "../peers/feed_stream_client.ts";
 import { createRelayedFeeds } from "../peers/create_relayed_feeds.ts";
-import type { EndpointRoutes } from "../reachability/types.ts";
 import { CarrierConnections } from "../relaying/carrier_connections.ts";
 import { createEndpointSender } from "../relaying/endpoint_sender.ts";
 import { RateLimitService } from "../rate_limits/rate_limit_service.ts";
@@ -55,6 +54,11 @@
   now: () => number;
   random: () => number;
   writeLine: WriteLine;
+  /**
+   * Address at which this host connects to an endpoint, where that isn't the one
+   * that the endpoint announces.
+   */
+  translateAddress?: (address: string) => string;
 }
 
 /** The components that the others of a gateway host are built from. */
@@ -65,7 +69,7 @@
   settings: GatewaySettings,
   environment: GatewayHostEnvironment,
 ) {
-  const { adapter, now, random, writeLine } = environment;
+  const { adapter, now, random, writeLine, translateAddress } = environment;
   const { host, listen } = settings;
   const self = formatAddress(listen.peers);
   const member = {
@@ -113,6 +117,8 @@
     delay: abortableDelay,
     signal,
   });
+  const isEndpointRefused = (address: string) =>
+    isConnectionRefused(translateAddress?.(address) ?? address);
   const quarantine = new QuarantineService({
     self,
     hosts: () => members.addresses(),
@@ -121,7 +127,7 @@
     isRefused: createRefusalCheck({
       self,
       hosts: () => members.addresses(),
-      isRefusedHere: isConnectionRefused,
+      isRefusedHere: isEndpointRefused,
       isRefusedAt: (address, endpoint) =>
         peers.isEndpointRefused(address, endpoint),
       random,
@@ -151,26 +157,8 @@
   });
   const requestLimits = createLimits(BodyKind.Request);
   const responseLimits = createLimits(BodyKind.Response);
-  const agents = new EndpointAgents(() => members.count);
+  const agents = new EndpointAgents(() => members.count, translateAddress);
   const carriers = new CarrierConnections();
-  const routes: EndpointRoutes = {
-    carrierFor: () => undefined,
-    begin: () => ({
-      lost: new AbortController().signal,
-      recordBytes() {},
-      recordFailure() {},
-      end() {},
-    }),
-    recordCarrierFailure() {},
-    isCutOff: () => false,
-    isOutOfReach: () => false,
-  };
-  const send = createEndpointSender({
-    routes,
-    carriers,
-    onCarried: (outcome) =>
-      metrics.carriedExchanges.inc({ side: CarriedSide.Sender, outcome }),
-  });
   const reports = new EndpointReports({
     self,
     hosts: () => members.addresses(),
@@ -195,11 +183,11 @@
     zone: host.availability_zone,
     zoneOf: (address) => members.zoneOf(address),
     otherHosts: () => members.otherAddresses(),
-    carriedInFlight: () => 0,
+    carriedInFlight: (address) => carriers.inFlight(address),
     readyIn: (pool) => endpoints.readyInPool(pool, now()),
     endpointAt: (address) => endpoints.findByAddress(address),
     peers,
-    probe: createProbeReach(adapter.codec),
+    probe: createProbeReach(adapter.codec, translateAddress),
     onProbe: (outcome) => metrics.reachProbes.inc({ outcome }),
     onLost: (endpoint) => load.forEndpoint(endpoint).forgetFailures(),
     log,
@@ -208,6 +196,12 @@
     signal,
   });
   metrics.exportLostEndpoints(reachability);
+  const send = createEndpointSender({
+    routes: reachability,
+    carriers,
+    onCarried: (outcome) =>
+      metrics.carriedExchanges.inc({ side: CarriedSide.Sender, outcome }),
+  });
   const streamOrigins = new StreamOriginService({
     self,
     hosts: () => members.addresses(),
@@ -298,13 +292,14 @@
     responseLimits,
     reports,
     reachability,
+    isEndpointRefused,
     streamOrigins,
     syncOptions,
     configurationListeners,
     endpointListeners,
     agents,
     carriers,
-    routes,
+    routes: reachability,
     send,
     retryBudget: new PoolRetryBudgets(settings.repeats, () => members.count),
     now,
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -8,7 +8,6 @@
 import { HostLifecycleState } from "../lifecycle/host_lifecycle.ts";
 import { createMetricsServer } from "../metrics/metrics_server.ts";
 import { createGatewayPeerServer } from "../peers/gateway_peer_server.ts";
-import { isConnectionRefused } from "../quarantine/probe_endpoint.ts";
 import type { ExchangeCarrier } from "../relaying/exchange_carrier.ts";
 import type { Address } from "../settings/settings.ts";
 import type { BatchingComponents } from "./batching_components.ts";
@@ -42,7 +41,7 @@
     isEndpointRefused: (address) =>
       context.endpoints.findByAddress(address) === undefined
         ? Promise.resolve(true)
-        : isConnectionRefused(address),
+        : context.isEndpointRefused(address),
     handleNotice: (notice, route) =>
       context.quarantine.handleNotice(notice, route),
     changeRevisions: () =>
--- a/src/reachability/probe_reach.ts
+++ b/src/reachability/probe_reach.ts
@@ -5,7 +5,10 @@
   type ExchangeResult,
   sendRequest,
 } from "../endpoints/exchange.ts";
-import { StrictKeepAliveAgent } from "../endpoints/strict_keep_alive_agent.ts";
+import {
+  StrictKeepAliveAgent,
+  type TranslateAddress,
+} from "../endpoints/strict_keep_alive_agent.ts";
 import type { ProtocolCodec } from "../forwarding/protocol_codec.ts";
 import { ProbeOutcome } from "./endpoint_reach.ts";
 
@@ -25,9 +28,10 @@
 /** Creates a function that asks endpoints for their status. */
 export function createProbeReach(
   codec: Pick<ProtocolCodec, "encodeStatusRequest">,
+  translateAddress?: TranslateAddress,
 ): ProbeReach {
   return async (address) => {
-    const agent = new StrictKeepAliveAgent(1);
+    const agent = new StrictKeepAliveAgent(1, translateAddress);
     const expiry = new AbortController();
     const timer = setTimeout(() => expiry.abort(PROBE_OVER), PROBE_TIMEOUT_MS);
     try {
--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -35,6 +35,14 @@
   drain_timeout_s?: number;
   /** Through what gateway hosts reach the object store; nothing by default. */
   storeLink?: (address: string) => Promise<string>;
+  /**
+   * Through what a gateway host reaches the engines: resolves to the address to
+   * use for an engine's; nothing by default.
+   */
+  engineLinks?: (
+    gateway: number,
+    engines: Engine[],
+  ) => Promise<(address: string) => string>;
   /** Number of gateway hosts that read the object store themselves. */
   readers?: number;
   /** Memory of a gateway host. */
@@ -180,6 +188,10 @@
       `127.0.0.1:${port}`
     ) as [string, string, string, string];
     const logLines: string[] = [];
+    const translateAddress = await this.#options.engineLinks?.(
+      number,
+      [...this.engines.values()].flat(),
+    );
     const gateway = createGatewayHost(
       resolveGatewaySettings({
         host: {
@@ -203,6 +215,7 @@
         now: () => performance.now(),
         random: Math.random,
         writeLine: (line) => logLines.push(line),
+        ...(translateAddress === undefined ? {} : { translateAddress }),
       },
     );
     await gateway.start();
--- a/stand_ins/tcp_link.ts
+++ b/stand_ins/tcp_link.ts
@@ -19,8 +19,11 @@
 
 /** A proxy to one server. */
 export class TcpLink {
+  /** Connections accepted so far. */
+  accepted = 0;
   #server: Server;
   #connections = new Set<Connection>();
+  #port = 0;
   /** What new connections drop. */
   #droppedOnNew: Direction | undefined;
   #target: { host: string; port: number };
@@ -39,6 +42,7 @@
     if (address === null || typeof address === "string") {
       throw new Error("The link has no address");
     }
+    this.#port = address.port;
     return `127.0.0.1:${address.port}`;
   }
 
@@ -53,11 +57,26 @@
     for (const connection of this.#connections) connection.dropped = direction;
   }
 
+  /** Resets the open connections. */
+  resetOpen(): void {
+    for (const { sockets } of this.#connections) {
+      for (const socket of sockets) socket.resetAndDestroy();
+    }
+    this.#connections.clear();
+  }
+
+  /** Refuses new connections; open ones stay as they are. */
+  refuseNew(): void {
+    this.#server.close();
+  }
+
   /**
-   * Forwards the traffic of new connections again; open ones stay as they are.
+   * Accepts new connections and forwards their traffic again; open ones stay as
+   * they are.
    */
   heal(): void {
     this.#droppedOnNew = undefined;
+    if (!this.#server.listening) this.#server.listen(this.#port, "127.0.0.1");
   }
 
   /** Closes the listener and every connection. */
@@ -69,6 +88,7 @@
   }
 
   #proxy(client: Socket): void {
+    this.accepted += 1;
     const server = connect(this.#target);
     const connection = {
       dropped: this.#droppedOnNew,
