RECOVER: carried exchanges have bounded room of their own, and a still carrier is passed over

A carrier's callers shared its connections to an endpoint with carried exchanges; now those have connections of their own, and senders keep within their own share, so all hosts together keep within the endpoint's limit. A carrier confirms the receipt at once (102), so that one that stands still is told from a slow endpoint.

--- a/src/endpoints/exchange.ts
+++ b/src/endpoints/exchange.ts
@@ -31,6 +31,8 @@
   signal: AbortSignal;
   /** Id that the response must echo; undefined if it names no attempt. */
   attempt_id?: string | undefined;
+  /** Called with informational responses (1xx) to the request. */
+  onInformation?: () => void;
   /** Largest head section of the response; Node's own limit by default. */
   max_header_bytes?: number;
 }
@@ -145,6 +147,7 @@
     );
     // Neither an error nor a response follows a switch of protocols.
     clientRequest.on("close", () => resolveFailure("closed"));
+    clientRequest.on("information", () => endpointRequest.onInformation?.());
     clientRequest.on("response", (message) => {
       if (!hasRelayableHead(message)) {
         message.on("error", () => {});
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -47,6 +47,12 @@
 import { formatAddress } from "../settings/settings.ts";
 import { abortableDelay } from "../utils/delay.ts";
 
+/**
+ * Connections to an endpoint for carried exchanges, in shares of one host. Senders
+ * keep within their own shares, so together they keep within the endpoint's limit.
+ */
+const MAX_CARRIED_SHARE = 4;
+
 /** External dependencies of a gateway host. */
 export interface GatewayHostEnvironment {
   adapter: GatewayAdapter;
@@ -159,6 +165,10 @@
   const responseLimits = createLimits(BodyKind.Response);
   const agents = new EndpointAgents(() => members.count, translateAddress);
   const carriers = new CarrierConnections();
+  const carriedAgents = new EndpointAgents(
+    () => members.count / MAX_CARRIED_SHARE,
+    translateAddress,
+  );
   const reports = new EndpointReports({
     self,
     hosts: () => members.addresses(),
@@ -299,6 +309,7 @@
     endpointListeners,
     agents,
     carriers,
+    carriedAgents,
     routes: reachability,
     send,
     retryBudget: new PoolRetryBudgets(settings.repeats, () => members.count),
--- a/src/gateway/relaying_components.ts
+++ b/src/gateway/relaying_components.ts
@@ -13,6 +13,7 @@
   return new ExchangeCarrier({
     ...context,
     codec: context.adapter.codec,
+    agents: context.carriedAgents,
     pool,
     endpointAt: (address) => endpoints.findByAddress(address),
     isShuttingDown: () => lifecycle.isShuttingDown,
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -67,6 +67,7 @@
     }
     context.agents.close();
     context.carriers.close();
+    context.carriedAgents.close();
     context.peers.close();
     context.feedClients.close();
     context.store.close();
--- a/src/relaying/carrier_connections.ts
+++ b/src/relaying/carrier_connections.ts
@@ -7,23 +7,31 @@
 /** One keep-alive agent for each carrier, with the exchanges in flight there. */
 export class CarrierConnections {
   #agents = new Map<string, StrictKeepAliveAgent>();
-  #inFlight = new Map<string, number>();
+  /** Exchanges in flight, by carrier. */
+  #byCarrier = new Map<string, number>();
+  /** Exchanges in flight through any carrier, by address of the endpoint. */
+  #byEndpoint = new Map<string, number>();
 
   /** Number of exchanges of this host in flight through a carrier. */
-  inFlight(address: string): number {
-    return this.#inFlight.get(address) ?? 0;
+  inFlight(carrier: string): number {
+    return this.#byCarrier.get(carrier) ?? 0;
+  }
+
+  /** Number of exchanges in flight with an endpoint through other hosts. */
+  toEndpoint(address: string): number {
+    return this.#byEndpoint.get(address) ?? 0;
   }
 
   /** Counts an exchange; the returned function records its end. */
-  begin(address: string): () => void {
-    this.#inFlight.set(address, this.inFlight(address) + 1);
+  begin(carrier: string, endpointAddress: string): () => void {
     let ended = false;
+    add(this.#byCarrier, carrier, 1);
+    add(this.#byEndpoint, endpointAddress, 1);
     return () => {
       if (ended) return;
       ended = true;
-      const left = this.inFlight(address) - 1;
-      if (left > 0) this.#inFlight.set(address, left);
-      else this.#inFlight.delete(address);
+      add(this.#byCarrier, carrier, -1);
+      add(this.#byEndpoint, endpointAddress, -1);
     };
   }
 
@@ -47,3 +55,9 @@
     this.#agents.clear();
   }
 }
+
+function add(counts: Map<string, number>, key: string, change: number): void {
+  const count = (counts.get(key) ?? 0) + change;
+  if (count > 0) counts.set(key, count);
+  else counts.delete(key);
+}
--- a/src/relaying/endpoint_sender.ts
+++ b/src/relaying/endpoint_sender.ts
@@ -10,6 +10,7 @@
   type EndpointResponse,
   ExchangeOutcome,
   type ExchangeResult,
+  NO_CONNECTION,
   sendRequest,
 } from "../endpoints/exchange.ts";
 import type { EndpointRoutes } from "../reachability/types.ts";
@@ -61,6 +62,8 @@
 
 /** Carriers that are tried for one request while none has sent it. */
 const MAX_CARRIERS = 3;
+/** Time in which a carrier confirms the receipt of a request. */
+const RECEIPT_TIMEOUT_MS = 400;
 const HTTP_OK = 200;
 /** Refusals that hold for all endpoints. */
 const GENERAL_REFUSALS: ReadonlySet<CarrierRefusal> = new Set([
@@ -72,7 +75,7 @@
 export function createEndpointSender(
   options: EndpointSenderOptions,
 ): SendToEndpoint {
-  const { routes } = options;
+  const { routes, carriers } = options;
   return async (endpoint, request) => {
     if (endpoint === undefined) return await sendRequest(request);
     const avoid = new Set<string>();
@@ -84,6 +87,9 @@
     while (avoid.size < MAX_CARRIERS) {
       const carrier = routes.carrierFor(endpoint, { avoid });
       if (carrier === undefined) break;
+      if (carriers.toEndpoint(endpoint.address) >= request.agent.maxSockets) {
+        return { kind: ExchangeOutcome.NotSent, reason: NO_CONNECTION };
+      }
       const result = await carry(carrier, { endpoint, request }, options);
       if (result !== undefined) return result;
       avoid.add(carrier);
@@ -114,7 +120,11 @@
   { endpoint, request }: { endpoint: RouteEndpoint; request: EndpointRequest },
   { routes, carriers, onCarried }: EndpointSenderOptions,
 ): Promise<ExchangeResult | undefined> {
-  const end = carriers.begin(carrier);
+  const end = carriers.begin(carrier, endpoint.address);
+  const silence = setTimeout(
+    () => routes.recordCarrierFailure(carrier),
+    RECEIPT_TIMEOUT_MS,
+  );
   const fail = (outcome: CarriedResult) => {
     end();
     onCarried(outcome);
@@ -122,9 +132,11 @@
     carriers.closeIdle(carrier);
     routes.recordCarrierFailure(carrier);
   };
-  const result = await sendRequest(
-    encodeRequest(carrier, { endpoint, request, carriers }),
-  );
+  const result = await sendRequest({
+    ...encodeRequest(carrier, { endpoint, request, carriers }),
+    onInformation: () => clearTimeout(silence),
+  });
+  clearTimeout(silence);
   if (result.kind === ExchangeOutcome.NotSent) {
     fail(CarriedResult.CarrierLost);
     const { aborted } = request.signal;
--- a/src/relaying/exchange_carrier.ts
+++ b/src/relaying/exchange_carrier.ts
@@ -46,6 +46,7 @@
 export interface ExchangeCarrierOptions {
   codec: ProtocolCodec;
   routes: EndpointRoutes;
+  /** Connections for carried exchanges, apart from those of own callers. */
   agents: EndpointAgents;
   /** The pool of this name; undefined if it is not configured. */
   pool: (name: string) => RoutePool | undefined;
@@ -120,6 +121,8 @@
     signal: AbortSignal,
   ): Promise<void> {
     const { requestLimits, log } = this.#options;
+    // So that the sender can tell a slow endpoint from a carrier that is gone.
+    response.writeProcessing();
     const read = await readBytes(request, { limits: requestLimits });
     const held = read.kind === BytesReadKind.Complete ? read.held : undefined;
     try {
@@ -173,6 +176,7 @@
       });
     }
     const { kind, reason } = result;
+    if (!signal.aborted) agents.closeIdleConnections(address);
     this.#conclude(response, head, {
       kind: kind === ExchangeOutcome.NotSent
         ? CarriedOutcome.NotSent
--- a/test/relaying/endpoint_sender.test.ts
+++ b/test/relaying/endpoint_sender.test.ts
@@ -9,6 +9,7 @@
 } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { test, type TestContext } from "node:test";
+import { EndpointAgents } from "../../src/endpoints/endpoint_agents.ts";
 import {
   discardResponse,
   type EndpointResponse,
@@ -16,6 +17,7 @@
   type ExchangeResult,
   headerValue,
   isComplete,
+  NO_CONNECTION,
 } from "../../src/endpoints/exchange.ts";
 import {
   CarriedResult,
@@ -400,3 +402,53 @@
   discardResponse(response);
   await waitUntil(() => carriers.inFlight(host.address) === 0);
 });
+
+test("a carrier that stands still is passed over, though the exchange goes on", async (t) => {
+  const { endpoint } = await startEndpoint(
+    t,
+    (_request, response) => response.writeHead(200, own).end("late"),
+  );
+  const still = createTcpServer((socket) => socket.on("error", () => {}));
+  still.listen(0, "127.0.0.1");
+  await once(still, "listening");
+  t.after(() => still.close());
+  const { port } = still.address() as AddressInfo;
+  const routes = routesThrough([`127.0.0.1:${port}`]);
+  const { send } = createSender(t, routes);
+  const caller = new AbortController();
+  const pending = send(endpoint, { signal: caller.signal });
+  await waitUntil(() => routes.failures.length > 0, 1_000);
+  caller.abort("done");
+  assert.equal((await pending).kind, ExchangeOutcome.ResponseLost);
+});
+
+test("a carrier whose endpoint is slow is not passed over", async (t) => {
+  const { endpoint } = await startEndpoint(t, async (_request, response) => {
+    await sleep(800);
+    response.writeHead(200, own).end();
+  });
+  const host = await startCarrier(t, endpoint);
+  const routes = routesThrough([host.address]);
+  const { send } = createSender(t, routes);
+  await readAll(responseOf(await send(endpoint)));
+  assert.deepEqual(routes.failures, []);
+});
+
+test("a host has no more exchanges through others than connections of its own", async (t) => {
+  const { endpoint, open } = await startEndpoint(t, () => {});
+  const host = await startCarrier(t, endpoint);
+  const agents = new EndpointAgents(() => 1);
+  // Two connections for this host.
+  const agent = agents.agentFor(endpoint.address, 3);
+  const { send } = createSender(t, routesThrough([host.address]));
+  const caller = new AbortController();
+  const { signal } = caller;
+  const both = [1, 2].map(() => send(endpoint, { agent, signal }));
+  await waitUntil(() => open() === 2);
+  assert.deepEqual(await send(endpoint, { agent }), {
+    kind: ExchangeOutcome.NotSent,
+    reason: NO_CONNECTION,
+  });
+  caller.abort("done");
+  await Promise.all(both);
+});
