RECOVER: stages move away from a batcher that is cut off from their endpoints

Such a batcher now hands back the jobs without a part under way or computed and accepts none for that pool; others pass it over for the pool for 3 s, and if all batchers are cut off the next host of the ranking of all takes the jobs. Calls that were lost with the way count neither as failures of the endpoint nor of the job; what the batcher held against endpoints is forgotten at the loss.

Partly computed jobs stay at their batcher and go on by way of carriers.

--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -4,7 +4,12 @@
  * is harmless, so the assignment needs no consensus: while two hosts batch for
  * one pool, the only cost is that each call holds fewer pieces.
  */
-import type { BatchLimits } from "../routes/types.ts";
+import {
+  type BatchLimits,
+  type RouteEndpoint,
+  RouteEndpointState,
+} from "../routes/types.ts";
+import { endpointsOfShard } from "./pool_shards.ts";
 import { createRefusal, findUnservableJobs } from "./admit_job.ts";
 import { CallRunner, type CallRunnerOptions } from "./call_runner.ts";
 import { JobAdmission } from "./job_admission.ts";
@@ -41,11 +46,14 @@
       | "client"
       | "freeAtBatcher"
       | "hasCrashed"
+      | "isLostSince"
       | "onCompleted"
       | "onUnwantedCall"
       | "log"
       | "now"
     > {
+  /** Whether this host has lost nearly all of these endpoints, not so others. */
+  isCutOffFrom: (endpoints: readonly RouteEndpoint[]) => boolean;
 }
 
 /** Delay before the next dispatch while pieces are waiting. */
@@ -58,6 +66,11 @@
   kind: JobOutcomeKind.Failed,
   reason: "cancelled",
 };
+/** The job's endpoints are out of this host's reach. */
+const OUT_OF_REACH: JobOutcome = {
+  kind: JobOutcomeKind.HandedBack,
+  cut_off: true,
+};
 
 /** Batches and runs the stage jobs of the pools assigned to this host. */
 export class Batcher {
@@ -90,21 +103,44 @@
   }
 
   /**
-   * Runs a job sent by another host. While this host drains, or does not know the
-   * pool yet, the job is handed back so that the sender picks another batcher.
+   * Runs a job sent by another host. While this host drains, does not know the
+   * pool yet or is cut off from it, the job is handed back so that the sender
+   * picks another batcher.
    */
   runForPeer(job: StageJob, signal: AbortSignal): Promise<JobOutcome> {
     if (this.#draining || this.#options.pool(job.pool) === undefined) {
       return Promise.resolve({ kind: JobOutcomeKind.HandedBack });
     }
-    return this.run(job, signal);
+    return this.run(job, signal, { mayHandBack: true });
+  }
+
+  /** Whether this host is cut off from the endpoints of a pool or a shard. */
+  isCutOff({ pool, shard }: { pool: string; shard?: string }): boolean {
+    const { endpoints, isCutOffFrom } = this.#options;
+    const ready = endpointsOfShard(endpoints(pool), shard)
+      .filter(({ state }) => state === RouteEndpointState.Ready);
+    return ready.length > 0 && isCutOffFrom(ready);
+  }
+
+  /** Forgets failures of calls to an endpoint that this host has lost. */
+  forgetFailures({ id, born_ms, pool }: RouteEndpoint): void {
+    for (const queue of this.#queues.values()) {
+      if (queue.pool !== pool) continue;
+      queue.trackers.get(`${id}/${born_ms}`)?.forgetFailures();
+      this.#dispatchSoon(queue);
+    }
   }
 
   /**
-   * Runs a job of this host, also while it drains. The job fails with reason
-   * `cancelled` when the signal aborts.
+   * Runs a job, also while this host drains. The job fails with reason `cancelled`
+   * when the signal aborts. With `mayHandBack` it is handed back if this host is
+   * cut off from its endpoints.
    */
-  run(offered: StageJob, signal: AbortSignal): Promise<JobOutcome> {
+  run(
+    offered: StageJob,
+    signal: AbortSignal,
+    { mayHandBack = false }: { mayHandBack?: boolean } = {},
+  ): Promise<JobOutcome> {
     const limits = this.#options.pool(offered.pool)?.batch;
     if (limits === undefined) {
       return Promise.resolve({
@@ -114,6 +150,9 @@
     }
     const queue = this.#queueOf(offered);
     if (signal.aborted) return Promise.resolve(CANCELLED);
+    if (mayHandBack && this.isCutOff(offered)) {
+      return Promise.resolve(OUT_OF_REACH);
+    }
     const { job, refusal } = this.#admission.admit(offered, { queue, limits });
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((resolve) => {
@@ -121,6 +160,7 @@
       const queued = createQueuedJob(job, {
         now_ms,
         inputs_kept_ms: this.#inputsKeptMs(job),
+        may_hand_back: mayHandBack,
       }, resolve);
       queue.rates.recordArrival(
         job.pieces.length,
@@ -216,6 +256,7 @@
     if (limits === undefined) return;
     const now_ms = this.#options.now();
     this.#dropExpired(queue, now_ms);
+    this.#handBackIfCutOff(queue);
     this.#refuseUnservable(queue, { limits, now_ms });
     if (queue.jobs.size === 0) return;
     if (!this.#startCalls(queue, { limits, now_ms })) {
@@ -280,6 +321,25 @@
     }
   }
 
+  /** Hands back jobs without a part that is under way or computed. */
+  #handBackIfCutOff(queue: PoolQueue): void {
+    if (queue.jobs.size === 0 || !this.isCutOff(queue)) return;
+    const handedBack = [...queue.jobs].filter((queued) =>
+      queued.may_hand_back &&
+      queued.waiting.length === queued.job.pieces.length
+    );
+    if (handedBack.length === 0) return;
+    this.#options.log.warn({
+      event: "jobs_handed_back",
+      pool: queue.pool,
+      shard: queue.shard,
+      jobs: handedBack.length,
+    });
+    for (const queued of handedBack) {
+      this.#finishJob(queued, queue, OUT_OF_REACH);
+    }
+  }
+
   /** Refuses waiting jobs that a burst of jobs on time leaves no room for. */
   #refuseUnservable(
     queue: PoolQueue,
--- a/src/batching/call_runner.ts
+++ b/src/batching/call_runner.ts
@@ -1,6 +1,6 @@
 /** Runs a batcher's calls to endpoints and handles what comes of them. */
 import type { Logger } from "../logging/logger.ts";
-import type { BatchLimits } from "../routes/types.ts";
+import type { BatchLimits, RouteEndpoint } from "../routes/types.ts";
 import type { TakenPieces } from "./backlog_rates.ts";
 import { type BrokenCall, recordCrash } from "./crashed_calls.ts";
 import type { EndedCall, EndpointTracker } from "./endpoint_tracker.ts";
@@ -47,6 +47,8 @@
    * has crashed.
    */
   hasCrashed: (call: BrokenCall) => Promise<boolean>;
+  /** Whether this host has lost its way to an endpoint since a time. */
+  isLostSince: (endpoint: RouteEndpoint, since_ms: number) => boolean;
   /** Called when endpoints have computed all pieces of a job. */
   onCompleted: (job: StageJob) => void;
   /** Receives how long a call went on for nobody, in milliseconds. */
@@ -183,6 +185,11 @@
       pieces: batch.length,
       elapsed_ms: now_ms - started_ms,
     };
+    if (this.#isLost(call, result)) {
+      tracker.loseCall(ended);
+      for (const { queued, piece } of batch) queued.waiting.unshift(piece);
+      return;
+    }
     switch (result.kind) {
       case PieceCallResultKind.Answered:
         tracker.recordAnswer(now_ms);
@@ -209,6 +216,17 @@
     }
   }
 
+  /** Whether a call failed with this host's way to the endpoint. */
+  #isLost(
+    { tracker, started_ms }: StartedCall,
+    { kind }: PieceCallResult,
+  ): boolean {
+    const hasFailed = kind === PieceCallResultKind.Failed ||
+      kind === PieceCallResultKind.TimedOut;
+    return hasFailed &&
+      this.#options.isLostSince(tracker.endpoint, started_ms);
+  }
+
   /** Finds out whether the endpoint has crashed, and limits what its jobs may do. */
   async #handleBroken(
     { queue, tracker, planned, started_ms }: StartedCall,
--- a/src/batching/endpoint_tracker.ts
+++ b/src/batching/endpoint_tracker.ts
@@ -204,6 +204,22 @@
     this.#addUnknownResult(bytes, busyUntil_ms + limits.retention_ms);
   }
 
+  /** Records a call that was lost with this host's way to the endpoint. */
+  loseCall({ bytes }: Pick<EndedCall, "bytes">): void {
+    this.#endCall(bytes);
+  }
+
+  /** Forgets failures that were this host's own and not the endpoint's. */
+  forgetFailures(): void {
+    this.#silence = new EndpointSilence();
+    this.#patience = 1;
+    this.#consecutiveFailures = 0;
+    this.#backoffUntil_ms = 0;
+    if (!this.#slownessAssumed) return;
+    this.slowness = 1;
+    this.#slownessAssumed = false;
+  }
+
   /** Records a response to any call. */
   recordAnswer(now_ms: number): void {
     this.#silence.recordAnswer(now_ms);
--- a/src/batching/job_router.ts
+++ b/src/batching/job_router.ts
@@ -1,7 +1,8 @@
 /**
  * Routes stage jobs to the host that batches for their pool: the first live
- * host in a rendezvous ranking. If it does not respond, the next one is used,
- * and this host itself if all others fail. Hosts need not agree on the batcher:
+ * host in a rendezvous ranking. If it does not respond, or is cut off from the
+ * pool's endpoints, the next one is used; if all are cut off, one that doesn't
+ * batch otherwise, and this host itself if all others fail. Hosts need not agree on the batcher:
  * running a job twice costs work but not correctness.
  */
 import type { Logger } from "../logging/logger.ts";
@@ -45,6 +46,8 @@
   self: string;
   /** Addresses of the hosts that may batch, this one included. */
   batchers: () => readonly string[];
+  /** Addresses of all hosts, this one included. */
+  hosts: () => readonly string[];
   /** This host's own batcher. */
   local: Batcher;
   peers: BatcherPeers;
@@ -78,6 +81,8 @@
   pending: Set<AbortController>;
   /** Until when the host gets no jobs, in monotonic milliseconds. */
   avoid_until_ms: number;
+  /** Until when it gets no jobs of a pool or shard that it doesn't reach. */
+  cutOffUntil_ms: Map<string, number>;
   /** When it last returned an outcome, in monotonic milliseconds. */
   last_outcome_ms: number;
 }
@@ -121,10 +126,14 @@
       };
       if (current.expires_in_ms <= 0) break;
       const outcome = batcher === self
-        ? await local.run(current, signal)
+        ? await local.run(current, signal, {
+          mayHandBack: !this.#isCutOff(self, keyOf(job.pool, shard)),
+        })
         : await this.#runAt(batcher, current, signal);
       if (outcome?.kind === JobOutcomeKind.HandedBack) {
-        this.#avoid(batcher);
+        if (outcome.cut_off === true) {
+          this.#avoidFor(batcher, keyOf(job.pool, shard));
+        } else this.#avoid(batcher);
         continue;
       }
       if (outcome !== undefined) {
@@ -230,11 +239,30 @@
 
   /** Address of the host that, as seen from here, batches a pool or shard. */
   batcherOf(pool: string, shard?: string): string {
-    const now_ms = this.#options.now();
-    const key = shard === undefined ? pool : `${pool}/${shard}`;
-    return this.#rankingFor(key).find((address) =>
-      (this.#peerStates.get(address)?.avoid_until_ms ?? 0) <= now_ms
-    ) ?? this.#options.self;
+    const { self, hosts, local } = this.#options;
+    const key = keyOf(pool, shard);
+    const ranking = this.#rankingFor(key);
+    const selfIsCutOff = local.isCutOff({ pool, shard });
+    const isUsable = (address: string) =>
+      !this.#isAvoided(address) && !this.#isCutOff(address, key) &&
+      !(address === self && selfIsCutOff);
+    const batcher = ranking.find(isUsable);
+    if (batcher !== undefined) return batcher;
+    const isOutOfReach = selfIsCutOff ||
+      ranking.some((address) => this.#isCutOff(address, key));
+    if (!isOutOfReach) return self;
+    return rankCandidates(key, hosts()).find(isUsable) ?? self;
+  }
+
+  #isAvoided(address: string): boolean {
+    const { avoid_until_ms = 0 } = this.#peerStates.get(address) ?? {};
+    return avoid_until_ms > this.#options.now();
+  }
+
+  /** Whether a host said lately that it doesn't reach a pool's endpoints. */
+  #isCutOff(address: string, key: string): boolean {
+    const until_ms = this.#peerStates.get(address)?.cutOffUntil_ms.get(key);
+    return (until_ms ?? 0) > this.#options.now();
   }
 
   #rankingFor(key: string): readonly string[] {
@@ -280,6 +308,7 @@
     const created = {
       pending: new Set<AbortController>(),
       avoid_until_ms: 0,
+      cutOffUntil_ms: new Map<string, number>(),
       last_outcome_ms: -Infinity,
     };
     this.#peerStates.set(address, created);
@@ -308,6 +337,14 @@
     this.#peerStateAt(address).avoid_until_ms = now() + AVOID_DURATION_MS;
   }
 
+  /** Sends a host no jobs of a pool or shard for a while. */
+  #avoidFor(address: string, key: string): void {
+    const { now, log } = this.#options;
+    log.warn({ event: "batcher_cut_off", peer: address, queue: key });
+    const until_ms = now() + AVOID_DURATION_MS;
+    this.#peerStateAt(address).cutOffUntil_ms.set(key, until_ms);
+  }
+
   /** Avoids a host and aborts the calls that are pending there. */
   #suspect(address: string, peer: PeerState, reason: string): void {
     const { now, log } = this.#options;
@@ -319,3 +356,8 @@
     for (const aborter of [...peer.pending]) aborter.abort();
   }
 }
+
+/** Names a pool or one shard of it. */
+function keyOf(pool: string, shard: string | undefined): string {
+  return shard === undefined ? pool : `${pool}/${shard}`;
+}
--- a/src/batching/pool_queue.ts
+++ b/src/batching/pool_queue.ts
@@ -22,6 +22,8 @@
   unfinished: number;
   /** Failed attempts of all pieces together. */
   failures: number;
+  /** Whether another batcher may run it, if this one is cut off. */
+  may_hand_back: boolean;
   /** Endpoints that crashed during calls for its pieces. */
   crashes: number;
   /** Calls in flight for its pieces. */
@@ -76,7 +78,11 @@
 /** Creates a job's queue entry; `resolve` is called once, with its outcome. */
 export function createQueuedJob(
   job: StageJob,
-  { now_ms, inputs_kept_ms }: { now_ms: number; inputs_kept_ms: number },
+  { now_ms, inputs_kept_ms, may_hand_back }: {
+    now_ms: number;
+    inputs_kept_ms: number;
+    may_hand_back: boolean;
+  },
   resolve: (outcome: JobOutcome) => void,
 ): QueuedJob {
   return {
@@ -97,6 +103,7 @@
     results: job.pieces.map(() => undefined),
     unfinished: job.pieces.length,
     failures: 0,
+    may_hand_back,
     crashes: 0,
     max_call_jobs: Infinity,
     calls: new Set(),
--- a/src/batching/types.ts
+++ b/src/batching/types.ts
@@ -105,8 +105,12 @@
   | { kind: JobOutcomeKind.Refused; retry_after_ms: number; wait_ms: number }
   /** An endpoint no longer has a result that the job reads. */
   | { kind: JobOutcomeKind.InputsGone }
-  /** Its batcher drains and has not started it: another one should run it. */
-  | { kind: JobOutcomeKind.HandedBack }
+  /** Its batcher has no part of it and can't run it: another one should. */
+  | {
+    kind: JobOutcomeKind.HandedBack;
+    /** Whether that holds for the job's pool or shard only: it is out of reach. */
+    cut_off?: boolean;
+  }
   /** It expired, was cancelled, or its pieces failed too often. */
   | { kind: JobOutcomeKind.Failed; reason: string };
 
--- a/src/gateway/batching_components.ts
+++ b/src/gateway/batching_components.ts
@@ -39,6 +39,9 @@
     freeAtBatcher: (freed) => jobRouter.free(freed),
     laterLoad: (name) => knownLoads.loadOf(name),
     ...createCrashRecorder(context.quarantine),
+    isCutOffFrom: (all) => context.reachability.isCutOffFrom(all),
+    isLostSince: (endpoint, since_ms) =>
+      context.reachability.isLostSince(endpoint, since_ms),
     onUnwantedCall: (unwanted_ms) =>
       context.metrics.workAfterCallerLeft.observe(
         { work: "stage_call" },
@@ -47,10 +50,12 @@
     log,
     now,
   });
+  context.lossListeners.push((endpoint) => batcher.forgetFailures(endpoint));
   const waits = new PoolWaits();
   const jobRouter: JobRouter = new JobRouter({
     self: context.self,
     batchers: () => members.batchers(context.lifecycle.isShuttingDown),
+    hosts: () => members.addresses(),
     local: batcher,
     peers,
     waits,
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -39,6 +39,7 @@
 import { PoolRetryBudgets } from "../routing/repeat_budget.ts";
 import { createProbeReach } from "../reachability/probe_reach.ts";
 import { ReachabilityService } from "../reachability/reachability_service.ts";
+import type { RouteEndpoint } from "../routes/types.ts";
 import { StreamOriginService } from "../stream_origins/stream_origin_service.ts";
 import type { GatewaySettings } from "../settings/gateway_settings.ts";
 import { formatAddress } from "../settings/settings.ts";
@@ -83,6 +84,7 @@
   const metrics = new ForwardMetrics(() => quarantine.entries.all().length);
   const configurationListeners: StoreSyncOptions["configurationListeners"] = [];
   const endpointListeners: StoreSyncOptions["endpointListeners"] = [];
+  const lossListeners: ((endpoint: RouteEndpoint) => void)[] = [];
   const configuration = new ActiveConfiguration((table, source) => {
     const { version } = table.configuration;
     log.info({ event: "configuration", version, source });
@@ -171,7 +173,10 @@
     peers,
     probe: createProbeReach(adapter.codec),
     onProbe: (outcome) => metrics.reachProbes.inc({ outcome }),
-    onLost: (endpoint) => load.forEndpoint(endpoint).forgetFailures(),
+    onLost(endpoint) {
+      load.forEndpoint(endpoint).forgetFailures();
+      for (const listener of lossListeners) listener(endpoint);
+    },
     log,
     now,
     random,
@@ -272,6 +277,7 @@
     syncOptions,
     configurationListeners,
     endpointListeners,
+    lossListeners,
     agents,
     retryBudget: new PoolRetryBudgets(settings.repeats, () => members.count),
     now,
--- a/src/reachability/endpoint_reach.ts
+++ b/src/reachability/endpoint_reach.ts
@@ -67,6 +67,8 @@
   failed: FailedAttempt | undefined;
   /** Start of the attempt without bytes that showed its loss. */
   lost_from_ms = -Infinity;
+  /** When it was known to be lost. */
+  lost_ms = -Infinity;
   /** Questions to other hosts during or after the last attempt. */
   questions = 0;
   /** When the next attempt is due. */
@@ -143,6 +145,7 @@
   /** Records that others reach the endpoint and this host doesn't. */
   recordLost(now_ms: number): void {
     this.state = ReachState.Lost;
+    this.lost_ms = now_ms;
     this.lost_from_ms = this.failed?.from_ms ?? now_ms;
     this.#returnPause_ms = now_ms - this.#returned_ms < SOON_MS
       ? Math.min(MAX_RETURN_PAUSE_MS, 2 * this.#returnPause_ms)
--- a/src/reachability/reachability_service.ts
+++ b/src/reachability/reachability_service.ts
@@ -30,6 +30,8 @@
 /** Dependencies of a {@linkcode ReachabilityService}. */
 export interface ReachabilityServiceOptions
   extends Omit<ReachableEndpointsOptions, "isInService" | "onReturn"> {
+  /** The ready endpoints of a pool. */
+  readyIn: (pool: string) => readonly RouteEndpoint[];
   /** Addresses of the other hosts. */
   otherHosts: () => readonly string[];
   /** The endpoint at an address; undefined if it is unknown. */
@@ -117,7 +119,17 @@
 
   /** Whether this host has lost nearly all endpoints of a pool. */
   isCutOff(pool: string): boolean {
-    return this.#endpoints.isCutOff(pool, this.#options.now());
+    return this.isCutOffFrom(this.#options.readyIn(pool));
+  }
+
+  /** Whether this host has lost nearly all of these endpoints. */
+  isCutOffFrom(endpoints: readonly RouteEndpoint[]): boolean {
+    return this.#endpoints.isCutOffFrom(endpoints, this.#options.now());
+  }
+
+  /** Whether an endpoint is lost, and was found to be since a time. */
+  isLostSince(endpoint: RouteEndpoint, since_ms: number): boolean {
+    return this.#endpoints.isLostSince(endpoint, since_ms);
   }
 
   /** Whether others reach an endpoint and this host doesn't. */
--- a/src/reachability/reachable_endpoints.ts
+++ b/src/reachability/reachable_endpoints.ts
@@ -19,8 +19,6 @@
 
 /** Dependencies of {@linkcode ReachableEndpoints}. */
 export interface ReachableEndpointsOptions extends KnownCarriersOptions {
-  /** The ready endpoints of a pool. */
-  readyIn: (pool: string) => readonly RouteEndpoint[];
   /** Whether an incarnation is still in service. */
   isInService: (endpoint: RouteEndpoint) => boolean;
   /** Called when this host has lost an endpoint that others reach. */
@@ -273,10 +271,17 @@
     return isLost && this.carriers.carriersOf(incarnation, now_ms).length > 0;
   }
 
-  /** Whether this host has lost nearly all endpoints of a pool. */
-  isCutOff(pool: string, now_ms: number): boolean {
+  /** Whether an endpoint is lost, and was found to be since a time. */
+  isLostSince(endpoint: RouteEndpoint, since_ms: number): boolean {
+    const reach = this.#reaches.get(incarnationOf(endpoint));
+    if (reach?.state === ReachState.Lost) return reach.lost_ms >= since_ms;
+    if (!this.#hasLostAll()) return false;
+    return [...this.#lost].some(({ lost_ms }) => lost_ms >= since_ms);
+  }
+
+  /** Whether this host has lost nearly all of these endpoints. */
+  isCutOffFrom(ready: readonly RouteEndpoint[], now_ms: number): boolean {
     if (this.#lost.size === 0) return false;
-    const ready = this.#options.readyIn(pool);
     const lost = ready.filter((endpoint) =>
       this.isOutOfReach(endpoint, now_ms)
     );
--- a/test/batching/burst_replay.test.ts
+++ b/test/batching/burst_replay.test.ts
@@ -75,6 +75,8 @@
     },
     freeAtBatcher: () => {},
     laterLoad: () => undefined,
+    isCutOffFrom: () => false,
+    isLostSince: () => false,
     hasCrashed: () => Promise.resolve(false),
     onCompleted: () => {},
     onUnwantedCall: () => {},
--- a/test/batching/job_router.test.ts
+++ b/test/batching/job_router.test.ts
@@ -66,6 +66,8 @@
     },
     freeAtBatcher: () => {},
     laterLoad: () => undefined,
+    isCutOffFrom: () => false,
+    isLostSince: () => false,
     hasCrashed: () => Promise.resolve(false),
     onCompleted: () => {},
     onUnwantedCall: () => {},
@@ -75,6 +77,7 @@
   return new JobRouter({
     self: "self",
     batchers: () => hosts,
+    hosts: () => [...hosts, "self"],
     local,
     peers,
     waits,
--- a/test/batching/pipeline_replay.ts
+++ b/test/batching/pipeline_replay.ts
@@ -188,6 +188,8 @@
       },
       freeAtBatcher: (freed) => router.free(freed),
       laterLoad: (name) => loads.loadOf(name),
+      isCutOffFrom: () => false,
+      isLostSince: () => false,
       hasCrashed: () => Promise.resolve(false),
       onCompleted: () => {},
       onUnwantedCall: () => {},
@@ -197,6 +199,7 @@
     const router: JobRouter = new JobRouter({
       self,
       batchers: () => batchers,
+      hosts: () => batchers,
       local: batcher,
       peers: this.#createPeers(),
       waits: new PoolWaits(),
--- a/test/reachability/reachable_endpoints.test.ts
+++ b/test/reachability/reachable_endpoints.test.ts
@@ -56,12 +56,12 @@
         const address = fleet.hosts.slice(3).map((each) => each.address);
         assert.ok(address.includes(carrier));
       }
-      assert.ok(host.state.isCutOff("desk", fleet.now_ms));
-      assert.ok(host.state.isCutOff("model", fleet.now_ms));
+      assert.ok(fleet.isCutOff(host, "desk"));
+      assert.ok(fleet.isCutOff(host, "model"));
     }
     for (const host of fleet.hosts.slice(3)) {
       assert.equal(host.state.lostCount, 0);
-      assert.ok(!host.state.isCutOff("desk", fleet.now_ms));
+      assert.ok(!fleet.isCutOff(host, "desk"));
     }
   });
 
@@ -82,8 +82,8 @@
       host === fleet.host(0) && pool === "desk" ? path : Path.Open;
     fleet.run(CONTACT_MS - 500, { per_s: 30 });
     const { state } = fleet.host(0);
-    assert.ok(state.isCutOff("desk", fleet.now_ms));
-    assert.ok(!state.isCutOff("model", fleet.now_ms));
+    assert.ok(fleet.isCutOff(fleet.host(0), "desk"));
+    assert.ok(!fleet.isCutOff(fleet.host(0), "model"));
     for (const endpoint of fleet.endpoints) {
       assert.equal(
         state.isOutOfReach(endpoint, fleet.now_ms),
@@ -102,7 +102,7 @@
     const { state, losses } = fleet.host(0);
     assert.deepEqual([...losses.keys()], ["desk-2"]);
     assert.equal(state.lostCount, 1);
-    assert.ok(!state.isCutOff("desk", fleet.now_ms));
+    assert.ok(!fleet.isCutOff(fleet.host(0), "desk"));
   });
 
   test(`after the cut (${path}) all goes directly again within 3 s`, () => {
--- a/test/reachability/simulated_hosts.ts
+++ b/test/reachability/simulated_hosts.ts
@@ -72,7 +72,6 @@
       zone,
       zoneOf: (address) => fleet.hostAt(address)?.zone,
       carriedInFlight: () => 0,
-      readyIn: (pool) => fleet.endpoints.filter((each) => each.pool === pool),
       isInService: () => true,
       onLost: ({ id }) => addTo(this.losses, id, fleet.now_ms),
       onReturn: ({ id }) => addTo(this.returns, id, fleet.now_ms),
@@ -104,6 +103,12 @@
     this.#byAddress = new Map(this.hosts.map((host) => [host.address, host]));
   }
 
+  /** Whether a host has lost a pool. */
+  isCutOff(host: SimulatedHost, pool: string): boolean {
+    const ready = this.endpoints.filter((each) => each.pool === pool);
+    return host.state.isCutOffFrom(ready, this.now_ms);
+  }
+
   /** The host at an address. */
   hostAt(address: string): SimulatedHost | undefined {
     return this.#byAddress.get(address);
