RECOVER: a host that stood still doesn't take its attempts for the endpoint's

Attempts that time out while this host itself stood still tell nothing and are made again; a whole pool counts as lost once several of its endpoints are, and each other one is tried apart, so that large pools are found out in time.

--- a/src/reachability/endpoint_reach.ts
+++ b/src/reachability/endpoint_reach.ts
@@ -35,6 +35,7 @@
 
 /** A direct exchange that has not ended. */
 export interface OpenExchange {
+  reach: EndpointReach;
   began_ms: number;
   /** When its last bytes came; -Infinity before the first. */
   heard_ms: number;
--- a/src/reachability/reachability_service.ts
+++ b/src/reachability/reachability_service.ts
@@ -48,6 +48,10 @@
 }
 
 const STEP_INTERVAL_MS = 100;
+/** A step that is this late shows that this host stood still. */
+const MAX_STEP_DELAY_MS = 200;
+/** Reason of a failure that may be this host's own. */
+const STOOD_STILL = "stood_still";
 /** Attempts for other hosts at a time. */
 const MAX_PROBES_FOR_OTHERS = 8;
 /** An attempt for others that failed holds for this long. */
@@ -62,6 +66,9 @@
   #options: ReachabilityServiceOptions;
   #endpoints: ReachableEndpoints;
   #stepIsDue = false;
+  #stepped_ms = Infinity;
+  /** When this host last went on after a stand-still. */
+  #stoodStill_ms = -Infinity;
   /** Attempts for others under way or failed lately, by incarnation. */
   #probesForOthers = new Map<string, Promise<ProbeOutcome>>();
 
@@ -77,13 +84,22 @@
 
   /** Watches exchanges until this host stops. */
   async run(): Promise<void> {
-    const { signal } = this.#options;
+    const { signal, now } = this.#options;
+    this.#stepped_ms = now();
     while (!signal.aborted) {
       await abortableDelay(STEP_INTERVAL_MS, signal);
+      if (this.#stoodStillSince(now())) this.#stoodStill_ms = now();
+      this.#stepped_ms = now();
       this.#step();
     }
   }
 
+  /** Whether this host stood still at a time or since. */
+  #stoodStillSince(since_ms: number): boolean {
+    const late_ms = this.#options.now() - this.#stepped_ms - STEP_INTERVAL_MS;
+    return late_ms > MAX_STEP_DELAY_MS || this.#stoodStill_ms >= since_ms;
+  }
+
   /** The host through which an exchange goes; undefined if it goes directly. */
   carrierFor(
     endpoint: RouteEndpoint,
@@ -103,12 +119,16 @@
     });
     return {
       lost: lost.signal,
-      recordBytes: () => this.#endpoints.recordBytes(endpoint, exchange, now()),
+      recordBytes: () => this.#endpoints.recordBytes(exchange, now()),
       recordFailure: (reason) => {
-        this.#endpoints.recordFailure(endpoint, reason, now());
+        // After a stand-still, connections time out that were made meanwhile.
+        const known = this.#stoodStillSince(now() - STEP_INTERVAL_MS)
+          ? STOOD_STILL
+          : reason;
+        this.#endpoints.recordFailure(exchange, known, now());
         this.#stepSoon();
       },
-      end: () => this.#endpoints.end(endpoint, exchange),
+      end: () => this.#endpoints.end(exchange),
     };
   }
 
@@ -222,9 +242,13 @@
 
   async #probe(endpoint: RouteEndpoint): Promise<void> {
     const { probe, now, onProbe } = this.#options;
+    const started_ms = now();
     const outcome = await probe(endpoint.address);
     onProbe(outcome);
-    this.#endpoints.recordProbe(endpoint, outcome, now());
+    const tellsNothing = outcome !== ProbeOutcome.Reached &&
+      this.#stoodStillSince(started_ms);
+    if (tellsNothing) this.#endpoints.recordInterrupted(endpoint, now());
+    else this.#endpoints.recordProbe(endpoint, outcome, now());
     this.#step();
   }
 
--- a/src/reachability/reachable_endpoints.ts
+++ b/src/reachability/reachable_endpoints.ts
@@ -72,7 +72,7 @@
 const ENOUGH_CARRIERS = 6;
 /** A host is cut off from a pool if it has lost this share of its endpoints. */
 const CUT_OFF_SHARE = 0.8;
-/** Endpoints lost in one silence of all from which it holds for the others. */
+/** Endpoints lost in one silence from which the others count as lost too. */
 const MIN_LOST_OF_ALL = 2;
 /** Reached endpoints that were not used for this long are forgotten. */
 const FORGET_AFTER_MS = 60_000;
@@ -93,6 +93,8 @@
   #options: ReachableEndpointsOptions;
   /** When bytes last came directly from any endpoint. */
   #heard_ms = -Infinity;
+  /** The same, by pool. */
+  #poolHeard_ms = new Map<string, number>();
   #hostSilence_ms = HOST_SILENCE_MS;
   #asked_ms = -Infinity;
   #returnProbe_ms = -Infinity;
@@ -108,46 +110,42 @@
     endpoint: RouteEndpoint,
     { now_ms, onLost }: { now_ms: number; onLost: () => void },
   ): OpenExchange {
-    const exchange = { began_ms: now_ms, heard_ms: -Infinity, onLost };
-    this.#reachOf(endpoint).exchanges.add(exchange);
+    const reach = this.#reachOf(endpoint);
+    const exchange = { reach, began_ms: now_ms, heard_ms: -Infinity, onLost };
+    reach.exchanges.add(exchange);
     return exchange;
   }
 
   /** Records bytes of a direct exchange. */
-  recordBytes(
-    endpoint: RouteEndpoint,
-    exchange: OpenExchange,
-    now_ms: number,
-  ): void {
-    const reach = this.#reachOf(endpoint);
+  recordBytes(exchange: OpenExchange, now_ms: number): void {
+    const { reach, began_ms } = exchange;
     exchange.heard_ms = now_ms;
     // A connection from before the loss may live on while new ones are refused.
-    if (
-      reach.state === ReachState.Lost && exchange.began_ms <= reach.lost_from_ms
-    ) return;
+    const isOld = began_ms <= reach.lost_from_ms;
+    if (reach.state === ReachState.Lost && isOld) return;
     this.#recordReached(reach, now_ms);
   }
 
   /** Records that a direct exchange failed. */
   recordFailure(
-    endpoint: RouteEndpoint,
+    { reach }: OpenExchange,
     reason: string,
     now_ms: number,
   ): void {
-    const reach = this.#reachOf(endpoint);
-    if (reason === REFUSED_REASON || NO_CONNECTION_REASONS.has(reason)) {
-      if (reach.state === ReachState.Lost || reach.failed !== undefined) return;
-      const outcome = reason === REFUSED_REASON
-        ? ProbeOutcome.Refused
-        : ProbeOutcome.NoConnection;
-      reach.questions = 0;
-      reach.recordFailed({ outcome, from_ms: now_ms, until_ms: now_ms });
-    } else reach.doubt(now_ms);
+    if (reason !== REFUSED_REASON && !NO_CONNECTION_REASONS.has(reason)) {
+      return reach.doubt(now_ms);
+    }
+    if (reach.state === ReachState.Lost || reach.failed !== undefined) return;
+    const outcome = reason === REFUSED_REASON
+      ? ProbeOutcome.Refused
+      : ProbeOutcome.NoConnection;
+    reach.questions = 0;
+    reach.recordFailed({ outcome, from_ms: now_ms, until_ms: now_ms });
   }
 
   /** Records that a direct exchange has ended. */
-  end(endpoint: RouteEndpoint, exchange: OpenExchange): void {
-    this.#reachOf(endpoint).exchanges.delete(exchange);
+  end(exchange: OpenExchange): void {
+    exchange.reach.exchanges.delete(exchange);
   }
 
   /** Takes the endpoints that are to be tried now. */
@@ -191,6 +189,13 @@
     this.#decide(reach, now_ms);
   }
 
+  /** Records an attempt that tells nothing, as this host stood still. */
+  recordInterrupted(endpoint: RouteEndpoint, now_ms: number): void {
+    const reach = this.#reachOf(endpoint);
+    reach.probing_since_ms = undefined;
+    reach.next_probe_ms = now_ms;
+  }
+
   /** Takes the question that is to be asked now; undefined if none is. */
   takeQuestion(
     hosts: () => readonly string[],
@@ -253,29 +258,21 @@
     endpoint: RouteEndpoint,
     { avoid, now_ms }: { avoid: ReadonlySet<string>; now_ms: number },
   ): string | undefined {
-    if (this.#lost.size === 0) return undefined;
-    const reach = this.#reachOf(endpoint);
-    const isLost = reach.state === ReachState.Lost;
-    if (!isLost && !this.#hasLostAll()) return undefined;
-    // It is tried apart, so that a sound one is used directly again.
-    reach.doubt(now_ms);
+    if (!this.#isLost(endpoint)) return undefined;
     return this.carriers.choose(incarnationOf(endpoint), { avoid, now_ms });
   }
 
   /** Whether others reach an endpoint and this host doesn't. */
   isOutOfReach(endpoint: RouteEndpoint, now_ms: number): boolean {
-    if (this.#lost.size === 0) return false;
-    const incarnation = incarnationOf(endpoint);
-    const isLost = this.#reaches.get(incarnation)?.state === ReachState.Lost ||
-      this.#hasLostAll();
-    return isLost && this.carriers.carriersOf(incarnation, now_ms).length > 0;
+    return this.#isLost(endpoint) &&
+      this.carriers.carriersOf(incarnationOf(endpoint), now_ms).length > 0;
   }
 
   /** Whether an endpoint is lost, and was found to be since a time. */
   isLostSince(endpoint: RouteEndpoint, since_ms: number): boolean {
     const reach = this.#reaches.get(incarnationOf(endpoint));
     if (reach?.state === ReachState.Lost) return reach.lost_ms >= since_ms;
-    if (!this.#hasLostAll()) return false;
+    if (!this.#hasLostAllOf(endpoint.pool)) return false;
     return [...this.#lost].some(({ lost_ms }) => lost_ms >= since_ms);
   }
 
@@ -331,18 +328,39 @@
     );
   }
 
-  /** Whether no endpoint was heard since the attempts that showed the losses. */
-  #hasLostAll(): boolean {
-    let lost = 0;
-    for (const { lost_from_ms } of this.#lost) {
-      if (lost_from_ms >= this.#heard_ms) lost += 1;
-      if (lost >= MIN_LOST_OF_ALL) return true;
+  /**
+   * Whether an endpoint is lost or must be taken for it; it is then tried apart, so
+   * that a sound one is used directly again.
+   */
+  #isLost(endpoint: RouteEndpoint): boolean {
+    if (this.#lost.size === 0) return false;
+    const reach = this.#reachOf(endpoint);
+    if (reach.state === ReachState.Lost) return true;
+    if (!this.#hasLostAllOf(endpoint.pool)) return false;
+    reach.doubt(reach.next_probe_ms);
+    return true;
+  }
+
+  /**
+   * Whether the others of a pool must be taken for lost as well: several were lost
+   * since bytes last came from any endpoint, or from any of the pool.
+   */
+  #hasLostAllOf(pool: string): boolean {
+    const poolHeard_ms = this.#poolHeard_ms.get(pool) ?? -Infinity;
+    let lostOfAll = 0;
+    let lostOfPool = 0;
+    for (const { endpoint, lost_from_ms } of this.#lost) {
+      if (lost_from_ms >= this.#heard_ms) lostOfAll += 1;
+      if (endpoint.pool === pool && lost_from_ms >= poolHeard_ms) {
+        lostOfPool += 1;
+      }
     }
-    return false;
+    return Math.max(lostOfAll, lostOfPool) >= MIN_LOST_OF_ALL;
   }
 
   #recordReached(reach: EndpointReach, now_ms: number): void {
-    this.#heard_ms = Math.max(this.#heard_ms, now_ms);
+    this.#heard_ms = now_ms;
+    this.#poolHeard_ms.set(reach.endpoint.pool, now_ms);
     const { lost_from_ms } = reach;
     if (!reach.recordReached(now_ms)) return;
     this.#lost.delete(reach);
--- a/test/reachability/reachable_endpoints.test.ts
+++ b/test/reachability/reachable_endpoints.test.ts
@@ -132,6 +132,27 @@
   });
 }
 
+test("a large pool out of reach goes by way of others within contact_ms", () => {
+  const fleet = new SimulatedFleet(
+    5,
+    Array.from(
+      { length: 40 },
+      (_, n) => createEndpoint(n < 30 ? "desk" : "model", n),
+    ),
+  );
+  fleet.run(2_000, { per_s: 60 });
+  fleet.path = (host, { pool }) =>
+    host === fleet.host(0) && pool === "desk" ? Path.Hangs : Path.Open;
+  fleet.run(CONTACT_MS, { per_s: 60 });
+  for (const endpoint of fleet.endpoints) {
+    assert.equal(
+      fleet.host(0).state.isOutOfReach(endpoint, fleet.now_ms),
+      endpoint.pool === "desk",
+      endpoint.id,
+    );
+  }
+});
+
 test("an endpoint that is down for all hosts is not out of reach", () => {
   for (const path of [Path.Hangs, Path.Swallows, Path.Refuses]) {
     const fleet = createFleet();
--- a/test/reachability/simulated_hosts.ts
+++ b/test/reachability/simulated_hosts.ts
@@ -167,7 +167,7 @@
     let isOpen = true;
     const end = () => {
       isOpen = false;
-      state.end(endpoint, exchange);
+      state.end(exchange);
     };
     const exchange: OpenExchange = state.begin(endpoint, {
       now_ms: this.now_ms,
@@ -178,7 +178,7 @@
     });
     const fail = (reason: string) => {
       if (!isOpen) return;
-      state.recordFailure(endpoint, reason, this.now_ms);
+      state.recordFailure(exchange, reason, this.now_ms);
       end();
       this.#step(host);
     };
@@ -190,7 +190,7 @@
       if (this.path(host, endpoint) !== Path.Open || !this.answers(endpoint)) {
         return this.#after(STEP_MS, receive);
       }
-      state.recordBytes(endpoint, exchange, this.now_ms);
+      state.recordBytes(exchange, this.now_ms);
       end();
     };
     this.#after(this.work_ms, receive);
