--- a/test/reachability/reachable_endpoints.test.ts
+++ b/test/reachability/reachable_endpoints.test.ts
@@ -1,6 +1,9 @@
 /** How a host finds out which endpoints it can't reach, and when it can again. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { ProbeOutcome } from "../../src/reachability/endpoint_reach.ts";
+import { ReachableEndpoints } from "../../src/reachability/reachable_endpoints.ts";
+import { incarnationOf } from "../../src/routes/incarnation.ts";
 import {
   createEndpoint,
   Path,
@@ -242,3 +245,83 @@
     `${asked} questions of hosts that aren't cut`,
   );
 });
+
+/** A host with one endpoint, whose attempts the test answers. */
+class SingleEndpoint {
+  readonly endpoint = createEndpoint("desk", 1);
+  readonly state: ReachableEndpoints;
+  now_ms = 1_000;
+
+  constructor() {
+    this.state = new ReachableEndpoints({
+      zone: "az-1",
+      zoneOf: () => "az-1",
+      carriedInFlight: () => 0,
+      isInService: () => true,
+      onLost: () => {},
+      onReturn: () => {},
+      random: () => 0.5,
+    });
+  }
+
+  /** Lets an exchange fail, and the attempt after it end without bytes. */
+  failAttempt(outcome: ProbeOutcome, duration_ms: number): void {
+    const exchange = this.state.begin(this.endpoint, {
+      now_ms: this.now_ms,
+      onLost: () => {},
+    });
+    this.state.recordFailure(exchange, "ECONNRESET", this.now_ms);
+    this.state.end(exchange);
+    this.nextAttempt(10_000);
+    this.now_ms += duration_ms;
+    this.state.recordProbe(this.endpoint, outcome, this.now_ms);
+  }
+
+  /** Has another host say that bytes came to it some time ago. */
+  hearOthers(age_ms: number): void {
+    const endpoints = [
+      { endpoint: incarnationOf(this.endpoint), since_ago_ms: 1_000 },
+    ];
+    const { now_ms } = this;
+    this.state.recordAnswer("10.0.0.2:1", {
+      endpoints,
+      ages: [age_ms],
+      now_ms,
+    });
+  }
+
+  /** Waits for the next attempt; returns how long that took. */
+  nextAttempt(max_ms: number): number {
+    const from_ms = this.now_ms;
+    while (this.state.takeProbes(this.now_ms).length === 0) {
+      assert.ok(this.now_ms - from_ms < max_ms, "no attempt is made");
+      this.now_ms += 10;
+    }
+    return this.now_ms - from_ms;
+  }
+}
+
+test("bytes that came to others as a silent attempt ended prove no loss", () => {
+  const sound = new SingleEndpoint();
+  sound.failAttempt(ProbeOutcome.Silent, 800);
+  sound.hearOthers(50);
+  assert.equal(sound.state.lostCount, 0);
+  const lost = new SingleEndpoint();
+  lost.failAttempt(ProbeOutcome.Silent, 800);
+  lost.hearOthers(500);
+  assert.equal(lost.state.lostCount, 1);
+});
+
+test("each loss soon after a return doubles the time until the next one", () => {
+  const host = new SingleEndpoint();
+  const waits_ms: number[] = [];
+  for (let n = 0; n < 5; n++) {
+    host.failAttempt(ProbeOutcome.Refused, 10);
+    host.hearOthers(0);
+    assert.equal(host.state.lostCount, 1);
+    waits_ms.push(host.nextAttempt(20_000));
+    host.state.recordProbe(host.endpoint, ProbeOutcome.Reached, host.now_ms);
+    assert.equal(host.state.lostCount, 0);
+  }
+  assert.deepEqual(waits_ms, [1_000, 2_000, 4_000, 8_000, 8_000]);
+});
