--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -28,12 +28,15 @@
 import { GatewayMembers } from "../membership/gateway_members.ts";
 import { OwnEntry } from "../membership/own_entry.ts";
 import { isConnectionRefused } from "../quarantine/probe_endpoint.ts";
+import { createRefusalCheck } from "../quarantine/refusal_check.ts";
 import { QuarantineService } from "../quarantine/quarantine_service.ts";
-import { ForwardMetrics } from "../metrics/forward_metrics.ts";
+import { CarriedSide, ForwardMetrics } from "../metrics/forward_metrics.ts";
 import { GatewayClients } from "../peers/gateway_clients.ts";
 import { FeedName } from "../peers/feed_stream.ts";
 import { FeedStreamClients } from "../peers/feed_stream_client.ts";
 import { createRelayedFeeds } from "../peers/create_relayed_feeds.ts";
+import { CarrierConnections } from "../relaying/carrier_connections.ts";
+import { createEndpointSender } from "../relaying/endpoint_sender.ts";
 import { RateLimitService } from "../rate_limits/rate_limit_service.ts";
 import { ObservedLoad } from "../routing/observed_load.ts";
 import { PoolRetryBudgets } from "../routing/repeat_budget.ts";
@@ -52,6 +55,11 @@
   now: () => number;
   random: () => number;
   writeLine: WriteLine;
+  /**
+   * Address at which this host connects to an endpoint, where that isn't the one
+   * that the endpoint announces.
+   */
+  translateAddress?: (address: string) => string;
 }
 
 /** The components that the others of a gateway host are built from. */
@@ -62,7 +70,7 @@
   settings: GatewaySettings,
   environment: GatewayHostEnvironment,
 ) {
-  const { adapter, now, random, writeLine } = environment;
+  const { adapter, now, random, writeLine, translateAddress } = environment;
   const { host, listen } = settings;
   const self = formatAddress(listen.peers);
   const member = {
@@ -111,12 +119,21 @@
     delay: abortableDelay,
     signal,
   });
+  const isEndpointRefused = (address: string) =>
+    isConnectionRefused(translateAddress?.(address) ?? address);
   const quarantine = new QuarantineService({
     self,
     hosts: () => members.addresses(),
     peers,
     store,
-    isRefused: isConnectionRefused,
+    isRefused: createRefusalCheck({
+      self,
+      hosts: () => members.addresses(),
+      isRefusedHere: isEndpointRefused,
+      isRefusedAt: (address, endpoint) =>
+        peers.isEndpointRefused(address, endpoint),
+      random,
+    }),
     onCrash: () => metrics.endpointCrashes.inc(),
     log,
     now,
@@ -142,7 +159,8 @@
   });
   const requestLimits = createLimits(BodyKind.Request);
   const responseLimits = createLimits(BodyKind.Response);
-  const agents = new EndpointAgents(() => members.count);
+  const agents = new EndpointAgents(() => members.count, translateAddress);
+  const carriers = new CarrierConnections();
   const reports = new EndpointReports({
     self,
     hosts: () => members.addresses(),
@@ -167,11 +185,11 @@
     zone: host.availability_zone,
     zoneOf: (address) => members.zoneOf(address),
     otherHosts: () => members.otherAddresses(),
-    carriedInFlight: () => 0,
+    carriedInFlight: (address) => carriers.inFlight(address),
     readyIn: (pool) => endpoints.readyInPool(pool, now()),
     endpointAt: (address) => endpoints.findByAddress(address),
     peers,
-    probe: createProbeReach(adapter.codec),
+    probe: createProbeReach(adapter.codec, translateAddress),
     onProbe: (outcome) => metrics.reachProbes.inc({ outcome }),
     onLost(endpoint) {
       load.forEndpoint(endpoint).forgetFailures();
@@ -183,6 +201,12 @@
     signal,
   });
   metrics.exportLostEndpoints(reachability);
+  const send = createEndpointSender({
+    routes: reachability,
+    carriers,
+    onCarried: (outcome) =>
+      metrics.carriedExchanges.inc({ side: CarriedSide.Sender, outcome }),
+  });
   const streamOrigins = new StreamOriginService({
     self,
     hosts: () => members.addresses(),
@@ -273,12 +297,16 @@
     responseLimits,
     reports,
     reachability,
+    isEndpointRefused,
     streamOrigins,
     syncOptions,
     configurationListeners,
     endpointListeners,
     lossListeners,
     agents,
+    carriers,
+    routes: reachability,
+    send,
     retryBudget: new PoolRetryBudgets(settings.repeats, () => members.count),
     now,
     random,
