--- a/test/reachability/simulated_hosts.ts
+++ b/test/reachability/simulated_hosts.ts
@@ -72,7 +72,6 @@
       zone,
       zoneOf: (address) => fleet.hostAt(address)?.zone,
       carriedInFlight: () => 0,
-      readyIn: (pool) => fleet.endpoints.filter((each) => each.pool === pool),
       isInService: () => true,
       onLost: ({ id }) => addTo(this.losses, id, fleet.now_ms),
       onReturn: ({ id }) => addTo(this.returns, id, fleet.now_ms),
@@ -104,6 +103,12 @@
     this.#byAddress = new Map(this.hosts.map((host) => [host.address, host]));
   }
 
+  /** Whether a host has lost a pool. */
+  isCutOff(host: SimulatedHost, pool: string): boolean {
+    const ready = this.endpoints.filter((each) => each.pool === pool);
+    return host.state.isCutOffFrom(ready, this.now_ms);
+  }
+
   /** The host at an address. */
   hostAt(address: string): SimulatedHost | undefined {
     return this.#byAddress.get(address);
@@ -162,7 +167,7 @@
     let isOpen = true;
     const end = () => {
       isOpen = false;
-      state.end(endpoint, exchange);
+      state.end(exchange);
     };
     const exchange: OpenExchange = state.begin(endpoint, {
       now_ms: this.now_ms,
@@ -173,7 +178,7 @@
     });
     const fail = (reason: string) => {
       if (!isOpen) return;
-      state.recordFailure(endpoint, reason, this.now_ms);
+      state.recordFailure(exchange, reason, this.now_ms);
       end();
       this.#step(host);
     };
@@ -185,7 +190,7 @@
       if (this.path(host, endpoint) !== Path.Open || !this.answers(endpoint)) {
         return this.#after(STEP_MS, receive);
       }
-      state.recordBytes(endpoint, exchange, this.now_ms);
+      state.recordBytes(exchange, this.now_ms);
       end();
     };
     this.#after(this.work_ms, receive);
