--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -28,23 +28,35 @@
 import { GatewayMembers } from "../membership/gateway_members.ts";
 import { OwnEntry } from "../membership/own_entry.ts";
 import { isConnectionRefused } from "../quarantine/probe_endpoint.ts";
+import { createRefusalCheck } from "../quarantine/refusal_check.ts";
 import { QuarantineService } from "../quarantine/quarantine_service.ts";
-import { ForwardMetrics } from "../metrics/forward_metrics.ts";
+import { CarriedSide, ForwardMetrics } from "../metrics/forward_metrics.ts";
 import { GatewayClients } from "../peers/gateway_clients.ts";
 import { FeedName } from "../peers/feed_stream.ts";
 import { FeedStreamClients } from "../peers/feed_stream_client.ts";
 import { createRelayedFeeds } from "../peers/create_relayed_feeds.ts";
+import { CarrierConnections } from "../relaying/carrier_connections.ts";
+import { createEndpointSender } from "../relaying/endpoint_sender.ts";
 import { RateLimitService } from "../rate_limits/rate_limit_service.ts";
 import { ObservedLoad } from "../routing/observed_load.ts";
 import { PoolRetryBudgets } from "../routing/repeat_budget.ts";
 import { createConfirmSource } from "../stream_origins/confirm_source.ts";
 import { StoredVersions } from "../stream_origins/stored_versions.ts";
+import { createProbeReach } from "../reachability/probe_reach.ts";
+import { ReachabilityService } from "../reachability/reachability_service.ts";
+import type { RouteEndpoint } from "../routes/types.ts";
 import { StreamOriginService } from "../stream_origins/stream_origin_service.ts";
 import { VersionHistory } from "../stream_origins/version_history.ts";
 import type { GatewaySettings } from "../settings/gateway_settings.ts";
 import { formatAddress } from "../settings/settings.ts";
 import { abortableDelay } from "../utils/delay.ts";
 
+/**
+ * Connections to an endpoint for carried exchanges, in shares of one host. Senders
+ * keep within their own shares, so together they keep within the endpoint's limit.
+ */
+const MAX_CARRIED_SHARE = 4;
+
 /** External dependencies of a gateway host. */
 export interface GatewayHostEnvironment {
   adapter: GatewayAdapter;
@@ -52,6 +64,11 @@
   now: () => number;
   random: () => number;
   writeLine: WriteLine;
+  /**
+   * Address at which this host connects to an endpoint, where that isn't the one
+   * that the endpoint announces.
+   */
+  translateAddress?: (address: string) => string;
 }
 
 /** The components that the others of a gateway host are built from. */
@@ -62,7 +79,7 @@
   settings: GatewaySettings,
   environment: GatewayHostEnvironment,
 ) {
-  const { adapter, now, random, writeLine } = environment;
+  const { adapter, now, random, writeLine, translateAddress } = environment;
   const { host, listen } = settings;
   const self = formatAddress(listen.peers);
   const member = {
@@ -84,6 +101,7 @@
   const metrics = new ForwardMetrics(() => quarantine.entries.all().length);
   const configurationListeners: StoreSyncOptions["configurationListeners"] = [];
   const endpointListeners: StoreSyncOptions["endpointListeners"] = [];
+  const lossListeners: ((endpoint: RouteEndpoint) => void)[] = [];
   const configuration = new ActiveConfiguration((table, source) => {
     const { version } = table.configuration;
     log.info({ event: "configuration", version, source });
@@ -110,12 +128,21 @@
     delay: abortableDelay,
     signal,
   });
+  const isEndpointRefused = (address: string) =>
+    isConnectionRefused(translateAddress?.(address) ?? address);
   const quarantine = new QuarantineService({
     self,
     hosts: () => members.addresses(),
     peers,
     store,
-    isRefused: isConnectionRefused,
+    isRefused: createRefusalCheck({
+      self,
+      hosts: () => members.addresses(),
+      isRefusedHere: isEndpointRefused,
+      isRefusedAt: (address, endpoint) =>
+        peers.isEndpointRefused(address, endpoint),
+      random,
+    }),
     onCrash: () => metrics.endpointCrashes.inc(),
     log,
     now,
@@ -141,7 +168,12 @@
   });
   const requestLimits = createLimits(BodyKind.Request);
   const responseLimits = createLimits(BodyKind.Response);
-  const agents = new EndpointAgents(() => members.count);
+  const agents = new EndpointAgents(() => members.count, translateAddress);
+  const carriers = new CarrierConnections();
+  const carriedAgents = new EndpointAgents(
+    () => members.count / MAX_CARRIED_SHARE,
+    translateAddress,
+  );
   const reports = new EndpointReports({
     self,
     hosts: () => members.addresses(),
@@ -175,6 +207,32 @@
     random,
     signal,
   });
+  const reachability = new ReachabilityService({
+    zone: host.availability_zone,
+    zoneOf: (address) => members.zoneOf(address),
+    otherHosts: () => members.otherAddresses(),
+    carriedInFlight: (address) => carriers.inFlight(address),
+    readyIn: (pool) => endpoints.readyInPool(pool, now()),
+    endpointAt: (address) => endpoints.findByAddress(address),
+    peers,
+    probe: createProbeReach(adapter.codec, translateAddress),
+    onProbe: (outcome) => metrics.reachProbes.inc({ outcome }),
+    onLost(endpoint) {
+      load.forEndpoint(endpoint).forgetFailures();
+      for (const listener of lossListeners) listener(endpoint);
+    },
+    log,
+    now,
+    random,
+    signal,
+  });
+  metrics.exportLostEndpoints(reachability);
+  const send = createEndpointSender({
+    routes: reachability,
+    carriers,
+    onCarried: (outcome) =>
+      metrics.carriedExchanges.inc({ side: CarriedSide.Sender, outcome }),
+  });
   const streamOrigins = new StreamOriginService({
     history: versionHistory,
     learnStored: () => storedVersions.learn(),
@@ -272,12 +330,19 @@
     requestLimits,
     responseLimits,
     reports,
+    reachability,
+    isEndpointRefused,
     streamOrigins,
     storedVersions,
     syncOptions,
     configurationListeners,
     endpointListeners,
+    lossListeners,
     agents,
+    carriers,
+    carriedAgents,
+    routes: reachability,
+    send,
     retryBudget: new PoolRetryBudgets(settings.repeats, () => members.count),
     now,
     random,
--- a/src/metrics/forward_metrics.ts
+++ b/src/metrics/forward_metrics.ts
@@ -16,6 +16,12 @@
   6_400,
 ];
 
+/** Sides of an exchange that goes through another host. */
+export enum CarriedSide {
+  Sender = "sender",
+  Carrier = "carrier",
+}
+
 /** Metrics of forwarded requests, in a registry of their own. */
 export class ForwardMetrics {
   readonly registry = new Registry();
@@ -51,6 +57,12 @@
     labelNames: ["outcome"],
     registers: [this.registry],
   });
+  readonly carriedExchanges = new Counter({
+    name: "sesamequay_carried_exchanges_total",
+    help: "Exchanges with endpoints through another host, by side and outcome",
+    labelNames: ["side", "outcome"],
+    registers: [this.registry],
+  });
   readonly workAfterCallerLeft = new Histogram({
     name: "sesamequay_work_after_caller_left_ms",
     help: "Time from a caller's close to the end of the work for it",
@@ -92,6 +104,12 @@
     help: "Times that an endpoint refused this host's requests for a while",
     registers: [this.registry],
   });
+  readonly reachProbes = new Counter({
+    name: "sesamequay_reach_probes_total",
+    help: "Attempts to reach endpoints that failed or were silent, by outcome",
+    labelNames: ["outcome"],
+    registers: [this.registry],
+  });
   readonly bodiesDropped = new Counter({
     name: "sesamequay_bodies_dropped_total",
     help: "Bodies that were dropped since bodies exceeded their memory",
@@ -133,6 +151,18 @@
     });
   }
 
+  /** Exports how many endpoints others reach and this host doesn't. */
+  exportLostEndpoints(reachability: { lostCount: number }): void {
+    new Gauge({
+      name: "sesamequay_endpoints_out_of_reach",
+      help: "Endpoints that other hosts reach and this host does not",
+      registers: [this.registry],
+      collect() {
+        this.set(reachability.lostCount);
+      },
+    });
+  }
+
   /** Exports the memory that the bodies of each kind take. */
   exportHeldBodies(memories: Record<string, { held_bytes: number }>): void {
     new Gauge({
--- a/src/peers/gateway_rpc_router.ts
+++ b/src/peers/gateway_rpc_router.ts
@@ -19,6 +19,9 @@
   type PermitRequest,
   permitRequestSchema,
 } from "../rate_limits/types.ts";
+import type { AskedEndpoint } from "../reachability/reachable_endpoints.ts";
+import { reachedQuestionSchema } from "../reachability/reached_question.ts";
+import type { ReachedAge } from "../reachability/types.ts";
 import {
   type StreamOrigin,
   streamOriginSchema,
@@ -35,6 +38,8 @@
   isBatching: () => boolean;
   /** Reports the load of a pool, or of one shard of it. */
   reportLoad: (queue: { pool: string; shard?: string }) => PoolLoadReport;
+  /** Reports how long ago bytes came to this host directly from endpoints. */
+  reportReached: (endpoints: AskedEndpoint[]) => Promise<ReachedAge[]>;
   snapshot: () => StateSnapshot;
   changeRevisions: () => ChangeRevisions;
   /** Keeps copies of records of streams. */
@@ -47,6 +52,8 @@
   handleCrashReport: (report: CrashReport) => Promise<CrashReply>;
   /** Handles answers to requests with quarantined prompt parts. */
   handleAnsweredParts: (parts: string[]) => Promise<void>;
+  /** Whether connections of this host to an endpoint's address are refused. */
+  isEndpointRefused: (address: string) => Promise<boolean>;
   /** Handles, as the issuer, a request for a permit to send a request. */
   handlePermitRequest: (request: PermitRequest) => PermitReply;
   /** Tells all hosts what an endpoint has begun to say of itself. */
@@ -81,6 +88,9 @@
     ping: trpc.procedure.query(() => handlers.isBatching()),
     load: trpc.procedure.input(queueSchema)
       .query(({ input }) => handlers.reportLoad(input)),
+    // In a body, as the names would make a long path.
+    reached: trpc.procedure.input(reachedQuestionSchema)
+      .mutation(({ input }) => handlers.reportReached(input)),
     progress: trpc.procedure.query(() => handlers.changeRevisions()),
     beliefs: trpc.procedure.query(() => handlers.snapshot()),
     keep_origins: trpc.procedure.input(z.array(streamOriginSchema))
@@ -92,6 +102,8 @@
       .mutation(({ input }) => handlers.handleCrashReport(input)),
     answered: trpc.procedure.input(z.array(z.string()))
       .mutation(({ input }) => handlers.handleAnsweredParts(input)),
+    refused: trpc.procedure.input(z.string())
+      .query(({ input }) => handlers.isEndpointRefused(input)),
     permit: trpc.procedure.input(permitRequestSchema)
       .mutation(({ input }) => handlers.handlePermitRequest(input)),
     limit_report: trpc.procedure.input(endpointNoticeSchema)
--- a/src/routing/observed_load.ts
+++ b/src/routing/observed_load.ts
@@ -28,12 +28,15 @@
   Error = "error",
   /** This host could not form the request: it tells nothing of the endpoint. */
   NotSent = "not_sent",
+  /** The way to the endpoint failed: it tells nothing either. */
+  Unreachable = "unreachable",
   /** This host ended it, for its caller or its time: it tells nothing either. */
   Stopped = "stopped",
 }
 
 const OUTCOMES_WITHOUT_NEWS: ReadonlySet<ObservedOutcome> = new Set([
   ObservedOutcome.NotSent,
+  ObservedOutcome.Unreachable,
   ObservedOutcome.Stopped,
 ]);
 
@@ -128,6 +131,15 @@
     } else this.#consecutiveFailures = 0;
   }
 
+  /** Forgets failures that were this host's own and not the endpoint's. */
+  forgetFailures(): void {
+    this.failure_share = 0;
+    this.#consecutiveFailures = 0;
+    this.#backoffUntil_ms = 0;
+    this.#avoidUntil_ms = -Infinity;
+    this.#avoidance_ms = INITIAL_AVOIDANCE_MS;
+  }
+
   #updateAvoidance(failed: boolean, now_ms: number): void {
     if (this.failure_share < MAX_FAILURE_SHARE) {
       this.#avoidance_ms = INITIAL_AVOIDANCE_MS;
