ORDER, LOST: records of streams outlast all hosts while versions differ

What callers saw: after all hosts were killed and were back while two versions served, every resumed stream was refused (0 of 24 went on in our test; 503), though new streams began. Cause: records were kept in hosts' memory only.

While a pool has several versions one of the two copies of a record goes to one of eight hosts, and these write what they have been handed to the store, a batch a second each, in a ring of 120. A host whose history is shorter than the stream's life, and which finds no record, reads them once in its life. Nothing is written while one version serves. Records are keyed by the attempt's id (hashed), so one that is old is true; of records that differ none counts.

--- a/src/forwarding/adapter.ts
+++ b/src/forwarding/adapter.ts
@@ -5,6 +5,7 @@
 import type { QuarantinedParts } from "../quarantine/types.ts";
 import type { RouteConfiguration, RouteEndpoint } from "../routes/types.ts";
 import type { Address } from "../settings/settings.ts";
+import type { OriginStore } from "../stream_origins/stored_origins.ts";
 import type { VersionStore } from "../stream_origins/stored_versions.ts";
 import type { ProtocolCodec } from "./protocol_codec.ts";
 
@@ -24,7 +25,8 @@
 }
 
 /** The deployment's object store. */
-export interface GatewayStore extends QuarantineStore, VersionStore {
+export interface GatewayStore
+  extends QuarantineStore, VersionStore, OriginStore {
   configuration: ObjectFeed<RouteConfiguration>;
   endpoints: ObjectFeed<RouteEndpoint>;
   gateways: ObjectFeed<GatewayMember>;
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -38,6 +38,7 @@
 import { ObservedLoad } from "../routing/observed_load.ts";
 import { PoolRetryBudgets } from "../routing/repeat_budget.ts";
 import { createConfirmSource } from "../stream_origins/confirm_source.ts";
+import { StoredOrigins } from "../stream_origins/stored_origins.ts";
 import { StoredVersions } from "../stream_origins/stored_versions.ts";
 import { StreamOriginService } from "../stream_origins/stream_origin_service.ts";
 import { VersionHistory } from "../stream_origins/version_history.ts";
@@ -175,8 +176,17 @@
     random,
     signal,
   });
+  const storedOrigins = new StoredOrigins({
+    host: host.name,
+    store,
+    log,
+    now,
+    unixTime: () => Date.now(),
+    signal,
+  });
   const streamOrigins = new StreamOriginService({
     history: versionHistory,
+    stored: storedOrigins,
     learnStored: () => storedVersions.learn(),
     self,
     hosts: () => members.addresses(),
@@ -274,6 +284,7 @@
     reports,
     streamOrigins,
     storedVersions,
+    storedOrigins,
     syncOptions,
     configurationListeners,
     endpointListeners,
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -114,6 +114,7 @@
     void runStoreSync(context.syncOptions);
     void context.ownEntry.announce();
     void context.storedVersions.run();
+    void context.storedOrigins.run();
   }
 
   return { log: context.log, stopped, stop, drain, reload, start };
--- a/src/stream_origins/stored_versions.ts
+++ b/src/stream_origins/stored_versions.ts
@@ -8,7 +8,7 @@
 import type { Logger } from "../logging/logger.ts";
 import { type FeedResult, FeedResultKind } from "../store_sync/object_feed.ts";
 import { abortableDelay, Backoff } from "../utils/delay.ts";
-import { SharedRuns } from "../utils/shared_runs.ts";
+import { ReadOnce } from "../utils/read_once.ts";
 import type { PoolVersions } from "./types.ts";
 import type { VersionHistory } from "./version_history.ts";
 
@@ -37,7 +37,7 @@
 
 /** The first is how often a writer looks for changes of its own list. */
 const CHECK_BACKOFF = { initial_ms: 400, max_ms: 5_000 };
-/** A host reads at most this often. */
+/** A host that must know them reads at most this often. */
 const MIN_READ_INTERVAL_MS = 1_000;
 const READ_TIMEOUT_MS = 700;
 
@@ -47,12 +47,11 @@
   /** What the store names as far as this host knows, by pool. */
   #stored = new Map<string, string>();
   #epoch: number | undefined;
-  #reads: SharedRuns<boolean>;
-  #wasRead = false;
+  #reading: ReadOnce;
 
   constructor(options: StoredVersionsOptions) {
     this.#options = options;
-    this.#reads = new SharedRuns(() => this.#read(), {
+    this.#reading = new ReadOnce(() => this.#read(), {
       min_interval_ms: MIN_READ_INTERVAL_MS,
       now: options.now,
     });
@@ -60,7 +59,7 @@
 
   /** Reads them once in this host's life, if it can. */
   async learn(): Promise<void> {
-    if (!this.#wasRead) await this.#reads.next();
+    await this.#reading.attempt();
   }
 
   /** Writes them whenever they change, until the host stops. */
@@ -82,7 +81,7 @@
     this.#epoch = epoch();
     if (this.#changes().length === 0) return true;
     // Another host may have written since, or know of more versions.
-    if (!await this.#reads.next()) return false;
+    if (!await this.#read()) return false;
     for (const each of this.#changes()) await this.#write(each);
     return this.#changes().length === 0;
   }
@@ -127,7 +126,6 @@
       .filter((value) => value !== undefined);
     for (const each of named) this.#remember(each);
     history.mergeStored(named, now());
-    this.#wasRead = true;
     return true;
   }
 }
--- a/src/stream_origins/stream_origin_service.ts
+++ b/src/stream_origins/stream_origin_service.ts
@@ -19,6 +19,7 @@
 import { LongestDeadlines } from "./longest_deadlines.ts";
 import { OriginMemory } from "./origin_memory.ts";
 import type { ConfirmSource } from "./confirm_source.ts";
+import type { StoredOrigins } from "./stored_origins.ts";
 import {
   OriginSource,
   type ResolvedOrigin,
@@ -53,6 +54,8 @@
   confirmSource: ConfirmSource;
   /** Adds to the history what the store knows of earlier versions. */
   learnStored: () => Promise<void>;
+  /** Records in the store, which outlast all hosts. */
+  stored: Pick<StoredOrigins, "add" | "find">;
   peers: StreamOriginPeers;
   log: Logger;
   /** Monotonic time in milliseconds. */
@@ -73,6 +76,8 @@
 
 /** Hosts that keep a copy of each record. */
 const KEEPERS = 2;
+/** Hosts that store records, however many there are. */
+const WRITERS = 8;
 /** Copies for one host within this time share a message. */
 const BATCH_WINDOW_MS = 20;
 /** Hosts that are asked for what was in service before this host started. */
@@ -110,6 +115,8 @@
   /** The questions that are being answered; undefined if there are none. */
   #asking: Promise<void> | undefined;
   #asked_ms = -Infinity;
+  /** The hosts that store records, and the joined list they were ranked from. */
+  #writers: { hosts: string; order: string[] } = { hosts: "", order: [] };
   #currency: SharedRuns<Currency>;
 
   constructor(options: StreamOriginOptions) {
@@ -166,7 +173,10 @@
   /** Keeps copies for another host. */
   keep(origins: readonly StreamOrigin[]): void {
     const now_ms = this.#options.now();
-    for (const origin of origins) this.#memory.record(origin, now_ms);
+    for (const origin of origins) {
+      this.#memory.record(origin, now_ms);
+      this.#storeIfWriter(origin);
+    }
   }
 
   /** The record of a stream, if this host has one. */
@@ -183,10 +193,14 @@
     if (own !== undefined) return recorded(own, OriginSource.Own);
     const kept = key === undefined ? undefined : await this.#askKeepers(key);
     if (kept !== undefined) {
-      this.keep([kept]);
+      this.#memory.record(kept, this.#options.now());
       return recorded(kept, OriginSource.Keeper);
     }
     const concluded = await this.#concludeVersion(pools, since_ms);
+    if (concluded === undefined && key !== undefined) {
+      const stored = await this.#findStored(key, since_ms);
+      if (stored !== undefined) return recorded(stored, OriginSource.Stored);
+    }
     // Later attempts may come when other versions are in service.
     if (concluded !== undefined && key !== undefined) {
       this.#record({ key, pool: concluded.pool, version: concluded.version });
@@ -285,13 +299,47 @@
     for (const origin of origins) this.#copy(origin);
   }
 
+  /**
+   * The stored record of a stream that may have begun before all hosts that know
+   * the endpoints have started. Others would have a copy.
+   */
+  async #findStored(
+    key: string,
+    since_ms: number,
+  ): Promise<StreamOrigin | undefined> {
+    if (this.history.isSeenSince(since_ms)) return undefined;
+    const found = await this.#options.stored.find(key);
+    if (found !== undefined) this.#memory.record(found, this.#options.now());
+    return found;
+  }
+
+  /** Hosts that keep a copy: the one that stores the record, and others. */
   #keepersOf(key: string): string[] {
     const { self, hosts } = this.#options;
-    const others = hosts().filter((address) => address !== self);
-    return rankCandidates(key, others).slice(0, KEEPERS);
+    const ranked = rankCandidates(key, hosts());
+    return [...new Set([this.#writerOf(key), ...ranked])]
+      .filter((address) => address !== self).slice(0, KEEPERS);
+  }
+
+  /** The host that stores a record. */
+  #writerOf(key: string): string {
+    const { self, hosts } = this.#options;
+    const all = hosts();
+    const joined = all.join();
+    if (joined !== this.#writers.hosts) {
+      const order = rankCandidates("stored_origins", all).slice(0, WRITERS);
+      this.#writers = { hosts: joined, order };
+    }
+    return rankCandidates(key, this.#writers.order)[0] ?? self;
+  }
+
+  #storeIfWriter(origin: StreamOrigin): void {
+    const { self, stored } = this.#options;
+    if (this.#writerOf(origin.key) === self) stored.add(origin);
   }
 
   #copy(origin: StreamOrigin): void {
+    this.#storeIfWriter(origin);
     for (const address of this.#keepersOf(origin.key)) {
       const waiting = this.#outgoing.get(address);
       if (waiting !== undefined) {
--- a/src/stream_origins/types.ts
+++ b/src/stream_origins/types.ts
@@ -30,12 +30,30 @@
 /** The versions of a pool that have lately been in service, as they are stored. */
 export type PoolVersions = z.infer<typeof poolVersionsSchema>;
 
+/** Most groups of a batch, and most streams of a group, that are read. */
+const MAX_GROUPS = 1_000;
+const MAX_KEYS = 2_000;
+const MAX_HASH_LENGTH = 64;
+
+/** Records of streams as they are stored: by version, with hashes as keys. */
+export const originBatchSchema = z.array(z.object({
+  pool: z.string().max(MAX_NAME_LENGTH),
+  /** Null if it isn't known. */
+  version: z.string().max(MAX_NAME_LENGTH).nullable(),
+  keys: z.array(z.string().max(MAX_HASH_LENGTH)).max(MAX_KEYS),
+})).max(MAX_GROUPS);
+
+/** Records of streams as they are stored: by version, with hashes as keys. */
+export type OriginBatch = z.infer<typeof originBatchSchema>;
+
 /** Where the version of a stream is known from; the values are logged. */
 export enum OriginSource {
   /** This host relayed the first event, or resumed the stream before. */
   Own = "own",
   /** A host that keeps a copy. */
   Keeper = "keeper",
+  /** The store, which outlasts all hosts. */
+  Stored = "stored",
   /** No other version was in service in the life of the stream. */
   OnlyVersion = "only_version",
 }
--- a/src/stream_origins/version_history.ts
+++ b/src/stream_origins/version_history.ts
@@ -123,6 +123,11 @@
       .map(([version]) => version);
   }
 
+  /** Whether this host, or one that told it, has seen the endpoints since then. */
+  isSeenSince(since_ms: number): boolean {
+    return this.#known_since_ms <= since_ms;
+  }
+
   /** Whether the versions that were in service since then are known. */
   isKnownSince(since_ms: number, pool: string): boolean {
     if (this.#known_since_ms === Infinity) return false;
--- a/test/stream_origins/stored_versions.test.ts
+++ b/test/stream_origins/stored_versions.test.ts
@@ -132,6 +132,7 @@
   const before_ms = now() - 60_000;
   assert.equal(host.history.isKnownSince(before_ms, "model"), false);
   isDown = false;
+  passed_ms = 1_000;
   await host.versions.learn();
   assert.equal(host.history.isKnownSince(before_ms, "model"), true);
 });
--- a/test/stream_origins/stream_origin_service.test.ts
+++ b/test/stream_origins/stream_origin_service.test.ts
@@ -43,6 +43,10 @@
   service = new StreamOriginService({
     history: new VersionHistory(),
     learnStored: () => Promise.resolve(),
+    stored: {
+      add() {},
+      find: () => Promise.resolve(undefined),
+    },
     self: "host-1",
     hosts: () => ["host-1", "host-2", "host-3", "host-4"],
     sourceReaders: () => ["host-2", "host-3"],
