--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -41,6 +41,7 @@
 import { ObservedLoad } from "../routing/observed_load.ts";
 import { PoolRetryBudgets } from "../routing/repeat_budget.ts";
 import { createConfirmSource } from "../stream_origins/confirm_source.ts";
+import { StoredOrigins } from "../stream_origins/stored_origins.ts";
 import { StoredVersions } from "../stream_origins/stored_versions.ts";
 import { createProbeReach } from "../reachability/probe_reach.ts";
 import { ReachabilityService } from "../reachability/reachability_service.ts";
@@ -233,8 +234,17 @@
     onCarried: (outcome) =>
       metrics.carriedExchanges.inc({ side: CarriedSide.Sender, outcome }),
   });
+  const storedOrigins = new StoredOrigins({
+    host: host.name,
+    store,
+    log,
+    now,
+    unixTime: () => Date.now(),
+    signal,
+  });
   const streamOrigins = new StreamOriginService({
     history: versionHistory,
+    stored: storedOrigins,
     learnStored: () => storedVersions.learn(),
     self,
     hosts: () => members.addresses(),
@@ -334,6 +344,7 @@
     isEndpointRefused,
     streamOrigins,
     storedVersions,
+    storedOrigins,
     syncOptions,
     configurationListeners,
     endpointListeners,
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -119,6 +119,7 @@
     void context.reachability.run();
     void context.ownEntry.announce();
     void context.storedVersions.run();
+    void context.storedOrigins.run();
   }
 
   return { log: context.log, stopped, stop, drain, reload, start };
