--- a/test/relaying/hosts_cut_off.test.ts
+++ b/test/relaying/hosts_cut_off.test.ts
@@ -31,6 +31,9 @@
 /** Least ratio between the shares served at cut hosts and at the others. */
 const MIN_RATIO = 2 / 3;
 
+/** Least share that is served once the cut has ended, on the way back too. */
+const MIN_SERVED_AFTER = 0.9;
+
 enum Path {
   Safe = "/lookup/x",
   Unsafe = "/stamp/x",
@@ -167,6 +170,7 @@
     assert.ok(count <= MAX_ATTEMPTS, `${count} connections during the cut`);
   }
   for (const gateway of cutHosts) links.heal(gateway);
+  const healed_ms = performance.now();
   await sleep(RETURN_MS);
   const carried = await carriedExchanges(fleet);
   await sleep(1_000);
@@ -193,6 +197,13 @@
     if (path !== Path.Unsafe || !claimsNotRun) continue;
     assert.ok(!runs.has(id), `${id} is told as not run: ${text}`);
   }
+  const returned = sent.filter(({ sent_ms, gateway }) =>
+    sent_ms > healed_ms && cutHosts.includes(gateway)
+  );
+  const served = returned.filter(isServed).length;
+  const figures = `${served} of ${returned.length} after the cut`;
+  t.diagnostic(figures);
+  assert.ok(served >= MIN_SERVED_AFTER * returned.length, figures);
   return { sent, cut_ms };
 }
 
