ORDER: versions that come and go between two lists are asked for

What callers would see: a stream of a version that joined and left while a host's source was away goes on at another version there, as the host counts its history as without a gap from its first list on.

A new list of the source starts the history's span anew. What was seen still counts; the span comes back from what other hosts report (two of them read the store), or from the store's list of versions, if that was asked for since. The stored versions can therefore be read more than once in a host's life.

Hosts that poll peers while the source is away keep their span, or a cut host would refuse most streams (LOST).

--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -203,7 +203,9 @@
     random,
   });
   endpointListeners.push(() =>
-    streamOrigins.observeEndpoints(endpoints.all(now()))
+    streamOrigins.observeEndpoints(endpoints.all(now()), {
+      list: endpoints.lists,
+    })
   );
   const feedClients = new FeedStreamClients({ log, now });
   const readers = new StoreReaders({
--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -64,6 +64,7 @@
   #newestByAddress: Map<string, RouteEndpoint> | undefined;
   /** Also true before the first read. */
   #sourceUnavailable = true;
+  #lists = 0;
   /** Whether the next list is the first one since a restoration. */
   #restored = false;
   #graceEnd_ms = 0;
@@ -72,6 +73,11 @@
   /** Incarnations whose entries have said that they are leaving. */
   #leavingByEntry = new Set<string>();
 
+  /** Lists of the source so far; between two, changes may have been missed. */
+  get lists(): number {
+    return this.#lists;
+  }
+
   /** Whether the source is answering this host. */
   get sourceAvailable(): boolean {
     return !this.#sourceUnavailable;
@@ -146,6 +152,7 @@
 
   /** Replaces all entries with a list from the source. */
   replaceAll(items: FeedItem<RouteEndpoint>[], now_ms: number): void {
+    this.#lists += 1;
     this.#sourceUnavailable = false;
     const mayHaveReturned = this.#restored;
     this.#restored = false;
--- a/src/stream_origins/stored_origins.ts
+++ b/src/stream_origins/stored_origins.ts
@@ -8,7 +8,7 @@
 import type { Logger } from "../logging/logger.ts";
 import { type FeedResult, FeedResultKind } from "../store_sync/object_feed.ts";
 import { abortableDelay } from "../utils/delay.ts";
-import { ReadOnce } from "../utils/read_once.ts";
+import { SpacedAttempts } from "../utils/spaced_attempts.ts";
 import type { OriginBatch, StreamOrigin } from "./types.ts";
 import { UNKNOWN } from "./version_history.ts";
 
@@ -54,11 +54,12 @@
   #written_ms = new Map<string, number>();
   /** What was read, by hash of the key. */
   #records = new Map<string, { pool: string; version: string }>();
-  #reading: ReadOnce;
+  #isRead = false;
+  #reads: SpacedAttempts;
 
   constructor(options: StoredOriginsOptions) {
     this.#options = options;
-    this.#reading = new ReadOnce(() => this.#read(), {
+    this.#reads = new SpacedAttempts(() => this.#read(), {
       min_interval_ms: MIN_READ_INTERVAL_MS,
       now: options.now,
     });
@@ -74,7 +75,7 @@
    * undefined if there is none. Never rejects.
    */
   async find(key: string): Promise<StreamOrigin | undefined> {
-    await this.#reading.attempt();
+    if (!this.#isRead) await this.#reads.attempt();
     const record = this.#records.get(hashOf(key));
     return record && { key, ...record };
   }
@@ -122,20 +123,20 @@
     }
   }
 
-  async #read(): Promise<boolean> {
+  async #read(): Promise<void> {
     const { store, log } = this.#options;
     const result = await store.listOrigins(
       AbortSignal.timeout(READ_TIMEOUT_MS),
     );
     if (result.kind !== FeedResultKind.Listed) {
       log.warn({ event: "stored_origins_not_read", reason: result.kind });
-      return false;
+      return;
     }
     const batches = result.items.map(({ value }) => value)
       .filter((value) => value !== undefined);
     this.#records = toRecords(batches);
+    this.#isRead = true;
     log.info({ event: "stored_origins_read", streams: this.#records.size });
-    return true;
   }
 }
 
--- a/src/stream_origins/stored_versions.ts
+++ b/src/stream_origins/stored_versions.ts
@@ -8,7 +8,7 @@
 import type { Logger } from "../logging/logger.ts";
 import { type FeedResult, FeedResultKind } from "../store_sync/object_feed.ts";
 import { abortableDelay, Backoff } from "../utils/delay.ts";
-import { ReadOnce } from "../utils/read_once.ts";
+import { SpacedAttempts } from "../utils/spaced_attempts.ts";
 import type { PoolVersions } from "./types.ts";
 import type { VersionHistory } from "./version_history.ts";
 
@@ -47,19 +47,19 @@
   /** What the store names as far as this host knows, by pool. */
   #stored = new Map<string, string>();
   #epoch: number | undefined;
-  #reading: ReadOnce;
+  #reads: SpacedAttempts;
 
   constructor(options: StoredVersionsOptions) {
     this.#options = options;
-    this.#reading = new ReadOnce(() => this.#read(), {
+    this.#reads = new SpacedAttempts(async () => void await this.#read(), {
       min_interval_ms: MIN_READ_INTERVAL_MS,
       now: options.now,
     });
   }
 
-  /** Reads them once in this host's life, if it can. */
+  /** Adds what the store names to the history, if it can. */
   async learn(): Promise<void> {
-    await this.#reading.attempt();
+    await this.#reads.attempt();
   }
 
   /** Writes them whenever they change, until the host stops. */
@@ -115,6 +115,7 @@
   /** Whether the store told what it names. */
   async #read(): Promise<boolean> {
     const { store, history, log, now } = this.#options;
+    const asked_ms = now();
     const result = await store.listVersions(
       AbortSignal.timeout(READ_TIMEOUT_MS),
     );
@@ -125,7 +126,7 @@
     const named = result.items.map(({ value }) => value)
       .filter((value) => value !== undefined);
     for (const each of named) this.#remember(each);
-    history.mergeStored(named, now());
+    history.mergeStored(named, { asked_ms, now_ms: now() });
     return true;
   }
 }
--- a/src/stream_origins/stream_origin_service.ts
+++ b/src/stream_origins/stream_origin_service.ts
@@ -112,6 +112,7 @@
   /** Copies that wait to be sent, by address. */
   #outgoing = new Map<string, StreamOrigin[]>();
   #mixedPools = new Set<string>();
+  #list = 0;
   /** The questions that are being answered; undefined if there are none. */
   #asking: Promise<void> | undefined;
   #asked_ms = -Infinity;
@@ -128,10 +129,18 @@
     });
   }
 
-  /** Records the endpoints that are in service now. */
-  observeEndpoints(endpoints: readonly RouteEndpoint[]): void {
+  /**
+   * Records the endpoints that are in service now. `list` is the number of the
+   * list that they come from: between two lists, changes may be missing.
+   */
+  observeEndpoints(
+    endpoints: readonly RouteEndpoint[],
+    { list = this.#list } = {},
+  ): void {
     if (endpoints.length === 0) return;
     const now_ms = this.#options.now();
+    if (list !== this.#list) this.history.forgetSpan();
+    this.#list = list;
     this.history.observe(endpoints, now_ms);
     this.#starts.observe(endpoints, now_ms);
     for (const pool of new Set(endpoints.map((each) => each.pool))) {
@@ -307,7 +316,7 @@
     key: string,
     since_ms: number,
   ): Promise<StreamOrigin | undefined> {
-    if (this.history.isSeenSince(since_ms)) return undefined;
+    if (this.history.hadStarted(since_ms)) return undefined;
     const found = await this.#options.stored.find(key);
     if (found !== undefined) this.#memory.record(found, this.#options.now());
     return found;
@@ -388,7 +397,7 @@
     return answers.find((origin) => origin !== null);
   }
 
-  /** Learns from other hosts what was in service before this one started. */
+  /** Learns from other hosts what was in service before this one knew. */
   async #askForVersions(): Promise<void> {
     const now_ms = this.#options.now();
     if (now_ms - this.#asked_ms >= MIN_ASK_INTERVAL_MS) {
@@ -399,11 +408,11 @@
   }
 
   async #askHosts(): Promise<void> {
-    const { self, hosts, random } = this.#options;
-    const order = rankCandidates(String(random()), hosts());
-    const asked = order.filter((address) => address !== self)
-      .slice(0, ASKED_FOR_VERSIONS);
-    await this.#askVersionsOf(asked);
+    const { self, hosts, sourceReaders, random } = this.#options;
+    const asked = rankCandidates(String(random()), hosts())
+      .filter((address) => address !== self).slice(0, ASKED_FOR_VERSIONS);
+    // Followers may be behind.
+    await this.#askVersionsOf([...new Set([...sourceReaders(), ...asked])]);
   }
 
   /** Takes over what some hosts know; resolves to the reports that came. */
--- a/src/stream_origins/version_history.ts
+++ b/src/stream_origins/version_history.ts
@@ -35,13 +35,19 @@
 export class VersionHistory {
   /** By pool and version: when it left, or Infinity while it is in service. */
   #gone_ms = new Map<string, Map<string, number>>();
-  /** Since when the endpoints are known. */
+  /** Since when the endpoints are known without a gap. */
   #known_since_ms = Infinity;
+  /** The same by this host's own lists. */
+  #own_since_ms = Infinity;
+  /** When this host first knew the endpoints. */
+  #first_ms = Infinity;
   /** Since when the versions of a pool are known from the store. */
   #stored_since_ms = new Map<string, number>();
 
   /** Records the endpoints that are in service now. */
   observe(endpoints: readonly RouteEndpoint[], now_ms: number): void {
+    this.#first_ms = Math.min(this.#first_ms, now_ms);
+    this.#own_since_ms = Math.min(this.#own_since_ms, now_ms);
     this.#known_since_ms = Math.min(this.#known_since_ms, now_ms);
     const current = new Set(
       endpoints.map(({ pool, software_version }) =>
@@ -60,6 +66,16 @@
     }
   }
 
+  /**
+   * What came and went before the next observation isn't known; what was seen
+   * still counts.
+   */
+  forgetSpan(): void {
+    this.#known_since_ms = Infinity;
+    this.#own_since_ms = Infinity;
+    this.#stored_since_ms.clear();
+  }
+
   /** Takes over what another host knows. */
   merge({ known_for_ms, versions }: VersionReport, now_ms: number): void {
     for (const { pool, version, gone_for_ms } of versions) {
@@ -77,16 +93,21 @@
   }
 
   /**
-   * Takes over what the store names. A version that this host doesn't know may
-   * have left just now.
+   * Takes over what the store named at `asked_ms` or later. A version that this
+   * host doesn't know may have left just now.
    */
-  mergeStored(stored: readonly PoolVersions[], now_ms: number): void {
+  mergeStored(
+    stored: readonly PoolVersions[],
+    { asked_ms, now_ms }: { asked_ms: number; now_ms: number },
+  ): void {
+    // Others may have written since what this host has missed.
+    const isNewer = asked_ms >= this.#own_since_ms;
     for (const { pool, versions } of stored) {
       const known = this.#versionsOf(pool);
       for (const version of versions) {
         if (!known.has(version)) known.set(version, now_ms);
       }
-      if (this.#stored_since_ms.has(pool)) continue;
+      if (!isNewer || this.#stored_since_ms.has(pool)) continue;
       this.#stored_since_ms.set(pool, now_ms - STORED_MS);
     }
   }
@@ -123,9 +144,9 @@
       .map(([version]) => version);
   }
 
-  /** Whether this host, or one that told it, has seen the endpoints since then. */
-  isSeenSince(since_ms: number): boolean {
-    return this.#known_since_ms <= since_ms;
+  /** Whether this host knew the endpoints then. */
+  hadStarted(at_ms: number): boolean {
+    return this.#first_ms <= at_ms;
   }
 
   /** Whether the versions that were in service since then are known. */
--- a/test/stream_origins/stream_origin_service.test.ts
+++ b/test/stream_origins/stream_origin_service.test.ts
@@ -69,6 +69,12 @@
   service.observeEndpoints(versions.map((each) => sampleEndpoint(each)));
 }
 
+/** The endpoints of a new list, after which earlier changes may be missing. */
+function observeList(list: number, ...versions: string[]): void {
+  const endpoints = versions.map((each) => sampleEndpoint(each));
+  service.observeEndpoints(endpoints, { list });
+}
+
 function resolve(pools = ["model"], key = "docks/a") {
   return service.resolve({ key, pools, max_age_ms: 5_000 });
 }
@@ -196,6 +202,27 @@
   assert.equal((await resolve())?.version, "v1");
 });
 
+test("a host whose source was away asks others what came and went meanwhile", async () => {
+  observeList(1, "v1");
+  now_ms += 60_000;
+  observeList(2, "v1");
+  assert.equal(await resolve(), undefined);
+  now_ms += 1_000;
+  report = {
+    known_for_ms: 60_000,
+    versions: [
+      { pool: "model", version: "v1", gone_for_ms: 0 },
+      { pool: "model", version: "v2", gone_for_ms: 2_000 },
+    ],
+  };
+  assert.equal(await resolve(), undefined);
+  now_ms += 4_000;
+  for (const version of report.versions) {
+    if (version.version === "v2") version.gone_for_ms += 4_000;
+  }
+  assert.equal((await resolve())?.version, "v1");
+});
+
 test("of a stream that several pools may have begun only a record tells", async () => {
   observe("v1");
   now_ms += 60_000;
