ORDER: a stream that its caller resumes brings no event twice

What callers would see: a stream that a caller resumes with Last-Event-Id, answered by an endpoint that starts it again from its first event or repeats the last one, was passed on as it came, complete: events came twice over the caller's tries.

Cause: that events go on after a position was checked only within one response, after its head had been sent; the position that the caller names was passed to the endpoint and not checked. Class: a position trusted to the other side.

Now the relay checks the first event against the caller's position too; an answer that doesn't follow is dropped before any of it is sent, and the next endpoint is asked from the same position.

Found by reading; whether the reported cases were of it isn't known.

--- a/src/forwarding/complete_exchange.ts
+++ b/src/forwarding/complete_exchange.ts
@@ -138,6 +138,15 @@
   });
 }
 
+/** The last event that the caller has, from this response or from another. */
+function positionOf(
+  { inbound, lastEventId, admitted }: RunContext,
+): string | undefined {
+  if (inbound.response.headersSent) return lastEventId;
+  const { route, metadata } = admitted;
+  return route.resumable ? metadata.last_event_id : undefined;
+}
+
 async function relayResponseStream(
   context: RunContext,
   response: EndpointResponse,
@@ -150,9 +159,7 @@
   const relayed = await relayStream(context.inbound.response, response, {
     headers: codec.filterResponseHeaders(response.headers),
     resumable: context.admitted.route.resumable,
-    continues_after: context.inbound.response.headersSent
-      ? context.lastEventId
-      : undefined,
+    continues_after: positionOf(context),
     closeConnection: isShuttingDown(),
     limits: responseLimits,
     onFirstBytes: inputs.freeResults,
--- a/test/forwarding/resumed_streams.test.ts
+++ b/test/forwarding/resumed_streams.test.ts
@@ -146,6 +146,7 @@
 function callStream(
   fleet: GatewayFleet,
   path = "/resumed/x",
+  headers: Record<string, string> = {},
 ): Promise<CallerView> {
   const [host, port] = (fleet.gateways[0]?.callers ?? "").split(":");
   return new Promise((resolve, reject) => {
@@ -160,6 +161,7 @@
         "x-attempt-id": ATTEMPT_ID,
         "x-key": ApiKey.Docks,
         "x-deadline-ms": "2500",
+        ...headers,
       },
     });
     const view: CallerView = {
@@ -304,6 +306,40 @@
   }
 });
 
+/** Longer than a stream that is resumed with the deadline above may be old. */
+const STREAM_LIFE_MS = 1_700;
+const RESUMED = { "last-event-id": "2", "resumes": "a0" };
+
+test("a stream that its caller resumes brings no event twice", async (t) => {
+  for (const framing of ["chunked", "none"] as const) {
+    for (const again of [[event(1), event(2), event(3)], [event(2)]]) {
+      const answers: Answer[] = [
+        { body: again, framing },
+        { body: [event(3), event(4)], framing },
+      ];
+      const { fleet, seen } = await startFleet(t, answers);
+      await sleep(STREAM_LIFE_MS);
+      assert.deepEqual(await callStream(fleet, "/resumed/x", RESUMED), {
+        status: 200,
+        signature: "answer-2",
+        text: event(3) + event(4),
+        end: "complete",
+      });
+      assert.deepEqual(seen, ["2", "2"]);
+    }
+  }
+});
+
+test("a stream that its caller resumes after its last event ends", async (t) => {
+  const { fleet } = await startFleet(t, [{ body: [] }]);
+  await sleep(STREAM_LIFE_MS);
+  const view = await callStream(fleet, "/resumed/x", RESUMED);
+  assert.deepEqual({ text: view.text, end: view.end }, {
+    text: "",
+    end: "complete",
+  });
+});
+
 test("a stream that goes on may end with an event without an id", async (t) => {
   const answers = [
     broken(event(1), event(2)),
