LOST: a copy of a stream's record that a host doesn't take goes to another

Copies were sent once (origins_not_kept), and keepers that didn't answer were not replaced when a record was asked for: with a keeper down or cut off, the other was the only copy, and streams of a host that was lost with it were refused. A third host of the ranking now takes what one didn't, and is asked in the place of one that doesn't answer; once, so that a fleet with many hosts down costs one message more.

Evidence: stream_origin_service.test.ts, 'a copy that a host doesn't take': the third host got none before, passes now. Found by reading.

--- a/src/stream_origins/stream_origin_service.ts
+++ b/src/stream_origins/stream_origin_service.ts
@@ -322,12 +322,16 @@
     return found;
   }
 
-  /** Hosts that keep a copy: the one that stores the record, and others. */
-  #keepersOf(key: string): string[] {
+  /**
+   * Hosts that keep a copy: the one that stores the record, and others. The spare
+   * one takes the place of one that doesn't respond.
+   */
+  #keepersOf(key: string): { keepers: string[]; spare: string | undefined } {
     const { self, hosts } = this.#options;
     const ranked = rankCandidates(key, hosts());
-    return [...new Set([this.#writerOf(key), ...ranked])]
-      .filter((address) => address !== self).slice(0, KEEPERS);
+    const others = [...new Set([this.#writerOf(key), ...ranked])]
+      .filter((address) => address !== self);
+    return { keepers: others.slice(0, KEEPERS), spare: others[KEEPERS] };
   }
 
   /** The host that stores a record. */
@@ -349,15 +353,18 @@
 
   #copy(origin: StreamOrigin): void {
     this.#storeIfWriter(origin);
-    for (const address of this.#keepersOf(origin.key)) {
-      const waiting = this.#outgoing.get(address);
-      if (waiting !== undefined) {
-        waiting.push(origin);
-        continue;
-      }
-      this.#outgoing.set(address, [origin]);
-      setTimeout(() => void this.#send(address), BATCH_WINDOW_MS);
+    const { keepers } = this.#keepersOf(origin.key);
+    for (const address of keepers) this.#queue(address, origin);
+  }
+
+  #queue(address: string, origin: StreamOrigin): void {
+    const waiting = this.#outgoing.get(address);
+    if (waiting !== undefined) {
+      waiting.push(origin);
+      return;
     }
+    this.#outgoing.set(address, [origin]);
+    setTimeout(() => void this.#send(address), BATCH_WINDOW_MS);
   }
 
   async #send(address: string): Promise<void> {
@@ -373,28 +380,47 @@
         streams: origins.length,
         error: (error as Error).message,
       });
+      this.#offerToSpares(origins, address);
+    }
+  }
+
+  #offerToSpares(origins: readonly StreamOrigin[], failed: string): void {
+    for (const origin of origins) {
+      const { spare } = this.#keepersOf(origin.key);
+      if (spare !== undefined && spare !== failed) this.#queue(spare, origin);
     }
   }
 
   /** Asks the keepers of a record; undefined if none has it. */
   async #askKeepers(key: string): Promise<StreamOrigin | undefined> {
-    const { peers, log } = this.#options;
+    const { keepers, spare } = this.#keepersOf(key);
     const answers = await Promise.all(
-      this.#keepersOf(key).map(async (address) => {
-        try {
-          return await peers.askOrigin(address, key);
-        } catch (error) {
-          log.warn({
-            event: "origin_not_told",
-            peer: address,
-            stream: key,
-            error: (error as Error).message,
-          });
-          return null;
-        }
-      }),
+      keepers.map((address) => this.#askKeeper(address, key)),
     );
-    return answers.find((origin) => origin !== null);
+    if (spare !== undefined && answers.includes(undefined)) {
+      const isFound = answers.some((answer) => answer);
+      if (!isFound) answers.push(await this.#askKeeper(spare, key));
+    }
+    return answers.find((answer) => answer) ?? undefined;
+  }
+
+  /** A host's record; null if it has none, undefined if it doesn't respond. */
+  async #askKeeper(
+    address: string,
+    key: string,
+  ): Promise<StreamOrigin | null | undefined> {
+    const { peers, log } = this.#options;
+    try {
+      return await peers.askOrigin(address, key);
+    } catch (error) {
+      log.warn({
+        event: "origin_not_told",
+        peer: address,
+        stream: key,
+        error: (error as Error).message,
+      });
+      return undefined;
+    }
   }
 
   /** Learns from other hosts what was in service before this one knew. */
--- a/test/stream_origins/stream_origin_service.test.ts
+++ b/test/stream_origins/stream_origin_service.test.ts
@@ -24,6 +24,8 @@
 let changed: RouteEndpoint[];
 let report: VersionReport;
 let kept: StreamOrigin[];
+/** Hosts that were handed copies, in order. */
+let keepers: string[];
 let service: StreamOriginService;
 
 beforeEach(() => {
@@ -36,6 +38,7 @@
   report = { known_for_ms: 0, versions: [] };
   const received: StreamOrigin[] = [];
   kept = received;
+  keepers = [];
   const answer = <T>(value: T, address = ""): Promise<T> =>
     isCutOff || answering?.includes(address) === false
       ? Promise.reject(new Error("timeout"))
@@ -52,9 +55,10 @@
     sourceReaders: () => ["host-2", "host-3"],
     confirmSource: () => Promise.resolve(sourceAvailable ? changed : undefined),
     peers: {
-      async keepOrigins(_address, origins) {
-        await answer(undefined);
+      async keepOrigins(address, origins) {
+        await answer(undefined, address);
         received.push(...origins);
+        keepers.push(address);
       },
       askOrigin: (address) => answer(record, address),
       askVersions: (address) => answer(report, address),
@@ -110,6 +114,25 @@
   ]);
 });
 
+test("a copy that a host doesn't take goes to another, which is asked in its place", async () => {
+  observe("v1", "v2");
+  service.recordFirstEvent("docks/a", sampleEndpoint("v1"));
+  await passTime();
+  const [first = "", second = ""] = keepers;
+  const third =
+    ["host-2", "host-3", "host-4"].find((each) => !keepers.includes(each)) ??
+      "";
+  answering = [second, third];
+  service.recordFirstEvent("docks/a", sampleEndpoint("v1"));
+  await passTime();
+  await passTime();
+  assert.deepEqual(keepers, [first, second, second, third]);
+  service.forget("docks/a");
+  answering = [third];
+  record = { key: "docks/a", pool: "model", version: "v1" };
+  assert.equal((await resolve())?.source, OriginSource.Keeper);
+});
+
 test("a keeper's record goes before what the history tells", async () => {
   observe("v1");
   now_ms += 60_000;
