--- a/test/forwarding/stream_versions.test.ts
+++ b/test/forwarding/stream_versions.test.ts
@@ -392,8 +392,8 @@
   const fleet = await startFleet(t, MIXED);
   const { streams, resumed } = await leaveAndResume(fleet, async () => {
     await replaceHosts(fleet, MIXED.length);
-    for (const name of fleet.store.listNames("streams")) {
-      fleet.store.remove("streams", name);
+    for (const name of fleet.store.listNames("stream_origins")) {
+      fleet.store.remove("stream_origins", name);
     }
   });
   assert.equal(countJoined(fleet, MIXED, streams), 0);
