--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -38,6 +38,7 @@
 import { ObservedLoad } from "../routing/observed_load.ts";
 import { PoolRetryBudgets } from "../routing/repeat_budget.ts";
 import { createConfirmSource } from "../stream_origins/confirm_source.ts";
+import { KnownVersions } from "../stream_origins/known_versions.ts";
 import { StoredOrigins } from "../stream_origins/stored_origins.ts";
 import { StoredVersions } from "../stream_origins/stored_versions.ts";
 import { StreamOriginService } from "../stream_origins/stream_origin_service.ts";
@@ -184,10 +185,8 @@
     unixTime: () => Date.now(),
     signal,
   });
-  const streamOrigins = new StreamOriginService({
+  const knownVersions = new KnownVersions({
     history: versionHistory,
-    stored: storedOrigins,
-    learnStored: () => storedVersions.learn(),
     self,
     hosts: () => members.addresses(),
     sourceReaders: () => readers.readersToFollow(),
@@ -197,11 +196,22 @@
       isReading: () => readers.selfIsReader && endpoints.sourceAvailable,
       now,
     }),
+    learnStored: () => storedVersions.learn(),
     peers,
     log,
     now,
     random,
   });
+  const streamOrigins = new StreamOriginService({
+    history: versionHistory,
+    versions: knownVersions,
+    stored: storedOrigins,
+    self,
+    hosts: () => members.addresses(),
+    peers,
+    log,
+    now,
+  });
   endpointListeners.push(() =>
     streamOrigins.observeEndpoints(endpoints.all(now()), {
       list: endpoints.lists,
@@ -285,6 +295,7 @@
     responseLimits,
     reports,
     streamOrigins,
+    knownVersions,
     storedVersions,
     storedOrigins,
     syncOptions,
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -32,7 +32,7 @@
       context.reports.handleNotice(notice, targets),
     handleOrigins: (origins) => context.streamOrigins.keep(origins),
     findOrigin: (key) => context.streamOrigins.find(key) ?? null,
-    reportVersions: () => context.streamOrigins.reportVersions(),
+    reportVersions: () => context.knownVersions.report(),
     handleCrashReport: (report) => context.quarantine.handleReport(report),
     handleAnsweredParts: (parts) => context.quarantine.handleAnswered(parts),
     handleNotice: (notice, route) =>
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -25,6 +25,7 @@
 } from "../quarantine/types.ts";
 import type { RateLimitPeers } from "../rate_limits/rate_limit_service.ts";
 import type { PermitReply, PermitRequest } from "../rate_limits/types.ts";
+import type { KnownVersionsPeers } from "../stream_origins/known_versions.ts";
 import type { StreamOriginPeers } from "../stream_origins/stream_origin_service.ts";
 import type { StreamOrigin } from "../stream_origins/types.ts";
 import type { VersionReport } from "../stream_origins/version_history.ts";
@@ -54,7 +55,8 @@
     EndpointNoticePeers,
     QuarantinePeers,
     RateLimitPeers,
-    StreamOriginPeers {
+    StreamOriginPeers,
+    KnownVersionsPeers {
   #connections = new Map<string, PeerConnection>();
 
   /** Runs a job at another host. */
--- a/src/stream_origins/stream_origin_service.ts
+++ b/src/stream_origins/stream_origin_service.ts
@@ -12,25 +12,19 @@
  * version. Else the stream is not resumed: a guess would join two versions.
  */
 import type { Logger } from "../logging/logger.ts";
-import { rankCandidates } from "../membership/rendezvous_hash.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
-import { SharedRuns } from "../utils/shared_runs.ts";
 import { EndpointStarts, type KnownIncarnation } from "./endpoint_starts.ts";
 import { LongestDeadlines } from "./longest_deadlines.ts";
+import type { KnownVersions } from "./known_versions.ts";
+import { OriginKeepers } from "./origin_keepers.ts";
 import { OriginMemory } from "./origin_memory.ts";
-import type { ConfirmSource } from "./confirm_source.ts";
 import type { StoredOrigins } from "./stored_origins.ts";
 import {
   OriginSource,
   type ResolvedOrigin,
   type StreamOrigin,
 } from "./types.ts";
-import {
-  UNKNOWN,
-  UNNAMED,
-  type VersionHistory,
-  type VersionReport,
-} from "./version_history.ts";
+import { UNKNOWN, UNNAMED, type VersionHistory } from "./version_history.ts";
 
 /** Calls to other hosts; they reject if the host does not respond. */
 export interface StreamOriginPeers {
@@ -38,30 +32,23 @@
   keepOrigins(address: string, origins: StreamOrigin[]): Promise<void>;
   /** Asks a host for its record of a stream; null if it has none. */
   askOrigin(address: string, key: string): Promise<StreamOrigin | null>;
-  /** Asks a host which versions have been in service, up to now if it can tell. */
-  askVersions(address: string): Promise<VersionReport>;
 }
 
 /** Dependencies of a `StreamOriginService`. */
 export interface StreamOriginOptions {
   history: VersionHistory;
+  /** Makes the history current, and reach far enough back. */
+  versions: Pick<KnownVersions, "learn">;
   /** Address at which peers reach this host. */
   self: string;
   /** Addresses of all hosts. */
   hosts: () => readonly string[];
-  /** Hosts that read the source of the endpoints and may confirm it. */
-  sourceReaders: () => readonly string[];
-  confirmSource: ConfirmSource;
-  /** Adds to the history what the store knows of earlier versions. */
-  learnStored: () => Promise<void>;
   /** Records in the store, which outlast all hosts. */
   stored: Pick<StoredOrigins, "add" | "find">;
   peers: StreamOriginPeers;
   log: Logger;
   /** Monotonic time in milliseconds. */
   now: () => number;
-  /** Returns a number from 0 up to, not including, 1. */
-  random: () => number;
 }
 
 /** A stream that a caller resumes. */
@@ -74,32 +61,11 @@
   max_age_ms: number;
 }
 
-/** Hosts that keep a copy of each record. */
-const KEEPERS = 2;
-/** Hosts that store records, however many there are. */
-const WRITERS = 8;
 /** Copies for one host within this time share a message. */
 const BATCH_WINDOW_MS = 20;
-/** Hosts that are asked for what was in service before this host started. */
-const ASKED_FOR_VERSIONS = 3;
-/** Hosts of which most must answer while none can confirm the source. */
-const ASKED_WITHOUT_SOURCE = 5;
-/** Confirmations by other hosts are this far apart, and shared. */
-const MIN_CONFIRM_INTERVAL_MS = 100;
-/** Time until they are asked again. */
-const MIN_ASK_INTERVAL_MS = 1_000;
 /** A version that left longer ago has no streams that go on. */
 const MIXED_WINDOW_MS = 60_000;
 
-/** Up to when this host knows the versions; the values are logged. */
-enum Currency {
-  /** Up to now, by the source. */
-  Confirmed = "confirmed",
-  /** As far as most of several hosts, while the source answers none of them. */
-  Agreed = "agreed",
-  Unknown = "unknown",
-}
-
 /** Remembers and finds out the versions of streams that may be resumed. */
 export class StreamOriginService {
   /** Which versions have been in service. */
@@ -113,20 +79,12 @@
   #outgoing = new Map<string, StreamOrigin[]>();
   #mixedPools = new Set<string>();
   #list = 0;
-  /** The questions that are being answered; undefined if there are none. */
-  #asking: Promise<void> | undefined;
-  #asked_ms = -Infinity;
-  /** The hosts that store records, and the joined list they were ranked from. */
-  #writers: { hosts: string; order: string[] } = { hosts: "", order: [] };
-  #currency: SharedRuns<Currency>;
+  #keepers: OriginKeepers;
 
   constructor(options: StreamOriginOptions) {
     this.#options = options;
     this.history = options.history;
-    this.#currency = new SharedRuns(() => this.#makeCurrent(), {
-      min_interval_ms: MIN_CONFIRM_INTERVAL_MS,
-      now: options.now,
-    });
+    this.#keepers = new OriginKeepers(options);
   }
 
   /**
@@ -222,12 +180,6 @@
     if (this.#mixedPools.has(origin.pool)) this.#copy(origin);
   }
 
-  /** What this host knows of the versions, and whether up to now. */
-  async reportVersions(): Promise<VersionReport> {
-    const is_current = await this.#confirmOwnSource();
-    return { ...this.history.report(this.#options.now()), is_current };
-  }
-
   async #concludeVersion(
     pools: string[],
     since_ms: number,
@@ -235,51 +187,9 @@
     const [pool, ...others] = pools;
     if (pool === undefined || others.length > 0) return undefined;
     if (this.history.versionsSince(pool, since_ms).length > 1) return undefined;
-    if (await this.#currency.next() === Currency.Unknown) return undefined;
-    const isKnown = () => this.history.isKnownSince(since_ms, pool);
-    if (!isKnown()) await this.#askForVersions();
-    if (!isKnown()) await this.#options.learnStored();
-    return isKnown() ? this.#onlyVersion(pool, since_ms) : undefined;
-  }
-
-  /** Makes what this host knows of the versions current, if it can. */
-  async #makeCurrent(): Promise<Currency> {
-    if (await this.#confirmOwnSource()) return Currency.Confirmed;
-    const { self, hosts, sourceReaders, random, log } = this.#options;
-    const readers = await this.#askVersionsOf(sourceReaders());
-    if (readers.some(({ is_current }) => is_current)) return Currency.Confirmed;
-    // The source may be away for all; then nobody hears of a new version.
-    const others = rankCandidates(String(random()), hosts())
-      .filter((address) => address !== self)
-      .slice(0, ASKED_WITHOUT_SOURCE);
-    const reports = await this.#askVersionsOf(others);
-    const isConfirmed = reports.some(({ is_current }) => is_current);
-    const currency = isConfirmed
-      ? Currency.Confirmed
-      : 2 * reports.length > others.length || others.length === 0
-      ? Currency.Agreed
-      : Currency.Unknown;
-    log.info({
-      event: "versions_unconfirmed",
-      asked: others.length,
-      answered: reports.length,
-      outcome: currency,
-    });
-    return currency;
-  }
-
-  /** Whether the source says that this host knows all versions up to now. */
-  async #confirmOwnSource(): Promise<boolean> {
-    const changed = await this.#options.confirmSource();
-    if (changed === undefined) return false;
-    const versions = changed.map(({ pool, software_version = UNNAMED }) => ({
-      pool,
-      version: software_version,
-      gone_for_ms: 0,
-    }));
-    const now_ms = this.#options.now();
-    this.history.merge({ known_for_ms: 0, versions }, now_ms);
-    return true;
+    const { versions } = this.#options;
+    const isKnown = await versions.learn(pool, since_ms);
+    return isKnown ? this.#onlyVersion(pool, since_ms) : undefined;
   }
 
   /** The version of a pool, if it had no other in all this time. */
@@ -322,38 +232,14 @@
     return found;
   }
 
-  /**
-   * Hosts that keep a copy: the one that stores the record, and others. The spare
-   * one takes the place of one that doesn't respond.
-   */
-  #keepersOf(key: string): { keepers: string[]; spare: string | undefined } {
-    const { self, hosts } = this.#options;
-    const ranked = rankCandidates(key, hosts());
-    const others = [...new Set([this.#writerOf(key), ...ranked])]
-      .filter((address) => address !== self);
-    return { keepers: others.slice(0, KEEPERS), spare: others[KEEPERS] };
-  }
-
-  /** The host that stores a record. */
-  #writerOf(key: string): string {
-    const { self, hosts } = this.#options;
-    const all = hosts();
-    const joined = all.join();
-    if (joined !== this.#writers.hosts) {
-      const order = rankCandidates("stored_origins", all).slice(0, WRITERS);
-      this.#writers = { hosts: joined, order };
-    }
-    return rankCandidates(key, this.#writers.order)[0] ?? self;
-  }
-
   #storeIfWriter(origin: StreamOrigin): void {
     const { self, stored } = this.#options;
-    if (this.#writerOf(origin.key) === self) stored.add(origin);
+    if (this.#keepers.writerOf(origin.key) === self) stored.add(origin);
   }
 
   #copy(origin: StreamOrigin): void {
     this.#storeIfWriter(origin);
-    const { keepers } = this.#keepersOf(origin.key);
+    const { keepers } = this.#keepers.of(origin.key);
     for (const address of keepers) this.#queue(address, origin);
   }
 
@@ -386,14 +272,14 @@
 
   #offerToSpares(origins: readonly StreamOrigin[], failed: string): void {
     for (const origin of origins) {
-      const { spare } = this.#keepersOf(origin.key);
+      const { spare } = this.#keepers.of(origin.key);
       if (spare !== undefined && spare !== failed) this.#queue(spare, origin);
     }
   }
 
   /** Asks the keepers of a record; undefined if none has it. */
   async #askKeepers(key: string): Promise<StreamOrigin | undefined> {
-    const { keepers, spare } = this.#keepersOf(key);
+    const { keepers, spare } = this.#keepers.of(key);
     const answers = await Promise.all(
       keepers.map((address) => this.#askKeeper(address, key)),
     );
@@ -422,46 +308,6 @@
       return undefined;
     }
   }
-
-  /** Learns from other hosts what was in service before this one knew. */
-  async #askForVersions(): Promise<void> {
-    const now_ms = this.#options.now();
-    if (now_ms - this.#asked_ms >= MIN_ASK_INTERVAL_MS) {
-      this.#asked_ms = now_ms;
-      this.#asking = this.#askHosts();
-    }
-    await this.#asking;
-  }
-
-  async #askHosts(): Promise<void> {
-    const { self, hosts, sourceReaders, random } = this.#options;
-    const asked = rankCandidates(String(random()), hosts())
-      .filter((address) => address !== self).slice(0, ASKED_FOR_VERSIONS);
-    // Followers may be behind.
-    await this.#askVersionsOf([...new Set([...sourceReaders(), ...asked])]);
-  }
-
-  /** Takes over what some hosts know; resolves to the reports that came. */
-  async #askVersionsOf(
-    addresses: readonly string[],
-  ): Promise<VersionReport[]> {
-    const { peers, log, now } = this.#options;
-    const reports = await Promise.all(addresses.map(async (address) => {
-      try {
-        const report = await peers.askVersions(address);
-        this.history.merge(report, now());
-        return report;
-      } catch (error) {
-        log.warn({
-          event: "versions_not_told",
-          peer: address,
-          error: (error as Error).message,
-        });
-        return undefined;
-      }
-    }));
-    return reports.filter((report) => report !== undefined);
-  }
 }
 
 function recorded(origin: StreamOrigin, source: OriginSource): ResolvedOrigin {
--- a/test/stream_origins/stream_origin_service.test.ts
+++ b/test/stream_origins/stream_origin_service.test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { beforeEach, test } from "node:test";
 import { createLogger } from "../../src/logging/logger.ts";
+import { KnownVersions } from "../../src/stream_origins/known_versions.ts";
 import { StreamOriginService } from "../../src/stream_origins/stream_origin_service.ts";
 import {
   OriginSource,
@@ -43,17 +44,28 @@
     isCutOff || answering?.includes(address) === false
       ? Promise.reject(new Error("timeout"))
       : Promise.resolve(value);
-  service = new StreamOriginService({
+  const shared = {
     history: new VersionHistory(),
+    self: "host-1",
+    hosts: () => ["host-1", "host-2", "host-3", "host-4"],
+    log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
+    now: () => now_ms,
+  };
+  const versions = new KnownVersions({
+    ...shared,
+    sourceReaders: () => ["host-2", "host-3"],
+    confirmSource: () => Promise.resolve(sourceAvailable ? changed : undefined),
     learnStored: () => Promise.resolve(),
+    peers: { askVersions: (address) => answer(report, address) },
+    random: () => 0.5,
+  });
+  service = new StreamOriginService({
+    ...shared,
+    versions,
     stored: {
       add() {},
       find: () => Promise.resolve(undefined),
     },
-    self: "host-1",
-    hosts: () => ["host-1", "host-2", "host-3", "host-4"],
-    sourceReaders: () => ["host-2", "host-3"],
-    confirmSource: () => Promise.resolve(sourceAvailable ? changed : undefined),
     peers: {
       async keepOrigins(address, origins) {
         await answer(undefined, address);
@@ -61,11 +73,7 @@
         keepers.push(address);
       },
       askOrigin: (address) => answer(record, address),
-      askVersions: (address) => answer(report, address),
     },
-    log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
-    now: () => now_ms,
-    random: () => 0.5,
   });
 });
 
