--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -41,6 +41,7 @@
 import { ObservedLoad } from "../routing/observed_load.ts";
 import { PoolRetryBudgets } from "../routing/repeat_budget.ts";
 import { createConfirmSource } from "../stream_origins/confirm_source.ts";
+import { KnownVersions } from "../stream_origins/known_versions.ts";
 import { StoredOrigins } from "../stream_origins/stored_origins.ts";
 import { StoredVersions } from "../stream_origins/stored_versions.ts";
 import { createProbeReach } from "../reachability/probe_reach.ts";
@@ -242,10 +243,8 @@
     unixTime: () => Date.now(),
     signal,
   });
-  const streamOrigins = new StreamOriginService({
+  const knownVersions = new KnownVersions({
     history: versionHistory,
-    stored: storedOrigins,
-    learnStored: () => storedVersions.learn(),
     self,
     hosts: () => members.addresses(),
     sourceReaders: () => readers.readersToFollow(),
@@ -255,13 +254,26 @@
       isReading: () => readers.selfIsReader && endpoints.sourceAvailable,
       now,
     }),
+    learnStored: () => storedVersions.learn(),
     peers,
     log,
     now,
     random,
   });
+  const streamOrigins = new StreamOriginService({
+    history: versionHistory,
+    versions: knownVersions,
+    stored: storedOrigins,
+    self,
+    hosts: () => members.addresses(),
+    peers,
+    log,
+    now,
+  });
   endpointListeners.push(() =>
-    streamOrigins.observeEndpoints(endpoints.all(now()))
+    streamOrigins.observeEndpoints(endpoints.all(now()), {
+      list: endpoints.lists,
+    })
   );
   const feedClients = new FeedStreamClients({ log, now });
   const readers = new StoreReaders({
@@ -343,6 +355,7 @@
     reachability,
     isEndpointRefused,
     streamOrigins,
+    knownVersions,
     storedVersions,
     storedOrigins,
     syncOptions,
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -27,6 +27,7 @@
 import type { PermitReply, PermitRequest } from "../rate_limits/types.ts";
 import type { ReachabilityPeers } from "../reachability/reachability_service.ts";
 import type { AskedEndpoint } from "../reachability/reachable_endpoints.ts";
+import type { KnownVersionsPeers } from "../stream_origins/known_versions.ts";
 import type { StreamOriginPeers } from "../stream_origins/stream_origin_service.ts";
 import type { StreamOrigin } from "../stream_origins/types.ts";
 import type { VersionReport } from "../stream_origins/version_history.ts";
@@ -57,7 +58,8 @@
     QuarantinePeers,
     RateLimitPeers,
     ReachabilityPeers,
-    StreamOriginPeers {
+    StreamOriginPeers,
+    KnownVersionsPeers {
   #connections = new Map<string, PeerConnection>();
 
   /** Runs a job at another host. */
--- a/test/stream_origins/stream_origin_service.test.ts
+++ b/test/stream_origins/stream_origin_service.test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { beforeEach, test } from "node:test";
 import { createLogger } from "../../src/logging/logger.ts";
+import { KnownVersions } from "../../src/stream_origins/known_versions.ts";
 import { StreamOriginService } from "../../src/stream_origins/stream_origin_service.ts";
 import {
   OriginSource,
@@ -24,6 +25,8 @@
 let changed: RouteEndpoint[];
 let report: VersionReport;
 let kept: StreamOrigin[];
+/** Hosts that were handed copies, in order. */
+let keepers: string[];
 let service: StreamOriginService;
 
 beforeEach(() => {
@@ -36,32 +39,41 @@
   report = { known_for_ms: 0, versions: [] };
   const received: StreamOrigin[] = [];
   kept = received;
+  keepers = [];
   const answer = <T>(value: T, address = ""): Promise<T> =>
     isCutOff || answering?.includes(address) === false
       ? Promise.reject(new Error("timeout"))
       : Promise.resolve(value);
-  service = new StreamOriginService({
+  const shared = {
     history: new VersionHistory(),
+    self: "host-1",
+    hosts: () => ["host-1", "host-2", "host-3", "host-4"],
+    log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
+    now: () => now_ms,
+  };
+  const versions = new KnownVersions({
+    ...shared,
+    sourceReaders: () => ["host-2", "host-3"],
+    confirmSource: () => Promise.resolve(sourceAvailable ? changed : undefined),
     learnStored: () => Promise.resolve(),
+    peers: { askVersions: (address) => answer(report, address) },
+    random: () => 0.5,
+  });
+  service = new StreamOriginService({
+    ...shared,
+    versions,
     stored: {
       add() {},
       find: () => Promise.resolve(undefined),
     },
-    self: "host-1",
-    hosts: () => ["host-1", "host-2", "host-3", "host-4"],
-    sourceReaders: () => ["host-2", "host-3"],
-    confirmSource: () => Promise.resolve(sourceAvailable ? changed : undefined),
     peers: {
-      async keepOrigins(_address, origins) {
-        await answer(undefined);
+      async keepOrigins(address, origins) {
+        await answer(undefined, address);
         received.push(...origins);
+        keepers.push(address);
       },
       askOrigin: (address) => answer(record, address),
-      askVersions: (address) => answer(report, address),
     },
-    log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
-    now: () => now_ms,
-    random: () => 0.5,
   });
 });
 
@@ -69,6 +81,12 @@
   service.observeEndpoints(versions.map((each) => sampleEndpoint(each)));
 }
 
+/** The endpoints of a new list, after which earlier changes may be missing. */
+function observeList(list: number, ...versions: string[]): void {
+  const endpoints = versions.map((each) => sampleEndpoint(each));
+  service.observeEndpoints(endpoints, { list });
+}
+
 function resolve(pools = ["model"], key = "docks/a") {
   return service.resolve({ key, pools, max_age_ms: 5_000 });
 }
@@ -104,6 +122,25 @@
   ]);
 });
 
+test("a copy that a host doesn't take goes to another, which is asked in its place", async () => {
+  observe("v1", "v2");
+  service.recordFirstEvent("docks/a", sampleEndpoint("v1"));
+  await passTime();
+  const [first = "", second = ""] = keepers;
+  const third =
+    ["host-2", "host-3", "host-4"].find((each) => !keepers.includes(each)) ??
+      "";
+  answering = [second, third];
+  service.recordFirstEvent("docks/a", sampleEndpoint("v1"));
+  await passTime();
+  await passTime();
+  assert.deepEqual(keepers, [first, second, second, third]);
+  service.forget("docks/a");
+  answering = [third];
+  record = { key: "docks/a", pool: "model", version: "v1" };
+  assert.equal((await resolve())?.source, OriginSource.Keeper);
+});
+
 test("a keeper's record goes before what the history tells", async () => {
   observe("v1");
   now_ms += 60_000;
@@ -196,6 +233,27 @@
   assert.equal((await resolve())?.version, "v1");
 });
 
+test("a host whose source was away asks others what came and went meanwhile", async () => {
+  observeList(1, "v1");
+  now_ms += 60_000;
+  observeList(2, "v1");
+  assert.equal(await resolve(), undefined);
+  now_ms += 1_000;
+  report = {
+    known_for_ms: 60_000,
+    versions: [
+      { pool: "model", version: "v1", gone_for_ms: 0 },
+      { pool: "model", version: "v2", gone_for_ms: 2_000 },
+    ],
+  };
+  assert.equal(await resolve(), undefined);
+  now_ms += 4_000;
+  for (const version of report.versions) {
+    if (version.version === "v2") version.gone_for_ms += 4_000;
+  }
+  assert.equal((await resolve())?.version, "v1");
+});
+
 test("of a stream that several pools may have begun only a record tells", async () => {
   observe("v1");
   now_ms += 60_000;
