RECOVER: after one loss a host tries the endpoints that it hasn't heard since

After a loss the endpoints that were not heard since are tried at once, and questions may follow each other after 100 ms; one endpoint is asked about each 250 ms and twice for an attempt.

--- a/src/reachability/endpoint_reach.ts
+++ b/src/reachability/endpoint_reach.ts
@@ -72,6 +72,8 @@
   lost_ms = -Infinity;
   /** Questions to other hosts during or after the last attempt. */
   questions = 0;
+  /** When other hosts were last asked about it. */
+  asked_ms = -Infinity;
   /** When the next attempt is due. */
   next_probe_ms = -Infinity;
   #failures = 0;
--- a/src/reachability/reachable_endpoints.ts
+++ b/src/reachability/reachable_endpoints.ts
@@ -61,15 +61,17 @@
 /** Bytes that came to others this long before an attempt ended count. */
 const SILENT_MARGIN_MS = 300;
 /** Least time between questions, with doubted endpoints and without. */
-const QUESTION_INTERVAL_MS = 250;
+const QUESTION_INTERVAL_MS = 100;
 const REFRESH_INTERVAL_MS = 1_000;
 /** Hosts that are asked at a time, with doubted endpoints and without. */
 const ASKED_HOSTS = 3;
 const REFRESH_HOSTS = 2;
 const MAX_ASKED_ENDPOINTS = 12;
-const MAX_QUESTIONS_PER_ATTEMPT = 3;
+const MAX_QUESTIONS_PER_ATTEMPT = 2;
+/** Least time between two questions about one endpoint. */
+const ASK_AGAIN_AFTER_MS = 250;
 /** More carriers than this are not looked for. */
-const ENOUGH_CARRIERS = 6;
+const ENOUGH_CARRIERS = 3;
 /** A host is cut off from a pool if it has lost this share of its endpoints. */
 const CUT_OFF_SHARE = 0.8;
 /** Endpoints lost in one silence from which the others count as lost too. */
@@ -219,6 +221,7 @@
     this.#asked_ms = now_ms;
     const endpoints = asked.map((reach) => {
       reach.questions += 1;
+      reach.asked_ms = now_ms;
       return {
         endpoint: incarnationOf(reach.endpoint),
         since_ago_ms: Math.round(
@@ -380,12 +383,22 @@
     reach.recordLost(now_ms);
     this.#lost.add(reach);
     this.#options.onLost(endpoint, failed.outcome);
+    this.#doubtUnheardSince(failed.from_ms, now_ms);
     if (failed.outcome === ProbeOutcome.Refused) return;
     for (const exchange of [...reach.exchanges]) {
       if (exchange.heard_ms < failed.from_ms) exchange.onLost();
     }
   }
 
+  /** Doubts endpoints that may be lost for the same cause. */
+  #doubtUnheardSince(since_ms: number, now_ms: number): void {
+    for (const reach of this.#reaches.values()) {
+      const isUnheard = reach.heard_ms < since_ms &&
+        now_ms >= reach.next_probe_ms;
+      if (isUnheard) reach.doubt(now_ms);
+    }
+  }
+
   /** Doubts endpoints that say nothing although exchanges wait for them. */
   #doubtSilent(now_ms: number): void {
     const quiet = [...this.#reaches.values()].filter((reach) =>
@@ -477,8 +490,9 @@
 }
 
 function isQuestionDue(reach: EndpointReach, now_ms: number): boolean {
-  const { state, failed, probing_since_ms, questions } = reach;
+  const { state, failed, probing_since_ms, questions, asked_ms } = reach;
   if (state !== ReachState.Doubted) return false;
+  if (now_ms - asked_ms < ASK_AGAIN_AFTER_MS) return false;
   if (questions >= MAX_QUESTIONS_PER_ATTEMPT) return false;
   if (probing_since_ms !== undefined) {
     return now_ms - probing_since_ms >= ASK_AFTER_MS;
--- a/test/reachability/reachable_endpoints.test.ts
+++ b/test/reachability/reachable_endpoints.test.ts
@@ -135,6 +135,18 @@
   });
 }
 
+test("with one endpoint refused, the others are found out before they are used", () => {
+  const fleet = createFleet();
+  fleet.run(2_000, { per_s: 30 });
+  cutHosts(fleet, 1, Path.Refuses);
+  const host = fleet.host(0);
+  while (host.state.lostCount === 0) {
+    fleet.run(10, { per_s: 5, hosts: [host], pool: "desk" });
+  }
+  fleet.run(300, { per_s: 0 });
+  assert.equal(host.state.lostCount, fleet.endpoints.length);
+});
+
 test("a large pool out of reach goes by way of others within contact_ms", () => {
   const fleet = new SimulatedFleet(
     5,
