--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -48,6 +48,12 @@
 import { formatAddress } from "../settings/settings.ts";
 import { abortableDelay } from "../utils/delay.ts";
 
+/**
+ * Connections to an endpoint for carried exchanges, in shares of one host. Senders
+ * keep within their own shares, so together they keep within the endpoint's limit.
+ */
+const MAX_CARRIED_SHARE = 4;
+
 /** External dependencies of a gateway host. */
 export interface GatewayHostEnvironment {
   adapter: GatewayAdapter;
@@ -161,6 +167,10 @@
   const responseLimits = createLimits(BodyKind.Response);
   const agents = new EndpointAgents(() => members.count, translateAddress);
   const carriers = new CarrierConnections();
+  const carriedAgents = new EndpointAgents(
+    () => members.count / MAX_CARRIED_SHARE,
+    translateAddress,
+  );
   const reports = new EndpointReports({
     self,
     hosts: () => members.addresses(),
@@ -305,6 +315,7 @@
     lossListeners,
     agents,
     carriers,
+    carriedAgents,
     routes: reachability,
     send,
     retryBudget: new PoolRetryBudgets(settings.repeats, () => members.count),
