RECOVER: a hang shows also in exchanges that a host ends itself, and to hosts that are asked

Silence is now counted from the first exchange without bytes, and a host that is asked about an endpoint and gets no bytes itself looks further, twice at most and once in 5 s.

--- a/src/reachability/endpoint_reach.ts
+++ b/src/reachability/endpoint_reach.ts
@@ -45,6 +45,12 @@
 
 /** An endpoint that was tried and is sound may be silent for this long again. */
 const SOUND_SILENCE_MS = 2_000;
+/** An exchange without bytes counts for this long after its end. */
+const UNANSWERED_LIFETIME_MS = 1_000;
+/** Another host's question gives rise to a doubt once in this time. */
+const HEARSAY_INTERVAL_MS = 5_000;
+/** Attempts after such a question. */
+const MAX_HEARSAY_ATTEMPTS = 2;
 /** Pauses between attempts at an endpoint that is doubted, doubling. */
 const MIN_DOUBT_PAUSE_MS = 250;
 const MAX_DOUBT_PAUSE_MS = 2_000;
@@ -76,6 +82,13 @@
   asked_ms = -Infinity;
   /** When the next attempt is due. */
   next_probe_ms = -Infinity;
+  /** When the first exchange began that got no bytes, unless some came since. */
+  #quietSince_ms = -Infinity;
+  /** When an exchange last ended without bytes. */
+  #unanswered_ms = -Infinity;
+  /** Whether only another host's question gave rise to the doubt. */
+  #isHearsay = false;
+  #hearsay_ms = -Infinity;
   #failures = 0;
   /** When an attempt last got bytes. */
   #probed_ms = -Infinity;
@@ -86,13 +99,34 @@
     this.endpoint = endpoint;
   }
 
-  /** Time for which no bytes came although an exchange waits; 0 without one. */
+  /** Records that a direct exchange began. */
+  open(exchange: OpenExchange): void {
+    const { began_ms } = exchange;
+    const isQuiet = this.exchanges.size > 0 || this.#isUnanswered(began_ms);
+    if (!isQuiet) this.#quietSince_ms = began_ms;
+    this.exchanges.add(exchange);
+  }
+
+  /** Records that a direct exchange ended. */
+  close(exchange: OpenExchange, now_ms: number): void {
+    if (!this.exchanges.delete(exchange)) return;
+    if (this.heard_ms < exchange.began_ms) this.#unanswered_ms = now_ms;
+  }
+
+  /**
+   * Time for which no bytes came although exchanges waited, also one after the
+   * other; 0 if none waits and none was given up lately.
+   */
   quietMs(now_ms: number): number {
-    let began_ms = Infinity;
-    for (const exchange of this.exchanges) {
-      began_ms = Math.min(began_ms, exchange.began_ms);
-    }
-    return Math.max(0, now_ms - Math.max(this.heard_ms, began_ms));
+    const isUsed = this.exchanges.size > 0 || this.#isUnanswered(now_ms);
+    if (!isUsed) return 0;
+    return now_ms - Math.max(this.heard_ms, this.#quietSince_ms);
+  }
+
+  /** Whether an exchange was given up without bytes lately. */
+  #isUnanswered(now_ms: number): boolean {
+    return this.#unanswered_ms > this.heard_ms &&
+      now_ms - this.#unanswered_ms < UNANSWERED_LIFETIME_MS;
   }
 
   /** Records the start of an attempt. */
@@ -108,10 +142,20 @@
   doubt(now_ms: number): void {
     if (this.state !== ReachState.Reached) return;
     this.state = ReachState.Doubted;
+    this.#isHearsay = false;
     const earliest_ms = this.#probed_ms + MIN_DOUBT_PAUSE_MS;
     this.next_probe_ms = Math.max(now_ms, earliest_ms);
   }
 
+  /** Doubts it since another host does, and this one got no bytes either. */
+  doubtByHearsay(now_ms: number): void {
+    if (this.state !== ReachState.Reached) return;
+    if (now_ms - this.#hearsay_ms < HEARSAY_INTERVAL_MS) return;
+    this.doubt(now_ms);
+    this.#isHearsay = true;
+    this.#hearsay_ms = now_ms;
+  }
+
   /** Records that an attempt got bytes; silence is no reason for one until then. */
   recordSound(now_ms: number): void {
     this.#probed_ms = now_ms;
@@ -160,4 +204,14 @@
   hastenReturn(now_ms: number): void {
     if (this.#returnPause_ms === RETURN_PAUSE_MS) this.next_probe_ms = now_ms;
   }
+
+  /** Leaves it to exchanges to show whether it answers, after hearsay. */
+  settleHearsay(): void {
+    const isSettled = this.state === ReachState.Doubted && this.#isHearsay &&
+      this.exchanges.size === 0 && this.#failures >= MAX_HEARSAY_ATTEMPTS;
+    if (!isSettled) return;
+    this.state = ReachState.Reached;
+    this.failed = undefined;
+    this.#failures = 0;
+  }
 }
--- a/src/reachability/reachability_service.ts
+++ b/src/reachability/reachability_service.ts
@@ -128,7 +128,7 @@
         this.#endpoints.recordFailure(exchange, known, now());
         this.#stepSoon();
       },
-      end: () => this.#endpoints.end(exchange),
+      end: () => this.#endpoints.end(exchange, now()),
     };
   }
 
@@ -199,6 +199,7 @@
     const started = probe(endpoint.address).then((outcome) => {
       onProbe(outcome);
       this.#endpoints.recordAttempt(endpoint, outcome, now());
+      this.#stepSoon();
       const lifetime_ms = outcome === ProbeOutcome.Reached
         ? 0
         : FAILED_PROBE_LIFETIME_MS;
--- a/src/reachability/reachable_endpoints.ts
+++ b/src/reachability/reachable_endpoints.ts
@@ -63,7 +63,7 @@
 /** Least time between questions, with doubted endpoints and without. */
 const QUESTION_INTERVAL_MS = 100;
 const REFRESH_INTERVAL_MS = 1_000;
-/** Hosts that are asked at a time, with doubted endpoints and without. */
+/** Hosts that are asked at a time, first and again. */
 const ASKED_HOSTS = 3;
 const REFRESH_HOSTS = 2;
 const MAX_ASKED_ENDPOINTS = 12;
@@ -114,7 +114,7 @@
   ): OpenExchange {
     const reach = this.#reachOf(endpoint);
     const exchange = { reach, began_ms: now_ms, heard_ms: -Infinity, onLost };
-    reach.exchanges.add(exchange);
+    reach.open(exchange);
     return exchange;
   }
 
@@ -146,8 +146,8 @@
   }
 
   /** Records that a direct exchange has ended. */
-  end(exchange: OpenExchange): void {
-    exchange.reach.exchanges.delete(exchange);
+  end(exchange: OpenExchange, now_ms: number): void {
+    exchange.reach.close(exchange, now_ms);
   }
 
   /** Takes the endpoints that are to be tried now. */
@@ -189,6 +189,7 @@
     if (reach.state === ReachState.Reached && reach.heard_ms >= from_ms) return;
     reach.recordFailed({ outcome, from_ms, until_ms: now_ms });
     this.#decide(reach, now_ms);
+    reach.settleHearsay();
   }
 
   /** Records an attempt that tells nothing, as this host stood still. */
@@ -214,7 +215,9 @@
     const asked = doubted.length > 0 ? doubted : this.#withFewCarriers(now_ms);
     if (asked.length === 0) return undefined;
     const addresses = this.#hostsToAsk(hosts(), {
-      count: doubted.length > 0 ? ASKED_HOSTS : REFRESH_HOSTS,
+      count: doubted.some(({ questions }) => questions === 0)
+        ? ASKED_HOSTS
+        : REFRESH_HOSTS,
       now_ms,
     });
     if (addresses.length === 0) return undefined;
@@ -307,8 +310,9 @@
     outcome: ProbeOutcome,
     now_ms: number,
   ): void {
-    if (outcome !== ProbeOutcome.Reached) return;
-    this.#recordReached(this.#reachOf(endpoint), now_ms);
+    const reach = this.#reachOf(endpoint);
+    if (outcome === ProbeOutcome.Reached) this.#recordReached(reach, now_ms);
+    else reach.doubtByHearsay(now_ms);
   }
 
   /** Number of endpoints that are lost. */
--- a/test/reachability/reachable_endpoints.test.ts
+++ b/test/reachability/reachable_endpoints.test.ts
@@ -135,6 +135,39 @@
   });
 }
 
+test("exchanges that this host ends for want of bytes show the cut as well", () => {
+  const fleet = createFleet();
+  fleet.run(2_000, { per_s: 30 });
+  cutHosts(fleet, 1, Path.Swallows);
+  fleet.patience_ms = 200;
+  fleet.run(CONTACT_MS / 2, { per_s: 10, hosts: [fleet.host(0)] });
+  assert.ok(fleet.host(0).state.lostCount >= 2);
+});
+
+test("a host without traffic learns of its cut as another one asks it", () => {
+  const fleet = createFleet(3);
+  fleet.run(2_000, { per_s: 30 });
+  cutHosts(fleet, 2, Path.Hangs);
+  fleet.run(CONTACT_MS / 2, { per_s: 30, hosts: [fleet.host(0)] });
+  assert.ok(fleet.host(0).state.lostCount >= 2);
+  assert.ok(fleet.host(1).state.lostCount >= 2);
+});
+
+test("a question about an endpoint that is down doesn't go on and on", () => {
+  const fleet = createFleet(20);
+  fleet.run(2_000, { per_s: 30 });
+  fleet.path = (_, { id }) => id === "desk-1" ? Path.Hangs : Path.Open;
+  fleet.run(1_000, { per_s: 30, hosts: [fleet.host(0)] });
+  fleet.run(10_000, { per_s: 0 });
+  const before = fleet.hosts.map(({ questions }) => questions);
+  fleet.run(10_000, { per_s: 0 });
+  const asked = fleet.hosts.map(({ questions }, n) =>
+    questions - (before[n] ?? 0)
+  );
+  // Each host without traffic is asked about it once in 5 s, and asks three.
+  assert.ok(asked.every((each) => each <= 2 * 2 * 3 + 15), `${asked}`);
+});
+
 test("with one endpoint refused, the others are found out before they are used", () => {
   const fleet = createFleet();
   fleet.run(2_000, { per_s: 30 });
@@ -283,7 +316,7 @@
       onLost: () => {},
     });
     this.state.recordFailure(exchange, "ECONNRESET", this.now_ms);
-    this.state.end(exchange);
+    this.state.end(exchange, this.now_ms);
     this.nextAttempt(10_000);
     this.now_ms += duration_ms;
     this.state.recordProbe(this.endpoint, outcome, this.now_ms);
--- a/test/reachability/simulated_hosts.ts
+++ b/test/reachability/simulated_hosts.ts
@@ -92,6 +92,8 @@
   answers: (endpoint: RouteEndpoint) => boolean = () => true;
   /** Time until an exchange gets its first bytes. */
   work_ms = 50;
+  /** Time after which a host gives up an exchange without bytes. */
+  patience_ms = Infinity;
   #timed: Timed[] = [];
   #byAddress: Map<string, SimulatedHost>;
 
@@ -167,7 +169,7 @@
     let isOpen = true;
     const end = () => {
       isOpen = false;
-      state.end(exchange);
+      state.end(exchange, this.now_ms);
     };
     const exchange: OpenExchange = state.begin(endpoint, {
       now_ms: this.now_ms,
@@ -187,6 +189,7 @@
     }
     const receive = () => {
       if (!isOpen) return;
+      if (this.now_ms - exchange.began_ms >= this.patience_ms) return end();
       if (this.path(host, endpoint) !== Path.Open || !this.answers(endpoint)) {
         return this.#after(STEP_MS, receive);
       }
@@ -245,6 +248,7 @@
       if (peer.state.isOutOfReach(endpoint, this.now_ms)) return settle();
       this.#attempt(peer, endpoint, ANSWER_WITHIN_MS, (outcome) => {
         peer.state.recordAttempt(endpoint, outcome, this.now_ms);
+        this.#step(peer);
         if (outcome === ProbeOutcome.Reached) reached_ms[index] = this.now_ms;
         settle();
       });
