--- a/src/reachability/reachable_endpoints.ts
+++ b/src/reachability/reachable_endpoints.ts
@@ -61,15 +61,17 @@
 /** Bytes that came to others this long before an attempt ended count. */
 const SILENT_MARGIN_MS = 300;
 /** Least time between questions, with doubted endpoints and without. */
-const QUESTION_INTERVAL_MS = 250;
+const QUESTION_INTERVAL_MS = 100;
 const REFRESH_INTERVAL_MS = 1_000;
-/** Hosts that are asked at a time, with doubted endpoints and without. */
+/** Hosts that are asked at a time, first and again. */
 const ASKED_HOSTS = 3;
 const REFRESH_HOSTS = 2;
 const MAX_ASKED_ENDPOINTS = 12;
-const MAX_QUESTIONS_PER_ATTEMPT = 3;
+const MAX_QUESTIONS_PER_ATTEMPT = 2;
+/** Least time between two questions about one endpoint. */
+const ASK_AGAIN_AFTER_MS = 250;
 /** More carriers than this are not looked for. */
-const ENOUGH_CARRIERS = 6;
+const ENOUGH_CARRIERS = 3;
 /** A host is cut off from a pool if it has lost this share of its endpoints. */
 const CUT_OFF_SHARE = 0.8;
 /** Endpoints lost in one silence from which the others count as lost too. */
@@ -112,7 +114,7 @@
   ): OpenExchange {
     const reach = this.#reachOf(endpoint);
     const exchange = { reach, began_ms: now_ms, heard_ms: -Infinity, onLost };
-    reach.exchanges.add(exchange);
+    reach.open(exchange);
     return exchange;
   }
 
@@ -144,8 +146,8 @@
   }
 
   /** Records that a direct exchange has ended. */
-  end(exchange: OpenExchange): void {
-    exchange.reach.exchanges.delete(exchange);
+  end(exchange: OpenExchange, now_ms: number): void {
+    exchange.reach.close(exchange, now_ms);
   }
 
   /** Takes the endpoints that are to be tried now. */
@@ -187,6 +189,7 @@
     if (reach.state === ReachState.Reached && reach.heard_ms >= from_ms) return;
     reach.recordFailed({ outcome, from_ms, until_ms: now_ms });
     this.#decide(reach, now_ms);
+    reach.settleHearsay();
   }
 
   /** Records an attempt that tells nothing, as this host stood still. */
@@ -212,13 +215,16 @@
     const asked = doubted.length > 0 ? doubted : this.#withFewCarriers(now_ms);
     if (asked.length === 0) return undefined;
     const addresses = this.#hostsToAsk(hosts(), {
-      count: doubted.length > 0 ? ASKED_HOSTS : REFRESH_HOSTS,
+      count: doubted.some(({ questions }) => questions === 0)
+        ? ASKED_HOSTS
+        : REFRESH_HOSTS,
       now_ms,
     });
     if (addresses.length === 0) return undefined;
     this.#asked_ms = now_ms;
     const endpoints = asked.map((reach) => {
       reach.questions += 1;
+      reach.asked_ms = now_ms;
       return {
         endpoint: incarnationOf(reach.endpoint),
         since_ago_ms: Math.round(
@@ -304,8 +310,9 @@
     outcome: ProbeOutcome,
     now_ms: number,
   ): void {
-    if (outcome !== ProbeOutcome.Reached) return;
-    this.#recordReached(this.#reachOf(endpoint), now_ms);
+    const reach = this.#reachOf(endpoint);
+    if (outcome === ProbeOutcome.Reached) this.#recordReached(reach, now_ms);
+    else reach.doubtByHearsay(now_ms);
   }
 
   /** Number of endpoints that are lost. */
@@ -380,12 +387,22 @@
     reach.recordLost(now_ms);
     this.#lost.add(reach);
     this.#options.onLost(endpoint, failed.outcome);
+    this.#doubtUnheardSince(failed.from_ms, now_ms);
     if (failed.outcome === ProbeOutcome.Refused) return;
     for (const exchange of [...reach.exchanges]) {
       if (exchange.heard_ms < failed.from_ms) exchange.onLost();
     }
   }
 
+  /** Doubts endpoints that may be lost for the same cause. */
+  #doubtUnheardSince(since_ms: number, now_ms: number): void {
+    for (const reach of this.#reaches.values()) {
+      const isUnheard = reach.heard_ms < since_ms &&
+        now_ms >= reach.next_probe_ms;
+      if (isUnheard) reach.doubt(now_ms);
+    }
+  }
+
   /** Doubts endpoints that say nothing although exchanges wait for them. */
   #doubtSilent(now_ms: number): void {
     const quiet = [...this.#reaches.values()].filter((reach) =>
@@ -477,8 +494,9 @@
 }
 
 function isQuestionDue(reach: EndpointReach, now_ms: number): boolean {
-  const { state, failed, probing_since_ms, questions } = reach;
+  const { state, failed, probing_since_ms, questions, asked_ms } = reach;
   if (state !== ReachState.Doubted) return false;
+  if (now_ms - asked_ms < ASK_AGAIN_AFTER_MS) return false;
   if (questions >= MAX_QUESTIONS_PER_ATTEMPT) return false;
   if (probing_since_ms !== undefined) {
     return now_ms - probing_since_ms >= ASK_AFTER_MS;
