LIMIT: hosts together bound what endpoints get that crash when they reject too much

Cause: only an endpoint itself limited what it was offered. Each host sent what its callers brought and backed off alone, so that rejections grew with the load and with the number of hosts; each crash moved its load to the others.

Now a request to such an endpoint needs a place, which the endpoint's issuer grants for all hosts together, up to its slots and a few more that the rejections it bears would cover; a rejection lowers the bound. What gets no place soon is refused by us, with a time of its own to come back. No place is asked for in pools without such endpoints.

--- /dev/null
+++ b/src/endpoint_places/endpoint_places.ts
@@ -0,0 +1,309 @@
+/**
+ * Keeps all hosts together within the places of endpoints that crash when they
+ * reject too many requests. Each endpoint has an issuer, the first live host of a
+ * rendezvous ranking, which every host asks for a place before it sends the
+ * endpoint a request, and to which it reports when the request has ended. No
+ * message is sent for pools without such endpoints.
+ */
+import type { EndpointNotice } from "../endpoint_reports/endpoint_notices.ts";
+import type { NamedRateLimit } from "../endpoint_reports/endpoint_report.ts";
+import type { Logger } from "../logging/logger.ts";
+import { RankedHosts } from "../membership/ranked_hosts.ts";
+import { rankCandidates } from "../membership/rendezvous_hash.ts";
+import { KnownLimits } from "../rate_limits/known_limits.ts";
+import { incarnationOf } from "../routes/incarnation.ts";
+import type { RouteEndpoint } from "../routes/types.ts";
+import { type HeldPlace, HeldPlaces } from "./held_places.ts";
+import { PlaceIssuer } from "./place_issuer.ts";
+import {
+  type PlaceReply,
+  placeReplySchema,
+  type PlaceReport,
+  type PlaceRequest,
+} from "./types.ts";
+
+/** Calls to other hosts; they reject if the host does not respond. */
+export interface EndpointPlacesPeers {
+  requestPlace(address: string, request: PlaceRequest): Promise<PlaceReply>;
+  reportPlaces(address: string, report: PlaceReport): Promise<void>;
+}
+
+/** Dependencies of an {@linkcode EndpointPlaces}. */
+export interface EndpointPlacesOptions {
+  /** Address at which peers reach this host. */
+  self: string;
+  /** Addresses of all hosts, this one included. */
+  hosts: () => string[];
+  peers: EndpointPlacesPeers;
+  /** The endpoints of a pool. */
+  endpointsIn: (pool: string) => RouteEndpoint[];
+  log: Logger;
+  now: () => number;
+  /** Aborts when this host stops. */
+  signal: AbortSignal;
+}
+
+/** The place of one request at an endpoint. */
+export interface Place {
+  /** Gives it back; `rejected` if the endpoint had no room for the request. */
+  release(rejected: boolean): void;
+}
+
+/** Longest time for which a request waits for its place, in milliseconds. */
+const MAX_WAIT_MS = 200;
+/** Places that are given back within this time share a report. */
+const REPORT_DELAY_MS = 2;
+/** Time after its grant in which a place may go to this host's next request. */
+const REUSE_MS = 1_000;
+/** Time for which a place is kept for this host's next request. */
+const IDLE_MS = 10;
+/** Requests of this host that may ask for a place at an endpoint at a time. */
+const MAX_ASKING = 2;
+/** Hosts that are asked for a place, or told of one, before it is given up. */
+const MAX_ISSUER_TRIES = 1;
+/** Time after which a limit of rejections that no answer names is forgotten. */
+const LIMIT_LIFETIME_MS = 60_000;
+/** Interval of the reports of places that are held. */
+const REPORT_INTERVAL_MS = 500;
+/** Reply if no host could be asked. */
+const NO_ISSUER: PlaceReply = {
+  granted: false,
+  ask_after_ms: 500,
+  retry_after_ms: 500,
+};
+
+/** Bounds the requests in flight at endpoints that can bear few rejections. */
+export class EndpointPlaces {
+  #options: EndpointPlacesOptions;
+  #rankedHosts: RankedHosts;
+  #limits = new KnownLimits();
+  #held = new HeldPlaces();
+  #issuer: PlaceIssuer;
+  /** Requests of this host that ask for a place, by endpoint. */
+  #asking = new Map<string, number>();
+  #reportTimer: NodeJS.Timeout | undefined;
+
+  constructor(options: EndpointPlacesOptions) {
+    this.#options = options;
+    this.#rankedHosts = new RankedHosts(options);
+    this.#issuer = new PlaceIssuer({
+      isIssuerOf: (endpoint) =>
+        rankCandidates(endpoint, options.hosts())[0] === options.self,
+      now: options.now,
+    });
+    options.signal.addEventListener(
+      "abort",
+      () => clearInterval(this.#reportTimer),
+    );
+  }
+
+  /**
+   * Records what an endpoint's response says about the rejections that it can
+   * bear. Returns the notice for the other hosts if that starts or ends.
+   */
+  observe(
+    endpoint: RouteEndpoint,
+    { rejection_limit, sent_ms }: {
+      rejection_limit: NamedRateLimit;
+      sent_ms: number;
+    },
+  ): EndpointNotice["rejection_limit"] {
+    const notice = this.#limits.observe({
+      endpoint: incarnationOf(endpoint),
+      rate_limit: rejection_limit,
+      sent_ms,
+    }, this.#options.now());
+    if (notice === undefined) return undefined;
+    this.#options.log.info({
+      event: notice.per_s === undefined
+        ? "rejection_limit_ended"
+        : "rejection_limit_named",
+      endpoint: endpoint.id,
+      limit_per_s: notice.per_s,
+    });
+    return { per_s: notice.per_s };
+  }
+
+  /** Applies a notice that an endpoint's limit of rejections starts or ends. */
+  apply({ endpoint, rejection_limit }: EndpointNotice): void {
+    const notice = { endpoint, per_s: rejection_limit?.per_s };
+    this.#limits.apply(notice, this.#options.now());
+    this.#startReports();
+  }
+
+  /** Whether a request to the endpoint needs a place. */
+  isBounded(endpoint: RouteEndpoint): boolean {
+    return this.#limitPerS(endpoint) !== undefined;
+  }
+
+  /** Time until a place may be asked for, in milliseconds. */
+  waitMs(endpoint: RouteEndpoint): number {
+    if (!this.isBounded(endpoint) || this.hasIdle(endpoint)) return 0;
+    const incarnation = incarnationOf(endpoint);
+    const wait_ms = this.#held.waitMs(incarnation, this.#options.now());
+    const asking = this.#asking.get(incarnation) ?? 0;
+    return asking < MAX_ASKING ? wait_ms : Math.max(1, wait_ms);
+  }
+
+  /** Whether this host has a place there that no request uses. */
+  hasIdle(endpoint: RouteEndpoint): boolean {
+    return this.#held.hasIdle(incarnationOf(endpoint));
+  }
+
+  /**
+   * Time until a caller may find a place, in milliseconds; each call returns a
+   * later one while there is none.
+   */
+  retryAfterMs(endpoint: RouteEndpoint): number {
+    return this.isBounded(endpoint)
+      ? this.#held.retryAfterMs(incarnationOf(endpoint), this.#options.now())
+      : 0;
+  }
+
+  /** Takes a place for a request; resolves to undefined if there is none. */
+  async take(
+    endpoint: RouteEndpoint,
+    { priority, max_wait_ms }: { priority: number; max_wait_ms: number },
+  ): Promise<Place | undefined> {
+    const incarnation = incarnationOf(endpoint);
+    const kept = this.#held.takeIdle(incarnation);
+    if (kept !== undefined) return this.#placeOf(endpoint, kept);
+    const max_rejections_per_s = this.#limitPerS(endpoint);
+    const number = this.#held.nextNumber();
+    if (max_rejections_per_s !== undefined) {
+      this.#startReports();
+      const reply = await this.#request({
+        endpoint: incarnation,
+        host: this.#options.self,
+        place: number,
+        slots: endpoint.slots,
+        max_rejections_per_s,
+        priority,
+        max_wait_ms: Math.min(MAX_WAIT_MS, Math.max(0, max_wait_ms)),
+      });
+      if (!reply.granted) {
+        this.#held.recordRefusal(incarnation, reply, this.#options.now());
+        return undefined;
+      }
+    }
+    const place = this.#held.add(incarnation, number, this.#options.now());
+    return this.#placeOf(endpoint, place);
+  }
+
+  /** Handles, as the issuer, a host's request for a place. */
+  handleRequest(request: PlaceRequest): Promise<PlaceReply> {
+    return this.#issuer.handleRequest(request);
+  }
+
+  /** Handles, as the issuer, a host's report of its places. */
+  handleReport(report: PlaceReport): void {
+    this.#issuer.handleReport(report);
+  }
+
+  /**
+   * Rejections a second that the endpoint can bear; undefined if it needs no
+   * bound. One that has not answered yet is taken to be like others of its pool.
+   */
+  #limitPerS(endpoint: RouteEndpoint): number | undefined {
+    if (this.#limits.isEmpty) return undefined;
+    const { now, endpointsIn } = this.#options;
+    const limitOf = (each: RouteEndpoint) =>
+      this.#limits.find(incarnationOf(each), now())?.per_s;
+    const own = limitOf(endpoint);
+    if (own !== undefined) return own;
+    const others = endpointsIn(endpoint.pool).map(limitOf)
+      .filter((per_s) => per_s !== undefined);
+    return others.length === 0 ? undefined : Math.min(...others);
+  }
+
+  #placeOf(endpoint: RouteEndpoint, place: HeldPlace): Place {
+    const incarnation = incarnationOf(endpoint);
+    return {
+      release: (rejected) => {
+        const age_ms = this.#options.now() - place.since_ms;
+        const isKept = !rejected && age_ms < REUSE_MS &&
+          !this.#asking.has(incarnation) && this.isBounded(endpoint);
+        if (!isKept) return this.#giveBack(endpoint, place, rejected);
+        this.#held.keepIdle(incarnation, place);
+        setTimeout(() => {
+          if (this.#held.removeIdle(incarnation, place)) {
+            this.#giveBack(endpoint, place, false);
+          }
+        }, IDLE_MS).unref();
+      },
+    };
+  }
+
+  #giveBack(
+    endpoint: RouteEndpoint,
+    place: HeldPlace,
+    rejected: boolean,
+  ): void {
+    const incarnation = incarnationOf(endpoint);
+    if (!this.#held.release(incarnation, place, rejected)) return;
+    if (this.isBounded(endpoint)) this.#scheduleReport(incarnation);
+    else this.#held.takeReleased(incarnation);
+  }
+
+  async #request(request: PlaceRequest): Promise<PlaceReply> {
+    const { peers } = this.#options;
+    this.#countAsking(request.endpoint, 1);
+    const [reply] = await this.#rankedHosts.call({
+      key: request.endpoint,
+      count: 1,
+      max_tries: MAX_ISSUER_TRIES,
+      local: () => this.handleRequest(request),
+      remote: async (issuer) =>
+        placeReplySchema.parse(await peers.requestPlace(issuer, request)),
+    });
+    this.#countAsking(request.endpoint, -1);
+    return reply ?? NO_ISSUER;
+  }
+
+  #countAsking(incarnation: string, change: number): void {
+    const count = (this.#asking.get(incarnation) ?? 0) + change;
+    if (count === 0) this.#asking.delete(incarnation);
+    else this.#asking.set(incarnation, count);
+  }
+
+  #scheduleReport(incarnation: string): void {
+    if (!this.#held.startReport(incarnation)) return;
+    setTimeout(() => this.#report(incarnation), REPORT_DELAY_MS).unref();
+  }
+
+  #report(incarnation: string): void {
+    const { self: host, peers } = this.#options;
+    const released = this.#held.takeReleased(incarnation);
+    const held = this.#held.numbers(incarnation);
+    const report = { endpoint: incarnation, host, held, released };
+    void this.#rankedHosts.call({
+      key: incarnation,
+      count: 1,
+      max_tries: MAX_ISSUER_TRIES,
+      local: () => this.handleReport(report),
+      remote: (issuer) => peers.reportPlaces(issuer, report),
+    });
+  }
+
+  /** Reports at once what is in flight, and then at intervals. */
+  #startReports(): void {
+    if (this.#reportTimer !== undefined || this.#limits.isEmpty) return;
+    this.#reportHeld();
+    this.#reportTimer = setInterval(() => {
+      this.#limits.forgetBefore(this.#options.now() - LIMIT_LIFETIME_MS);
+      if (this.#limits.isEmpty) {
+        clearInterval(this.#reportTimer);
+        this.#reportTimer = undefined;
+      } else this.#reportHeld();
+    }, REPORT_INTERVAL_MS);
+    this.#reportTimer.unref();
+  }
+
+  #reportHeld(): void {
+    for (const incarnation of this.#held.incarnations()) {
+      if (this.#limits.find(incarnation, this.#options.now()) !== undefined) {
+        this.#report(incarnation);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/endpoint_places/place_ledger.ts
@@ -0,0 +1,214 @@
+/**
+ * The places at one endpoint: who holds them and who waits for one. Does no I/O
+ * and reads no clock: callers pass the time in.
+ */
+import { dropOldest } from "../utils/drop_oldest.ts";
+import { type EndpointCapacity, PlaceBound } from "./place_bound.ts";
+import type { PlaceReply, PlaceReport, PlaceRequest } from "./types.ts";
+
+/** How a request for a place is decided. */
+export type PlaceDecision =
+  | { kind: PlaceDecisionKind.Granted }
+  /** It is in the queue; {@linkcode PlaceLedger.settle} tells the rest. */
+  | { kind: PlaceDecisionKind.Queued }
+  | { kind: PlaceDecisionKind.Refused; reply: PlaceReply };
+
+/** The kinds of {@linkcode PlaceDecision}. */
+export enum PlaceDecisionKind {
+  Granted = "granted",
+  Queued = "queued",
+  Refused = "refused",
+}
+
+/** Identifies a place: the host that asks for it, and its number there. */
+export type PlaceKey = string;
+
+interface HeldPlace {
+  host: string;
+  since_ms: number;
+  expires_ms: number;
+}
+
+interface QueuedRequest {
+  key: PlaceKey;
+  host: string;
+  priority: number;
+}
+
+/** Time after which a place that no report confirms is free again. */
+const PLACE_LIFETIME_MS = 2_000;
+/** A place that was granted within this time may be missing from a report. */
+const REPORT_LAG_MS = 500;
+/** Requests that may wait, as a share of the slots. */
+const MAX_QUEUED_SHARE = 1;
+/** Share of the places that a substitute for the endpoint's issuer grants. */
+const SUBSTITUTE_SHARE = 0.25;
+/** Time between two hosts that ask again after a refusal. */
+const ASK_INTERVAL_MS = 20;
+const MAX_ASK_AFTER_MS = 1_000;
+/** Hosts whose next time is remembered; the oldest are dropped. */
+const MAX_HOSTS = 4_096;
+const MAX_RETRY_AFTER_MS = 5_000;
+/** Weight of the newest request in the moving average of service times. */
+const TIME_SMOOTHING = 0.1;
+/** Assumed before the first request has ended. */
+const INITIAL_SERVICE_MS = 100;
+
+/** Key of a host's place. */
+export function placeKeyOf(host: string, place: number): PlaceKey {
+  return `${host} ${place}`;
+}
+
+/** The host that a place's key names. */
+export function hostOfPlaceKey(key: PlaceKey): string {
+  return key.slice(0, key.lastIndexOf(" "));
+}
+
+/** The places at one endpoint. */
+export class PlaceLedger {
+  #bound: PlaceBound;
+  #capacity: EndpointCapacity = { slots: 1, max_rejections_per_s: 0 };
+  #isSubstitute = false;
+  #held = new Map<PlaceKey, HeldPlace>();
+  #queue: QueuedRequest[] = [];
+  #service_ms = INITIAL_SERVICE_MS;
+  #nextAsk_ms = 0;
+  /** When each host that was refused may ask again. */
+  #asksAt_ms = new Map<string, number>();
+  #nextRetry_ms = 0;
+
+  constructor(now_ms: number) {
+    this.#bound = new PlaceBound(now_ms);
+  }
+
+  /** Grants a place, queues the request for one, or refuses it. */
+  request(
+    request: PlaceRequest,
+    { isSubstitute, now_ms }: { isSubstitute: boolean; now_ms: number },
+  ): PlaceDecision {
+    this.#capacity = request;
+    this.#isSubstitute = isSubstitute;
+    this.#dropExpired(now_ms);
+    const { host, priority } = request;
+    const key = placeKeyOf(host, request.place);
+    if (this.#queue.length === 0 && this.#hasRoom(now_ms)) {
+      this.#hold(key, host, now_ms);
+      return { kind: PlaceDecisionKind.Granted };
+    }
+    const last = this.#queue.at(-1);
+    const mayQueue = request.max_wait_ms > 0 &&
+      (this.#queue.length < this.#maxQueued ||
+        (last !== undefined && priority < last.priority));
+    if (!mayQueue) {
+      const reply = this.refusal(host, now_ms);
+      return { kind: PlaceDecisionKind.Refused, reply };
+    }
+    const index = this.#queue.findIndex((other) => priority < other.priority);
+    const position = index < 0 ? this.#queue.length : index;
+    this.#queue.splice(position, 0, { key, host, priority });
+    return { kind: PlaceDecisionKind.Queued };
+  }
+
+  /** Takes in what a host holds and has given back. */
+  report({ host, held, released }: PlaceReport, now_ms: number): void {
+    this.#dropExpired(now_ms);
+    for (const { place, requests, rejected } of released) {
+      const key = placeKeyOf(host, place);
+      if (rejected) {
+        const { slots } = this.#capacity;
+        this.#bound.recordRejection(this.#held.size, { slots, now_ms });
+      }
+      const known = this.#held.get(key);
+      if (known !== undefined && !rejected) {
+        const service_ms = (now_ms - known.since_ms) / Math.max(1, requests);
+        this.#service_ms += TIME_SMOOTHING * (service_ms - this.#service_ms);
+      }
+      this.#held.delete(key);
+    }
+    const keys = new Set(held.map((place) => placeKeyOf(host, place)));
+    for (const key of keys) this.#hold(key, host, now_ms);
+    for (const [key, { host: holder, since_ms }] of this.#held) {
+      const isMissing = holder === host && !keys.has(key);
+      if (isMissing && now_ms - since_ms > REPORT_LAG_MS) {
+        this.#held.delete(key);
+      }
+    }
+  }
+
+  /**
+   * Grants places to queued requests. Returns those that got one, and those that
+   * have lost their turn to more urgent ones.
+   */
+  settle(now_ms: number): { granted: PlaceKey[]; refused: PlaceKey[] } {
+    this.#dropExpired(now_ms);
+    const granted: PlaceKey[] = [];
+    while (this.#queue.length > 0 && this.#hasRoom(now_ms)) {
+      const { key, host } = this.#queue.shift() as QueuedRequest;
+      this.#hold(key, host, now_ms);
+      granted.push(key);
+    }
+    const refused = this.#queue.splice(this.#maxQueued).map(({ key }) => key);
+    return { granted, refused };
+  }
+
+  /** Takes a request out of the queue; false if it isn't there. */
+  leaveQueue(key: PlaceKey): boolean {
+    const index = this.#queue.findIndex((queued) => queued.key === key);
+    if (index >= 0) this.#queue.splice(index, 1);
+    return index >= 0;
+  }
+
+  /**
+   * A refusal. Each host and each request gets a time of its own, so that they
+   * don't come back together.
+   */
+  refusal(host: string, now_ms: number): PlaceReply {
+    const interval_ms = this.#service_ms / this.#capacity.slots;
+    const queueEnd_ms = now_ms + this.#queue.length * interval_ms;
+    this.#nextRetry_ms = Math.min(
+      Math.max(queueEnd_ms, this.#nextRetry_ms) + interval_ms,
+      now_ms + MAX_RETRY_AFTER_MS,
+    );
+    return {
+      granted: false,
+      ask_after_ms: this.#askTimeOf(host, now_ms) - now_ms,
+      retry_after_ms: this.#nextRetry_ms - now_ms,
+    };
+  }
+
+  #askTimeOf(host: string, now_ms: number): number {
+    const known_ms = this.#asksAt_ms.get(host) ?? 0;
+    if (known_ms > now_ms) return known_ms;
+    this.#nextAsk_ms = Math.min(
+      Math.max(now_ms, this.#nextAsk_ms) + ASK_INTERVAL_MS,
+      now_ms + MAX_ASK_AFTER_MS,
+    );
+    this.#asksAt_ms.delete(host);
+    this.#asksAt_ms.set(host, this.#nextAsk_ms);
+    dropOldest(this.#asksAt_ms, MAX_HOSTS);
+    return this.#nextAsk_ms;
+  }
+
+  get #maxQueued(): number {
+    return Math.ceil(this.#capacity.slots * MAX_QUEUED_SHARE);
+  }
+
+  #hasRoom(now_ms: number): boolean {
+    const places = this.#bound.places(this.#capacity, now_ms);
+    const share = this.#isSubstitute ? SUBSTITUTE_SHARE : 1;
+    const bound = places === 0 ? 0 : Math.max(1, Math.floor(places * share));
+    return this.#held.size < bound;
+  }
+
+  #hold(key: PlaceKey, host: string, now_ms: number): void {
+    const since_ms = this.#held.get(key)?.since_ms ?? now_ms;
+    const expires_ms = now_ms + PLACE_LIFETIME_MS;
+    this.#held.set(key, { host, since_ms, expires_ms });
+  }
+
+  #dropExpired(now_ms: number): void {
+    for (const [key, { expires_ms }] of this.#held) {
+      if (expires_ms <= now_ms) this.#held.delete(key);
+    }
+  }
+}
--- /dev/null
+++ b/src/endpoint_places/types.ts
@@ -0,0 +1,53 @@
+/** Messages about places, the requests that endpoints may have in flight. */
+import { z } from "zod";
+
+/** A request for one place at an endpoint. */
+export const placeRequestSchema = z.object({
+  /** Incarnation of the endpoint. */
+  endpoint: z.string(),
+  /** Address of the host that asks. */
+  host: z.string(),
+  /** Identifies the place among those of the host. */
+  place: z.int().nonnegative(),
+  /** Requests that the endpoint works on at a time. */
+  slots: z.int().positive(),
+  /** Rejections a second that the endpoint can bear. */
+  max_rejections_per_s: z.number().nonnegative(),
+  /** Of the request that is to be sent; 0 is the most urgent. */
+  priority: z.int().nonnegative(),
+  /** Longest time that the request may wait for its place, in milliseconds. */
+  max_wait_ms: z.number().nonnegative(),
+});
+
+/** The reply to a {@linkcode PlaceRequest}. */
+export const placeReplySchema = z.object({
+  granted: z.boolean(),
+  /** Time after which the host may ask again, in milliseconds. */
+  ask_after_ms: z.number().nonnegative(),
+  /** Time after which the request may find a place, in milliseconds. */
+  retry_after_ms: z.number().nonnegative(),
+});
+
+/** What a host has in flight at an endpoint. */
+export const placeReportSchema = z.object({
+  /** Incarnation of the endpoint. */
+  endpoint: z.string(),
+  host: z.string(),
+  /** All places that the host holds. */
+  held: z.array(z.int().nonnegative()),
+  /** Places that it has given back since its last report. */
+  released: z.array(z.object({
+    place: z.int().nonnegative(),
+    /** Requests that had it, one after another. */
+    requests: z.int().nonnegative(),
+    /** Whether the endpoint rejected the last one for want of room. */
+    rejected: z.boolean(),
+  })),
+});
+
+/** A request for one place at an endpoint. */
+export type PlaceRequest = z.infer<typeof placeRequestSchema>;
+/** The reply to a {@linkcode PlaceRequest}. */
+export type PlaceReply = z.infer<typeof placeReplySchema>;
+/** What a host has in flight at an endpoint. */
+export type PlaceReport = z.infer<typeof placeReportSchema>;
--- a/src/endpoint_reports/endpoint_notices.ts
+++ b/src/endpoint_reports/endpoint_notices.ts
@@ -16,9 +16,15 @@
   endpoint: z.string(),
   /**
    * Requests per second that it takes; undefined without a limit. A notice of
-   * leaving carries it only for hosts of an earlier release.
+   * something else carries it only for hosts of an earlier release.
    */
   per_s: z.number().nonnegative().optional(),
+  /**
+   * Rejections a second beyond which it crashes, without a value if it no longer
+   * does; missing from other notices.
+   */
+  rejection_limit: z.object({ per_s: z.number().nonnegative().optional() })
+    .optional(),
   /** Whether it is leaving; missing from hosts of an earlier release. */
   leaving: z.boolean().optional(),
 });
--- a/src/endpoint_reports/endpoint_report.ts
+++ b/src/endpoint_reports/endpoint_report.ts
@@ -6,6 +6,11 @@
   /** The endpoint's load; undefined if it reported none. */
   load: ReportedLoad | undefined;
   rate_limit: NamedRateLimit;
+  /**
+   * Rejections a second for want of room, of requests of all hosts together,
+   * beyond which it crashes.
+   */
+  rejection_limit: NamedRateLimit;
   /**
    * Time for which it wants no requests of the host that it refused, in
    * milliseconds; 0 if it named none.
--- a/src/endpoint_reports/endpoint_reports.ts
+++ b/src/endpoint_reports/endpoint_reports.ts
@@ -2,6 +2,7 @@
  * Takes in what endpoints say of themselves in their responses, and what other
  * hosts pass on of that.
  */
+import type { EndpointPlaces } from "../endpoint_places/endpoint_places.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { RateLimitService } from "../rate_limits/rate_limit_service.ts";
 import { addressOfIncarnation, incarnationOf } from "../routes/incarnation.ts";
@@ -31,6 +32,7 @@
   peers: EndpointNoticePeers;
   load: ObservedLoad;
   rateLimits: RateLimitService;
+  places: EndpointPlaces;
   endpoints: EndpointRegistry;
   /** Called when this host learns that the endpoint at an address is leaving. */
   onLeaving: (address: string, source: LeavingSource) => void;
@@ -66,7 +68,7 @@
     report: EndpointReport,
     sent_ms: number | undefined,
   ): void {
-    const { load, rateLimits, now } = this.#options;
+    const { load, rateLimits, places, now } = this.#options;
     if (report.load !== undefined) {
       load.forEndpoint(endpoint).recordLoad(report.load, now());
     }
@@ -82,9 +84,15 @@
       });
     }
     if (sent_ms === undefined) return;
-    const { rate_limit } = report;
+    const { rate_limit, rejection_limit: named } = report;
     const notice = rateLimits.observe(endpoint, { rate_limit, sent_ms });
     if (notice !== undefined) this.#notices.report(notice);
+    const observed = { rejection_limit: named, sent_ms };
+    const rejection_limit = places.observe(endpoint, observed);
+    if (rejection_limit !== undefined) {
+      const per_s = rateLimits.limitPerS(endpoint);
+      this.#notices.report({ endpoint: incarnation, per_s, rejection_limit });
+    }
   }
 
   /**
@@ -111,6 +119,8 @@
   #apply(notice: EndpointNotice): void {
     if (notice.leaving === true) {
       this.#markLeaving(notice.endpoint, LeavingSource.Peer);
+    } else if (notice.rejection_limit !== undefined) {
+      this.#options.places.apply(notice);
     } else this.#options.rateLimits.apply(notice);
   }
 
--- a/src/forwarding/dependencies.ts
+++ b/src/forwarding/dependencies.ts
@@ -4,6 +4,7 @@
 import type { BodyLimits } from "../bodies/read_bytes.ts";
 import type { GraphOptions } from "../batching/stage_graph.ts";
 import type { EndpointAgents } from "../endpoints/endpoint_agents.ts";
+import type { EndpointPlaces } from "../endpoint_places/endpoint_places.ts";
 import type { EndpointReports } from "../endpoint_reports/endpoint_reports.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { DrainWindow } from "../lifecycle/drain_window.ts";
@@ -27,6 +28,7 @@
   retryBudget: PoolRetryBudgets;
   quarantine: QuarantineService;
   rateLimits: RateLimitService;
+  places: EndpointPlaces;
   reports: EndpointReports;
   stageGraph: GraphOptions;
   streamOrigins: StreamOriginService;
--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -6,6 +6,7 @@
 import { hostnameOf } from "../routes/route_table.ts";
 import { sharedPrefix } from "../routing/choose_route_endpoint.ts";
 import type { AdmittedRequest } from "./admit.ts";
+import type { Place } from "../endpoint_places/endpoint_places.ts";
 import type { ForwardingDependencies } from "./dependencies.ts";
 import type { BufferedResponse } from "./relay.ts";
 import type { RequestProgress } from "./request_progress.ts";
@@ -78,6 +79,8 @@
   last_event_ms = -Infinity;
   /** Send that is already taken from its endpoint's rate limit. */
   reservedSend: ReservedSend | undefined;
+  /** Its place at the endpoint that it is sent to. */
+  #place: Place | undefined;
   /**
    * Resolves to whether the last send may have crashed its endpoint; undefined
    * if it began to answer or did not break.
@@ -219,6 +222,18 @@
     );
   }
 
+  /** Keeps the place at the endpoint that it is sent to next. */
+  holdPlace(place: Place): void {
+    this.releasePlace(false);
+    this.#place = place;
+  }
+
+  /** Gives its place back; `rejected` if the endpoint had no room for it. */
+  releasePlace(rejected: boolean): void {
+    this.#place?.release(rejected);
+    this.#place = undefined;
+  }
+
   /** Records the request's outcome in the metrics and in its final log line. */
   recordOutcome(outcome: string): void {
     const { log, now, metrics } = this.dependencies;
--- a/src/forwarding/send_result.ts
+++ b/src/forwarding/send_result.ts
@@ -81,6 +81,11 @@
     event_count === 0 && !REASONS_WITHOUT_CRASH.has(reason);
 }
 
+/** Whether the endpoint rejected the request for want of room. */
+export function isRejection({ observedOutcome, reason }: SendResult): boolean {
+  return observedOutcome === ObservedOutcome.Full && !FULL_REASONS.has(reason);
+}
+
 /** The result of a send without a response. */
 export function resultWithoutResponse(
   context: RunContext,
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -14,7 +14,7 @@
 } from "./request_outcome.ts";
 import { RequestStage } from "./request_progress.ts";
 import { type RunContext, StopReason } from "./run_context.ts";
-import { SendOutcome, type StageInputs } from "./send_result.ts";
+import { isRejection, SendOutcome, type StageInputs } from "./send_result.ts";
 import { sendOnce } from "./send_once.ts";
 import {
   confirmStreamOrigin,
@@ -250,6 +250,17 @@
 async function sendUntilAnswered(
   context: RunContext,
   inputs: StageInputs,
+): Promise<RequestOutcome | undefined> {
+  try {
+    return await sendRepeatedly(context, inputs);
+  } finally {
+    context.releasePlace(false);
+  }
+}
+
+async function sendRepeatedly(
+  context: RunContext,
+  inputs: StageInputs,
 ): Promise<RequestOutcome | undefined> {
   const tried = new Set<string>();
   let failures = 0;
@@ -269,11 +280,9 @@
     if (!tryTakeSend(context)) break;
     progress.sends += 1;
     progress.stage = RequestStage.Sending;
-    const { outcome, observedOutcome } = await sendOnce(
-      context,
-      endpoint,
-      inputs,
-    );
+    const result = await sendOnce(context, endpoint, inputs);
+    context.releasePlace(isRejection(result));
+    const { outcome, observedOutcome } = result;
     if (outcome === SendOutcome.Answered) {
       return { kind: OutcomeKind.Relayed, label: observedOutcome };
     }
--- a/src/forwarding/take_endpoint.ts
+++ b/src/forwarding/take_endpoint.ts
@@ -12,6 +12,9 @@
 import type { RunContext } from "./run_context.ts";
 import { stopIfCallerLeft } from "./stop_if_caller_left.ts";
 
+/** Endpoints at which a request asks for a place before it is refused. */
+const MAX_PLACE_REQUESTS = 2;
+
 /** A send that may be made, at once or later. */
 export interface ReservedSend {
   endpoint: RouteEndpoint;
@@ -41,8 +44,11 @@
   tried: ReadonlySet<string>,
 ): Promise<RouteEndpoint | undefined> {
   const { now } = context.dependencies;
+  context.releasePlace(false);
+  const passedOver = new Set(tried);
   while (context.stopReason === undefined) {
-    const send = context.reservedSend ?? await reserveSend(context, tried);
+    if (passedOver.size - tried.size >= MAX_PLACE_REQUESTS) return undefined;
+    const send = context.reservedSend ?? await reserveSend(context, passedOver);
     context.reservedSend = undefined;
     if (send === undefined) return undefined;
     const wait_ms = send.at_ms - now();
@@ -50,13 +56,42 @@
       await abortableDelay(Math.ceil(wait_ms), context.signal);
       await stopIfCallerLeft(context);
     }
-    if (context.stopReason === undefined && isReady(context, send.endpoint)) {
-      return send.endpoint;
-    }
+    if (context.stopReason !== undefined) return undefined;
+    if (!isReady(context, send.endpoint)) continue;
+    if (await takePlace(context, send.endpoint)) return send.endpoint;
+    passedOver.add(send.endpoint.id);
   }
   return undefined;
 }
 
+/** Takes a place at the endpoint; resolves to whether there was one. */
+async function takePlace(
+  context: RunContext,
+  endpoint: RouteEndpoint,
+): Promise<boolean> {
+  const { places, load, now, log } = context.dependencies;
+  const { admitted, inbound, pool } = context;
+  const started_ms = now();
+  const place = await places.take(endpoint, {
+    priority: admitted.priority,
+    max_wait_ms: inbound.arrived_ms + admitted.route.target_latency_ms -
+      load.firstByteMs(pool) - started_ms,
+  });
+  if (place !== undefined) context.holdPlace(place);
+  if (places.isBounded(endpoint)) {
+    log.info({
+      event: "place",
+      attempt: admitted.metadata.attempt_id,
+      endpoint: endpoint.id,
+      wait_ms: Math.round(now() - started_ms),
+      granted: place !== undefined,
+    });
+  }
+  if (place === undefined) return false;
+  await stopIfCallerLeft(context);
+  return context.stopReason === undefined && isReady(context, endpoint);
+}
+
 /** Takes a send at an endpoint that has not been tried. */
 async function reserveSend(
   context: RunContext,
@@ -87,7 +122,9 @@
   const max_wait_ms = context.inbound.arrived_ms + route.target_latency_ms -
     load.firstByteMs(context.pool) - now();
   const [endpoint] = context.readyEndpoints()
-    .filter(({ id }) => !tried.has(id))
+    .filter((each) =>
+      !tried.has(each.id) && context.dependencies.places.waitMs(each) === 0
+    )
     .sort((a, b) => sendWaitMs(context, a) - sendWaitMs(context, b));
   if (endpoint === undefined || max_wait_ms <= 0) return undefined;
   const wait_ms = await reserveAt(endpoint, context, max_wait_ms);
@@ -137,19 +174,24 @@
   context: RunContext,
   tried: ReadonlySet<string>,
 ): RouteEndpoint | undefined {
-  const { configuration, load, now, random } = context.dependencies;
+  const { configuration, load, now, places, random } = context.dependencies;
   const now_ms = now();
   const available = context.readyEndpoints()
     .filter((endpoint) =>
-      !tried.has(endpoint.id) && sendWaitMs(context, endpoint) === 0
+      !tried.has(endpoint.id) && sendWaitMs(context, endpoint) === 0 &&
+      places.waitMs(endpoint) === 0
     );
   if (available.length === 0) return undefined;
   const candidates = withoutSuspected(context, available);
   const selection = { candidates, load, now_ms, random };
   const pool = configuration.routeTable?.configuration.pools.get(context.pool);
-  return pool?.model_engine === true && context.sharedPromptPrefix !== undefined
-    ? chooseByPrefix(context.sharedPromptPrefix, selection)
-    : chooseOfTwo(selection);
+  if (pool?.model_engine === true && context.sharedPromptPrefix !== undefined) {
+    return chooseByPrefix(context.sharedPromptPrefix, selection);
+  }
+  const withPlace = candidates.filter((each) => places.hasIdle(each));
+  return chooseOfTwo(
+    withPlace.length > 0 ? { ...selection, candidates: withPlace } : selection,
+  );
 }
 
 /** Leaves out those that crashed under such a request, if others remain. */
@@ -174,7 +216,9 @@
 
 /** Time until some endpoint takes a send, in milliseconds. */
 export function earliestSendMs(context: RunContext): number {
-  const waits_ms = context.readyEndpoints()
-    .map((endpoint) => sendWaitMs(context, endpoint));
+  const { places } = context.dependencies;
+  const waits_ms = context.readyEndpoints().map((endpoint) =>
+    Math.max(sendWaitMs(context, endpoint), places.retryAfterMs(endpoint))
+  );
   return waits_ms.length === 0 ? 0 : Math.min(...waits_ms);
 }
--- a/src/gateway/forwarding_components.ts
+++ b/src/gateway/forwarding_components.ts
@@ -22,6 +22,7 @@
     retryBudget: context.retryBudget,
     quarantine: context.quarantine,
     rateLimits: context.rateLimits,
+    places: context.places,
     reports: context.reports,
     streamOrigins: context.streamOrigins,
     checkStart: createStartCheck({
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -11,6 +11,7 @@
 import { FeedProgress } from "../store_sync/feed_progress.ts";
 import { WatchCache } from "../store_sync/watch_cache.ts";
 import type { StoreSyncOptions } from "../store_sync/store_sync.ts";
+import { EndpointPlaces } from "../endpoint_places/endpoint_places.ts";
 import { EndpointReports } from "../endpoint_reports/endpoint_reports.ts";
 import { EndpointAgents } from "../endpoints/endpoint_agents.ts";
 import type { GatewayAdapter, GatewayStore } from "../forwarding/adapter.ts";
@@ -126,6 +127,15 @@
     log,
     now,
   });
+  const places = new EndpointPlaces({
+    self,
+    hosts: () => members.addresses(),
+    peers,
+    endpointsIn: (pool) => endpoints.inPool(pool, now()),
+    log,
+    now,
+    signal,
+  });
   const load = new ObservedLoad();
   const createLimits = (kind: BodyKind): BodyLimits => ({
     memory: new BodyMemory({
@@ -145,6 +155,7 @@
     peers,
     load,
     rateLimits,
+    places,
     endpoints,
     onPause(address) {
       metrics.endpointPauses.inc();
@@ -244,6 +255,7 @@
     store,
     quarantine,
     rateLimits,
+    places,
     load,
     requestLimits,
     responseLimits,
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -27,6 +27,8 @@
     reportLoad: (queue) => batcher.reportLoad(queue),
     snapshot: () => createStateSnapshot(syncOptions),
     handlePermitRequest: (request) => context.rateLimits.handleRequest(request),
+    handlePlaceRequest: (request) => context.places.handleRequest(request),
+    handlePlaceReport: (report) => context.places.handleReport(report),
     handleEndpointReport: (notice) => context.reports.handleReport(notice),
     handleEndpointNotice: (notice, targets) =>
       context.reports.handleNotice(notice, targets),
--- a/src/membership/ranked_hosts.ts
+++ b/src/membership/ranked_hosts.ts
@@ -22,6 +22,8 @@
   /** Number of hosts to call. */
   count: number;
   local: () => T | Promise<T>;
+  /** Hosts that are tried at most; 5 by default. */
+  max_tries?: number;
   /** Rejects if the host does not respond. */
   remote: (address: string) => Promise<T>;
 }
@@ -55,7 +57,8 @@
   async call<T>(call: RankedCall<T>): Promise<T[]> {
     const tried = new Set<string>();
     const replies: T[] = [];
-    while (tried.size < MAX_TRIES) {
+    const { max_tries = MAX_TRIES } = call;
+    while (tried.size < max_tries) {
       const untried = this.first(call.key, call.count)
         .filter((host) => !tried.has(host));
       if (untried.length === 0) break;
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -16,6 +16,12 @@
   EndpointNotice,
   EndpointNoticePeers,
 } from "../endpoint_reports/endpoint_notices.ts";
+import type { EndpointPlacesPeers } from "../endpoint_places/endpoint_places.ts";
+import type {
+  PlaceReply,
+  PlaceReport,
+  PlaceRequest,
+} from "../endpoint_places/types.ts";
 import type { NoticeRoute } from "../quarantine/quarantine_notices.ts";
 import type { QuarantinePeers } from "../quarantine/quarantine_service.ts";
 import type {
@@ -52,6 +58,7 @@
   implements
     BatcherPeers,
     EndpointNoticePeers,
+    EndpointPlacesPeers,
     QuarantinePeers,
     RateLimitPeers,
     StreamOriginPeers {
@@ -146,6 +153,19 @@
     return await this.#connectionTo(address).trpc.permit.mutate(request);
   }
 
+  /** Asks the issuer of an endpoint for a place there. */
+  async requestPlace(
+    address: string,
+    request: PlaceRequest,
+  ): Promise<PlaceReply> {
+    return await this.#connectionTo(address).trpc.place.mutate(request);
+  }
+
+  /** Reports to the issuer of an endpoint the places that this host holds. */
+  async reportPlaces(address: string, report: PlaceReport): Promise<void> {
+    await this.#connectionTo(address).trpc.places.mutate(report);
+  }
+
   /** Tells the host that tells all others what an endpoint says of itself. */
   async reportEndpoint(address: string, notice: EndpointNotice): Promise<void> {
     await this.#connectionTo(address).trpc.limit_report.mutate(notice);
--- a/src/peers/gateway_rpc_router.ts
+++ b/src/peers/gateway_rpc_router.ts
@@ -5,6 +5,13 @@
   type EndpointNotice,
   endpointNoticeSchema,
 } from "../endpoint_reports/endpoint_notices.ts";
+import {
+  type PlaceReply,
+  type PlaceReport,
+  placeReportSchema,
+  type PlaceRequest,
+  placeRequestSchema,
+} from "../endpoint_places/types.ts";
 import type { PoolLoadReport } from "../batching/pool_load_report.ts";
 import type { NoticeRoute } from "../quarantine/quarantine_notices.ts";
 import {
@@ -49,6 +56,10 @@
   handleAnsweredParts: (parts: string[]) => Promise<void>;
   /** Handles, as the issuer, a request for a permit to send a request. */
   handlePermitRequest: (request: PermitRequest) => PermitReply;
+  /** Handles, as the issuer, a request for a place at an endpoint. */
+  handlePlaceRequest: (request: PlaceRequest) => Promise<PlaceReply>;
+  /** Handles, as the issuer, a report of the places that a host holds. */
+  handlePlaceReport: (report: PlaceReport) => void;
   /** Tells all hosts what an endpoint has begun to say of itself. */
   handleEndpointReport: (notice: EndpointNotice) => void;
   /** Passes the notice on to the targets. */
@@ -94,6 +105,10 @@
       .mutation(({ input }) => handlers.handleAnsweredParts(input)),
     permit: trpc.procedure.input(permitRequestSchema)
       .mutation(({ input }) => handlers.handlePermitRequest(input)),
+    place: trpc.procedure.input(placeRequestSchema)
+      .mutation(({ input }) => handlers.handlePlaceRequest(input)),
+    places: trpc.procedure.input(placeReportSchema)
+      .mutation(({ input }) => handlers.handlePlaceReport(input)),
     limit_report: trpc.procedure.input(endpointNoticeSchema)
       .mutation(({ input }) => handlers.handleEndpointReport(input)),
     limit: trpc.procedure
--- a/src/rate_limits/known_limits.ts
+++ b/src/rate_limits/known_limits.ts
@@ -65,6 +65,11 @@
     return true;
   }
 
+  /** Whether no endpoint limits its rate. */
+  get isEmpty(): boolean {
+    return this.#limits.size === 0;
+  }
+
   /** The endpoint's limit and its age; undefined if it names none. */
   find(
     endpoint: string,
@@ -75,6 +80,14 @@
     return { per_s: known.per_s, age_ms: now_ms - known.named_ms };
   }
 
+  /** Forgets the limits that were named last before this time. */
+  forgetBefore(oldest_ms: number): void {
+    for (const [endpoint, { named_ms }] of this.#limits) {
+      if (named_ms >= oldest_ms) return;
+      this.#limits.delete(endpoint);
+    }
+  }
+
   /** Records that a permit was refused. */
   recordRefusal(endpoint: string, until_ms: number): void {
     const known = this.#limits.get(endpoint);
--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -90,6 +90,8 @@
   crash_key?: string;
   /** Time from a crash until it listens again. */
   restart_ms?: number;
+  /** Requests that it executes at a time; any number by default. */
+  slots?: number;
 }
 
 const DEFAULT_RESTART_MS = 300;
@@ -143,12 +145,26 @@
   born_ms = 1;
   /** Software version, which its events name; undefined names none. */
   software_version: string | undefined;
+  /**
+   * Rejections for want of room in a second that it says it can bear; undefined
+   * says nothing.
+   */
+  max_rejections_per_s: number | undefined;
+  /** Whether it crashes when it rejects more than it says it can bear. */
+  crashesOnRejections = false;
+  /** Requests beyond its slots that may wait. */
+  queue = Infinity;
+  /** Rejections for want of room, as `performance.now()`. */
+  rejections_ms: number[] = [];
   /** Called when it has received a request that it executes. */
   onReceived: () => void = () => {};
   /** Called when it listens again after a crash. */
   onRestart: () => void = () => {};
   #options: EngineOptions;
   #computedPieces = 0;
+  #running = 0;
+  /** Each resolves to whether the request got a slot. */
+  #waiting: ((isRun: boolean) => void)[] = [];
   #sockets = new Set<Socket>();
   /** Connections that have had a response. */
   #answeredSockets = new WeakSet<Socket>();
@@ -167,6 +183,11 @@
     });
   }
 
+  /** Requests that it executes at a time; undefined for any number. */
+  get slots(): number | undefined {
+    return this.#options.slots;
+  }
+
   /** Listens on a free port of the loopback address. */
   async start(): Promise<void> {
     this.#server.listen(0, "127.0.0.1");
@@ -191,6 +212,7 @@
   crash(): void {
     if (!this.#server.listening) return;
     this.crashes += 1;
+    for (const resolve of this.#waiting.splice(0)) resolve(false);
     const { port } = this.#server.address() as AddressInfo;
     this.#server.close();
     this.breakConnections();
@@ -228,6 +250,9 @@
     if (this.rate_limit_per_s !== undefined) {
       response.setHeader("server-limit", String(this.rate_limit_per_s));
     }
+    if (this.max_rejections_per_s !== undefined) {
+      response.setHeader("server-brittle", String(this.max_rejections_per_s));
+    }
     response.once("finish", () => this.#answeredSockets.add(request.socket));
     if (this.leaving !== undefined) {
       response.setHeader("server-leaving", this.leaving);
@@ -253,7 +278,66 @@
       this.freed.push(...JSON.parse(body).handles);
       return void response.writeHead(200).end("{}");
     }
-    await this.#respond(request, response, body);
+    if (this.#options.slots === undefined) {
+      return await this.#respond(request, response, body);
+    }
+    if (this.#isFull) return this.#rejectForWantOfRoom(request, response);
+    if (!await this.#takeSlot(response)) return;
+    try {
+      await this.#respond(request, response, body);
+    } finally {
+      this.#freeSlot();
+    }
+  }
+
+  /** Its load as its responses name it. */
+  get #load(): string {
+    const { slots } = this.#options;
+    if (slots === undefined) return "1,0,8";
+    return `${this.#running},${this.#waiting.length},${slots}`;
+  }
+
+  get #isFull(): boolean {
+    const { slots = Infinity } = this.#options;
+    return this.#running >= slots && this.#waiting.length >= this.queue;
+  }
+
+  /** Resolves to whether the request got a slot; not if its caller has left. */
+  async #takeSlot(response: ServerResponse): Promise<boolean> {
+    const { slots = Infinity } = this.#options;
+    if (this.#running < slots) {
+      this.#running += 1;
+      return true;
+    }
+    return await new Promise((resolve) => {
+      this.#waiting.push(resolve);
+      response.once("close", () => {
+        const index = this.#waiting.indexOf(resolve);
+        if (index < 0) return;
+        this.#waiting.splice(index, 1);
+        resolve(false);
+      });
+    });
+  }
+
+  #freeSlot(): void {
+    const next = this.#waiting.shift();
+    if (next === undefined) this.#running -= 1;
+    else next(true);
+  }
+
+  /** Crashes if it has rejected more in the last second than it can. */
+  #rejectForWantOfRoom(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const now_ms = performance.now();
+    this.rejections_ms.push(now_ms);
+    this.#reject(request, response, EngineFault.Full);
+    const inLastSecond = this.rejections_ms
+      .filter((at_ms) => at_ms > now_ms - 1_000).length;
+    const max = this.max_rejections_per_s ?? Infinity;
+    if (this.crashesOnRejections && inLastSecond > max) this.crash();
   }
 
   async #endOfSilence(): Promise<void> {
@@ -275,6 +359,9 @@
     response: ServerResponse,
     fault: EngineFault,
   ): void {
+    if (this.#options.slots !== undefined) {
+      response.setHeader("x-instance-load", this.#load);
+    }
     if (fault === EngineFault.Full) response.setHeader("x-not-executed", "1");
     if (this.retry_after !== undefined) {
       response.setHeader("retry-after", this.retry_after);
@@ -319,7 +406,7 @@
     const headers = {
       "x-attempt-id": fault === EngineFault.MismatchedId ? "another" : id,
       "x-response-signature": `signed-by-${this.id}`,
-      "x-instance-load": "1,0,8",
+      "x-instance-load": this.#load,
     };
     if (this.raw_response !== undefined) {
       const text = this.raw_response.replaceAll("{id}", id);
--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -134,7 +134,7 @@
       address: engine.address,
       zone: ZONES[index % ZONES.length],
       version: "v1",
-      slots: 8,
+      slots: engine.slots ?? 8,
       state: "ready",
       cold_remaining_ms: 0,
       sequence: 1,
