--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -30,6 +30,8 @@
     reportReached: (endpoints) => context.reachability.answer(endpoints),
     snapshot: () => createStateSnapshot(syncOptions),
     handlePermitRequest: (request) => context.rateLimits.handleRequest(request),
+    handlePlaceRequest: (request) => context.places.handleRequest(request),
+    handlePlaceReport: (report) => context.places.handleReport(report),
     handleEndpointReport: (notice) => context.reports.handleReport(notice),
     handleEndpointNotice: (notice, targets) =>
       context.reports.handleNotice(notice, targets),
