--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -31,34 +31,19 @@
 import { isConnectionRefused } from "../quarantine/probe_endpoint.ts";
 import { createRefusalCheck } from "../quarantine/refusal_check.ts";
 import { QuarantineService } from "../quarantine/quarantine_service.ts";
-import { CarriedSide, ForwardMetrics } from "../metrics/forward_metrics.ts";
+import { ForwardMetrics } from "../metrics/forward_metrics.ts";
 import { GatewayClients } from "../peers/gateway_clients.ts";
 import { FeedName } from "../peers/feed_stream.ts";
 import { FeedStreamClients } from "../peers/feed_stream_client.ts";
 import { createRelayedFeeds } from "../peers/create_relayed_feeds.ts";
-import { CarrierConnections } from "../relaying/carrier_connections.ts";
-import { createEndpointSender } from "../relaying/endpoint_sender.ts";
 import { RateLimitService } from "../rate_limits/rate_limit_service.ts";
 import { ObservedLoad } from "../routing/observed_load.ts";
 import { PoolRetryBudgets } from "../routing/repeat_budget.ts";
-import { createConfirmSource } from "../stream_origins/confirm_source.ts";
-import { KnownVersions } from "../stream_origins/known_versions.ts";
-import { StoredOrigins } from "../stream_origins/stored_origins.ts";
-import { StoredVersions } from "../stream_origins/stored_versions.ts";
-import { createProbeReach } from "../reachability/probe_reach.ts";
-import { ReachabilityService } from "../reachability/reachability_service.ts";
-import type { RouteEndpoint } from "../routes/types.ts";
-import { StreamOriginService } from "../stream_origins/stream_origin_service.ts";
-import { VersionHistory } from "../stream_origins/version_history.ts";
 import type { GatewaySettings } from "../settings/gateway_settings.ts";
 import { formatAddress } from "../settings/settings.ts";
 import { abortableDelay } from "../utils/delay.ts";
-
-/**
- * Connections to an endpoint for carried exchanges, in shares of one host. Senders
- * keep within their own shares, so together they keep within the endpoint's limit.
- */
-const MAX_CARRIED_SHARE = 4;
+import { createReachability } from "./reachability_components.ts";
+import { createStreamOrigins } from "./stream_origin_components.ts";
 
 /** External dependencies of a gateway host. */
 export interface GatewayHostEnvironment {
@@ -104,7 +89,6 @@
   const metrics = new ForwardMetrics(() => quarantine.entries.all().length);
   const configurationListeners: StoreSyncOptions["configurationListeners"] = [];
   const endpointListeners: StoreSyncOptions["endpointListeners"] = [];
-  const lossListeners: ((endpoint: RouteEndpoint) => void)[] = [];
   const configuration = new ActiveConfiguration((table, source) => {
     const { version } = table.configuration;
     log.info({ event: "configuration", version, source });
@@ -181,11 +165,20 @@
   const requestLimits = createLimits(BodyKind.Request);
   const responseLimits = createLimits(BodyKind.Response);
   const agents = new EndpointAgents(() => members.count, translateAddress);
-  const carriers = new CarrierConnections();
-  const carriedAgents = new EndpointAgents(
-    () => members.count / MAX_CARRIED_SHARE,
+  const reachability = createReachability({
+    zone: host.availability_zone,
+    codec: adapter.codec,
     translateAddress,
-  );
+    members,
+    endpoints,
+    peers,
+    load,
+    metrics,
+    log,
+    now,
+    random,
+    signal,
+  });
   const reports = new EndpointReports({
     self,
     hosts: () => members.addresses(),
@@ -207,85 +200,6 @@
     now,
     signal,
   });
-  const versionHistory = new VersionHistory();
-  const storedVersions = new StoredVersions({
-    store,
-    history: versionHistory,
-    isWriter: () => readers.selfIsReader && endpoints.sourceAvailable,
-    isResumable: (pool) =>
-      configuration.routeTable?.resumablePools.has(pool) ?? false,
-    epoch: () => syncOptions.progress.endpoints.position.epoch,
-    log,
-    now,
-    random,
-    signal,
-  });
-  const reachability = new ReachabilityService({
-    zone: host.availability_zone,
-    zoneOf: (address) => members.zoneOf(address),
-    otherHosts: () => members.otherAddresses(),
-    carriedInFlight: (address) => carriers.inFlight(address),
-    readyIn: (pool) => endpoints.readyInPool(pool, now()),
-    endpointAt: (address) => endpoints.findByAddress(address),
-    peers,
-    probe: createProbeReach(adapter.codec, translateAddress),
-    onProbe: (outcome) => metrics.reachProbes.inc({ outcome }),
-    onLost(endpoint) {
-      load.forEndpoint(endpoint).forgetFailures();
-      for (const listener of lossListeners) listener(endpoint);
-    },
-    log,
-    now,
-    random,
-    signal,
-  });
-  metrics.exportLostEndpoints(reachability);
-  const send = createEndpointSender({
-    routes: reachability,
-    carriers,
-    onCarried: (outcome) =>
-      metrics.carriedExchanges.inc({ side: CarriedSide.Sender, outcome }),
-  });
-  const storedOrigins = new StoredOrigins({
-    host: host.name,
-    store,
-    log,
-    now,
-    unixTime: () => Date.now(),
-    signal,
-  });
-  const knownVersions = new KnownVersions({
-    history: versionHistory,
-    self,
-    hosts: () => members.addresses(),
-    sourceReaders: () => readers.readersToFollow(),
-    confirmSource: createConfirmSource({
-      source: store.endpoints,
-      position: () => syncOptions.progress.endpoints.position,
-      isReading: () => readers.selfIsReader && endpoints.sourceAvailable,
-      now,
-    }),
-    learnStored: () => storedVersions.learn(),
-    peers,
-    log,
-    now,
-    random,
-  });
-  const streamOrigins = new StreamOriginService({
-    history: versionHistory,
-    versions: knownVersions,
-    stored: storedOrigins,
-    self,
-    hosts: () => members.addresses(),
-    peers,
-    log,
-    now,
-  });
-  endpointListeners.push(() =>
-    streamOrigins.observeEndpoints(endpoints.all(now()), {
-      list: endpoints.lists,
-    })
-  );
   const feedClients = new FeedStreamClients({ log, now });
   const readers = new StoreReaders({
     self,
@@ -335,6 +249,22 @@
     random,
     signal,
   };
+  const streamOrigins = createStreamOrigins({
+    host: host.name,
+    self,
+    store,
+    configuration,
+    endpoints,
+    members,
+    peers,
+    readers,
+    position: () => syncOptions.progress.endpoints.position,
+    log,
+    now,
+    random,
+    signal,
+  });
+  endpointListeners.push(streamOrigins.observeEndpoints);
   metrics.exportHeldBodies({
     [BodyKind.Request]: requestLimits.memory,
     [BodyKind.Response]: responseLimits.memory,
@@ -364,21 +294,13 @@
     requestLimits,
     responseLimits,
     reports,
-    reachability,
+    ...reachability,
     isEndpointRefused,
-    streamOrigins,
-    knownVersions,
-    storedVersions,
-    storedOrigins,
+    ...streamOrigins,
     syncOptions,
     configurationListeners,
     endpointListeners,
-    lossListeners,
     agents,
-    carriers,
-    carriedAgents,
-    routes: reachability,
-    send,
     retryBudget: new PoolRetryBudgets(settings.repeats, () => members.count),
     now,
     random,
--- /dev/null
+++ b/src/gateway/reachability_components.ts
@@ -0,0 +1,81 @@
+/** What a gateway host knows of its ways to endpoints, and how it sends to them. */
+import { EndpointAgents } from "../endpoints/endpoint_agents.ts";
+import type { ProtocolCodec } from "../forwarding/protocol_codec.ts";
+import type { Logger } from "../logging/logger.ts";
+import type { GatewayMembers } from "../membership/gateway_members.ts";
+import {
+  CarriedSide,
+  type ForwardMetrics,
+} from "../metrics/forward_metrics.ts";
+import type { GatewayClients } from "../peers/gateway_clients.ts";
+import { createProbeReach } from "../reachability/probe_reach.ts";
+import { ReachabilityService } from "../reachability/reachability_service.ts";
+import { CarrierConnections } from "../relaying/carrier_connections.ts";
+import { createEndpointSender } from "../relaying/endpoint_sender.ts";
+import type { RouteEndpoint } from "../routes/types.ts";
+import type { ObservedLoad } from "../routing/observed_load.ts";
+import type { EndpointRegistry } from "../store_sync/endpoint_registry.ts";
+
+/** What the components need of their host. */
+export interface ReachabilityDependencies {
+  /** This host's availability zone. */
+  zone: string;
+  codec: ProtocolCodec;
+  /** Address at which this host connects to an endpoint, if that is another. */
+  translateAddress: ((address: string) => string) | undefined;
+  members: GatewayMembers;
+  endpoints: EndpointRegistry;
+  peers: GatewayClients;
+  load: ObservedLoad;
+  metrics: ForwardMetrics;
+  log: Logger;
+  /** Monotonic clock, in milliseconds. */
+  now: () => number;
+  random: () => number;
+  signal: AbortSignal;
+}
+
+/**
+ * Connections to an endpoint for carried exchanges, in shares of one host. Senders
+ * keep within their own shares, so together they keep within the endpoint's limit.
+ */
+const MAX_CARRIED_SHARE = 4;
+
+/** Creates the components; nothing runs yet. */
+export function createReachability(dependencies: ReachabilityDependencies) {
+  const { codec, translateAddress, members, endpoints, load, metrics, now } =
+    dependencies;
+  const lossListeners: ((endpoint: RouteEndpoint) => void)[] = [];
+  const carriers = new CarrierConnections();
+  const reachability = new ReachabilityService({
+    ...dependencies,
+    zoneOf: (address) => members.zoneOf(address),
+    otherHosts: () => members.otherAddresses(),
+    carriedInFlight: (address) => carriers.inFlight(address),
+    readyIn: (pool) => endpoints.readyInPool(pool, now()),
+    endpointAt: (address) => endpoints.findByAddress(address),
+    probe: createProbeReach(codec, translateAddress),
+    onProbe: (outcome) => metrics.reachProbes.inc({ outcome }),
+    onLost(endpoint) {
+      load.forEndpoint(endpoint).forgetFailures();
+      for (const listener of lossListeners) listener(endpoint);
+    },
+  });
+  metrics.exportLostEndpoints(reachability);
+  return {
+    reachability,
+    routes: reachability,
+    lossListeners,
+    carriers,
+    carriedAgents: new EndpointAgents(
+      () => members.count / MAX_CARRIED_SHARE,
+      translateAddress,
+    ),
+    send: createEndpointSender({
+      routes: reachability,
+      carriers,
+      onCarried: (outcome) =>
+        metrics.carriedExchanges.inc({ side: CarriedSide.Sender, outcome }),
+    }),
+  };
+}
