ORDER: endpoints are asked when they started before any second version is heard of

Cause: endpoints were asked for their start only while the pool had several versions, but the first endpoint of a new version is the one that makes it so, and its entry may be late. Same class: a conclusion from a list that may be behind.

Now they are asked whenever a stream that began goes on, and when one breaks off right after an event: one small request for each broken or resumed stream.

--- a/src/forwarding/stream_origin.ts
+++ b/src/forwarding/stream_origin.ts
@@ -87,7 +87,6 @@
   const { streamOrigins, checkStart, log, now } = dependencies;
   if (firstEventFrom === undefined) return;
   if (now() - last_event_ms > MIN_START_MS) return;
-  if (!streamOrigins.isMixed(firstEventFrom.pool)) return;
   const current = streamOrigins.incarnationOf(firstEventFrom.id);
   const isKnown = current !== undefined &&
     incarnationOf(current.endpoint) === incarnationOf(firstEventFrom);
@@ -112,9 +111,8 @@
   endpoint: RouteEndpoint,
 ): Promise<boolean> {
   const { streamVersion, dependencies } = context;
-  const { streamOrigins, checkStart, log } = dependencies;
+  const { checkStart, log } = dependencies;
   if (streamVersion === undefined) return true;
-  if (!streamOrigins.isMixed(endpoint.pool)) return true;
   if (await checkStart(endpoint) !== StartCheck.Restarted) return true;
   log.info({
     event: "endpoint_restarted",
--- a/src/stream_origins/stream_origin_service.ts
+++ b/src/stream_origins/stream_origin_service.ts
@@ -122,11 +122,6 @@
     this.#record({ key, pool, version: software_version });
   }
 
-  /** Whether endpoints of several versions have lately been in service. */
-  isMixed(pool: string): boolean {
-    return this.#mixedPools.has(pool);
-  }
-
   /** Records that it isn't known which version wrote the first event. */
   recordUnknown(key: string, pool: string): void {
     this.#record({ key, pool, version: UNKNOWN });
--- a/test/forwarding/stream_versions.test.ts
+++ b/test/forwarding/stream_versions.test.ts
@@ -346,6 +346,24 @@
   }
 });
 
+test("starts that entries don't tell count before any host has heard of a second version", async (t) => {
+  const fleet = await startFleet(t, ["v1", "v1", "v1"], 1);
+  fleet.engine(Service.Model, 1).born_ms = 5;
+  for (const { attempt_id, stream } of await breakAtFirst(fleet)) {
+    assert.deepEqual(endpointsOf(fleet, [attempt_id]), [0, 2]);
+    assertWhole(stream);
+  }
+});
+
+test("a stream that an endpoint began after an untold start is cut, though no host has heard of a second version", async (t) => {
+  const fleet = await startFleet(t, ["v1", "v1"], 1);
+  fleet.engine(Service.Model, 0).born_ms = 5;
+  for (const { attempt_id, stream } of await breakAtFirst(fleet)) {
+    assert.equal(stream.complete, false);
+    assert.deepEqual(endpointsOf(fleet, [attempt_id]), [0]);
+  }
+});
+
 test("a resumed stream is refused at once when its version has left", async (t) => {
   const versions = ["v1", "v2"];
   const fleet = await startFleet(t, versions);
