--- a/src/batching/job_router.ts
+++ b/src/batching/job_router.ts
@@ -340,7 +340,9 @@
   /** Sends a host no jobs of a pool or shard for a while. */
   #avoidFor(address: string, key: string): void {
     const { now, log } = this.#options;
-    log.warn({ event: "batcher_cut_off", peer: address, queue: key });
+    if (!this.#isCutOff(address, key)) {
+      log.warn({ event: "batcher_cut_off", peer: address, queue: key });
+    }
     const until_ms = now() + AVOID_DURATION_MS;
     this.#peerStateAt(address).cutOffUntil_ms.set(key, until_ms);
   }
--- a/test/batching/endpoint_tracker.test.ts
+++ b/test/batching/endpoint_tracker.test.ts
@@ -116,3 +116,20 @@
   timeOut(4_000, 900);
   assert.equal(tracker.acceptsCalls(5_200), true);
 });
+
+test("failures of this host's own way are forgotten, with the assumed slowness", () => {
+  const tracker = createTracker();
+  const call = { bytes: 100, pieces: 1 };
+  tracker.startCall({ ...call, now_ms: 0 }, limits);
+  tracker.failCall({ ...call, elapsed_ms: 2_000 }, { limits, now_ms: 2_000 });
+  assert.ok(tracker.slowness > 5);
+  assert.equal(tracker.acceptsCalls(2_001), false);
+  tracker.forgetFailures();
+  assert.equal(tracker.slowness, 1);
+  assert.equal(tracker.acceptsCalls(2_001), true);
+  tracker.startCall({ ...call, now_ms: 2_001 }, limits);
+  tracker.loseCall(call);
+  assert.equal(tracker.slowness, 1);
+  assert.equal(tracker.canStartCall(2_200, limits), true);
+  assert.equal(tracker.freeResultBytes(2_200, limits), limits.room_bytes);
+});
--- a/test/membership/gateway_members.test.ts
+++ b/test/membership/gateway_members.test.ts
@@ -82,3 +82,14 @@
   members.replaceAll([earlier], { keepMissing: true });
   assert.deepEqual(members.addresses(), ["new", "self"]);
 });
+
+test("the zone of a host is that of its last entry", () => {
+  const members = membersOf("self", [
+    member("other", { availability_zone: "b" }),
+  ]);
+  assert.equal(members.zoneOf("other"), "b");
+  assert.equal(members.zoneOf("unknown"), undefined);
+  const { name, value } = member("other", { availability_zone: "c" });
+  members.applyChanges([{ name, value, deleted: false }]);
+  assert.equal(members.zoneOf("other"), "c");
+});
