RECOVER: a host that gets no answer from an endpoint learns of its crash from others

Now other hosts try as well, the carrier first, and an endpoint has crashed if it refuses one of them and accepts none.

--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -27,7 +27,7 @@
 import { StoreReaders } from "../membership/store_readers.ts";
 import { GatewayMembers } from "../membership/gateway_members.ts";
 import { OwnEntry } from "../membership/own_entry.ts";
-import { isConnectionRefused } from "../quarantine/probe_endpoint.ts";
+import { checkListener } from "../quarantine/probe_endpoint.ts";
 import { createRefusalCheck } from "../quarantine/refusal_check.ts";
 import { QuarantineService } from "../quarantine/quarantine_service.ts";
 import { CarriedSide, ForwardMetrics } from "../metrics/forward_metrics.ts";
@@ -125,8 +125,8 @@
     delay: abortableDelay,
     signal,
   });
-  const isEndpointRefused = (address: string) =>
-    isConnectionRefused(translateAddress?.(address) ?? address);
+  const checkEndpoint = (address: string) =>
+    checkListener(translateAddress?.(address) ?? address);
   const quarantine = new QuarantineService({
     self,
     hosts: () => members.addresses(),
@@ -135,9 +135,14 @@
     isRefused: createRefusalCheck({
       self,
       hosts: () => members.addresses(),
-      isRefusedHere: isEndpointRefused,
-      isRefusedAt: (address, endpoint) =>
-        peers.isEndpointRefused(address, endpoint),
+      carrierFor(address) {
+        const endpoint = endpoints.findByAddress(address);
+        return endpoint === undefined
+          ? undefined
+          : reachability.carrierFor(endpoint, { avoid: new Set() });
+      },
+      checkHere: checkEndpoint,
+      checkAt: (host, address) => peers.checkListener(host, address),
       random,
     }),
     onCrash: () => metrics.endpointCrashes.inc(),
@@ -307,7 +312,7 @@
     responseLimits,
     reports,
     reachability,
-    isEndpointRefused,
+    checkEndpoint,
     streamOrigins,
     syncOptions,
     configurationListeners,
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -8,6 +8,7 @@
 import { HostLifecycleState } from "../lifecycle/host_lifecycle.ts";
 import { createMetricsServer } from "../metrics/metrics_server.ts";
 import { createGatewayPeerServer } from "../peers/gateway_peer_server.ts";
+import { ListenerCheck } from "../quarantine/probe_endpoint.ts";
 import type { ExchangeCarrier } from "../relaying/exchange_carrier.ts";
 import type { Address } from "../settings/settings.ts";
 import type { BatchingComponents } from "./batching_components.ts";
@@ -38,10 +39,10 @@
     reportVersions: () => context.streamOrigins.history.report(context.now()),
     handleCrashReport: (report) => context.quarantine.handleReport(report),
     handleAnsweredParts: (parts) => context.quarantine.handleAnswered(parts),
-    isEndpointRefused: (address) =>
+    checkListener: (address) =>
       context.endpoints.findByAddress(address) === undefined
-        ? Promise.resolve(true)
-        : context.isEndpointRefused(address),
+        ? Promise.resolve(ListenerCheck.Unknown)
+        : context.checkEndpoint(address),
     handleNotice: (notice, route) =>
       context.quarantine.handleNotice(notice, route),
     changeRevisions: () =>
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -17,6 +17,7 @@
   EndpointNoticePeers,
 } from "../endpoint_reports/endpoint_notices.ts";
 import type { NoticeRoute } from "../quarantine/quarantine_notices.ts";
+import type { ListenerCheck } from "../quarantine/probe_endpoint.ts";
 import type { QuarantinePeers } from "../quarantine/quarantine_service.ts";
 import type {
   CrashReply,
@@ -139,9 +140,9 @@
     await this.#connectionTo(address).trpc.answered.mutate(parts);
   }
 
-  /** Asks a host whether its connections to an endpoint are refused. */
-  async isEndpointRefused(host: string, address: string): Promise<boolean> {
-    return await this.#connectionTo(host).trpc.refused.query(address);
+  /** Has a host try to connect to an endpoint's address. */
+  async checkListener(host: string, address: string): Promise<ListenerCheck> {
+    return await this.#connectionTo(host).trpc.listener.query(address);
   }
 
   /** Delivers a notice, which the host passes on to the targets. */
--- a/src/peers/gateway_rpc_router.ts
+++ b/src/peers/gateway_rpc_router.ts
@@ -7,6 +7,7 @@
 } from "../endpoint_reports/endpoint_notices.ts";
 import type { PoolLoadReport } from "../batching/pool_load_report.ts";
 import type { NoticeRoute } from "../quarantine/quarantine_notices.ts";
+import type { ListenerCheck } from "../quarantine/probe_endpoint.ts";
 import {
   type CrashReply,
   type CrashReport,
@@ -52,8 +53,8 @@
   handleCrashReport: (report: CrashReport) => Promise<CrashReply>;
   /** Handles answers to requests with quarantined prompt parts. */
   handleAnsweredParts: (parts: string[]) => Promise<void>;
-  /** Whether connections of this host to an endpoint's address are refused. */
-  isEndpointRefused: (address: string) => Promise<boolean>;
+  /** Tries to connect to an endpoint's address. */
+  checkListener: (address: string) => Promise<ListenerCheck>;
   /** Handles, as the issuer, a request for a permit to send a request. */
   handlePermitRequest: (request: PermitRequest) => PermitReply;
   /** Tells all hosts what an endpoint has begun to say of itself. */
@@ -102,8 +103,8 @@
       .mutation(({ input }) => handlers.handleCrashReport(input)),
     answered: trpc.procedure.input(z.array(z.string()))
       .mutation(({ input }) => handlers.handleAnsweredParts(input)),
-    refused: trpc.procedure.input(z.string())
-      .query(({ input }) => handlers.isEndpointRefused(input)),
+    listener: trpc.procedure.input(z.string())
+      .query(({ input }) => handlers.checkListener(input)),
     permit: trpc.procedure.input(permitRequestSchema)
       .mutation(({ input }) => handlers.handlePermitRequest(input)),
     limit_report: trpc.procedure.input(endpointNoticeSchema)
--- a/src/quarantine/probe_endpoint.ts
+++ b/src/quarantine/probe_endpoint.ts
@@ -3,26 +3,37 @@
 import { isIpv4Address } from "../utils/ipv4_address.ts";
 import { parseAddress } from "../settings/settings.ts";
 
+/** What an attempt to connect tells of a listener. */
+export enum ListenerCheck {
+  Listening = "listening",
+  /** Nothing listens at the address any more, or the way there refuses. */
+  Refused = "refused",
+  /** No answer, or another failure. */
+  Unknown = "unknown",
+}
+
 const CONNECT_TIMEOUT_MS = 300;
 
-/**
- * Resolves to whether nothing listens at the address any more; false if that
- * can't be told.
- */
-export function isConnectionRefused(address: string): Promise<boolean> {
-  if (!isIpv4Address(address)) return Promise.resolve(false);
+/** Tries to connect to an address; never rejects. */
+export function checkListener(address: string): Promise<ListenerCheck> {
+  if (!isIpv4Address(address)) return Promise.resolve(ListenerCheck.Unknown);
   const { ip, port } = parseAddress(address);
   return new Promise((resolve) => {
     const socket = connect({ host: ip, port, timeout: CONNECT_TIMEOUT_MS });
-    const finish = (refused: boolean) => {
+    const finish = (check: ListenerCheck) => {
       socket.destroy();
-      resolve(refused);
+      resolve(check);
     };
-    socket.once("connect", () => finish(false));
-    socket.once("timeout", () => finish(false));
+    socket.once("connect", () => finish(ListenerCheck.Listening));
+    socket.once("timeout", () => finish(ListenerCheck.Unknown));
     socket.once(
       "error",
-      (error: NodeJS.ErrnoException) => finish(error.code === "ECONNREFUSED"),
+      (error: NodeJS.ErrnoException) =>
+        finish(
+          error.code === "ECONNREFUSED"
+            ? ListenerCheck.Refused
+            : ListenerCheck.Unknown,
+        ),
     );
   });
 }
--- a/src/quarantine/refusal_check.ts
+++ b/src/quarantine/refusal_check.ts
@@ -1,8 +1,9 @@
 /**
  * Whether nothing listens at an endpoint's address any more. A host that is cut
- * off from the endpoint is refused connections as well, so what it sees counts
- * only if no other host can connect.
+ * off from the endpoint is refused connections as well, or gets no answer, so
+ * other hosts are asked: it has crashed if it refuses one and accepts none.
  */
+import { ListenerCheck } from "./probe_endpoint.ts";
 
 /** Dependencies of a refusal check. */
 export interface RefusalCheckOptions {
@@ -10,10 +11,12 @@
   self: string;
   /** Addresses of all hosts, this one included. */
   hosts: () => string[];
-  /** Whether connections of this host to an address are refused. */
-  isRefusedHere: (address: string) => Promise<boolean>;
-  /** The same at another host; rejects if that one does not respond. */
-  isRefusedAt: (host: string, address: string) => Promise<boolean>;
+  /** A host that reaches the endpoint if this one doesn't. */
+  carrierFor: (address: string) => string | undefined;
+  /** Tries to connect from this host. */
+  checkHere: (address: string) => Promise<ListenerCheck>;
+  /** Has another host try; rejects if that one does not respond. */
+  checkAt: (host: string, address: string) => Promise<ListenerCheck>;
   random: () => number;
 }
 
@@ -24,29 +27,31 @@
 export function createRefusalCheck(
   options: RefusalCheckOptions,
 ): (address: string) => Promise<boolean> {
-  const { self, hosts, isRefusedHere, isRefusedAt, random } = options;
+  const { checkHere, checkAt } = options;
   return async (address) => {
-    if (!await isRefusedHere(address)) return false;
-    const others = hosts().filter((host) => host !== self);
-    const asked = sampleHosts(others, MAX_HOSTS_ASKED, random);
-    const answers = await Promise.all(
-      // A host that doesn't respond says nothing against the refusal here.
-      asked.map((host) => isRefusedAt(host, address).catch(() => true)),
+    const here = await checkHere(address);
+    if (here === ListenerCheck.Listening) return false;
+    const others = await Promise.all(
+      hostsToAsk(address, options).map((host) =>
+        checkAt(host, address).catch(() => ListenerCheck.Unknown)
+      ),
     );
-    return answers.every((refused) => refused);
+    const checks = [here, ...others];
+    return checks.includes(ListenerCheck.Refused) &&
+      !checks.includes(ListenerCheck.Listening);
   };
 }
 
-/** Up to `count` of the hosts, each as likely as any other. */
-function sampleHosts(
-  hosts: readonly string[],
-  count: number,
-  random: () => number,
+/** The host that carries exchanges with the endpoint, if any, and random ones. */
+function hostsToAsk(
+  address: string,
+  { self, hosts, carrierFor, random }: RefusalCheckOptions,
 ): string[] {
-  const rest = [...hosts];
-  const sample: string[] = [];
-  while (sample.length < count && rest.length > 0) {
-    sample.push(...rest.splice(Math.floor(random() * rest.length), 1));
+  const carrier = carrierFor(address);
+  const asked = carrier === undefined ? [] : [carrier];
+  const rest = hosts().filter((host) => host !== self && host !== carrier);
+  while (asked.length < MAX_HOSTS_ASKED && rest.length > 0) {
+    asked.push(...rest.splice(Math.floor(random() * rest.length), 1));
   }
-  return sample;
+  return asked;
 }
