Tests of places at endpoints; the bound begins at the slots

A bound that was new began at its highest value in place of the slots: place_bound.test.ts failed on (5 in place of 4, 10 in place of 9) and passes now.

--- a/src/endpoint_places/place_bound.ts
+++ b/src/endpoint_places/place_bound.ts
@@ -34,7 +34,8 @@
 /** The bound of one endpoint. */
 export class PlaceBound {
   #started_ms: number;
-  #places = Infinity;
+  /** Undefined before the first request. */
+  #places: number | undefined;
   #ceiling = Infinity;
   #ceiling_ms = -Infinity;
   #grown_ms: number;
@@ -56,7 +57,7 @@
     const lowered = in_flight > slots
       ? slots
       : Math.floor(in_flight * SHARE_AFTER_REJECTION);
-    this.#places = Math.max(1, Math.min(this.#places, lowered));
+    this.#places = Math.max(1, Math.min(this.#places ?? slots, lowered));
     this.#grown_ms = now_ms;
   }
 
@@ -79,8 +80,7 @@
     const elapsed_s = (now_ms - this.#grown_ms) / MS_PER_S;
     this.#grown_ms = now_ms;
     const per_s = Math.max(MIN_GROWTH_PER_S, GROWTH_SHARE_PER_S * slots);
-    const before = Math.min(this.#places, slots + waiting);
-    this.#places = Math.min(max, before + per_s * elapsed_s);
+    this.#places = Math.min(max, (this.#places ?? slots) + per_s * elapsed_s);
     const isWarmingUp = now_ms - this.#started_ms < WARM_UP_MS;
     const share = isWarmingUp ? WARM_UP_SHARE : 1;
     return Math.max(1, Math.floor(share * this.#places));
