--- a/stand_ins/soak/soak_host.ts
+++ b/stand_ins/soak/soak_host.ts
@@ -36,6 +36,9 @@
 process.once("exit", () => {
   for (const host of liveHosts) host.kill();
 });
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+  process.once(signal, () => process.exit(1));
+}
 
 /** A gateway host and its current process. */
 export class SoakHost {
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -19,7 +19,6 @@
 
 const buildDirectory = mkdtempSync(join(tmpdir(), "sesamequay-soak-build-"));
 const shim = await buildNetworkShim(join(buildDirectory, "shim.cjs"));
-const keptLogs = mkdtempSync(join(tmpdir(), "sesamequay-soak-logs-"));
 
 /** Seeds that found a fault, each with its cause in a comment. */
 const REGRESSION_SEEDS: number[] = [];
@@ -30,6 +29,7 @@
   seed: number,
   program: string,
 ): Promise<SoakResult> {
+  const keptLogs = mkdtempSync(join(tmpdir(), "sesamequay-soak-logs-"));
   const result = await runSoak({
     ...DEFAULT_SOAK,
     seed,
