--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -21,7 +21,11 @@
 const shim = await buildNetworkShim(join(buildDirectory, "shim.cjs"));
 
 /** Seeds that found a fault, each with its cause in a comment. */
-const REGRESSION_SEEDS: number[] = [];
+const REGRESSION_SEEDS = [
+  // A host that is cut off from hosts and store takes streams up at the version
+  // it knows, though newer endpoints wrote them.
+  105,
+];
 const SEEDS = [1, ...REGRESSION_SEEDS];
 
 async function playSeed(
