Soak: a caller that left has not seen a whole stream

The host had passed on all 20 in one burst after a cut; the caller left at the 9th, and Node emits end for what it had parsed already. A bare server that writes a response at once shows the same: end, complete, with 9 lines read.

--- a/stand_ins/soak/soak_callers.ts
+++ b/stand_ins/soak/soak_callers.ts
@@ -201,7 +201,8 @@
         if (status === 200 && text.split("\n\n").length > leavesAfter) leave();
       });
       incoming.on("error", () => {});
-      incoming.on("end", () => complete = incoming.complete);
+      // Node reads what had come with the last chunk to its end, unseen.
+      incoming.on("end", () => complete = incoming.complete && !isLeft);
     });
     return promise;
   }
