ORDER: the last word on a stream's version outlasts older copies

Cause: records carried no order, a keeper's own copy went before what others held, and copies of copies were sent. Class: replicas without versions.

A record tells how often its host has corrected it; keepers take only what is newer, ask each other before they go by a copy, and pass on only what they have found out themselves.

--- a/src/stream_origins/origin_memory.ts
+++ b/src/stream_origins/origin_memory.ts
@@ -10,21 +10,33 @@
 /** No caller resumes a stream that began longer ago. */
 const KEPT_MS = 120_000;
 
-interface RememberedOrigin {
+/** A record, and whose word it is. */
+export interface RememberedOrigin {
   origin: StreamOrigin;
   recorded_ms: number;
+  /** Whether this host has found it out; else another one may have corrected it. */
+  is_own: boolean;
 }
 
 /** Remembers which version wrote the first event of a stream. */
 export class OriginMemory {
   #origins = new Map<string, RememberedOrigin>();
 
-  /** Remembers a stream, in place of what was recorded of it. */
-  record(origin: StreamOrigin, now_ms: number): void {
-    this.#origins.delete(origin.key);
-    this.#dropExpired(now_ms);
-    this.#origins.set(origin.key, { origin, recorded_ms: now_ms });
-    dropOldest(this.#origins, MAX_ORIGINS);
+  /** Records what this host has found out; returns the record. */
+  record(origin: StreamOrigin, now_ms: number): StreamOrigin {
+    const known = this.#origins.get(origin.key)?.origin;
+    const recorded = known === undefined
+      ? origin
+      : { ...origin, corrections: correctionsOf(known) + 1 };
+    this.#put({ origin: recorded, recorded_ms: now_ms, is_own: true });
+    return recorded;
+  }
+
+  /** Keeps what another host has told, unless more is known. */
+  keep(origin: StreamOrigin, now_ms: number): void {
+    const known = this.#origins.get(origin.key);
+    if (known !== undefined && !isNewer(origin, known)) return;
+    this.#put({ origin, recorded_ms: now_ms, is_own: false });
   }
 
   /** Forgets a stream that has reached its caller whole. */
@@ -33,15 +45,23 @@
   }
 
   /** The record of a stream; undefined if there is none. */
-  find(key: string): StreamOrigin | undefined {
-    return this.#origins.get(key)?.origin;
+  find(key: string): RememberedOrigin | undefined {
+    return this.#origins.get(key);
   }
 
-  /** All remembered streams of a pool. */
-  inPool(pool: string): StreamOrigin[] {
+  /** All streams of a pool of which this host has found out the version. */
+  ownInPool(pool: string): StreamOrigin[] {
     return [...this.#origins.values()]
-      .map(({ origin }) => origin)
-      .filter((origin) => origin.pool === pool);
+      .filter(({ origin, is_own }) => is_own && origin.pool === pool)
+      .map(({ origin }) => origin);
+  }
+
+  #put(remembered: RememberedOrigin): void {
+    const { key } = remembered.origin;
+    this.#origins.delete(key);
+    this.#dropExpired(remembered.recorded_ms);
+    this.#origins.set(key, remembered);
+    dropOldest(this.#origins, MAX_ORIGINS);
   }
 
   #dropExpired(now_ms: number): void {
@@ -51,3 +71,22 @@
     }
   }
 }
+
+/** The record that was corrected most often; undefined if there is none. */
+export function newestOf(
+  origins: readonly StreamOrigin[],
+): StreamOrigin | undefined {
+  return origins.toSorted((a, b) => correctionsOf(b) - correctionsOf(a))[0];
+}
+
+function isNewer(
+  origin: StreamOrigin,
+  { origin: known, is_own }: RememberedOrigin,
+): boolean {
+  const difference = correctionsOf(origin) - correctionsOf(known);
+  return difference > 0 || (difference === 0 && !is_own);
+}
+
+function correctionsOf({ corrections = 0 }: StreamOrigin): number {
+  return corrections;
+}
--- a/src/stream_origins/stream_origin_service.ts
+++ b/src/stream_origins/stream_origin_service.ts
@@ -17,7 +17,7 @@
 import { LongestDeadlines } from "./longest_deadlines.ts";
 import type { KnownVersions } from "./known_versions.ts";
 import { OriginKeepers } from "./origin_keepers.ts";
-import { OriginMemory } from "./origin_memory.ts";
+import { newestOf, OriginMemory } from "./origin_memory.ts";
 import type { StoredOrigins } from "./stored_origins.ts";
 import {
   OriginSource,
@@ -136,14 +136,14 @@
   keep(origins: readonly StreamOrigin[]): void {
     const now_ms = this.#options.now();
     for (const origin of origins) {
-      this.#memory.record(origin, now_ms);
+      this.#memory.keep(origin, now_ms);
       this.#storeIfWriter(origin);
     }
   }
 
   /** The record of a stream, if this host has one. */
   find(key: string): StreamOrigin | undefined {
-    return this.#memory.find(key);
+    return this.#memory.find(key)?.origin;
   }
 
   /** Finds out where a stream that a caller resumes must go on. */
@@ -151,12 +151,14 @@
     { key, pools, max_age_ms }: ResumedStream,
   ): Promise<ResolvedOrigin> {
     const since_ms = this.#options.now() - max_age_ms;
-    const own = key === undefined ? undefined : this.find(key);
-    if (own !== undefined) return recorded(own, OriginSource.Own);
-    const kept = key === undefined ? undefined : await this.#askKeepers(key);
-    if (kept !== undefined) {
-      this.#memory.record(kept, this.#options.now());
-      return recorded(kept, OriginSource.Keeper);
+    const known = key === undefined ? undefined : this.#memory.find(key);
+    if (known?.is_own) return recorded(known.origin, OriginSource.Own);
+    const kept = key === undefined ? [] : await this.#askKeepers(key);
+    if (known !== undefined) kept.push(known.origin);
+    const newest = newestOf(kept);
+    if (newest !== undefined) {
+      this.#memory.keep(newest, this.#options.now());
+      return recorded(newest, OriginSource.Keeper);
     }
     const concluded = await this.#concludeVersion(pools, since_ms);
     if (concluded === undefined && key !== undefined) {
@@ -171,8 +173,8 @@
   }
 
   #record(origin: StreamOrigin): void {
-    this.#memory.record(origin, this.#options.now());
-    if (this.#mixedPools.has(origin.pool)) this.#copy(origin);
+    const recorded = this.#memory.record(origin, this.#options.now());
+    if (this.#mixedPools.has(origin.pool)) this.#copy(recorded);
   }
 
   async #concludeVersion(
@@ -203,7 +205,7 @@
     }
     if (this.#mixedPools.has(pool)) return;
     this.#mixedPools.add(pool);
-    const origins = this.#memory.inPool(pool);
+    const origins = this.#memory.ownInPool(pool);
     this.#options.log.info({
       event: "versions",
       pool,
@@ -223,7 +225,7 @@
   ): Promise<StreamOrigin | undefined> {
     if (this.history.hadStarted(since_ms)) return undefined;
     const found = await this.#options.stored.find(key);
-    if (found !== undefined) this.#memory.record(found, this.#options.now());
+    if (found !== undefined) this.#memory.keep(found, this.#options.now());
     return found;
   }
 
@@ -272,8 +274,8 @@
     }
   }
 
-  /** Asks the keepers of a record; undefined if none has it. */
-  async #askKeepers(key: string): Promise<StreamOrigin | undefined> {
+  /** Asks the keepers of a record; empty if none has it. */
+  async #askKeepers(key: string): Promise<StreamOrigin[]> {
     const { keepers, spare } = this.#keepers.of(key);
     const answers = await Promise.all(
       keepers.map((address) => this.#askKeeper(address, key)),
@@ -282,7 +284,7 @@
       const isFound = answers.some((answer) => answer);
       if (!isFound) answers.push(await this.#askKeeper(spare, key));
     }
-    return answers.find((answer) => answer) ?? undefined;
+    return answers.filter((answer) => answer !== null && answer !== undefined);
   }
 
   /** A host's record; null if it has none, undefined if it doesn't respond. */
--- a/src/stream_origins/types.ts
+++ b/src/stream_origins/types.ts
@@ -12,6 +12,8 @@
   pool: z.string().max(MAX_NAME_LENGTH),
   /** Empty if the endpoint names none. */
   version: z.string().max(MAX_NAME_LENGTH),
+  /** How often its host has corrected it; 0 if missing. */
+  corrections: z.int().nonnegative().optional(),
 });
 
 /** Which software version wrote the first event of a stream. */
--- a/test/stream_origins/stream_origin_service.test.ts
+++ b/test/stream_origins/stream_origin_service.test.ts
@@ -141,6 +141,43 @@
   assert.equal((await resolve())?.source, OriginSource.Keeper);
 });
 
+test("a keeper doesn't pass on what others have told it, as they may have corrected it", async () => {
+  observe("v1");
+  service.keep([{ key: "docks/a", pool: "model", version: "v1" }]);
+  service.recordFirstEvent("docks/b", sampleEndpoint("v1"));
+  observe("v1", "v2");
+  await passTime();
+  assert.deepEqual(new Set(kept.map(({ key }) => key)), new Set(["docks/b"]));
+});
+
+test("a keeper's own copy may have been corrected at another keeper", async () => {
+  observe("v1", "v2");
+  const copy = { key: "docks/a", pool: "model", version: "v1" };
+  service.keep([copy]);
+  record = { ...copy, version: "v2", corrections: 1 };
+  assert.equal((await resolve())?.version, "v2");
+  // What comes late doesn't undo it.
+  service.keep([copy]);
+  record = null;
+  assert.equal((await resolve())?.version, "v2");
+});
+
+test("a keeper that nobody answers goes by its own copy", async () => {
+  observe("v1", "v2");
+  service.keep([{ key: "docks/a", pool: "model", version: "v1" }]);
+  isCutOff = true;
+  assert.equal((await resolve())?.version, "v1");
+});
+
+test("a correction tells that it is one", async () => {
+  observe("v1", "v2");
+  service.recordFirstEvent("docks/a", sampleEndpoint("v1"));
+  service.recordFirstEvent("docks/a", sampleEndpoint("v2"));
+  await passTime();
+  const told = kept.map(({ version, corrections }) => [version, corrections]);
+  assert.deepEqual(told.at(-1), ["v2", 1]);
+});
+
 test("a keeper's record goes before what the history tells", async () => {
   observe("v1");
   now_ms += 60_000;
