ORDER: an endpoint that doesn't say when it started gets no stream that goes on

Cause: no answer was taken for the expected one. Class as before: a conclusion from absence. Now such an endpoint is passed over; one that answers but doesn't tell its start is believed as before. The check may take 600 ms, as links of 500 ms were seen.

Tests: stream_versions.test.ts, 'doesn't say when it started': went on there ([0, 1]) before, passes now. start_check.test.ts told 'unknown' for no answer in two tests; that case is now 'silent', which is stricter, as streams don't go on then. The log line endpoint_restarted is endpoint_passed_over with check=.

--- a/src/forwarding/stream_origin.ts
+++ b/src/forwarding/stream_origin.ts
@@ -113,12 +113,14 @@
   const { streamVersion, dependencies } = context;
   const { checkStart, log } = dependencies;
   if (streamVersion === undefined) return true;
-  if (await checkStart(endpoint) !== StartCheck.Restarted) return true;
+  const check = await checkStart(endpoint);
+  if (check === StartCheck.Same || check === StartCheck.Unknown) return true;
   log.info({
-    event: "endpoint_restarted",
+    event: "endpoint_passed_over",
     attempt: context.admitted.metadata.attempt_id,
     endpoint: endpoint.id,
     believed: endpoint.software_version,
+    check,
   });
   return false;
 }
--- a/src/stream_origins/start_check.ts
+++ b/src/stream_origins/start_check.ts
@@ -22,8 +22,10 @@
   Same = "same",
   /** It has started again since. */
   Restarted = "restarted",
-  /** It gives no answer, or doesn't tell when it started. */
+  /** It doesn't tell when it started. */
   Unknown = "unknown",
+  /** It gives no whole answer in time; it may be starting again just now. */
+  Silent = "silent",
 }
 
 /** Compares an endpoint's entry with what it says itself; never rejects. */
@@ -39,15 +41,18 @@
 }
 
 /** Short, as a stream waits for it. */
-const TIMEOUT_MS = 300;
+const TIMEOUT_MS = 600;
 const MAX_STATUS_BYTES = 262_144;
 const HTTP_OK = 200;
+const NO_STATUS = Buffer.alloc(0);
 
 /** Creates a start check that asks endpoints over HTTP. */
 export function createStartCheck(options: StartCheckOptions): CheckStart {
   return async (endpoint) => {
     if (endpoint.born_ms === UNKNOWN_START_MS) return StartCheck.Unknown;
-    const born_ms = await askStart(endpoint, options);
+    const status = await askStatus(endpoint, options);
+    if (status === undefined) return StartCheck.Silent;
+    const born_ms = options.codec.decodeStartTime(status);
     if (born_ms === undefined) return StartCheck.Unknown;
     return born_ms === endpoint.born_ms
       ? StartCheck.Same
@@ -55,11 +60,11 @@
   };
 }
 
-/** When the endpoint says that it started; undefined if it doesn't tell. */
-async function askStart(
+/** What the endpoint says of itself, empty if that is nothing; undefined if late. */
+async function askStatus(
   { address, pool: name }: RouteEndpoint,
   { codec, agents, pool, responseLimits }: StartCheckOptions,
-): Promise<number | undefined> {
+): Promise<Buffer | undefined> {
   const max_connections = pool(name)?.max_connections ?? 1;
   const result = await sendRequest({
     address,
@@ -70,13 +75,14 @@
   if (result.kind !== ExchangeOutcome.ResponseReceived) return undefined;
   if (result.response.status !== HTTP_OK) {
     discardResponse(result.response);
-    return undefined;
+    return NO_STATUS;
   }
   const read = await readFullBody(result.response, {
     max_bytes: MAX_STATUS_BYTES,
     limits: responseLimits,
   });
-  if (read.kind !== BytesReadKind.Complete) return undefined;
+  if (read.kind === BytesReadKind.BrokenOff) return undefined;
+  if (read.kind !== BytesReadKind.Complete) return NO_STATUS;
   read.held?.release();
-  return codec.decodeStartTime(read.bytes);
+  return read.bytes;
 }
--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -131,6 +131,8 @@
   arrivals_ms: number[] = [];
   /** Until when it neither answers nor goes on, as `performance.now()`. */
   silentUntil_ms = 0;
+  /** Whether it doesn't answer when it is asked for its status. */
+  hidesStatus = false;
   /** Crashes so far. */
   crashes = 0;
   /** What the fault `RepeatedRefusal` writes. */
@@ -220,6 +222,7 @@
     for await (const chunk of request) chunks.push(chunk);
     const body = Buffer.concat(chunks).toString();
     if (request.url === "/v1/report") {
+      if (this.hidesStatus) return;
       response.writeHead(200, { "content-type": "application/json" });
       return void response.end(JSON.stringify({ born: this.born_ms }));
     }
--- a/test/forwarding/stream_versions.test.ts
+++ b/test/forwarding/stream_versions.test.ts
@@ -346,6 +346,15 @@
   }
 });
 
+test("a stream does not go on at an endpoint that doesn't say when it started", async (t) => {
+  const fleet = await startFleet(t, ["v1", "v1", "v1"], 1);
+  fleet.engine(Service.Model, 1).hidesStatus = true;
+  for (const { attempt_id, stream } of await breakAtFirst(fleet)) {
+    assert.deepEqual(endpointsOf(fleet, [attempt_id]), [0, 2]);
+    assertWhole(stream);
+  }
+});
+
 test("starts that entries don't tell count before any host has heard of a second version", async (t) => {
   const fleet = await startFleet(t, ["v1", "v1", "v1"], 1);
   fleet.engine(Service.Model, 1).born_ms = 5;
--- a/test/stream_origins/start_check.test.ts
+++ b/test/stream_origins/start_check.test.ts
@@ -91,10 +91,15 @@
 
 test("an endpoint that doesn't answer delays a stream but for a moment", async (t) => {
   const started_ms = performance.now();
-  assert.equal(await check(t, () => {}), StartCheck.Unknown);
+  assert.equal(await check(t, () => {}), StartCheck.Silent);
   assert.ok(performance.now() - started_ms < MAX_CHECK_MS);
 });
 
+test("an endpoint that takes no connection is silent", async (t) => {
+  const reset: RequestListener = (request) => void request.socket.destroy();
+  assert.equal(await check(t, reset), StartCheck.Silent);
+});
+
 test("a status without end delays a stream but for a moment", async (t) => {
   const started_ms = performance.now();
   const endless: RequestListener = (_request, response) => {
@@ -102,6 +107,6 @@
     const timer = setInterval(() => response.write(" "), 20);
     response.once("close", () => clearInterval(timer));
   };
-  assert.equal(await check(t, endless), StartCheck.Unknown);
+  assert.equal(await check(t, endless), StartCheck.Silent);
   assert.ok(performance.now() - started_ms < MAX_CHECK_MS);
 });
