--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -27,7 +27,7 @@
 import { StoreReaders } from "../membership/store_readers.ts";
 import { GatewayMembers } from "../membership/gateway_members.ts";
 import { OwnEntry } from "../membership/own_entry.ts";
-import { checkListener } from "../quarantine/probe_endpoint.ts";
+import { checkListener, ListenerCheck } from "../quarantine/probe_endpoint.ts";
 import { createRefusalCheck } from "../quarantine/refusal_check.ts";
 import { QuarantineService } from "../quarantine/quarantine_service.ts";
 import { CarriedSide, ForwardMetrics } from "../metrics/forward_metrics.ts";
@@ -125,8 +125,13 @@
     delay: abortableDelay,
     signal,
   });
-  const checkEndpoint = (address: string) =>
-    checkListener(translateAddress?.(address) ?? address);
+  const checkEndpoint = (address: string) => {
+    const endpoint = endpoints.findByAddress(address);
+    // A way that swallows bytes may accept connections all the same.
+    return endpoint !== undefined && reachability.isOutOfReach(endpoint)
+      ? Promise.resolve(ListenerCheck.Unknown)
+      : checkListener(translateAddress?.(address) ?? address);
+  };
   const quarantine = new QuarantineService({
     self,
     hosts: () => members.addresses(),
