RECOVER: a host that is cut off goes by others' word on crashes

While an endpoint is out of reach, the hosts that carry its requests decide; a host that gets neither a connection nor a refusal gives no answer.

Tests: refusal_check.test.ts, two new ones failed before, a third is of the new answer; odd_entries asserts the same attempt as before by its new name.

--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -27,7 +27,10 @@
 import { StoreReaders } from "../membership/store_readers.ts";
 import { GatewayMembers } from "../membership/gateway_members.ts";
 import { OwnEntry } from "../membership/own_entry.ts";
-import { isConnectionRefused } from "../quarantine/probe_endpoint.ts";
+import {
+  attemptConnection,
+  ConnectionAttempt,
+} from "../quarantine/probe_endpoint.ts";
 import { createRefusalCheck } from "../quarantine/refusal_check.ts";
 import { QuarantineService } from "../quarantine/quarantine_service.ts";
 import { CarriedSide, ForwardMetrics } from "../metrics/forward_metrics.ts";
@@ -125,8 +128,8 @@
     delay: abortableDelay,
     signal,
   });
-  const isEndpointRefused = (address: string) =>
-    isConnectionRefused(translateAddress?.(address) ?? address);
+  const attemptEndpoint = (address: string) =>
+    attemptConnection(translateAddress?.(address) ?? address);
   const quarantine = new QuarantineService({
     self,
     hosts: () => members.addresses(),
@@ -135,7 +138,9 @@
     isRefused: createRefusalCheck({
       self,
       hosts: () => members.addresses(),
-      isRefusedHere: isEndpointRefused,
+      isRefusedHere: async (address) =>
+        await attemptEndpoint(address) === ConnectionAttempt.Refused,
+      carriersOf: (address) => reachability.carriersOf(address),
       isRefusedAt: (address, endpoint) =>
         peers.isEndpointRefused(address, endpoint),
       random,
@@ -307,7 +312,7 @@
     responseLimits,
     reports,
     reachability,
-    isEndpointRefused,
+    attemptEndpoint,
     streamOrigins,
     syncOptions,
     configurationListeners,
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -9,6 +9,7 @@
 import { createMetricsServer } from "../metrics/metrics_server.ts";
 import { createGatewayPeerServer } from "../peers/gateway_peer_server.ts";
 import type { ExchangeCarrier } from "../relaying/exchange_carrier.ts";
+import { createRefusalAnswer } from "../quarantine/refusal_check.ts";
 import type { Address } from "../settings/settings.ts";
 import type { BatchingComponents } from "./batching_components.ts";
 import type { HostContext } from "./host_context.ts";
@@ -38,10 +39,13 @@
     reportVersions: () => context.streamOrigins.history.report(context.now()),
     handleCrashReport: (report) => context.quarantine.handleReport(report),
     handleAnsweredParts: (parts) => context.quarantine.handleAnswered(parts),
-    isEndpointRefused: (address) =>
-      context.endpoints.findByAddress(address) === undefined
-        ? Promise.resolve(true)
-        : context.isEndpointRefused(address),
+    isEndpointRefused: createRefusalAnswer({
+      isKnown: (address) =>
+        context.endpoints.findByAddress(address) !== undefined,
+      isOutOfReach: (address) =>
+        context.reachability.carriersOf(address) !== undefined,
+      attempt: context.attemptEndpoint,
+    }),
     handleNotice: (notice, route) =>
       context.quarantine.handleNotice(notice, route),
     changeRevisions: () =>
--- a/src/quarantine/probe_endpoint.ts
+++ b/src/quarantine/probe_endpoint.ts
@@ -5,24 +5,37 @@
 
 const CONNECT_TIMEOUT_MS = 300;
 
-/**
- * Resolves to whether nothing listens at the address any more; false if that
- * can't be told.
- */
-export function isConnectionRefused(address: string): Promise<boolean> {
-  if (!isIpv4Address(address)) return Promise.resolve(false);
+/** What came of an attempt to connect. */
+export enum ConnectionAttempt {
+  Accepted = "accepted",
+  /** Nothing listens there. */
+  Refused = "refused",
+  /** Neither came in time, or the way failed. */
+  Unknown = "unknown",
+}
+
+/** Tries to connect; never rejects. */
+export function attemptConnection(address: string): Promise<ConnectionAttempt> {
+  if (!isIpv4Address(address)) {
+    return Promise.resolve(ConnectionAttempt.Unknown);
+  }
   const { ip, port } = parseAddress(address);
   return new Promise((resolve) => {
     const socket = connect({ host: ip, port, timeout: CONNECT_TIMEOUT_MS });
-    const finish = (refused: boolean) => {
+    const finish = (attempt: ConnectionAttempt) => {
       socket.destroy();
-      resolve(refused);
+      resolve(attempt);
     };
-    socket.once("connect", () => finish(false));
-    socket.once("timeout", () => finish(false));
+    socket.once("connect", () => finish(ConnectionAttempt.Accepted));
+    socket.once("timeout", () => finish(ConnectionAttempt.Unknown));
     socket.once(
       "error",
-      (error: NodeJS.ErrnoException) => finish(error.code === "ECONNREFUSED"),
+      ({ code }: NodeJS.ErrnoException) =>
+        finish(
+          code === "ECONNREFUSED"
+            ? ConnectionAttempt.Refused
+            : ConnectionAttempt.Unknown,
+        ),
     );
   });
 }
--- a/src/quarantine/refusal_check.ts
+++ b/src/quarantine/refusal_check.ts
@@ -1,8 +1,10 @@
 /**
  * Whether nothing listens at an endpoint's address any more. A host that is cut
  * off from the endpoint is refused connections as well, so what it sees counts
- * only if no other host can connect.
+ * only if no other host can connect. While it knows that the endpoint is out of
+ * its reach, it goes by the hosts that carry its requests there.
  */
+import { ConnectionAttempt } from "./probe_endpoint.ts";
 
 /** Dependencies of a refusal check. */
 export interface RefusalCheckOptions {
@@ -14,6 +16,11 @@
   isRefusedHere: (address: string) => Promise<boolean>;
   /** The same at another host; rejects if that one does not respond. */
   isRefusedAt: (host: string, address: string) => Promise<boolean>;
+  /**
+   * Hosts that reach the endpoint at an address while this one doesn't; undefined
+   * if it isn't out of this host's reach.
+   */
+  carriersOf: (address: string) => readonly string[] | undefined;
   random: () => number;
 }
 
@@ -25,15 +32,22 @@
   options: RefusalCheckOptions,
 ): (address: string) => Promise<boolean> {
   const { self, hosts, isRefusedHere, isRefusedAt, random } = options;
+  const ask = (others: readonly string[], address: string) =>
+    Promise.all(
+      sampleHosts(others, MAX_HOSTS_ASKED, random).map((host) =>
+        // A host that doesn't respond says nothing.
+        isRefusedAt(host, address).catch(() => undefined)
+      ),
+    );
   return async (address) => {
+    const carriers = options.carriersOf(address);
+    if (carriers !== undefined) {
+      const answers = await ask(carriers, address);
+      return answers.includes(true) && !answers.includes(false);
+    }
     if (!await isRefusedHere(address)) return false;
     const others = hosts().filter((host) => host !== self);
-    const asked = sampleHosts(others, MAX_HOSTS_ASKED, random);
-    const answers = await Promise.all(
-      // A host that doesn't respond says nothing against the refusal here.
-      asked.map((host) => isRefusedAt(host, address).catch(() => true)),
-    );
-    return answers.every((refused) => refused);
+    return !(await ask(others, address)).includes(false);
   };
 }
 
@@ -50,3 +64,31 @@
   }
   return sample;
 }
+
+/** Dependencies of a {@linkcode createRefusalAnswer}. */
+export interface RefusalAnswerOptions {
+  /** Whether an endpoint is in service at an address. */
+  isKnown: (address: string) => boolean;
+  /** Whether others reach the endpoint at an address and this host doesn't. */
+  isOutOfReach: (address: string) => boolean;
+  attempt: (address: string) => Promise<ConnectionAttempt>;
+}
+
+/**
+ * Creates the function that tells other hosts whether an endpoint refuses this
+ * one; it rejects if this host can't tell.
+ */
+export function createRefusalAnswer(
+  { isKnown, isOutOfReach, attempt }: RefusalAnswerOptions,
+): (address: string) => Promise<boolean> {
+  return async (address) => {
+    if (!isKnown(address)) return true;
+    const result = isOutOfReach(address)
+      ? ConnectionAttempt.Unknown
+      : await attempt(address);
+    if (result === ConnectionAttempt.Unknown) {
+      throw new Error("This host can't tell; ask another one");
+    }
+    return result === ConnectionAttempt.Refused;
+  };
+}
--- a/src/reachability/reachability_service.ts
+++ b/src/reachability/reachability_service.ts
@@ -157,6 +157,19 @@
     return this.#endpoints.isOutOfReach(endpoint, this.#options.now());
   }
 
+  /**
+   * Hosts that reach the endpoint at an address while this one doesn't; undefined
+   * if it isn't out of reach.
+   */
+  carriersOf(address: string): string[] | undefined {
+    const endpoint = this.#options.endpointAt(address);
+    if (endpoint === undefined || !this.isOutOfReach(endpoint)) {
+      return undefined;
+    }
+    const { carriers } = this.#endpoints;
+    return carriers.carriersOf(incarnationOf(endpoint), this.#options.now());
+  }
+
   /** Number of endpoints that others reach and this host doesn't. */
   get lostCount(): number {
     return this.#endpoints.lostCount;
--- a/test/platform/odd_entries.test.ts
+++ b/test/platform/odd_entries.test.ts
@@ -11,7 +11,10 @@
   decodeGateway,
 } from "../../platform/decode_objects.ts";
 import type { GatewayStore } from "../../src/forwarding/adapter.ts";
-import { isConnectionRefused } from "../../src/quarantine/probe_endpoint.ts";
+import {
+  attemptConnection,
+  ConnectionAttempt,
+} from "../../src/quarantine/probe_endpoint.ts";
 import { parseAddress } from "../../src/settings/settings.ts";
 import { FeedResultKind } from "../../src/store_sync/object_feed.ts";
 
@@ -212,5 +215,8 @@
 });
 
 test("an address that can't be connected to is not refused", async () => {
-  assert.equal(await isConnectionRefused("127.0.0.1:99999"), false);
+  assert.equal(
+    await attemptConnection("127.0.0.1:99999"),
+    ConnectionAttempt.Unknown,
+  );
 });
--- a/test/quarantine/refusal_check.test.ts
+++ b/test/quarantine/refusal_check.test.ts
@@ -1,13 +1,21 @@
 /** When a refused connection tells of a crash. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createRefusalCheck } from "../../src/quarantine/refusal_check.ts";
+import { ConnectionAttempt } from "../../src/quarantine/probe_endpoint.ts";
+import {
+  createRefusalAnswer,
+  createRefusalCheck,
+} from "../../src/quarantine/refusal_check.ts";
 
 const ENDPOINT = "10.0.0.9:80";
 const SELF = "10.0.0.1:70";
 const OTHERS = ["2", "3", "4", "5"].map((n) => `10.0.0.${n}:70`);
 
-function check(answers: Record<string, boolean | Error>, refusedHere = true) {
+function check(
+  answers: Record<string, boolean | Error>,
+  refusedHere = true,
+  carriers: string[] | undefined = undefined,
+) {
   const asked: string[] = [];
   const isRefused = createRefusalCheck({
     self: SELF,
@@ -20,6 +28,7 @@
         ? Promise.reject(answer)
         : Promise.resolve(answer);
     },
+    carriersOf: () => carriers,
     random: Math.random,
   });
   return { asked, result: isRefused(ENDPOINT) };
@@ -55,3 +64,37 @@
   assert.equal(await reached.result, false);
   assert.deepEqual(reached.asked, []);
 });
+
+test("a host that an endpoint is out of reach of goes by those that reached it", async () => {
+  const [first = "", second = "", third = ""] = OTHERS;
+  const answers = { ...all(false), [first]: true, [second]: true };
+  // Its own connection attempts time out, and say nothing.
+  const crashed = check(answers, false, [first, second]);
+  assert.equal(await crashed.result, true);
+  assert.deepEqual(new Set(crashed.asked), new Set([first, second]));
+  assert.equal(await check(answers, false, [first, third]).result, false);
+  const unanswered = { ...answers, [first]: new Error("no answer") };
+  assert.equal(await check(unanswered, false, [first, second]).result, true);
+});
+
+test("without a word of another host, an endpoint out of reach has not crashed", async () => {
+  const [first = ""] = OTHERS;
+  assert.equal(
+    await check(all(new Error("none")), true, [first]).result,
+    false,
+  );
+  assert.equal(await check({}, true, []).result, false);
+});
+
+test("a host that can't tell whether an endpoint refuses it gives no answer", async () => {
+  const answer = (attempt: ConnectionAttempt, isOutOfReach = false) =>
+    createRefusalAnswer({
+      isKnown: (address) => address === ENDPOINT,
+      isOutOfReach: () => isOutOfReach,
+      attempt: () => Promise.resolve(attempt),
+    })(ENDPOINT);
+  assert.equal(await answer(ConnectionAttempt.Refused), true);
+  assert.equal(await answer(ConnectionAttempt.Accepted), false);
+  await assert.rejects(answer(ConnectionAttempt.Unknown), /can't tell/);
+  await assert.rejects(answer(ConnectionAttempt.Refused, true), /can't tell/);
+});
