--- a/src/endpoint_places/endpoint_places.ts
+++ b/src/endpoint_places/endpoint_places.ts
@@ -160,6 +160,14 @@
       : 0;
   }
 
+  /** Takes a place at an endpoint without a bound, without asking. */
+  takeUnbounded(endpoint: RouteEndpoint): Place {
+    const number = this.#held.nextNumber();
+    const incarnation = incarnationOf(endpoint);
+    const place = this.#held.add(incarnation, number, this.#options.now());
+    return this.#placeOf(endpoint, place);
+  }
+
   /** Takes a place for a request; resolves to undefined if there is none. */
   async take(
     endpoint: RouteEndpoint,
@@ -169,22 +177,21 @@
     const kept = this.#held.takeIdle(incarnation);
     if (kept !== undefined) return this.#placeOf(endpoint, kept);
     const max_rejections_per_s = this.#limitPerS(endpoint);
+    if (max_rejections_per_s === undefined) return this.takeUnbounded(endpoint);
+    this.#startReports();
     const number = this.#held.nextNumber();
-    if (max_rejections_per_s !== undefined) {
-      this.#startReports();
-      const reply = await this.#request({
-        endpoint: incarnation,
-        host: this.#options.self,
-        place: number,
-        slots: endpoint.slots,
-        max_rejections_per_s,
-        priority,
-        max_wait_ms: Math.min(MAX_WAIT_MS, Math.max(0, max_wait_ms)),
-      });
-      if (!reply.granted) {
-        this.#held.recordRefusal(incarnation, reply, this.#options.now());
-        return undefined;
-      }
+    const reply = await this.#request({
+      endpoint: incarnation,
+      host: this.#options.self,
+      place: number,
+      slots: endpoint.slots,
+      max_rejections_per_s,
+      priority,
+      max_wait_ms: Math.min(MAX_WAIT_MS, Math.max(0, max_wait_ms)),
+    });
+    if (!reply.granted) {
+      this.#held.recordRefusal(incarnation, reply, this.#options.now());
+      return undefined;
     }
     const place = this.#held.add(incarnation, number, this.#options.now());
     return this.#placeOf(endpoint, place);
--- a/src/forwarding/take_endpoint.ts
+++ b/src/forwarding/take_endpoint.ts
@@ -43,7 +43,7 @@
   context: RunContext,
   tried: ReadonlySet<string>,
 ): Promise<RouteEndpoint | undefined> {
-  const { now } = context.dependencies;
+  const { places, now } = context.dependencies;
   context.releasePlace(false);
   const passedOver = new Set(tried);
   while (context.stopReason === undefined) {
@@ -58,6 +58,10 @@
     }
     if (context.stopReason !== undefined) return undefined;
     if (!isReady(context, send.endpoint)) continue;
+    if (!places.isBounded(send.endpoint)) {
+      context.holdPlace(places.takeUnbounded(send.endpoint));
+      return send.endpoint;
+    }
     if (await takePlace(context, send.endpoint)) return send.endpoint;
     passedOver.add(send.endpoint.id);
   }
@@ -78,15 +82,13 @@
       load.firstByteMs(pool) - started_ms,
   });
   if (place !== undefined) context.holdPlace(place);
-  if (places.isBounded(endpoint)) {
-    log.info({
-      event: "place",
-      attempt: admitted.metadata.attempt_id,
-      endpoint: endpoint.id,
-      wait_ms: Math.round(now() - started_ms),
-      granted: place !== undefined,
-    });
-  }
+  log.info({
+    event: "place",
+    attempt: admitted.metadata.attempt_id,
+    endpoint: endpoint.id,
+    wait_ms: Math.round(now() - started_ms),
+    granted: place !== undefined,
+  });
   if (place === undefined) return false;
   await stopIfCallerLeft(context);
   return context.stopReason === undefined && isReady(context, endpoint);
