--- a/stand_ins/soak/run_soak.ts
+++ b/stand_ins/soak/run_soak.ts
@@ -23,10 +23,9 @@
   type CallerRecord,
   type CallerTry,
   createCallerRecord,
-  probeVersions,
-  sendUnsafe,
-  StreamCaller,
-} from "./soak_callers.ts";
+} from "./caller_record.ts";
+import { probeVersions, sendUnsafe } from "./short_requests.ts";
+import { StreamCaller } from "./stream_caller.ts";
 import { SoakDeployment } from "./soak_deployment.ts";
 import { EVENTS } from "./soak_endpoint.ts";
 
--- a/stand_ins/soak/soak_callers.ts
+++ b/stand_ins/soak/stream_caller.ts
@@ -1,47 +1,18 @@
-/** The callers of a soak: they keep their connections, and take streams up anywhere. */
+/** A caller of a soak: it keeps its connection, and takes streams up anywhere. */
 import { Agent, type ClientRequest, request } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
-import type {
-  SeenEvent,
-  SeenStream,
-  SeenTry,
-  SeenVersion,
-  UnsafeRequest,
-} from "./checks.ts";
+import {
+  type CallerRecord,
+  type CallersOptions,
+  type CallerTry,
+  HOSTNAME,
+} from "./caller_record.ts";
+import type { SeenEvent, SeenStream, SeenTry } from "./checks.ts";
 import type { EventLog } from "./event_log.ts";
-import { DEADLINE_MS, probePath } from "./manifest.ts";
-import type { SoakStage } from "./play_schedule.ts";
+import { DEADLINE_MS } from "./manifest.ts";
 import { EVENTS } from "./soak_endpoint.ts";
 import type { SoakHost } from "./soak_host.ts";
 
-/** What the callers have seen. */
-export interface CallerRecord {
-  streams: SeenStream[];
-  /** Tries to begin a stream. */
-  firstTries: CallerTry[];
-  /** Tries to take a stream up. */
-  takeUps: CallerTry[];
-  unsafe: UnsafeRequest[];
-  versions: SeenVersion[];
-  left: { attempt_id: string; host: SoakHost; left_ms: number }[];
-}
-
-/** One try, and what its stream was before. */
-export interface CallerTry {
-  host: SoakHost;
-  seen: SeenTry;
-  /** Software version of the stream; undefined if it had not begun. */
-  version: string | undefined;
-}
-
-/** What callers work with. */
-export interface CallersOptions {
-  stage: SoakStage;
-  random: () => number;
-  /** When they begin nothing more, in monotonic time. */
-  end_ms: number;
-}
-
 /** After a gap of so long a caller leaves a stream and takes it up elsewhere. */
 const PATIENCE_MS = 2_000;
 const MAX_TAKE_UPS = 5;
@@ -49,24 +20,8 @@
 const RETURNS_CHANCE = 0.5;
 const TAKE_UP_AT_CHANCE = 0.8;
 const MOVES_CHANCE = 0.2;
-const PROBE_INTERVAL_MS = 60;
-const UNSAFE_INTERVAL_MS = 150;
-const HOSTNAME = "fleet.example";
-const NOT_FOUND = 404;
 const EVENT = /^id: (\d+)\ndata: (\S+) (\S+) (\d+)$/;
 
-/** Creates an empty record. */
-export function createCallerRecord(): CallerRecord {
-  return {
-    streams: [],
-    firstTries: [],
-    takeUps: [],
-    unsafe: [],
-    versions: [],
-    left: [],
-  };
-}
-
 /** A caller that reads one stream after the other. */
 export class StreamCaller {
   #name: string;
@@ -263,102 +218,3 @@
   }
   return { events, malformed };
 }
-
-/** Sends unsafe requests to any host, until the time is over. */
-export async function sendUnsafe(
-  { stage, random, end_ms }: CallersOptions,
-  record: CallerRecord,
-): Promise<void> {
-  const { deployment, log } = stage;
-  const pending: Promise<void>[] = [];
-  for (let n = 0; performance.now() < end_ms; n++) {
-    const attempt_id = `unsafe-${n}`;
-    const { hosts } = deployment;
-    const host = hosts[Math.floor(random() * hosts.length)] as SoakHost;
-    const sent = sendShort(deployment.callersAddress(host), {
-      path: "/stamp/x",
-      attempt_id,
-    });
-    pending.push(sent.then((status) => {
-      record.unsafe.push({ attempt_id, status });
-      log.add(`unsafe attempt=${attempt_id} at=${host.name} status=${status}`);
-    }));
-    await sleep(UNSAFE_INTERVAL_MS);
-  }
-  await Promise.all(pending);
-}
-
-/** Asks a host which manifest it follows, until the time is over. */
-export async function probeVersions(
-  host: SoakHost,
-  { stage, end_ms }: CallersOptions,
-  record: CallerRecord,
-): Promise<void> {
-  const pending: Promise<void>[] = [];
-  for (let n = 0; performance.now() < end_ms; n++) {
-    // Older versions too: a host that shows one has gone back.
-    const version = stage.deployment.manifestVersion - n % 3;
-    if (version > 0) {
-      pending.push(probeVersion(host, { version, n }, { stage, record }));
-    }
-    await sleep(PROBE_INTERVAL_MS);
-  }
-  await Promise.all(pending);
-}
-
-async function probeVersion(
-  host: SoakHost,
-  { version, n }: { version: number; n: number },
-  { stage, record }: { stage: SoakStage; record: CallerRecord },
-): Promise<void> {
-  const sent_ms = performance.now();
-  const { lifetimes } = host;
-  const status = await sendShort(host.callers, {
-    path: probePath(version),
-    attempt_id: `probe-${host.name}-${n}`,
-  });
-  const isShown = status !== 0 && status !== NOT_FOUND && status < 500;
-  if (!isShown || host.lifetimes !== lifetimes) return;
-  const answered_ms = performance.now();
-  record.versions.push({
-    host: host.name,
-    lifetime: lifetimes,
-    version,
-    sent_ms,
-    answered_ms,
-  });
-  stage.log.add(`shows host=${host.name} version=${version}`);
-}
-
-/** Sends a request on a connection of its own; resolves to its status, or to 0. */
-function sendShort(
-  address: string,
-  { path, attempt_id }: { path: string; attempt_id: string },
-): Promise<number> {
-  const [host, port] = address.split(":");
-  return new Promise((resolve) => {
-    const outgoing = request({
-      host,
-      port,
-      path,
-      method: "POST",
-      agent: false,
-      headers: {
-        host: HOSTNAME,
-        "x-attempt-id": attempt_id,
-        "x-deadline-ms": String(PATIENCE_MS),
-      },
-    }, (incoming) => {
-      incoming.resume();
-      incoming.on("error", () => {});
-      incoming.on("close", () => resolve(incoming.statusCode ?? 0));
-    });
-    const timer = setTimeout(() => outgoing.destroy(), PATIENCE_MS + 500);
-    outgoing.on("error", () => resolve(0));
-    outgoing.on("close", () => {
-      clearTimeout(timer);
-      resolve(0);
-    });
-    outgoing.end("x");
-  });
-}
