--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -118,7 +118,7 @@
   const checkEndpoint = (address: string) => {
     const endpoint = endpoints.findByAddress(address);
     // A way that swallows bytes may accept connections all the same.
-    return endpoint !== undefined && reachability.isOutOfReach(endpoint)
+    return endpoint !== undefined && reachability.routes.isOutOfReach(endpoint)
       ? Promise.resolve(ListenerCheck.Unknown)
       : checkListener(translateAddress?.(address) ?? address);
   };
