ORDER: a stream that its caller leaves is checked like one that breaks

Cause: the endpoint was asked when it started only if the stream broke at the endpoint. Now also when the caller leaves in the middle: one small request for each such stream; if the endpoint has started again, the version is recorded as unknown and the take-up is refused.

Evidence: stream_versions.test.ts, 'its caller leaves is not resumed': went on before, 503 version_unknown now. A first form of the test, which waited 100 ms in place of the log line, failed once in two runs beside load of 20 and more on 8 cores (the check had not ended, or the stream was over before the caller's leaving was seen: not traced); five of five with the line.

--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -209,6 +209,12 @@
     return `${organisation?.name ?? ""}/${resumed_attempt_id}`;
   }
 
+  /** Whether its caller has a part of a stream, and gets no more of it here. */
+  get mayBeResumed(): boolean {
+    const { response } = this.inbound;
+    return this.firstEventFrom !== undefined && !response.writableEnded;
+  }
+
   /** Endpoints that are ready and may serve it, by its software version. */
   readyEndpoints(): RouteEndpoint[] {
     const { endpoints, now } = this.dependencies;
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -275,6 +275,8 @@
       inputs,
     );
     if (outcome === SendOutcome.Answered) {
+      // Its caller may have left and resume it elsewhere.
+      if (context.mayBeResumed) void confirmStreamOrigin(context);
       return { kind: OutcomeKind.Relayed, label: observedOutcome };
     }
     if (outcome === SendOutcome.InputsLost) {
--- a/test/forwarding/stream_versions.test.ts
+++ b/test/forwarding/stream_versions.test.ts
@@ -346,6 +346,29 @@
   }
 });
 
+test("a stream that its caller leaves is not resumed if its endpoint began it after an untold start", async (t) => {
+  const fleet = await startFleet(t, ["v1", "v1"], 1);
+  fleet.engine(Service.Model, 0).born_ms = 5;
+  let began = 0;
+  for (let n = 0; n < STREAMS; n++) {
+    const attempts = [`left-${n}`, `resumed-${n}`] as const;
+    await call(at(fleet, 0), { attempt_id: attempts[0], leaves_after: 2 });
+    if (endpointsOf(fleet, [attempts[0]])[0] !== 0) continue;
+    began += 1;
+    const found = `event=stream_version_unknown attempt=${attempts[0]} `;
+    await waitUntil(() =>
+      at(fleet, 0).logLines.some((line) => line.includes(found))
+    );
+    const resumed = await call(at(fleet, 0), {
+      attempt_id: attempts[1],
+      resumes: attempts[0],
+      last_event_id: 2,
+    });
+    assert.equal(resumed.reason, "version_unknown");
+  }
+  assert.ok(began > 0, "no stream began there");
+});
+
 test("a stream does not go on at an endpoint that doesn't say when it started", async (t) => {
   const fleet = await startFleet(t, ["v1", "v1", "v1"], 1);
   fleet.engine(Service.Model, 1).hidesStatus = true;
