ORDER: that a stream's version isn't known is told to its keepers at once

Cause: records are copied while a pool has several versions, and before the entry comes it has one. A record of an unknown version is the first sign of a second one, so it is copied always; there are few.

Evidence: stream_origin_service.test.ts, 'that a version isn't known is told': no copy went out before, two do now. Open: one keeper that isn't reached and another that has no record still lead to the conclusion.

--- a/src/stream_origins/stream_origin_service.ts
+++ b/src/stream_origins/stream_origin_service.ts
@@ -174,7 +174,9 @@
 
   #record(origin: StreamOrigin): void {
     const recorded = this.#memory.record(origin, this.#options.now());
-    if (this.#mixedPools.has(origin.pool)) this.#copy(recorded);
+    const isTold = this.#mixedPools.has(origin.pool) ||
+      origin.version === UNKNOWN;
+    if (isTold) this.#copy(recorded);
   }
 
   async #concludeVersion(
--- a/test/stream_origins/stream_origin_service.test.ts
+++ b/test/stream_origins/stream_origin_service.test.ts
@@ -11,6 +11,7 @@
 import type { RouteEndpoint } from "../../src/routes/types.ts";
 import { sampleEndpoint } from "./sample_endpoint.ts";
 import {
+  UNKNOWN,
   VersionHistory,
   type VersionReport,
 } from "../../src/stream_origins/version_history.ts";
@@ -169,6 +170,15 @@
   assert.equal((await resolve())?.version, "v1");
 });
 
+test("that a version isn't known is told before any host has heard of a second one", async () => {
+  observe("v1");
+  service.recordFirstEvent("docks/a", sampleEndpoint("v1"));
+  service.recordUnknown("docks/a", "model");
+  await passTime();
+  const told = kept.map(({ version, corrections }) => [version, corrections]);
+  assert.deepEqual(told, [[UNKNOWN, 1], [UNKNOWN, 1]]);
+});
+
 test("a correction tells that it is one", async () => {
   observe("v1", "v2");
   service.recordFirstEvent("docks/a", sampleEndpoint("v1"));
