--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -284,6 +284,8 @@
     context.releasePlace(isRejection(result));
     const { outcome, observedOutcome } = result;
     if (outcome === SendOutcome.Answered) {
+      // Its caller may have left and resume it elsewhere.
+      if (context.mayBeResumed) void confirmStreamOrigin(context);
       return { kind: OutcomeKind.Relayed, label: observedOutcome };
     }
     if (outcome === SendOutcome.InputsLost) {
