RECOVER: an endpoint that crashed and is back is not out of reach

A refused attempt, and bytes that came to others after it, counted as a loss: so did an endpoint that crashed and had started again before this host's next attempt (16 losses in six runs of crashing_pieces.test.ts, none of them true; one run of seven had 7 crashes for 6 allowed at a load average of 28, as lost calls are not reported as crashes: suspected, not traced). Bytes now count only from before an attempt that still failed; the next attempt follows at once.

Test: 'an endpoint that crashed and is back ...' failed before, passes now.

--- a/src/reachability/endpoint_reach.ts
+++ b/src/reachability/endpoint_reach.ts
@@ -72,6 +72,8 @@
   probing_since_ms: number | undefined;
   /** The last attempt without bytes; undefined if bytes have come since. */
   failed: FailedAttempt | undefined;
+  /** Start of the first attempt without bytes since some came. */
+  failing_since_ms = -Infinity;
   /** Start of the attempt without bytes that showed its loss. */
   lost_from_ms = -Infinity;
   /** When it was known to be lost. */
@@ -175,6 +177,7 @@
 
   /** Records an attempt that did not reach the endpoint. */
   recordFailed(failed: FailedAttempt): void {
+    if (this.failed === undefined) this.failing_since_ms = failed.from_ms;
     this.failed = failed;
     if (this.state === ReachState.Lost) {
       this.next_probe_ms = failed.until_ms + this.#returnPause_ms;
--- a/src/reachability/reachability_service.ts
+++ b/src/reachability/reachability_service.ts
@@ -260,6 +260,7 @@
         await peers.askReached(address, endpoints),
       );
       this.#endpoints.recordAnswer(address, { endpoints, ages, now_ms: now() });
+      this.#stepSoon();
     } catch (error) {
       this.#endpoints.carriers.recordFailure(address, now());
       log.warn({
--- a/src/reachability/reachable_endpoints.ts
+++ b/src/reachability/reachable_endpoints.ts
@@ -60,6 +60,8 @@
 const ASK_AFTER_MS = 100;
 /** Bytes that came to others this long before an attempt ended count. */
 const SILENT_MARGIN_MS = 300;
+/** The same if the attempt got no connection. */
+const NO_CONNECTION_MARGIN_MS = 200;
 /** Least time between questions, with doubted endpoints and without. */
 const QUESTION_INTERVAL_MS = 100;
 const REFRESH_INTERVAL_MS = 1_000;
@@ -143,6 +145,7 @@
       : ProbeOutcome.NoConnection;
     reach.questions = 0;
     reach.recordFailed({ outcome, from_ms: now_ms, until_ms: now_ms });
+    if (outcome === ProbeOutcome.NoConnection) reach.next_probe_ms = now_ms;
   }
 
   /** Records that a direct exchange has ended. */
@@ -381,7 +384,15 @@
   #decide(reach: EndpointReach, now_ms: number): void {
     const { failed, state, endpoint } = reach;
     if (failed === undefined || state !== ReachState.Doubted) return;
-    if (!this.carriers.hasReached(incarnationOf(endpoint), evidence(failed))) {
+    const incarnation = incarnationOf(endpoint);
+    const from_ms = reach.failing_since_ms;
+    const until_ms = lastEvidenceMs(failed);
+    if (!this.carriers.hasReached(incarnation, { from_ms, until_ms })) {
+      // It may have come back meanwhile: the next attempt tells.
+      const until_ms = Infinity;
+      if (this.carriers.hasReached(incarnation, { from_ms, until_ms })) {
+        reach.next_probe_ms = now_ms;
+      }
       return;
     }
     reach.recordLost(now_ms);
@@ -484,13 +495,19 @@
   }
 }
 
-/** The time within which others must have got bytes for a loss. */
-function evidence(
-  { outcome, from_ms, until_ms }: FailedAttempt,
-): { from_ms: number; until_ms: number } {
-  return outcome === ProbeOutcome.Silent
-    ? { from_ms, until_ms: until_ms - SILENT_MARGIN_MS }
-    : { from_ms, until_ms: Infinity };
+/**
+ * Last time at which others must have got bytes for a loss: an endpoint that
+ * answered them then would have answered the attempt as well.
+ */
+function lastEvidenceMs({ outcome, from_ms, until_ms }: FailedAttempt): number {
+  switch (outcome) {
+    case ProbeOutcome.Refused:
+      return from_ms;
+    case ProbeOutcome.NoConnection:
+      return until_ms - NO_CONNECTION_MARGIN_MS;
+    case ProbeOutcome.Silent:
+      return until_ms - SILENT_MARGIN_MS;
+  }
 }
 
 function isQuestionDue(reach: EndpointReach, now_ms: number): boolean {
--- a/test/reachability/reachable_endpoints.test.ts
+++ b/test/reachability/reachable_endpoints.test.ts
@@ -322,6 +322,13 @@
     this.state.recordProbe(this.endpoint, outcome, this.now_ms);
   }
 
+  /** Refuses the next attempt, which must follow at once. */
+  refuseNextAttempt(): void {
+    this.nextAttempt(50);
+    const { endpoint, now_ms } = this;
+    this.state.recordProbe(endpoint, ProbeOutcome.Refused, now_ms);
+  }
+
   /** Has another host say that bytes came to it some time ago. */
   hearOthers(age_ms: number): void {
     const endpoints = [
@@ -357,12 +364,29 @@
   assert.equal(lost.state.lostCount, 1);
 });
 
+test("an endpoint that crashed and is back is not out of reach", () => {
+  const back = new SingleEndpoint();
+  back.failAttempt(ProbeOutcome.Refused, 10);
+  back.now_ms += 700;
+  back.hearOthers(0);
+  assert.equal(back.state.lostCount, 0);
+  back.nextAttempt(50);
+  back.state.recordProbe(back.endpoint, ProbeOutcome.Reached, back.now_ms);
+  assert.equal(back.state.lostCount, 0);
+  const lost = new SingleEndpoint();
+  lost.failAttempt(ProbeOutcome.Refused, 10);
+  lost.hearOthers(0);
+  lost.refuseNextAttempt();
+  assert.equal(lost.state.lostCount, 1);
+});
+
 test("each loss soon after a return doubles the time until the next one", () => {
   const host = new SingleEndpoint();
   const waits_ms: number[] = [];
   for (let n = 0; n < 5; n++) {
     host.failAttempt(ProbeOutcome.Refused, 10);
     host.hearOthers(0);
+    host.refuseNextAttempt();
     assert.equal(host.state.lostCount, 1);
     waits_ms.push(host.nextAttempt(20_000));
     host.state.recordProbe(host.endpoint, ProbeOutcome.Reached, host.now_ms);
--- a/test/reachability/simulated_hosts.ts
+++ b/test/reachability/simulated_hosts.ts
@@ -234,6 +234,7 @@
       const now_ms = this.now_ms;
       const ages = reached_ms.map((at) => at === null ? null : now_ms - at);
       host.state.recordAnswer(address, { endpoints, ages, now_ms });
+      this.#step(host);
     };
     endpoints.forEach(({ endpoint: incarnation, since_ago_ms }, index) => {
       const endpoint = this.endpoints.find((each) =>
