--- a/src/endpoint_places/endpoint_places.ts
+++ b/src/endpoint_places/endpoint_places.ts
@@ -49,8 +49,6 @@
   release(rejected: boolean): void;
 }
 
-/** Longest time for which a request waits for its place, in milliseconds. */
-const MAX_WAIT_MS = 200;
 /** Places that are given back within this time share a report. */
 const REPORT_DELAY_MS = 2;
 /** Time after its grant in which a place may go to this host's next request. */
@@ -187,7 +185,7 @@
       slots: endpoint.slots,
       max_rejections_per_s,
       priority,
-      max_wait_ms: Math.min(MAX_WAIT_MS, Math.max(0, max_wait_ms)),
+      max_wait_ms: Math.max(0, max_wait_ms),
     });
     if (!reply.granted) {
       this.#held.recordRefusal(incarnation, reply, this.#options.now());
--- a/src/forwarding/take_endpoint.ts
+++ b/src/forwarding/take_endpoint.ts
@@ -14,6 +14,8 @@
 
 /** Endpoints at which a request asks for a place before it is refused. */
 const MAX_PLACE_REQUESTS = 2;
+/** Longest time for which it waits for places, at all endpoints together. */
+const MAX_PLACE_WAIT_MS = 200;
 
 /** A send that may be made, at once or later. */
 export interface ReservedSend {
@@ -46,6 +48,7 @@
   const { places, now } = context.dependencies;
   context.releasePlace(false);
   const passedOver = new Set(tried);
+  const placeBy_ms = now() + MAX_PLACE_WAIT_MS;
   while (context.stopReason === undefined) {
     if (passedOver.size - tried.size >= MAX_PLACE_REQUESTS) return undefined;
     const send = context.reservedSend ?? await reserveSend(context, passedOver);
@@ -62,24 +65,28 @@
       context.holdPlace(places.takeUnbounded(send.endpoint));
       return send.endpoint;
     }
-    if (await takePlace(context, send.endpoint)) return send.endpoint;
+    if (await takePlace(context, send.endpoint, placeBy_ms)) {
+      return send.endpoint;
+    }
     passedOver.add(send.endpoint.id);
   }
   return undefined;
 }
 
-/** Takes a place at the endpoint; resolves to whether there was one. */
+/** Takes a place at the endpoint; resolves to whether there was one in time. */
 async function takePlace(
   context: RunContext,
   endpoint: RouteEndpoint,
+  placeBy_ms: number,
 ): Promise<boolean> {
   const { places, load, now, log } = context.dependencies;
   const { admitted, inbound, pool } = context;
   const started_ms = now();
+  const inTime_ms = inbound.arrived_ms + admitted.route.target_latency_ms -
+    load.firstByteMs(pool);
   const place = await places.take(endpoint, {
     priority: admitted.priority,
-    max_wait_ms: inbound.arrived_ms + admitted.route.target_latency_ms -
-      load.firstByteMs(pool) - started_ms,
+    max_wait_ms: Math.min(placeBy_ms, inTime_ms) - started_ms,
   });
   if (place !== undefined) context.holdPlace(place);
   log.info({
