--- a/stand_ins/soak/variants.ts
+++ b/stand_ins/soak/variants.ts
@@ -36,8 +36,8 @@
   {
     name: "keepers aren't asked",
     file: "src/stream_origins/stream_origin_service.ts",
-    replace: "const keepers = this.#keepersOf(key);",
-    with: "const keepers = this.#keepersOf(key).slice(0, 0);",
+    replace: "keepers.map((address) => this.#askKeeper(address, key)),",
+    with: "keepers.slice(0, 0).map((each) => this.#askKeeper(each, key)),",
   },
 ];
 
