--- a/test/forwarding/resumed_streams.test.ts
+++ b/test/forwarding/resumed_streams.test.ts
@@ -19,6 +19,8 @@
 const STREAM_TYPE = "text/event-stream";
 const MODELS = ["model-1", "model-2", "model-3"];
 const CALL_TIMEOUT_MS = 4_000;
+/** The answer to a question that these endpoints don't know. */
+const NO_STATUS = "HTTP/1.1 404 Any\r\nContent-Length: 0\r\n\r\n";
 /** Statuses and ends of a caller's stream that promise nothing. */
 const CUT = "cut";
 
@@ -97,7 +99,7 @@
     socket.on("error", () => {});
     socket.on("data", (data) => {
       const text = String(data);
-      if (!text.startsWith("POST ")) return;
+      if (!text.startsWith("POST ")) return void socket.write(NO_STATUS);
       seen.push(/last-event-id: (.*)\r\n/i.exec(text)?.[1] ?? "none");
       const answer = answers[seen.length - 1];
       if (answer === undefined) return void socket.resetAndDestroy();
