--- a/src/relaying/endpoint_sender.ts
+++ b/src/relaying/endpoint_sender.ts
@@ -125,61 +125,97 @@
     () => routes.recordCarrierFailure(carrier),
     RECEIPT_TIMEOUT_MS,
   );
-  const fail = (outcome: CarriedResult) => {
-    end();
-    onCarried(outcome);
-    if (request.signal.aborted) return;
-    carriers.closeIdle(carrier);
-    routes.recordCarrierFailure(carrier);
-  };
   const result = await sendRequest({
     ...encodeRequest(carrier, { endpoint, request, carriers }),
     onInformation: () => clearTimeout(silence),
   });
   clearTimeout(silence);
-  if (result.kind === ExchangeOutcome.NotSent) {
-    fail(CarriedResult.CarrierLost);
-    const { aborted } = request.signal;
-    return aborted || result.malformed === true ? result : undefined;
+  const carried = readResult(result, carrier, request.signal);
+  onCarried(carried.outcome);
+  if (carried.carrierFailed && !request.signal.aborted) {
+    carriers.closeIdle(carrier);
+    routes.recordCarrierFailure(carrier);
   }
-  if (result.kind === ExchangeOutcome.ResponseLost) {
-    fail(CarriedResult.CarrierLost);
-    return lostByCarrier(request.signal.aborted ? result.reason : CARRIER_LOST);
+  if (carried.result?.kind === ExchangeOutcome.ResponseReceived) {
+    carried.result.response.body.once("close", end);
+  } else end();
+  return carried.result;
+}
+
+/** What has come of an exchange through another host. */
+interface Carried {
+  outcome: CarriedResult;
+  /** Undefined if the carrier has certainly not sent the request. */
+  result: ExchangeResult | undefined;
+  /** Whether the carrier is to be passed over for a while. */
+  carrierFailed: boolean;
+}
+
+function readResult(
+  result: ExchangeResult,
+  carrier: string,
+  { aborted }: AbortSignal,
+): Carried {
+  if (result.kind === ExchangeOutcome.ResponseReceived) {
+    return readResponse(result.response, carrier);
   }
-  const { response } = result;
-  if (response.status !== HTTP_OK) {
-    discardResponse(response);
-    fail(CarriedResult.CarrierRefused);
-    return undefined;
+  const failed = { outcome: CarriedResult.CarrierLost, carrierFailed: true };
+  if (result.kind === ExchangeOutcome.ResponseLost) {
+    const reason = aborted ? result.reason : CARRIER_LOST;
+    return { ...failed, result: lostByCarrier(reason) };
   }
+  const isFinal = aborted || result.malformed === true;
+  return { ...failed, result: isFinal ? result : undefined };
+}
+
+function readResponse(response: EndpointResponse, carrier: string): Carried {
   const head = decodeResponseHead(headOf(response));
-  if (head === undefined) {
+  if (response.status !== HTTP_OK || head === undefined) {
     discardResponse(response);
-    fail(CarriedResult.CarrierLost);
-    return lostByCarrier(CARRIER_LOST);
+    // With another status, the request has not come to be carried.
+    return response.status === HTTP_OK
+      ? {
+        outcome: CarriedResult.CarrierLost,
+        result: lostByCarrier(CARRIER_LOST),
+        carrierFailed: true,
+      }
+      : {
+        outcome: CarriedResult.CarrierRefused,
+        result: undefined,
+        carrierFailed: true,
+      };
   }
   if (head.kind === CarriedOutcome.Response) {
-    response.body.once("close", end);
-    onCarried(CarriedResult.Response);
     return {
-      kind: ExchangeOutcome.ResponseReceived,
-      response: carriedResponse(head, response, carrier),
+      outcome: CarriedResult.Response,
+      result: {
+        kind: ExchangeOutcome.ResponseReceived,
+        response: carriedResponse(head, response, carrier),
+      },
+      carrierFailed: false,
     };
   }
   // Its connection can be used again.
   response.body.on("error", () => {}).resume();
-  end();
   if (head.kind === CarriedOutcome.Refused) {
-    onCarried(CarriedResult.CarrierRefused);
-    if (GENERAL_REFUSALS.has(head.reason)) routes.recordCarrierFailure(carrier);
-    return undefined;
+    return {
+      outcome: CarriedResult.CarrierRefused,
+      result: undefined,
+      carrierFailed: GENERAL_REFUSALS.has(head.reason),
+    };
   }
-  const isNotSent = head.kind === CarriedOutcome.NotSent;
-  onCarried(isNotSent ? CarriedResult.NotSent : CarriedResult.Lost);
-  return {
-    kind: isNotSent ? ExchangeOutcome.NotSent : ExchangeOutcome.ResponseLost,
-    reason: head.reason,
-  };
+  const { kind, reason } = head;
+  return kind === CarriedOutcome.NotSent
+    ? {
+      outcome: CarriedResult.NotSent,
+      result: { kind: ExchangeOutcome.NotSent, reason },
+      carrierFailed: false,
+    }
+    : {
+      outcome: CarriedResult.Lost,
+      result: { kind: ExchangeOutcome.ResponseLost, reason },
+      carrierFailed: false,
+    };
 }
 
 function encodeRequest(
