--- a/test/relaying/hosts_cut_off.test.ts
+++ b/test/relaying/hosts_cut_off.test.ts
@@ -104,7 +104,7 @@
 }
 
 /** Sends each kind of request to each host at a steady rate. */
-function startLoad(fleet: GatewayFleet): Load {
+function startLoad(t: TestContext, fleet: GatewayFleet): Load {
   const pending: Promise<Sent>[] = [];
   const paths = Object.values(Path);
   let turn = 0;
@@ -114,6 +114,7 @@
       pending.push(call(callers, index + 1, path))
     );
   }, 1_000 / REQUESTS_PER_S / paths.length);
+  t.after(() => clearInterval(timer));
   return {
     finish() {
       clearInterval(timer);
@@ -156,7 +157,7 @@
   });
   await fleet.start();
   await fleet.waitForMembers();
-  const load = startLoad(fleet);
+  const load = startLoad(t, fleet);
   await sleep(1_500);
   const cut_ms = performance.now();
   for (const gateway of cutHosts) links.cut(gateway, cut);
