RECOVER: a cut host looks for other carriers once those it knows fail

What callers see: requests to an endpoint that others reach fail for as long as the cut lasts, as the three hosts that once said they reach it are down, stale or cut off as well, and no other host is asked.

Cause: #withFewCarriers counted carriersOf(), which for the sake of exchanges falls back to failed carriers and old words; three of those were enough. A refusal `out_of_reach` or `unknown_endpoint` was recorded nowhere, and an exchange that found no carrier gave rise to no question.

Why it works: only hosts that have not failed and got bytes from this incarnation within 10 s count as enough. Such a refusal is recorded as that host's answer about this incarnation, so it is no carrier to it until it answers otherwise. An exchange that found no carrier makes a question due at the next step, at most one in 250 ms about one endpoint. The fallback of carriersOf() to slow carriers is as it was (test/reachability/known_carriers.test.ts passes unchanged).

Evidence: before, "a cut host whose carriers all fail looks for others at once" failed with "no host is asked", "a cut host asks again once the word of its carriers is old" with no question within 11 s, and "a carrier that doesn't reach the endpoint is recorded as such" with none recorded. Two further tests call the new recordUnreached and could only fail with a type error before. Not measured: bytes at 360 hosts while many endpoints have no carrier at all.

--- a/src/reachability/endpoint_reach.ts
+++ b/src/reachability/endpoint_reach.ts
@@ -82,6 +82,8 @@
   questions = 0;
   /** When other hosts were last asked about it. */
   asked_ms = -Infinity;
+  /** Whether an exchange found no host to carry it since others were asked. */
+  lacksCarrier = false;
   /** When the next attempt is due. */
   next_probe_ms = -Infinity;
   /** When the first exchange began that got no bytes, unless some came since. */
--- a/src/reachability/known_carriers.ts
+++ b/src/reachability/known_carriers.ts
@@ -49,15 +49,20 @@
   ): void {
     const carrier = this.#carrierAt(address);
     if (reached_ms === undefined) {
-      carrier.reached_ms.delete(incarnation);
-      carrier.unreached.add(incarnation);
-      return;
+      return this.recordUnreached(address, incarnation);
     }
     carrier.unreached.delete(incarnation);
     carrier.reached_ms.set(incarnation, reached_ms);
     carrier.told_ms = now_ms;
   }
 
+  /** Records that a host doesn't reach an endpoint. */
+  recordUnreached(address: string, incarnation: string): void {
+    const carrier = this.#carrierAt(address);
+    carrier.reached_ms.delete(incarnation);
+    carrier.unreached.add(incarnation);
+  }
+
   /** Records that a host did not respond, or refused to carry an exchange. */
   recordFailure(address: string, now_ms: number): void {
     this.#carrierAt(address).failed_ms = now_ms;
@@ -81,6 +86,14 @@
     return false;
   }
 
+  /** Number of hosts that have not failed and got bytes from an endpoint lately. */
+  countSound(incarnation: string, now_ms: number): number {
+    return [...this.#carriers].filter(([address, { reached_ms }]) =>
+      now_ms - (reached_ms.get(incarnation) ?? -Infinity) <= MAX_AGE_MS &&
+      this.isSound(address, now_ms)
+    ).length;
+  }
+
   /**
    * Hosts that can carry exchanges with an endpoint. Those that have just failed
    * count if there are no others: they may only have been slow, and the direct way
--- a/src/reachability/reachability_service.ts
+++ b/src/reachability/reachability_service.ts
@@ -137,6 +137,12 @@
     this.#endpoints.carriers.recordFailure(address, this.#options.now());
   }
 
+  /** Records that a carrier doesn't reach an endpoint. */
+  recordCarrierUnreached(address: string, endpoint: RouteEndpoint): void {
+    const incarnation = incarnationOf(endpoint);
+    this.#endpoints.carriers.recordUnreached(address, incarnation);
+  }
+
   /** Whether this host has lost nearly all endpoints of a pool. */
   isCutOff(pool: string): boolean {
     return this.isCutOffFrom(this.#options.readyIn(pool));
--- a/src/reachability/reachable_endpoints.ts
+++ b/src/reachability/reachable_endpoints.ts
@@ -212,10 +212,9 @@
     const doubted = [...this.#reaches.values()].filter((reach) =>
       isQuestionDue(reach, now_ms)
     ).slice(0, MAX_ASKED_ENDPOINTS);
-    if (doubted.length === 0 && elapsed_ms < REFRESH_INTERVAL_MS) {
-      return undefined;
-    }
-    const asked = doubted.length > 0 ? doubted : this.#withFewCarriers(now_ms);
+    const asked = doubted.length > 0
+      ? doubted
+      : this.#withFewCarriers(now_ms, elapsed_ms >= REFRESH_INTERVAL_MS);
     if (asked.length === 0) return undefined;
     const addresses = this.#hostsToAsk(hosts(), {
       count: doubted.some(({ questions }) => questions === 0)
@@ -228,6 +227,7 @@
     const endpoints = asked.map((reach) => {
       reach.questions += 1;
       reach.asked_ms = now_ms;
+      reach.lacksCarrier = false;
       return {
         endpoint: incarnationOf(reach.endpoint),
         since_ago_ms: Math.round(
@@ -268,7 +268,10 @@
     { avoid, now_ms }: { avoid: ReadonlySet<string>; now_ms: number },
   ): string | undefined {
     if (!this.#isLost(endpoint)) return undefined;
-    return this.carriers.choose(incarnationOf(endpoint), { avoid, now_ms });
+    const incarnation = incarnationOf(endpoint);
+    const carrier = this.carriers.choose(incarnation, { avoid, now_ms });
+    if (carrier === undefined) this.#reachOf(endpoint).lacksCarrier = true;
+    return carrier;
   }
 
   /** Whether others reach an endpoint and this host doesn't. */
@@ -454,11 +457,16 @@
     return taken;
   }
 
-  #withFewCarriers(now_ms: number): EndpointReach[] {
-    return [...this.#lost].filter((reach) =>
-      this.carriers.carriersOf(incarnationOf(reach.endpoint), now_ms).length <
-        ENOUGH_CARRIERS
-    ).sort((a, b) => a.questions - b.questions).slice(0, MAX_ASKED_ENDPOINTS);
+  /** Lost endpoints to ask about: all with few carriers, or those in need. */
+  #withFewCarriers(now_ms: number, isRefreshDue: boolean): EndpointReach[] {
+    return [...this.#lost].filter((reach) => {
+      const { endpoint, lacksCarrier, asked_ms } = reach;
+      const isNeeded = lacksCarrier && now_ms - asked_ms >= ASK_AGAIN_AFTER_MS;
+      if (isNeeded) return true;
+      return isRefreshDue &&
+        this.carriers.countSound(incarnationOf(endpoint), now_ms) <
+          ENOUGH_CARRIERS;
+    }).sort((a, b) => a.questions - b.questions).slice(0, MAX_ASKED_ENDPOINTS);
   }
 
   /** Hosts to ask: one of this zone, as it is the better carrier, and others. */
--- a/src/reachability/types.ts
+++ b/src/reachability/types.ts
@@ -18,6 +18,8 @@
   begin(endpoint: RouteEndpoint): DirectExchange;
   /** Records that a carrier did not respond, or refused. */
   recordCarrierFailure(address: string): void;
+  /** Records that a carrier doesn't reach the endpoint, or doesn't know it. */
+  recordCarrierUnreached(address: string, endpoint: RouteEndpoint): void;
   /**
    * Whether this host reaches (nearly) none of the ready endpoints of the pool
    * that others reach.
--- a/src/relaying/endpoint_sender.ts
+++ b/src/relaying/endpoint_sender.ts
@@ -70,6 +70,11 @@
   CarrierRefusal.CarrierDrains,
   CarrierRefusal.CarrierFull,
 ]);
+/** Refusals that hold for this endpoint until the carrier says otherwise. */
+const UNREACHED_REFUSALS: ReadonlySet<CarrierRefusal> = new Set([
+  CarrierRefusal.OutOfReach,
+  CarrierRefusal.UnknownEndpoint,
+]);
 
 /** Creates the function by which all requests go to endpoints. */
 export function createEndpointSender(
@@ -84,9 +89,10 @@
       if (!mayGoAnotherWay(result, request)) return result;
       if (routes.carrierFor(endpoint, { avoid }) === undefined) return result;
     }
-    while (avoid.size < MAX_CARRIERS) {
+    while (true) {
+      // Asked after the last try as well: without any left, others are looked for.
       const carrier = routes.carrierFor(endpoint, { avoid });
-      if (carrier === undefined) break;
+      if (carrier === undefined || avoid.size >= MAX_CARRIERS) break;
       if (carriers.toEndpoint(endpoint.address) >= request.agent.maxSockets) {
         return { kind: ExchangeOutcome.NotSent, reason: NO_CONNECTION };
       }
@@ -172,6 +178,9 @@
   if (head.kind === CarriedOutcome.Refused) {
     onCarried(CarriedResult.CarrierRefused);
     if (GENERAL_REFUSALS.has(head.reason)) routes.recordCarrierFailure(carrier);
+    if (UNREACHED_REFUSALS.has(head.reason)) {
+      routes.recordCarrierUnreached(carrier, endpoint);
+    }
     return undefined;
   }
   const isNotSent = head.kind === CarriedOutcome.NotSent;
--- a/test/reachability/reachable_endpoints.test.ts
+++ b/test/reachability/reachable_endpoints.test.ts
@@ -330,18 +330,42 @@
   }
 
   /** Has another host say that bytes came to it some time ago. */
-  hearOthers(age_ms: number): void {
+  hearOthers(age_ms: number, address = "10.0.0.2:1"): void {
     const endpoints = [
       { endpoint: incarnationOf(this.endpoint), since_ago_ms: 1_000 },
     ];
     const { now_ms } = this;
-    this.state.recordAnswer("10.0.0.2:1", {
+    this.state.recordAnswer(address, {
       endpoints,
       ages: [age_ms],
       now_ms,
     });
   }
 
+  /** Loses the endpoint, which these hosts reach. */
+  lose(reachedBy: readonly string[]): void {
+    this.failAttempt(ProbeOutcome.Silent, 800);
+    for (const address of reachedBy) this.hearOthers(500, address);
+    assert.equal(this.state.lostCount, 1);
+  }
+
+  /** The host that an exchange goes through; undefined if none is known. */
+  carrier(avoid: ReadonlySet<string> = NONE): string | undefined {
+    const { endpoint, now_ms } = this;
+    return this.state.carrierFor(endpoint, { avoid, now_ms });
+  }
+
+  /** Waits for a question; returns whom it asks and how long that took. */
+  nextQuestion(hosts: readonly string[], max_ms: number) {
+    const from_ms = this.now_ms;
+    for (; this.now_ms - from_ms <= max_ms; this.now_ms += 10) {
+      const question = this.state.takeQuestion(() => hosts, this.now_ms);
+      if (question === undefined) continue;
+      return { ...question, waited_ms: this.now_ms - from_ms };
+    }
+    return undefined;
+  }
+
   /** Waits for the next attempt; returns how long that took. */
   nextAttempt(max_ms: number): number {
     const from_ms = this.now_ms;
@@ -394,3 +418,53 @@
   }
   assert.deepEqual(waits_ms, [1_000, 2_000, 4_000, 8_000, 8_000]);
 });
+
+const KNOWN = ["10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1"];
+const OTHERS = ["10.0.0.5:1", "10.0.0.6:1", "10.0.0.7:1", "10.0.0.8:1"];
+
+test("a cut host whose carriers all fail looks for others at once", () => {
+  const host = new SingleEndpoint();
+  host.lose(KNOWN);
+  for (const address of KNOWN) {
+    host.state.carriers.recordFailure(address, host.now_ms);
+  }
+  assert.equal(host.carrier(new Set(KNOWN)), undefined);
+  const question = host.nextQuestion([...KNOWN, ...OTHERS], 250);
+  assert.ok(question !== undefined, "no host is asked");
+  assert.ok(question.addresses.every((each) => OTHERS.includes(each)));
+  for (const address of question.addresses) host.hearOthers(0, address);
+  assert.ok(OTHERS.includes(host.carrier() ?? ""));
+});
+
+test("a cut host whose carriers don't reach the endpoint looks for others at once", () => {
+  const host = new SingleEndpoint();
+  host.lose(KNOWN);
+  for (const address of KNOWN) {
+    host.state.carriers.recordUnreached(address, incarnationOf(host.endpoint));
+  }
+  assert.equal(host.carrier(), undefined);
+  assert.ok(host.nextQuestion(OTHERS, 250) !== undefined, "no host is asked");
+});
+
+test("a cut host asks again once the word of its carriers is old", () => {
+  const host = new SingleEndpoint();
+  host.lose(KNOWN);
+  assert.equal(host.nextQuestion(OTHERS, 5_000), undefined);
+  assert.ok(host.nextQuestion(OTHERS, 6_000) !== undefined);
+});
+
+test("without any carrier, an endpoint is asked about at bounded intervals", () => {
+  const host = new SingleEndpoint();
+  host.lose(KNOWN);
+  for (const address of KNOWN) {
+    host.state.carriers.recordUnreached(address, incarnationOf(host.endpoint));
+  }
+  let questions = 0;
+  for (const until_ms = host.now_ms + 10_000; host.now_ms < until_ms;) {
+    host.carrier();
+    if (host.nextQuestion(OTHERS, 0) !== undefined) questions += 1;
+    host.now_ms += 10;
+  }
+  // One in 250 ms.
+  assert.ok(questions <= 40, `${questions}`);
+});
--- a/test/relaying/carried_exchanges.ts
+++ b/test/relaying/carried_exchanges.ts
@@ -49,10 +49,13 @@
 /** Routes on which all exchanges go through these hosts, in order. */
 export function routesThrough(carriers: string[]): EndpointRoutes & {
   failures: string[];
+  unreached: string[];
 } {
   const failures: string[] = [];
+  const unreached: string[] = [];
   return {
     failures,
+    unreached,
     carrierFor: (_endpoint, { avoid }) =>
       carriers.find((carrier) => !avoid.has(carrier)),
     begin: () => ({
@@ -62,6 +65,7 @@
       end() {},
     }),
     recordCarrierFailure: (address) => failures.push(address),
+    recordCarrierUnreached: (address) => unreached.push(address),
     isCutOff: () => false,
     isOutOfReach: () => false,
   };
--- a/test/relaying/endpoint_sender.test.ts
+++ b/test/relaying/endpoint_sender.test.ts
@@ -304,6 +304,25 @@
   assert.deepEqual(routes.failures, [draining.address, UNUSED_ADDRESS]);
 });
 
+test("a carrier that doesn't reach the endpoint is recorded as such", async (t) => {
+  const endpoint = endpointAt(UNUSED_ADDRESS);
+  const cut = await startCarrier(t, endpoint, {
+    routes: { ...routesThrough([]), isOutOfReach: () => true },
+  });
+  const stranger = await startCarrier(t, endpointAt("127.0.0.1:10"));
+  const draining = await startCarrier(t, endpoint);
+  draining.isShuttingDown = true;
+  const routes = routesThrough([
+    cut.address,
+    stranger.address,
+    draining.address,
+  ]);
+  const { send } = createSender(t, routes);
+  assert.equal((await send(endpoint)).kind, ExchangeOutcome.NotSent);
+  assert.deepEqual(routes.unreached, [cut.address, stranger.address]);
+  assert.deepEqual(routes.failures, [draining.address]);
+});
+
 test("a carrier sends no request on through a third host", async (t) => {
   const { endpoint, connections } = await startEndpoint(
     t,
