RECOVER: a host that stood still doesn't hold that against its carriers

What callers see: after a pause of the host that sends, all carriers in use are passed over for 3 s, and the exchanges after it go to worse ones or to failed ones, and no sound host is asked for others.

Cause: the timer for a carrier's receipt (400 ms) passes while the sender stands still, and fires before the receipts that came meanwhile are read. The same goes for connections to carriers that time out and for unanswered questions to other hosts.

Why it works: recordCarrierFailure makes the check that recordFailure of direct exchanges makes (a stand-still now or in the last 100 ms), and a failed question is recorded by way of it. A carrier that is gone fails the next exchange again.

Evidence: "a carrier without a receipt after 800 ms of stand-still is asked" failed with "0 questions" before; its counterpart without a stand-still passed before and passes now (the carrier is passed over). test/reachability/*.test.ts and endpoint_sender.test.ts: 64 of 64.

--- a/src/reachability/reachability_service.ts
+++ b/src/reachability/reachability_service.ts
@@ -100,6 +100,10 @@
     return late_ms > MAX_STEP_DELAY_MS || this.#stoodStill_ms >= since_ms;
   }
 
+  #hasJustStoodStill(): boolean {
+    return this.#stoodStillSince(this.#options.now() - STEP_INTERVAL_MS);
+  }
+
   /** The host through which an exchange goes; undefined if it goes directly. */
   carrierFor(
     endpoint: RouteEndpoint,
@@ -122,9 +126,7 @@
       recordBytes: () => this.#endpoints.recordBytes(exchange, now()),
       recordFailure: (reason) => {
         // After a stand-still, connections time out that were made meanwhile.
-        const known = this.#stoodStillSince(now() - STEP_INTERVAL_MS)
-          ? STOOD_STILL
-          : reason;
+        const known = this.#hasJustStoodStill() ? STOOD_STILL : reason;
         this.#endpoints.recordFailure(exchange, known, now());
         this.#stepSoon();
       },
@@ -134,6 +136,8 @@
 
   /** Records that a carrier did not respond, or refused. */
   recordCarrierFailure(address: string): void {
+    // After a stand-still, what carriers wrote meanwhile is not read yet.
+    if (this.#hasJustStoodStill()) return;
     this.#endpoints.carriers.recordFailure(address, this.#options.now());
   }
 
@@ -268,7 +272,7 @@
       this.#endpoints.recordAnswer(address, { endpoints, ages, now_ms: now() });
       this.#stepSoon();
     } catch (error) {
-      this.#endpoints.carriers.recordFailure(address, now());
+      this.recordCarrierFailure(address);
       log.warn({
         event: "reach_unanswered",
         peer: address,
--- a/src/reachability/types.ts
+++ b/src/reachability/types.ts
@@ -16,7 +16,10 @@
   ): string | undefined;
   /** Records that a direct exchange began. */
   begin(endpoint: RouteEndpoint): DirectExchange;
-  /** Records that a carrier did not respond, or refused. */
+  /**
+   * Records that a carrier did not respond, or refused; tells nothing if this host
+   * has just stood still.
+   */
   recordCarrierFailure(address: string): void;
   /** Records that a carrier doesn't reach the endpoint, or doesn't know it. */
   recordCarrierUnreached(address: string, endpoint: RouteEndpoint): void;
--- a/test/reachability/reachability_service.test.ts
+++ b/test/reachability/reachability_service.test.ts
@@ -187,6 +187,29 @@
   assert.ok(!logLines.some((line) => line.includes("endpoint_out_of_reach")));
 });
 
+for (const pause_ms of [0, 800]) {
+  const outcome = pause_ms > 0 ? "is asked" : "is passed over";
+  test(`a carrier without a receipt after ${pause_ms} ms of stand-still ${outcome}`, async () => {
+    let questions = 0;
+    answer = (asked) => {
+      questions += 1;
+      return Promise.resolve(asked.map(() => null));
+    };
+    probeOf = () => Promise.resolve(ProbeOutcome.Refused);
+    const host = createService(true);
+    await sleep(150);
+    setTimeout(() => host.recordCarrierFailure(NEAR), 400);
+    const end_ms = performance.now() + pause_ms;
+    while (performance.now() < end_ms);
+    await sleep(600);
+    const exchange = host.begin(endpoint(0));
+    exchange.recordFailure("ECONNREFUSED");
+    exchange.end();
+    await sleep(500);
+    assert.equal(questions > 0, pause_ms > 0, `${questions} questions`);
+  });
+}
+
 test("odd questions and answers do no harm", async () => {
   const odd = [null, "no", [-1], [{}], { ages: [] }];
   answer = () => Promise.resolve(odd.shift());
