RECOVER: the silence that a host allows falls again

What callers see: a host that was cut off finds out after 1,000 ms of silence instead of 300 ms, so its callers wait 700 ms longer in each cut.

Cause: #hostSilence_ms only rose. An attempt before the first bytes took the whole time of the clock for a silence that proved sound, and one after a time without exchanges took that idle time for it; both set the maximum for life.

Why it works: a silence counts only if something was heard before and exchanges waited through it, and it raises the bound for 10 s. Hosts with regular silences keep the raised bound, as each one that proves sound renews it.

Evidence, by the wait until the next attempt with two endpoints in use. Before: "an attempt before any bytes came says nothing of silences" 1000 !== 300, "an attempt while no exchange waits says nothing of silences" 1000 !== 300, "silences that proved sound are allowed again, but not for ever" 1000 !== 300 after 10 s (its first two values, 300 and 900, held before as well).

--- a/src/reachability/reachable_endpoints.ts
+++ b/src/reachability/reachable_endpoints.ts
@@ -46,6 +46,8 @@
 const HOST_SILENCE_MS = 300;
 /** Upper bound when such silences have proved sound. */
 const MAX_HOST_SILENCE_MS = 1_000;
+/** A silence that proved sound raises the bound for this long. */
+const SOUND_SILENCE_LIFETIME_MS = 10_000;
 /** No bytes from one endpoint in use for this long. */
 const ENDPOINT_SILENCE_MS = 1_000;
 /** Attempts at doubted endpoints at a time. */
@@ -100,6 +102,8 @@
   /** The same, by pool. */
   #poolHeard_ms = new Map<string, number>();
   #hostSilence_ms = HOST_SILENCE_MS;
+  /** When a silence last proved sound. */
+  #soundSilence_ms = -Infinity;
   #asked_ms = -Infinity;
   #returnProbe_ms = -Infinity;
   #returned_ms = -Infinity;
@@ -179,13 +183,9 @@
     const from_ms = reach.probing_since_ms ?? now_ms;
     reach.probing_since_ms = undefined;
     if (outcome === ProbeOutcome.Reached) {
-      const sound_ms = now_ms - Math.max(this.#heard_ms, 0);
+      this.#recordSoundSilence(reach, now_ms);
       this.#recordReached(reach, now_ms);
       reach.recordSound(now_ms);
-      this.#hostSilence_ms = Math.min(
-        MAX_HOST_SILENCE_MS,
-        Math.max(this.#hostSilence_ms, 1.5 * sound_ms),
-      );
       return;
     }
     // Bytes came on another way meanwhile.
@@ -417,8 +417,23 @@
     }
   }
 
+  /** Allows a silence again that exchanges waited through and that was sound. */
+  #recordSoundSilence(reach: EndpointReach, now_ms: number): void {
+    if (this.#heard_ms === -Infinity) return;
+    const sound_ms = Math.min(now_ms - this.#heard_ms, reach.quietMs(now_ms));
+    if (sound_ms < HOST_SILENCE_MS) return;
+    this.#hostSilence_ms = Math.min(
+      MAX_HOST_SILENCE_MS,
+      Math.max(this.#hostSilence_ms, 1.5 * sound_ms),
+    );
+    this.#soundSilence_ms = now_ms;
+  }
+
   /** Doubts endpoints that say nothing although exchanges wait for them. */
   #doubtSilent(now_ms: number): void {
+    if (now_ms - this.#soundSilence_ms >= SOUND_SILENCE_LIFETIME_MS) {
+      this.#hostSilence_ms = HOST_SILENCE_MS;
+    }
     const quiet = [...this.#reaches.values()].filter((reach) =>
       reach.quietMs(now_ms) >= this.#hostSilence_ms
     );
--- a/test/reachability/reachable_endpoints.test.ts
+++ b/test/reachability/reachable_endpoints.test.ts
@@ -468,3 +468,50 @@
   // One in 250 ms.
   assert.ok(questions <= 40, `${questions}`);
 });
+
+/** Time for which two endpoints in use may be silent before one is tried. */
+function silenceBeforeAttempt(host: SingleEndpoint): number {
+  const { state } = host;
+  const endpoints = [host.endpoint, createEndpoint("desk", 2)];
+  const begin = () =>
+    endpoints.map((endpoint) =>
+      state.begin(endpoint, { now_ms: host.now_ms, onLost: () => {} })
+    );
+  const end = (exchange: ReturnType<typeof begin>[number]) => {
+    state.recordBytes(exchange, host.now_ms);
+    state.end(exchange, host.now_ms);
+  };
+  for (const exchange of begin()) end(exchange);
+  host.now_ms += 3_000;
+  for (const exchange of begin()) end(exchange);
+  const waiting = begin();
+  const silence_ms = host.nextAttempt(2_000);
+  host.now_ms += 300;
+  for (const endpoint of endpoints) {
+    state.recordProbe(endpoint, ProbeOutcome.Reached, host.now_ms);
+  }
+  for (const exchange of waiting) end(exchange);
+  return silence_ms;
+}
+
+test("an attempt before any bytes came says nothing of silences", () => {
+  const host = new SingleEndpoint();
+  host.failAttempt(ProbeOutcome.Reached, 10);
+  assert.equal(silenceBeforeAttempt(host), 300);
+});
+
+test("an attempt while no exchange waits says nothing of silences", () => {
+  const host = new SingleEndpoint();
+  host.failAttempt(ProbeOutcome.Reached, 10);
+  host.now_ms += 30_000;
+  host.failAttempt(ProbeOutcome.Reached, 10);
+  assert.equal(silenceBeforeAttempt(host), 300);
+});
+
+test("silences that proved sound are allowed again, but not for ever", () => {
+  const host = new SingleEndpoint();
+  assert.equal(silenceBeforeAttempt(host), 300);
+  assert.equal(silenceBeforeAttempt(host), 900);
+  host.now_ms += 10_000;
+  assert.equal(silenceBeforeAttempt(host), 300);
+});
