--- a/src/reachability/reachable_endpoints.ts
+++ b/src/reachability/reachable_endpoints.ts
@@ -46,6 +46,8 @@
 const HOST_SILENCE_MS = 300;
 /** Upper bound when such silences have proved sound. */
 const MAX_HOST_SILENCE_MS = 1_000;
+/** A silence that proved sound raises the bound for this long. */
+const SOUND_SILENCE_LIFETIME_MS = 10_000;
 /** No bytes from one endpoint in use for this long. */
 const ENDPOINT_SILENCE_MS = 1_000;
 /** Attempts at doubted endpoints at a time. */
@@ -100,6 +102,8 @@
   /** The same, by pool. */
   #poolHeard_ms = new Map<string, number>();
   #hostSilence_ms = HOST_SILENCE_MS;
+  /** When a silence last proved sound. */
+  #soundSilence_ms = -Infinity;
   #asked_ms = -Infinity;
   #returnProbe_ms = -Infinity;
   #returned_ms = -Infinity;
@@ -179,13 +183,9 @@
     const from_ms = reach.probing_since_ms ?? now_ms;
     reach.probing_since_ms = undefined;
     if (outcome === ProbeOutcome.Reached) {
-      const sound_ms = now_ms - Math.max(this.#heard_ms, 0);
+      this.#recordSoundSilence(reach, now_ms);
       this.#recordReached(reach, now_ms);
       reach.recordSound(now_ms);
-      this.#hostSilence_ms = Math.min(
-        MAX_HOST_SILENCE_MS,
-        Math.max(this.#hostSilence_ms, 1.5 * sound_ms),
-      );
       return;
     }
     // Bytes came on another way meanwhile.
@@ -212,10 +212,9 @@
     const doubted = [...this.#reaches.values()].filter((reach) =>
       isQuestionDue(reach, now_ms)
     ).slice(0, MAX_ASKED_ENDPOINTS);
-    if (doubted.length === 0 && elapsed_ms < REFRESH_INTERVAL_MS) {
-      return undefined;
-    }
-    const asked = doubted.length > 0 ? doubted : this.#withFewCarriers(now_ms);
+    const asked = doubted.length > 0
+      ? doubted
+      : this.#withFewCarriers(now_ms, elapsed_ms >= REFRESH_INTERVAL_MS);
     if (asked.length === 0) return undefined;
     const addresses = this.#hostsToAsk(hosts(), {
       count: doubted.some(({ questions }) => questions === 0)
@@ -228,6 +227,7 @@
     const endpoints = asked.map((reach) => {
       reach.questions += 1;
       reach.asked_ms = now_ms;
+      reach.lacksCarrier = false;
       return {
         endpoint: incarnationOf(reach.endpoint),
         since_ago_ms: Math.round(
@@ -268,7 +268,10 @@
     { avoid, now_ms }: { avoid: ReadonlySet<string>; now_ms: number },
   ): string | undefined {
     if (!this.#isLost(endpoint)) return undefined;
-    return this.carriers.choose(incarnationOf(endpoint), { avoid, now_ms });
+    const incarnation = incarnationOf(endpoint);
+    const carrier = this.carriers.choose(incarnation, { avoid, now_ms });
+    if (carrier === undefined) this.#reachOf(endpoint).lacksCarrier = true;
+    return carrier;
   }
 
   /** Whether others reach an endpoint and this host doesn't. */
@@ -414,8 +417,23 @@
     }
   }
 
+  /** Allows a silence again that exchanges waited through and that was sound. */
+  #recordSoundSilence(reach: EndpointReach, now_ms: number): void {
+    if (this.#heard_ms === -Infinity) return;
+    const sound_ms = Math.min(now_ms - this.#heard_ms, reach.quietMs(now_ms));
+    if (sound_ms < HOST_SILENCE_MS) return;
+    this.#hostSilence_ms = Math.min(
+      MAX_HOST_SILENCE_MS,
+      Math.max(this.#hostSilence_ms, 1.5 * sound_ms),
+    );
+    this.#soundSilence_ms = now_ms;
+  }
+
   /** Doubts endpoints that say nothing although exchanges wait for them. */
   #doubtSilent(now_ms: number): void {
+    if (now_ms - this.#soundSilence_ms >= SOUND_SILENCE_LIFETIME_MS) {
+      this.#hostSilence_ms = HOST_SILENCE_MS;
+    }
     const quiet = [...this.#reaches.values()].filter((reach) =>
       reach.quietMs(now_ms) >= this.#hostSilence_ms
     );
@@ -454,11 +472,16 @@
     return taken;
   }
 
-  #withFewCarriers(now_ms: number): EndpointReach[] {
-    return [...this.#lost].filter((reach) =>
-      this.carriers.carriersOf(incarnationOf(reach.endpoint), now_ms).length <
-        ENOUGH_CARRIERS
-    ).sort((a, b) => a.questions - b.questions).slice(0, MAX_ASKED_ENDPOINTS);
+  /** Lost endpoints to ask about: all with few carriers, or those in need. */
+  #withFewCarriers(now_ms: number, isRefreshDue: boolean): EndpointReach[] {
+    return [...this.#lost].filter((reach) => {
+      const { endpoint, lacksCarrier, asked_ms } = reach;
+      const isNeeded = lacksCarrier && now_ms - asked_ms >= ASK_AGAIN_AFTER_MS;
+      if (isNeeded) return true;
+      return isRefreshDue &&
+        this.carriers.countSound(incarnationOf(endpoint), now_ms) <
+          ENOUGH_CARRIERS;
+    }).sort((a, b) => a.questions - b.questions).slice(0, MAX_ASKED_ENDPOINTS);
   }
 
   /** Hosts to ask: one of this zone, as it is the better carrier, and others. */
--- a/src/relaying/endpoint_sender.ts
+++ b/src/relaying/endpoint_sender.ts
@@ -70,6 +70,11 @@
   CarrierRefusal.CarrierDrains,
   CarrierRefusal.CarrierFull,
 ]);
+/** Refusals that hold for this endpoint until the carrier says otherwise. */
+const UNREACHED_REFUSALS: ReadonlySet<CarrierRefusal> = new Set([
+  CarrierRefusal.OutOfReach,
+  CarrierRefusal.UnknownEndpoint,
+]);
 
 /** Creates the function by which all requests go to endpoints. */
 export function createEndpointSender(
@@ -84,9 +89,10 @@
       if (!mayGoAnotherWay(result, request)) return result;
       if (routes.carrierFor(endpoint, { avoid }) === undefined) return result;
     }
-    while (avoid.size < MAX_CARRIERS) {
+    while (true) {
+      // Asked after the last try as well: without any left, others are looked for.
       const carrier = routes.carrierFor(endpoint, { avoid });
-      if (carrier === undefined) break;
+      if (carrier === undefined || avoid.size >= MAX_CARRIERS) break;
       if (carriers.toEndpoint(endpoint.address) >= request.agent.maxSockets) {
         return { kind: ExchangeOutcome.NotSent, reason: NO_CONNECTION };
       }
@@ -136,6 +142,9 @@
     carriers.closeIdle(carrier);
     routes.recordCarrierFailure(carrier);
   }
+  if (carried.endpointUnreached === true) {
+    routes.recordCarrierUnreached(carrier, endpoint);
+  }
   if (carried.result?.kind === ExchangeOutcome.ResponseReceived) {
     carried.result.response.body.once("close", end);
   } else end();
@@ -149,6 +158,8 @@
   result: ExchangeResult | undefined;
   /** Whether the carrier is to be passed over for a while. */
   carrierFailed: boolean;
+  /** Whether the carrier says that it doesn't reach the endpoint. */
+  endpointUnreached?: boolean;
 }
 
 function readResult(
@@ -202,6 +213,7 @@
       outcome: CarriedResult.CarrierRefused,
       result: undefined,
       carrierFailed: GENERAL_REFUSALS.has(head.reason),
+      endpointUnreached: UNREACHED_REFUSALS.has(head.reason),
     };
   }
   const { kind, reason } = head;
