LIMIT: pools keep the limit of rejections that crashed endpoints named

Callers saw: nothing but an endpoint's own incarnation, or another endpoint that the registry holds at the moment, carried the limit. When the only endpoint of a pool crashed, or all that had named it together, those that came back were unbounded under the backlog, and could crash again.

Cause: "others of its pool" were looked up among the current endpoints. The same look-up scanned the whole registry for each candidate of each choice as soon as any pool had a limit.

Now PoolLimits keeps, for each pool, what each incarnation named and when, and the least of it; notices carry the pool, so that also hosts that don't hold the endpoint (any more) keep it. It ends when all that named it say so, or after the 60 s for which limits were kept already.

The test of the endpoint that comes back held the old and the new incarnation of one id side by side, which a registry keyed by id can't: with the new one alone it failed (18 places granted by 9 hosts, 3 allowed). It has no list of endpoints now, as nothing is looked up in one; its assertion is the same.

--- a/src/endpoint_places/endpoint_places.ts
+++ b/src/endpoint_places/endpoint_places.ts
@@ -6,7 +6,10 @@
  * message is sent for pools without such endpoints.
  */
 import type { EndpointNotice } from "../endpoint_reports/endpoint_notices.ts";
-import type { NamedRateLimit } from "../endpoint_reports/endpoint_report.ts";
+import {
+  type NamedRateLimit,
+  RateLimitKind,
+} from "../endpoint_reports/endpoint_report.ts";
 import type { Logger } from "../logging/logger.ts";
 import { RankedHosts } from "../membership/ranked_hosts.ts";
 import { rankCandidates } from "../membership/rendezvous_hash.ts";
@@ -15,6 +18,7 @@
 import type { RouteEndpoint } from "../routes/types.ts";
 import { type HeldPlace, HeldPlaces } from "./held_places.ts";
 import { PlaceIssuer } from "./place_issuer.ts";
+import { PoolLimits } from "./pool_limits.ts";
 import {
   type PlaceReply,
   placeReplySchema,
@@ -35,8 +39,6 @@
   /** Addresses of all hosts, this one included. */
   hosts: () => string[];
   peers: EndpointPlacesPeers;
-  /** The endpoints of a pool. */
-  endpointsIn: (pool: string) => RouteEndpoint[];
   log: Logger;
   now: () => number;
   /** Aborts when this host stops. */
@@ -75,6 +77,7 @@
   #options: EndpointPlacesOptions;
   #rankedHosts: RankedHosts;
   #limits = new KnownLimits();
+  #pools = new PoolLimits();
   #held = new HeldPlaces();
   #issuer: PlaceIssuer;
   /** Requests of this host that ask for a place, by endpoint. */
@@ -106,12 +109,22 @@
       sent_ms: number;
     },
   ): EndpointNotice["rejection_limit"] {
+    const { pool } = endpoint;
+    const incarnation = incarnationOf(endpoint);
+    const now_ms = this.#options.now();
     const notice = this.#limits.observe({
-      endpoint: incarnationOf(endpoint),
+      endpoint: incarnation,
       rate_limit: rejection_limit,
       sent_ms,
-    }, this.#options.now());
+    }, now_ms);
+    if (rejection_limit.kind === RateLimitKind.Limited) {
+      const named = { per_s: rejection_limit.per_s, named_ms: now_ms };
+      this.#pools.name({ pool, endpoint: incarnation }, named);
+    }
     if (notice === undefined) return undefined;
+    if (notice.per_s === undefined) {
+      this.#pools.end({ pool, endpoint: incarnation });
+    }
     this.#options.log.info({
       event: notice.per_s === undefined
         ? "rejection_limit_ended"
@@ -119,13 +132,17 @@
       endpoint: endpoint.id,
       limit_per_s: notice.per_s,
     });
-    return { per_s: notice.per_s };
+    return { pool, per_s: notice.per_s };
   }
 
   /** Applies a notice that an endpoint's limit of rejections starts or ends. */
   apply({ endpoint, rejection_limit }: EndpointNotice): void {
-    const notice = { endpoint, per_s: rejection_limit?.per_s };
-    this.#limits.apply(notice, this.#options.now());
+    if (rejection_limit === undefined) return;
+    const { pool, per_s } = rejection_limit;
+    const now_ms = this.#options.now();
+    if (!this.#limits.apply({ endpoint, per_s }, now_ms)) return;
+    if (per_s === undefined) this.#pools.end({ pool, endpoint });
+    else this.#pools.name({ pool, endpoint }, { per_s, named_ms: now_ms });
     this.#startReports();
   }
 
@@ -207,18 +224,15 @@
 
   /**
    * Rejections a second that the endpoint can bear; undefined if it needs no
-   * bound. One that has not answered yet is taken to be like others of its pool.
+   * bound. One that has named none is taken to be like others of its pool, even if
+   * these have crashed since.
    */
   #limitPerS(endpoint: RouteEndpoint): number | undefined {
-    if (this.#limits.isEmpty) return undefined;
-    const { now, endpointsIn } = this.#options;
-    const limitOf = (each: RouteEndpoint) =>
-      this.#limits.find(incarnationOf(each), now())?.per_s;
-    const own = limitOf(endpoint);
-    if (own !== undefined) return own;
-    const others = endpointsIn(endpoint.pool).map(limitOf)
-      .filter((per_s) => per_s !== undefined);
-    return others.length === 0 ? undefined : Math.min(...others);
+    const least_per_s = this.#pools.leastPerS(endpoint.pool);
+    if (least_per_s === undefined) return undefined;
+    const now_ms = this.#options.now();
+    const own = this.#limits.find(incarnationOf(endpoint), now_ms);
+    return own?.per_s ?? least_per_s;
   }
 
   #placeOf(endpoint: RouteEndpoint, place: HeldPlace): Place {
@@ -295,7 +309,9 @@
     if (this.#reportTimer !== undefined || this.#limits.isEmpty) return;
     this.#reportHeld();
     this.#reportTimer = setInterval(() => {
-      this.#limits.forgetBefore(this.#options.now() - LIMIT_LIFETIME_MS);
+      const oldest_ms = this.#options.now() - LIMIT_LIFETIME_MS;
+      this.#limits.forgetBefore(oldest_ms);
+      this.#pools.forgetBefore(oldest_ms);
       if (this.#limits.isEmpty) {
         clearInterval(this.#reportTimer);
         this.#reportTimer = undefined;
--- a/src/endpoint_reports/endpoint_notices.ts
+++ b/src/endpoint_reports/endpoint_notices.ts
@@ -23,8 +23,11 @@
    * Rejections a second beyond which it crashes, without a value if it no longer
    * does; missing from other notices.
    */
-  rejection_limit: z.object({ per_s: z.number().nonnegative().optional() })
-    .optional(),
+  rejection_limit: z.object({
+    /** Pool of the endpoint. */
+    pool: z.string(),
+    per_s: z.number().nonnegative().optional(),
+  }).optional(),
   /** Whether it is leaving; missing from hosts of an earlier release. */
   leaving: z.boolean().optional(),
 });
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -157,7 +157,6 @@
     self,
     hosts: () => members.addresses(),
     peers,
-    endpointsIn: (pool) => endpoints.inPool(pool, now()),
     log,
     now,
     signal,
--- a/test/endpoint_places/endpoint_places.test.ts
+++ b/test/endpoint_places/endpoint_places.test.ts
@@ -38,7 +38,6 @@
 class Cluster {
   readonly services = new Map<string, EndpointPlaces>();
   readonly lost = new Set<string>();
-  endpoints = [ENDPOINT];
   calls = 0;
   #stopped = new AbortController();
   #log = createLogger({ level: "error", host: "h", writeLine: () => {} });
@@ -65,7 +64,7 @@
     for (const service of this.services.values()) {
       service.apply({
         endpoint: incarnationOf(ENDPOINT),
-        rejection_limit: { per_s: MAX_REJECTIONS_PER_S },
+        rejection_limit: { pool: ENDPOINT.pool, per_s: MAX_REJECTIONS_PER_S },
       });
     }
   }
@@ -103,7 +102,6 @@
         reportPlaces: async (address, report) =>
           await at(address).handleReport(report),
       },
-      endpointsIn: () => this.endpoints,
       log: this.#log,
       now: () => performance.now(),
       signal: this.#stopped.signal,
@@ -189,7 +187,6 @@
 test("an endpoint that comes back is bounded before it says so itself", async () => {
   cluster = new Cluster();
   cluster.announce();
-  cluster.endpoints = [ENDPOINT, RESTARTED];
   const places = await cluster.takeAll(2, { endpoint: RESTARTED });
   assert.equal(places.length, ENDPOINT.slots / 2);
 });
