LIMIT: crashes by rejections say nothing of the requests held

Callers saw: endpoints that crashed since they rejected too much put requests that were alike, or shared a prompt part, in quarantine; these were refused as deadly though nothing was wrong with them.

Cause: each crash was reported to the ledgers, whatever its reason. Now a host leaves one out if the endpoint has named a limit of rejections and rejected a request of this host within 1.5 s (the second that counts, and the time to notice the crash); an endpoint's issuer knows the rejections of all hosts. The reason is a function passed to the quarantine, and is in the log line. The crash is still logged and counted in the metric.

Evidence: quarantine_service.test.ts, "crashes of endpoints that rejected too many...", failed before at its second crash (the request was suspected), and passes: after three such crashes the part is not in quarantine. Other crashes count as before: beside one by overload, three put the part in quarantine; an endpoint that has named no limit, or comes back, is never taken for overloaded.

What remains: a host that held requests there but saw no rejection still reports the crash.

--- a/src/endpoint_places/endpoint_places.ts
+++ b/src/endpoint_places/endpoint_places.ts
@@ -16,6 +16,7 @@
 import { KnownLimits } from "../rate_limits/known_limits.ts";
 import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
+import { dropOldest } from "../utils/drop_oldest.ts";
 import { type HeldPlace, HeldPlaces } from "./held_places.ts";
 import { PlaceIssuer } from "./place_issuer.ts";
 import { PoolLimits } from "./pool_limits.ts";
@@ -63,6 +64,13 @@
 const MAX_ISSUER_TRIES = 1;
 /** Time after which a limit of rejections that no answer names is forgotten. */
 const LIMIT_LIFETIME_MS = 60_000;
+/**
+ * Time after a rejection in which a crash is put down to it: the second for which
+ * endpoints count them, and what it takes to notice the crash.
+ */
+const REJECTION_LIFETIME_MS = 1_500;
+/** Endpoints whose last rejection is remembered; the oldest are dropped. */
+const MAX_REJECTING = 4_096;
 /** Interval of the reports of places that are held. */
 const REPORT_INTERVAL_MS = 500;
 /** Reply if no host could be asked. */
@@ -82,6 +90,8 @@
   #issuer: PlaceIssuer;
   /** Requests of this host that ask for a place, by endpoint. */
   #asking = new Map<string, number>();
+  /** When each endpoint's last rejection was learned of. */
+  #rejected_ms = new Map<string, number>();
   #reportTimer: NodeJS.Timeout | undefined;
 
   constructor(options: EndpointPlacesOptions) {
@@ -175,6 +185,18 @@
       : 0;
   }
 
+  /**
+   * Whether an endpoint that has named a limit of rejections rejected a request
+   * of this host lately; as its issuer, one of any host.
+   */
+  hasRejectedLately(endpoint: RouteEndpoint): boolean {
+    const incarnation = incarnationOf(endpoint);
+    const now_ms = this.#options.now();
+    const rejected_ms = this.#rejected_ms.get(incarnation) ?? -Infinity;
+    return this.#limits.find(incarnation, now_ms) !== undefined &&
+      now_ms - rejected_ms <= REJECTION_LIFETIME_MS;
+  }
+
   /** Takes a place at an endpoint without a bound, without asking. */
   takeUnbounded(endpoint: RouteEndpoint): Place {
     const number = this.#held.nextNumber();
@@ -219,6 +241,9 @@
 
   /** Handles, as the issuer, a host's report of its places. */
   handleReport(report: PlaceReport): void {
+    if (report.released.some(({ rejected }) => rejected)) {
+      this.#recordRejection(report.endpoint);
+    }
     this.#issuer.handleReport(report);
   }
 
@@ -259,11 +284,19 @@
     rejected: boolean,
   ): void {
     const incarnation = incarnationOf(endpoint);
+    if (rejected) this.#recordRejection(incarnation);
     if (!this.#held.release(incarnation, place, rejected)) return;
     if (this.isBounded(endpoint)) this.#scheduleReport(incarnation);
     else this.#held.takeReleased(incarnation);
   }
 
+  #recordRejection(incarnation: string): void {
+    // The endpoint that rejected last stands last in the map.
+    this.#rejected_ms.delete(incarnation);
+    this.#rejected_ms.set(incarnation, this.#options.now());
+    dropOldest(this.#rejected_ms, MAX_REJECTING);
+  }
+
   async #request(request: PlaceRequest): Promise<PlaceReply> {
     const { peers } = this.#options;
     this.#countAsking(request.endpoint, 1);
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -140,6 +140,7 @@
       checkAt: (host, address) => peers.checkListener(host, address),
       random,
     }),
+    isOverloaded: (endpoint) => places.hasRejectedLately(endpoint),
     onCrash: () => metrics.endpointCrashes.inc(),
     log,
     now,
--- a/src/quarantine/crash_reports.ts
+++ b/src/quarantine/crash_reports.ts
@@ -1,6 +1,6 @@
 /**
  * Gathers the requests that an endpoint held when its connections broke, and
- * reports them if it has crashed.
+ * reports them if it has crashed, unless by its rejections.
  */
 import type { Logger } from "../logging/logger.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
@@ -11,6 +11,11 @@
 export interface CrashReportsOptions {
   /** Whether nothing listens at an endpoint's address any more. */
   isRefused: (address: string) => Promise<boolean>;
+  /**
+   * Whether an endpoint that crashed now did so since it rejected too many
+   * requests.
+   */
+  isOverloaded: (endpoint: RouteEndpoint) => boolean;
   /** Sends a report to the ledgers; resolves to the traits that they suspect. */
   send: (report: CrashReport) => Promise<string[]>;
   /** Called when an endpoint has crashed under requests of this host. */
@@ -67,7 +72,7 @@
     { endpoint, attempt_id, traits, sent_ms }: BrokenSend,
   ): CrashVerdict {
     const { address } = endpoint;
-    const open = this.#open.get(address) ?? this.#openReport(address);
+    const open = this.#open.get(address) ?? this.#openReport(endpoint);
     const broke_ms = this.#options.now();
     open.requests.push({ attempt_id, traits, sent_ms, broke_ms });
     return {
@@ -79,15 +84,18 @@
   }
 
   /** Gathers the requests that one endpoint held when it broke. */
-  #openReport(address: string): OpenReport {
-    const { isRefused, log, signal } = this.#options;
+  #openReport(endpoint: RouteEndpoint): OpenReport {
+    const { isOverloaded, isRefused, log, signal } = this.#options;
+    const { address } = endpoint;
     const requests: BrokenRequest[] = [];
+    let overloaded = false;
     const crashed = abortableDelay(REPORT_WINDOW_MS, signal).then(() => {
       this.#open.delete(address);
+      overloaded = isOverloaded(endpoint);
       return isRefused(address);
     });
     const suspects = crashed.then((isCrash) =>
-      isCrash ? this.#report(address, requests) : []
+      isCrash ? this.#report(address, { requests, overloaded }) : []
     ).catch((error: Error) => {
       log.error({ event: "fault", stage: "crash_report", error: error.stack });
       return [];
@@ -99,7 +107,10 @@
 
   async #report(
     address: string,
-    requests: BrokenRequest[],
+    { requests, overloaded }: {
+      requests: BrokenRequest[];
+      overloaded: boolean;
+    },
   ): Promise<string[]> {
     const { onCrash, send, log, now } = this.#options;
     onCrash();
@@ -107,7 +118,10 @@
       event: "endpoint_crash",
       address,
       attempts: requests.map(({ attempt_id }) => attempt_id).join(","),
+      overloaded,
     });
+    // Such a crash says nothing of the requests that the endpoint held.
+    if (overloaded) return [];
     return await send({
       address,
       requests: requests.map((request) => createCrashedRequest(request, now())),
--- a/src/quarantine/quarantine_service.ts
+++ b/src/quarantine/quarantine_service.ts
@@ -9,6 +9,7 @@
  */
 import type { Logger } from "../logging/logger.ts";
 import { RankedHosts } from "../membership/ranked_hosts.ts";
+import type { RouteEndpoint } from "../routes/types.ts";
 import type { FeedChange } from "../store_sync/object_feed.ts";
 import { AnsweredParts } from "./answered_parts.ts";
 import {
@@ -56,6 +57,11 @@
   store: QuarantineStore;
   /** Whether nothing listens at an endpoint's address any more. */
   isRefused: (address: string) => Promise<boolean>;
+  /**
+   * Whether an endpoint that crashed now did so since it rejected too many
+   * requests.
+   */
+  isOverloaded: (endpoint: RouteEndpoint) => boolean;
   /** Called when an endpoint has crashed under requests of this host. */
   onCrash: () => void;
   log: Logger;
--- a/test/endpoint_places/endpoint_places.test.ts
+++ b/test/endpoint_places/endpoint_places.test.ts
@@ -32,6 +32,8 @@
 const WARM_UP_MS = 700;
 /** Time until a place of a host that died is free again. */
 const EXPIRY_MS = 2_100;
+/** Time after a rejection in which a crash is put down to it. */
+const REJECTION_LIFETIME_MS = 1_500;
 
 let cluster: Cluster;
 
@@ -191,6 +193,24 @@
   assert.equal(places.length, ENDPOINT.slots / 2);
 });
 
+test("an endpoint is known to have rejected if it has named a limit", async () => {
+  cluster = new Cluster();
+  const [issuer = "", host = "", other = ""] = cluster.ranked;
+  const [early] = await cluster.takeAll(1, { hosts: [host] });
+  early?.release(true);
+  assert.ok(!cluster.host(host).hasRejectedLately(ENDPOINT));
+  cluster.announce();
+  const [place] = await cluster.takeAll(1, { hosts: [host] });
+  place?.release(true);
+  await sleep(50);
+  assert.ok(cluster.host(host).hasRejectedLately(ENDPOINT));
+  assert.ok(cluster.host(issuer).hasRejectedLately(ENDPOINT));
+  assert.ok(!cluster.host(other).hasRejectedLately(ENDPOINT));
+  assert.ok(!cluster.host(host).hasRejectedLately(RESTARTED));
+  await sleep(REJECTION_LIFETIME_MS);
+  assert.ok(!cluster.host(host).hasRejectedLately(ENDPOINT));
+});
+
 test("the bound ends with an answer that names no limit", async () => {
   cluster = new Cluster();
   cluster.announce();
--- a/test/quarantine/quarantine_service.test.ts
+++ b/test/quarantine/quarantine_service.test.ts
@@ -25,6 +25,8 @@
   readonly stored = new Map<string, QuarantinedParts>();
   storeAvailable = true;
   refused = true;
+  /** Endpoints that reject more requests than they can bear. */
+  readonly overloaded = new Set<string>();
   random = 0.5;
   onWrite = () => Promise.resolve();
   now_ms = 0;
@@ -69,6 +71,7 @@
       },
       onCrash: () => {},
       isRefused: () => Promise.resolve(this.refused),
+      isOverloaded: ({ id }) => this.overloaded.has(id),
       log: this.#log,
       now: () => this.now_ms,
       random: () => this.random,
@@ -140,6 +143,24 @@
   });
 }
 
+test("crashes of endpoints that rejected too many requests say nothing of what they held", async () => {
+  const cluster = new Cluster(3);
+  for (const number of [1, 2, 3]) cluster.overloaded.add(`e${number}`);
+  assert.deepEqual(await cluster.crash(1, ["x"]), [false]);
+  assert.deepEqual(await cluster.crash(2, ["x"]), [false]);
+  assert.deepEqual(await cluster.crash(3, ["x"]), [false]);
+  await sleep(20);
+  assert.ok(cluster.rejects(["x"]).every((rejects) => !rejects));
+});
+
+test("crashes of other endpoints count as before, beside those by overload", async () => {
+  const cluster = new Cluster(3);
+  cluster.overloaded.add("e9");
+  await cluster.crash(9, ["x"]);
+  await crashThrice(cluster, ["x"]);
+  assert.ok(cluster.rejects(["x"]).every((rejects) => rejects));
+});
+
 test("a request in a second crash is suspected", async () => {
   const cluster = new Cluster(3);
   assert.deepEqual(await cluster.crash(1, ["x"]), [false]);
