--- a/src/endpoint_places/endpoint_places.ts
+++ b/src/endpoint_places/endpoint_places.ts
@@ -6,15 +6,20 @@
  * message is sent for pools without such endpoints.
  */
 import type { EndpointNotice } from "../endpoint_reports/endpoint_notices.ts";
-import type { NamedRateLimit } from "../endpoint_reports/endpoint_report.ts";
+import {
+  type NamedRateLimit,
+  RateLimitKind,
+} from "../endpoint_reports/endpoint_report.ts";
 import type { Logger } from "../logging/logger.ts";
 import { RankedHosts } from "../membership/ranked_hosts.ts";
 import { rankCandidates } from "../membership/rendezvous_hash.ts";
 import { KnownLimits } from "../rate_limits/known_limits.ts";
 import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
+import { dropOldest } from "../utils/drop_oldest.ts";
 import { type HeldPlace, HeldPlaces } from "./held_places.ts";
 import { PlaceIssuer } from "./place_issuer.ts";
+import { PoolLimits } from "./pool_limits.ts";
 import {
   type PlaceReply,
   placeReplySchema,
@@ -35,8 +40,6 @@
   /** Addresses of all hosts, this one included. */
   hosts: () => string[];
   peers: EndpointPlacesPeers;
-  /** The endpoints of a pool. */
-  endpointsIn: (pool: string) => RouteEndpoint[];
   log: Logger;
   now: () => number;
   /** Aborts when this host stops. */
@@ -61,6 +64,13 @@
 const MAX_ISSUER_TRIES = 1;
 /** Time after which a limit of rejections that no answer names is forgotten. */
 const LIMIT_LIFETIME_MS = 60_000;
+/**
+ * Time after a rejection in which a crash is put down to it: the second for which
+ * endpoints count them, and what it takes to notice the crash.
+ */
+const REJECTION_LIFETIME_MS = 1_500;
+/** Endpoints whose last rejection is remembered; the oldest are dropped. */
+const MAX_REJECTING = 4_096;
 /** Interval of the reports of places that are held. */
 const REPORT_INTERVAL_MS = 500;
 /** Reply if no host could be asked. */
@@ -75,10 +85,13 @@
   #options: EndpointPlacesOptions;
   #rankedHosts: RankedHosts;
   #limits = new KnownLimits();
+  #pools = new PoolLimits();
   #held = new HeldPlaces();
   #issuer: PlaceIssuer;
   /** Requests of this host that ask for a place, by endpoint. */
   #asking = new Map<string, number>();
+  /** When each endpoint's last rejection was learned of. */
+  #rejected_ms = new Map<string, number>();
   #reportTimer: NodeJS.Timeout | undefined;
 
   constructor(options: EndpointPlacesOptions) {
@@ -106,12 +119,22 @@
       sent_ms: number;
     },
   ): EndpointNotice["rejection_limit"] {
+    const { pool } = endpoint;
+    const incarnation = incarnationOf(endpoint);
+    const now_ms = this.#options.now();
     const notice = this.#limits.observe({
-      endpoint: incarnationOf(endpoint),
+      endpoint: incarnation,
       rate_limit: rejection_limit,
       sent_ms,
-    }, this.#options.now());
+    }, now_ms);
+    if (rejection_limit.kind === RateLimitKind.Limited) {
+      const named = { per_s: rejection_limit.per_s, named_ms: now_ms };
+      this.#pools.name({ pool, endpoint: incarnation }, named);
+    }
     if (notice === undefined) return undefined;
+    if (notice.per_s === undefined) {
+      this.#pools.end({ pool, endpoint: incarnation });
+    }
     this.#options.log.info({
       event: notice.per_s === undefined
         ? "rejection_limit_ended"
@@ -119,13 +142,17 @@
       endpoint: endpoint.id,
       limit_per_s: notice.per_s,
     });
-    return { per_s: notice.per_s };
+    return { pool, per_s: notice.per_s };
   }
 
   /** Applies a notice that an endpoint's limit of rejections starts or ends. */
   apply({ endpoint, rejection_limit }: EndpointNotice): void {
-    const notice = { endpoint, per_s: rejection_limit?.per_s };
-    this.#limits.apply(notice, this.#options.now());
+    if (rejection_limit === undefined) return;
+    const { pool, per_s } = rejection_limit;
+    const now_ms = this.#options.now();
+    if (!this.#limits.apply({ endpoint, per_s }, now_ms)) return;
+    if (per_s === undefined) this.#pools.end({ pool, endpoint });
+    else this.#pools.name({ pool, endpoint }, { per_s, named_ms: now_ms });
     this.#startReports();
   }
 
@@ -158,6 +185,18 @@
       : 0;
   }
 
+  /**
+   * Whether an endpoint that has named a limit of rejections rejected a request
+   * of this host lately; as its issuer, one of any host.
+   */
+  hasRejectedLately(endpoint: RouteEndpoint): boolean {
+    const incarnation = incarnationOf(endpoint);
+    const now_ms = this.#options.now();
+    const rejected_ms = this.#rejected_ms.get(incarnation) ?? -Infinity;
+    return this.#limits.find(incarnation, now_ms) !== undefined &&
+      now_ms - rejected_ms <= REJECTION_LIFETIME_MS;
+  }
+
   /** Takes a place at an endpoint without a bound, without asking. */
   takeUnbounded(endpoint: RouteEndpoint): Place {
     const number = this.#held.nextNumber();
@@ -202,23 +241,23 @@
 
   /** Handles, as the issuer, a host's report of its places. */
   handleReport(report: PlaceReport): void {
+    if (report.released.some(({ rejected }) => rejected)) {
+      this.#recordRejection(report.endpoint);
+    }
     this.#issuer.handleReport(report);
   }
 
   /**
    * Rejections a second that the endpoint can bear; undefined if it needs no
-   * bound. One that has not answered yet is taken to be like others of its pool.
+   * bound. One that has named none is taken to be like others of its pool, even if
+   * these have crashed since.
    */
   #limitPerS(endpoint: RouteEndpoint): number | undefined {
-    if (this.#limits.isEmpty) return undefined;
-    const { now, endpointsIn } = this.#options;
-    const limitOf = (each: RouteEndpoint) =>
-      this.#limits.find(incarnationOf(each), now())?.per_s;
-    const own = limitOf(endpoint);
-    if (own !== undefined) return own;
-    const others = endpointsIn(endpoint.pool).map(limitOf)
-      .filter((per_s) => per_s !== undefined);
-    return others.length === 0 ? undefined : Math.min(...others);
+    const least_per_s = this.#pools.leastPerS(endpoint.pool);
+    if (least_per_s === undefined) return undefined;
+    const now_ms = this.#options.now();
+    const own = this.#limits.find(incarnationOf(endpoint), now_ms);
+    return own?.per_s ?? least_per_s;
   }
 
   #placeOf(endpoint: RouteEndpoint, place: HeldPlace): Place {
@@ -245,11 +284,19 @@
     rejected: boolean,
   ): void {
     const incarnation = incarnationOf(endpoint);
+    if (rejected) this.#recordRejection(incarnation);
     if (!this.#held.release(incarnation, place, rejected)) return;
     if (this.isBounded(endpoint)) this.#scheduleReport(incarnation);
     else this.#held.takeReleased(incarnation);
   }
 
+  #recordRejection(incarnation: string): void {
+    // The endpoint that rejected last stands last in the map.
+    this.#rejected_ms.delete(incarnation);
+    this.#rejected_ms.set(incarnation, this.#options.now());
+    dropOldest(this.#rejected_ms, MAX_REJECTING);
+  }
+
   async #request(request: PlaceRequest): Promise<PlaceReply> {
     const { peers } = this.#options;
     this.#countAsking(request.endpoint, 1);
@@ -295,7 +342,9 @@
     if (this.#reportTimer !== undefined || this.#limits.isEmpty) return;
     this.#reportHeld();
     this.#reportTimer = setInterval(() => {
-      this.#limits.forgetBefore(this.#options.now() - LIMIT_LIFETIME_MS);
+      const oldest_ms = this.#options.now() - LIMIT_LIFETIME_MS;
+      this.#limits.forgetBefore(oldest_ms);
+      this.#pools.forgetBefore(oldest_ms);
       if (this.#limits.isEmpty) {
         clearInterval(this.#reportTimer);
         this.#reportTimer = undefined;
--- a/test/endpoint_places/endpoint_places.test.ts
+++ b/test/endpoint_places/endpoint_places.test.ts
@@ -32,13 +32,14 @@
 const WARM_UP_MS = 700;
 /** Time until a place of a host that died is free again. */
 const EXPIRY_MS = 2_100;
+/** Time after a rejection in which a crash is put down to it. */
+const REJECTION_LIFETIME_MS = 1_500;
 
 let cluster: Cluster;
 
 class Cluster {
   readonly services = new Map<string, EndpointPlaces>();
   readonly lost = new Set<string>();
-  endpoints = [ENDPOINT];
   calls = 0;
   #stopped = new AbortController();
   #log = createLogger({ level: "error", host: "h", writeLine: () => {} });
@@ -65,7 +66,7 @@
     for (const service of this.services.values()) {
       service.apply({
         endpoint: incarnationOf(ENDPOINT),
-        rejection_limit: { per_s: MAX_REJECTIONS_PER_S },
+        rejection_limit: { pool: ENDPOINT.pool, per_s: MAX_REJECTIONS_PER_S },
       });
     }
   }
@@ -103,7 +104,6 @@
         reportPlaces: async (address, report) =>
           await at(address).handleReport(report),
       },
-      endpointsIn: () => this.endpoints,
       log: this.#log,
       now: () => performance.now(),
       signal: this.#stopped.signal,
@@ -189,11 +189,28 @@
 test("an endpoint that comes back is bounded before it says so itself", async () => {
   cluster = new Cluster();
   cluster.announce();
-  cluster.endpoints = [ENDPOINT, RESTARTED];
   const places = await cluster.takeAll(2, { endpoint: RESTARTED });
   assert.equal(places.length, ENDPOINT.slots / 2);
 });
 
+test("an endpoint is known to have rejected if it has named a limit", async () => {
+  cluster = new Cluster();
+  const [issuer = "", host = "", other = ""] = cluster.ranked;
+  const [early] = await cluster.takeAll(1, { hosts: [host] });
+  early?.release(true);
+  assert.ok(!cluster.host(host).hasRejectedLately(ENDPOINT));
+  cluster.announce();
+  const [place] = await cluster.takeAll(1, { hosts: [host] });
+  place?.release(true);
+  await sleep(50);
+  assert.ok(cluster.host(host).hasRejectedLately(ENDPOINT));
+  assert.ok(cluster.host(issuer).hasRejectedLately(ENDPOINT));
+  assert.ok(!cluster.host(other).hasRejectedLately(ENDPOINT));
+  assert.ok(!cluster.host(host).hasRejectedLately(RESTARTED));
+  await sleep(REJECTION_LIFETIME_MS);
+  assert.ok(!cluster.host(host).hasRejectedLately(ENDPOINT));
+});
+
 test("the bound ends with an answer that names no limit", async () => {
   cluster = new Cluster();
   cluster.announce();
