Streams: a version that comes and goes in one delivery of changes is known (ORDER)

What callers see: a stream of version B, which joined and left between two deliveries of the endpoints' changes, goes on at version A: the host concludes "only_version" though B was in service.

Cause: the history saw only the endpoints that were left after a whole delivery was applied. Hosts that follow another get only the last state of each name, a deletion without a value; confirmSource dropped those too. No new list came, so the span still counted as known.

Why it works: every value of a delivery is added to the history as in service until now. The deletion of a name that the host doesn't have shows that something was missed: the registry counts it like a list, which forgets the span; at a confirmation the span is forgotten at once.

Remains: followers see only the last of two changes under one name.

--- a/src/gateway/stream_origin_components.ts
+++ b/src/gateway/stream_origin_components.ts
@@ -4,9 +4,11 @@
 import type { GatewayMembers } from "../membership/gateway_members.ts";
 import type { StoreReaders } from "../membership/store_readers.ts";
 import type { GatewayClients } from "../peers/gateway_clients.ts";
+import type { RouteEndpoint } from "../routes/types.ts";
 import type { ActiveConfiguration } from "../store_sync/active_configuration.ts";
 import type { EndpointRegistry } from "../store_sync/endpoint_registry.ts";
 import type { FeedPosition } from "../store_sync/feed_position.ts";
+import type { FeedChange } from "../store_sync/object_feed.ts";
 import { createConfirmSource } from "../stream_origins/confirm_source.ts";
 import { KnownVersions } from "../stream_origins/known_versions.ts";
 import { StoredOrigins } from "../stream_origins/stored_origins.ts";
@@ -63,6 +65,8 @@
       source: store.endpoints,
       position,
       isReading,
+      isKnown: (name) => endpoints.has(name),
+      onMissed: () => history.forgetSpan(),
       now,
     }),
     learnStored: () => storedVersions.learn(),
@@ -80,9 +84,10 @@
     storedVersions,
     storedOrigins,
     /** Records the endpoints that are in service now. */
-    observeEndpoints: () =>
+    observeEndpoints: (changes: readonly FeedChange<RouteEndpoint>[] = []) =>
       streamOrigins.observeEndpoints(endpoints.all(now()), {
         list: endpoints.lists,
+        changes,
       }),
   };
 }
--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -6,6 +6,7 @@
 } from "../routes/types.ts";
 import { EndpointTombstones } from "./endpoint_tombstones.ts";
 import { GRACE_PERIOD_AFTER_OUTAGE_MS } from "./watch_cache.ts";
+import { deletesUnknown } from "./missed_changes.ts";
 import type { FeedChange, FeedItem } from "./object_feed.ts";
 import { dropOldest } from "../utils/drop_oldest.ts";
 
@@ -73,7 +74,10 @@
   /** Incarnations whose entries have said that they are leaving. */
   #leavingByEntry = new Set<string>();
 
-  /** Lists of the source so far; between two, changes may have been missed. */
+  /**
+   * Lists of the source so far, and deliveries like them: between two, changes
+   * may have been missed.
+   */
   get lists(): number {
     return this.#lists;
   }
@@ -176,8 +180,14 @@
     }
   }
 
+  /** Whether this host has an entry of that name. */
+  has(name: string): boolean {
+    return this.#entries.has(name) || this.#returned.has(name);
+  }
+
   /** Applies changes from the source. */
   applyChanges(changes: FeedChange<RouteEndpoint>[], now_ms: number): void {
+    if (deletesUnknown(changes, (name) => this.has(name))) this.#lists += 1;
     for (const change of changes) {
       this.#returned.delete(change.name);
       if (change.deleted) this.#remove(change.name, now_ms);
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -24,7 +24,7 @@
 import type { FeedProgress } from "./feed_progress.ts";
 import { syncFeed } from "./sync_feed.ts";
 import { createMemberListener, KEEP_MISSING_MS } from "./member_listener.ts";
-import type { FeedItem, ObjectFeed } from "./object_feed.ts";
+import type { FeedChange, FeedItem, ObjectFeed } from "./object_feed.ts";
 import { compareWithPeers, pollPeers } from "./peer_state.ts";
 
 /** The feeds of the object store, read directly or through other hosts. */
@@ -36,6 +36,11 @@
   quarantined: ObjectFeed<QuarantinedParts>;
 }
 
+/** Called when endpoints may have changed, with the changes if they are known. */
+export type EndpointListener = (
+  changes?: readonly FeedChange<RouteEndpoint>[],
+) => void;
+
 /** The local state to update and the sources to update it from. */
 export interface StoreSyncOptions {
   feeds: StoreFeeds;
@@ -50,7 +55,7 @@
   /** Peer addresses, as `ip:port`, to contact before any members are known. */
   seeds: string[];
   configurationListeners: ((table: RouteTable) => void)[];
-  endpointListeners: (() => void)[];
+  endpointListeners: EndpointListener[];
   /** Timeout of one watch, in milliseconds. */
   watch_ms: number;
   progress: Record<`${FeedName}`, FeedProgress>;
@@ -133,8 +138,8 @@
   state: SyncState,
 ): Promise<void> {
   const { feeds, endpoints, endpointListeners, log, now } = options;
-  const notifyListeners = () => {
-    for (const listener of endpointListeners) listener();
+  const notifyListeners: EndpointListener = (changes) => {
+    for (const listener of endpointListeners) listener(changes);
   };
   return syncFeed(feeds.endpoints, {
     onList(listed) {
@@ -154,7 +159,7 @@
         const state = deleted ? "removed" : value?.state ?? "unreadable";
         logEndpoint(log, { id: name, pool: value?.pool, state });
       }
-      notifyListeners();
+      notifyListeners(changes);
     },
     onSourceUnavailable() {
       endpoints.dropExpired(now());
@@ -165,7 +170,7 @@
     onSourceRestored() {
       endpoints.markSourceRestored(now());
       void abortableDelay(RETURNED_ENTRY_HOLD_MS, options.signal)
-        .then(notifyListeners);
+        .then(() => notifyListeners());
     },
     onGracePeriod(unsettled_ms) {
       endpoints.dropExpired(now());
--- a/src/stream_origins/confirm_source.ts
+++ b/src/stream_origins/confirm_source.ts
@@ -8,6 +8,7 @@
   type FeedPosition,
   isContinuation,
 } from "../store_sync/feed_position.ts";
+import { deletesUnknown } from "../store_sync/missed_changes.ts";
 import { FeedResultKind, type ObjectFeed } from "../store_sync/object_feed.ts";
 import { SharedRuns } from "../utils/shared_runs.ts";
 
@@ -24,6 +25,10 @@
   position: () => FeedPosition;
   /** Whether this host reads the source itself, and the source answers. */
   isReading: () => boolean;
+  /** Whether this host knows the endpoint of that name. */
+  isKnown: (name: string) => boolean;
+  /** Called if an endpoint came and went unseen. */
+  onMissed: () => void;
   now: () => number;
 }
 
@@ -34,8 +39,9 @@
 
 /** Creates a function that asks the source of a host that reads it. */
 export function createConfirmSource(
-  { source, position, isReading, now }: ConfirmSourceOptions,
+  options: ConfirmSourceOptions,
 ): ConfirmSource {
+  const { source, position, isReading, isKnown, onMissed, now } = options;
   const runs = new SharedRuns(async () => {
     const known = position();
     const result = await source.watch(
@@ -45,6 +51,7 @@
     );
     if (result.kind !== FeedResultKind.Changed) return undefined;
     if (!isContinuation(known, result)) return undefined;
+    if (deletesUnknown(result.changes, isKnown)) onMissed();
     return result.changes.map(({ value }) => value)
       .filter((value) => value !== undefined);
   }, { min_interval_ms: MIN_INTERVAL_MS, now });
--- a/src/stream_origins/known_versions.ts
+++ b/src/stream_origins/known_versions.ts
@@ -7,11 +7,7 @@
 import { rankCandidates } from "../membership/rendezvous_hash.ts";
 import { SharedRuns } from "../utils/shared_runs.ts";
 import type { ConfirmSource } from "./confirm_source.ts";
-import {
-  UNNAMED,
-  type VersionHistory,
-  type VersionReport,
-} from "./version_history.ts";
+import type { VersionHistory, VersionReport } from "./version_history.ts";
 
 /** Calls to other hosts; they reject if the host does not respond. */
 export interface KnownVersionsPeers {
@@ -123,13 +119,8 @@
   async #confirmOwnSource(): Promise<boolean> {
     const changed = await this.#options.confirmSource();
     if (changed === undefined) return false;
-    const versions = changed.map(({ pool, software_version = UNNAMED }) => ({
-      pool,
-      version: software_version,
-      gone_for_ms: 0,
-    }));
-    const now_ms = this.#options.now();
-    this.#options.history.merge({ known_for_ms: 0, versions }, now_ms);
+    const { history, now } = this.#options;
+    history.addServed(changed, now());
     return true;
   }
 
--- a/src/stream_origins/stream_origin_service.ts
+++ b/src/stream_origins/stream_origin_service.ts
@@ -13,6 +13,7 @@
  */
 import type { Logger } from "../logging/logger.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
+import type { FeedChange } from "../store_sync/object_feed.ts";
 import { EndpointStarts, type KnownIncarnation } from "./endpoint_starts.ts";
 import { LongestDeadlines } from "./longest_deadlines.ts";
 import type { KnownVersions } from "./known_versions.ts";
@@ -61,6 +62,14 @@
   max_age_ms: number;
 }
 
+/** Where the endpoints in service are known from. */
+export interface ObservedFrom {
+  /** Number of their list: between two lists, changes may be missing. */
+  list?: number;
+  /** What led to them: some may have come and gone within one delivery. */
+  changes?: readonly FeedChange<RouteEndpoint>[];
+}
+
 /** Copies for one host within this time share a message. */
 const BATCH_WINDOW_MS = 20;
 /** A version that left longer ago has no streams that go on. */
@@ -87,16 +96,16 @@
     this.#keepers = new OriginKeepers(options);
   }
 
-  /**
-   * Records the endpoints that are in service now. `list` is the number of the
-   * list that they come from: between two lists, changes may be missing.
-   */
+  /** Records the endpoints that are in service now. */
   observeEndpoints(
     endpoints: readonly RouteEndpoint[],
-    { list = this.#list } = {},
+    { list = this.#list, changes = [] }: ObservedFrom = {},
   ): void {
-    if (endpoints.length === 0) return;
     const now_ms = this.#options.now();
+    const changed = changes.map(({ value }) => value)
+      .filter((value) => value !== undefined);
+    this.history.addServed(changed, now_ms);
+    if (endpoints.length === 0) return;
     if (list !== this.#list) this.history.forgetSpan();
     this.#list = list;
     this.history.observe(endpoints, now_ms);
--- a/src/stream_origins/version_history.ts
+++ b/src/stream_origins/version_history.ts
@@ -66,6 +66,15 @@
     }
   }
 
+  /** Records endpoints that were in service up to now, and may be no longer. */
+  addServed(endpoints: readonly RouteEndpoint[], now_ms: number): void {
+    for (const { pool, software_version = UNNAMED } of endpoints) {
+      const known = this.#versionsOf(pool);
+      if (known.get(software_version) === Infinity) continue;
+      known.set(software_version, now_ms);
+    }
+  }
+
   /**
    * What came and went before the next observation isn't known; what was seen
    * still counts.
--- a/test/stream_origins/confirm_source.test.ts
+++ b/test/stream_origins/confirm_source.test.ts
@@ -11,10 +11,16 @@
 
 let result: FeedResult<RouteEndpoint>;
 let isReading: boolean;
+/** Endpoints that this host knows of. */
+let known: string[];
+/** How often a change was told of an endpoint that this host has missed. */
+let missed: number;
 
 beforeEach(() => {
   result = { kind: FeedResultKind.Changed, changes: [], epoch: 1, revision: 9 };
   isReading = true;
+  known = ["a", "b", "c"];
+  missed = 0;
 });
 
 function confirm(): Promise<RouteEndpoint[] | undefined> {
@@ -25,6 +31,8 @@
     },
     position: () => ({ epoch: 1, revision: 5 }),
     isReading: () => isReading,
+    isKnown: (name) => known.includes(name),
+    onMissed: () => missed += 1,
     now: () => performance.now(),
   })();
 }
@@ -43,6 +51,25 @@
   ];
   result = { kind: FeedResultKind.Changed, changes, epoch: 1, revision: 9 };
   assert.deepEqual(await confirm(), [value, left]);
+  assert.equal(missed, 0);
+});
+
+test("the deletion of an endpoint that this host has missed is told", async () => {
+  known = ["a"];
+  const value = sampleEndpoint("v2");
+  const gone = { name: "b", value: undefined, deleted: true };
+  const joined = { name: "b", value, deleted: false };
+  result = {
+    kind: FeedResultKind.Changed,
+    changes: [joined, gone],
+    epoch: 1,
+    revision: 9,
+  };
+  assert.deepEqual(await confirm(), [value]);
+  assert.equal(missed, 0);
+  result = { ...result, changes: [gone] };
+  assert.deepEqual(await confirm(), []);
+  assert.equal(missed, 1);
 });
 
 const NOT_CONFIRMED: [string, FeedResult<RouteEndpoint>][] = [
--- a/test/stream_origins/stream_origin_service.test.ts
+++ b/test/stream_origins/stream_origin_service.test.ts
@@ -9,6 +9,8 @@
   type StreamOrigin,
 } from "../../src/stream_origins/types.ts";
 import type { RouteEndpoint } from "../../src/routes/types.ts";
+import { EndpointRegistry } from "../../src/store_sync/endpoint_registry.ts";
+import type { FeedChange } from "../../src/store_sync/object_feed.ts";
 import { sampleEndpoint } from "./sample_endpoint.ts";
 import {
   UNKNOWN,
@@ -301,6 +303,59 @@
   assert.equal((await resolve())?.version, "v1");
 });
 
+/** A host's list of one endpoint of v1, a minute ago. */
+function listedOnce(): EndpointRegistry {
+  const registry = new EndpointRegistry();
+  const value = sampleEndpoint("v1");
+  registry.replaceAll([{ name: "a", value }], now_ms);
+  service.observeEndpoints(registry.all(now_ms), { list: registry.lists });
+  now_ms += 60_000;
+  return registry;
+}
+
+function deliver(
+  registry: EndpointRegistry,
+  changes: FeedChange<RouteEndpoint>[],
+): void {
+  registry.applyChanges(changes, now_ms);
+  const { lists: list } = registry;
+  service.observeEndpoints(registry.all(now_ms), { list, changes });
+}
+
+test("a version that joins and leaves in one delivery of changes was in service", async () => {
+  const value = sampleEndpoint("v2");
+  deliver(listedOnce(), [
+    { name: "b", value, deleted: false },
+    { name: "b", value: undefined, deleted: true },
+  ]);
+  assert.equal(await resolve(), undefined);
+  now_ms += 6_000;
+  assert.equal((await resolve())?.source, OriginSource.OnlyVersion);
+});
+
+test("a version that an endpoint has left again in one delivery was in service", async () => {
+  deliver(listedOnce(), [
+    { name: "a", value: sampleEndpoint("v2"), deleted: false },
+    { name: "a", value: sampleEndpoint("v1"), deleted: false },
+  ]);
+  assert.equal(await resolve(), undefined);
+});
+
+test("after the deletion of an endpoint that this host never saw it asks others", async () => {
+  deliver(listedOnce(), [{ name: "b", value: undefined, deleted: true }]);
+  assert.equal(await resolve(), undefined);
+  now_ms += 6_000;
+  assert.equal((await resolve())?.source, OriginSource.OnlyVersion);
+});
+
+test("the deletion of an endpoint that this host knows leaves no gap", async () => {
+  const registry = listedOnce();
+  const value = sampleEndpoint("v1");
+  deliver(registry, [{ name: "b", value, deleted: false }]);
+  deliver(registry, [{ name: "b", value: undefined, deleted: true }]);
+  assert.equal((await resolve())?.source, OriginSource.OnlyVersion);
+});
+
 test("of a stream that several pools may have begun only a record tells", async () => {
   observe("v1");
   now_ms += 60_000;
