BUDGET: an endpoint is told the time left when its way was found

What endpoints saw: a request that tried a way in vain (a direct connect, one or two other hosts) told its endpoint the time that was left before the first way, up to 1.2 s too much. Cause: the headers, and the bodies of calls for pieces, were formed once, before the sender chose a way. Why it works: the sender is given a function and forms the request anew for each way; a call for pieces takes off what has passed since it began. Ruled out: one bound for all ways of a send, as a direct connect may take 400 ms and would leave no time for another host. Not covered: the connect to a carrier and the carrier's own connect (400 ms each), and the wait for a connection in an agent, come after the forming.

--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -163,11 +163,13 @@
     freePacer: FreePacer;
   },
 ): Promise<PieceCallResult> {
-  const { codec, recentHandles, timeout_ms, signal } = options;
+  const { codec, recentHandles, timeout_ms, signal, now } = options;
+  const begun_ms = now();
   const response = await callEndpoint({
     address: endpoint.address,
     endpoint,
-    call: codec.encodePieceBatch(endpoint, requests),
+    encodeCall: () =>
+      codec.encodePieceBatch(endpoint, afterWait(requests, now() - begun_ms)),
     timeout_ms,
     signal,
   }, options);
@@ -200,6 +202,14 @@
   return { kind: PieceCallResultKind.Answered, responses, rate_limit };
 }
 
+/** Requests with the time that is left to them after a wait. */
+function afterWait(requests: PieceRequest[], wait_ms: number): PieceRequest[] {
+  return requests.map((request) => ({
+    ...request,
+    remaining_ms: Math.max(1, Math.round(request.remaining_ms - wait_ms)),
+  }));
+}
+
 /** Waits while the endpoint at an address wants no requests. */
 async function waitOutPause(
   address: string,
@@ -222,7 +232,7 @@
     callEndpoint({
       address,
       endpoint: options.endpointAt(address),
-      call: options.codec.encodeFreeRequest(address, handles),
+      encodeCall: () => options.codec.encodeFreeRequest(address, handles),
       timeout_ms: FREE_TIMEOUT_MS,
     }, options);
   let response = await free();
@@ -274,10 +284,10 @@
  * other response may be a copy of an earlier one, or be followed by a copy.
  */
 async function callEndpoint(
-  { address, endpoint, call, timeout_ms, signal }: {
+  { address, endpoint, encodeCall, timeout_ms, signal }: {
     address: string;
     endpoint: RouteEndpoint | undefined;
-    call: EncodedRequest;
+    encodeCall: () => EncodedRequest;
     timeout_ms: number;
     signal?: AbortSignal;
   },
@@ -298,12 +308,13 @@
   const max_connections = pool(endpoint?.pool ?? "")?.max_connections ?? 1;
   const timer = setTimeout(() => expiry.abort(CALL_EXPIRED), timeout_ms);
   try {
-    const result = await send(endpoint, {
+    const either = AbortSignal.any(signals);
+    const result = await send(endpoint, () => ({
       address,
       agent: agents.agentFor(address, max_connections),
-      ...call,
-      signal: AbortSignal.any(signals),
-    });
+      ...encodeCall(),
+      signal: either,
+    }));
     if (result.kind !== ExchangeOutcome.ResponseReceived) {
       return result.reason === ENDPOINT_UNAVAILABLE
         ? { kind: "failed", reason: result.reason, broken: false }
--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -162,7 +162,7 @@
   const { request, progress } = context.inbound;
   const { metadata, organisation, priority } = context.admitted;
   const pool = configuration.routeTable?.configuration.pools.get(context.pool);
-  const endpointRequest = {
+  const formRequest = () => ({
     address: endpoint.address,
     agent: agents.agentFor(endpoint.address, pool?.max_connections ?? 1),
     method: request.method ?? "GET",
@@ -179,10 +179,10 @@
     body: context.body,
     attempt_id: metadata.attempt_id,
     signal,
-  };
+  });
   // Until the result is known.
   progress.mayHaveRun = true;
-  return await send(endpoint, endpointRequest);
+  return await send(endpoint, formRequest);
 }
 
 function logSend(
--- a/src/relaying/endpoint_sender.ts
+++ b/src/relaying/endpoint_sender.ts
@@ -31,11 +31,12 @@
 
 /**
  * Sends a request to an endpoint, of which undefined is an unknown one at the
- * request's address; never rejects.
+ * request's address. The request is formed anew for each way that is tried, as
+ * it may tell the time that is left.
  */
 export type SendToEndpoint = (
   endpoint: RouteEndpoint | undefined,
-  request: EndpointRequest,
+  formRequest: () => EndpointRequest,
 ) => Promise<ExchangeResult>;
 
 /** Dependencies of an endpoint sender. */
@@ -76,10 +77,11 @@
   options: EndpointSenderOptions,
 ): SendToEndpoint {
   const { routes, carriers } = options;
-  return async (endpoint, request) => {
-    if (endpoint === undefined) return await sendRequest(request);
+  return async (endpoint, formRequest) => {
+    if (endpoint === undefined) return await sendRequest(formRequest());
     const avoid = new Set<string>();
     if (routes.carrierFor(endpoint, { avoid }) === undefined) {
+      const request = formRequest();
       const result = await sendDirectly(routes, endpoint, request);
       if (!mayGoAnotherWay(result, request)) return result;
       if (routes.carrierFor(endpoint, { avoid }) === undefined) return result;
@@ -87,6 +89,7 @@
     while (avoid.size < MAX_CARRIERS) {
       const carrier = routes.carrierFor(endpoint, { avoid });
       if (carrier === undefined) break;
+      const request = formRequest();
       if (carriers.toEndpoint(endpoint.address) >= request.agent.maxSockets) {
         return { kind: ExchangeOutcome.NotSent, reason: NO_CONNECTION };
       }
--- a/src/stream_origins/start_check.ts
+++ b/src/stream_origins/start_check.ts
@@ -68,12 +68,13 @@
 ): Promise<Buffer | undefined> {
   const { address, pool: name } = endpoint;
   const max_connections = pool(name)?.max_connections ?? 1;
-  const result = await send(endpoint, {
+  const signal = AbortSignal.timeout(TIMEOUT_MS);
+  const result = await send(endpoint, () => ({
     address,
     agent: agents.agentFor(address, max_connections),
     ...codec.encodeStatusRequest(address),
-    signal: AbortSignal.timeout(TIMEOUT_MS),
-  });
+    signal,
+  }));
   if (result.kind !== ExchangeOutcome.ResponseReceived) return undefined;
   if (result.response.status !== HTTP_OK) {
     discardResponse(result.response);
--- a/stand_ins/deployment/piece_calls.ts
+++ b/stand_ins/deployment/piece_calls.ts
@@ -19,7 +19,7 @@
   return createPieceClient({
     codec: deploymentCodec,
     agents,
-    send: (_endpoint, request) => sendRequest(request),
+    send: (_endpoint, formRequest) => sendRequest(formRequest()),
     pool: () => undefined,
     endpointAt: () => undefined,
     reports: { record: () => {}, pauseMs: () => 0 },
--- a/test/relaying/carried_exchanges.ts
+++ b/test/relaying/carried_exchanges.ts
@@ -159,7 +159,8 @@
       endpoint: RouteEndpoint,
       request: Partial<EndpointRequest> = {},
     ): Promise<ExchangeResult> {
-      return send(endpoint, {
+      const { signal } = new AbortController();
+      return send(endpoint, () => ({
         address: endpoint.address,
         agent: agents.agentFor(endpoint.address, 100),
         method: "POST",
@@ -167,9 +168,9 @@
         headers: requestHeaders(endpoint, request.body),
         body: undefined,
         attempt_id: ATTEMPT_ID,
-        signal: new AbortController().signal,
+        signal,
         ...request,
-      });
+      }));
     },
   };
 }
--- a/test/stream_origins/start_check.test.ts
+++ b/test/stream_origins/start_check.test.ts
@@ -38,7 +38,7 @@
   const checkStart = createStartCheck({
     codec: deploymentCodec,
     agents,
-    send: (_endpoint, request) => sendRequest(request),
+    send: (_endpoint, formRequest) => sendRequest(formRequest()),
     pool: () => undefined,
     responseLimits: createBodyLimits({ max_bytes: 1_000_000, log }),
   });
