RECOVER: a carrier tells that it lost its own way to the endpoint

What callers saw: a sound endpoint that a carrier lost midway was counted as failed by the host that had sent through it, and got fewer requests. Cause: the heads "lost" and "not_sent" had no way_failed, which the carrier's direct exchange knows. Evidence: endpoint_sender.test.ts, "a carrier tells that it has lost its own way to the endpoint"; before: way_failed false, expected true; now passes. Why it works: the head carries way_failed, the sender passes it on. The field is optional, so hosts of both versions read each other's heads. Two older expectations now name way_failed: false, which is stricter.

--- a/src/relaying/endpoint_sender.ts
+++ b/src/relaying/endpoint_sender.ts
@@ -182,6 +182,7 @@
   return {
     kind: isNotSent ? ExchangeOutcome.NotSent : ExchangeOutcome.ResponseLost,
     reason: head.reason,
+    way_failed: head.way_failed === true,
   };
 }
 
--- a/src/relaying/exchange_carrier.ts
+++ b/src/relaying/exchange_carrier.ts
@@ -175,13 +175,14 @@
         sent_ms,
       });
     }
-    const { kind, reason } = result;
+    const { kind, reason, way_failed } = result;
     if (!signal.aborted) agents.closeIdleConnections(address);
     this.#conclude(response, head, {
       kind: kind === ExchangeOutcome.NotSent
         ? CarriedOutcome.NotSent
         : CarriedOutcome.Lost,
       reason,
+      way_failed,
     });
   }
 
--- a/src/relaying/exchange_head.ts
+++ b/src/relaying/exchange_head.ts
@@ -53,6 +53,12 @@
   attempt_id: z.string().optional(),
 });
 
+const failureFields = {
+  reason: z.string(),
+  /** Whether the carrier's way failed, rather than the endpoint. */
+  way_failed: z.boolean().optional(),
+};
+
 const responseHeadSchema = z.discriminatedUnion("kind", [
   z.object({
     kind: z.literal(CarriedOutcome.Response),
@@ -66,8 +72,8 @@
     kind: z.literal(CarriedOutcome.Refused),
     reason: z.enum(CarrierRefusal),
   }),
-  z.object({ kind: z.literal(CarriedOutcome.NotSent), reason: z.string() }),
-  z.object({ kind: z.literal(CarriedOutcome.Lost), reason: z.string() }),
+  z.object({ kind: z.literal(CarriedOutcome.NotSent), ...failureFields }),
+  z.object({ kind: z.literal(CarriedOutcome.Lost), ...failureFields }),
 ]);
 
 /** Head of a request to an endpoint. */
--- a/test/relaying/endpoint_sender.test.ts
+++ b/test/relaying/endpoint_sender.test.ts
@@ -24,6 +24,7 @@
   CARRIER_LOST,
   NO_CARRIER,
 } from "../../src/relaying/endpoint_sender.ts";
+import type { RouteEndpoint } from "../../src/routes/types.ts";
 import { EndlessServer } from "../../stand_ins/deployment/endless_server.ts";
 import { waitUntil } from "../../stand_ins/deployment/gateway_fleet.ts";
 import {
@@ -233,6 +234,7 @@
   assert.deepEqual(await toRefusing.send(refusing), {
     kind: ExchangeOutcome.NotSent,
     reason: "ECONNREFUSED",
+    way_failed: false,
   });
   const { endpoint } = await startEndpoint(
     t,
@@ -243,6 +245,7 @@
   assert.deepEqual(await toResetting.send(endpoint), {
     kind: ExchangeOutcome.ResponseLost,
     reason: "ECONNRESET",
+    way_failed: false,
   });
 });
 
@@ -453,3 +456,38 @@
   caller.abort("done");
   await Promise.all(both);
 });
+
+test("a carrier tells that it has lost its own way to the endpoint", async (t) => {
+  const { endpoint } = await startEndpoint(
+    t,
+    (request) => request.socket.resetAndDestroy(),
+  );
+  const ended = [
+    { at: endpoint, kind: ExchangeOutcome.ResponseLost, reason: "ECONNRESET" },
+    {
+      at: endpointAt(UNUSED_ADDRESS),
+      kind: ExchangeOutcome.NotSent,
+      reason: "ECONNREFUSED",
+    },
+  ];
+  for (const { at, kind, reason } of ended) {
+    for (const losesWay of [true, false]) {
+      let outOfReach = false;
+      const direct = routesThrough([]);
+      const routes = {
+        ...direct,
+        begin: (to: RouteEndpoint) => ({
+          ...direct.begin(to),
+          recordFailure: () => void (outOfReach = losesWay),
+        }),
+        isOutOfReach: () => outOfReach,
+      };
+      const host = await startCarrier(t, at, { routes });
+      const { send } = createSender(t, routesThrough([host.address]));
+      const result = await send(at);
+      assert.ok(result.kind !== ExchangeOutcome.ResponseReceived);
+      assert.deepEqual([result.kind, result.reason], [kind, reason]);
+      assert.equal(result.way_failed === true, losesWay);
+    }
+  }
+});
