--- a/src/relaying/endpoint_sender.ts
+++ b/src/relaying/endpoint_sender.ts
@@ -31,11 +31,12 @@
 
 /**
  * Sends a request to an endpoint, of which undefined is an unknown one at the
- * request's address; never rejects.
+ * request's address. The request is formed anew for each way that is tried, as
+ * it may tell the time that is left.
  */
 export type SendToEndpoint = (
   endpoint: RouteEndpoint | undefined,
-  request: EndpointRequest,
+  formRequest: () => EndpointRequest,
 ) => Promise<ExchangeResult>;
 
 /** Dependencies of an endpoint sender. */
@@ -81,10 +82,11 @@
   options: EndpointSenderOptions,
 ): SendToEndpoint {
   const { routes, carriers } = options;
-  return async (endpoint, request) => {
-    if (endpoint === undefined) return await sendRequest(request);
+  return async (endpoint, formRequest) => {
+    if (endpoint === undefined) return await sendRequest(formRequest());
     const avoid = new Set<string>();
     if (routes.carrierFor(endpoint, { avoid }) === undefined) {
+      const request = formRequest();
       const result = await sendDirectly(routes, endpoint, request);
       if (!mayGoAnotherWay(result, request)) return result;
       if (routes.carrierFor(endpoint, { avoid }) === undefined) return result;
@@ -93,6 +95,7 @@
       // Asked after the last try as well: without any left, others are looked for.
       const carrier = routes.carrierFor(endpoint, { avoid });
       if (carrier === undefined || avoid.size >= MAX_CARRIERS) break;
+      const request = formRequest();
       if (carriers.toEndpoint(endpoint.address) >= request.agent.maxSockets) {
         return { kind: ExchangeOutcome.NotSent, reason: NO_CONNECTION };
       }
@@ -217,15 +220,16 @@
     };
   }
   const { kind, reason } = head;
+  const way_failed = head.way_failed === true;
   return kind === CarriedOutcome.NotSent
     ? {
       outcome: CarriedResult.NotSent,
-      result: { kind: ExchangeOutcome.NotSent, reason },
+      result: { kind: ExchangeOutcome.NotSent, reason, way_failed },
       carrierFailed: false,
     }
     : {
       outcome: CarriedResult.Lost,
-      result: { kind: ExchangeOutcome.ResponseLost, reason },
+      result: { kind: ExchangeOutcome.ResponseLost, reason, way_failed },
       carrierFailed: false,
     };
 }
