RECOVER: a call for pieces is lost with its way only if the sender says so

What callers saw: after any endpoint was lost, a call for pieces that its endpoint broke off, or that went through another host, could be taken for lost with the way. Its pieces were repeated without a count and without asking whether the endpoint crashed, so pieces that crash endpoints could go on to crash more. Cause: the runner asked whether an endpoint was lost since the call began; way_failed, which the sender knows of this very call, was dropped by the client. Why it works: PieceCallResult carries way_failed and isLostSince is gone. Two calls of a job may be lost so; further ones count as failures, with the endpoint's backoff, as a way that fails at once would else be tried without end. cut_off_batcher.test.ts: its stand-in call says way_failed instead of broken, as the sender does for a call that is out of reach; its assertions are the same.

--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -46,7 +46,6 @@
       | "client"
       | "freeAtBatcher"
       | "hasCrashed"
-      | "isLostSince"
       | "onCompleted"
       | "onUnwantedCall"
       | "log"
--- a/src/batching/call_runner.ts
+++ b/src/batching/call_runner.ts
@@ -1,6 +1,6 @@
 /** Runs a batcher's calls to endpoints and handles what comes of them. */
 import type { Logger } from "../logging/logger.ts";
-import type { BatchLimits, RouteEndpoint } from "../routes/types.ts";
+import type { BatchLimits } from "../routes/types.ts";
 import type { TakenPieces } from "./backlog_rates.ts";
 import { type BrokenCall, recordCrash } from "./crashed_calls.ts";
 import type { EndedCall, EndpointTracker } from "./endpoint_tracker.ts";
@@ -47,8 +47,6 @@
    * has crashed.
    */
   hasCrashed: (call: BrokenCall) => Promise<boolean>;
-  /** Whether this host has lost its way to an endpoint since a time. */
-  isLostSince: (endpoint: RouteEndpoint, since_ms: number) => boolean;
   /** Called when endpoints have computed all pieces of a job. */
   onCompleted: (job: StageJob) => void;
   /** Receives how long a call went on for nobody, in milliseconds. */
@@ -85,6 +83,11 @@
  * fails at the first failure beyond 4n.
  */
 const MAX_RETRIES_PER_PIECE = 4;
+/**
+ * Calls of one job that may be lost with their way before further ones count as
+ * failures, so that a way that fails at once is not tried without end.
+ */
+const MAX_LOST_CALLS = 2;
 /** Delay before a full endpoint is called again. */
 const FULL_RETRY_DELAY_MS = 40;
 
@@ -185,8 +188,9 @@
       pieces: batch.length,
       elapsed_ms: now_ms - started_ms,
     };
-    if (this.#isLost(call, result)) {
+    if (isLost(call, result)) {
       tracker.loseCall(ended);
+      for (const { job } of call.planned) job.lost_calls += 1;
       for (const { queued, piece } of batch) queued.waiting.unshift(piece);
       return;
     }
@@ -216,17 +220,6 @@
     }
   }
 
-  /** Whether a call failed with this host's way to the endpoint. */
-  #isLost(
-    { tracker, started_ms }: StartedCall,
-    { kind }: PieceCallResult,
-  ): boolean {
-    const hasFailed = kind === PieceCallResultKind.Failed ||
-      kind === PieceCallResultKind.TimedOut;
-    return hasFailed &&
-      this.#options.isLostSince(tracker.endpoint, started_ms);
-  }
-
   /** Finds out whether the endpoint has crashed, and limits what its jobs may do. */
   async #handleBroken(
     { queue, tracker, planned, started_ms }: StartedCall,
@@ -322,6 +315,13 @@
   }
 }
 
+/** Whether a call failed with its way, and may be repeated without a count. */
+function isLost({ planned }: StartedCall, result: PieceCallResult): boolean {
+  return result.kind === PieceCallResultKind.Failed &&
+    result.way_failed === true &&
+    planned.every(({ job }) => job.lost_calls < MAX_LOST_CALLS);
+}
+
 /** How many pieces a planned call takes, and whether it is limited in that. */
 function takenPieces(
   planned: readonly PlannedPieces<QueuedJob>[],
--- a/src/batching/piece_call.ts
+++ b/src/batching/piece_call.ts
@@ -22,6 +22,8 @@
     reason: string;
     /** Whether the endpoint broke off a call that it may have begun. */
     broken?: boolean;
+    /** Whether the way to the endpoint failed, rather than the endpoint. */
+    way_failed?: boolean;
   };
 
 /** Discriminates `PieceCallResult`. */
--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -180,7 +180,12 @@
     }
     return response.reason === CALL_EXPIRED
       ? { kind: PieceCallResultKind.TimedOut }
-      : failed(response.reason, response.broken);
+      : {
+        kind: PieceCallResultKind.Failed,
+        reason: response.reason,
+        broken: response.broken,
+        way_failed: response.way_failed === true,
+      };
   }
   const { metadata } = response;
   const { rate_limit } = metadata.report;
@@ -277,6 +282,8 @@
     reason: string;
     /** Whether the endpoint broke the call off after it was sent. */
     broken: boolean;
+    /** Whether the way to the endpoint failed, rather than the endpoint. */
+    way_failed?: boolean;
   };
 
 /**
@@ -297,10 +304,10 @@
   const signals = signal === undefined
     ? [expiry.signal]
     : [expiry.signal, signal];
-  const fail = (reason: string, broken: boolean): EndpointResponse => {
+  const fail = (reason: string, broken: boolean) => {
     if (signal?.aborted !== true) agents.closeIdleConnections(address);
     return {
-      kind: "failed",
+      kind: "failed" as const,
       reason: expiry.signal.aborted ? CALL_EXPIRED : reason,
       broken,
     };
@@ -318,11 +325,14 @@
     if (result.kind !== ExchangeOutcome.ResponseReceived) {
       return result.reason === ENDPOINT_UNAVAILABLE
         ? { kind: "failed", reason: result.reason, broken: false }
-        : fail(
-          result.reason,
-          result.kind === ExchangeOutcome.ResponseLost &&
-            result.way_failed !== true,
-        );
+        : {
+          ...fail(
+            result.reason,
+            result.kind === ExchangeOutcome.ResponseLost &&
+              result.way_failed !== true,
+          ),
+          way_failed: result.way_failed === true,
+        };
     }
     const { status, headers, socket } = result.response;
     const metadata = codec.decodeResponse(status, headers);
@@ -353,6 +363,6 @@
   }
 }
 
-function failed(reason: string, broken = false): PieceCallResult {
-  return { kind: PieceCallResultKind.Failed, reason, broken };
+function failed(reason: string): PieceCallResult {
+  return { kind: PieceCallResultKind.Failed, reason };
 }
--- a/src/batching/pool_queue.ts
+++ b/src/batching/pool_queue.ts
@@ -22,6 +22,8 @@
   unfinished: number;
   /** Failed attempts of all pieces together. */
   failures: number;
+  /** Calls for its pieces that were lost with their way, not counted as failures. */
+  lost_calls: number;
   /** Whether another batcher may run it, if this one is cut off. */
   may_hand_back: boolean;
   /** Endpoints that crashed during calls for its pieces. */
@@ -103,6 +105,7 @@
     results: job.pieces.map(() => undefined),
     unfinished: job.pieces.length,
     failures: 0,
+    lost_calls: 0,
     may_hand_back,
     crashes: 0,
     max_call_jobs: Infinity,
--- a/src/gateway/batching_components.ts
+++ b/src/gateway/batching_components.ts
@@ -41,8 +41,6 @@
     laterLoad: (name) => knownLoads.loadOf(name),
     ...createCrashRecorder(context.quarantine),
     isCutOffFrom: (all) => context.reachability.isCutOffFrom(all),
-    isLostSince: (endpoint, since_ms) =>
-      context.reachability.isLostSince(endpoint, since_ms),
     onUnwantedCall: (unwanted_ms) =>
       context.metrics.workAfterCallerLeft.observe(
         { work: "stage_call" },
--- a/src/reachability/reachability_service.ts
+++ b/src/reachability/reachability_service.ts
@@ -147,11 +147,6 @@
     return this.#endpoints.isCutOffFrom(endpoints, this.#options.now());
   }
 
-  /** Whether an endpoint is lost, and was found to be since a time. */
-  isLostSince(endpoint: RouteEndpoint, since_ms: number): boolean {
-    return this.#endpoints.isLostSince(endpoint, since_ms);
-  }
-
   /** Whether others reach an endpoint and this host doesn't. */
   isOutOfReach(endpoint: RouteEndpoint): boolean {
     return this.#endpoints.isOutOfReach(endpoint, this.#options.now());
--- a/src/reachability/reachable_endpoints.ts
+++ b/src/reachability/reachable_endpoints.ts
@@ -277,14 +277,6 @@
       this.carriers.carriersOf(incarnationOf(endpoint), now_ms).length > 0;
   }
 
-  /** Whether an endpoint is lost, and was found to be since a time. */
-  isLostSince(endpoint: RouteEndpoint, since_ms: number): boolean {
-    const reach = this.#reaches.get(incarnationOf(endpoint));
-    if (reach?.state === ReachState.Lost) return reach.lost_ms >= since_ms;
-    if (!this.#hasLostAllOf(endpoint.pool)) return false;
-    return [...this.#lost].some(({ lost_ms }) => lost_ms >= since_ms);
-  }
-
   /** Whether this host has lost nearly all of these endpoints. */
   isCutOffFrom(ready: readonly RouteEndpoint[], now_ms: number): boolean {
     if (this.#lost.size === 0) return false;
--- a/test/batching/burst_replay.test.ts
+++ b/test/batching/burst_replay.test.ts
@@ -76,7 +76,6 @@
     freeAtBatcher: () => {},
     laterLoad: () => undefined,
     isCutOffFrom: () => false,
-    isLostSince: () => false,
     hasCrashed: () => Promise.resolve(false),
     onCompleted: () => {},
     onUnwantedCall: () => {},
--- a/test/batching/cut_off_batcher.test.ts
+++ b/test/batching/cut_off_batcher.test.ts
@@ -122,7 +122,7 @@
     while (now_ms - sent_ms < timeout_ms) {
       if (knowsCut(host, endpoint.pool)) {
         const reason = "out_of_reach";
-        return { kind: PieceCallResultKind.Failed, reason, broken: true };
+        return { kind: PieceCallResultKind.Failed, reason, way_failed: true };
       }
       await wait(5);
     }
@@ -159,9 +159,6 @@
     laterLoad: () => undefined,
     hasCrashed: () => Promise.resolve(false),
     isCutOffFrom: (all) => all.every(({ pool }) => knowsCut(address, pool)),
-    isLostSince: ({ pool }, since_ms) =>
-      knowsCut(address, pool) &&
-      (cutOf(address, pool)?.known_ms ?? -Infinity) >= since_ms,
     onCompleted: () => {},
     onUnwantedCall: () => {},
     log,
--- a/test/batching/job_router.test.ts
+++ b/test/batching/job_router.test.ts
@@ -67,7 +67,6 @@
     freeAtBatcher: () => {},
     laterLoad: () => undefined,
     isCutOffFrom: () => false,
-    isLostSince: () => false,
     hasCrashed: () => Promise.resolve(false),
     onCompleted: () => {},
     onUnwantedCall: () => {},
--- a/test/batching/pipeline_replay.ts
+++ b/test/batching/pipeline_replay.ts
@@ -189,7 +189,6 @@
       freeAtBatcher: (freed) => router.free(freed),
       laterLoad: (name) => loads.loadOf(name),
       isCutOffFrom: () => false,
-      isLostSince: () => false,
       hasCrashed: () => Promise.resolve(false),
       onCompleted: () => {},
       onUnwantedCall: () => {},
