Streams: a gap is not bridged by hosts that didn't see it (ORDER)

What callers see: a stream of version B goes on at A ("only_version"), as B joined and left while this host's list was behind, and before the host that confirms had listed; or as the span of a host that is behind was taken over.

Cause: merge took known_for_ms from any report, also one that doesn't reach up to now; a host took its list as current once any other host was, however short that one's span.

Why it works: only confirmed spans are merged, and they reach up to the question. Until when this host's own list was current isn't known (it may have stood still), so where another host confirms, lists count only from that host's span on; what the store names reaches further back only if it was read since then.

Tests changed: five reports that lend their span now say is_current: true, as from a host that reads the store; without it the old tests asked for the fault. Expectations are as before.

Ruled out: joining at this host's last change, as a list may be handled long after it was sent.

--- a/src/stream_origins/known_versions.ts
+++ b/src/stream_origins/known_versions.ts
@@ -53,17 +53,24 @@
   Unknown = "unknown",
 }
 
+/** What the history's span is worth. */
+interface Confirmation {
+  currency: Currency;
+  /** Lists don't confirm what was in service before. */
+  from_ms: number;
+}
+
 /** Completes the history of versions when a conclusion needs it. */
 export class KnownVersions {
   #options: KnownVersionsOptions;
   /** The questions that are being answered; undefined if there are none. */
   #asking: Promise<void> | undefined;
   #asked_ms = -Infinity;
-  #currency: SharedRuns<Currency>;
+  #confirmation: SharedRuns<Confirmation>;
 
   constructor(options: KnownVersionsOptions) {
     this.#options = options;
-    this.#currency = new SharedRuns(() => this.#makeCurrent(), {
+    this.#confirmation = new SharedRuns(() => this.#makeCurrent(), {
       min_interval_ms: MIN_CONFIRM_INTERVAL_MS,
       now: options.now,
     });
@@ -74,9 +81,10 @@
    * then up to the call, after whatever can be asked was asked.
    */
   async learn(pool: string, since_ms: number): Promise<boolean> {
-    if (await this.#currency.next() === Currency.Unknown) return false;
+    const { currency, from_ms } = await this.#confirmation.next();
+    if (currency === Currency.Unknown) return false;
     const { history, learnStored } = this.#options;
-    const isKnown = () => history.isKnownSince(since_ms, pool);
+    const isKnown = () => history.isKnownSince(since_ms, pool, from_ms);
     if (!isKnown()) await this.#askForVersions();
     if (!isKnown()) await learnStored();
     return isKnown();
@@ -90,19 +98,22 @@
   }
 
   /** Makes what this host knows of the versions current, if it can. */
-  async #makeCurrent(): Promise<Currency> {
-    if (await this.#confirmOwnSource()) return Currency.Confirmed;
+  async #makeCurrent(): Promise<Confirmation> {
+    if (await this.#confirmOwnSource()) {
+      return { currency: Currency.Confirmed, from_ms: -Infinity };
+    }
     const { self, hosts, sourceReaders, random, log } = this.#options;
     const readers = await this.#askVersionsOf(sourceReaders());
-    if (readers.some(({ is_current }) => is_current)) return Currency.Confirmed;
+    const confirmed = this.#confirmedBy(readers);
+    if (confirmed !== undefined) return confirmed;
     // The source may be away for all; then nobody hears of a new version.
     const others = rankCandidates(String(random()), hosts())
       .filter((address) => address !== self)
       .slice(0, ASKED_WITHOUT_SOURCE);
     const reports = await this.#askVersionsOf(others);
-    const isConfirmed = reports.some(({ is_current }) => is_current);
-    const currency = isConfirmed
-      ? Currency.Confirmed
+    const confirmation = this.#confirmedBy(reports);
+    const currency = confirmation !== undefined
+      ? confirmation.currency
       : 2 * reports.length > others.length || others.length === 0
       ? Currency.Agreed
       : Currency.Unknown;
@@ -112,7 +123,19 @@
       answered: reports.length,
       outcome: currency,
     });
-    return currency;
+    return confirmation ?? { currency, from_ms: -Infinity };
+  }
+
+  /**
+   * What current reports confirm; undefined if there are none. Until when this
+   * host's own list was current isn't known, so that it adds nothing to them.
+   */
+  #confirmedBy(reports: readonly VersionReport[]): Confirmation | undefined {
+    const spans_ms = reports.filter(({ is_current }) => is_current)
+      .map(({ known_for_ms }) => known_for_ms);
+    if (spans_ms.length === 0) return undefined;
+    const from_ms = this.#options.now() - Math.max(...spans_ms);
+    return { currency: Currency.Confirmed, from_ms };
   }
 
   /** Whether the source says that this host knows all versions up to now. */
--- a/src/stream_origins/version_history.ts
+++ b/src/stream_origins/version_history.ts
@@ -41,8 +41,8 @@
   #own_since_ms = Infinity;
   /** When this host first knew the endpoints. */
   #first_ms = Infinity;
-  /** Since when the versions of a pool are known from the store. */
-  #stored_since_ms = new Map<string, number>();
+  /** Since when the versions of a pool are known from the store, and up to when. */
+  #stored = new Map<string, { since_ms: number; asked_ms: number }>();
 
   /** Records the endpoints that are in service now. */
   observe(endpoints: readonly RouteEndpoint[], now_ms: number): void {
@@ -82,11 +82,14 @@
   forgetSpan(): void {
     this.#known_since_ms = Infinity;
     this.#own_since_ms = Infinity;
-    this.#stored_since_ms.clear();
+    this.#stored.clear();
   }
 
   /** Takes over what another host knows. */
-  merge({ known_for_ms, versions }: VersionReport, now_ms: number): void {
+  merge(
+    { known_for_ms, versions, is_current = false }: VersionReport,
+    now_ms: number,
+  ): void {
     for (const { pool, version, gone_for_ms } of versions) {
       const known = this.#versionsOf(pool);
       if (known.get(version) === Infinity) continue;
@@ -95,6 +98,8 @@
     }
     // Before this host's own list was current, it knows only what it was told.
     if (this.#known_since_ms === Infinity) return;
+    // What a host that may be behind knows needn't reach up to now.
+    if (!is_current) return;
     this.#known_since_ms = Math.min(
       this.#known_since_ms,
       now_ms - known_for_ms,
@@ -116,8 +121,9 @@
       for (const version of versions) {
         if (!known.has(version)) known.set(version, now_ms);
       }
-      if (!isNewer || this.#stored_since_ms.has(pool)) continue;
-      this.#stored_since_ms.set(pool, now_ms - STORED_MS);
+      if (!isNewer) continue;
+      const { since_ms = now_ms - STORED_MS } = this.#stored.get(pool) ?? {};
+      this.#stored.set(pool, { since_ms, asked_ms });
     }
   }
 
@@ -158,11 +164,20 @@
     return this.#first_ms <= at_ms;
   }
 
-  /** Whether the versions that were in service since then are known. */
-  isKnownSince(since_ms: number, pool: string): boolean {
+  /**
+   * Whether the versions that were in service since then are known; by lists only
+   * from `from_ms` on, up to which the store may tell.
+   */
+  isKnownSince(
+    since_ms: number,
+    pool: string,
+    from_ms = -Infinity,
+  ): boolean {
     if (this.#known_since_ms === Infinity) return false;
-    const stored_since_ms = this.#stored_since_ms.get(pool) ?? Infinity;
-    return Math.min(this.#known_since_ms, stored_since_ms) <= since_ms;
+    if (Math.max(this.#known_since_ms, from_ms) <= since_ms) return true;
+    const stored = this.#stored.get(pool);
+    return stored !== undefined && stored.asked_ms >= from_ms &&
+      stored.since_ms <= since_ms;
   }
 
   #versionsOf(pool: string): Map<string, number> {
--- a/test/stream_origins/stream_origin_service.test.ts
+++ b/test/stream_origins/stream_origin_service.test.ts
@@ -223,6 +223,7 @@
   now_ms += 1_000;
   report = {
     known_for_ms: 60_000,
+    is_current: true,
     versions: [{ pool: "model", version: "v1", gone_for_ms: 0 }],
   };
   assert.equal((await resolve())?.version, "v1");
@@ -232,6 +233,7 @@
   observe("v2");
   report = {
     known_for_ms: 60_000,
+    is_current: true,
     versions: [
       { pool: "model", version: "v1", gone_for_ms: 2_000 },
       { pool: "model", version: "v2", gone_for_ms: 0 },
@@ -271,6 +273,18 @@
   assert.equal(await resolve(), undefined);
 });
 
+test("what came and went before the host that confirms knew the endpoints is not known", async () => {
+  observeList(1, "v1");
+  now_ms += 60_000;
+  sourceAvailable = false;
+  const versions = [{ pool: "model", version: "v1", gone_for_ms: 0 }];
+  report = { known_for_ms: 1_000, versions, is_current: true };
+  assert.equal(await resolve(), undefined);
+  now_ms += 5_000;
+  report.known_for_ms += 5_000;
+  assert.equal((await resolve())?.source, OriginSource.OnlyVersion);
+});
+
 test("a keeper that has no record doesn't make a host that is out of step conclude", async () => {
   observe("v1");
   now_ms += 60_000;
@@ -290,6 +304,7 @@
   now_ms += 1_000;
   report = {
     known_for_ms: 60_000,
+    is_current: true,
     versions: [
       { pool: "model", version: "v1", gone_for_ms: 0 },
       { pool: "model", version: "v2", gone_for_ms: 2_000 },
--- a/test/stream_origins/version_history.test.ts
+++ b/test/stream_origins/version_history.test.ts
@@ -37,17 +37,36 @@
   other.observe([sampleEndpoint("v1")], 0);
   other.observe([sampleEndpoint("v2")], 60_000);
   observe(["v2"], 1_000);
-  history.merge(other.report(62_000), 1_500);
+  history.merge({ ...other.report(62_000), is_current: true }, 1_500);
   assert.equal(history.isKnownSince(-60_500, "model"), true);
   assert.equal(history.isKnownSince(-60_501, "model"), false);
   assert.deepEqual(history.versionsSince("model", -1_000).sort(), ["v1", "v2"]);
   assert.deepEqual(history.versionsSince("model", 0), ["v2"]);
 });
 
+test("how long a host that may be behind has known the endpoints doesn't count", () => {
+  const other = new VersionHistory();
+  other.observe([sampleEndpoint("v1")], 0);
+  observe(["v2"], 1_000);
+  history.merge({ ...other.report(60_000), is_current: false }, 1_500);
+  assert.equal(history.isKnownSince(999, "model"), false);
+  assert.deepEqual(history.versionsSince("model", 0).sort(), ["v1", "v2"]);
+});
+
+test("the store bridges the time before a span only if it was read since", () => {
+  observe(["v1"], 1_000);
+  const stored = [{ pool: "model", versions: ["v1"] }];
+  history.mergeStored(stored, { asked_ms: 2_000, now_ms: 2_100 });
+  assert.equal(history.isKnownSince(500, "model", 2_000), true);
+  assert.equal(history.isKnownSince(500, "model", 2_001), false);
+  history.mergeStored(stored, { asked_ms: 3_000, now_ms: 3_100 });
+  assert.equal(history.isKnownSince(500, "model", 2_001), true);
+});
+
 test("a host without a list of its own doesn't conclude from those of others", () => {
   const other = new VersionHistory();
   other.observe([sampleEndpoint("v1")], 0);
-  history.merge(other.report(60_000), 1_000);
+  history.merge({ ...other.report(60_000), is_current: true }, 1_000);
   assert.equal(history.isKnownSince(500, "model"), false);
 });
 
