--- a/src/batching/job_router.ts
+++ b/src/batching/job_router.ts
@@ -2,8 +2,8 @@
  * Routes stage jobs to the host that batches for their pool: the first live
  * host in a rendezvous ranking. If it does not respond, or is cut off from the
  * pool's endpoints, the next one is used; if all are cut off, one that doesn't
- * batch otherwise, and this host itself if all others fail. Hosts need not agree on the batcher:
- * running a job twice costs work but not correctness.
+ * batch otherwise, and this host itself if all others fail. Hosts need not agree
+ * on the batcher: running a job twice costs work but not correctness.
  */
 import type { Logger } from "../logging/logger.ts";
 import { rankCandidates } from "../membership/rendezvous_hash.ts";
--- a/src/endpoint_places/held_places.ts
+++ b/src/endpoint_places/held_places.ts
@@ -22,10 +22,12 @@
   reportIsDue: boolean;
 }
 
+/** Times are on the monotonic clock, but for `interval_ms`. */
 interface Refusal {
+  /** Until then no place is asked for. */
   until_ms: number;
-  /** Time until the next caller that is refused may find a place. */
-  retry_ms: number;
+  /** When the next caller that is refused may find a place. */
+  retryAt_ms: number;
   /** Time between the returns of two callers. */
   interval_ms: number;
 }
@@ -128,7 +130,7 @@
     this.#refusals.delete(incarnation);
     this.#refusals.set(incarnation, {
       until_ms: now_ms + ask_after_ms,
-      retry_ms: now_ms + retry_after_ms,
+      retryAt_ms: now_ms + retry_after_ms,
       interval_ms: ask_after_ms,
     });
     dropOldest(this.#refusals, MAX_REFUSALS);
@@ -143,10 +145,10 @@
   /** Time until the next caller may find a place; each gets a later one. */
   retryAfterMs(incarnation: string, now_ms: number): number {
     const refusal = this.#refusals.get(incarnation);
-    if (refusal === undefined || refusal.retry_ms <= now_ms) return 0;
-    const wait_ms = refusal.retry_ms - now_ms;
-    refusal.retry_ms = Math.min(
-      refusal.retry_ms + refusal.interval_ms,
+    if (refusal === undefined || refusal.retryAt_ms <= now_ms) return 0;
+    const wait_ms = refusal.retryAt_ms - now_ms;
+    refusal.retryAt_ms = Math.min(
+      refusal.retryAt_ms + refusal.interval_ms,
       now_ms + MAX_RETRY_AFTER_MS,
     );
     return wait_ms;
--- a/src/gateway/reachability_components.ts
+++ b/src/gateway/reachability_components.ts
@@ -39,7 +39,7 @@
  * Connections to an endpoint for carried exchanges, in shares of one host. Senders
  * keep within their own shares, so together they keep within the endpoint's limit.
  */
-const MAX_CARRIED_SHARE = 4;
+const MAX_CARRIED_SHARES = 4;
 
 /** Creates the components; nothing runs yet. */
 export function createReachability(dependencies: ReachabilityDependencies) {
@@ -68,7 +68,7 @@
     lossListeners,
     carriers,
     carriedAgents: new EndpointAgents(
-      () => members.count / MAX_CARRIED_SHARE,
+      () => members.count / MAX_CARRIED_SHARES,
       translateAddress,
     ),
     send: createEndpointSender({
--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -60,8 +60,9 @@
   #entries = new Map<string, RegistryEntry>();
   #returned = new Map<string, ReturnedEntry>();
   #tombstones = new EndpointTombstones();
-  /** Cached for `findByAddress`, and cleared when the entries change. */
+  /** Whether any endpoint has told when it started. */
   #startsAreTold = false;
+  /** Cached for `findByAddress`, and cleared when the entries change. */
   #newestByAddress: Map<string, RouteEndpoint> | undefined;
   /** Also true before the first read. */
   #sourceUnavailable = true;
--- a/src/stream_origins/stored_origins.ts
+++ b/src/stream_origins/stored_origins.ts
@@ -38,9 +38,9 @@
 /** Records of a batch; more are not kept. */
 const MAX_BATCH = 2_000;
 /** Batches of a host; the name of the oldest is used again. */
-const SLOTS = 120;
+const BATCH_NAMES = 120;
 /** No caller resumes a stream that began longer ago. */
-const KEPT_MS = SLOTS * BATCH_INTERVAL_MS;
+const KEPT_MS = BATCH_NAMES * BATCH_INTERVAL_MS;
 const MIN_READ_INTERVAL_MS = 1_000;
 const READ_TIMEOUT_MS = 2_000;
 /** Characters of a hash that stand for a stream: 66 bits. */
@@ -96,7 +96,7 @@
     const origins = this.#pending;
     this.#pending = [];
     // By the clock, so that a host that starts again doesn't replace new batches.
-    const slot = Math.floor(unixTime() / BATCH_INTERVAL_MS) % SLOTS;
+    const slot = Math.floor(unixTime() / BATCH_INTERVAL_MS) % BATCH_NAMES;
     const name = `${host}-${slot}`;
     try {
       await store.writeOrigins(name, toBatch(origins));
