REFUSED: a request that can't be formed has not run

Since headers are formed anew for each way a request counted as possibly run before they were formed, so that one whose head can't be encoded was answered 502 in place of a refusal that says that it has not run.

--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -162,12 +162,8 @@
   const { request, progress } = context.inbound;
   const { metadata, organisation, priority } = context.admitted;
   const pool = configuration.routeTable?.configuration.pools.get(context.pool);
-  const formRequest = () => ({
-    address: endpoint.address,
-    agent: agents.agentFor(endpoint.address, pool?.max_connections ?? 1),
-    method: request.method ?? "GET",
-    target: request.url ?? "/",
-    headers: codec.encodeRequestHeaders(request.rawHeaders, {
+  const formRequest = () => {
+    const headers = codec.encodeRequestHeaders(request.rawHeaders, {
       endpoint,
       remaining_ms: Math.floor(context.remainingMs()),
       organisation: organisation?.name,
@@ -175,13 +171,20 @@
       priority,
       last_event_id: context.lastEventId ?? metadata.last_event_id,
       body_bytes: context.body?.length,
-    }),
-    body: context.body,
-    attempt_id: metadata.attempt_id,
-    signal,
-  });
-  // Until the result is known.
-  progress.mayHaveRun = true;
+    });
+    // Until the result is known.
+    progress.mayHaveRun = true;
+    return {
+      address: endpoint.address,
+      agent: agents.agentFor(endpoint.address, pool?.max_connections ?? 1),
+      method: request.method ?? "GET",
+      target: request.url ?? "/",
+      headers,
+      body: context.body,
+      attempt_id: metadata.attempt_id,
+      signal,
+    };
+  };
   return await send(endpoint, formRequest);
 }
 
