Load reports may tell how slow work is at an endpoint

Cause: endpoints that share their machine report a fourth figure, the time that work takes there now. A prompt leaves the endpoint that has its prefix only if another one processes the whole prompt sooner. Without the figure nothing changes.

--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -4,7 +4,10 @@
 import { UNNAMED } from "../stream_origins/version_history.ts";
 import { RequestTraits } from "../quarantine/request_traits.ts";
 import { hostnameOf } from "../routes/route_table.ts";
-import { sharedPrefix } from "../routing/choose_route_endpoint.ts";
+import {
+  type SharedPrefix,
+  sharedPrefix,
+} from "../routing/choose_route_endpoint.ts";
 import type { AdmittedRequest } from "./admit.ts";
 import type { Place } from "../endpoint_places/endpoint_places.ts";
 import type { ForwardingDependencies } from "./dependencies.ts";
@@ -57,7 +60,7 @@
   /**
    * The prompt prefix shared with other requests; undefined if there is none.
    */
-  readonly sharedPromptPrefix: string | undefined;
+  readonly sharedPromptPrefix: SharedPrefix | undefined;
   /** What may crash endpoints. */
   readonly traits: RequestTraits;
   /**
--- a/src/routing/choose_route_endpoint.ts
+++ b/src/routing/choose_route_endpoint.ts
@@ -23,41 +23,77 @@
 /** Share of an endpoint's slots in use from which it counts as full. */
 const MAX_SLOT_SHARE = 0.85;
 
+/** The prompt prefix of a request that other requests are likely to share. */
+export interface SharedPrefix {
+  /** Id of its last part. */
+  id: string;
+  /** Tokens of the prefix. */
+  tokens: number;
+  /** Tokens of the whole prompt. */
+  prompt_tokens: number;
+}
+
 /**
- * Id of the longest prompt prefix that other requests are likely to share: the
- * last part but one, since the last part is the request's own, or the only
- * part. Undefined for an empty prompt.
+ * The longest prompt prefix that other requests are likely to share: all parts
+ * but the last, which is the request's own, or the only part. Undefined for an
+ * empty prompt.
  */
 export function sharedPrefix(
   prompt: readonly PromptPart[],
-): string | undefined {
-  return prompt.at(-2)?.id ?? prompt.at(-1)?.id;
+): SharedPrefix | undefined {
+  const shared = prompt.length > 1 ? prompt.slice(0, -1) : prompt;
+  const last = shared.at(-1);
+  if (last === undefined) return undefined;
+  return {
+    id: last.id,
+    tokens: countTokens(shared),
+    prompt_tokens: countTokens(prompt),
+  };
+}
+
+function countTokens(parts: readonly PromptPart[]): number {
+  return parts.reduce((sum, { tokens }) => sum + tokens, 0);
 }
 
 /**
  * Chooses the first endpoint that is not full, in the prefix's rendezvous
  * ranking of the endpoints, or the least loaded one if all are full; undefined
  * without candidates. One that starts again and again comes last: all streams of
- * its prefixes would break with it each time.
+ * its prefixes would break with it each time. One that is slow at the moment is
+ * passed over if another would process the whole prompt sooner.
  */
 export function chooseByPrefix(
-  prefix: string,
+  prefix: SharedPrefix,
   context: RouteChoiceContext,
 ): RouteEndpoint | undefined {
   const usable = usableEndpoints(context);
   const byId = new Map(usable.map((endpoint) => [endpoint.id, endpoint]));
   const { load, now_ms } = context;
-  const ranked = rankCandidates(prefix, [...byId.keys()])
+  const ranked = rankCandidates(prefix.id, [...byId.keys()])
     .map((id) => byId.get(id) as RouteEndpoint);
   const unstable = new Set(
     ranked.filter((each) => load.restarts.isUnstable(each, now_ms)),
   );
   const stable = ranked.filter((each) => !unstable.has(each));
-  for (const endpoint of [...stable, ...unstable]) {
-    const requests = load.forEndpoint(endpoint).estimatedRequests(now_ms);
-    if (requests < endpoint.slots * MAX_SLOT_SHARE) return endpoint;
-  }
-  return leastLoaded(usable, context);
+  const withRoom = [...stable, ...unstable].filter((each) =>
+    load.forEndpoint(each).estimatedRequests(now_ms) <
+      each.slots * MAX_SLOT_SHARE
+  );
+  const isTooSlow = (each: RouteEndpoint) =>
+    isSlowerThanWholePrompt(prefix, load.forEndpoint(each).slowness(now_ms));
+  return withRoom.find((each) => !isTooSlow(each)) ?? withRoom[0] ??
+    leastLoaded(usable, context);
+}
+
+/**
+ * Whether an endpoint of usual speed would process the whole prompt sooner than
+ * one of this slowness, which has the prefix cached, the rest of it.
+ */
+function isSlowerThanWholePrompt(
+  { tokens, prompt_tokens }: SharedPrefix,
+  slowness: number,
+): boolean {
+  return slowness * (prompt_tokens - tokens) > prompt_tokens;
 }
 
 /** Chooses the less loaded of two random endpoints; undefined without any. */
@@ -101,7 +137,8 @@
     const observed = load.forEndpoint(endpoint);
     const utilization = (observed.estimatedRequests(now_ms) + 1) /
       endpoint.slots;
-    const cost = utilization * Math.max(1, observed.first_byte_ms);
+    const cost = utilization * Math.max(1, observed.first_byte_ms) *
+      observed.slowness(now_ms);
     if (best === undefined || cost < best.cost) best = { endpoint, cost };
   }
   return best?.endpoint;
--- a/src/routing/observed_load.ts
+++ b/src/routing/observed_load.ts
@@ -9,10 +9,17 @@
 import type { RouteEndpoint } from "../routes/types.ts";
 import { Restarts } from "./restarts.ts";
 
-/** Number of requests that an endpoint reported with a response. */
+/** The load that an endpoint reported with a response. */
 export interface ReportedLoad {
+  /** Number of requests that it worked on. */
   running: number;
+  /** Number of requests that waited there. */
   waiting: number;
+  /**
+   * Ratio of the time that work took there at that moment to its usual time;
+   * undefined from endpoints that don't report it.
+   */
+  slowness?: number;
 }
 
 /** The outcome of an exchange, as it counts for the endpoint's health. */
@@ -101,11 +108,18 @@
 
   /** Estimated number of requests there, including those of other hosts. */
   estimatedRequests(now_ms: number): number {
-    const age_ms = now_ms - this.#reported_ms;
-    const weight = 0.5 ** (age_ms / LOAD_REPORT_HALF_LIFE_MS);
     const { running, waiting } = this.#reported;
     const others = Math.max(0, running + waiting - this.#inFlightAtReport);
-    return this.in_flight + others * weight;
+    return this.in_flight + others * this.#reportWeight(now_ms);
+  }
+
+  /**
+   * Estimated ratio of the time that work takes there to its usual time. It
+   * approaches 1 as the report that it comes from gets older.
+   */
+  slowness(now_ms: number): number {
+    const { slowness = 1 } = this.#reported;
+    return 1 + (slowness - 1) * this.#reportWeight(now_ms);
   }
 
   /** Records how an exchange ended. */
@@ -140,6 +154,11 @@
     this.#avoidance_ms = INITIAL_AVOIDANCE_MS;
   }
 
+  #reportWeight(now_ms: number): number {
+    const age_ms = now_ms - this.#reported_ms;
+    return 0.5 ** (age_ms / LOAD_REPORT_HALF_LIFE_MS);
+  }
+
   #updateAvoidance(failed: boolean, now_ms: number): void {
     if (this.failure_share < MAX_FAILURE_SHARE) {
       this.#avoidance_ms = INITIAL_AVOIDANCE_MS;
--- a/test/platform/codec.test.ts
+++ b/test/platform/codec.test.ts
@@ -96,6 +96,9 @@
     "rate limit in words": read(200, ["Server-Limit", "few"]),
     "empty rate limit": read(200, ["Server-Limit", ""]),
     "huge rate limit": read(200, ["Server-Limit", "9".repeat(400)]),
+    "load with slowness": read(200, ["X-Instance-Load", "3,1,8,250"]),
+    "load with a slowness of zero": read(200, ["X-Instance-Load", "3,1,8,0"]),
+    "load with a fifth figure": read(200, ["X-Instance-Load", "3,1,8,250,1"]),
     "load in words": read(200, ["X-Instance-Load", "a,b,c"]),
     leaving: read(200, ["Server-Leaving", "1"]),
   });
--- a/test/routing/choose_route_endpoint.test.ts
+++ b/test/routing/choose_route_endpoint.test.ts
@@ -34,6 +34,7 @@
 }
 
 const endpoints = ["v", "w", "x", "y", "z"].map(endpoint);
+const subject = { id: "subject", tokens: 100, prompt_tokens: 300 };
 
 function choice(candidates = endpoints, now_ms = 0) {
   let step = 0;
@@ -47,53 +48,54 @@
     { id: "subject", tokens: 10 },
     { id: own, tokens: 10 },
   ];
-  assert.equal(sharedPrefix(prompt("one")), sharedPrefix(prompt("two")));
+  assert.deepEqual(sharedPrefix(prompt("one")), sharedPrefix(prompt("two")));
   assert.equal(sharedPrefix([]), undefined);
 });
 
 test("a prefix keeps its endpoint when others leave or candidates change order", () => {
-  const first = chooseByPrefix("subject", choice());
+  const first = chooseByPrefix(subject, choice());
   assert.ok(first !== undefined);
   assert.equal(
-    chooseByPrefix("subject", choice([...endpoints].reverse())),
+    chooseByPrefix(subject, choice([...endpoints].reverse())),
     first,
   );
   const others = endpoints.filter((each) => each !== first);
   const fewerOthers = others.slice(1);
   const remaining = [first, ...fewerOthers];
-  assert.equal(chooseByPrefix("subject", choice(remaining)), first);
+  assert.equal(chooseByPrefix(subject, choice(remaining)), first);
 });
 
 test("different prefixes spread over all endpoints", () => {
   const used = new Set(
     Array.from(
       { length: 60 },
-      (_, n) => chooseByPrefix(`subject-${n}`, choice())?.id,
+      (_, n) =>
+        chooseByPrefix({ ...subject, id: `subject-${n}` }, choice())?.id,
     ),
   );
   assert.equal(used.size, endpoints.length);
 });
 
 test("requests with the prefix of a full endpoint go to the next one", () => {
-  const first = chooseByPrefix("subject", choice());
+  const first = chooseByPrefix(subject, choice());
   assert.ok(first !== undefined);
   load.forEndpoint(first).in_flight = first.slots;
-  assert.notEqual(chooseByPrefix("subject", choice()), first);
+  assert.notEqual(chooseByPrefix(subject, choice()), first);
 });
 
 test("a prefix leaves an endpoint that starts again and again, and comes back later", () => {
-  const first = chooseByPrefix("subject", choice());
+  const first = chooseByPrefix(subject, choice());
   assert.ok(first !== undefined);
   const restarted = (born_ms: number) =>
     endpoints.map((each) => each === first ? { ...each, born_ms } : each);
   assert.equal(
-    chooseByPrefix("subject", choice(restarted(2), 1_000))?.id,
+    chooseByPrefix(subject, choice(restarted(2), 1_000))?.id,
     first.id,
   );
-  const second = chooseByPrefix("subject", choice(restarted(3), 4_000));
+  const second = chooseByPrefix(subject, choice(restarted(3), 4_000));
   assert.notEqual(second?.id, first.id);
   assert.equal(
-    chooseByPrefix("subject", choice(restarted(3), 31_000))?.id,
+    chooseByPrefix(subject, choice(restarted(3), 31_000))?.id,
     first.id,
   );
 });
@@ -102,17 +104,17 @@
   const [only] = endpoints as [RouteEndpoint];
   for (const born_ms of [1, 2, 3, 4]) {
     const candidates = [{ ...only, born_ms }];
-    const chosen = chooseByPrefix("subject", choice(candidates, born_ms));
+    const chosen = chooseByPrefix(subject, choice(candidates, born_ms));
     assert.equal(chosen?.id, only.id);
   }
 });
 
 test("an endpoint backs off for a while after a connection failure", () => {
-  const first = chooseByPrefix("subject", choice());
+  const first = chooseByPrefix(subject, choice());
   assert.ok(first !== undefined);
   load.forEndpoint(first).recordOutcome(ObservedOutcome.ConnectionFailed, 0);
-  assert.notEqual(chooseByPrefix("subject", choice(endpoints, 100)), first);
-  assert.equal(chooseByPrefix("subject", choice(endpoints, 300)), first);
+  assert.notEqual(chooseByPrefix(subject, choice(endpoints, 100)), first);
+  assert.equal(chooseByPrefix(subject, choice(endpoints, 300)), first);
 });
 
 /** Lets an endpoint fail until it is avoided. */
@@ -123,20 +125,20 @@
 }
 
 test("an endpoint that failed often is used again after a while, though others are healthy", () => {
-  const first = chooseByPrefix("subject", choice());
+  const first = chooseByPrefix(subject, choice());
   assert.ok(first !== undefined);
   failOften(first, 0);
-  assert.notEqual(chooseByPrefix("subject", choice(endpoints, 1_000)), first);
-  assert.equal(chooseByPrefix("subject", choice(endpoints, 5_000)), first);
+  assert.notEqual(chooseByPrefix(subject, choice(endpoints, 1_000)), first);
+  assert.equal(chooseByPrefix(subject, choice(endpoints, 5_000)), first);
 });
 
 test("an endpoint that goes on failing is tried less and less often", () => {
-  const first = chooseByPrefix("subject", choice());
+  const first = chooseByPrefix(subject, choice());
   assert.ok(first !== undefined);
   failOften(first, 0);
   const tries_ms: number[] = [];
   for (let now_ms = 0; now_ms < 60_000; now_ms += 100) {
-    if (chooseByPrefix("subject", choice(endpoints, now_ms)) !== first) {
+    if (chooseByPrefix(subject, choice(endpoints, now_ms)) !== first) {
       continue;
     }
     tries_ms.push(now_ms);
@@ -176,3 +178,33 @@
   observed.recordOutcome(ObservedOutcome.ConnectionFailed, 300);
   assert.ok(observed.isBackingOff(750));
 });
+
+test("a prompt goes past a slow endpoint only if another processes all of it sooner", () => {
+  const first = chooseByPrefix(subject, choice());
+  assert.ok(first !== undefined);
+  const report = { running: 0, waiting: 0, slowness: 2.5 };
+  load.forEndpoint(first).recordLoad(report, 0);
+  assert.notEqual(chooseByPrefix(subject, choice()), first);
+  // 2.5 times the 100 tokens of its own take less than all 300.
+  const mostlyShared = { ...subject, tokens: 200 };
+  assert.equal(chooseByPrefix(mostlyShared, choice()), first);
+});
+
+test("an endpoint's reported slowness counts for less as it gets older", () => {
+  const first = chooseByPrefix(subject, choice());
+  assert.ok(first !== undefined);
+  const report = { running: 0, waiting: 0, slowness: 2.5 };
+  load.forEndpoint(first).recordLoad(report, 0);
+  assert.equal(load.forEndpoint(first).slowness(0), 2.5);
+  assert.equal(load.forEndpoint(first).slowness(300), 1.75);
+  assert.equal(chooseByPrefix(subject, choice(endpoints, 600)), first);
+});
+
+test("of two endpoints with equal load the faster one is chosen", () => {
+  const [slow, fast] = endpoints.slice(0, 2);
+  assert.ok(slow !== undefined && fast !== undefined);
+  const report = { running: 1, waiting: 0 };
+  load.forEndpoint(slow).recordLoad({ ...report, slowness: 2.5 }, 0);
+  load.forEndpoint(fast).recordLoad({ ...report, slowness: 1 }, 0);
+  assert.equal(chooseOfTwo(choice([slow, fast])), fast);
+});
