Pools are spread over the hosts that batch for them

Cause: each pool's batcher is the first of its own ranking, so that one host may batch for all pools of a pipeline. Calls left half filled (38 of 67 pieces while 309 waited), as results were freed late. Change: no host gets a second pool while another candidate has none.

--- a/src/batching/job_router.ts
+++ b/src/batching/job_router.ts
@@ -8,6 +8,7 @@
 import type { Logger } from "../logging/logger.ts";
 import { rankCandidates } from "../membership/rendezvous_hash.ts";
 import { chooseShard } from "./pool_shards.ts";
+import { spreadPools } from "./spread_pools.ts";
 import type { PoolWaits } from "./pool_waits.ts";
 import { abortableDelay } from "../utils/delay.ts";
 import type { Batcher } from "./batcher.ts";
@@ -46,6 +47,11 @@
   self: string;
   /** Addresses of the hosts that may batch, this one included. */
   batchers: () => readonly string[];
+  /**
+   * Names of all pools that compute pieces; the same array is returned until they
+   * change.
+   */
+  pools: () => readonly string[];
   /** Addresses of all hosts, this one included. */
   hosts: () => readonly string[];
   /** This host's own batcher. */
@@ -87,17 +93,18 @@
   last_outcome_ms: number;
 }
 
-/** Hosts ranked for a pool or shard; valid while `batchers` is current. */
-interface PoolRanking {
+/** Hosts ranked for pools and shards; valid while hosts and pools are current. */
+interface Rankings {
   batchers: readonly string[];
-  order: readonly string[];
+  pools: readonly string[];
+  byKey: Map<string, readonly string[]>;
 }
 
 /** Runs jobs at the batcher of their pool and frees results there. */
 export class JobRouter {
   #peerStates = new Map<string, PeerState>();
   #freed: FreedResults[] = [];
-  #rankings = new Map<string, PoolRanking>();
+  #rankings: Rankings | undefined;
   #options: JobRouterOptions;
 
   constructor(options: JobRouterOptions) {
@@ -266,14 +273,24 @@
   }
 
   #rankingFor(key: string): readonly string[] {
-    const batchers = this.#options.batchers();
-    const known = this.#rankings.get(key);
-    if (known?.batchers === batchers) return known.order;
+    const { batchers, byKey } = this.#currentRankings();
+    const known = byKey.get(key);
+    if (known !== undefined) return known;
     const order = rankCandidates(key, batchers);
-    this.#rankings.set(key, { batchers, order });
+    byKey.set(key, order);
     return order;
   }
 
+  #currentRankings(): Rankings {
+    const batchers = this.#options.batchers();
+    const pools = this.#options.pools();
+    const known = this.#rankings;
+    if (known?.batchers === batchers && known.pools === pools) return known;
+    const byKey = spreadPools(pools, batchers);
+    this.#rankings = { batchers, pools, byKey };
+    return this.#rankings;
+  }
+
   async #runAt(
     address: string,
     job: StageJob,
--- a/src/gateway/batching_components.ts
+++ b/src/gateway/batching_components.ts
@@ -6,7 +6,7 @@
 import { PoolWaits } from "../batching/pool_waits.ts";
 import { createCrashRecorder } from "../batching/crash_recorder.ts";
 import { createPieceClient } from "../batching/piece_client.ts";
-import type { RoutePool } from "../routes/types.ts";
+import type { RouteConfiguration, RoutePool } from "../routes/types.ts";
 import type { HostContext } from "./host_context.ts";
 
 /** Components that form batches and route jobs to the hosts that do. */
@@ -50,10 +50,16 @@
     now,
   });
   context.lossListeners.push((endpoint) => batcher.forgetFailures(endpoint));
+  let batchPools: readonly string[] = [];
+  context.configurationListeners.push(({ configuration }) => {
+    const names = namesOfBatchPools(configuration);
+    if (names.join() !== batchPools.join()) batchPools = names;
+  });
   const waits = new PoolWaits();
   const jobRouter: JobRouter = new JobRouter({
     self: context.self,
     batchers: () => members.batchers(context.lifecycle.isShuttingDown),
+    pools: () => batchPools,
     hosts: () => members.addresses(),
     local: batcher,
     peers,
@@ -74,3 +80,9 @@
   });
   return { batcher, jobRouter, pool };
 }
+
+function namesOfBatchPools({ pools }: RouteConfiguration): string[] {
+  return [...pools.values()].filter(({ batch }) => batch !== undefined)
+    .map(({ name }) => name)
+    .sort();
+}
--- a/test/batching/cut_off_batcher.test.ts
+++ b/test/batching/cut_off_batcher.test.ts
@@ -168,6 +168,7 @@
     self: address,
     // A few of the hosts batch; the last two don't.
     batchers: () => batchers,
+    pools: () => [],
     hosts: () => [...hosts.keys()],
     local: batcher,
     peers: {
--- a/test/batching/job_router.test.ts
+++ b/test/batching/job_router.test.ts
@@ -76,6 +76,7 @@
   return new JobRouter({
     self: "self",
     batchers: () => hosts,
+    pools: () => [],
     hosts: () => [...hosts, "self"],
     local,
     peers,
--- a/test/batching/pipeline_replay.ts
+++ b/test/batching/pipeline_replay.ts
@@ -198,6 +198,7 @@
     const router: JobRouter = new JobRouter({
       self,
       batchers: () => batchers,
+      pools: () => [],
       hosts: () => batchers,
       local: batcher,
       peers: this.#createPeers(),
