A host that stood still doesn't take answered calls for silent ones

Cause: after a pause of the event loop, Node runs expired timers before it reads what has arrived. So a call for pieces, or a question to another host, that was answered during the pause counted as timed out: the pieces were computed again at another endpoint, and a batcher or carrier was given up for 3 s. Seen in a run of stages_of_cut_hosts.test.ts at a load average of 12 ("pieces were computed twice", 1 of 3 copies): pauses of 300 to 640 ms, 39 calls that timed out, and hosts that got "No answer within 400 ms" from hosts that had answered.

--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -19,6 +19,7 @@
 import type { Logger } from "../logging/logger.ts";
 import type { SendToEndpoint } from "../relaying/endpoint_sender.ts";
 import type { RouteEndpoint, RoutePool } from "../routes/types.ts";
+import { startLoopTimeout } from "../utils/loop_timeout.ts";
 import {
   type PieceCallOptions,
   type PieceCallResult,
@@ -313,7 +314,10 @@
     };
   };
   const max_connections = pool(endpoint?.pool ?? "")?.max_connections ?? 1;
-  const timer = setTimeout(() => expiry.abort(CALL_EXPIRED), timeout_ms);
+  const cancelTimeout = startLoopTimeout(
+    timeout_ms,
+    () => expiry.abort(CALL_EXPIRED),
+  );
   try {
     const either = AbortSignal.any(signals);
     const result = await send(endpoint, () => ({
@@ -359,7 +363,7 @@
     read.held?.release();
     return { ...complete, body: read.bytes };
   } finally {
-    clearTimeout(timer);
+    cancelTimeout();
   }
 }
 
--- a/src/utils/http_client.ts
+++ b/src/utils/http_client.ts
@@ -11,6 +11,7 @@
 } from "node:http";
 import { BytesReadKind, readBytes } from "../bodies/read_bytes.ts";
 import type { Address } from "../settings/settings.ts";
+import { startLoopTimeout } from "./loop_timeout.ts";
 
 /** A request to be sent. */
 export interface HttpRequest {
@@ -18,7 +19,7 @@
   path: string;
   headers?: Record<string, string>;
   body?: string;
-  /** Time limit for the whole response. */
+  /** Time limit for the whole response, while this host's event loop runs. */
   timeout_ms: number;
   signal?: AbortSignal;
 }
@@ -72,15 +73,15 @@
         return;
       }
       let timedOut = false;
-      const timer = setTimeout(() => {
+      const cancelTimeout = startLoopTimeout(options.timeout_ms, () => {
         timedOut = true;
         outgoing.destroy(
           new Error(`No answer within ${options.timeout_ms} ms`),
         );
         this.#closeIdleConnections();
-      }, options.timeout_ms);
+      });
       const fail = (error: Error) => {
-        clearTimeout(timer);
+        cancelTimeout();
         const silent = timedOut && sent;
         reject(new HttpRequestError(error.message, { sent, silent }));
       };
@@ -105,7 +106,7 @@
             outgoing.destroy(error);
             return fail(error);
           }
-          clearTimeout(timer);
+          cancelTimeout();
           const { statusCode = 0, headers } = incoming;
           resolve({
             status: statusCode,
