A response that ends while its request is still written is not complete

Cause: a response without a length or chunks ends with its connection. An endpoint that ended its side while a long request was still being written, and reset the connection a moment later, looked complete: at the end of the response the socket had no error yet, and that was all that was checked. Callers got the part as a whole response (status 200) to unsafe and safe calls and on streams, carriers passed it on as whole, and calls for pieces took it for an answer.

Change: an unframed response that ends before its request has been handed to the system counts as broken off. Framed ones are judged by their frame as before.

Test: 72 endings (no length, too little for the length, chunks without the last; a close, a reset after the last bytes, an end and then a reset; status 000, 001 and 099; long and short uploads; with and without a 103; new and kept connections) on unsafe calls, safe calls, two kinds of stream, direct exchanges, exchanges through another host, and calls for pieces. Ruled out: statuses below 200 reached no caller before either, and no failure was told as not run.

Not covered: an endpoint that ends its side in order, unframed, after the system has taken the whole request; by HTTP that response is complete.

--- a/src/endpoints/exchange.ts
+++ b/src/endpoints/exchange.ts
@@ -74,6 +74,8 @@
   socket: Socket;
   /** Whether no earlier response came on its connection. */
   first_on_connection: boolean;
+  /** Whether the whole request has been handed to the system by now. */
+  isRequestWritten: () => boolean;
   /** Address of the host through which it came; undefined if directly. */
   carrier?: string;
 }
@@ -85,6 +87,7 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Lower ones are informational: a response with another status follows. */
 const MIN_FINAL_STATUS = 200;
+const FRAMING_HEADERS = ["content-length", "transfer-encoding"];
 const INVALID_STATUS_TEXT = /[^\t\x20-\x7e\x80-\xff]/;
 
 /**
@@ -165,6 +168,7 @@
           first_on_connection: endpointRequest.agent.recordResponse(
             message.socket,
           ),
+          isRequestWritten: () => clientRequest.writableFinished,
         },
       });
     });
@@ -213,12 +217,23 @@
 }
 
 /**
- * Whether a response that has ended is complete. A response without a length
- * ends when its connection closes; Node reports it as complete even if the
- * connection was reset, so the socket's error is checked as well.
+ * Whether a response that has ended is complete. A response without a length or
+ * chunks ends when its connection closes; Node reports it as complete even if the
+ * connection was reset, so the socket's error is checked as well. If it ends
+ * before the request has been written, the endpoint gave up both: the reset may
+ * come later than the end.
  */
-export function isComplete({ body, socket }: EndpointResponse): boolean {
-  return body.complete && socket.errored === null;
+export function isComplete(response: EndpointResponse): boolean {
+  const { body, socket, isRequestWritten } = response;
+  return body.complete && socket.errored === null &&
+    (isFramed(response) || isRequestWritten());
+}
+
+/** Whether a response has a length or chunks, so that its end is told. */
+export function isFramed({ headers }: EndpointResponse): boolean {
+  return FRAMING_HEADERS.some((name) =>
+    headerValue(headers, name) !== undefined
+  );
 }
 
 /** Discards a response and closes its connection. */
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -3,8 +3,8 @@
 import {
   discardResponse,
   type EndpointResponse,
-  headerValue,
   isComplete,
+  isFramed,
   type RawHeaders,
   readFullBody,
 } from "../endpoints/exchange.ts";
@@ -68,8 +68,6 @@
   limits: BodyLimits;
 }
 
-const FRAMING_HEADERS = ["content-length", "transfer-encoding"];
-
 const CUT_REASONS = {
   [BytesReadKind.TooLarge]: ResponseCutReason.TooLarge,
   [BytesReadKind.Dropped]: ResponseCutReason.Dropped,
@@ -239,11 +237,8 @@
   response: EndpointResponse,
   { endsInsideEvent, eventCount }: EventSplitter,
 ): boolean {
-  const isFramed = FRAMING_HEADERS.some((name) =>
-    headerValue(response.headers, name) !== undefined
-  );
   return isComplete(response) && !endsInsideEvent &&
-    (isFramed || eventCount > 0);
+    (isFramed(response) || eventCount > 0);
 }
 
 function writeHeadOnce(
--- a/src/relaying/endpoint_sender.ts
+++ b/src/relaying/endpoint_sender.ts
@@ -275,7 +275,7 @@
 
 function carriedResponse(
   head: Extract<ResponseHead, { kind: CarriedOutcome.Response }>,
-  { body, socket }: EndpointResponse,
+  { body, socket, isRequestWritten }: EndpointResponse,
   carrier: string,
 ): EndpointResponse {
   const { status, status_text, headers, first_on_connection } = head;
@@ -286,6 +286,7 @@
     body,
     socket,
     first_on_connection,
+    isRequestWritten,
     carrier,
   };
 }
