A carried response without a status is taken for none

A carrier's head of a response could name any number as its status. Node can't write 0 to a caller, which ended in a fault. The head is read only with a final status (200 to 999) now; otherwise what came of the exchange isn't known.

--- a/src/relaying/exchange_head.ts
+++ b/src/relaying/exchange_head.ts
@@ -8,6 +8,9 @@
 export const EXCHANGE_PATH = "/exchanges";
 /** Name of the header that holds the head; in lower case. */
 export const HEAD_HEADER = "exchange-head";
+/** Statuses that a response with a body can have and Node writes to a caller. */
+const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 999;
 /** Largest head section between hosts: 512 KiB, as escapes lengthen headers. */
 export const MAX_HEAD_BYTES = 524_288;
 
@@ -62,7 +65,7 @@
 const responseHeadSchema = z.discriminatedUnion("kind", [
   z.object({
     kind: z.literal(CarriedOutcome.Response),
-    status: z.number(),
+    status: z.int().min(MIN_FINAL_STATUS).max(MAX_STATUS),
     status_text: z.string(),
     headers: z.array(z.string()),
     /** Whether no earlier response came on the carrier's connection. */
--- a/test/relaying/endpoint_sender.test.ts
+++ b/test/relaying/endpoint_sender.test.ts
@@ -24,6 +24,11 @@
   CARRIER_LOST,
   NO_CARRIER,
 } from "../../src/relaying/endpoint_sender.ts";
+import {
+  CarriedOutcome,
+  encodeHead,
+  HEAD_HEADER,
+} from "../../src/relaying/exchange_head.ts";
 import type { RouteEndpoint } from "../../src/routes/types.ts";
 import { EndlessServer } from "../../stand_ins/deployment/endless_server.ts";
 import { waitUntil } from "../../stand_ins/deployment/gateway_fleet.ts";
@@ -510,3 +515,28 @@
     }
   }
 });
+
+test("a carrier's report of a response that has no status is not passed on", async (t) => {
+  const unused = endpointAt(UNUSED_ADDRESS);
+  for (const status of [0, 99, 103, 1_000, 200.5]) {
+    const { endpoint: carrier } = await startEndpoint(
+      t,
+      (_request, response) => {
+        const head = encodeHead({
+          kind: CarriedOutcome.Response,
+          status,
+          status_text: "OK",
+          headers: [],
+          first_on_connection: true,
+        });
+        response.writeHead(200, { [HEAD_HEADER]: head }).end("half");
+      },
+    );
+    const { send } = createSender(t, routesThrough([carrier.address]));
+    assert.deepEqual(await send(unused), {
+      kind: ExchangeOutcome.ResponseLost,
+      reason: CARRIER_LOST,
+      way_failed: true,
+    }, `status ${status}`);
+  }
+});
