--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -5,7 +5,6 @@
 import { type GraphOutcome, runStages } from "../batching/stage_graph.ts";
 import { ENDPOINTS_CRASH, JobOutcomeKind } from "../batching/types.ts";
 import { setTimeout as delay } from "node:timers/promises";
-import { startLoopTimeout } from "../utils/loop_timeout.ts";
 import { fitsDrain } from "./fits_drain.ts";
 import { HOST_STOPPING, QUARANTINED, RejectionReason } from "./rejection.ts";
 import {
@@ -39,14 +38,6 @@
 /** Maximum number of times the stages run when their results are lost. */
 const MAX_STAGE_RUNS = 2;
 
-/**
- * Longest time for which a failed request is held back until it is known whether
- * its endpoint has crashed: other hosts are asked, and then told, within 400 ms each.
- */
-const MAX_VERDICT_WAIT_MS = 1_000;
-/** Time before its deadline at which such a request is answered at the latest. */
-const ANSWER_MARGIN_MS = 50;
-
 const NO_INPUTS: StageInputs = { results: [], freeResults: () => {} };
 
 /**
@@ -305,36 +296,12 @@
     await confirmStreamOrigin(context);
     failures += 1;
     const { max_attempts } = context.admitted.route;
-    if (!context.idempotent || failures >= max_attempts) {
-      await awaitCrashVerdict(context);
-      break;
-    }
+    if (!context.idempotent || failures >= max_attempts) break;
     if (await context.crashSuspicion) break;
   }
   return unansweredOutcome(context);
 }
 
-/**
- * Waits until it is known whether the endpoint of a failed send has crashed and,
- * if so, until all hosts know of it: the caller may send the request again as soon
- * as it is answered.
- */
-async function awaitCrashVerdict(context: RunContext): Promise<void> {
-  const wait_ms = Math.min(
-    MAX_VERDICT_WAIT_MS,
-    context.remainingMs() - ANSWER_MARGIN_MS,
-  );
-  if (context.crashSuspicion === undefined || wait_ms <= 0) return;
-  const timeout = Promise.withResolvers<void>();
-  const cancelTimeout = startLoopTimeout(wait_ms, timeout.resolve);
-  await Promise.race([
-    context.crashSuspicion,
-    context.stopped,
-    timeout.promise,
-  ]);
-  cancelTimeout();
-}
-
 /** The outcome of a request on whose prompt endpoints crash. */
 function quarantinedOutcome(context: RunContext): RequestOutcome {
   return context.mayHaveRun ? unansweredOutcome(context) : refused(QUARANTINED);
