--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -9,6 +9,7 @@
   type RouteEndpoint,
   RouteEndpointState,
 } from "../routes/types.ts";
+import { EVACUATED_RETRY_AFTER_MS } from "../evacuations/types.ts";
 import { endpointsOfShard } from "./pool_shards.ts";
 import { createRefusal, findUnservableJobs } from "./admit_job.ts";
 import { CallRunner, type CallRunnerOptions } from "./call_runner.ts";
@@ -53,6 +54,8 @@
     > {
   /** Whether this host has lost nearly all of these endpoints, not so others. */
   isCutOffFrom: (endpoints: readonly RouteEndpoint[]) => boolean;
+  /** Whether all zones of a pool are evacuated; never by default. */
+  isEvacuated?: (pool: string) => boolean;
 }
 
 /** Delay before the next dispatch while pieces are waiting. */
@@ -228,6 +231,30 @@
     return this.#loads.report(this.#queueOf(queueName));
   }
 
+  /** Refuses jobs without a part that is under way, if their pool is evacuated. */
+  #refuseIfEvacuated(queue: PoolQueue): void {
+    const { isEvacuated, log } = this.#options;
+    if (queue.jobs.size === 0 || isEvacuated?.(queue.pool) !== true) return;
+    const refused = [...queue.jobs].filter(({ waiting, job }) =>
+      waiting.length === job.pieces.length
+    );
+    if (refused.length === 0) return;
+    log.warn({
+      event: "jobs_refused",
+      pool: queue.pool,
+      shard: queue.shard,
+      jobs: refused.length,
+      reason: "zones_evacuated",
+    });
+    for (const queued of refused) {
+      this.#finishJob(queued, queue, {
+        kind: JobOutcomeKind.Refused,
+        retry_after_ms: EVACUATED_RETRY_AFTER_MS,
+        wait_ms: EVACUATED_RETRY_AFTER_MS,
+      });
+    }
+  }
+
   /** Dispatches now, or after a short delay if the last one started no call. */
   #dispatchSoon(queue: PoolQueue): void {
     if (queue.jobs.size === 0) return;
@@ -256,6 +283,7 @@
     const now_ms = this.#options.now();
     this.#dropExpired(queue, now_ms);
     this.#handBackIfCutOff(queue);
+    this.#refuseIfEvacuated(queue);
     this.#refuseUnservable(queue, { limits, now_ms });
     if (queue.jobs.size === 0) return;
     if (!this.#startCalls(queue, { limits, now_ms })) {
--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -65,6 +65,11 @@
   /** The endpoint at an address; undefined if it is unknown. */
   endpointAt: (address: string) => RouteEndpoint | undefined;
   reports: Pick<EndpointReports, "record" | "pauseMs">;
+  /**
+   * Whether results at an address stay until they expire, as its zone is, or may
+   * be, evacuated; never by default.
+   */
+  keepsResults?: (address: string) => boolean;
   /** Limits of all responses that this host holds. */
   responseLimits: BodyLimits;
   log: Logger;
@@ -240,9 +245,12 @@
       encodeCall: () => options.codec.encodeFreeRequest(address, handles),
       timeout_ms: FREE_TIMEOUT_MS,
     }, options);
+  const keepsResults = () => options.keepsResults?.(address) === true;
+  if (keepsResults()) return false;
   let response = await free();
   for (let calls = 1; calls < MAX_FREE_CALLS && isHeldBack(response); calls++) {
     await waitOutPause(address, options);
+    if (keepsResults()) return false;
     response = await free();
   }
   if (response.kind === "complete" && response.status === HTTP_OK) {
--- a/src/endpoints/exchange.ts
+++ b/src/endpoints/exchange.ts
@@ -11,6 +11,7 @@
   readBytes,
   type ReadBytesOptions,
 } from "../bodies/read_bytes.ts";
+import { ENDPOINT_UNAVAILABLE } from "./endpoint_agents.ts";
 import { parseAddress } from "../settings/settings.ts";
 import type { StrictKeepAliveAgent } from "./strict_keep_alive_agent.ts";
 
@@ -31,6 +32,11 @@
   signal: AbortSignal;
   /** Id that the response must echo; undefined if it names no attempt. */
   attempt_id?: string | undefined;
+  /**
+   * Asked again when the request gets its connection; false to fail it with
+   * `ENDPOINT_UNAVAILABLE` instead.
+   */
+  mayBegin?: () => boolean;
   /** Called with informational responses (1xx) to the request. */
   onInformation?: () => void;
   /** Largest head section of the response; Node's own limit by default. */
@@ -118,6 +124,16 @@
           : ExchangeOutcome.NotSent,
         reason,
       });
+    const stopIfLate = () => {
+      if (endpointRequest.mayBegin?.() !== false) return;
+      resolveFailure(ENDPOINT_UNAVAILABLE);
+      clientRequest.destroy(new Error(ENDPOINT_UNAVAILABLE));
+    };
+    // Before Node's own listeners, which write the request.
+    clientRequest.prependListener("socket", (socket) => {
+      stopIfLate();
+      if (socket.connecting) socket.prependOnceListener("connect", stopIfLate);
+    });
     let waits = true;
     // Node tells of the abort only when a connection is free.
     endpointRequest.signal.addEventListener("abort", () => {
--- a/src/forwarding/adapter.ts
+++ b/src/forwarding/adapter.ts
@@ -1,4 +1,5 @@
 /** Interfaces through which a gateway host uses the deployment it runs in. */
+import type { Evacuation } from "../evacuations/types.ts";
 import type { ObjectFeed } from "../store_sync/object_feed.ts";
 import type { GatewayMember } from "../membership/gateway_members.ts";
 import type { QuarantineStore } from "../quarantine/quarantine_store.ts";
@@ -31,6 +32,11 @@
   endpoints: ObjectFeed<RouteEndpoint>;
   gateways: ObjectFeed<GatewayMember>;
   quarantined: ObjectFeed<QuarantinedParts>;
+  evacuations: ObjectFeed<Evacuation>;
+  /** Requests the evacuation of a zone; rejects if the write fails. */
+  requestEvacuation(zone: string): Promise<void>;
+  /** Cancels the evacuation of a zone; rejects if the removal fails. */
+  cancelEvacuation(zone: string): Promise<void>;
   /** Registers this host by writing its entry; rejects if the write fails. */
   announce(name: string, member: GatewayMember): Promise<void>;
   /** Removes this host's entry; rejects if the removal fails. */
--- a/src/forwarding/rejection.ts
+++ b/src/forwarding/rejection.ts
@@ -3,6 +3,7 @@
  * request has not run and will not run; `EndpointLost`, `TimedOut` and
  * `FaultAfterSend` do not.
  */
+import { EVACUATED_RETRY_AFTER_MS } from "../evacuations/types.ts";
 import type { InboundRequest } from "./run_context.ts";
 
 /**
@@ -31,6 +32,8 @@
   VersionUnknown = "version_unknown",
   /** Not run: no endpoint has the software version of the stream. */
   VersionGone = "version_gone",
+  /** Not run: all availability zones of its endpoints are evacuated. */
+  ZonesEvacuated = "zones_evacuated",
   /** Not run: no endpoint accepted it. */
   NoEndpoint = "no_endpoint",
   /** Not run: this host failed before it sent the request. */
@@ -56,6 +59,7 @@
   [RejectionReason.Quarantined]: 503,
   [RejectionReason.VersionUnknown]: 503,
   [RejectionReason.VersionGone]: 503,
+  [RejectionReason.ZonesEvacuated]: 503,
   [RejectionReason.NoEndpoint]: 503,
   [RejectionReason.FaultBeforeSend]: 503,
   [RejectionReason.FaultAfterSend]: 502,
@@ -109,6 +113,13 @@
   message: "No endpoint has the stream's software version: begin it anew",
 };
 
+/** Sent while no zone is left that endpoints of a pool are in. */
+export const ZONES_EVACUATED: Rejection = {
+  reason: RejectionReason.ZonesEvacuated,
+  message: "All availability zones of its endpoints are evacuated",
+  retry_after_ms: EVACUATED_RETRY_AFTER_MS,
+};
+
 /** Sent when the handling of a request throws before its first send. */
 export const FAULT_BEFORE_SEND: Rejection = {
   reason: RejectionReason.FaultBeforeSend,
--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -130,9 +130,7 @@
       organisation: admitted.organisation?.name,
       body,
       prompt: metadata.prompt,
-      stagePools: route.stages.filter((_, index) =>
-        (metadata.pieces[index] ?? 0) > 0
-      ).map(({ pool }) => pool),
+      stagePools: stagePoolsOf(admitted),
     });
     this.pool = selectWeightedPool(admitted, dependencies.random);
   }
@@ -228,6 +226,14 @@
     );
   }
 
+  /** Whether this host sends to no endpoint of a pool that it needs, by zone. */
+  get isEvacuated(): boolean {
+    const { endpoints, now } = this.dependencies;
+    return [this.pool, ...stagePoolsOf(this.admitted)].some((pool) =>
+      endpoints.isPoolEvacuated(pool, now())
+    );
+  }
+
   /** Keeps the place at the endpoint that it is sent to next. */
   holdPlace(place: Place): void {
     this.releasePlace(false);
@@ -263,6 +269,12 @@
   }
 }
 
+/** The pools of the stages that it needs. */
+function stagePoolsOf({ route, metadata }: AdmittedRequest): string[] {
+  return route.stages.filter((_, index) => (metadata.pieces[index] ?? 0) > 0)
+    .map(({ pool }) => pool);
+}
+
 function selectWeightedPool(
   { route }: AdmittedRequest,
   random: () => number,
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -6,7 +6,13 @@
 import { ENDPOINTS_CRASH, JobOutcomeKind } from "../batching/types.ts";
 import { setTimeout as delay } from "node:timers/promises";
 import { fitsDrain } from "./fits_drain.ts";
-import { HOST_STOPPING, QUARANTINED, RejectionReason } from "./rejection.ts";
+import {
+  HOST_STOPPING,
+  QUARANTINED,
+  RejectionReason,
+  VERSION_UNKNOWN,
+  ZONES_EVACUATED,
+} from "./rejection.ts";
 import {
   OutcomeKind,
   refused,
@@ -129,6 +135,9 @@
 async function serveInStages(context: RunContext): Promise<RequestOutcome> {
   if (!fitsDrain(context)) return refused(HOST_STOPPING);
   const rejection = await resolveStreamOrigin(context);
+  if (rejection !== VERSION_UNKNOWN && context.isEvacuated) {
+    return refused(ZONES_EVACUATED);
+  }
   if (rejection !== undefined) return refused(rejection);
   if (needsStages(context)) await stopIfCallerLeft(context);
   if (needsStages(context)) {
@@ -344,6 +353,7 @@
     });
   }
   if (stopReason === StopReason.HostStopping) return refused(HOST_STOPPING);
+  if (context.isEvacuated) return refused(ZONES_EVACUATED);
   return refused({
     reason: RejectionReason.NoEndpoint,
     message: "No endpoint can take it now",
--- a/src/gateway/batching_components.ts
+++ b/src/gateway/batching_components.ts
@@ -33,6 +33,7 @@
       pool,
       endpointAt: (address) => endpoints.findByAddress(address),
       reports: context.reports,
+      keepsResults: (address) => keepsResults(context, address),
       responseLimits: context.responseLimits,
       log,
       now,
@@ -40,6 +41,7 @@
     freeAtBatcher: (freed) => jobRouter.free(freed),
     laterLoad: (name) => knownLoads.loadOf(name),
     ...createCrashRecorder(context.quarantine),
+    isEvacuated: (name) => endpoints.isPoolEvacuated(name, now()),
     isCutOffFrom: (all) => context.reachability.isCutOffFrom(all),
     onUnwantedCall: (unwanted_ms) =>
       context.metrics.workAfterCallerLeft.observe(
@@ -59,7 +61,12 @@
     peers,
     waits,
     zone: context.settings.host.availability_zone,
-    shards: (name) => listShards(endpoints.inPool(name, now())),
+    // A zone without work for its shard must not share the others' endpoints.
+    shards: (name) =>
+      listShards(
+        endpoints.inPool(name, now())
+          .filter((endpoint) => !endpoints.isEvacuated(endpoint, now())),
+      ),
     zoneAt: (address) => endpoints.findByAddress(address)?.availability_zone,
     log,
     now,
@@ -74,3 +81,18 @@
   });
   return { batcher, jobRouter, pool };
 }
+
+/**
+ * Whether results at an address aren't freed, as its zone is evacuated; or as it
+ * may be, if the endpoint is no longer known.
+ */
+function keepsResults(
+  { endpoints, evacuations, now }: HostContext,
+  address: string,
+): boolean {
+  if (evacuations === undefined) return false;
+  const endpoint = endpoints.findByAddress(address);
+  return endpoint === undefined
+    ? evacuations.zones.all().length > 0
+    : endpoints.isEvacuated(endpoint, now());
+}
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -10,7 +10,7 @@
 import { EndpointRegistry } from "../store_sync/endpoint_registry.ts";
 import { FeedProgress } from "../store_sync/feed_progress.ts";
 import { WatchCache } from "../store_sync/watch_cache.ts";
-import type { StoreSyncOptions } from "../store_sync/store_sync.ts";
+import type { StoreFeeds, StoreSyncOptions } from "../store_sync/store_sync.ts";
 import { EndpointPlaces } from "../endpoint_places/endpoint_places.ts";
 import { EndpointReports } from "../endpoint_reports/endpoint_reports.ts";
 import { EndpointAgents } from "../endpoints/endpoint_agents.ts";
@@ -42,6 +42,8 @@
 import type { GatewaySettings } from "../settings/gateway_settings.ts";
 import { formatAddress } from "../settings/settings.ts";
 import { abortableDelay } from "../utils/delay.ts";
+import { EvacuationService } from "../evacuations/evacuation_service.ts";
+import type { Evacuation } from "../evacuations/types.ts";
 import { createReachability } from "./reachability_components.ts";
 import { createStreamOrigins } from "./stream_origin_components.ts";
 
@@ -96,7 +98,28 @@
     for (const listener of configurationListeners) listener(table);
     lifecycle.handle(HostLifecycleEvent.Configured);
   });
-  const endpoints = new EndpointRegistry();
+  const evacuationListeners: (() => void)[] = [];
+  const evacuationEndListeners: ((zone: string) => void)[] = [];
+  const evacuations = settings.evacuations === undefined
+    ? undefined
+    : new EvacuationService({
+      ...settings.evacuations,
+      onChange() {
+        for (const listener of evacuationListeners) listener();
+      },
+      onEnded(zone) {
+        for (const listener of evacuationEndListeners) listener(zone);
+      },
+      onDoubt: () => syncOptions.progress.evacuations?.doubtConnection(),
+      isKnownZone: (zone) =>
+        endpoints.isEmpty ? undefined : endpoints.hasInZone(zone),
+      log,
+      now,
+    });
+  const endpoints: EndpointRegistry = new EndpointRegistry(
+    evacuations && { zones: evacuations.zones, host: host.name },
+  );
+  endpointListeners.push(() => evacuations?.endpointsChanged());
   const members = new GatewayMembers(member);
   const peers = new GatewayClients();
   const store: GatewayStore = adapter.openStore(
@@ -181,6 +204,7 @@
     translateAddress,
     members,
     endpoints,
+    evacuations,
     peers,
     load,
     metrics,
@@ -210,7 +234,11 @@
     now,
     signal,
   });
-  const feedClients = new FeedStreamClients({ log, now });
+  const feedClients = new FeedStreamClients({
+    optionalFeeds: evacuations === undefined ? [] : [FeedName.Evacuations],
+    log,
+    now,
+  });
   const readers = new StoreReaders({
     self,
     hosts: () => members.addresses(),
@@ -219,14 +247,16 @@
     now,
   });
   const syncOptions: StoreSyncOptions = {
-    feeds: createRelayedFeeds(store, {
+    feeds: createRelayedFeeds(feedsOf(store, settings), {
       feedClients,
       readers,
       self,
       silence_ms: settings.object_store.silence_ms,
+      in_force_ms: settings.evacuations?.in_force_ms,
+      mustListEvacuations: () => evacuations?.mustAskStore === true,
       onSilence(silent) {
         for (const feed of Object.values(FeedName)) {
-          if (feed !== silent) syncOptions.progress[feed].doubtConnection();
+          if (feed !== silent) syncOptions.progress[feed]?.doubtConnection();
         }
       },
       log,
@@ -236,6 +266,7 @@
       endpoints: new WatchCache(),
       gateways: new WatchCache(),
       quarantined: new WatchCache(),
+      ...(evacuations && { evacuations: new WatchCache<Evacuation>() }),
     },
     readers,
     peers,
@@ -244,6 +275,7 @@
     members,
     ownEntry,
     quarantine,
+    ...(evacuations && { evacuations }),
     seeds: settings.seeds.filter((seed) => seed !== self),
     configurationListeners,
     endpointListeners,
@@ -253,6 +285,7 @@
       endpoints: new FeedProgress(),
       gateways: new FeedProgress(),
       quarantined: new FeedProgress(),
+      ...(evacuations && { evacuations: new FeedProgress() }),
     },
     log,
     now,
@@ -310,9 +343,29 @@
     syncOptions,
     configurationListeners,
     endpointListeners,
+    evacuations,
+    /** Called when the endpoints that may be used have changed with a zone. */
+    evacuationListeners,
+    /** Called with a zone when its evacuation has ended. */
+    evacuationEndListeners,
     agents,
     retryBudget: new PoolRetryBudgets(settings.repeats, () => members.count),
     now,
     random,
   };
 }
+
+/** The feeds that a host reads; without the setting, no evacuations. */
+function feedsOf(
+  { configuration, endpoints, gateways, quarantined, evacuations }:
+    GatewayStore,
+  settings: GatewaySettings,
+): StoreFeeds {
+  return {
+    configuration,
+    endpoints,
+    gateways,
+    quarantined,
+    ...(settings.evacuations && { evacuations }),
+  };
+}
--- a/src/gateway/reachability_components.ts
+++ b/src/gateway/reachability_components.ts
@@ -8,10 +8,16 @@
   type ForwardMetrics,
 } from "../metrics/forward_metrics.ts";
 import type { GatewayClients } from "../peers/gateway_clients.ts";
+import type { EvacuationService } from "../evacuations/evacuation_service.ts";
+import { createGuardedSender } from "../evacuations/guarded_sender.ts";
+import { ZoneExchanges } from "../evacuations/zone_exchanges.ts";
 import { createProbeReach } from "../reachability/probe_reach.ts";
 import { ReachabilityService } from "../reachability/reachability_service.ts";
 import { CarrierConnections } from "../relaying/carrier_connections.ts";
-import { createEndpointSender } from "../relaying/endpoint_sender.ts";
+import {
+  createEndpointSender,
+  type SendToEndpoint,
+} from "../relaying/endpoint_sender.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 import type { ObservedLoad } from "../routing/observed_load.ts";
 import type { EndpointRegistry } from "../store_sync/endpoint_registry.ts";
@@ -25,6 +31,8 @@
   translateAddress: ((address: string) => string) | undefined;
   members: GatewayMembers;
   endpoints: EndpointRegistry;
+  /** Undefined if this host doesn't read evacuations. */
+  evacuations: EvacuationService | undefined;
   peers: GatewayClients;
   load: ObservedLoad;
   metrics: ForwardMetrics;
@@ -45,6 +53,7 @@
 export function createReachability(dependencies: ReachabilityDependencies) {
   const { codec, translateAddress, members, endpoints, load, metrics, now } =
     dependencies;
+  const { evacuations } = dependencies;
   const lossListeners: ((endpoint: RouteEndpoint) => void)[] = [];
   const carriers = new CarrierConnections();
   const reachability = new ReachabilityService({
@@ -54,6 +63,10 @@
     carriedInFlight: (address) => carriers.inFlight(address),
     readyIn: (pool) => endpoints.readyInPool(pool, now()),
     endpointAt: (address) => endpoints.findByAddress(address),
+    ...(evacuations && {
+      mayProbe: (endpoint: RouteEndpoint) =>
+        evacuations.isConfirmed && !endpoints.isEvacuated(endpoint, now()),
+    }),
     probe: createProbeReach(codec, translateAddress),
     onProbe: (outcome) => metrics.reachProbes.inc({ outcome }),
     onLost(endpoint) {
@@ -62,6 +75,12 @@
     },
   });
   metrics.exportLostEndpoints(reachability);
+  const send = createEndpointSender({
+    routes: reachability,
+    carriers,
+    onCarried: (outcome) =>
+      metrics.carriedExchanges.inc({ side: CarriedSide.Sender, outcome }),
+  });
   return {
     reachability,
     routes: reachability,
@@ -71,11 +90,32 @@
       () => members.count / MAX_CARRIED_SHARES,
       translateAddress,
     ),
-    send: createEndpointSender({
-      routes: reachability,
-      carriers,
-      onCarried: (outcome) =>
-        metrics.carriedExchanges.inc({ side: CarriedSide.Sender, outcome }),
-    }),
+    send: evacuations === undefined
+      ? send
+      : guardSender(send, { ...dependencies, evacuations }),
   };
 }
+
+function guardSender(
+  send: SendToEndpoint,
+  { endpoints, evacuations, metrics, now }: ReachabilityDependencies & {
+    evacuations: EvacuationService;
+  },
+): SendToEndpoint {
+  const exchanges = new ZoneExchanges();
+  metrics.exportZones({
+    exchanges: () => exchanges.running(),
+    shares: () => evacuations.zones.shares(now()),
+  });
+  return createGuardedSender(send, {
+    guard: {
+      get isConfirmed() {
+        return evacuations.isConfirmed;
+      },
+      confirmed: () => evacuations.confirmed(),
+      isEvacuated: (endpoint) => endpoints.isEvacuated(endpoint, now()),
+    },
+    exchanges,
+    onStopped: () => metrics.evacuatedSends.inc(),
+  });
+}
--- a/src/gateway/relaying_components.ts
+++ b/src/gateway/relaying_components.ts
@@ -16,6 +16,11 @@
     agents: context.carriedAgents,
     pool,
     endpointAt: (address) => endpoints.findByAddress(address),
+    isEvacuated: (endpoint) => {
+      const { evacuations, now } = context;
+      return evacuations !== undefined &&
+        (!evacuations.isConfirmed || endpoints.isEvacuated(endpoint, now()));
+    },
     isShuttingDown: () => lifecycle.isShuttingDown,
     onResult: (outcome) =>
       metrics.carriedExchanges.inc({ side: CarriedSide.Carrier, outcome }),
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -64,6 +64,7 @@
     adapter.codec.readinessPath,
     () =>
       lifecycle.state === HostLifecycleState.Ready &&
+      context.evacuations?.isConfirmed !== false &&
       !context.endpoints.isEmpty,
   );
   const servers: [Server, Address][] = [
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -53,6 +53,10 @@
     () => agents.failQueuedExcept(endpoints.readyAddresses(now())),
     () => batching.batcher.endpointsChanged(),
   );
+  context.evacuationListeners.push(
+    () => agents.failQueuedExcept(endpoints.readyAddresses(now())),
+    () => batching.batcher.endpointsChanged(),
+  );
   const carrier = createExchangeCarrier(context, batching);
   const servers = createServers(context, { ...batching, carrier });
   const { promise: stopped, resolve } = Promise.withResolvers<void>();
@@ -115,6 +119,7 @@
     const { metrics, log, now, signal } = context;
     const onLag = (lag_ms: number) => metrics.loopLag.observe(lag_ms);
     measureLoopLag({ onLag, log, now, signal });
+    context.evacuations?.start(signal);
     void runStoreSync(context.syncOptions);
     void context.reachability.run();
     void context.ownEntry.announce();
--- a/src/metrics/forward_metrics.ts
+++ b/src/metrics/forward_metrics.ts
@@ -110,6 +110,11 @@
     labelNames: ["outcome"],
     registers: [this.registry],
   });
+  readonly evacuatedSends = new Counter({
+    name: "sesamequay_evacuated_sends_total",
+    help: "Requests not sent since the zone of their endpoint was evacuated",
+    registers: [this.registry],
+  });
   readonly bodiesDropped = new Counter({
     name: "sesamequay_bodies_dropped_total",
     help: "Bodies that were dropped since bodies exceeded their memory",
@@ -163,6 +168,36 @@
     });
   }
 
+  /** Exports the exchanges that run in each zone, and the zones' shares. */
+  exportZones(
+    { exchanges, shares }: {
+      exchanges: () => ReadonlyMap<string, number>;
+      /** The zones whose share isn't whole. */
+      shares: () => ReadonlyMap<string, number>;
+    },
+  ): void {
+    const labelNames = ["zone"];
+    new Gauge({
+      name: "sesamequay_zone_exchanges",
+      help: "Exchanges of this host with endpoints of a zone that run now",
+      labelNames,
+      registers: [this.registry],
+      collect() {
+        for (const [zone, running] of exchanges()) this.set({ zone }, running);
+      },
+    });
+    new Gauge({
+      name: "sesamequay_zone_share",
+      help: "Part of the requests that may go to a zone, unless it is 1",
+      labelNames,
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const [zone, share] of shares()) this.set({ zone }, share);
+      },
+    });
+  }
+
   /** Exports the memory that the bodies of each kind take. */
   exportHeldBodies(memories: Record<string, { held_bytes: number }>): void {
     new Gauge({
--- a/src/peers/create_relayed_feeds.ts
+++ b/src/peers/create_relayed_feeds.ts
@@ -15,6 +15,10 @@
   self: string;
   /** Time in which the silence of a connection to the store must be made good. */
   silence_ms: number;
+  /** Time in which the evacuation of a zone must be in force, if it is read. */
+  in_force_ms?: number | undefined;
+  /** Whether only the store itself tells which zones are evacuated now. */
+  mustListEvacuations?: () => boolean;
   /** Called when a watch of a feed found its connection to the store silent. */
   onSilence: (name: FeedName) => void;
   log: Logger;
@@ -26,6 +30,11 @@
  */
 const RECOVERY_FROM_SILENCE_MS = 1_500;
 const MIN_STORE_WATCH_MS = 200;
+/**
+ * Part of the time in which an evacuation must be in force that a silent
+ * connection may take; the rest is for the way to followers and for requests.
+ */
+const SILENCE_SHARE = 0.7;
 
 /**
  * Longest watch of a feed whose changes must be known `silence_ms` after its
@@ -38,7 +47,14 @@
 /** Wraps each feed of the store in a relayed feed. */
 export function createRelayedFeeds(
   store: StoreFeeds,
-  { feedClients, silence_ms, onSilence, ...options }: CreateRelayedFeedsOptions,
+  {
+    feedClients,
+    silence_ms,
+    in_force_ms = Infinity,
+    mustListEvacuations,
+    onSilence,
+    ...options
+  }: CreateRelayedFeedsOptions,
 ): StoreFeeds {
   const watch_ms = maxWatchMs(silence_ms);
   // Members only steer load, and hosts tell each other of quarantined parts.
@@ -47,10 +63,16 @@
     [FeedName.Endpoints]: watch_ms,
     [FeedName.Gateways]: Infinity,
     [FeedName.Quarantined]: Infinity,
+    [FeedName.Evacuations]: maxWatchMs(in_force_ms * SILENCE_SHARE),
   };
-  const relay = <T>(name: FeedName, feed: ObjectFeed<T>) =>
+  const relay = <T>(
+    name: FeedName,
+    feed: ObjectFeed<T>,
+    extra: { mustAskStore?: () => boolean } = {},
+  ) =>
     createRelayedFeed({
       ...options,
+      ...extra,
       name,
       max_store_watch_ms: maxStoreWatchMs[name],
       onSilence: () => onSilence(name),
@@ -62,5 +84,12 @@
     endpoints: relay(FeedName.Endpoints, store.endpoints),
     gateways: relay(FeedName.Gateways, store.gateways),
     quarantined: relay(FeedName.Quarantined, store.quarantined),
+    ...(store.evacuations && {
+      evacuations: relay(
+        FeedName.Evacuations,
+        store.evacuations,
+        mustListEvacuations && { mustAskStore: mustListEvacuations },
+      ),
+    }),
   };
 }
--- a/src/peers/feed_stream.ts
+++ b/src/peers/feed_stream.ts
@@ -18,12 +18,18 @@
   FeedResultKind,
 } from "../store_sync/object_feed.ts";
 import { serialiseConfiguration } from "../store_sync/state_snapshot.ts";
+import type { Evacuation } from "../evacuations/types.ts";
 import type { GatewayMember } from "../membership/gateway_members.ts";
 import type { QuarantinedParts } from "../quarantine/types.ts";
 import type { RouteConfiguration, RouteEndpoint } from "../routes/types.ts";
 
 /** HTTP path of the stream. */
 export const FEEDS_PATH = "/feeds";
+/**
+ * Header in which a follower asks for the feeds that hosts of an earlier release
+ * don't know, and in which the answer names those that it has.
+ */
+export const OPTIONAL_FEEDS_HEADER = "x-optional-feeds";
 
 /** Names of the feeds. */
 export enum FeedName {
@@ -31,14 +37,21 @@
   Endpoints = "endpoints",
   Gateways = "gateways",
   Quarantined = "quarantined",
+  /** Read only by hosts that are set to. */
+  Evacuations = "evacuations",
 }
 
+/** Feeds that a host may lack. */
+export type OptionalFeedName = FeedName.Evacuations;
+
 /** The watch cache of each feed. */
 export interface WatchCaches {
   configuration: WatchCache<RouteConfiguration>;
   endpoints: WatchCache<RouteEndpoint>;
   gateways: WatchCache<GatewayMember>;
   quarantined: WatchCache<QuarantinedParts>;
+  /** Undefined if this host doesn't read evacuations. */
+  evacuations?: WatchCache<Evacuation>;
 }
 
 /** One line of the stream. */
@@ -49,7 +62,9 @@
 
 /** The positions up to which a host has read each feed. */
 export interface FeedPositions {
-  revisions: Record<FeedName, number>;
+  revisions:
+    & Record<Exclude<FeedName, OptionalFeedName>, number>
+    & Partial<Record<OptionalFeedName, number>>;
   /** As far as they are known. Missing from hosts of an older release. */
   epochs?: Partial<Record<FeedName, number>>;
 }
@@ -83,32 +98,69 @@
   return request.url === FEEDS_PATH;
 }
 
+/** The header with which a follower asks for optional feeds, if it wants any. */
+export function encodeOptionalFeeds(
+  feeds: readonly FeedName[],
+): Record<string, string> {
+  return feeds.length === 0 ? {} : { [OPTIONAL_FEEDS_HEADER]: feeds.join(",") };
+}
+
+/** The optional feeds that a header of a request or of its answer names. */
+export function decodeOptionalFeeds(
+  { headers }: Pick<IncomingMessage, "headers">,
+): FeedName[] {
+  const names = String(headers[OPTIONAL_FEEDS_HEADER] ?? "").split(",");
+  return OPTIONAL_FEEDS.filter((feed) => names.includes(feed));
+}
+
+const OPTIONAL_FEEDS: readonly FeedName[] = [FeedName.Evacuations];
+
+/** The caches of the feeds that a follower gets. */
+function cachesFor(
+  { evacuations, ...caches }: WatchCaches,
+  asked: readonly FeedName[],
+): WatchCaches {
+  return evacuations !== undefined && asked.includes(FeedName.Evacuations)
+    ? { ...caches, evacuations }
+    : caches;
+}
+
 /**
  * Serves one follower until it disconnects or this host stops reading the store.
  * Responds with status 503 if this host does not read the store.
  */
 export function serveFeedStream(
   response: ServerResponse,
-  options: FeedStreamOptions,
+  { caches: all, ...options }: FeedStreamOptions & {
+    /** Optional feeds that the follower asks for. */
+    optionalFeeds?: readonly FeedName[];
+  },
 ): void {
   if (!options.selfIsReader()) {
     response.writeHead(HTTP_UNAVAILABLE, { "content-length": 0 });
     response.end();
     return;
   }
-  response.writeHead(HTTP_OK, { "content-type": "application/x-ndjson" });
+  const caches = cachesFor(all, options.optionalFeeds ?? []);
+  const feeds = Object.values(FeedName).filter((feed) => feed in caches);
+  response.writeHead(HTTP_OK, {
+    "content-type": "application/x-ndjson",
+    ...encodeOptionalFeeds(feeds.filter(isOptional)),
+  });
   const held: HeldPositions = new Map();
   const heartbeat = setInterval(
-    () => writeLine(response, positionsOf(options.caches, held)),
+    () => writeLine(response, positionsOf(caches, held)),
     STREAM_HEARTBEAT_INTERVAL_MS,
   );
   response.once("close", () => clearInterval(heartbeat));
-  for (const feed of Object.values(FeedName)) {
+  for (const feed of feeds) {
     // Without the feed, heartbeats alone would keep its followers waiting.
-    streamFeed(feed, response, { ...options, held }).catch((error: Error) => {
-      options.log.error({ event: "fault", source: feed, error: error.stack });
-      response.destroy();
-    });
+    streamFeed(feed, response, { ...options, caches, held }).catch(
+      (error: Error) => {
+        options.log.error({ event: "fault", source: feed, error: error.stack });
+        response.destroy();
+      },
+    );
   }
 }
 
@@ -119,7 +171,8 @@
     held: HeldPositions;
   },
 ): Promise<void> {
-  const cache: WatchCache<unknown> = caches[feed];
+  const cache: WatchCache<unknown> | undefined = caches[feed];
+  if (cache === undefined) return;
   let position: FeedPosition | undefined;
   while (!response.destroyed && !response.writableEnded) {
     const result = position === undefined
@@ -153,7 +206,10 @@
 }
 
 function positionsOf(caches: WatchCaches, held: HeldPositions): FeedPositions {
-  const of = (feed: FeedName) => held.get(feed) ?? caches[feed].position;
+  const of = (feed: Exclude<FeedName, OptionalFeedName>) =>
+    held.get(feed) ?? caches[feed].position;
+  const evacuations = caches.evacuations &&
+    (held.get(FeedName.Evacuations) ?? caches.evacuations.position);
   const configuration = of(FeedName.Configuration);
   const endpoints = of(FeedName.Endpoints);
   const gateways = of(FeedName.Gateways);
@@ -164,16 +220,23 @@
       endpoints: endpoints.revision,
       gateways: gateways.revision,
       quarantined: quarantined.revision,
+      ...(evacuations && { evacuations: evacuations.revision }),
     },
     epochs: {
       configuration: configuration.epoch,
       endpoints: endpoints.epoch,
       gateways: gateways.epoch,
       quarantined: quarantined.epoch,
+      ...(evacuations?.epoch !== undefined &&
+        { evacuations: evacuations.epoch }),
     },
   };
 }
 
+function isOptional(feed: FeedName): boolean {
+  return OPTIONAL_FEEDS.includes(feed);
+}
+
 function writeLine(response: ServerResponse, line: FeedLine): void {
   if (response.destroyed || response.writableEnded) return;
   response.write(JSON.stringify(line) + "\n");
--- a/src/peers/feed_stream_client.ts
+++ b/src/peers/feed_stream_client.ts
@@ -14,6 +14,8 @@
 import { readFeedValues } from "./read_feed_values.ts";
 import { parseAddress } from "../settings/settings.ts";
 import {
+  decodeOptionalFeeds,
+  encodeOptionalFeeds,
   type FeedLine,
   FeedName,
   FEEDS_PATH,
@@ -34,12 +36,27 @@
 
 const HTTP_OK = 200;
 
+/** Options of {@linkcode FeedStreamClients}. */
+export interface FeedStreamClientsOptions {
+  /** Feeds to ask for that hosts of an earlier release don't know. */
+  optionalFeeds?: readonly FeedName[];
+  log: Logger;
+  now: () => number;
+}
+
+/** The answer of a host that doesn't know a feed. */
+const NOT_KNOWN = {
+  kind: FeedResultKind.Unavailable,
+  reason: "not known there",
+  isUnknown: true,
+} as const;
+
 /** Opens and caches one stream per followed host. */
 export class FeedStreamClients {
   #clients = new Map<string, FeedStreamClient>();
-  #options: { log: Logger; now: () => number };
+  #options: FeedStreamClientsOptions;
 
-  constructor(options: { log: Logger; now: () => number }) {
+  constructor(options: FeedStreamClientsOptions) {
     this.#options = options;
   }
 
@@ -49,10 +66,12 @@
     return {
       list: async (address, oldest) => {
         const cache = await this.#openCache(address, feed);
+        if (cache === undefined) return NOT_KNOWN;
         return cache.list(oldest, now()) as FeedResult<T>;
       },
       watch: async (address, position, wait_ms) => {
         const cache = await this.#openCache(address, feed);
+        if (cache === undefined) return NOT_KNOWN;
         await cache.waitForChanges(position, wait_ms);
         return cache.changesSince(position, now()) as FeedResult<T>;
       },
@@ -65,11 +84,14 @@
     this.#clients.clear();
   }
 
-  /** Opens the stream if necessary and waits for its first result. */
+  /**
+   * Opens the stream if necessary and waits for its first result; undefined if the
+   * host doesn't know the feed.
+   */
   async #openCache(
     address: string,
     feed: FeedName,
-  ): Promise<WatchCache<unknown>> {
+  ): Promise<WatchCache<unknown> | undefined> {
     const now_ms = this.#options.now();
     this.#closeUnused(now_ms);
     let client = this.#clients.get(address);
@@ -78,9 +100,9 @@
       this.#clients.set(address, client);
     }
     client.last_used_ms = now_ms;
-    const cache: WatchCache<unknown> = client.caches[feed];
-    await cache.waitForFirstUpdate(FIRST_RESULT_TIMEOUT_MS);
-    return cache;
+    const cache: WatchCache<unknown> | undefined = client.caches[feed];
+    await cache?.waitForFirstUpdate(FIRST_RESULT_TIMEOUT_MS);
+    return client.isKnown(feed) ? cache : undefined;
   }
 
   #closeUnused(now_ms: number): void {
@@ -101,6 +123,7 @@
     endpoints: new WatchCache(),
     gateways: new WatchCache(),
     quarantined: new WatchCache(),
+    evacuations: new WatchCache(),
   };
   last_used_ms = 0;
   closed = false;
@@ -108,17 +131,22 @@
   #splitter = new RecordSplitter(["\n"]);
   #silenceTimer: NodeJS.Timeout;
   #request: ClientRequest;
-  #options: { log: Logger; now: () => number };
+  #options: FeedStreamClientsOptions;
+  /** Optional feeds that the host doesn't have. */
+  #unknown: readonly FeedName[] = [];
 
-  constructor(
-    address: string,
-    options: { log: Logger; now: () => number },
-  ) {
+  constructor(address: string, options: FeedStreamClientsOptions) {
     this.#address = address;
     this.#options = options;
     const { ip, port } = parseAddress(address);
     // Throws if the address is impossible, so it goes before the timer.
-    this.#request = request({ host: ip, port, path: FEEDS_PATH, agent: false });
+    this.#request = request({
+      host: ip,
+      port,
+      path: FEEDS_PATH,
+      headers: encodeOptionalFeeds(options.optionalFeeds ?? []),
+      agent: false,
+    });
     this.#silenceTimer = setTimeout(
       () => this.close("silent"),
       SILENCE_TIMEOUT_MS,
@@ -128,6 +156,11 @@
     this.#request.end();
   }
 
+  /** Whether the host has a feed, as far as it has said so. */
+  isKnown(feed: FeedName): boolean {
+    return !this.#unknown.includes(feed);
+  }
+
   /** Closes the stream and marks its feeds as unavailable. */
   close(reason: string): void {
     if (this.closed) return;
@@ -150,6 +183,11 @@
     if (response.statusCode !== HTTP_OK) {
       return this.close(`status ${response.statusCode}`);
     }
+    const { optionalFeeds = [] } = this.#options;
+    const known = decodeOptionalFeeds(response);
+    this.#unknown = optionalFeeds.filter((feed) => !known.includes(feed));
+    // Wakes those who wait for the first result.
+    for (const feed of this.#unknown) this.#cache(feed).markSourceUnavailable();
     new PacedBody(response, new ChunkPacer(), (bytes) => {
       this.#silenceTimer.refresh();
       const lines = this.#splitter.push(bytes).toString("utf8").split("\n");
@@ -213,6 +251,8 @@
   }
 
   #cache(feed: FeedName): WatchCache<unknown> {
-    return this.caches[feed];
+    const cache: WatchCache<unknown> | undefined = this.caches[feed];
+    if (cache === undefined) throw new Error(`unknown feed: ${feed}`);
+    return cache;
   }
 }
--- a/src/peers/gateway_peer_server.ts
+++ b/src/peers/gateway_peer_server.ts
@@ -10,6 +10,7 @@
 import { MAX_HEAD_BYTES } from "../relaying/exchange_head.ts";
 import { closeIfIncomplete } from "../utils/close_if_incomplete.ts";
 import {
+  decodeOptionalFeeds,
   type FeedStreamOptions,
   isFeedStreamRequest,
   serveFeedStream,
@@ -59,7 +60,10 @@
       } else if (isExchange(request)) {
         void handlers.serveExchange(request, response);
       } else if (isFeedStreamRequest(request)) {
-        serveFeedStream(response, handlers.feeds);
+        serveFeedStream(response, {
+          ...handlers.feeds,
+          optionalFeeds: decodeOptionalFeeds(request),
+        });
       } else void trpc(request, response);
     },
   );
--- a/src/reachability/reachability_service.ts
+++ b/src/reachability/reachability_service.ts
@@ -37,6 +37,8 @@
   /** The endpoint at an address; undefined if it is unknown. */
   endpointAt: (address: string) => RouteEndpoint | undefined;
   peers: ReachabilityPeers;
+  /** Whether an endpoint may get an attempt now; always by default. */
+  mayProbe?: (endpoint: RouteEndpoint) => boolean;
   probe: ProbeReach;
   /** Called with what came of each attempt. */
   onProbe: (outcome: ProbeOutcome) => void;
@@ -184,6 +186,7 @@
     const reached_ms = this.#endpoints.reachedMs(endpoint) ?? -Infinity;
     if (reached_ms >= since_ms) return Math.round(now() - reached_ms);
     if (this.#endpoints.isOutOfReach(endpoint, now())) return null;
+    if (this.#options.mayProbe?.(endpoint) === false) return null;
     const outcome = await Promise.race([
       this.#probeForOthers(endpoint),
       abortableDelay(ANSWER_WITHIN_MS, signal),
@@ -236,8 +239,11 @@
   #step(): void {
     const { now, otherHosts, signal } = this.#options;
     if (signal.aborted) return;
+    const { mayProbe } = this.#options;
     for (const endpoint of this.#endpoints.takeProbes(now())) {
-      void this.#probe(endpoint);
+      if (mayProbe?.(endpoint) === false) {
+        this.#endpoints.recordInterrupted(endpoint, now());
+      } else void this.#probe(endpoint);
     }
     const question = this.#endpoints.takeQuestion(otherHosts, now());
     if (question === undefined) return;
--- a/src/relaying/endpoint_sender.ts
+++ b/src/relaying/endpoint_sender.ts
@@ -139,6 +139,10 @@
     onInformation: () => clearTimeout(silence),
   });
   clearTimeout(silence);
+  if (wasStopped(result)) {
+    end();
+    return result;
+  }
   const carried = readResult(result, carrier, request.signal);
   onCarried(carried.outcome);
   if (carried.carrierFailed && !request.signal.aborted) {
@@ -154,6 +158,12 @@
   return carried.result;
 }
 
+/** Whether this host itself did not let a request begin. */
+function wasStopped(result: ExchangeResult): boolean {
+  return result.kind === ExchangeOutcome.NotSent &&
+    result.reason === ENDPOINT_UNAVAILABLE;
+}
+
 /** What has come of an exchange through another host. */
 interface Carried {
   outcome: CarriedResult;
@@ -242,7 +252,8 @@
     carriers: CarrierConnections;
   },
 ): EndpointRequest {
-  const { method, target, headers, attempt_id, body, signal } = request;
+  const { method, target, headers, attempt_id, body, signal, mayBegin } =
+    request;
   const head = encodeHead({
     endpoint: incarnationOf(endpoint),
     method,
@@ -265,6 +276,7 @@
     ],
     body,
     signal,
+    ...(mayBegin && { mayBegin }),
     max_header_bytes: MAX_HEAD_BYTES,
   };
 }
--- a/src/relaying/exchange_carrier.ts
+++ b/src/relaying/exchange_carrier.ts
@@ -53,6 +53,8 @@
   /** The endpoint at an address; undefined if it is unknown. */
   endpointAt: (address: string) => RouteEndpoint | undefined;
   reports: Pick<EndpointReports, "record" | "pauseMs">;
+  /** Whether nothing may be sent to an endpoint, as its zone is evacuated. */
+  isEvacuated?: (endpoint: RouteEndpoint) => boolean;
   /** Whether this host takes no more work. */
   isShuttingDown: () => boolean;
   /** Limits of all bodies of requests that this host holds. */
@@ -161,8 +163,10 @@
       (agent.isFull ? CarrierRefusal.NoFreeConnection : undefined);
     if (refusal !== undefined) return this.#refuse(response, head, refusal);
     const sent_ms = now();
+    const { isEvacuated } = this.#options;
     const result = await sendDirectly(routes, endpoint, {
       ...head,
+      ...(isEvacuated && { mayBegin: () => !isEvacuated(endpoint) }),
       address,
       agent,
       body: body.length > 0 ? body : undefined,
@@ -201,7 +205,11 @@
     const { routes, reports, isShuttingDown } = this.#options;
     if (isShuttingDown()) return CarrierRefusal.CarrierDrains;
     if (this.#active > MAX_EXCHANGES) return CarrierRefusal.CarrierFull;
-    if (endpoint.state === RouteEndpointState.Leaving) {
+    // Senders of an earlier release know no reason of its own for an evacuation.
+    if (
+      endpoint.state === RouteEndpointState.Leaving ||
+      this.#options.isEvacuated?.(endpoint) === true
+    ) {
       return CarrierRefusal.EndpointLeaves;
     }
     if (reports.pauseMs(endpoint) > 0) return CarrierRefusal.EndpointPauses;
--- a/src/settings/gateway_settings.ts
+++ b/src/settings/gateway_settings.ts
@@ -31,6 +31,9 @@
     silence_ms: z.int().positive().optional(),
     readers: z.int().positive().optional(),
   }),
+  evacuations: z.strictObject({
+    in_force_ms: z.int().positive(),
+  }).optional(),
   repeats: z.strictObject({
     ratio: z.number().nonnegative().optional(),
     slack: z.number().nonnegative().optional(),
@@ -75,6 +78,11 @@
     /** Number of hosts that read the store; the others read from these. */
     readers: number;
   };
+  /**
+   * Time in which the evacuation of a zone must be in force; undefined if hosts
+   * don't read evacuations.
+   */
+  evacuations: { in_force_ms: number } | undefined;
   /**
    * Retry budget of a pool over all hosts: `ratio` retries per request plus
    * `slack`, both within `window_ms`.
@@ -150,6 +158,7 @@
       silence_ms: user.object_store.silence_ms ?? silence_ms,
       readers: user.object_store.readers ?? readers,
     },
+    evacuations: user.evacuations,
     repeats: {
       ratio: user.repeats?.ratio ?? repeats.ratio,
       slack: user.repeats?.slack ?? repeats.slack,
--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -1,3 +1,4 @@
+import murmurhash from "murmurhash";
 import { incarnationOf } from "../routes/incarnation.ts";
 import {
   type RouteEndpoint,
@@ -22,6 +23,26 @@
 export const RETURNED_ENTRY_HOLD_MS =
   HEARTBEATS_TO_LAPSE * ENDPOINT_HEARTBEAT_MS + GRACE_PERIOD_AFTER_OUTAGE_MS;
 
+/** What the registry asks of evacuations. */
+export interface ZoneShares {
+  /** Whether every zone gets its whole share. */
+  readonly isEmpty: boolean;
+  isEvacuated(zone: string): boolean;
+  /** The part of the requests that may go to a zone, from 0 to 1. */
+  share(zone: string, now_ms: number): number;
+}
+
+/** Options of {@linkcode EndpointRegistry}. */
+export interface EndpointRegistryOptions {
+  /** Undefined if zones are never evacuated. */
+  zones?: ZoneShares;
+  /**
+   * Name of this host: while a zone's share changes, each host uses other
+   * endpoints of it.
+   */
+  host?: string;
+}
+
 interface RegistryEntry {
   endpoint: RouteEndpoint;
   /** Whether its entry is missing; it is dropped after the grace period. */
@@ -34,6 +55,8 @@
   /** When the entry is used after all. */
   held_until_ms: number;
 }
+/** Number of values of the hash that decides which endpoints are in a share. */
+const HASH_VALUES = 2 ** 32;
 /** Leaving incarnations that are remembered; the oldest are dropped. */
 const MAX_LEAVING = 4_096;
 
@@ -74,6 +97,11 @@
   #leaving = new Set<string>();
   /** Incarnations whose entries have said that they are leaving. */
   #leavingByEntry = new Set<string>();
+  #options: EndpointRegistryOptions;
+
+  constructor(options: EndpointRegistryOptions = {}) {
+    this.#options = options;
+  }
 
   /**
    * Lists of the source so far, and deliveries like them: between two, changes
@@ -196,8 +224,51 @@
     }
   }
 
-  /** Lists the endpoints of a pool, including those that are leaving. */
+  /**
+   * Lists the endpoints of a pool, including those that are leaving. Those that
+   * get nothing as their zone is evacuated are listed as leaving.
+   */
   inPool(pool: string, now_ms: number): RouteEndpoint[] {
+    return this.#entriesInPool(pool, now_ms).map((endpoint) =>
+      this.#asAvailable(endpoint, now_ms)
+    );
+  }
+
+  /** Whether this host must send nothing to an endpoint, as its zone is evacuated. */
+  isEvacuated(endpoint: RouteEndpoint, now_ms: number): boolean {
+    const { zones } = this.#options;
+    if (zones === undefined || zones.isEmpty) return false;
+    const current = this.#entries.get(endpoint.id)?.endpoint;
+    const { availability_zone: zone } = current !== undefined &&
+        incarnationOf(current) === incarnationOf(endpoint)
+      ? current
+      : endpoint;
+    return zones.isEvacuated(zone) && zones.share(zone, now_ms) === 0;
+  }
+
+  /**
+   * Whether a pool has endpoints, and this host sends to none of them as their
+   * zones are evacuated.
+   */
+  isPoolEvacuated(pool: string, now_ms: number): boolean {
+    const { zones } = this.#options;
+    if (zones === undefined || zones.isEmpty) return false;
+    const endpoints = this.#entriesInPool(pool, now_ms);
+    return endpoints.length > 0 &&
+      endpoints.every((endpoint) =>
+        zones.isEvacuated(endpoint.availability_zone) &&
+        !this.#isInShare(endpoint, now_ms)
+      );
+  }
+
+  /** Whether any endpoint is in a zone. */
+  hasInZone(zone: string): boolean {
+    return [...this.#entries.values()].some(({ endpoint }) =>
+      endpoint.availability_zone === zone
+    );
+  }
+
+  #entriesInPool(pool: string, now_ms: number): RouteEndpoint[] {
     this.#useReturned(now_ms);
     const found: RouteEndpoint[] = [];
     for (const [name, entry] of this.#entries) {
@@ -235,10 +306,29 @@
   /** Addresses of the endpoints that accept new work. */
   readyAddresses(now_ms: number): Set<string> {
     const ready = this.all(now_ms)
-      .filter(({ state }) => state === RouteEndpointState.Ready);
+      .filter((endpoint) =>
+        endpoint.state === RouteEndpointState.Ready &&
+        this.#isInShare(endpoint, now_ms)
+      );
     return new Set(ready.map(({ address }) => address));
   }
 
+  #asAvailable(endpoint: RouteEndpoint, now_ms: number): RouteEndpoint {
+    return this.#isInShare(endpoint, now_ms)
+      ? endpoint
+      : { ...endpoint, state: RouteEndpointState.Leaving };
+  }
+
+  /** Whether an endpoint is in the share of its zone that this host may use. */
+  #isInShare(endpoint: RouteEndpoint, now_ms: number): boolean {
+    const { zones, host = "" } = this.#options;
+    if (zones === undefined || zones.isEmpty) return true;
+    const share = zones.share(endpoint.availability_zone, now_ms);
+    if (share === 0 || share === 1) return share === 1;
+    return murmurhash.v3(`${host}/${incarnationOf(endpoint)}`) <
+      share * HASH_VALUES;
+  }
+
   #newestEndpoints(): Map<string, RouteEndpoint> {
     if (this.#newestByAddress !== undefined) return this.#newestByAddress;
     const newest = new Map<string, RouteEndpoint>();
--- a/src/store_sync/peer_state.ts
+++ b/src/store_sync/peer_state.ts
@@ -9,7 +9,12 @@
 
 /** Mean interval at which a host compares what it has read with a peer. */
 const COMPARE_INTERVAL_MS = 1_000;
-const COMPARED_FEEDS = ["configuration", "endpoints", "quarantined"] as const;
+const COMPARED_FEEDS = [
+  "configuration",
+  "endpoints",
+  "quarantined",
+  "evacuations",
+] as const;
 /** Interval at which a peer's state is polled while the store is unavailable. */
 const PEER_POLL_INTERVAL_MS = 400;
 
@@ -18,12 +23,13 @@
   options: StoreSyncOptions,
   state: SyncState,
 ): Promise<void> {
-  const { configuration, endpoints, signal } = options;
+  const { configuration, endpoints, evacuations, signal } = options;
   if (state.pollingPeers) return;
   state.pollingPeers = true;
   const isNeeded = () =>
     state.configurationUnavailable || !endpoints.sourceAvailable ||
-    configuration.routeTable === undefined;
+    configuration.routeTable === undefined ||
+    evacuations?.needsPeers === true;
   while (isNeeded()) {
     await abortableDelay(PEER_POLL_INTERVAL_MS, signal);
     if (signal.aborted) return;
@@ -56,7 +62,7 @@
       if (!readsStore) continue;
       for (const feed of COMPARED_FEEDS) {
         const position = peerPosition(peerRevisions, feed);
-        if (position !== undefined) progress[feed].abortStaleWatch(position);
+        if (position !== undefined) progress[feed]?.abortStaleWatch(position);
       }
     } catch (error) {
       log.debug({
@@ -88,6 +94,7 @@
     }
     options.quarantine.addFromPeer(snapshot.quarantined ?? []);
     for (const each of snapshot.leaving ?? []) endpoints.markLeaving(each);
+    options.evacuations?.takeFromPeer(peer, snapshot.evacuations);
     // A stale list is better than none.
     const isUsable = snapshot.endpoints_fresh || endpoints.isEmpty;
     if (endpoints.sourceAvailable || !isUsable) return;
--- a/src/store_sync/relayed_feed.ts
+++ b/src/store_sync/relayed_feed.ts
@@ -43,6 +43,8 @@
   self: string;
   /** Longest watch at the store. */
   max_store_watch_ms: number;
+  /** Whether only a list of the store itself tells what is current. */
+  mustAskStore?: () => boolean;
   /** Called when a watch at the store found its connection silent. */
   onSilence: () => void;
   log: Logger;
@@ -66,9 +68,10 @@
     canWatchStore = "revision" in result;
     return result;
   };
-  const fromPeer = (call: () => Promise<FeedResult<T>>) => {
-    canWatchStore = false;
-    return call();
+  const fromPeer = async (call: () => Promise<FeedResult<T>>) => {
+    const result = await call();
+    if ("revision" in result) canWatchStore = false;
+    return result;
   };
   /** Lists at once if the peer no longer has changes since `position`. */
   const watchPeer = async (address: string, position: FeedPosition) => {
@@ -122,6 +125,10 @@
   };
   return {
     async list(signal) {
+      if (options.mustAskStore?.() === true) {
+        const result = await fromStore(() => store.list(signal));
+        if (result.kind === FeedResultKind.Listed) return trackPosition(result);
+      }
       return trackPosition(
         await readFromAny({
           fromStore: () => fromStore(() => store.list(signal)),
@@ -156,7 +163,7 @@
 ): Promise<FeedResult<T>> {
   const { readers, self, signal } = options;
   let storeFailed = false;
-  let isBehind = false;
+  let asksStore = false;
   for (
     let attempt = 0;
     attempt < MAX_ATTEMPTS_PER_READ && !signal.aborted;
@@ -177,10 +184,14 @@
     if (addresses.length === 0) break;
     const result = await readFromFirstPeer(addresses, { fromPeer, options });
     if (result.kind !== FeedResultKind.Unavailable) return result;
-    isBehind ||= result.isBehind === true;
+    asksStore ||= result.isBehind === true;
+    if (result.isUnknown !== true) continue;
+    asksStore = true;
+    break;
   }
-  // Readers that answer with less than this host has may all be right.
-  if (isBehind && !storeFailed && !signal.aborted) return await fromStore();
+  // Readers that answer with less than this host has may all be right, and those
+  // of an earlier release don't know every feed.
+  if (asksStore && !storeFailed && !signal.aborted) return await fromStore();
   return { kind: FeedResultKind.Unavailable, reason: "no source answers" };
 }
 
@@ -193,12 +204,15 @@
   },
 ): Promise<FeedResult<T>> {
   let isBehind = false;
+  let isUnknown = false;
   const call = async (address: string) => {
     const result = await callPeer(() => fromPeer(address));
     if (result.kind === FeedResultKind.Unavailable) {
-      recordFailure(address, result.reason, options);
+      const { reason } = result;
+      isUnknown ||= result.isUnknown === true;
       isBehind ||= result.isBehind === true;
-      throw new Error(result.reason);
+      if (result.isUnknown !== true) recordFailure(address, reason, options);
+      throw new Error(reason);
     }
     options.readers.markResponsive(address);
     return result;
@@ -207,6 +221,7 @@
     kind: FeedResultKind.Unavailable,
     reason: "no reader answers",
     isBehind,
+    isUnknown,
   }));
 }
 
--- a/src/store_sync/state_snapshot.ts
+++ b/src/store_sync/state_snapshot.ts
@@ -1,4 +1,6 @@
 /** State that hosts share with peers that cannot reach the object store. */
+import type { EvacuationService } from "../evacuations/evacuation_service.ts";
+import type { EvacuationReport } from "../evacuations/types.ts";
 import type { RouteConfiguration, RouteEndpoint } from "../routes/types.ts";
 import type { QuarantineService } from "../quarantine/quarantine_service.ts";
 import type { QuarantinedParts } from "../quarantine/types.ts";
@@ -20,10 +22,19 @@
    * hosts of an older release.
    */
   leaving?: string[];
+  /**
+   * Missing from hosts that don't read evacuations, and from those of an older
+   * release.
+   */
+  evacuations?: EvacuationReport;
 }
 
 /** Feeds of which hosts compare how far they have read. */
-export type ComparedFeed = "configuration" | "endpoints" | "quarantined";
+export type ComparedFeed =
+  | "configuration"
+  | "endpoints"
+  | "quarantined"
+  | "evacuations";
 
 /** Revision of the last change that a host has read from each feed. */
 export interface ChangeRevisions {
@@ -31,6 +42,8 @@
   endpoints: number;
   /** Missing from hosts of an older release. */
   quarantined?: number;
+  /** Missing from hosts that don't read evacuations. */
+  evacuations?: number;
   /**
    * Epochs of these revisions, as far as they are known. Missing from hosts of an
    * older release.
@@ -45,20 +58,25 @@
 
 /** Tells peers of the last change that this host has read from each feed. */
 export function createChangeRevisions(
-  { configuration, endpoints, quarantined }: Record<
-    ComparedFeed,
-    { lastChange: FeedPosition }
-  >,
+  { configuration, endpoints, quarantined, evacuations }:
+    & Record<
+      Exclude<ComparedFeed, "evacuations">,
+      { lastChange: FeedPosition }
+    >
+    & { evacuations?: { lastChange: FeedPosition } },
   configuration_version: number,
 ): ChangeRevisions {
   return {
     configuration: configuration.lastChange.revision,
     endpoints: endpoints.lastChange.revision,
     quarantined: quarantined.lastChange.revision,
+    ...(evacuations && { evacuations: evacuations.lastChange.revision }),
     epochs: {
       configuration: configuration.lastChange.epoch,
       endpoints: endpoints.lastChange.epoch,
       quarantined: quarantined.lastChange.epoch,
+      ...(evacuations?.lastChange.epoch !== undefined &&
+        { evacuations: evacuations.lastChange.epoch }),
     },
     configuration_version,
   };
@@ -82,10 +100,12 @@
 
 /** Creates a snapshot of this host's state. */
 export function createStateSnapshot(
-  { configuration, endpoints, quarantine, now }: {
+  { configuration, endpoints, quarantine, evacuations, now }: {
     configuration: ActiveConfiguration;
     endpoints: EndpointRegistry;
     quarantine: QuarantineService;
+    /** Undefined if this host doesn't read evacuations. */
+    evacuations?: EvacuationService;
     now: () => number;
   },
 ): StateSnapshot {
@@ -96,6 +116,7 @@
     endpoints_fresh: endpoints.sourceAvailable,
     quarantined: quarantine.entries.all(),
     leaving: endpoints.leaving,
+    ...(evacuations && { evacuations: evacuations.report() }),
   };
 }
 
--- a/src/store_sync/store_sync.ts
+++ b/src/store_sync/store_sync.ts
@@ -8,6 +8,8 @@
 import type { GatewayClients } from "../peers/gateway_clients.ts";
 import type { RouteTable } from "../routes/route_table.ts";
 import { abortableDelay } from "../utils/delay.ts";
+import type { EvacuationService } from "../evacuations/evacuation_service.ts";
+import type { Evacuation } from "../evacuations/types.ts";
 import type { ActiveConfiguration } from "./active_configuration.ts";
 import { changedEndpoints, logEndpoint } from "./endpoint_changes.ts";
 import { ConfigurationCatchUp } from "./configuration_catch_up.ts";
@@ -17,7 +19,11 @@
 } from "./endpoint_registry.ts";
 import type { StoreReaders } from "../membership/store_readers.ts";
 import type { GatewayMember } from "../membership/gateway_members.ts";
-import type { FeedName, WatchCaches } from "../peers/feed_stream.ts";
+import type {
+  FeedName,
+  OptionalFeedName,
+  WatchCaches,
+} from "../peers/feed_stream.ts";
 import type { QuarantineService } from "../quarantine/quarantine_service.ts";
 import type { QuarantinedParts } from "../quarantine/types.ts";
 import type { RouteConfiguration, RouteEndpoint } from "../routes/types.ts";
@@ -34,6 +40,8 @@
   /** The registered gateway hosts. */
   gateways: ObjectFeed<GatewayMember>;
   quarantined: ObjectFeed<QuarantinedParts>;
+  /** Undefined if this host doesn't read evacuations. */
+  evacuations?: ObjectFeed<Evacuation>;
 }
 
 /** Called when endpoints may have changed, with the changes if they are known. */
@@ -52,13 +60,17 @@
   members: GatewayMembers;
   ownEntry: OwnEntry;
   quarantine: QuarantineService;
+  /** Undefined if this host doesn't read evacuations. */
+  evacuations?: EvacuationService;
   /** Peer addresses, as `ip:port`, to contact before any members are known. */
   seeds: string[];
   configurationListeners: ((table: RouteTable) => void)[];
   endpointListeners: EndpointListener[];
   /** Timeout of one watch, in milliseconds. */
   watch_ms: number;
-  progress: Record<`${FeedName}`, FeedProgress>;
+  progress:
+    & Record<Exclude<`${FeedName}`, `${OptionalFeedName}`>, FeedProgress>
+    & Partial<Record<`${OptionalFeedName}`, FeedProgress>>;
   log: Logger;
   now: () => number;
   random: () => number;
@@ -94,6 +106,7 @@
     syncEndpoints(options, state),
     syncMembers(options),
     syncQuarantined(options),
+    syncEvacuations(options, state),
     compareWithPeers(options, catchUp),
   ]);
 }
@@ -218,17 +231,53 @@
   });
 }
 
-function feedOptions<Name extends `${FeedName}`>(
+async function syncEvacuations(
+  options: StoreSyncOptions,
+  state: SyncState,
+): Promise<void> {
+  const { feeds, evacuations, progress, watchCaches } = options;
+  const { evacuations: feedProgress } = progress;
+  const { evacuations: cache } = watchCaches;
+  if (feeds.evacuations === undefined || evacuations === undefined) return;
+  if (feedProgress === undefined || cache === undefined) return;
+  await syncFeed(feeds.evacuations, {
+    onList: (items) => evacuations.applyList(items, feedProgress.position),
+    onChanges: (changes) =>
+      evacuations.applyChanges(changes, feedProgress.position),
+    onSourceUnavailable() {
+      evacuations.markSourceUnavailable();
+      void pollPeers(options, state);
+    },
+    onSourceAvailable: () => evacuations.markSourceAvailable(),
+  }, {
+    ...sharedFeedOptions("evacuations", options),
+    progress: feedProgress,
+    cache,
+  });
+}
+
+function feedOptions<
+  Name extends Exclude<`${FeedName}`, `${OptionalFeedName}`>,
+>(
   name: Name,
-  { watch_ms, watchCaches, progress, log, now, random, signal }:
-    StoreSyncOptions,
+  options: StoreSyncOptions,
+) {
+  return {
+    ...sharedFeedOptions(name, options),
+    progress: options.progress[name],
+    cache: options.watchCaches[name],
+  };
+}
+
+/** The options of a feed that hold for all of them. */
+function sharedFeedOptions(
+  name: `${FeedName}`,
+  { watch_ms, progress, log, now, random, signal }: StoreSyncOptions,
 ) {
   return {
     name,
     wait_ms: watch_ms,
     coalesce_ms: 0,
-    progress: progress[name],
-    cache: watchCaches[name],
     onEpoch: (epoch: number) => listAllAgain(progress, epoch),
     log,
     now,
--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -33,6 +33,8 @@
   watch_ms?: number;
   /** `object_store.silence_ms` of the gateway hosts. */
   silence_ms?: number;
+  /** `evacuations.in_force_ms` of the gateway hosts; undefined by default. */
+  in_force_ms?: number;
   /** Time limit of a gateway host's drain; 8 by default. */
   drain_timeout_s?: number;
   /** Through what gateway hosts reach the object store; nothing by default. */
@@ -210,6 +212,9 @@
           readers: this.#options.readers,
           silence_ms: this.#options.silence_ms,
         },
+        evacuations: this.#options.in_force_ms === undefined
+          ? undefined
+          : { in_force_ms: this.#options.in_force_ms },
         repeats: { ratio: 0.2, slack: 50, window_s: 10 },
         drain: { timeout_s: this.#options.drain_timeout_s ?? 8 },
       }),
--- a/test/settings/gateway_settings.test.ts
+++ b/test/settings/gateway_settings.test.ts
@@ -36,13 +36,21 @@
   t.assert.snapshot(formatFindings(checked.findings).split("\n"));
 });
 
-test("the deployment template provides every required setting", () => {
+/** Renders the sections of a template, which are rendered if a value is there. */
+function renderSections(template: string, isPresent: boolean): string {
+  return template.replaceAll(
+    /^\{\{#([\w.]+)\}\}\n([^]*?)^\{\{\/\1\}\}\n/gm,
+    (_, _name, content: string) => isPresent ? content : "",
+  );
+}
+
+function checkTemplate({ sections }: { sections: boolean }) {
   const root = join(import.meta.dirname, "../..");
   const template = readFileSync(
     join(root, "deploy/gateway.yaml.template"),
     "utf8",
   );
-  const filled = template
+  const filled = renderSections(template, sections)
     .replaceAll("{{seeds|json}}", '["10.0.0.2:90"]')
     .replaceAll(/\{\{(bind\.\w+|platform\.address)\}\}/g, "10.0.0.1:80")
     .replaceAll("{{ip}}", "10.0.0.1")
@@ -51,4 +59,15 @@
     .replaceAll(/\{\{[^}]+\}\}/g, "2");
   const checked = checkGatewaySettings("template", filled);
   assert.ok(checked.ok, checked.ok ? "" : formatFindings(checked.findings));
+  return checked.value;
+}
+
+test("the deployment template provides every required setting", () => {
+  assert.deepEqual(checkTemplate({ sections: true }).evacuations, {
+    in_force_ms: 2,
+  });
+});
+
+test("the deployment template sets no evacuations without their bound", () => {
+  assert.equal(checkTemplate({ sections: false }).evacuations, undefined);
 });
