Evacuations: tests of the failure table, of the last check and of mixed releases

Each row of the failure table has a test with gateway hosts in this process or with the service alone; followers and readers of the previous release are met in both directions.

Ruled out that the tests pass by themselves: without the check at the connection, without the check of pauses, with results freed, without the refusal of queued jobs, and without the wait at the start, one test each fails.

--- a/src/evacuations/evacuation_service.ts
+++ b/src/evacuations/evacuation_service.ts
@@ -201,7 +201,7 @@
 
   /** Moves what changes with time alone. */
   step(): void {
-    const { now, onChange } = this.#options;
+    const { now, onChange, log } = this.#options;
     this.#noticePause();
     this.#stepped_ms = now();
     this.#endLateDoubt();
@@ -209,6 +209,10 @@
     this.#handleChanges(this.zones.advance(now()), "grace_over");
     const isMoving = this.zones.isMoving(now());
     if (isMoving || this.#wasMoving) onChange();
+    if (this.#wasMoving && !isMoving) {
+      const zones = this.zones.all().join(",");
+      log.info({ event: "evacuations_in_force", zones });
+    }
     this.#wasMoving = isMoving;
   }
 
--- a/test/evacuations/evacuated_fleet.test.ts
+++ b/test/evacuations/evacuated_fleet.test.ts
@@ -1,66 +1,25 @@
 /** Evacuations of a zone, by gateway hosts in this process. */
 import assert from "node:assert/strict";
 import { setTimeout as sleep } from "node:timers/promises";
-import { test, type TestContext } from "node:test";
+import { test } from "node:test";
 import { sendJsonRequest } from "../../stand_ins/json_client.ts";
+import { EngineFault } from "../../stand_ins/deployment/engine.ts";
 import {
-  ApiKey,
   GatewayFleet,
-  type GatewayFleetOptions,
-  type RunningGateway,
   Service,
   waitUntil,
 } from "../../stand_ins/deployment/gateway_fleet.ts";
+import {
+  call,
+  firstGateway,
+  IN_FORCE_MS,
+  KIND,
+  receivedBy,
+  startFleet,
+  waitForLine,
+} from "./evacuating_fleet.ts";
 
-const IN_FORCE_MS = 2_000;
-const KIND = "evacuations";
-let attempts = 0;
-
-async function startFleet(
-  t: TestContext,
-  options: GatewayFleetOptions = {},
-): Promise<GatewayFleet> {
-  const fleet = new GatewayFleet({ in_force_ms: IN_FORCE_MS, ...options });
-  t.after(() => fleet.stop());
-  await fleet.start();
-  return fleet;
-}
-
-function call(
-  { callers }: RunningGateway,
-  path: string,
-  headers: Record<string, string> = {},
-) {
-  return sendJsonRequest(callers, path, {
-    method: "POST",
-    text: "x",
-    headers: {
-      host: "fleet.example",
-      "x-attempt-id": `evacuated-${attempts++}`,
-      "x-key": ApiKey.Docks,
-      "x-deadline-ms": "1500",
-      ...headers,
-    },
-  });
-}
-
-function firstGateway(fleet: GatewayFleet): RunningGateway {
-  const [gateway] = fleet.gateways;
-  assert.ok(gateway !== undefined);
-  return gateway;
-}
-
-function receivedBy(fleet: GatewayFleet, service: Service, index: number) {
-  return fleet.engine(service, index).receivedRequests.length;
-}
-
-async function waitForLine(fleet: GatewayFleet, text: string): Promise<void> {
-  await waitUntil(() =>
-    fleet.gateways.every(({ logLines }) =>
-      logLines.some((line) => line.includes(text))
-    )
-  );
-}
+const STAGES = { "x-pieces": "2,3", "x-piece-key": "cafe" };
 
 test("requests leave an evacuated zone within the bound, and come back after it", async (t) => {
   const fleet = await startFleet(t, { gateways: 2 });
@@ -119,3 +78,64 @@
   for (let n = 0; n < 20; n++) await call(gateway, "/stamp/1");
   assert.ok(receivedBy(fleet, Service.Desk, 0) > 0);
 });
+
+test("results in an evacuated zone aren't freed, and other zones may still read them", async (t) => {
+  const engines = {
+    [Service.Desk]: [{ id: "desk-1" }, { id: "desk-2" }],
+    [Service.Model]: [
+      { id: "model-1", events: 5, work_ms: 150 },
+      { id: "model-2", events: 5, work_ms: 150 },
+    ],
+    // All in az-1, as zones alternate.
+    [Service.Encode]: [{ id: "encode-1", call_ms: 20 }],
+    [Service.Rank]: [{ id: "rank-1", call_ms: 20 }],
+  };
+  const fleet = await startFleet(t, { engines });
+  const gateway = firstGateway(fleet);
+  const request = call(gateway, "/review/1", {
+    ...STAGES,
+    "x-deadline-ms": "1900",
+  });
+  const models = fleet.engines.get(Service.Model) ?? [];
+  await waitUntil(() =>
+    models.some((each) => each.receivedRequests.length > 0)
+  );
+  const freedBefore = fleet.engine(Service.Rank).freed.length;
+  fleet.store.put(KIND, "az-1", {});
+  await waitForLine(fleet, "event=evacuations_in_force zones=az-1");
+  // What runs is run to its end, wherever it runs.
+  assert.equal((await request).status, 200);
+  await sleep(300);
+  assert.equal(fleet.engine(Service.Rank).freed.length, freedBefore);
+});
+
+test("work that a batcher has queued for an evacuated zone runs elsewhere or is refused", async (t) => {
+  const fleet = await startFleet(t, { call_ms: 200, target_latency_ms: 1_500 });
+  const gateway = firstGateway(fleet);
+  for (const index of [0, 1]) {
+    fleet.store.remove("servers", `encode-${index + 1}`);
+  }
+  await waitForLine(fleet, "endpoint=encode-2");
+  // Both endpoints want no calls, so that the job waits in its queue.
+  const encoders = fleet.engines.get(Service.Encode) ?? [];
+  for (const engine of encoders) {
+    engine.fault = EngineFault.Full;
+    fleet.registerEngine(Service.Encode, engine);
+  }
+  await sleep(500);
+  const request = call(gateway, "/review/1", STAGES);
+  await waitUntil(() =>
+    encoders.some((each) => each.pieceCalls.length > 0) ||
+    gateway.logLines.some((line) => line.includes("event=stage_call"))
+  );
+  fleet.store.put(KIND, "az-1", {});
+  fleet.store.put(KIND, "az-2", {});
+  const { status, headers } = await request;
+  assert.equal(status, 503);
+  assert.ok(Number(headers["retry-after"]) > 0);
+  const calls = () =>
+    gateway.logLines.filter((line) => line.includes("event=stage_call")).length;
+  const before = calls();
+  await sleep(300);
+  assert.equal(calls(), before);
+});
--- a/test/relaying/carried_exchanges.ts
+++ b/test/relaying/carried_exchanges.ts
@@ -88,9 +88,10 @@
 export async function startCarrier(
   t: TestContext,
   endpoint: RouteEndpoint,
-  { max_connections = 100, routes = routesThrough([]) }: {
+  { max_connections = 100, routes = routesThrough([]), isEvacuated }: {
     max_connections?: number;
     routes?: EndpointRoutes;
+    isEvacuated?: (endpoint: RouteEndpoint) => boolean;
   } = {},
 ): Promise<Carrier> {
   const agents = new EndpointAgents(() => 1);
@@ -118,6 +119,7 @@
           host.reports.push({ report, sent_ms }),
         pauseMs: () => host.pause_ms,
       },
+      ...(isEvacuated && { isEvacuated }),
       isShuttingDown: () => host.isShuttingDown,
       requestLimits: limits(),
       responseLimits: limits(),
