--- a/src/cli/command_line.ts
+++ b/src/cli/command_line.ts
@@ -6,6 +6,7 @@
 import { checkRecordsCommand } from "./commands/check_records.ts";
 import { drainCommand } from "./commands/drain.ts";
 import { entryCommand } from "./commands/entry.ts";
+import { createEvacuateCommand } from "./commands/evacuate.ts";
 import {
   checkGatewayCommand,
   createGatewayCommand,
@@ -38,7 +39,11 @@
   adapter: GatewayAdapter,
 ): Promise<void> {
   const program = sade(PROGRAM_NAME).version(VERSION);
-  const commands = [...COMMANDS, createGatewayCommand(adapter)];
+  const commands = [
+    ...COMMANDS,
+    createGatewayCommand(adapter),
+    createEvacuateCommand(adapter),
+  ];
   for (const command of commands) registerCommand(program, command);
   if (argv.length <= FIRST_ARGUMENT_INDEX) {
     program.help();
