Evacuations: a host without the feed does not lose its other feeds

Cause: a reader that can't read evacuations, as a store may not know the kind, ended the streams of all feeds, and each host counted its readers as failed.

Change: for an optional feed, a reader says that it can't read it and streams the others; failures of it don't exclude readers.

--- a/src/peers/create_relayed_feeds.ts
+++ b/src/peers/create_relayed_feeds.ts
@@ -1,7 +1,10 @@
 /** The store's feeds, read from the store or from the hosts that read it. */
 import type { StoreFeeds } from "../store_sync/store_sync.ts";
 import type { ObjectFeed } from "../store_sync/object_feed.ts";
-import { createRelayedFeed } from "../store_sync/relayed_feed.ts";
+import {
+  createRelayedFeed,
+  type RelayedFeedOptions,
+} from "../store_sync/relayed_feed.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { StoreReaders } from "../membership/store_readers.ts";
 import type { FeedStreamClients } from "./feed_stream_client.ts";
@@ -68,7 +71,7 @@
   const relay = <T>(
     name: FeedName,
     feed: ObjectFeed<T>,
-    extra: { mustAskStore?: () => boolean } = {},
+    extra: Partial<RelayedFeedOptions<T>> = {},
   ) =>
     createRelayedFeed({
       ...options,
@@ -85,11 +88,10 @@
     gateways: relay(FeedName.Gateways, store.gateways),
     quarantined: relay(FeedName.Quarantined, store.quarantined),
     ...(store.evacuations && {
-      evacuations: relay(
-        FeedName.Evacuations,
-        store.evacuations,
-        mustListEvacuations && { mustAskStore: mustListEvacuations },
-      ),
+      evacuations: relay(FeedName.Evacuations, store.evacuations, {
+        isOptional: true,
+        ...(mustListEvacuations && { mustAskStore: mustListEvacuations }),
+      }),
     }),
   };
 }
--- a/src/peers/feed_stream.ts
+++ b/src/peers/feed_stream.ts
@@ -87,6 +87,9 @@
 /** Interval between the heartbeat lines of a stream, in milliseconds. */
 export const STREAM_HEARTBEAT_INTERVAL_MS = 1_000;
 
+/** Interval at which a feed that its host can't read is looked at again. */
+const UNAVAILABLE_CHECK_MS = 100;
+
 /** Pause before a follower is sent a whole list again. */
 const RELIST_PAUSE_MS = 20;
 
@@ -180,7 +183,12 @@
       : cache.changesSince(position, now());
     switch (result.kind) {
       case FeedResultKind.Unavailable:
-        return void response.end();
+        if (!isOptional(feed)) return void response.end();
+        // The others go on; the follower asks elsewhere for this one.
+        writeLine(response, { feed, read: result });
+        position = undefined;
+        await waitWhileUnavailable(cache, response);
+        continue;
       case FeedResultKind.RevisionTooOld:
         if (position !== undefined) held.set(feed, position);
         position = undefined;
@@ -242,6 +250,16 @@
   response.write(JSON.stringify(line) + "\n");
 }
 
+/** Waits until a feed can be listed again, or its follower has left. */
+async function waitWhileUnavailable(
+  cache: WatchCache<unknown>,
+  response: ServerResponse,
+): Promise<void> {
+  while (!cache.isAvailable && !response.destroyed) {
+    await delay(UNAVAILABLE_CHECK_MS, undefined, { ref: false });
+  }
+}
+
 /** Converts the configurations in a result; other feeds are left unchanged. */
 export function mapConfigurations<From, To>(
   feed: FeedName,
--- a/src/peers/feed_stream_client.ts
+++ b/src/peers/feed_stream_client.ts
@@ -132,8 +132,8 @@
   #silenceTimer: NodeJS.Timeout;
   #request: ClientRequest;
   #options: FeedStreamClientsOptions;
-  /** Optional feeds that the host doesn't have. */
-  #unknown: readonly FeedName[] = [];
+  /** Optional feeds that the host doesn't have, or can't read now. */
+  #unknown = new Set<FeedName>();
 
   constructor(address: string, options: FeedStreamClientsOptions) {
     this.#address = address;
@@ -158,7 +158,13 @@
 
   /** Whether the host has a feed, as far as it has said so. */
   isKnown(feed: FeedName): boolean {
-    return !this.#unknown.includes(feed);
+    return !this.#unknown.has(feed);
+  }
+
+  #markUnknown(feed: FeedName): void {
+    this.#unknown.add(feed);
+    // Wakes those who wait for a result.
+    this.#cache(feed).markSourceUnavailable();
   }
 
   /** Closes the stream and marks its feeds as unavailable. */
@@ -185,9 +191,9 @@
     }
     const { optionalFeeds = [] } = this.#options;
     const known = decodeOptionalFeeds(response);
-    this.#unknown = optionalFeeds.filter((feed) => !known.includes(feed));
-    // Wakes those who wait for the first result.
-    for (const feed of this.#unknown) this.#cache(feed).markSourceUnavailable();
+    for (const feed of optionalFeeds) {
+      if (!known.includes(feed)) this.#markUnknown(feed);
+    }
     new PacedBody(response, new ChunkPacer(), (bytes) => {
       this.#silenceTimer.refresh();
       const lines = this.#splitter.push(bytes).toString("utf8").split("\n");
@@ -218,6 +224,13 @@
       }
       return;
     }
+    const { optionalFeeds = [] } = this.#options;
+    if (
+      optionalFeeds.includes(line.feed) &&
+      line.read.kind === FeedResultKind.Unavailable
+    ) {
+      return this.#markUnknown(line.feed);
+    }
     const result = mapConfigurations(
       line.feed,
       readFeedValues(line.feed, line.read),
@@ -233,6 +246,7 @@
     if (position === undefined) return this.close("no revision");
     switch (result.kind) {
       case FeedResultKind.Listed:
+        this.#unknown.delete(line.feed);
         cache.replaceAll(
           result.items,
           position,
--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -229,9 +229,10 @@
    * get nothing as their zone is evacuated are listed as leaving.
    */
   inPool(pool: string, now_ms: number): RouteEndpoint[] {
-    return this.#entriesInPool(pool, now_ms).map((endpoint) =>
-      this.#asAvailable(endpoint, now_ms)
-    );
+    const endpoints = this.#entriesInPool(pool, now_ms);
+    const { zones } = this.#options;
+    if (zones === undefined || zones.isEmpty) return endpoints;
+    return endpoints.map((endpoint) => this.#asAvailable(endpoint, now_ms));
   }
 
   /** Whether this host must send nothing to an endpoint, as its zone is evacuated. */
--- a/src/store_sync/relayed_feed.ts
+++ b/src/store_sync/relayed_feed.ts
@@ -43,6 +43,11 @@
   self: string;
   /** Longest watch at the store. */
   max_store_watch_ms: number;
+  /**
+   * Whether a host may be sound without this feed: its failures then say nothing
+   * of the readers.
+   */
+  isOptional?: boolean;
   /** Whether only a list of the store itself tells what is current. */
   mustAskStore?: () => boolean;
   /** Called when a watch at the store found its connection silent. */
@@ -173,7 +178,7 @@
       if (storeFailed) break;
       const result = await fromStore();
       if (signal.aborted || result.kind !== FeedResultKind.Unavailable) {
-        readers.markResponsive(self);
+        recordResponse(self, options);
         return result;
       }
       recordFailure(self, result.reason, options);
@@ -214,7 +219,7 @@
       if (result.isUnknown !== true) recordFailure(address, reason, options);
       throw new Error(reason);
     }
-    options.readers.markResponsive(address);
+    recordResponse(address, options);
     return result;
   };
   return await Promise.any(addresses.map(call)).catch(() => ({
@@ -236,11 +241,18 @@
   }
 }
 
+function recordResponse<T>(
+  address: string,
+  { readers, isOptional }: RelayedFeedOptions<T>,
+): void {
+  if (isOptional !== true) readers.markResponsive(address);
+}
+
 function recordFailure<T>(
   address: string,
   reason: string,
-  { readers, log, name }: RelayedFeedOptions<T>,
+  { readers, log, name, isOptional }: RelayedFeedOptions<T>,
 ): void {
-  readers.markFailed(address);
+  if (isOptional !== true) readers.markFailed(address);
   log.info({ event: "reader_failed", source: name, reader: address, reason });
 }
--- a/src/store_sync/watch_cache.ts
+++ b/src/store_sync/watch_cache.ts
@@ -48,6 +48,11 @@
   #graceEnd_ms = 0;
   #waiters = new Set<() => void>();
 
+  /** Whether the source of the feed answers. */
+  get isAvailable(): boolean {
+    return !this.#sourceUnavailable;
+  }
+
   /** Position up to which the feed has been read. */
   get position(): FeedPosition {
     return this.#position;
--- a/stand_ins/deployment/object_store.ts
+++ b/stand_ins/deployment/object_store.ts
@@ -55,6 +55,8 @@
    * Sent with every response; rises with each restoration. Undefined sends none.
    */
   epoch: number | string | undefined = 1;
+  /** Kinds that the store answers with status 404, as if it had none such. */
+  readonly unknownKinds = new Set<string>();
   /** Called after each page of a list, before its answer is sent. */
   afterPage = () => {};
   /** Replaces the revision that the answers of lists and watches name. */
@@ -204,6 +206,7 @@
     const [kind = "", name] = url.pathname.slice(OBJECTS_PATH.length).split(
       "/",
     );
+    if (this.unknownKinds.has(kind)) return this.#send(response, 404, {});
     if (request.method === "GET") {
       const watch = url.searchParams.get("watch");
       return watch === null
--- a/test/evacuations/evacuation_failures.test.ts
+++ b/test/evacuations/evacuation_failures.test.ts
@@ -223,3 +223,21 @@
     assert.equal(await countArrivals(fleet, { index: 0, requests: 4 }), 0);
   });
 }
+
+test("a store that doesn't know the kind leaves the other feeds to their readers", async (t) => {
+  const readers = 2;
+  const gateways = 5;
+  const fleet = await startFleet(t, { gateways: 1, readers, watch_ms: 20_000 });
+  fleet.store.unknownKinds.add(KIND);
+  const [{ logLines = [] } = {}] = fleet.gateways;
+  const seeds = [/peers=(\S+)/.exec(logLines.join("\n"))?.[1] ?? ""];
+  for (let n = 2; n <= gateways; n++) await fleet.startGateway(n, seeds);
+  await fleet.waitForMembers();
+  await sleep(3_000);
+  const version = fleet.version;
+  fleet.publishManifest({});
+  await waitForLine(fleet, `event=configuration version=${version}`);
+  assert.ok(await countArrivals(fleet, { index: 0 }) > 0);
+  // Four feeds are watched by the readers, and none by the other hosts.
+  await waitUntil(() => fleet.store.openWatches <= readers * 4, 20_000);
+});
--- a/test/evacuations/feed_compatibility.test.ts
+++ b/test/evacuations/feed_compatibility.test.ts
@@ -307,3 +307,23 @@
   assert.equal(revisions.evacuations, 5);
   assert.equal(revisions.epochs?.evacuations, 2);
 });
+
+test("a reader that can't read evacuations streams its other feeds, and those again later", async (t) => {
+  const caches = createCaches();
+  caches.evacuations?.markSourceUnavailable();
+  const address = await startReader(t, caches);
+  const clients = createClients(t);
+  const feed = clients.feed<Evacuation>(FeedName.Evacuations);
+  const read = await feed.list(address, at(0));
+  assert.ok(read.kind === FeedResultKind.Unavailable);
+  assert.equal(read.isUnknown, true);
+  const update = clients.feed(FeedName.Endpoints).watch(address, at(10), 3_000);
+  caches.evacuations?.replaceAll([begun("a")], at(12));
+  await sleep(400);
+  const again = await feed.list(address, at(0));
+  assert.ok("items" in again && again.items.length === 1);
+  caches.endpoints.applyChanges([
+    { name: "e", value: undefined, deleted: true },
+  ], at(14));
+  assert.equal((await update).kind, FeedResultKind.Changed);
+});
