Evacuations of entry hosts: a record of kind Evacuation

The zones of the accepted configuration are out of use for the router, over the same times as on gateway hosts; their slots are no capacity of their pools, and their engines get no orders.

--- a/src/admission/pool_limiters.ts
+++ b/src/admission/pool_limiters.ts
@@ -48,7 +48,9 @@
 ): number {
   const endpoints = records.endpointsByPool.get(pool) ?? [];
   const total = endpoints
-    .filter((endpoint) => !endpoint.leaving)
+    .filter(({ leaving, availability_zone }) =>
+      !leaving && !records.evacuatedZones.has(availability_zone)
+    )
     .reduce((sum, { slots }) => sum + slotsPerHost(slots, live_hosts), 0);
   return Math.max(1, total);
 }
--- a/src/entry/host_context.ts
+++ b/src/entry/host_context.ts
@@ -1,10 +1,13 @@
 /** Settings, state and clients that the components of an entry host share. */
+import { applyEvacuations } from "../evacuations/apply_evacuations.ts";
+import { Evacuations } from "../evacuations/evacuations.ts";
 import { randomBytes } from "node:crypto";
 import { ConfigurationState } from "../configuration/configuration_state.ts";
 import { EndpointConnections } from "../endpoints/endpoint_connections.ts";
 import {
   HostLifecycle,
   HostLifecycleEvent,
+  HostLifecycleState,
 } from "../lifecycle/host_lifecycle.ts";
 import {
   createLogger,
@@ -44,6 +47,8 @@
   lifecycle: HostLifecycle;
   configuration: ConfigurationState;
   states: EndpointStates;
+  /** The evacuated zones of the active configuration. */
+  zones: Evacuations;
   platform: Platform;
   members: MemberTable;
   peers: PeerClients;
@@ -55,6 +60,9 @@
   closeConnections: () => void;
 }
 
+/** Time over which requests leave a zone. */
+const ZONE_LEAVE_MS = 1_000;
+
 /** Creates what the components share; nothing is started. */
 export function createHostContext(
   settings: Settings,
@@ -74,10 +82,17 @@
     log.info({ event: "lifecycle", state })
   );
   const states = new EndpointStates();
+  const zones = new Evacuations({ leave_ms: ZONE_LEAVE_MS });
   const configuration = new ConfigurationState((generation, source) => {
     log.info({ event: "configuration", generation, source });
     metrics.gauge(MetricName.ConfigurationGeneration, generation);
     states.sync(configuration.records.endpoints.values());
+    applyEvacuations(zones, configuration.records, {
+      source,
+      isFirst: lifecycle.state === HostLifecycleState.Starting,
+      log,
+      now_ms: performance.now(),
+    });
     lifecycle.handle(HostLifecycleEvent.Configured);
   });
   const http = new HttpClient(settings.platform.address);
@@ -103,6 +118,7 @@
     lifecycle,
     configuration,
     states,
+    zones,
     platform,
     members,
     peers,
--- a/src/entry/request_components.ts
+++ b/src/entry/request_components.ts
@@ -89,6 +89,9 @@
   return new EndpointRouter({
     configuration,
     states,
+    zones: context.zones,
+    host: settings.host.name,
+    monotonicNow: () => performance.now(),
     call: createEndpointClient(context.connections, now),
     policy: settings.routing.policy,
     availability_zone: settings.host.availability_zone,
--- a/src/placement/placement_loop.ts
+++ b/src/placement/placement_loop.ts
@@ -66,9 +66,11 @@
   options: PlacementOptions,
 ): Promise<void> {
   const key = formatIdentity(pool);
-  const { endpointsByPool } = options.configuration.records;
   let loading = 0;
+  const { endpointsByPool } = options.configuration.records;
   for (const endpoint of endpointsByPool.get(key) ?? []) {
+    const { evacuatedZones } = options.configuration.records;
+    if (evacuatedZones.has(endpoint.availability_zone)) continue;
     if (loading >= MAX_LOADING_ENGINES) return;
     const observed = await fetchEngineState(endpoint);
     if (observed === undefined) continue;
--- a/src/records/record_set.ts
+++ b/src/records/record_set.ts
@@ -17,7 +17,8 @@
 
 /**
  * Records by formatted identity; endpoints also by the identity of their pool,
- * organisations also by the SHA-256 digest of each API key.
+ * organisations also by the SHA-256 digest of each API key. Of evacuations, only
+ * the zones.
  */
 export interface RecordSet {
   pipelines: Map<string, Pipeline>;
@@ -27,6 +28,7 @@
   endpoints: Map<string, Endpoint>;
   endpointsByPool: Map<string, Endpoint[]>;
   organisationsByKeyHash: Map<string, Organisation>;
+  evacuatedZones: Set<string>;
 }
 
 /** Indexes records; of several with the same identity, the last one counts. */
@@ -57,6 +59,7 @@
     endpoints: new Map(),
     endpointsByPool: new Map(),
     organisationsByKeyHash: new Map(),
+    evacuatedZones: new Set(),
   };
 }
 
@@ -89,6 +92,9 @@
     case RecordKind.Endpoint:
       set.endpoints.set(identity, record);
       break;
+    case RecordKind.Evacuation:
+      set.evacuatedZones.add(record.zone);
+      break;
   }
 }
 
--- a/src/records/schema_common.ts
+++ b/src/records/schema_common.ts
@@ -17,6 +17,9 @@
   message: "The value is not a SHA-256 digest in hexadecimal",
 });
 
+/** The name of an availability zone. */
+export const zoneSchema = z.string().min(1);
+
 /** The path of an HTTP request. */
 export const pathSchema = z.string().startsWith("/");
 
--- a/src/records/schema_v1.ts
+++ b/src/records/schema_v1.ts
@@ -9,6 +9,7 @@
   MAX_STAGES_PER_PIPELINE,
   nameSchema,
   pathSchema,
+  zoneSchema,
 } from "./schema_common.ts";
 import { type AnyRecord, EndpointProtocol, RecordKind } from "./types.ts";
 
@@ -103,7 +104,7 @@
   kind: z.literal(RecordKind.Endpoint),
   pool: nameSchema,
   address: addressSchema,
-  availability_zone: z.string().min(1),
+  availability_zone: zoneSchema,
   slots: z.int().positive(),
   leaving: z.boolean().optional(),
   checks_fencing: z.boolean().optional(),
@@ -119,6 +120,17 @@
   checks_fencing: record.checks_fencing ?? false,
 }));
 
+const evacuation = z.strictObject({
+  ...commonFields,
+  kind: z.literal(RecordKind.Evacuation),
+  zone: zoneSchema,
+}).transform(({ kind, fleet, name, zone }): AnyRecord => ({
+  kind,
+  fleet,
+  name,
+  zone,
+}));
+
 /** The schema of each record kind; parsing gives the internal form. */
 export const schemasV1: Record<RecordKind, z.ZodType<AnyRecord>> = {
   [RecordKind.Pipeline]: pipeline,
@@ -126,4 +138,5 @@
   [RecordKind.Organisation]: organisation,
   [RecordKind.EndpointPool]: endpointPool,
   [RecordKind.Endpoint]: endpoint,
+  [RecordKind.Evacuation]: evacuation,
 };
--- a/src/records/schema_v2.ts
+++ b/src/records/schema_v2.ts
@@ -10,6 +10,7 @@
   MAX_STAGES_PER_PIPELINE,
   nameSchema,
   pathSchema,
+  zoneSchema,
 } from "./schema_common.ts";
 import { type AnyRecord, EndpointProtocol, RecordKind } from "./types.ts";
 
@@ -115,7 +116,7 @@
   pool: identitySchema,
   location: z.strictObject({
     address: addressSchema,
-    availability_zone: z.string().min(1),
+    availability_zone: zoneSchema,
   }),
   capacity: z.strictObject({ slots: z.int().positive() }),
   state: z.enum(["serving", "leaving"]),
@@ -132,6 +133,17 @@
   checks_fencing: record.fencing === "checked",
 }));
 
+const evacuation = z.strictObject({
+  ...commonFields,
+  kind: z.literal(RecordKind.Evacuation),
+  zone: zoneSchema,
+}).transform(({ kind, fleet, name, zone }): AnyRecord => ({
+  kind,
+  fleet,
+  name,
+  zone,
+}));
+
 /** The schema of each record kind; parsing gives the internal form. */
 export const schemasV2: Record<RecordKind, z.ZodType<AnyRecord>> = {
   [RecordKind.Pipeline]: pipeline,
@@ -139,4 +151,5 @@
   [RecordKind.Organisation]: organisation,
   [RecordKind.EndpointPool]: endpointPool,
   [RecordKind.Endpoint]: endpoint,
+  [RecordKind.Evacuation]: evacuation,
 };
--- a/src/records/types.ts
+++ b/src/records/types.ts
@@ -10,6 +10,7 @@
   Organisation = "Organisation",
   EndpointPool = "EndpointPool",
   Endpoint = "Endpoint",
+  Evacuation = "Evacuation",
 }
 
 /** The protocol of the endpoints of a pool. */
@@ -99,13 +100,23 @@
   leaving: boolean;
 }
 
+/**
+ * The evacuation of an availability zone: while the record exists, the endpoints
+ * in the zone, of all fleets, get no calls.
+ */
+export interface ZoneEvacuation extends RecordIdentity {
+  kind: RecordKind.Evacuation;
+  zone: string;
+}
+
 /** Any record in its internal form. */
 export type AnyRecord =
   | Pipeline
   | Rank
   | Organisation
   | EndpointPool
-  | Endpoint;
+  | Endpoint
+  | ZoneEvacuation;
 
 /** Formats an identity as `fleet/name`, which is unique within a kind. */
 export function formatIdentity({ fleet, name }: RecordIdentity): string {
--- a/src/routing/endpoint_router.ts
+++ b/src/routing/endpoint_router.ts
@@ -2,6 +2,7 @@
  * Routes each attempt to an endpoint and updates the endpoint's state with the
  * result of the call.
  */
+import { isInShare, type ZoneShares } from "../evacuations/zone_shares.ts";
 import { slotsPerHost } from "../admission/pool_limiters.ts";
 import type { ConfigurationState } from "../configuration/configuration_state.ts";
 import type { Attempt, AttemptResult } from "../endpoints/attempt.ts";
@@ -28,6 +29,10 @@
   configuration: ConfigurationState;
   states: EndpointStates;
   call: CallEndpoint;
+  /** The shares of evacuated zones. */
+  zones: ZoneShares;
+  /** Name of this host. */
+  host: string;
   policy: RoutingPolicy;
   /** This host's availability zone. */
   availability_zone: string;
@@ -38,6 +43,8 @@
   log: Logger;
   /** Milliseconds since the Unix epoch. */
   now: () => number;
+  /** Monotonic time in milliseconds, as of which zones have their shares. */
+  monotonicNow: () => number;
   /** Returns a number from 0 up to, not including, 1. */
   random: () => number;
 }
@@ -100,13 +107,21 @@
     const { configuration, states, servingHosts } = this.#options;
     const endpoints = configuration.records.endpointsByPool.get(pool_id) ?? [];
     const hosts = servingHosts();
-    return endpoints.map((endpoint) => ({
+    return endpoints.filter((each) => this.#isInShare(each)).map((
+      endpoint,
+    ) => ({
       endpoint,
       state: states.forEndpoint(endpoint),
       slots: slotsPerHost(endpoint.slots, hosts),
     }));
   }
 
+  #isInShare({ availability_zone: zone, ...endpoint }: Endpoint): boolean {
+    const { zones, host, monotonicNow } = this.#options;
+    const key = `${host}/${formatIdentity(endpoint)}`;
+    return isInShare(zones, { zone, key }, monotonicNow());
+  }
+
   #context(
     request: PipelineRequest,
     { pool_id, tried }: { pool_id: string; tried: ReadonlySet<string> },
--- a/src/store_sync/endpoint_registry.ts
+++ b/src/store_sync/endpoint_registry.ts
@@ -1,4 +1,4 @@
-import murmurhash from "murmurhash";
+import { isInShare, type ZoneShares } from "../evacuations/zone_shares.ts";
 import { incarnationOf } from "../routes/incarnation.ts";
 import {
   type RouteEndpoint,
@@ -23,15 +23,6 @@
 export const RETURNED_ENTRY_HOLD_MS =
   HEARTBEATS_TO_LAPSE * ENDPOINT_HEARTBEAT_MS + GRACE_PERIOD_AFTER_OUTAGE_MS;
 
-/** What the registry asks of evacuations. */
-export interface ZoneShares {
-  /** Whether every zone gets its whole share. */
-  readonly isEmpty: boolean;
-  isEvacuated(zone: string): boolean;
-  /** The part of the requests that may go to a zone, from 0 to 1. */
-  share(zone: string, now_ms: number): number;
-}
-
 /** Options of {@linkcode EndpointRegistry}. */
 export interface EndpointRegistryOptions {
   /** Undefined if zones are never evacuated. */
@@ -55,8 +46,6 @@
   /** When the entry is used after all. */
   held_until_ms: number;
 }
-/** Number of values of the hash that decides which endpoints are in a share. */
-const HASH_VALUES = 2 ** 32;
 /** Leaving incarnations that are remembered; the oldest are dropped. */
 const MAX_LEAVING = 4_096;
 
@@ -323,11 +312,10 @@
   /** Whether an endpoint is in the share of its zone that this host may use. */
   #isInShare(endpoint: RouteEndpoint, now_ms: number): boolean {
     const { zones, host = "" } = this.#options;
-    if (zones === undefined || zones.isEmpty) return true;
-    const share = zones.share(endpoint.availability_zone, now_ms);
-    if (share === 0 || share === 1) return share === 1;
-    return murmurhash.v3(`${host}/${incarnationOf(endpoint)}`) <
-      share * HASH_VALUES;
+    if (zones === undefined) return true;
+    const { availability_zone: zone } = endpoint;
+    const key = `${host}/${incarnationOf(endpoint)}`;
+    return isInShare(zones, { zone, key }, now_ms);
   }
 
   #newestEndpoints(): Map<string, RouteEndpoint> {
