--- a/src/routing/endpoint_router.ts
+++ b/src/routing/endpoint_router.ts
@@ -2,11 +2,11 @@
  * Routes each attempt to an endpoint and updates the endpoint's state with the
  * result of the call.
  */
-import { isInShare, type ZoneShares } from "../evacuations/zone_shares.ts";
 import { slotsPerHost } from "../admission/pool_limiters.ts";
 import type { ConfigurationState } from "../configuration/configuration_state.ts";
 import type { Attempt, AttemptResult } from "../endpoints/attempt.ts";
 import type { CallEndpoint } from "../endpoints/endpoint_client.ts";
+import { isInShare, type ZoneShares } from "../evacuations/zone_shares.ts";
 import type { Logger } from "../logging/logger.ts";
 import type {
   Router,
@@ -107,9 +107,8 @@
     const { configuration, states, servingHosts } = this.#options;
     const endpoints = configuration.records.endpointsByPool.get(pool_id) ?? [];
     const hosts = servingHosts();
-    return endpoints.filter((each) => this.#isInShare(each)).map((
-      endpoint,
-    ) => ({
+    const inShare = endpoints.filter((each) => this.#isInShare(each));
+    return inShare.map((endpoint) => ({
       endpoint,
       state: states.forEndpoint(endpoint),
       slots: slotsPerHost(endpoint.slots, hosts),
