--- a/test/reachability/reachability_service.test.ts
+++ b/test/reachability/reachability_service.test.ts
@@ -32,6 +32,8 @@
 /** What the host says that is asked. */
 let answer: (endpoints: AskedEndpoint[]) => Promise<unknown>;
 let probeOf: ((address: string) => Promise<ProbeOutcome>) | undefined;
+/** Whether the endpoints' zone is evacuated. */
+let evacuated: boolean;
 
 beforeEach(async () => {
   stopping = new AbortController();
@@ -42,6 +44,7 @@
   logLines = [];
   probes = [];
   probeOf = undefined;
+  evacuated = false;
   for (let n = 0; n < 3; n++) {
     const engine = new Engine({ id: `desk-${n}` });
     await engine.start();
@@ -82,6 +85,7 @@
       if (probeOf !== undefined) return probeOf(address);
       return probe(isLinked ? linked.get(address) ?? "" : address);
     },
+    mayProbe: () => !evacuated,
     onProbe: (outcome) => probes.push(outcome),
     onLost: () => {},
     log: createLogger({
@@ -231,3 +235,24 @@
   );
   assert.equal(host.lostCount, 0);
 });
+
+test("no attempt goes to an evacuated zone, neither for this host nor for others", async () => {
+  evacuated = true;
+  const service = createService(false);
+  for (const each of endpoints) {
+    const exchange = service.begin(each);
+    exchange.recordFailure("ECONNRESET");
+    exchange.end();
+  }
+  const asked = endpoints.map((each) => ({
+    endpoint: incarnationOf(each),
+    since_ago_ms: 10,
+  }));
+  assert.deepEqual(await service.answer(asked), [null, null, null]);
+  await sleep(500);
+  assert.deepEqual(probes, []);
+  assert.deepEqual(engines.map(({ connections }) => connections), [0, 0, 0]);
+  // Attempts that were due are made after the evacuation.
+  evacuated = false;
+  await waitUntil(() => probes.includes(ProbeOutcome.Reached), 2_000);
+});
