--- a/src/defaults.ts
+++ b/src/defaults.ts
@@ -57,5 +57,6 @@
   readers: 8,
   repeats: { ratio: 0.1, slack: 10, window_s: 10 },
   drain_timeout_s: 30,
+  ramp_up_enabled: true,
   log_lines_per_s: 500,
 } as const;
--- a/src/endpoint_places/endpoint_places.ts
+++ b/src/endpoint_places/endpoint_places.ts
@@ -2,7 +2,8 @@
  * Keeps all hosts together within the places of endpoints that crash when they
  * reject too many requests. Each endpoint has an issuer, the first live host of a
  * rendezvous ranking, which every host asks for a place before it sends the
- * endpoint a request, and to which it reports when the request has ended. No
+ * endpoint a request, and to which it reports when the request has ended. The
+ * same issuer bounds the requests to an endpoint that starts or recovers. No
  * message is sent for pools without such endpoints.
  */
 import type { EndpointNotice } from "../endpoint_reports/endpoint_notices.ts";
@@ -17,14 +18,18 @@
 import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 import { dropOldest } from "../utils/drop_oldest.ts";
-import { type HeldPlace, HeldPlaces } from "./held_places.ts";
+import { EndpointRamps, type RampOptions } from "./endpoint_ramps.ts";
+import { type HeldPlace, HeldPlaces, type PlaceEnd } from "./held_places.ts";
 import { PlaceIssuer } from "./place_issuer.ts";
 import { PoolLimits } from "./pool_limits.ts";
+import { RampReason } from "./ramp_reason.ts";
 import {
+  type PlaceOutcome,
   type PlaceReply,
   placeReplySchema,
   type PlaceReport,
   type PlaceRequest,
+  type RampNews,
 } from "./types.ts";
 
 /** Calls to other hosts; they reject if the host does not respond. */
@@ -40,6 +45,8 @@
   /** Addresses of all hosts, this one included. */
   hosts: () => string[];
   peers: EndpointPlacesPeers;
+  /** Undefined if no endpoint is ramped up. */
+  ramps?: RampOptions;
   log: Logger;
   now: () => number;
   /** Aborts when this host stops. */
@@ -48,8 +55,11 @@
 
 /** The place of one request at an endpoint. */
 export interface Place {
-  /** Gives it back; `rejected` if the endpoint had no room for the request. */
-  release(rejected: boolean): void;
+  /**
+   * Gives it back; `rejected` if the endpoint had no room for the request.
+   * `outcome` is undefined if it tells nothing of the endpoint.
+   */
+  release(rejected: boolean, outcome?: PlaceOutcome): void;
 }
 
 /** Places that are given back within this time share a report. */
@@ -73,6 +83,10 @@
 const MAX_REJECTING = 4_096;
 /** Interval of the reports of places that are held. */
 const REPORT_INTERVAL_MS = 500;
+/** Time in which the issuer of an endpoint in ramp-up must reply. */
+const RAMP_REPLY_MS = 150;
+/** Added to the time that a request may wait at the issuer. */
+const RAMP_REPLY_MARGIN_MS = 50;
 /** Reply if no host could be asked. */
 const NO_ISSUER: PlaceReply = {
   granted: false,
@@ -88,6 +102,7 @@
   #pools = new PoolLimits();
   #held = new HeldPlaces();
   #issuer: PlaceIssuer;
+  #ramps: EndpointRamps;
   /** Requests of this host that ask for a place, by endpoint. */
   #asking = new Map<string, number>();
   /** When each endpoint's last rejection was learned of. */
@@ -97,9 +112,13 @@
   constructor(options: EndpointPlacesOptions) {
     this.#options = options;
     this.#rankedHosts = new RankedHosts(options);
+    this.#ramps = new EndpointRamps({ ramps: undefined, ...options });
     this.#issuer = new PlaceIssuer({
-      isIssuerOf: (endpoint) =>
-        rankCandidates(endpoint, options.hosts())[0] === options.self,
+      isIssuerOf: (endpoint) => this.#isIssuerOf(endpoint),
+      onRampChange: (endpoint, change) => {
+        this.#ramps.recordChange(endpoint, change);
+        if (change.end === undefined) this.#startReports();
+      },
       now: options.now,
     });
     options.signal.addEventListener(
@@ -156,15 +175,65 @@
     this.#startReports();
   }
 
+  /**
+   * Begins a ramp-up of an endpoint. Each host detects a start in its own feed;
+   * all hosts are told of a recovery.
+   */
+  startRamp(endpoint: RouteEndpoint, reason: RampReason): void {
+    if (reason === RampReason.Recovery) {
+      this.#options.ramps?.tellHosts(endpoint, reason);
+    } else this.#ramps.learn(incarnationOf(endpoint), reason);
+  }
+
+  /** Takes in endpoints of the feed, all of them without an argument. */
+  observeEndpoints(changed?: readonly RouteEndpoint[]): void {
+    this.#ramps.observeEndpoints(changed);
+  }
+
+  /** Applies a notice that an endpoint is in ramp-up. */
+  applyRamp({ endpoint, ramp }: EndpointNotice): void {
+    if (ramp === undefined || this.#options.ramps === undefined) return;
+    const isNew = this.#ramps.learn(endpoint, ramp.reason);
+    if (this.#isIssuerOf(endpoint)) {
+      this.#issuer.startRamp(endpoint, ramp.reason);
+    }
+    const isHolding = this.#held.numbers(endpoint).length > 0;
+    if (isNew && isHolding) this.#scheduleReport(endpoint);
+    this.#startReports();
+  }
+
+  /** The ramp-ups that this host knows of, for one that has just started. */
+  rampNews(): RampNews[] {
+    return this.#ramps.news();
+  }
+
   /** Whether a request to the endpoint needs a place. */
+  needsPlace(endpoint: RouteEndpoint): boolean {
+    return this.isRamping(endpoint) || this.isBounded(endpoint);
+  }
+
+  /** Whether the endpoint is known to bear few rejections. */
   isBounded(endpoint: RouteEndpoint): boolean {
     return this.#limitPerS(endpoint) !== undefined;
   }
 
+  /** Whether the endpoint is in ramp-up. */
+  isRamping(endpoint: RouteEndpoint): boolean {
+    return this.#ramps.find(endpoint) !== undefined;
+  }
+
+  /** Whether it is in ramp-up and all hosts together bound its requests. */
+  isRampedTogether(endpoint: RouteEndpoint): boolean {
+    return this.isRamping(endpoint) && !this.#ramps.isAlone(endpoint);
+  }
+
   /** Time until a place may be asked for, in milliseconds. */
   waitMs(endpoint: RouteEndpoint): number {
-    if (!this.isBounded(endpoint) || this.hasIdle(endpoint)) return 0;
+    if (!this.needsPlace(endpoint) || this.hasIdle(endpoint)) return 0;
     const incarnation = incarnationOf(endpoint);
+    if (!this.isBounded(endpoint) && this.#ramps.isAlone(endpoint)) {
+      return Math.min(1, this.#held.numbers(incarnation).length);
+    }
     const wait_ms = this.#held.waitMs(incarnation, this.#options.now());
     const asking = this.#asking.get(incarnation) ?? 0;
     return asking < MAX_ASKING ? wait_ms : Math.max(1, wait_ms);
@@ -180,7 +249,7 @@
    * later one while there is none.
    */
   retryAfterMs(endpoint: RouteEndpoint): number {
-    return this.isBounded(endpoint)
+    return this.needsPlace(endpoint)
       ? this.#held.retryAfterMs(incarnationOf(endpoint), this.#options.now())
       : 0;
   }
@@ -199,10 +268,8 @@
 
   /** Takes a place at an endpoint without a bound, without asking. */
   takeUnbounded(endpoint: RouteEndpoint): Place {
-    const number = this.#held.nextNumber();
-    const incarnation = incarnationOf(endpoint);
-    const place = this.#held.add(incarnation, number, this.#options.now());
-    return this.#placeOf(endpoint, place);
+    this.#ramps.recordSend(endpoint.pool);
+    return this.#hold(endpoint, this.#held.nextNumber());
   }
 
   /** Takes a place for a request; resolves to undefined if there is none. */
@@ -213,25 +280,40 @@
     const incarnation = incarnationOf(endpoint);
     const kept = this.#held.takeIdle(incarnation);
     if (kept !== undefined) return this.#placeOf(endpoint, kept);
-    const max_rejections_per_s = this.#limitPerS(endpoint);
-    if (max_rejections_per_s === undefined) return this.takeUnbounded(endpoint);
+    if (!this.needsPlace(endpoint)) return this.takeUnbounded(endpoint);
     this.#startReports();
+    const limit_per_s = this.#limitPerS(endpoint);
+    const mayBeAlone = limit_per_s === undefined;
+    if (mayBeAlone && this.#ramps.isAlone(endpoint)) {
+      return this.#takeAlone(endpoint);
+    }
     const number = this.#held.nextNumber();
-    const reply = await this.#request({
+    const asked = this.#request({
       endpoint: incarnation,
       host: this.#options.self,
       place: number,
       slots: endpoint.slots,
-      max_rejections_per_s,
+      // An issuer of an earlier release bounds it by the slots.
+      max_rejections_per_s: limit_per_s ?? endpoint.slots,
       priority,
       max_wait_ms: Math.max(0, max_wait_ms),
+      ramp: this.#rampOf(endpoint),
     });
+    const reply = mayBeAlone
+      ? await this.#inTime(endpoint, { asked, number, max_wait_ms })
+      : await asked ?? NO_ISSUER;
+    if (reply.ramping !== undefined) {
+      this.#ramps.confirm(endpoint, reply.ramping);
+    } else if (mayBeAlone) {
+      this.#ramps.markAlone(endpoint);
+      return this.#takeAlone(endpoint);
+    }
     if (!reply.granted) {
       this.#held.recordRefusal(incarnation, reply, this.#options.now());
       return undefined;
     }
-    const place = this.#held.add(incarnation, number, this.#options.now());
-    return this.#placeOf(endpoint, place);
+    this.#ramps.recordSend(endpoint.pool);
+    return this.#hold(endpoint, number);
   }
 
   /** Handles, as the issuer, a host's request for a place. */
@@ -244,6 +326,9 @@
     if (report.released.some(({ rejected }) => rejected)) {
       this.#recordRejection(report.endpoint);
     }
+    if (!this.#issuer.isRamping(report.endpoint)) {
+      this.#ramps.recordTroubles(report);
+    }
     this.#issuer.handleReport(report);
   }
 
@@ -260,18 +345,74 @@
     return own?.per_s ?? least_per_s;
   }
 
+  #isIssuerOf(incarnation: string): boolean {
+    const { self, hosts } = this.#options;
+    return rankCandidates(incarnation, hosts())[0] === self;
+  }
+
+  #rampOf(endpoint: RouteEndpoint): PlaceRequest["ramp"] {
+    const ramp = this.#ramps.find(endpoint);
+    if (ramp === undefined) return undefined;
+    return {
+      reason: ramp.reason,
+      age_ms: Math.max(0, this.#options.now() - ramp.learned_ms),
+      is_bounded: this.isBounded(endpoint),
+    };
+  }
+
+  /** While no issuer replies, this host sends one request at a time. */
+  #takeAlone(endpoint: RouteEndpoint): Place | undefined {
+    const held = this.#held.numbers(incarnationOf(endpoint));
+    return held.length > 0 ? undefined : this.takeUnbounded(endpoint);
+  }
+
+  /**
+   * The reply of an endpoint's issuer, if it comes in time; a place that is granted
+   * later is given back.
+   */
+  async #inTime(
+    endpoint: RouteEndpoint,
+    { asked, number, max_wait_ms }: {
+      asked: Promise<PlaceReply | undefined>;
+      number: number;
+      max_wait_ms: number;
+    },
+  ): Promise<PlaceReply> {
+    const wait_ms = Math.max(
+      RAMP_REPLY_MS,
+      max_wait_ms + RAMP_REPLY_MARGIN_MS,
+    );
+    const { promise, resolve } = Promise.withResolvers<"late">();
+    const timer = setTimeout(() => resolve("late"), wait_ms);
+    const reply = await Promise.race([asked, promise]);
+    clearTimeout(timer);
+    if (reply !== "late") return reply ?? NO_ISSUER;
+    void asked.then((late) => {
+      if (late?.granted === true) this.#hold(endpoint, number).release(false);
+    });
+    return NO_ISSUER;
+  }
+
+  #hold(endpoint: RouteEndpoint, number: number): Place {
+    const incarnation = incarnationOf(endpoint);
+    const place = this.#held.add(incarnation, number, this.#options.now());
+    return this.#placeOf(endpoint, place);
+  }
+
   #placeOf(endpoint: RouteEndpoint, place: HeldPlace): Place {
     const incarnation = incarnationOf(endpoint);
     return {
-      release: (rejected) => {
+      release: (rejected, outcome) => {
+        const end = { rejected, outcome };
         const age_ms = this.#options.now() - place.since_ms;
         const isKept = !rejected && age_ms < REUSE_MS &&
-          !this.#asking.has(incarnation) && this.isBounded(endpoint);
-        if (!isKept) return this.#giveBack(endpoint, place, rejected);
+          !this.#asking.has(incarnation) && this.isBounded(endpoint) &&
+          !this.isRamping(endpoint);
+        if (!isKept) return this.#giveBack(endpoint, place, end);
         this.#held.keepIdle(incarnation, place);
         setTimeout(() => {
           if (this.#held.removeIdle(incarnation, place)) {
-            this.#giveBack(endpoint, place, false);
+            this.#giveBack(endpoint, place, { rejected: false });
           }
         }, IDLE_MS).unref();
       },
@@ -281,13 +422,20 @@
   #giveBack(
     endpoint: RouteEndpoint,
     place: HeldPlace,
-    rejected: boolean,
+    { rejected, outcome }: PlaceEnd,
   ): void {
     const incarnation = incarnationOf(endpoint);
     if (rejected) this.#recordRejection(incarnation);
-    if (!this.#held.release(incarnation, place, rejected)) return;
-    if (this.isBounded(endpoint)) this.#scheduleReport(incarnation);
-    else this.#held.takeReleased(incarnation);
+    const isBounded = this.isBounded(endpoint);
+    const isTold = this.isRamping(endpoint) ||
+      this.#ramps.isTrouble(endpoint.pool, outcome);
+    const end = {
+      rejected: rejected && isBounded,
+      outcome: isTold ? outcome : undefined,
+    };
+    if (!this.#held.release(incarnation, place, end)) return;
+    if (isBounded || isTold) this.#scheduleReport(incarnation);
+    else this.#held.dropReleased(incarnation);
   }
 
   #recordRejection(incarnation: string): void {
@@ -297,7 +445,7 @@
     dropOldest(this.#rejected_ms, MAX_REJECTING);
   }
 
-  async #request(request: PlaceRequest): Promise<PlaceReply> {
+  async #request(request: PlaceRequest): Promise<PlaceReply | undefined> {
     const { peers } = this.#options;
     this.#countAsking(request.endpoint, 1);
     const [reply] = await this.#rankedHosts.call({
@@ -309,7 +457,7 @@
         placeReplySchema.parse(await peers.requestPlace(issuer, request)),
     });
     this.#countAsking(request.endpoint, -1);
-    return reply ?? NO_ISSUER;
+    return reply;
   }
 
   #countAsking(incarnation: string, change: number): void {
@@ -339,13 +487,14 @@
 
   /** Reports at once what is in flight, and then at intervals. */
   #startReports(): void {
-    if (this.#reportTimer !== undefined || this.#limits.isEmpty) return;
+    if (this.#reportTimer !== undefined || this.#isQuiet) return;
     this.#reportHeld();
     this.#reportTimer = setInterval(() => {
       const oldest_ms = this.#options.now() - LIMIT_LIFETIME_MS;
       this.#limits.forgetBefore(oldest_ms);
       this.#pools.forgetBefore(oldest_ms);
-      if (this.#limits.isEmpty) {
+      this.#ramps.forgetOld();
+      if (this.#isQuiet) {
         clearInterval(this.#reportTimer);
         this.#reportTimer = undefined;
       } else this.#reportHeld();
@@ -353,11 +502,17 @@
     this.#reportTimer.unref();
   }
 
+  /** Whether nothing is bounded, here or by this host. */
+  get #isQuiet(): boolean {
+    const hasRamps = this.#issuer.endRamps() || !this.#ramps.isEmpty;
+    return this.#limits.isEmpty && !hasRamps;
+  }
+
   #reportHeld(): void {
+    const now_ms = this.#options.now();
     for (const incarnation of this.#held.incarnations()) {
-      if (this.#limits.find(incarnation, this.#options.now()) !== undefined) {
-        this.#report(incarnation);
-      }
+      const isBounded = this.#limits.find(incarnation, now_ms) !== undefined;
+      if (isBounded || this.#ramps.has(incarnation)) this.#report(incarnation);
     }
   }
 }
--- a/src/endpoint_places/held_places.ts
+++ b/src/endpoint_places/held_places.ts
@@ -3,7 +3,7 @@
  * Does no I/O and reads no clock: callers pass the time in.
  */
 import { dropOldest } from "../utils/drop_oldest.ts";
-import type { PlaceReply, PlaceReport } from "./types.ts";
+import type { PlaceOutcome, PlaceReply, PlaceReport } from "./types.ts";
 
 /** A place that is held. */
 export interface HeldPlace {
@@ -14,6 +14,14 @@
   requests: number;
 }
 
+/** How the last request that had a place ended. */
+export interface PlaceEnd {
+  /** Whether the endpoint had no room for it. */
+  rejected: boolean;
+  /** Undefined if it tells nothing of the endpoint. */
+  outcome?: PlaceOutcome | undefined;
+}
+
 interface PlacesAtEndpoint {
   held: Map<number, HeldPlace>;
   /** Held places that no request has at the moment, the newest last. */
@@ -86,11 +94,11 @@
   release(
     incarnation: string,
     { number, requests }: HeldPlace,
-    rejected: boolean,
+    { rejected, outcome }: PlaceEnd,
   ): boolean {
     const places = this.#endpoints.get(incarnation);
     if (places?.held.delete(number) !== true) return false;
-    places.released.push({ place: number, requests, rejected });
+    places.released.push({ place: number, requests, rejected, outcome });
     return true;
   }
 
@@ -102,6 +110,12 @@
     return true;
   }
 
+  /** Drops the places that were given back, unless they are to be reported. */
+  dropReleased(incarnation: string): void {
+    const places = this.#endpoints.get(incarnation);
+    if (places?.reportIsDue === false) this.takeReleased(incarnation);
+  }
+
   /** The places that were given back since the last call. */
   takeReleased(incarnation: string): PlaceReport["released"] {
     const places = this.#endpoints.get(incarnation);
--- a/src/endpoint_places/place_issuer.ts
+++ b/src/endpoint_places/place_issuer.ts
@@ -1,16 +1,21 @@
 /** Grants, as the issuer of some endpoints, the places at them. */
 import {
   hostOfPlaceKey,
+  type PlaceDecision,
   PlaceDecisionKind,
   placeKeyOf,
   PlaceLedger,
+  type RampChange,
 } from "./place_ledger.ts";
+import type { RampReason } from "./ramp_reason.ts";
 import type { PlaceReply, PlaceReport, PlaceRequest } from "./types.ts";
 
 /** Dependencies of a {@linkcode PlaceIssuer}. */
 export interface PlaceIssuerOptions {
   /** Whether this host is the issuer of an endpoint, not a substitute. */
   isIssuerOf: (endpoint: string) => boolean;
+  /** Called when a ramp-up of an endpoint has begun or ended here. */
+  onRampChange: (endpoint: string, change: RampChange) => void;
   now: () => number;
 }
 
@@ -46,6 +51,58 @@
       isSubstitute: !isIssuerOf(request.endpoint),
       now_ms: now(),
     });
+    this.#tellRampChanges(request.endpoint, places);
+    const reply = await this.#replyTo(decision, places, request);
+    const ramping = places.ledger.isRamping(now());
+    this.#tellRampChanges(request.endpoint, places);
+    return ramping || request.ramp !== undefined
+      ? { ...reply, ramping }
+      : reply;
+  }
+
+  /** Handles a host's report of the places that it holds. */
+  handleReport(report: PlaceReport): void {
+    const places = this.#placesOf(report.endpoint);
+    places.ledger.report(report, this.#options.now());
+    this.#settle(places);
+    this.#tellRampChanges(report.endpoint, places);
+  }
+
+  /** Begins a ramp-up, unless the endpoint is in one. */
+  startRamp(endpoint: string, reason: RampReason): void {
+    const places = this.#placesOf(endpoint);
+    const now_ms = this.#options.now();
+    places.ledger.startRamp(reason, { isTakeover: false, now_ms });
+    this.#tellRampChanges(endpoint, places);
+  }
+
+  /** Whether an endpoint is in a ramp-up that this host looks after. */
+  isRamping(endpoint: string): boolean {
+    const places = this.#endpoints.get(endpoint);
+    return places?.ledger.isRamping(this.#options.now()) === true;
+  }
+
+  /** Ends the ramp-ups that are over; returns whether any goes on. */
+  endRamps(): boolean {
+    let goesOn = false;
+    for (const [endpoint, places] of this.#endpoints) {
+      goesOn = places.ledger.isRamping(this.#options.now()) || goesOn;
+      this.#tellRampChanges(endpoint, places);
+    }
+    return goesOn;
+  }
+
+  #tellRampChanges(endpoint: string, { ledger }: IssuedPlaces): void {
+    for (const change of ledger.takeRampChanges()) {
+      this.#options.onRampChange(endpoint, change);
+    }
+  }
+
+  async #replyTo(
+    decision: PlaceDecision,
+    places: IssuedPlaces,
+    request: PlaceRequest,
+  ): Promise<PlaceReply> {
     switch (decision.kind) {
       case PlaceDecisionKind.Granted:
         return GRANTED;
@@ -56,13 +113,6 @@
     }
   }
 
-  /** Handles a host's report of the places that it holds. */
-  handleReport(report: PlaceReport): void {
-    const places = this.#placesOf(report.endpoint);
-    places.ledger.report(report, this.#options.now());
-    this.#settle(places);
-  }
-
   async #awaitPlace(
     places: IssuedPlaces,
     { host, place, max_wait_ms }: PlaceRequest,
--- a/src/endpoint_places/place_ledger.ts
+++ b/src/endpoint_places/place_ledger.ts
@@ -4,6 +4,8 @@
  */
 import { dropOldest } from "../utils/drop_oldest.ts";
 import { type EndpointCapacity, PlaceBound } from "./place_bound.ts";
+import { RampBound, type RampEnd } from "./ramp_bound.ts";
+import type { RampReason } from "./ramp_reason.ts";
 import type { PlaceReply, PlaceReport, PlaceRequest } from "./types.ts";
 
 /** How a request for a place is decided. */
@@ -23,8 +25,18 @@
 /** Identifies a place: the host that asks for it, and its number there. */
 export type PlaceKey = string;
 
+/** A ramp-up that has begun or ended at an issuer. */
+export interface RampChange {
+  reason: RampReason;
+  bound: RampBound;
+  /** Why it ended; undefined if it has begun. */
+  end: RampEnd | undefined;
+}
+
 interface HeldPlace {
   host: string;
+  /** Whether this issuer granted it during the ramp-up. */
+  isRamped: boolean;
   since_ms: number;
   expires_ms: number;
 }
@@ -41,6 +53,13 @@
 const REPORT_LAG_MS = 500;
 /** Requests that may wait, as a share of the slots. */
 const MAX_QUEUED_SHARE = 1;
+/**
+ * Time for which requests that were sent before a ramp-up count in its limit. A
+ * silent endpoint may keep them for much longer.
+ */
+const SENT_BEFORE_COUNTS_MS = 2_000;
+/** Age at which a host knows of a ramp-up that another issuer began. */
+const TAKEOVER_AGE_MS = 1_000;
 /** Share of the places that a substitute for the endpoint's issuer grants. */
 const SUBSTITUTE_SHARE = 0.25;
 /** Time between two hosts that ask again after a refusal. */
@@ -69,6 +88,14 @@
   #bound: PlaceBound;
   #capacity: EndpointCapacity = { slots: 1, max_rejections_per_s: 0 };
   #isSubstitute = false;
+  /** Whether it has named a limit of rejections. */
+  #isBounded = true;
+  /** Requests that it works on at a time; undefined before the first request. */
+  #slots: number | undefined;
+  #ramp: { reason: RampReason; bound: RampBound } | undefined;
+  /** Whether it is or has been in ramp-up here. */
+  #rampIsKnown = false;
+  #rampChanges: RampChange[] = [];
   #held = new Map<PlaceKey, HeldPlace>();
   #queue: QueuedRequest[] = [];
   #service_ms = INITIAL_SERVICE_MS;
@@ -87,14 +114,17 @@
     { isSubstitute, now_ms }: { isSubstitute: boolean; now_ms: number },
   ): PlaceDecision {
     this.#capacity = request;
+    this.#slots = request.slots;
     this.#isSubstitute = isSubstitute;
+    this.#takeInRamp(request, now_ms);
     this.#dropExpired(now_ms);
     const { host, priority } = request;
     const key = placeKeyOf(host, request.place);
     if (this.#queue.length === 0 && this.#hasRoom(now_ms)) {
-      this.#hold(key, host, now_ms);
+      this.#grant(key, host, now_ms);
       return { kind: PlaceDecisionKind.Granted };
     }
+    this.#ramp?.bound.recordDemand(now_ms);
     const last = this.#queue.at(-1);
     const mayQueue = request.max_wait_ms > 0 &&
       (this.#queue.length < this.#maxQueued ||
@@ -112,13 +142,21 @@
   /** Takes in what a host holds and has given back. */
   report({ host, held, released }: PlaceReport, now_ms: number): void {
     this.#dropExpired(now_ms);
-    for (const { place, requests, rejected } of released) {
+    for (const { place, requests, rejected, outcome } of released) {
       const key = placeKeyOf(host, place);
       if (rejected) {
         const { slots } = this.#capacity;
         this.#bound.recordRejection(this.#held.size, { slots, now_ms });
       }
       const known = this.#held.get(key);
+      const bound = this.#ramp?.bound;
+      if (
+        outcome !== undefined && (known?.isRamped || bound?.isTakeover === true)
+      ) {
+        const in_flight = this.#inFlight(now_ms);
+        const granted_ms = known?.since_ms ?? now_ms;
+        bound?.record({ outcome, granted_ms, in_flight }, now_ms);
+      }
       if (known !== undefined && !rejected) {
         const service_ms = (now_ms - known.since_ms) / Math.max(1, requests);
         this.#service_ms += TIME_SMOOTHING * (service_ms - this.#service_ms);
@@ -126,13 +164,44 @@
       this.#held.delete(key);
     }
     const keys = new Set(held.map((place) => placeKeyOf(host, place)));
-    for (const key of keys) this.#hold(key, host, now_ms);
+    for (const key of keys) this.#hold(key, { host, now_ms });
     for (const [key, { host: holder, since_ms }] of this.#held) {
       const isMissing = holder === host && !keys.has(key);
       if (isMissing && now_ms - since_ms > REPORT_LAG_MS) {
         this.#held.delete(key);
       }
     }
+    this.#ramp?.bound.recordInFlight(this.#held.size, now_ms);
+  }
+
+  /** Begins a ramp-up; false if the endpoint is in one. */
+  startRamp(
+    reason: RampReason,
+    { isTakeover, now_ms }: { isTakeover: boolean; now_ms: number },
+  ): boolean {
+    if (this.isRamping(now_ms)) return false;
+    const bound = new RampBound({ isTakeover, now_ms });
+    this.#rampIsKnown = true;
+    this.#ramp = { reason, bound };
+    this.#rampChanges.push({ ...this.#ramp, end: undefined });
+    bound.recordInFlight(this.#held.size, now_ms);
+    for (const place of this.#held.values()) place.isRamped = false;
+    return true;
+  }
+
+  /** Whether the endpoint is in ramp-up; one that is over ends with this. */
+  isRamping(now_ms: number): boolean {
+    if (this.#ramp === undefined) return false;
+    const end = this.#ramp.bound.endAt(this.#slots ?? Infinity, now_ms);
+    if (end === undefined) return true;
+    this.#rampChanges.push({ ...this.#ramp, end });
+    this.#ramp = undefined;
+    return false;
+  }
+
+  /** The ramp-ups that have begun or ended since the last call. */
+  takeRampChanges(): RampChange[] {
+    return this.#rampChanges.splice(0);
   }
 
   /**
@@ -144,7 +213,7 @@
     const granted: PlaceKey[] = [];
     while (this.#queue.length > 0 && this.#hasRoom(now_ms)) {
       const { key, host } = this.#queue.shift() as QueuedRequest;
-      this.#hold(key, host, now_ms);
+      this.#grant(key, host, now_ms);
       granted.push(key);
     }
     const refused = this.#queue.splice(this.#maxQueued).map(({ key }) => key);
@@ -169,9 +238,10 @@
       Math.max(queueEnd_ms, this.#nextRetry_ms) + interval_ms,
       now_ms + MAX_RETRY_AFTER_MS,
     );
+    const pause_ms = this.#ramp?.bound.pauseMs(now_ms) ?? 0;
     return {
       granted: false,
-      ask_after_ms: this.#askTimeOf(host, now_ms) - now_ms,
+      ask_after_ms: Math.max(pause_ms, this.#askTimeOf(host, now_ms) - now_ms),
       retry_after_ms: this.#nextRetry_ms - now_ms,
     };
   }
@@ -194,16 +264,60 @@
   }
 
   #hasRoom(now_ms: number): boolean {
-    const places = this.#bound.places(this.#capacity, now_ms);
+    const hasPlace = !this.#isBounded ||
+      this.#held.size < this.#shareOf(
+          this.#bound.places(this.#capacity, now_ms),
+        );
+    if (!hasPlace || !this.isRamping(now_ms)) return hasPlace;
+    const limit = this.#ramp?.bound.places(now_ms) ?? Infinity;
+    return this.#inFlight(now_ms) < this.#shareOf(limit);
+  }
+
+  #shareOf(places: number): number {
     const share = this.#isSubstitute ? SUBSTITUTE_SHARE : 1;
-    const bound = places === 0 ? 0 : Math.max(1, Math.floor(places * share));
-    return this.#held.size < bound;
+    return places === 0 ? 0 : Math.max(1, Math.floor(places * share));
+  }
+
+  /** Requests in flight, as they count for the ramp-up. */
+  #inFlight(now_ms: number): number {
+    const bound = this.#ramp?.bound;
+    const countsAll = bound === undefined || bound.isTakeover ||
+      now_ms - bound.started_ms < SENT_BEFORE_COUNTS_MS;
+    if (countsAll) return this.#held.size;
+    return [...this.#held.values()].filter(({ isRamped }) => isRamped).length;
+  }
+
+  /** Takes in what a host knows of a ramp-up. */
+  #takeInRamp({ ramp }: PlaceRequest, now_ms: number): void {
+    this.#isBounded = ramp?.is_bounded ?? true;
+    if (ramp === undefined || this.#rampIsKnown) return;
+    const isTakeover = ramp.age_ms > TAKEOVER_AGE_MS;
+    this.startRamp(ramp.reason, { isTakeover, now_ms });
+  }
+
+  #grant(key: PlaceKey, host: string, now_ms: number): void {
+    this.#hold(key, { host, isRamped: true, now_ms });
+    const bound = this.#ramp?.bound;
+    const isReached = bound !== undefined &&
+      this.#inFlight(now_ms) >= this.#shareOf(bound.places(now_ms));
+    if (isReached) bound.recordDemand(now_ms);
   }
 
-  #hold(key: PlaceKey, host: string, now_ms: number): void {
-    const since_ms = this.#held.get(key)?.since_ms ?? now_ms;
-    const expires_ms = now_ms + PLACE_LIFETIME_MS;
-    this.#held.set(key, { host, since_ms, expires_ms });
+  #hold(
+    key: PlaceKey,
+    { host, isRamped = false, now_ms }: {
+      host: string;
+      isRamped?: boolean;
+      now_ms: number;
+    },
+  ): void {
+    const known = this.#held.get(key);
+    this.#held.set(key, {
+      host,
+      isRamped: known?.isRamped ?? isRamped,
+      since_ms: known?.since_ms ?? now_ms,
+      expires_ms: now_ms + PLACE_LIFETIME_MS,
+    });
   }
 
   #dropExpired(now_ms: number): void {
--- a/src/endpoint_places/types.ts
+++ b/src/endpoint_places/types.ts
@@ -1,5 +1,20 @@
 /** Messages about places, the requests that endpoints may have in flight. */
 import { z } from "zod";
+import { RampReason } from "./ramp_reason.ts";
+
+/**
+ * How a request ended at an endpoint that starts, recovers or fails. The values
+ * are sent to other hosts.
+ */
+export enum PlaceOutcome {
+  /** A good response, in time by the pool's usual time to the first byte. */
+  InTime = "in_time",
+  Late = "late",
+  /** No good response. */
+  Failed = "failed",
+  /** The endpoint had no room for it. */
+  Rejected = "rejected",
+}
 
 /** A request for one place at an endpoint. */
 export const placeRequestSchema = z.object({
@@ -17,6 +32,17 @@
   priority: z.int().nonnegative(),
   /** Longest time that the request may wait for its place, in milliseconds. */
   max_wait_ms: z.number().nonnegative(),
+  /**
+   * What the host knows of the endpoint's ramp-up; missing without one and from
+   * hosts of an earlier release.
+   */
+  ramp: z.object({
+    reason: z.enum(RampReason),
+    /** Time since the host has learned of it, in milliseconds. */
+    age_ms: z.number().nonnegative(),
+    /** Whether the endpoint has named a limit of rejections too. */
+    is_bounded: z.boolean(),
+  }).optional(),
 });
 
 /** The reply to a {@linkcode PlaceRequest}. */
@@ -26,6 +52,11 @@
   ask_after_ms: z.number().nonnegative(),
   /** Time after which the request may find a place, in milliseconds. */
   retry_after_ms: z.number().nonnegative(),
+  /**
+   * Whether the endpoint is in ramp-up; missing if it was not, and from hosts of
+   * an earlier release.
+   */
+  ramping: z.boolean().optional(),
 });
 
 /** What a host has in flight at an endpoint. */
@@ -42,6 +73,11 @@
     requests: z.int().nonnegative(),
     /** Whether the endpoint rejected the last one for want of room. */
     rejected: z.boolean(),
+    /**
+     * How the last one ended; missing if that tells nothing of the endpoint, and
+     * from hosts of an earlier release.
+     */
+    outcome: z.enum(PlaceOutcome).optional(),
   })),
 });
 
@@ -51,3 +87,13 @@
 export type PlaceReply = z.infer<typeof placeReplySchema>;
 /** What a host has in flight at an endpoint. */
 export type PlaceReport = z.infer<typeof placeReportSchema>;
+
+/** A ramp-up, as a host tells it to one that has just started. */
+export const rampNewsSchema = z.object({
+  /** Incarnation of the endpoint. */
+  endpoint: z.string(),
+  reason: z.enum(RampReason),
+});
+
+/** A ramp-up, as a host tells it to one that has just started. */
+export type RampNews = z.infer<typeof rampNewsSchema>;
--- a/src/endpoint_reports/endpoint_notices.ts
+++ b/src/endpoint_reports/endpoint_notices.ts
@@ -5,6 +5,7 @@
  * spreads once, however many hosts get it with a response at the same time.
  */
 import { z } from "zod";
+import { RampReason } from "../endpoint_places/ramp_reason.ts";
 import type { Logger } from "../logging/logger.ts";
 import { RankedHosts } from "../membership/ranked_hosts.ts";
 import { spread } from "../peers/spread.ts";
@@ -28,6 +29,8 @@
     pool: z.string(),
     per_s: z.number().nonnegative().optional(),
   }).optional(),
+  /** Its ramp-up; missing from other notices. */
+  ramp: z.object({ reason: z.enum(RampReason) }).optional(),
   /** Whether it is leaving; missing from hosts of an earlier release. */
   leaving: z.boolean().optional(),
 });
--- a/src/endpoint_reports/endpoint_reports.ts
+++ b/src/endpoint_reports/endpoint_reports.ts
@@ -3,6 +3,7 @@
  * hosts pass on of that.
  */
 import type { EndpointPlaces } from "../endpoint_places/endpoint_places.ts";
+import type { RampReason } from "../endpoint_places/ramp_reason.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { RateLimitService } from "../rate_limits/rate_limit_service.ts";
 import { addressOfIncarnation, incarnationOf } from "../routes/incarnation.ts";
@@ -71,6 +72,9 @@
     const { load, rateLimits, places, now } = this.#options;
     if (report.load !== undefined) {
       load.forEndpoint(endpoint).recordLoad(report.load, now());
+      if (report.load.slowness !== undefined) {
+        load.recordSpeedReport(endpoint.pool);
+      }
     }
     if (report.pause_ms > 0) this.#beginPause(endpoint, report.pause_ms);
     const incarnation = incarnationOf(endpoint);
@@ -106,6 +110,16 @@
     );
   }
 
+  /** Has all hosts told that an endpoint is in ramp-up. */
+  reportRamp(endpoint: RouteEndpoint, reason: RampReason): void {
+    const per_s = this.#options.rateLimits.limitPerS(endpoint);
+    this.#notices.report({
+      endpoint: incarnationOf(endpoint),
+      per_s,
+      ramp: { reason },
+    });
+  }
+
   /** Handles another host's report: tells all hosts. */
   handleReport(notice: EndpointNotice): void {
     this.#notices.handleReport(notice);
@@ -119,6 +133,8 @@
   #apply(notice: EndpointNotice): void {
     if (notice.leaving === true) {
       this.#markLeaving(notice.endpoint, LeavingSource.Peer);
+    } else if (notice.ramp !== undefined) {
+      this.#options.places.applyRamp(notice);
     } else if (notice.rejection_limit !== undefined) {
       this.#options.places.apply(notice);
     } else this.#options.rateLimits.apply(notice);
--- /dev/null
+++ b/src/forwarding/place_outcome.ts
@@ -0,0 +1,39 @@
+/** How a request ended, as the issuer of its endpoint's places counts it. */
+import { isRejection, type SendResult } from "./send_result.ts";
+import { ObservedOutcome } from "../routing/observed_load.ts";
+import { PlaceOutcome } from "../endpoint_places/types.ts";
+
+/**
+ * A response is late from so many times its pool's usual time to the first byte.
+ * Servers that share their machines are 2.5 times slower at times.
+ */
+const LATE_FACTOR = 3;
+/** Added to it, so that a delay of this host does not count. */
+const LATE_MARGIN_MS = 15;
+
+/** How a send ended; undefined if it tells nothing of the endpoint. */
+export function placeOutcomeOf(
+  result: SendResult,
+  { sent_ms, usual_ms }: {
+    sent_ms: number;
+    /** The pool's usual time to the first byte; 0 if it isn't known. */
+    usual_ms: number;
+  },
+): PlaceOutcome | undefined {
+  switch (result.observedOutcome) {
+    case ObservedOutcome.Success: {
+      const elapsed_ms = result.first_byte_ms - sent_ms;
+      const isLate = usual_ms > 0 &&
+        elapsed_ms > LATE_FACTOR * usual_ms + LATE_MARGIN_MS;
+      return isLate ? PlaceOutcome.Late : PlaceOutcome.InTime;
+    }
+    case ObservedOutcome.Full:
+      return isRejection(result) ? PlaceOutcome.Rejected : undefined;
+    case ObservedOutcome.ConnectionFailed:
+    case ObservedOutcome.Error:
+    case ObservedOutcome.Silent:
+      return PlaceOutcome.Failed;
+    default:
+      return undefined;
+  }
+}
--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -7,6 +7,7 @@
 import { sharedPrefix } from "../routing/choose_route_endpoint.ts";
 import type { AdmittedRequest } from "./admit.ts";
 import type { Place } from "../endpoint_places/endpoint_places.ts";
+import type { PlaceOutcome } from "../endpoint_places/types.ts";
 import type { ForwardingDependencies } from "./dependencies.ts";
 import type { BufferedResponse } from "./relay.ts";
 import type { RequestProgress } from "./request_progress.ts";
@@ -234,9 +235,12 @@
     this.#place = place;
   }
 
-  /** Gives its place back; `rejected` if the endpoint had no room for it. */
-  releasePlace(rejected: boolean): void {
-    this.#place?.release(rejected);
+  /**
+   * Gives its place back; `rejected` if the endpoint had no room for it.
+   * `outcome` is undefined if it tells nothing of the endpoint.
+   */
+  releasePlace(rejected: boolean, outcome?: PlaceOutcome): void {
+    this.#place?.release(rejected, outcome);
     this.#place = undefined;
   }
 
--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -3,6 +3,7 @@
 import { CallKind, type RouteEndpoint } from "../routes/types.ts";
 import { ObservedOutcome } from "../routing/observed_load.ts";
 import { type RunContext, StopReason } from "./run_context.ts";
+import { placeOutcomeOf } from "./place_outcome.ts";
 import { completeExchange } from "./complete_exchange.ts";
 import {
   mayHaveCrashed,
@@ -45,6 +46,7 @@
   const { load, now, metrics, agents, serviceTimes } = context.dependencies;
   const endpointLoad = load.forEndpoint(endpoint);
   const started_ms = now();
+  const usual_ms = load.firstByteMs(endpoint.pool);
   const { progress } = context.inbound;
   const mayHaveRunBefore = progress.mayHaveRun;
   endpointLoad.in_flight += 1;
@@ -88,7 +90,8 @@
     metrics.sends.inc({ outcome: result.observedOutcome });
     recordWorkAfterCallerLeft(context);
     logSend(context, endpoint, { result, started_ms, exchange });
-    return result;
+    const sent = { sent_ms: started_ms, usual_ms };
+    return { ...result, place_outcome: placeOutcomeOf(result, sent) };
   } finally {
     clearTimeout(sendTimer);
     sendAbort.abort(ABORT_REASON);
--- a/src/forwarding/send_result.ts
+++ b/src/forwarding/send_result.ts
@@ -6,6 +6,7 @@
   type ExchangeResult,
   NO_CONNECTION,
 } from "../endpoints/exchange.ts";
+import type { PlaceOutcome } from "../endpoint_places/types.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 import { ObservedOutcome } from "../routing/observed_load.ts";
 import type { ResponseMetadata } from "./protocol_codec.ts";
@@ -44,6 +45,8 @@
   reason: string;
   /** Number of complete events of a stream; undefined without one. */
   event_count?: number;
+  /** How it counts for the endpoint's places; undefined if it tells nothing. */
+  place_outcome?: PlaceOutcome | undefined;
   /** Requests per second that the response allowed; undefined if not named. */
   limit_per_s?: number;
 }
--- a/src/forwarding/serve_admitted.ts
+++ b/src/forwarding/serve_admitted.ts
@@ -281,7 +281,7 @@
     progress.sends += 1;
     progress.stage = RequestStage.Sending;
     const result = await sendOnce(context, endpoint, inputs);
-    context.releasePlace(isRejection(result));
+    context.releasePlace(isRejection(result), result.place_outcome);
     const { outcome, observedOutcome } = result;
     if (outcome === SendOutcome.Answered) {
       // Its caller may have left and resume it elsewhere.
--- a/src/forwarding/take_endpoint.ts
+++ b/src/forwarding/take_endpoint.ts
@@ -48,12 +48,20 @@
   const { places, now } = context.dependencies;
   context.releasePlace(false);
   const passedOver = new Set(tried);
+  /** Endpoints in ramp-up that had no place for it; they don't count as asked. */
+  const rampsWithoutPlace = new Set<string>();
   const placeBy_ms = now() + MAX_PLACE_WAIT_MS;
   while (context.stopReason === undefined) {
     if (passedOver.size - tried.size >= MAX_PLACE_REQUESTS) return undefined;
-    const send = context.reservedSend ?? await reserveSend(context, passedOver);
+    const skipped = skippedEndpoints(context, passedOver, rampsWithoutPlace);
+    const send = context.reservedSend ?? await reserveSend(context, skipped);
     context.reservedSend = undefined;
-    if (send === undefined) return undefined;
+    if (send === undefined) {
+      const options = { passedOver, placeBy_ms };
+      if (!await waitForRamps(context, options)) return undefined;
+      rampsWithoutPlace.clear();
+      continue;
+    }
     const wait_ms = send.at_ms - now();
     if (wait_ms > 0) {
       await abortableDelay(Math.ceil(wait_ms), context.signal);
@@ -61,18 +69,74 @@
     }
     if (context.stopReason !== undefined) return undefined;
     if (!isReady(context, send.endpoint)) continue;
-    if (!places.isBounded(send.endpoint)) {
+    if (!places.needsPlace(send.endpoint)) {
       context.holdPlace(places.takeUnbounded(send.endpoint));
       return send.endpoint;
     }
-    if (await takePlace(context, send.endpoint, placeBy_ms)) {
+    const isRamping = places.isRamping(send.endpoint);
+    const mayWait = !isRamping || !hasOthers(context, passedOver);
+    const waitsUntil_ms = mayWait ? placeBy_ms : now();
+    if (await takePlace(context, send.endpoint, waitsUntil_ms)) {
       return send.endpoint;
     }
-    passedOver.add(send.endpoint.id);
+    (isRamping ? rampsWithoutPlace : passedOver).add(send.endpoint.id);
   }
   return undefined;
 }
 
+/**
+ * Endpoints that a request doesn't choose. Once it has asked at several in
+ * ramp-up, it takes others, so that it doesn't ask at each.
+ */
+function skippedEndpoints(
+  context: RunContext,
+  passedOver: ReadonlySet<string>,
+  rampsWithoutPlace: ReadonlySet<string>,
+): Set<string> {
+  const skipped = new Set([...passedOver, ...rampsWithoutPlace]);
+  const skipsRamps = rampsWithoutPlace.size >= MAX_PLACE_REQUESTS &&
+    hasOthers(context, passedOver);
+  if (!skipsRamps) return skipped;
+  const { places } = context.dependencies;
+  for (const endpoint of context.readyEndpoints()) {
+    if (places.isRamping(endpoint)) skipped.add(endpoint.id);
+  }
+  return skipped;
+}
+
+/** Whether a request may go to an endpoint that isn't in ramp-up. */
+function hasOthers(
+  context: RunContext,
+  passedOver: ReadonlySet<string>,
+): boolean {
+  const { places } = context.dependencies;
+  return context.readyEndpoints()
+    .some((each) => !passedOver.has(each.id) && !places.isRamping(each));
+}
+
+/**
+ * Waits until an endpoint in ramp-up may have a place, after no other takes the
+ * request; resolves to false if there is none in time.
+ */
+async function waitForRamps(
+  context: RunContext,
+  { passedOver, placeBy_ms }: {
+    passedOver: ReadonlySet<string>;
+    placeBy_ms: number;
+  },
+): Promise<boolean> {
+  const { places, now } = context.dependencies;
+  const waits_ms = context.readyEndpoints()
+    .filter((each) => !passedOver.has(each.id) && places.isRamping(each))
+    .map((each) => Math.max(1, places.waitMs(each)));
+  const left_ms = placeBy_ms - now();
+  if (waits_ms.length === 0 || left_ms <= 0) return false;
+  const wait_ms = Math.min(left_ms, ...waits_ms);
+  await abortableDelay(Math.ceil(wait_ms), context.signal);
+  await stopIfCallerLeft(context);
+  return true;
+}
+
 /** Takes a place at the endpoint; resolves to whether there was one in time. */
 async function takePlace(
   context: RunContext,
@@ -95,6 +159,7 @@
     endpoint: endpoint.id,
     wait_ms: Math.round(now() - started_ms),
     granted: place !== undefined,
+    ramping: places.isRamping(endpoint) ? true : undefined,
   });
   if (place === undefined) return false;
   await stopIfCallerLeft(context);
@@ -192,7 +257,8 @@
     );
   if (available.length === 0) return undefined;
   const candidates = withoutSuspected(context, available);
-  const selection = { candidates, load, now_ms, random };
+  const isRamped = (each: RouteEndpoint) => places.isRampedTogether(each);
+  const selection = { candidates, load, now_ms, isRamped, random };
   const pool = configuration.routeTable?.configuration.pools.get(context.pool);
   if (pool?.model_engine === true && context.sharedPromptPrefix !== undefined) {
     return chooseByPrefix(context.sharedPromptPrefix, selection);
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -42,6 +42,7 @@
 import type { GatewaySettings } from "../settings/gateway_settings.ts";
 import { formatAddress } from "../settings/settings.ts";
 import { abortableDelay } from "../utils/delay.ts";
+import { createRampOptions } from "./ramp_components.ts";
 import { createReachability } from "./reachability_components.ts";
 import { createStreamOrigins } from "./stream_origin_components.ts";
 
@@ -147,6 +148,7 @@
     random,
     signal,
   });
+  const load = new ObservedLoad();
   const rateLimits = new RateLimitService({
     self,
     hosts: () => members.addresses(),
@@ -158,11 +160,28 @@
     self,
     hosts: () => members.addresses(),
     peers,
+    ramps: settings.ramp_up.enabled
+      ? createRampOptions({
+        configuration,
+        endpoints,
+        load,
+        peers,
+        metrics,
+        reportRamp: (endpoint, reason) => reports.reportRamp(endpoint, reason),
+        now,
+        random,
+      })
+      : undefined,
     log,
     now,
     signal,
   });
-  const load = new ObservedLoad();
+  metrics.exportRamps(places);
+  endpointListeners.push((changes) =>
+    places.observeEndpoints(
+      changes?.map(({ value }) => value).filter((each) => each !== undefined),
+    )
+  );
   const createLimits = (kind: BodyKind): BodyLimits => ({
     memory: new BodyMemory({
       kind,
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -32,6 +32,7 @@
     snapshot: () => createStateSnapshot(syncOptions),
     handlePermitRequest: (request) => context.rateLimits.handleRequest(request),
     handlePlaceRequest: (request) => context.places.handleRequest(request),
+    reportRamps: () => context.places.rampNews(),
     handlePlaceReport: (report) => context.places.handleReport(report),
     handleEndpointReport: (notice) => context.reports.handleReport(notice),
     handleEndpointNotice: (notice, targets) =>
--- a/src/metrics/forward_metrics.ts
+++ b/src/metrics/forward_metrics.ts
@@ -104,6 +104,24 @@
     help: "Times that an endpoint refused this host's requests for a while",
     registers: [this.registry],
   });
+  readonly rampStarts = new Counter({
+    name: "sesamequay_ramp_ups_total",
+    help: "Ramp-ups of endpoints that this host looks after, by reason",
+    labelNames: ["reason"],
+    registers: [this.registry],
+  });
+  readonly rampEnds = new Counter({
+    name: "sesamequay_ramp_up_ends_total",
+    help: "Ramp-ups that have ended at this host, by how they ended",
+    labelNames: ["end"],
+    registers: [this.registry],
+  });
+  readonly rampedRequests = new Counter({
+    name: "sesamequay_ramped_requests_total",
+    help: "Requests to endpoints in ramp-ups that have ended at this host",
+    labelNames: ["outcome"],
+    registers: [this.registry],
+  });
   readonly reachProbes = new Counter({
     name: "sesamequay_reach_probes_total",
     help: "Attempts to reach endpoints that failed or were silent, by outcome",
@@ -163,6 +181,18 @@
     });
   }
 
+  /** Exports how many endpoints in ramp-up this host knows of. */
+  exportRamps(places: { rampNews(): unknown[] }): void {
+    new Gauge({
+      name: "sesamequay_endpoints_in_ramp_up",
+      help: "Endpoints in ramp-up that this host knows of",
+      registers: [this.registry],
+      collect() {
+        this.set(places.rampNews().length);
+      },
+    });
+  }
+
   /** Exports the memory that the bodies of each kind take. */
   exportHeldBodies(memories: Record<string, { held_bytes: number }>): void {
     new Gauge({
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -1,5 +1,6 @@
 /** Clients of other gateway hosts, one for each address. */
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
+import { z } from "zod";
 import type { BatcherPeers } from "../batching/job_router.ts";
 import type { PoolLoadReport } from "../batching/pool_load_report.ts";
 import type { FreedResults, JobOutcome, StageJob } from "../batching/types.ts";
@@ -17,10 +18,12 @@
   EndpointNoticePeers,
 } from "../endpoint_reports/endpoint_notices.ts";
 import type { EndpointPlacesPeers } from "../endpoint_places/endpoint_places.ts";
-import type {
-  PlaceReply,
-  PlaceReport,
-  PlaceRequest,
+import {
+  type PlaceReply,
+  type PlaceReport,
+  type PlaceRequest,
+  type RampNews,
+  rampNewsSchema,
 } from "../endpoint_places/types.ts";
 import type { NoticeRoute } from "../quarantine/quarantine_notices.ts";
 import type { ListenerCheck } from "../quarantine/probe_endpoint.ts";
@@ -185,6 +188,12 @@
     await this.#connectionTo(address).trpc.places.mutate(report);
   }
 
+  /** Asks a host for the ramp-ups of endpoints that it knows of. */
+  async askRamps(address: string): Promise<RampNews[]> {
+    const news = await this.#connectionTo(address).trpc.ramps.query();
+    return z.array(rampNewsSchema).parse(news);
+  }
+
   /** Tells the host that tells all others what an endpoint says of itself. */
   async reportEndpoint(address: string, notice: EndpointNotice): Promise<void> {
     await this.#connectionTo(address).trpc.limit_report.mutate(notice);
--- a/src/peers/gateway_rpc_router.ts
+++ b/src/peers/gateway_rpc_router.ts
@@ -11,6 +11,7 @@
   placeReportSchema,
   type PlaceRequest,
   placeRequestSchema,
+  type RampNews,
 } from "../endpoint_places/types.ts";
 import type { PoolLoadReport } from "../batching/pool_load_report.ts";
 import type { NoticeRoute } from "../quarantine/quarantine_notices.ts";
@@ -68,6 +69,8 @@
   handlePlaceRequest: (request: PlaceRequest) => Promise<PlaceReply>;
   /** Handles, as the issuer, a report of the places that a host holds. */
   handlePlaceReport: (report: PlaceReport) => void;
+  /** The ramp-ups that this host knows of. */
+  reportRamps: () => RampNews[];
   /** Tells all hosts what an endpoint has begun to say of itself. */
   handleEndpointReport: (notice: EndpointNotice) => void;
   /** Passes the notice on to the targets. */
@@ -120,6 +123,7 @@
       .mutation(({ input }) => handlers.handlePermitRequest(input)),
     place: trpc.procedure.input(placeRequestSchema)
       .mutation(({ input }) => handlers.handlePlaceRequest(input)),
+    ramps: trpc.procedure.query(() => handlers.reportRamps()),
     places: trpc.procedure.input(placeReportSchema)
       .mutation(({ input }) => handlers.handlePlaceReport(input)),
     limit_report: trpc.procedure.input(endpointNoticeSchema)
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -85,6 +85,13 @@
   batch: BatchLimits | undefined;
   /** Whether its endpoints are model engines that cache prompt prefixes. */
   model_engine: boolean;
+  /** How its endpoints are after a start; undefined if they are not cold. */
+  cold?: {
+    /** Time for which an endpoint is cold after its start, in milliseconds. */
+    start_ms: number;
+    /** Requests a second that a cold one tolerates; 0 for no limit. */
+    per_s: number;
+  } | undefined;
 }
 
 /** An organisation, identified by the API key of a request. */
--- a/src/routing/choose_route_endpoint.ts
+++ b/src/routing/choose_route_endpoint.ts
@@ -16,6 +16,11 @@
   candidates: readonly RouteEndpoint[];
   load: ObservedLoad;
   now_ms: number;
+  /**
+   * Whether all hosts together bound the requests to an endpoint in ramp-up, in
+   * place of what this host alone has observed; no endpoint by default.
+   */
+  isRamped?: (endpoint: RouteEndpoint) => boolean;
   /** Returns a number from 0 up to, not including, 1. */
   random: () => number;
 }
@@ -80,13 +85,13 @@
  * not back off; failing that, all.
  */
 function usableEndpoints(
-  { candidates, load, now_ms }: RouteChoiceContext,
+  { candidates, load, now_ms, isRamped = () => false }: RouteChoiceContext,
 ): RouteEndpoint[] {
   const available = candidates.filter((each) =>
-    !load.forEndpoint(each).isBackingOff(now_ms)
+    isRamped(each) || !load.forEndpoint(each).isBackingOff(now_ms)
   );
   const healthy = available.filter((each) =>
-    !load.forEndpoint(each).isAvoided(now_ms)
+    isRamped(each) || !load.forEndpoint(each).isAvoided(now_ms)
   );
   if (healthy.length > 0) return healthy;
   return available.length > 0 ? available : [...candidates];
@@ -94,14 +99,18 @@
 
 function leastLoaded(
   endpoints: readonly RouteEndpoint[],
-  { load, now_ms }: RouteChoiceContext,
+  { load, now_ms, isRamped = () => false }: RouteChoiceContext,
 ): RouteEndpoint | undefined {
   let best: { endpoint: RouteEndpoint; cost: number } | undefined;
   for (const endpoint of endpoints) {
     const observed = load.forEndpoint(endpoint);
     const utilization = (observed.estimatedRequests(now_ms) + 1) /
       endpoint.slots;
-    const cost = utilization * Math.max(1, observed.first_byte_ms);
+    const usual_ms = isRamped(endpoint)
+      ? load.firstByteMs(endpoint.pool)
+      : Infinity;
+    const first_byte_ms = Math.min(observed.first_byte_ms, usual_ms);
+    const cost = utilization * Math.max(1, first_byte_ms);
     if (best === undefined || cost < best.cost) best = { endpoint, cost };
   }
   return best?.endpoint;
--- a/src/routing/observed_load.ts
+++ b/src/routing/observed_load.ts
@@ -13,6 +13,8 @@
 export interface ReportedLoad {
   running: number;
   waiting: number;
+  /** How long work takes there now; 1 is usual, undefined if not reported. */
+  slowness?: number | undefined;
 }
 
 /** The outcome of an exchange, as it counts for the endpoint's health. */
@@ -156,6 +158,8 @@
   readonly restarts = new Restarts();
   #endpoints = new Map<string, ObservedEndpoint>();
   #poolFirstByte_ms = new Map<string, number>();
+  /** Pools whose endpoints report their speed. */
+  #speedPools = new Set<string>();
 
   /** Records the time to the first byte of a successful response. */
   recordFirstByte(endpoint: RouteEndpoint, elapsed_ms: number): void {
@@ -173,6 +177,27 @@
     return this.#poolFirstByte_ms.get(pool) ?? 0;
   }
 
+  /** Records that an endpoint of a pool reports its speed. */
+  recordSpeedReport(pool: string): void {
+    this.#speedPools.add(pool);
+  }
+
+  /** Whether endpoints of a pool report their speed. */
+  reportsSpeed(pool: string): boolean {
+    return this.#speedPools.has(pool);
+  }
+
+  /**
+   * Forgets failures and slow responses of an endpoint that has recovered, so that
+   * it is chosen again.
+   */
+  forgetTrouble(endpoint: RouteEndpoint): void {
+    const observed = this.forEndpoint(endpoint);
+    observed.forgetFailures();
+    const usual_ms = this.firstByteMs(endpoint.pool);
+    observed.first_byte_ms = Math.min(observed.first_byte_ms, usual_ms);
+  }
+
   /** The observations of one endpoint, created on first use. */
   forEndpoint(endpoint: RouteEndpoint): ObservedEndpoint {
     const key = incarnationOf(endpoint);
--- a/src/settings/gateway_settings.ts
+++ b/src/settings/gateway_settings.ts
@@ -39,6 +39,9 @@
   drain: z.strictObject({
     timeout_s: z.number().positive().optional(),
   }).optional(),
+  ramp_up: z.strictObject({
+    enabled: z.boolean().optional(),
+  }).optional(),
   log: z.strictObject({
     level: z.enum(["debug", "info", "warn", "error"]).optional(),
     lines_per_s: z.number().positive().optional(),
@@ -81,6 +84,8 @@
    */
   repeats: { ratio: number; slack: number; window_ms: number };
   drain: { timeout_ms: number };
+  /** Whether endpoints that start or recover are loaded step by step. */
+  ramp_up: { enabled: boolean };
   /** `lines_per_s` limits the lines below level `warn`. */
   log: { level: string; lines_per_s: number };
 }
@@ -126,6 +131,7 @@
     readers,
     repeats,
     drain_timeout_s,
+    ramp_up_enabled,
     log_lines_per_s,
   } = DEFAULT_GATEWAY_SETTINGS;
   const window_s = user.repeats?.window_s ?? repeats.window_s;
@@ -156,6 +162,7 @@
       window_ms: window_s * MS_PER_S,
     },
     drain: { timeout_ms: timeout_s * MS_PER_S },
+    ramp_up: { enabled: user.ramp_up?.enabled ?? ramp_up_enabled },
     log: {
       level: user.log?.level ?? DEFAULT_LOG_LEVEL,
       lines_per_s: user.log?.lines_per_s ?? log_lines_per_s,
