--- a/src/endpoint_places/place_ledger.ts
+++ b/src/endpoint_places/place_ledger.ts
@@ -192,7 +192,7 @@
   /** Whether the endpoint is in ramp-up; one that is over ends with this. */
   isRamping(now_ms: number): boolean {
     if (this.#ramp === undefined) return false;
-    const end = this.#ramp.bound.endAt(this.#slots ?? Infinity, now_ms);
+    const end = this.#ramp.bound.settle(this.#slots ?? Infinity, now_ms);
     if (end === undefined) return true;
     this.#rampChanges.push({ ...this.#ramp, end });
     this.#ramp = undefined;
--- a/src/endpoint_places/ramp_bound.ts
+++ b/src/endpoint_places/ramp_bound.ts
@@ -50,9 +50,14 @@
  * others of its pool for good, and would get one request at a time for ever.
  */
 const LATENESS_COUNTS_MS = 15_000;
+/**
+ * Requests in time after which one failure says nothing of the load: an endpoint
+ * that fails a few of its requests would stay at a small limit.
+ */
+const MIN_BETWEEN_FAILURES = 8;
 /** Pause after a failure at the least limit; it doubles up to the longest. */
 const INITIAL_PAUSE_MS = 250;
-const MAX_PAUSE_MS = 2_000;
+const MAX_PAUSE_MS = 500;
 
 /** The in-flight limit of one endpoint in ramp-up. */
 export class RampBound {
@@ -66,13 +71,17 @@
     [PlaceOutcome.Rejected]: 0,
   };
   #limit = MIN_LIMIT;
-  /** Whether any response counted as in time. */
-  #hasAnswered = false;
+  /** When the limit reached the slots; undefined if it is lower. */
+  #full_ms: number | undefined;
+  /** Requests sent since then that were in time. */
+  #confirmed = 0;
   #reached_ms: number;
   /** When the limit fell last. */
   #lowered_ms = -Infinity;
   /** The limit at which the endpoint was in trouble. */
   #ceiling = Infinity;
+  /** Requests in time since one failed. */
+  #sinceFailure = 0;
   #pause_ms = INITIAL_PAUSE_MS;
   #pausedUntil_ms = -Infinity;
 
@@ -107,18 +116,31 @@
   /** Takes in how a request has ended. */
   record({ outcome, granted_ms, in_flight }: RampedRequest, now_ms: number) {
     this.counts[outcome] += 1;
+    const isIsolated = outcome === PlaceOutcome.Failed &&
+      this.#sinceFailure >= MIN_BETWEEN_FAILURES;
+    if (outcome === PlaceOutcome.Failed) this.#sinceFailure = 0;
+    if (outcome === PlaceOutcome.InTime) this.#sinceFailure += 1;
     // What was sent before the limit fell says nothing of the limit now.
-    if (granted_ms < this.#lowered_ms) return;
+    if (granted_ms < this.#lowered_ms || isIsolated) return;
     const isLateForGood = outcome === PlaceOutcome.Late &&
       now_ms - this.started_ms > LATENESS_COUNTS_MS;
     if (outcome === PlaceOutcome.InTime || isLateForGood) {
       this.#grow(in_flight, now_ms);
+      if (granted_ms >= (this.#full_ms ?? Infinity)) this.#confirmed += 1;
     } else this.#lower(outcome, in_flight, now_ms);
   }
 
-  /** Why it has ended; undefined if it goes on. */
-  endAt(slots: number, now_ms: number): RampEnd | undefined {
-    if (this.#limit >= slots && this.#hasAnswered) return RampEnd.Full;
+  /**
+   * Keeps the limit within the slots. Returns why the ramp-up has ended; undefined
+   * if it goes on. It ends at the slots once as many requests were in time there:
+   * late responses come after those that raised the limit.
+   */
+  settle(slots: number, now_ms: number): RampEnd | undefined {
+    if (this.#limit >= slots) {
+      this.#limit = slots;
+      this.#full_ms ??= now_ms;
+      if (this.#confirmed >= slots) return RampEnd.Full;
+    } else this.#full_ms = undefined;
     return now_ms - this.#reached_ms >= NO_DEMAND_MS
       ? RampEnd.NoDemand
       : undefined;
@@ -131,7 +153,6 @@
 
   #grow(in_flight: number, now_ms: number): void {
     this.#pause_ms = INITIAL_PAUSE_MS;
-    this.#hasAnswered = true;
     // Fewer in flight say nothing of a higher limit.
     if (2 * in_flight < this.#limit) return;
     if (now_ms - this.#lowered_ms > CEILING_LIFETIME_MS) {
@@ -148,7 +169,9 @@
       this.#pause_ms = Math.min(MAX_PAUSE_MS, 2 * this.#pause_ms);
     }
     const reached = Math.min(this.#limit, Math.max(MIN_LIMIT, in_flight));
-    this.#ceiling = reached;
+    // At the least limit, the number in flight is not what the trouble is from.
+    this.#ceiling = isLeast ? Infinity : reached;
+    this.#confirmed = 0;
     this.#limit = Math.max(MIN_LIMIT, reached * SHARE_AFTER_TROUBLE);
     this.#lowered_ms = now_ms;
   }
