Ramp-up: dead, cut and older issuers; failing endpoints found early

Cause: a host that reached no issuer went alone at its first lost call, so that with two issuers each far host sent a request of its own (12 in flight at a slow endpoint in place of 2); a substitute's limit never grew; refused hosts came back up to a second after an endpoint had become fast. Change: a host asks the next issuer before it goes alone; a substitute's places count for its share; shorter times to ask again in a ramp-up; troubles are counted over 0.5 s too. The first question of a host that starts uses a given delay.

--- a/src/endpoint_places/endpoint_places.ts
+++ b/src/endpoint_places/endpoint_places.ts
@@ -305,8 +305,11 @@
     if (reply.ramping !== undefined) {
       this.#ramps.confirm(endpoint, reply.ramping);
     } else if (mayBeAlone) {
-      this.#ramps.markAlone(endpoint);
-      return this.#takeAlone(endpoint);
+      // An issuer that has replied is of an earlier release.
+      const isUrgent = max_wait_ms > 0 || reply !== NO_ISSUER;
+      if (this.#ramps.recordUnanswered(endpoint, isUrgent)) {
+        return this.#takeAlone(endpoint);
+      }
     }
     if (!reply.granted) {
       this.#held.recordRefusal(incarnation, reply, this.#options.now());
--- a/src/endpoint_places/endpoint_ramps.ts
+++ b/src/endpoint_places/endpoint_ramps.ts
@@ -6,13 +6,12 @@
 import type { Logger } from "../logging/logger.ts";
 import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
-import { abortableDelay } from "../utils/delay.ts";
 import { EndpointStarts } from "./endpoint_starts.ts";
 import { type KnownRamp, KnownRamps } from "./known_ramps.ts";
 import type { RampChange } from "./place_ledger.ts";
 import { PoolTraffic } from "./pool_traffic.ts";
 import { RampReason } from "./ramp_reason.ts";
-import { RecoveryWatch, TROUBLE_WINDOW_MS } from "./recovery_watch.ts";
+import { RecoveryWatch } from "./recovery_watch.ts";
 import { PlaceOutcome, type PlaceReport, type RampNews } from "./types.ts";
 
 /** What the ramp-ups of endpoints need of the host. */
@@ -30,6 +29,8 @@
   onChange: (change: RampChange) => void;
   /** Called when this host learns that an endpoint's ramp-up is over. */
   onRecovered: (endpoint: RouteEndpoint) => void;
+  /** Resolves early when the signal aborts. */
+  delay: (delay_ms: number, signal: AbortSignal) => Promise<void>;
   random: () => number;
 }
 
@@ -54,7 +55,6 @@
  * another one for the ramp-ups, which may have begun before.
  */
 const ASK_AFTER_MS = [500, 3_000];
-const MS_PER_S = 1_000;
 
 /** The ramp-ups that a host knows of. */
 export class EndpointRamps {
@@ -124,16 +124,22 @@
     return this.#known.isAlone(incarnationOf(endpoint), this.#options.now());
   }
 
-  /** Records that no issuer has replied. */
-  markAlone(endpoint: RouteEndpoint): void {
-    this.#known.markAlone(incarnationOf(endpoint), this.#options.now());
+  /**
+   * Records that an issuer has not replied, or does not know ramp-ups. Returns
+   * whether this host now bounds its requests there itself; at once if `isUrgent`.
+   */
+  recordUnanswered(endpoint: RouteEndpoint, isUrgent: boolean): boolean {
+    const options = { now_ms: this.#options.now(), isUrgent };
+    return this.#known.recordUnanswered(incarnationOf(endpoint), options);
   }
 
   /** Takes in whether the issuer says that a ramp-up goes on. */
   confirm(endpoint: RouteEndpoint, goesOn: boolean): void {
     const incarnation = incarnationOf(endpoint);
-    if (goesOn) this.learn(incarnation, RampReason.Recovery);
-    else if (this.#known.end(incarnation)) {
+    if (goesOn) {
+      this.learn(incarnation, RampReason.Recovery);
+      this.#known.confirm(incarnation, this.#options.now());
+    } else if (this.#known.end(incarnation)) {
       this.#options.ramps?.onRecovered(endpoint);
     }
   }
@@ -165,8 +171,8 @@
     if (ramps === undefined || count === 0) return;
     const endpoint = this.#endpointOf(incarnation);
     if (endpoint === undefined || !ramps.isOn(endpoint.pool)) return;
-    const expected = this.#expectedRequests(endpoint.pool);
-    if (this.#watch.record(incarnation, { count, expected }, now())) {
+    const expected_per_s = this.#expectedPerS(endpoint.pool);
+    if (this.#watch.record(incarnation, { count, expected_per_s }, now())) {
       ramps.tellHosts(endpoint, RampReason.Recovery);
     }
   }
@@ -185,13 +191,13 @@
     this.#known.forgetOld(this.#options.now());
   }
 
-  /** Requests that an endpoint gets from all hosts while troubles are counted. */
-  #expectedRequests(pool: string): number {
+  /** Requests a second that an endpoint is expected to get from all hosts. */
+  #expectedPerS(pool: string): number {
     const { ramps, hosts, now } = this.#options;
     const endpoints = ramps?.allEndpoints()
       .filter((each) => each.pool === pool).length ?? 0;
     const per_s = this.#traffic.perS(pool, now()) * hosts().length;
-    return per_s / Math.max(1, endpoints) * TROUBLE_WINDOW_MS / MS_PER_S;
+    return per_s / Math.max(1, endpoints);
   }
 
   #endpointOf(incarnation: string): RouteEndpoint | undefined {
@@ -203,7 +209,7 @@
     const { self, hosts, log, signal } = this.#options;
     let waited_ms = 0;
     for (const at_ms of ASK_AFTER_MS) {
-      await abortableDelay(at_ms - waited_ms, signal);
+      await ramps.delay(at_ms - waited_ms, signal);
       waited_ms = at_ms;
       const others = hosts().filter((host) => host !== self);
       const peer = others[Math.floor(ramps.random() * others.length)];
--- a/src/endpoint_places/place_ledger.ts
+++ b/src/endpoint_places/place_ledger.ts
@@ -58,13 +58,22 @@
  * silent endpoint may keep them for much longer.
  */
 const SENT_BEFORE_COUNTS_MS = 2_000;
-/** Age at which a host knows of a ramp-up that another issuer began. */
-const TAKEOVER_AGE_MS = 1_000;
+/**
+ * A ramp-up that a host has known for longer was begun by another issuer. If it
+ * was not, nothing is in flight, and it begins low all the same.
+ */
+const TAKEOVER_AGE_MS = 300;
 /** Share of the places that a substitute for the endpoint's issuer grants. */
 const SUBSTITUTE_SHARE = 0.25;
 /** Time between two hosts that ask again after a refusal. */
 const ASK_INTERVAL_MS = 20;
 const MAX_ASK_AFTER_MS = 1_000;
+/**
+ * The same in a ramp-up. With the longer times, hosts that were refused during it
+ * come back up to a second after the endpoint has become fast.
+ */
+const RAMP_ASK_INTERVAL_MS = 10;
+const MAX_RAMP_ASK_AFTER_MS = 250;
 /** Hosts whose next time is remembered; the oldest are dropped. */
 const MAX_HOSTS = 4_096;
 const MAX_RETRY_AFTER_MS = 5_000;
@@ -153,7 +162,8 @@
       if (
         outcome !== undefined && (known?.isRamped || bound?.isTakeover === true)
       ) {
-        const in_flight = this.#inFlight(now_ms);
+        // Its own places, as if it granted all.
+        const in_flight = this.#inFlight(now_ms) / this.#share;
         const granted_ms = known?.since_ms ?? now_ms;
         bound?.record({ outcome, granted_ms, in_flight }, now_ms);
       }
@@ -249,9 +259,12 @@
   #askTimeOf(host: string, now_ms: number): number {
     const known_ms = this.#asksAt_ms.get(host) ?? 0;
     if (known_ms > now_ms) return known_ms;
+    const isRamping = this.#ramp !== undefined;
+    const interval_ms = isRamping ? RAMP_ASK_INTERVAL_MS : ASK_INTERVAL_MS;
+    const max_ms = isRamping ? MAX_RAMP_ASK_AFTER_MS : MAX_ASK_AFTER_MS;
     this.#nextAsk_ms = Math.min(
-      Math.max(now_ms, this.#nextAsk_ms) + ASK_INTERVAL_MS,
-      now_ms + MAX_ASK_AFTER_MS,
+      Math.max(now_ms, this.#nextAsk_ms) + interval_ms,
+      now_ms + max_ms,
     );
     this.#asksAt_ms.delete(host);
     this.#asksAt_ms.set(host, this.#nextAsk_ms);
@@ -274,8 +287,11 @@
   }
 
   #shareOf(places: number): number {
-    const share = this.#isSubstitute ? SUBSTITUTE_SHARE : 1;
-    return places === 0 ? 0 : Math.max(1, Math.floor(places * share));
+    return places === 0 ? 0 : Math.max(1, Math.floor(places * this.#share));
+  }
+
+  get #share(): number {
+    return this.#isSubstitute ? SUBSTITUTE_SHARE : 1;
   }
 
   /** Requests in flight, as they count for the ramp-up. */
--- a/src/endpoint_places/recovery_watch.ts
+++ b/src/endpoint_places/recovery_watch.ts
@@ -5,10 +5,18 @@
  */
 import { dropOldest } from "../utils/drop_oldest.ts";
 
-/** Time in which troubles are counted. */
-export const TROUBLE_WINDOW_MS = 2_000;
-/** Troubles in that time from which an endpoint counts as failing. */
-const MIN_TROUBLES = 3;
+/**
+ * Times in which troubles are counted, and the least number from which an endpoint
+ * counts as failing. The short one finds an endpoint early that gets many requests.
+ */
+const WINDOWS = [
+  { window_ms: 500, min_troubles: 6 },
+  { window_ms: 2_000, min_troubles: 3 },
+];
+const MAX_WINDOW_MS = 2_000;
+const MS_PER_S = 1_000;
+/** Troubles of an endpoint that are remembered. */
+const MAX_TROUBLES = 1_024;
 /**
  * Share of the requests that the endpoint is expected to get in that time. Hosts
  * report no successes, so it takes the place of a row of failures.
@@ -30,12 +38,12 @@
 
   /**
    * Records that requests have failed or were late; returns whether the endpoint
-   * has begun to fail. `expected` is the number of requests that it gets in
-   * {@linkcode TROUBLE_WINDOW_MS}.
+   * has begun to fail. `expected_per_s` is the rate of requests that it gets from
+   * all hosts.
    */
   record(
     incarnation: string,
-    { count, expected }: { count: number; expected: number },
+    { count, expected_per_s }: { count: number; expected_per_s: number },
     now_ms: number,
   ): boolean {
     const troubles = this.#endpoints.get(incarnation) ??
@@ -43,16 +51,23 @@
     this.#endpoints.delete(incarnation);
     this.#endpoints.set(incarnation, troubles);
     dropOldest(this.#endpoints, MAX_ENDPOINTS);
-    const needed = Math.max(MIN_TROUBLES, TROUBLE_SHARE * expected);
     for (let n = 0; n < count; n++) troubles.times_ms.push(now_ms);
-    troubles.times_ms = troubles.times_ms
-      .filter((at_ms) => now_ms - at_ms < TROUBLE_WINDOW_MS)
-      .slice(-Math.ceil(needed));
-    const isFailing = troubles.times_ms.length >= needed &&
-      now_ms - troubles.found_ms >= REPEAT_MS;
+    const { times_ms, found_ms } = troubles;
+    troubles.times_ms = since(times_ms, now_ms - MAX_WINDOW_MS)
+      .slice(-MAX_TROUBLES);
+    if (now_ms - found_ms < REPEAT_MS) return false;
+    const isFailing = WINDOWS.some(({ window_ms, min_troubles }) => {
+      const expected = expected_per_s * window_ms / MS_PER_S;
+      const needed = Math.max(min_troubles, TROUBLE_SHARE * expected);
+      return since(times_ms, now_ms - window_ms).length >= needed;
+    });
     if (!isFailing) return false;
     troubles.times_ms = [];
     troubles.found_ms = now_ms;
     return true;
   }
 }
+
+function since(times_ms: readonly number[], oldest_ms: number): number[] {
+  return times_ms.filter((at_ms) => at_ms > oldest_ms);
+}
--- a/src/gateway/ramp_components.ts
+++ b/src/gateway/ramp_components.ts
@@ -6,6 +6,7 @@
 import type { ObservedLoad } from "../routing/observed_load.ts";
 import type { ActiveConfiguration } from "../store_sync/active_configuration.ts";
 import type { EndpointRegistry } from "../store_sync/endpoint_registry.ts";
+import { abortableDelay } from "../utils/delay.ts";
 
 /** Dependencies of the ramp-ups. */
 export interface RampDependencies {
@@ -43,6 +44,7 @@
       }
     },
     onRecovered: (endpoint) => load.forgetTrouble(endpoint),
+    delay: abortableDelay,
     random,
   };
 }
--- a/test/endpoint_places/ramped_fleet.ts
+++ b/test/endpoint_places/ramped_fleet.ts
@@ -82,6 +82,10 @@
   endpoints: RouteEndpoint[] = [];
   /** Addresses of the hosts, as each of them knows them. */
   hosts: string[] = [];
+  /** The hosts that send requests; all by default. */
+  senders: string[] | undefined;
+  /** Whether no message gets from one host to another. */
+  isCut: (from: string, to: string) => boolean = () => false;
   now_ms = 100_000;
   in_flight = 0;
   /** Requests in flight at the end of each millisecond. */
@@ -153,11 +157,11 @@
             if (!this.faults.lost.has(address)) each.applyRamp(notice);
           }
         },
-        askRamps: async (address) =>
-          (await this.#message(self, address)).rampNews(),
+        askRamps: (address) => Promise.resolve(this.host(address).rampNews()),
         onChange: (change) =>
           this.changes.push({ host: self, at_ms: this.now_ms, change }),
         onRecovered: () => {},
+        delay: (delay_ms) => this.#wait(delay_ms),
         random: () => this.random(),
       },
       log: this.#log,
@@ -189,7 +193,8 @@
     for (let ms = 0; ms < for_ms; ms++) {
       due += per_s / 1_000;
       for (; due >= 1; due -= 1) {
-        const host = this.hosts[Math.floor(this.random() * this.hosts.length)];
+        const hosts = this.senders ?? this.hosts;
+        const host = hosts[Math.floor(this.random() * hosts.length)];
         if (host === undefined || this.faults.lost.has(host)) continue;
         void this.#send(host, endpoint, { model, max_wait_ms });
       }
@@ -259,7 +264,7 @@
   async #message(from: string, to: string): Promise<EndpointPlaces> {
     this.figures.messages += 1;
     const { lost } = this.faults;
-    if (lost.has(from) || lost.has(to)) {
+    if (lost.has(from) || lost.has(to) || this.isCut(from, to)) {
       await this.#wait(400);
       throw new Error("no response");
     }
