Ramp-up: no permit is taken for an endpoint without a place

Cause: a permit of an endpoint that limits its rate was taken before the place, and lost when the ramp-up had none; a request that waits asked again each millisecond. Change: at an endpoint in ramp-up the place comes first; a request waits at least 10 ms before it asks again, and not at all if there can be no place in its time. Ruled out: asking for both in one message, as the issuers' messages differ.

--- a/src/forwarding/take_endpoint.ts
+++ b/src/forwarding/take_endpoint.ts
@@ -16,12 +16,16 @@
 const MAX_PLACE_REQUESTS = 2;
 /** Longest time for which it waits for places, at all endpoints together. */
 const MAX_PLACE_WAIT_MS = 200;
+/** Shortest time after which it asks again at endpoints in ramp-up. */
+const MIN_RAMP_WAIT_MS = 10;
 
 /** A send that may be made, at once or later. */
 export interface ReservedSend {
   endpoint: RouteEndpoint;
   /** Earliest time of the send, on the monotonic clock. */
   at_ms: number;
+  /** Whether its endpoint limits its rate and a permit is still to be taken. */
+  needsPermit?: boolean;
 }
 
 /**
@@ -76,9 +80,9 @@
     const isRamping = places.isRamping(send.endpoint);
     const mayWait = !isRamping || !hasOthers(context, passedOver);
     const waitsUntil_ms = mayWait ? placeBy_ms : now();
-    if (await takePlace(context, send.endpoint, waitsUntil_ms)) {
-      return send.endpoint;
-    }
+    const isTaken = await takePlace(context, send.endpoint, waitsUntil_ms) &&
+      await takePermit(context, send);
+    if (isTaken) return send.endpoint;
     (isRamping ? rampsWithoutPlace : passedOver).add(send.endpoint.id);
   }
   return undefined;
@@ -128,10 +132,15 @@
   const { places, now } = context.dependencies;
   const waits_ms = context.readyEndpoints()
     .filter((each) => !passedOver.has(each.id) && places.isRamping(each))
-    .map((each) => Math.max(1, places.waitMs(each)));
-  const left_ms = placeBy_ms - now();
-  if (waits_ms.length === 0 || left_ms <= 0) return false;
-  const wait_ms = Math.min(left_ms, ...waits_ms);
+    .map((each) =>
+      Math.max(
+        MIN_RAMP_WAIT_MS,
+        places.waitMs(each),
+        sendWaitMs(context, each),
+      )
+    );
+  const wait_ms = Math.min(...waits_ms);
+  if (wait_ms > placeBy_ms - now()) return false;
   await abortableDelay(Math.ceil(wait_ms), context.signal);
   await stopIfCallerLeft(context);
   return true;
@@ -166,17 +175,35 @@
   return context.stopReason === undefined && isReady(context, endpoint);
 }
 
+/** Takes a permit that a send still needs; gives its place back without one. */
+async function takePermit(
+  context: RunContext,
+  { endpoint, needsPermit = false }: ReservedSend,
+): Promise<boolean> {
+  if (!needsPermit) return true;
+  const { rateLimits } = context.dependencies;
+  const { priority } = context.admitted;
+  if (await rateLimits.tryTake(endpoint, priority)) return true;
+  context.releasePlace(false);
+  return false;
+}
+
 /** Takes a send at an endpoint that has not been tried. */
 async function reserveSend(
   context: RunContext,
   tried: ReadonlySet<string>,
 ): Promise<ReservedSend | undefined> {
-  const { rateLimits, now } = context.dependencies;
+  const { rateLimits, places, now } = context.dependencies;
   const { priority } = context.admitted;
   while (context.stopReason === undefined) {
     const endpoint = chooseEndpoint(context, tried);
     if (endpoint === undefined) return await reserveAhead(context, tried);
-    const mayBeSent = !rateLimits.isLimited(endpoint) ||
+    const isLimited = rateLimits.isLimited(endpoint);
+    // A permit for which there is no place would be lost.
+    if (isLimited && places.isRamping(endpoint)) {
+      return { endpoint, at_ms: now(), needsPermit: true };
+    }
+    const mayBeSent = !isLimited ||
       await rateLimits.tryTake(endpoint, priority);
     if (mayBeSent) return { endpoint, at_ms: now() };
   }
