--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -49,6 +49,10 @@
   readers?: number;
   /** Memory of a gateway host. */
   memory_mb?: number;
+  /** Merged into a service of the manifest. */
+  service_changes?: Partial<Record<Service, object>>;
+  /** `ramp_up.enabled` of the gateway hosts. */
+  ramp_up?: boolean | undefined;
 }
 
 /** Services of the deployment. */
@@ -212,6 +216,7 @@
         },
         repeats: { ratio: 0.2, slack: 50, window_s: 10 },
         drain: { timeout_s: this.#options.drain_timeout_s ?? 8 },
+        ramp_up: { enabled: this.#options.ramp_up },
       }),
       {
         adapter: deploymentAdapter,
@@ -283,6 +288,7 @@
     call_ms = 20,
     timeout_ms = 2_000,
     target_latency_ms = 300,
+    service_changes = {},
   }: GatewayFleetOptions,
 ): Record<string, unknown> {
   const pieces = {
@@ -302,6 +308,7 @@
     protocol: "h1",
     tls: false,
     ...extra,
+    ...service_changes[name],
   });
   const route = (name: string, kind: string, extra: object) => ({
     name,
