Ramp-up: streams count with their first bytes

Cause: the limit rose with the end of a response, so that an endpoint whose streams last 3 s would need five times that for its 16 slots. Change: a host reports the first bytes of a stream at an endpoint in ramp-up, in an optional field; they add 2 to the limit, as the stream keeps its place. Ruled out: adding 1, which grows by one each time to the first byte.

--- a/src/endpoint_places/endpoint_places.ts
+++ b/src/endpoint_places/endpoint_places.ts
@@ -60,6 +60,8 @@
    * `outcome` is undefined if it tells nothing of the endpoint.
    */
   release(rejected: boolean, outcome?: PlaceOutcome): void;
+  /** Tells that the request's stream has begun, in time or late. */
+  begin(outcome: PlaceOutcome): void;
 }
 
 /** Places that are given back within this time share a report. */
@@ -405,6 +407,11 @@
   #placeOf(endpoint: RouteEndpoint, place: HeldPlace): Place {
     const incarnation = incarnationOf(endpoint);
     return {
+      begin: (outcome) => {
+        if (!this.isRamping(endpoint)) return;
+        this.#held.begin(incarnation, place, outcome);
+        this.#scheduleReport(incarnation);
+      },
       release: (rejected, outcome) => {
         const end = { rejected, outcome };
         const age_ms = this.#options.now() - place.since_ms;
@@ -476,9 +483,10 @@
 
   #report(incarnation: string): void {
     const { self: host, peers } = this.#options;
+    const begun = this.#held.takeBegun(incarnation);
     const released = this.#held.takeReleased(incarnation);
     const held = this.#held.numbers(incarnation);
-    const report = { endpoint: incarnation, host, held, released };
+    const report = { endpoint: incarnation, host, held, begun, released };
     void this.#rankedHosts.call({
       key: incarnation,
       count: 1,
--- a/src/endpoint_places/held_places.ts
+++ b/src/endpoint_places/held_places.ts
@@ -26,6 +26,7 @@
   held: Map<number, HeldPlace>;
   /** Held places that no request has at the moment, the newest last. */
   idle: HeldPlace[];
+  begun: NonNullable<PlaceReport["begun"]>;
   released: PlaceReport["released"];
   reportIsDue: boolean;
 }
@@ -58,7 +59,13 @@
   /** Records that a place is held, by a request. */
   add(incarnation: string, number: number, now_ms: number): HeldPlace {
     const places = this.#endpoints.get(incarnation) ??
-      { held: new Map(), idle: [], released: [], reportIsDue: false };
+      {
+        held: new Map(),
+        idle: [],
+        begun: [],
+        released: [],
+        reportIsDue: false,
+      };
     this.#endpoints.set(incarnation, places);
     const place = { number, since_ms: now_ms, requests: 1 };
     places.held.set(number, place);
@@ -90,6 +97,21 @@
     return index >= 0;
   }
 
+  /** Records that the stream of a place has begun. */
+  begin(
+    incarnation: string,
+    { number }: HeldPlace,
+    outcome: PlaceOutcome,
+  ): void {
+    this.#endpoints.get(incarnation)?.begun.push({ place: number, outcome });
+  }
+
+  /** The places whose streams have begun since the last call. */
+  takeBegun(incarnation: string): PlaceReport["begun"] {
+    const begun = this.#endpoints.get(incarnation)?.begun.splice(0) ?? [];
+    return begun.length > 0 ? begun : undefined;
+  }
+
   /** Gives a place back; false if it isn't held. */
   release(
     incarnation: string,
--- a/src/endpoint_places/place_ledger.ts
+++ b/src/endpoint_places/place_ledger.ts
@@ -6,7 +6,12 @@
 import { type EndpointCapacity, PlaceBound } from "./place_bound.ts";
 import { RampBound, type RampEnd } from "./ramp_bound.ts";
 import type { RampReason } from "./ramp_reason.ts";
-import type { PlaceReply, PlaceReport, PlaceRequest } from "./types.ts";
+import {
+  PlaceOutcome,
+  type PlaceReply,
+  type PlaceReport,
+  type PlaceRequest,
+} from "./types.ts";
 
 /** How a request for a place is decided. */
 export type PlaceDecision =
@@ -37,6 +42,8 @@
   host: string;
   /** Whether this issuer granted it during the ramp-up. */
   isRamped: boolean;
+  /** Whether its stream has begun, which counts in place of its good end. */
+  hasBegun: boolean;
   since_ms: number;
   expires_ms: number;
 }
@@ -149,8 +156,14 @@
   }
 
   /** Takes in what a host holds and has given back. */
-  report({ host, held, released }: PlaceReport, now_ms: number): void {
+  report(report: PlaceReport, now_ms: number): void {
+    const { host, held, begun = [], released } = report;
     this.#dropExpired(now_ms);
+    for (const { place, outcome } of begun) {
+      const known = this.#held.get(placeKeyOf(host, place));
+      this.#recordOutcome(known, outcome, { isStream: true, now_ms });
+      if (known !== undefined) known.hasBegun = true;
+    }
     for (const { place, requests, rejected, outcome } of released) {
       const key = placeKeyOf(host, place);
       if (rejected) {
@@ -158,14 +171,8 @@
         this.#bound.recordRejection(this.#held.size, { slots, now_ms });
       }
       const known = this.#held.get(key);
-      const bound = this.#ramp?.bound;
-      if (
-        outcome !== undefined && (known?.isRamped || bound?.isTakeover === true)
-      ) {
-        // Its own places, as if it granted all.
-        const in_flight = this.#inFlight(now_ms) / this.#share;
-        const granted_ms = known?.since_ms ?? now_ms;
-        bound?.record({ outcome, granted_ms, in_flight }, now_ms);
+      if (outcome !== undefined) {
+        this.#recordOutcome(known, outcome, { isStream: false, now_ms });
       }
       if (known !== undefined && !rejected) {
         const service_ms = (now_ms - known.since_ms) / Math.max(1, requests);
@@ -294,6 +301,24 @@
     return this.#isSubstitute ? SUBSTITUTE_SHARE : 1;
   }
 
+  /** Takes in how a request of the ramp-up has begun or ended. */
+  #recordOutcome(
+    known: HeldPlace | undefined,
+    outcome: PlaceOutcome,
+    { isStream, now_ms }: { isStream: boolean; now_ms: number },
+  ): void {
+    const bound = this.#ramp?.bound;
+    const isRamped = known?.isRamped === true || bound?.isTakeover === true;
+    if (bound === undefined || !isRamped) return;
+    const isAnswer = outcome === PlaceOutcome.InTime ||
+      outcome === PlaceOutcome.Late;
+    if (isAnswer && known?.hasBegun === true) return;
+    // Its own places, as if it granted all.
+    const in_flight = this.#inFlight(now_ms) / this.#share;
+    const granted_ms = known?.since_ms ?? now_ms;
+    bound.record({ outcome, granted_ms, in_flight, isStream }, now_ms);
+  }
+
   /** Requests in flight, as they count for the ramp-up. */
   #inFlight(now_ms: number): number {
     const bound = this.#ramp?.bound;
@@ -331,6 +356,7 @@
     this.#held.set(key, {
       host,
       isRamped: known?.isRamped ?? isRamped,
+      hasBegun: known?.hasBegun ?? false,
       since_ms: known?.since_ms ?? now_ms,
       expires_ms: now_ms + PLACE_LIFETIME_MS,
     });
--- a/src/endpoint_places/ramp_bound.ts
+++ b/src/endpoint_places/ramp_bound.ts
@@ -21,6 +21,8 @@
   granted_ms: number;
   /** Requests in flight, this one included. */
   in_flight: number;
+  /** Whether it goes on as a stream, which keeps its place. */
+  isStream?: boolean;
 }
 
 /** How a ramp-up begins. */
@@ -114,7 +116,8 @@
   }
 
   /** Takes in how a request has ended. */
-  record({ outcome, granted_ms, in_flight }: RampedRequest, now_ms: number) {
+  record(request: RampedRequest, now_ms: number): void {
+    const { outcome, granted_ms, in_flight, isStream = false } = request;
     this.counts[outcome] += 1;
     const isIsolated = outcome === PlaceOutcome.Failed &&
       this.#sinceFailure >= MIN_BETWEEN_FAILURES;
@@ -125,7 +128,7 @@
     const isLateForGood = outcome === PlaceOutcome.Late &&
       now_ms - this.started_ms > LATENESS_COUNTS_MS;
     if (outcome === PlaceOutcome.InTime || isLateForGood) {
-      this.#grow(in_flight, now_ms);
+      this.#grow(in_flight, { isStream, now_ms });
       if (granted_ms >= (this.#full_ms ?? Infinity)) this.#confirmed += 1;
     } else this.#lower(outcome, in_flight, now_ms);
   }
@@ -151,7 +154,10 @@
     return Math.floor(this.#limit);
   }
 
-  #grow(in_flight: number, now_ms: number): void {
+  #grow(
+    in_flight: number,
+    { isStream, now_ms }: { isStream: boolean; now_ms: number },
+  ): void {
     this.#pause_ms = INITIAL_PAUSE_MS;
     // Fewer in flight say nothing of a higher limit.
     if (2 * in_flight < this.#limit) return;
@@ -159,7 +165,10 @@
       this.#ceiling = Infinity;
     }
     const isBelow = this.#limit < this.#ceiling * SHARE_AFTER_TROUBLE;
-    this.#limit += isBelow || this.#ceiling === Infinity ? 1 : 1 / this.#limit;
+    // A stream frees no place, so two are needed to double what begins.
+    const step = isStream ? 2 : 1;
+    const doubles = isBelow || this.#ceiling === Infinity;
+    this.#limit += doubles ? step : 1 / this.#limit;
   }
 
   #lower(outcome: PlaceOutcome, in_flight: number, now_ms: number): void {
--- a/src/endpoint_places/types.ts
+++ b/src/endpoint_places/types.ts
@@ -66,6 +66,14 @@
   host: z.string(),
   /** All places that the host holds. */
   held: z.array(z.int().nonnegative()),
+  /**
+   * Places whose streams have begun since its last report, in time or late;
+   * missing without any, and from hosts of an earlier release.
+   */
+  begun: z.array(z.object({
+    place: z.int().nonnegative(),
+    outcome: z.enum(PlaceOutcome),
+  })).optional(),
   /** Places that it has given back since its last report. */
   released: z.array(z.object({
     place: z.int().nonnegative(),
--- a/src/forwarding/complete_exchange.ts
+++ b/src/forwarding/complete_exchange.ts
@@ -37,11 +37,13 @@
 export async function completeExchange(
   context: RunContext,
   result: ExchangeResult,
-  { endpoint, sent_ms, inputs, onResponse }: {
+  { endpoint, sent_ms, inputs, onResponse, onStreamBegun }: {
     endpoint: RouteEndpoint;
     sent_ms: number;
     inputs: StageInputs;
     onResponse: () => void;
+    /** Called when the first bytes of a stream have come. */
+    onStreamBegun: () => void;
   },
 ): Promise<SendResult> {
   const { now, codec, reports, load } = context.dependencies;
@@ -92,7 +94,13 @@
     recordStreamOrigin(context, endpoint);
   };
   const relayed = isStream
-    ? await relayResponseStream(context, response, { inputs, onFirstEvent })
+    ? await relayResponseStream(context, response, {
+      onFirstBytes() {
+        inputs.freeResults();
+        onStreamBegun();
+      },
+      onFirstEvent,
+    })
     : await relayBuffered(context.inbound.response, response, {
       headers: codec.filterResponseHeaders(response.headers),
       withhold: response.status >= MIN_SERVER_ERROR_STATUS && context.mayRetry,
@@ -150,8 +158,8 @@
 async function relayResponseStream(
   context: RunContext,
   response: EndpointResponse,
-  { inputs, onFirstEvent }: {
-    inputs: StageInputs;
+  { onFirstBytes, onFirstEvent }: {
+    onFirstBytes: () => void;
     onFirstEvent: () => void;
   },
 ): Promise<RelayResult> {
@@ -162,7 +170,7 @@
     continues_after: positionOf(context),
     closeConnection: isShuttingDown(),
     limits: responseLimits,
-    onFirstBytes: inputs.freeResults,
+    onFirstBytes,
     onFirstEvent,
   });
   context.lastEventId = relayed.last_event_id ?? context.lastEventId;
--- a/src/forwarding/place_outcome.ts
+++ b/src/forwarding/place_outcome.ts
@@ -21,12 +21,8 @@
   },
 ): PlaceOutcome | undefined {
   switch (result.observedOutcome) {
-    case ObservedOutcome.Success: {
-      const elapsed_ms = result.first_byte_ms - sent_ms;
-      const isLate = usual_ms > 0 &&
-        elapsed_ms > LATE_FACTOR * usual_ms + LATE_MARGIN_MS;
-      return isLate ? PlaceOutcome.Late : PlaceOutcome.InTime;
-    }
+    case ObservedOutcome.Success:
+      return outcomeOfAnswer(result.first_byte_ms - sent_ms, usual_ms);
     case ObservedOutcome.Full:
       return isRejection(result) ? PlaceOutcome.Rejected : undefined;
     case ObservedOutcome.ConnectionFailed:
@@ -37,3 +33,13 @@
       return undefined;
   }
 }
+
+/** How a response counts whose first byte came after this time. */
+export function outcomeOfAnswer(
+  first_byte_ms: number,
+  usual_ms: number,
+): PlaceOutcome {
+  const isLate = usual_ms > 0 &&
+    first_byte_ms > LATE_FACTOR * usual_ms + LATE_MARGIN_MS;
+  return isLate ? PlaceOutcome.Late : PlaceOutcome.InTime;
+}
--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -235,6 +235,11 @@
     this.#place = place;
   }
 
+  /** Tells that the endpoint's stream has begun, in time or late. */
+  beginAtPlace(outcome: PlaceOutcome): void {
+    this.#place?.begin(outcome);
+  }
+
   /**
    * Gives its place back; `rejected` if the endpoint had no room for it.
    * `outcome` is undefined if it tells nothing of the endpoint.
--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -3,7 +3,7 @@
 import { CallKind, type RouteEndpoint } from "../routes/types.ts";
 import { ObservedOutcome } from "../routing/observed_load.ts";
 import { type RunContext, StopReason } from "./run_context.ts";
-import { placeOutcomeOf } from "./place_outcome.ts";
+import { outcomeOfAnswer, placeOutcomeOf } from "./place_outcome.ts";
 import { completeExchange } from "./complete_exchange.ts";
 import {
   mayHaveCrashed,
@@ -63,6 +63,8 @@
       sent_ms: started_ms,
       inputs,
       onResponse: () => clearTimeout(sendTimer),
+      onStreamBegun: () =>
+        context.beginAtPlace(outcomeOfAnswer(now() - started_ms, usual_ms)),
     });
     const result = hasWayFailed(context, endpoint, { completed, exchange })
       ? { ...completed, observedOutcome: ObservedOutcome.Unreachable }
--- a/test/endpoint_places/ramp_up.test.ts
+++ b/test/endpoint_places/ramp_up.test.ts
@@ -157,6 +157,22 @@
   }
 }
 
+test("streams of seconds raise the limit with their first bytes, not their ends", async (t) => {
+  const fleet = new RampedFleet(t, 66);
+  fleet.feed([OTHER]);
+  await fleet.tick();
+  fleet.feed([OTHER, ENDPOINT]);
+  const stream = { elapsed_ms: 3_000, first_byte_ms: WORK_MS };
+  const model = { serve: () => stream };
+  await fleet.load(ENDPOINT, { per_s: 100, for_ms: 2_500, model });
+  const full_ms = fleet.inFlightAt.findIndex((each) =>
+    each >= FULL_SHARE * SLOTS
+  );
+  t.diagnostic(`streams of 3 s: full use after ${full_ms} ms`);
+  assert.ok(full_ms > 0 && full_ms <= 1_000, `${full_ms} ms to full use`);
+  assert.ok(fleet.figures.maxInFlight <= SLOTS);
+});
+
 function print(
   t: TestContext,
   title: string,
--- a/test/endpoint_places/ramped_fleet.ts
+++ b/test/endpoint_places/ramped_fleet.ts
@@ -48,6 +48,8 @@
 /** How a request at the endpoint ends. */
 export interface Service {
   elapsed_ms: number;
+  /** Until the first byte of a stream; undefined for other responses. */
+  first_byte_ms?: number;
   failed?: boolean;
 }
 
@@ -245,17 +247,16 @@
     place: Place,
     model: EndpointModel,
   ): Promise<void> {
-    const { elapsed_ms, failed = false } = model.serve(
-      this.now_ms,
-      this.in_flight,
-    );
+    const { elapsed_ms, first_byte_ms = elapsed_ms, failed = false } = model
+      .serve(this.now_ms, this.in_flight);
     this.in_flight += 1;
-    await this.#wait(elapsed_ms);
+    await this.#wait(first_byte_ms);
+    if (first_byte_ms < elapsed_ms) {
+      place.begin(outcomeOf(first_byte_ms));
+      await this.#wait(elapsed_ms - first_byte_ms);
+    }
     this.in_flight -= 1;
-    const inTime = elapsed_ms > LATE_MS
-      ? PlaceOutcome.Late
-      : PlaceOutcome.InTime;
-    const outcome = failed ? PlaceOutcome.Failed : inTime;
+    const outcome = failed ? PlaceOutcome.Failed : outcomeOf(first_byte_ms);
     this.figures.outcomes[outcome] += 1;
     if (outcome !== PlaceOutcome.InTime) this.lateAt_ms.push(this.now_ms);
     place.release(false, outcome);
@@ -277,6 +278,10 @@
   }
 }
 
+function outcomeOf(first_byte_ms: number): PlaceOutcome {
+  return first_byte_ms > LATE_MS ? PlaceOutcome.Late : PlaceOutcome.InTime;
+}
+
 function withoutRamp({ ramping: _, ...reply }: PlaceReply): PlaceReply {
   return reply;
 }
@@ -284,5 +289,5 @@
 function withoutOutcomes(report: PlaceReport): PlaceReport {
   const released = report.released
     .map(({ outcome: _, ...place }) => place);
-  return { ...report, released };
+  return { ...report, begun: undefined, released };
 }
--- a/test/forwarding/take_ramping_endpoint.test.ts
+++ b/test/forwarding/take_ramping_endpoint.test.ts
@@ -54,7 +54,7 @@
   const elapsedMs = () => performance.now() - started_ms;
   const refusedUntil_ms = new Map<string, number>();
   const asked: FakeHost["asked"] = [];
-  const place: Place = { release() {} };
+  const place: Place = { begin() {}, release() {} };
   const load = new ObservedLoad();
   const places = {
     needsPlace: ({ id }: RouteEndpoint) => ramps[id] !== undefined,
