--- a/src/endpoint_places/held_places.ts
+++ b/src/endpoint_places/held_places.ts
@@ -3,7 +3,7 @@
  * Does no I/O and reads no clock: callers pass the time in.
  */
 import { dropOldest } from "../utils/drop_oldest.ts";
-import type { PlaceReply, PlaceReport } from "./types.ts";
+import type { PlaceOutcome, PlaceReply, PlaceReport } from "./types.ts";
 
 /** A place that is held. */
 export interface HeldPlace {
@@ -14,10 +14,19 @@
   requests: number;
 }
 
+/** How the last request that had a place ended. */
+export interface PlaceEnd {
+  /** Whether the endpoint had no room for it. */
+  rejected: boolean;
+  /** Undefined if it tells nothing of the endpoint. */
+  outcome?: PlaceOutcome | undefined;
+}
+
 interface PlacesAtEndpoint {
   held: Map<number, HeldPlace>;
   /** Held places that no request has at the moment, the newest last. */
   idle: HeldPlace[];
+  begun: NonNullable<PlaceReport["begun"]>;
   released: PlaceReport["released"];
   reportIsDue: boolean;
 }
@@ -50,7 +59,13 @@
   /** Records that a place is held, by a request. */
   add(incarnation: string, number: number, now_ms: number): HeldPlace {
     const places = this.#endpoints.get(incarnation) ??
-      { held: new Map(), idle: [], released: [], reportIsDue: false };
+      {
+        held: new Map(),
+        idle: [],
+        begun: [],
+        released: [],
+        reportIsDue: false,
+      };
     this.#endpoints.set(incarnation, places);
     const place = { number, since_ms: now_ms, requests: 1 };
     places.held.set(number, place);
@@ -82,15 +97,30 @@
     return index >= 0;
   }
 
+  /** Records that the stream of a place has begun. */
+  begin(
+    incarnation: string,
+    { number }: HeldPlace,
+    outcome: PlaceOutcome,
+  ): void {
+    this.#endpoints.get(incarnation)?.begun.push({ place: number, outcome });
+  }
+
+  /** The places whose streams have begun since the last call. */
+  takeBegun(incarnation: string): PlaceReport["begun"] {
+    const begun = this.#endpoints.get(incarnation)?.begun.splice(0) ?? [];
+    return begun.length > 0 ? begun : undefined;
+  }
+
   /** Gives a place back; false if it isn't held. */
   release(
     incarnation: string,
     { number, requests }: HeldPlace,
-    rejected: boolean,
+    { rejected, outcome }: PlaceEnd,
   ): boolean {
     const places = this.#endpoints.get(incarnation);
     if (places?.held.delete(number) !== true) return false;
-    places.released.push({ place: number, requests, rejected });
+    places.released.push({ place: number, requests, rejected, outcome });
     return true;
   }
 
@@ -102,6 +132,12 @@
     return true;
   }
 
+  /** Drops the places that were given back, unless they are to be reported. */
+  dropReleased(incarnation: string): void {
+    const places = this.#endpoints.get(incarnation);
+    if (places?.reportIsDue === false) this.takeReleased(incarnation);
+  }
+
   /** The places that were given back since the last call. */
   takeReleased(incarnation: string): PlaceReport["released"] {
     const places = this.#endpoints.get(incarnation);
--- a/src/endpoint_places/place_ledger.ts
+++ b/src/endpoint_places/place_ledger.ts
@@ -4,7 +4,14 @@
  */
 import { dropOldest } from "../utils/drop_oldest.ts";
 import { type EndpointCapacity, PlaceBound } from "./place_bound.ts";
-import type { PlaceReply, PlaceReport, PlaceRequest } from "./types.ts";
+import { RampBound, type RampEnd } from "./ramp_bound.ts";
+import type { RampReason } from "./ramp_reason.ts";
+import {
+  PlaceOutcome,
+  type PlaceReply,
+  type PlaceReport,
+  type PlaceRequest,
+} from "./types.ts";
 
 /** How a request for a place is decided. */
 export type PlaceDecision =
@@ -23,8 +30,20 @@
 /** Identifies a place: the host that asks for it, and its number there. */
 export type PlaceKey = string;
 
+/** A ramp-up that has begun or ended at an issuer. */
+export interface RampChange {
+  reason: RampReason;
+  bound: RampBound;
+  /** Why it ended; undefined if it has begun. */
+  end: RampEnd | undefined;
+}
+
 interface HeldPlace {
   host: string;
+  /** Whether this issuer granted it during the ramp-up. */
+  isRamped: boolean;
+  /** Whether its stream has begun, which counts in place of its good end. */
+  hasBegun: boolean;
   since_ms: number;
   expires_ms: number;
 }
@@ -41,11 +60,27 @@
 const REPORT_LAG_MS = 500;
 /** Requests that may wait, as a share of the slots. */
 const MAX_QUEUED_SHARE = 1;
+/**
+ * Time for which requests that were sent before a ramp-up count in its limit. A
+ * silent endpoint may keep them for much longer.
+ */
+const SENT_BEFORE_COUNTS_MS = 2_000;
+/**
+ * A ramp-up that a host has known for longer was begun by another issuer. If it
+ * was not, nothing is in flight, and it begins low all the same.
+ */
+const TAKEOVER_AGE_MS = 300;
 /** Share of the places that a substitute for the endpoint's issuer grants. */
 const SUBSTITUTE_SHARE = 0.25;
 /** Time between two hosts that ask again after a refusal. */
 const ASK_INTERVAL_MS = 20;
 const MAX_ASK_AFTER_MS = 1_000;
+/**
+ * The same in a ramp-up. With the longer times, hosts that were refused during it
+ * come back up to a second after the endpoint has become fast.
+ */
+const RAMP_ASK_INTERVAL_MS = 10;
+const MAX_RAMP_ASK_AFTER_MS = 250;
 /** Hosts whose next time is remembered; the oldest are dropped. */
 const MAX_HOSTS = 4_096;
 const MAX_RETRY_AFTER_MS = 5_000;
@@ -69,6 +104,14 @@
   #bound: PlaceBound;
   #capacity: EndpointCapacity = { slots: 1, max_rejections_per_s: 0 };
   #isSubstitute = false;
+  /** Whether it has named a limit of rejections. */
+  #isBounded = true;
+  /** Requests that it works on at a time; undefined before the first request. */
+  #slots: number | undefined;
+  #ramp: { reason: RampReason; bound: RampBound } | undefined;
+  /** Whether it is or has been in ramp-up here. */
+  #rampIsKnown = false;
+  #rampChanges: RampChange[] = [];
   #held = new Map<PlaceKey, HeldPlace>();
   #queue: QueuedRequest[] = [];
   #service_ms = INITIAL_SERVICE_MS;
@@ -87,14 +130,17 @@
     { isSubstitute, now_ms }: { isSubstitute: boolean; now_ms: number },
   ): PlaceDecision {
     this.#capacity = request;
+    this.#slots = request.slots;
     this.#isSubstitute = isSubstitute;
+    this.#takeInRamp(request, now_ms);
     this.#dropExpired(now_ms);
     const { host, priority } = request;
     const key = placeKeyOf(host, request.place);
     if (this.#queue.length === 0 && this.#hasRoom(now_ms)) {
-      this.#hold(key, host, now_ms);
+      this.#grant(key, host, now_ms);
       return { kind: PlaceDecisionKind.Granted };
     }
+    this.#ramp?.bound.recordDemand(now_ms);
     const last = this.#queue.at(-1);
     const mayQueue = request.max_wait_ms > 0 &&
       (this.#queue.length < this.#maxQueued ||
@@ -110,15 +156,24 @@
   }
 
   /** Takes in what a host holds and has given back. */
-  report({ host, held, released }: PlaceReport, now_ms: number): void {
+  report(report: PlaceReport, now_ms: number): void {
+    const { host, held, begun = [], released } = report;
     this.#dropExpired(now_ms);
-    for (const { place, requests, rejected } of released) {
+    for (const { place, outcome } of begun) {
+      const known = this.#held.get(placeKeyOf(host, place));
+      this.#recordOutcome(known, outcome, { isStream: true, now_ms });
+      if (known !== undefined) known.hasBegun = true;
+    }
+    for (const { place, requests, rejected, outcome } of released) {
       const key = placeKeyOf(host, place);
       if (rejected) {
         const { slots } = this.#capacity;
         this.#bound.recordRejection(this.#held.size, { slots, now_ms });
       }
       const known = this.#held.get(key);
+      if (outcome !== undefined) {
+        this.#recordOutcome(known, outcome, { isStream: false, now_ms });
+      }
       if (known !== undefined && !rejected) {
         const service_ms = (now_ms - known.since_ms) / Math.max(1, requests);
         this.#service_ms += TIME_SMOOTHING * (service_ms - this.#service_ms);
@@ -126,13 +181,44 @@
       this.#held.delete(key);
     }
     const keys = new Set(held.map((place) => placeKeyOf(host, place)));
-    for (const key of keys) this.#hold(key, host, now_ms);
+    for (const key of keys) this.#hold(key, { host, now_ms });
     for (const [key, { host: holder, since_ms }] of this.#held) {
       const isMissing = holder === host && !keys.has(key);
       if (isMissing && now_ms - since_ms > REPORT_LAG_MS) {
         this.#held.delete(key);
       }
     }
+    this.#ramp?.bound.recordInFlight(this.#held.size, now_ms);
+  }
+
+  /** Begins a ramp-up; false if the endpoint is in one. */
+  startRamp(
+    reason: RampReason,
+    { isTakeover, now_ms }: { isTakeover: boolean; now_ms: number },
+  ): boolean {
+    if (this.isRamping(now_ms)) return false;
+    const bound = new RampBound({ isTakeover, now_ms });
+    this.#rampIsKnown = true;
+    this.#ramp = { reason, bound };
+    this.#rampChanges.push({ ...this.#ramp, end: undefined });
+    bound.recordInFlight(this.#held.size, now_ms);
+    for (const place of this.#held.values()) place.isRamped = false;
+    return true;
+  }
+
+  /** Whether the endpoint is in ramp-up; one that is over ends with this. */
+  isRamping(now_ms: number): boolean {
+    if (this.#ramp === undefined) return false;
+    const end = this.#ramp.bound.settle(this.#slots ?? Infinity, now_ms);
+    if (end === undefined) return true;
+    this.#rampChanges.push({ ...this.#ramp, end });
+    this.#ramp = undefined;
+    return false;
+  }
+
+  /** The ramp-ups that have begun or ended since the last call. */
+  takeRampChanges(): RampChange[] {
+    return this.#rampChanges.splice(0);
   }
 
   /**
@@ -144,7 +230,7 @@
     const granted: PlaceKey[] = [];
     while (this.#queue.length > 0 && this.#hasRoom(now_ms)) {
       const { key, host } = this.#queue.shift() as QueuedRequest;
-      this.#hold(key, host, now_ms);
+      this.#grant(key, host, now_ms);
       granted.push(key);
     }
     const refused = this.#queue.splice(this.#maxQueued).map(({ key }) => key);
@@ -169,9 +255,10 @@
       Math.max(queueEnd_ms, this.#nextRetry_ms) + interval_ms,
       now_ms + MAX_RETRY_AFTER_MS,
     );
+    const pause_ms = this.#ramp?.bound.pauseMs(now_ms) ?? 0;
     return {
       granted: false,
-      ask_after_ms: this.#askTimeOf(host, now_ms) - now_ms,
+      ask_after_ms: Math.max(pause_ms, this.#askTimeOf(host, now_ms) - now_ms),
       retry_after_ms: this.#nextRetry_ms - now_ms,
     };
   }
@@ -179,9 +266,12 @@
   #askTimeOf(host: string, now_ms: number): number {
     const known_ms = this.#asksAt_ms.get(host) ?? 0;
     if (known_ms > now_ms) return known_ms;
+    const isRamping = this.#ramp !== undefined;
+    const interval_ms = isRamping ? RAMP_ASK_INTERVAL_MS : ASK_INTERVAL_MS;
+    const max_ms = isRamping ? MAX_RAMP_ASK_AFTER_MS : MAX_ASK_AFTER_MS;
     this.#nextAsk_ms = Math.min(
-      Math.max(now_ms, this.#nextAsk_ms) + ASK_INTERVAL_MS,
-      now_ms + MAX_ASK_AFTER_MS,
+      Math.max(now_ms, this.#nextAsk_ms) + interval_ms,
+      now_ms + max_ms,
     );
     this.#asksAt_ms.delete(host);
     this.#asksAt_ms.set(host, this.#nextAsk_ms);
@@ -194,16 +284,82 @@
   }
 
   #hasRoom(now_ms: number): boolean {
-    const places = this.#bound.places(this.#capacity, now_ms);
-    const share = this.#isSubstitute ? SUBSTITUTE_SHARE : 1;
-    const bound = places === 0 ? 0 : Math.max(1, Math.floor(places * share));
-    return this.#held.size < bound;
+    const hasPlace = !this.#isBounded ||
+      this.#held.size < this.#shareOf(
+          this.#bound.places(this.#capacity, now_ms),
+        );
+    if (!hasPlace || !this.isRamping(now_ms)) return hasPlace;
+    const limit = this.#ramp?.bound.places(now_ms) ?? Infinity;
+    return this.#inFlight(now_ms) < this.#shareOf(limit);
+  }
+
+  #shareOf(places: number): number {
+    return places === 0 ? 0 : Math.max(1, Math.floor(places * this.#share));
+  }
+
+  get #share(): number {
+    return this.#isSubstitute ? SUBSTITUTE_SHARE : 1;
+  }
+
+  /** Takes in how a request of the ramp-up has begun or ended. */
+  #recordOutcome(
+    known: HeldPlace | undefined,
+    outcome: PlaceOutcome,
+    { isStream, now_ms }: { isStream: boolean; now_ms: number },
+  ): void {
+    const bound = this.#ramp?.bound;
+    const isRamped = known?.isRamped === true || bound?.isTakeover === true;
+    if (bound === undefined || !isRamped) return;
+    const isAnswer = outcome === PlaceOutcome.InTime ||
+      outcome === PlaceOutcome.Late;
+    if (isAnswer && known?.hasBegun === true) return;
+    // Its own places, as if it granted all.
+    const in_flight = this.#inFlight(now_ms) / this.#share;
+    const granted_ms = known?.since_ms ?? now_ms;
+    bound.record({ outcome, granted_ms, in_flight, isStream }, now_ms);
+  }
+
+  /** Requests in flight, as they count for the ramp-up. */
+  #inFlight(now_ms: number): number {
+    const bound = this.#ramp?.bound;
+    const countsAll = bound === undefined || bound.isTakeover ||
+      now_ms - bound.started_ms < SENT_BEFORE_COUNTS_MS;
+    if (countsAll) return this.#held.size;
+    return [...this.#held.values()].filter(({ isRamped }) => isRamped).length;
+  }
+
+  /** Takes in what a host knows of a ramp-up. */
+  #takeInRamp({ ramp }: PlaceRequest, now_ms: number): void {
+    this.#isBounded = ramp?.is_bounded ?? true;
+    if (ramp === undefined || this.#rampIsKnown) return;
+    const isTakeover = ramp.age_ms > TAKEOVER_AGE_MS;
+    this.startRamp(ramp.reason, { isTakeover, now_ms });
+  }
+
+  #grant(key: PlaceKey, host: string, now_ms: number): void {
+    this.#hold(key, { host, isRamped: true, now_ms });
+    const bound = this.#ramp?.bound;
+    const isReached = bound !== undefined &&
+      this.#inFlight(now_ms) >= this.#shareOf(bound.places(now_ms));
+    if (isReached) bound.recordDemand(now_ms);
   }
 
-  #hold(key: PlaceKey, host: string, now_ms: number): void {
-    const since_ms = this.#held.get(key)?.since_ms ?? now_ms;
-    const expires_ms = now_ms + PLACE_LIFETIME_MS;
-    this.#held.set(key, { host, since_ms, expires_ms });
+  #hold(
+    key: PlaceKey,
+    { host, isRamped = false, now_ms }: {
+      host: string;
+      isRamped?: boolean;
+      now_ms: number;
+    },
+  ): void {
+    const known = this.#held.get(key);
+    this.#held.set(key, {
+      host,
+      isRamped: known?.isRamped ?? isRamped,
+      hasBegun: known?.hasBegun ?? false,
+      since_ms: known?.since_ms ?? now_ms,
+      expires_ms: now_ms + PLACE_LIFETIME_MS,
+    });
   }
 
   #dropExpired(now_ms: number): void {
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -44,6 +44,7 @@
 import { abortableDelay } from "../utils/delay.ts";
 import { EvacuationService } from "../evacuations/evacuation_service.ts";
 import type { Evacuation } from "../evacuations/types.ts";
+import { createRampOptions } from "./ramp_components.ts";
 import { createReachability } from "./reachability_components.ts";
 import { createStreamOrigins } from "./stream_origin_components.ts";
 
@@ -170,6 +171,7 @@
     random,
     signal,
   });
+  const load = new ObservedLoad();
   const rateLimits = new RateLimitService({
     self,
     hosts: () => members.addresses(),
@@ -181,11 +183,28 @@
     self,
     hosts: () => members.addresses(),
     peers,
+    ramps: settings.ramp_up.enabled
+      ? createRampOptions({
+        configuration,
+        endpoints,
+        load,
+        peers,
+        metrics,
+        reportRamp: (endpoint, reason) => reports.reportRamp(endpoint, reason),
+        now,
+        random,
+      })
+      : undefined,
     log,
     now,
     signal,
   });
-  const load = new ObservedLoad();
+  metrics.exportRamps(places);
+  endpointListeners.push((changes) =>
+    places.observeEndpoints(
+      changes?.map(({ value }) => value).filter((each) => each !== undefined),
+    )
+  );
   const createLimits = (kind: BodyKind): BodyLimits => ({
     memory: new BodyMemory({
       kind,
