Readers that have lost the store are passed over, but not replaced

So a follower excluded one host after the other within milliseconds, until all hosts took themselves for readers and called the store, and again at each backoff.

Change: a host that refuses with 503 or ends its stream in order responds, but has lost the store. It is passed over for 1 s and keeps its place among the readers; only a host that does not respond is replaced. It is logged once until it has the store again. While all readers have lost it, a follower calls the store after 500 ms, then with pauses of 1, 2 and 4 s, one call for all its feeds.

Each read has at most three attempts as before, and each failed one is followed by the usual backoff.

While all readers but not all other hosts are cut off from the store, each other host that reaches it reads it itself.

--- a/src/membership/store_readers.ts
+++ b/src/membership/store_readers.ts
@@ -4,6 +4,12 @@
 const INITIAL_EXCLUSION_MS = 3_000;
 const MAX_EXCLUSION_MS = 6_000;
 
+/** A host that responds but has lost the store is asked again after this time. */
+const LOST_SOURCE_MS = 1_000;
+/** First and longest pause of a follower before it tries the store itself. */
+const INITIAL_STORE_PAUSE_MS = 500;
+const MAX_STORE_PAUSE_MS = 4_000;
+
 /** Two, because a reader may be cut off from the store without noticing. */
 const READERS_TO_FOLLOW = 2;
 
@@ -25,17 +31,31 @@
   duration_ms: number;
 }
 
+/** A follower's own attempts at the store while all readers have lost it. */
+interface StoreAttempts {
+  next_ms: number;
+  pause_ms: number;
+  /** Whether the last one succeeded. */
+  succeeded: boolean;
+}
+
 /**
  * Selects the hosts (the readers) that read the object store; all other hosts
  * follow its feeds from them. The readers are the largest hosts, those of one
  * size in the order of a rendezvous ranking: each of them sends a configuration
  * to many others, which would take a small host too long. A reader that does not
- * respond, or is itself cut off from the store, is excluded for a while. Hosts
- * need not agree on the selection: a host whose readers all fail reads the store
- * itself.
+ * respond is excluded for a while, and the next host of the ranking takes its
+ * place. One that responds but has lost the store is passed over and keeps its
+ * place: if all readers have lost the store, so have most other hosts, and a walk
+ * through the ranking would make all of them call it. Hosts need not agree on the
+ * selection: a host whose readers have all lost the store tries it itself, with
+ * growing pauses.
  */
 export class StoreReaders {
   #excluded = new Map<string, Exclusion>();
+  /** Until when a host that has lost the store is passed over. */
+  #lostUntil_ms = new Map<string, number>();
+  #storeAttempts: StoreAttempts | undefined;
   /** Cached ranking; `hosts` is the joined list that it was computed for. */
   #ranked: { hosts: string; order: string[] } = { hosts: "", order: [] };
   #outdatedWatches = new AbortController();
@@ -73,17 +93,56 @@
 
   /** Whether this host reads the store itself. */
   get selfIsReader(): boolean {
+    const { self } = this.#options;
     const readers = this.#readers();
-    return readers.length === 0 || readers.includes(this.#options.self);
+    const connected = this.#connected(readers);
+    if (connected.length > 0) return connected.includes(self);
+    return readers.length === 0 || readers.includes(self) ||
+      this.#storeAttempts?.succeeded === true;
   }
 
-  /** Addresses of the readers to follow, in order of preference. */
+  /**
+   * Addresses of the readers to follow, in order of preference; empty while all
+   * have lost the store.
+   */
   readersToFollow(): string[] {
     const { self } = this.#options;
-    const others = this.#readers().filter((address) => address !== self);
+    const others = this.#connected(this.#readers())
+      .filter((address) => address !== self);
     return rankCandidates(self, others).slice(0, READERS_TO_FOLLOW);
   }
 
+  /**
+   * Takes an attempt at the store for a host that is not a reader; false before
+   * its time, and while a reader may still have the store.
+   */
+  takeStoreAttempt(): boolean {
+    if (this.#connected(this.#readers()).length > 0) return false;
+    const now_ms = this.#options.now();
+    const last = this.#storeAttempts;
+    if (last !== undefined && now_ms < last.next_ms) return false;
+    const pause_ms = last === undefined
+      ? INITIAL_STORE_PAUSE_MS
+      : Math.min(MAX_STORE_PAUSE_MS, last.pause_ms * 2);
+    const next_ms = now_ms + pause_ms;
+    this.#storeAttempts = { next_ms, pause_ms, succeeded: false };
+    return last !== undefined;
+  }
+
+  /**
+   * Passes over a host that responds but has lost the store, for a while; this
+   * host can be one. Returns whether this was not known.
+   */
+  markSourceLost(address: string): boolean {
+    const { now, self } = this.#options;
+    if (address === self && this.#storeAttempts !== undefined) {
+      this.#storeAttempts.succeeded = false;
+    }
+    const isNew = !this.#lostUntil_ms.has(address);
+    this.#lostUntil_ms.set(address, now() + LOST_SOURCE_MS);
+    return isNew;
+  }
+
   /** Excludes a host for a while; this host can be excluded too. */
   markFailed(address: string): void {
     const now_ms = this.#options.now();
@@ -98,9 +157,14 @@
     });
   }
 
-  /** Ends the exclusion of a host that responded. */
+  /** Ends the exclusion of a host that told what the store has. */
   markResponsive(address: string): void {
     this.#excluded.delete(address);
+    this.#lostUntil_ms.delete(address);
+    if (address !== this.#options.self) this.#storeAttempts = undefined;
+    else if (this.#storeAttempts !== undefined) {
+      this.#storeAttempts.succeeded = true;
+    }
   }
 
   #readers(): string[] {
@@ -112,6 +176,14 @@
       .slice(0, this.#options.readerCount);
   }
 
+  /** Those of these hosts of which it isn't known that they lost the store. */
+  #connected(readers: readonly string[]): string[] {
+    const now_ms = this.#options.now();
+    return readers.filter((address) =>
+      (this.#lostUntil_ms.get(address) ?? 0) <= now_ms
+    );
+  }
+
   #rankedHosts(): string[] {
     const hosts = this.#options.hosts();
     const key = hosts.join();
--- a/src/store_sync/relayed_feed.ts
+++ b/src/store_sync/relayed_feed.ts
@@ -162,14 +162,16 @@
     attempt < MAX_ATTEMPTS_PER_READ && !signal.aborted;
     attempt++
   ) {
-    if (readers.selfIsReader) {
+    const readsStore = readers.selfIsReader ||
+      (!storeFailed && readers.takeStoreAttempt());
+    if (readsStore) {
       if (storeFailed) break;
       const result = await fromStore();
       if (signal.aborted || result.kind !== FeedResultKind.Unavailable) {
         readers.markResponsive(self);
         return result;
       }
-      recordFailure(self, result.reason, options);
+      recordFailure(self, { ...result, lostSource: true }, options);
       storeFailed = true;
       continue;
     }
@@ -196,7 +198,7 @@
   const call = async (address: string) => {
     const result = await callPeer(() => fromPeer(address));
     if (result.kind === FeedResultKind.Unavailable) {
-      recordFailure(address, result.reason, options);
+      recordFailure(address, result, options);
       isBehind ||= result.isBehind === true;
       throw new Error(result.reason);
     }
@@ -221,11 +223,14 @@
   }
 }
 
+/** A host that has lost the store is logged once until it has it again. */
 function recordFailure<T>(
   address: string,
-  reason: string,
+  { reason, lostSource }: { reason: string; lostSource?: boolean },
   { readers, log, name }: RelayedFeedOptions<T>,
 ): void {
-  readers.markFailed(address);
+  if (lostSource === true) {
+    if (!readers.markSourceLost(address)) return;
+  } else readers.markFailed(address);
   log.info({ event: "reader_failed", source: name, reader: address, reason });
 }
--- a/test/membership/store_readers.test.ts
+++ b/test/membership/store_readers.test.ts
@@ -61,3 +61,51 @@
   for (const host of HOSTS) readers.markFailed(host);
   assert.equal(readers.selfIsReader, true);
 });
+
+test("a reader that has lost the store is passed over, but not replaced", () => {
+  const clock = { now_ms: 0 };
+  const follower = HOSTS.find((host) => !readersAt(host).selfIsReader) ?? "";
+  const readers = readersAt(follower, HOSTS, clock);
+  const reading = HOSTS.filter((host) => readersAt(host).selfIsReader);
+  const [first = "", ...others] = reading;
+  assert.equal(readers.markSourceLost(first), true);
+  assert.equal(readers.markSourceLost(first), false);
+  assert.equal(readers.readersToFollow().includes(first), false);
+  assert.equal(readers.takeStoreAttempt(), false);
+  for (const host of others) readers.markSourceLost(host);
+  assert.deepEqual(readers.readersToFollow(), []);
+  assert.equal(readers.selfIsReader, false);
+  clock.now_ms = 1_001;
+  assert.equal(readers.readersToFollow().length, 2);
+  assert.ok(readers.readersToFollow().every((host) => reading.includes(host)));
+});
+
+test("a host whose readers have all lost the store tries it with growing pauses", () => {
+  const clock = { now_ms: 0 };
+  const follower = HOSTS.find((host) => !readersAt(host).selfIsReader) ?? "";
+  const readers = readersAt(follower, HOSTS, clock);
+  const reading = HOSTS.filter((host) => readersAt(host).selfIsReader);
+  const attempts_ms: number[] = [];
+  for (; clock.now_ms < 12_000; clock.now_ms += 100) {
+    for (const host of reading) readers.markSourceLost(host);
+    if (!readers.takeStoreAttempt()) continue;
+    attempts_ms.push(clock.now_ms);
+    readers.markSourceLost(follower);
+  }
+  assert.deepEqual(attempts_ms, [500, 1_500, 3_500, 7_500, 11_500]);
+  readers.markResponsive(follower);
+  assert.equal(readers.selfIsReader, true);
+  readers.markSourceLost(follower);
+  assert.equal(readers.selfIsReader, false);
+  readers.markResponsive(reading[0] ?? "");
+  assert.deepEqual(readers.readersToFollow(), [reading[0]]);
+});
+
+test("readers that have all lost the store go on to read it", () => {
+  const reading = HOSTS.filter((host) => readersAt(host).selfIsReader);
+  const readers = readersAt(reading[0] ?? "");
+  for (const host of reading.slice(0, 2)) readers.markSourceLost(host);
+  assert.equal(readers.selfIsReader, false);
+  for (const host of reading) readers.markSourceLost(host);
+  assert.equal(readers.selfIsReader, true);
+});
