--- a/src/peers/feed_stream.ts
+++ b/src/peers/feed_stream.ts
@@ -128,9 +128,16 @@
     : caches;
 }
 
+/** Whether a feed can't be told now, without which the stream would end at once. */
+function hasLostSource(
+  { evacuations: _optional, ...caches }: WatchCaches,
+): boolean {
+  return Object.values(caches).some((cache) => !cache.isAvailable);
+}
+
 /**
  * Serves one follower until it disconnects or this host stops reading the store.
- * Responds with status 503 if this host does not read the store.
+ * Responds with status 503 if this host does not read the store, or has lost it.
  */
 export function serveFeedStream(
   response: ServerResponse,
@@ -139,12 +146,12 @@
     optionalFeeds?: readonly FeedName[];
   },
 ): void {
-  if (!options.selfIsReader()) {
+  const caches = cachesFor(all, options.optionalFeeds ?? []);
+  if (!options.selfIsReader() || hasLostSource(caches)) {
     response.writeHead(HTTP_UNAVAILABLE, { "content-length": 0 });
     response.end();
     return;
   }
-  const caches = cachesFor(all, options.optionalFeeds ?? []);
   const feeds = Object.values(FeedName).filter((feed) => feed in caches);
   response.writeHead(HTTP_OK, {
     "content-type": "application/x-ndjson",
--- a/src/store_sync/object_feed.ts
+++ b/src/store_sync/object_feed.ts
@@ -47,6 +47,8 @@
     isBehind?: boolean;
     /** Whether the source is sound but has no such feed. */
     isUnknown?: boolean;
+    /** Whether the host that was asked responds, but has lost the store. */
+    lostSource?: boolean;
     /**
      * Whether an open connection brought nothing in time; another may work. All
      * that were open then are in doubt.
--- a/src/store_sync/relayed_feed.ts
+++ b/src/store_sync/relayed_feed.ts
@@ -174,14 +174,16 @@
     attempt < MAX_ATTEMPTS_PER_READ && !signal.aborted;
     attempt++
   ) {
-    if (readers.selfIsReader) {
+    const readsStore = readers.selfIsReader ||
+      (!storeFailed && readers.takeStoreAttempt());
+    if (readsStore) {
       if (storeFailed) break;
       const result = await fromStore();
       if (signal.aborted || result.kind !== FeedResultKind.Unavailable) {
         recordResponse(self, options);
         return result;
       }
-      recordFailure(self, result.reason, options);
+      recordFailure(self, { ...result, lostSource: true }, options);
       storeFailed = true;
       continue;
     }
@@ -213,11 +215,10 @@
   const call = async (address: string) => {
     const result = await callPeer(() => fromPeer(address));
     if (result.kind === FeedResultKind.Unavailable) {
-      const { reason } = result;
       isUnknown ||= result.isUnknown === true;
       isBehind ||= result.isBehind === true;
-      if (result.isUnknown !== true) recordFailure(address, reason, options);
-      throw new Error(reason);
+      if (result.isUnknown !== true) recordFailure(address, result, options);
+      throw new Error(result.reason);
     }
     recordResponse(address, options);
     return result;
@@ -248,11 +249,14 @@
   if (isOptional !== true) readers.markResponsive(address);
 }
 
+/** A host that has lost the store is logged once until it has it again. */
 function recordFailure<T>(
   address: string,
-  reason: string,
+  { reason, lostSource }: { reason: string; lostSource?: boolean },
   { readers, log, name, isOptional }: RelayedFeedOptions<T>,
 ): void {
-  if (isOptional !== true) readers.markFailed(address);
+  if (lostSource === true) {
+    if (isOptional === true || !readers.markSourceLost(address)) return;
+  } else if (isOptional !== true) readers.markFailed(address);
   log.info({ event: "reader_failed", source: name, reader: address, reason });
 }
