--- a/test/evacuations/evacuated_fleet.test.ts
+++ b/test/evacuations/evacuated_fleet.test.ts
@@ -83,14 +83,15 @@
   const engines = {
     [Service.Desk]: [{ id: "desk-1" }, { id: "desk-2" }],
     [Service.Model]: [
-      { id: "model-1", events: 5, work_ms: 150 },
-      { id: "model-2", events: 5, work_ms: 150 },
+      { id: "model-1", events: 5, work_ms: 250 },
+      { id: "model-2", events: 5, work_ms: 250 },
     ],
     // All in az-1, as zones alternate.
     [Service.Encode]: [{ id: "encode-1", call_ms: 20 }],
     [Service.Rank]: [{ id: "rank-1", call_ms: 20 }],
   };
-  const fleet = await startFleet(t, { engines });
+  // In force long before the stream ends.
+  const fleet = await startFleet(t, { engines, in_force_ms: 500 });
   const gateway = firstGateway(fleet);
   const request = call(gateway, "/review/1", {
     ...STAGES,
@@ -107,6 +108,9 @@
   assert.equal((await request).status, 200);
   await sleep(300);
   assert.equal(fleet.engine(Service.Rank).freed.length, freedBefore);
+  // It isn't tried either.
+  const { logLines } = gateway;
+  assert.ok(!logLines.some((line) => line.includes("event=free_failed")));
 });
 
 test("work that a batcher has queued for an evacuated zone runs elsewhere or is refused", async (t) => {
