Cold endpoints: decode, settings, and one mechanism of permits for them

Endpoint entries and responses tell how long an endpoint stays cold, and the configuration what it tolerates then. Each host grants its own part of the bound only, so that the sum holds whichever hosts die or are cut off. Without the settings nothing changes.

--- a/src/batching/piece_client.ts
+++ b/src/batching/piece_client.ts
@@ -1,5 +1,6 @@
 /** HTTP client for batched calls to endpoints. */
 import { setTimeout as delay } from "node:timers/promises";
+import { COLD_ENDPOINT } from "../cold_endpoints/cold_sender.ts";
 import type { EndpointReports } from "../endpoint_reports/endpoint_reports.ts";
 import {
   ENDPOINT_UNAVAILABLE,
@@ -41,6 +42,11 @@
  * each Error would capture a stack trace.
  */
 const CALL_EXPIRED = "call_expired";
+/** Reasons of calls that were not sent since the endpoint takes none now. */
+const MAY_BE_SENT_LATER: ReadonlySet<string> = new Set([
+  ENDPOINT_UNAVAILABLE,
+  COLD_ENDPOINT,
+]);
 /** Number of handles of each endpoint that are remembered. */
 const MAX_RECENT_HANDLES = 512;
 /** Timeout of a call that frees results. */
@@ -175,7 +181,7 @@
   }, options);
   if (response.kind === "failed") {
     if (signal.aborted) return { kind: PieceCallResultKind.Cancelled };
-    if (response.reason === ENDPOINT_UNAVAILABLE) {
+    if (MAY_BE_SENT_LATER.has(response.reason)) {
       return { kind: PieceCallResultKind.Full };
     }
     return response.reason === CALL_EXPIRED
@@ -260,7 +266,7 @@
 /** Whether the endpoint wants the same request once more, later. */
 function isHeldBack(response: EndpointResponse): boolean {
   return response.kind === "failed"
-    ? response.reason === ENDPOINT_UNAVAILABLE
+    ? MAY_BE_SENT_LATER.has(response.reason)
     : response.metadata.report.pause_ms > 0;
 }
 
@@ -323,7 +329,7 @@
       signal: either,
     }));
     if (result.kind !== ExchangeOutcome.ResponseReceived) {
-      return result.reason === ENDPOINT_UNAVAILABLE
+      return MAY_BE_SENT_LATER.has(result.reason)
         ? { kind: "failed", reason: result.reason, broken: false }
         : {
           ...fail(
--- /dev/null
+++ b/src/cold_endpoints/cold_sender.ts
@@ -0,0 +1,67 @@
+/**
+ * Sends no request to a cold endpoint without a permit that is still good, by
+ * whichever path it comes.
+ */
+import { ExchangeOutcome, type ExchangeResult } from "../endpoints/exchange.ts";
+import type { RateLimitService } from "../rate_limits/rate_limit_service.ts";
+import type { SendToEndpoint } from "../relaying/endpoint_sender.ts";
+import type { RouteEndpoint } from "../routes/types.ts";
+
+/** Reason of a request that was not sent, as its endpoint is cold. */
+export const COLD_ENDPOINT = "cold_endpoint";
+
+/** Dependencies of the sender. */
+export interface ColdSenderOptions {
+  /** Sends a request that may be sent. */
+  send: SendToEndpoint;
+  rateLimits: Pick<
+    RateLimitService,
+    "isCold" | "coldWaitMs" | "refuse" | "takePermit"
+  >;
+  /** Whether this host reaches the endpoint itself. */
+  isReached: (endpoint: RouteEndpoint) => boolean;
+  now: () => number;
+}
+
+/** Time for which an endpoint out of reach gets no request while it is cold. */
+const OUT_OF_REACH_WAIT_MS = 500;
+const NOT_SENT: ExchangeResult = {
+  kind: ExchangeOutcome.NotSent,
+  reason: COLD_ENDPOINT,
+};
+
+/** Wraps the function by which all requests go to endpoints. */
+export function createColdSender(
+  { send, rateLimits, isReached, now }: ColdSenderOptions,
+): SendToEndpoint {
+  return async (endpoint, formRequest, permit) => {
+    if (endpoint === undefined || !rateLimits.isCold(endpoint)) {
+      return await send(endpoint, formRequest);
+    }
+    // Through another host, the request would take longer than a permit holds.
+    if (!isReached(endpoint)) {
+      rateLimits.refuse(endpoint, OUT_OF_REACH_WAIT_MS);
+      return NOT_SENT;
+    }
+    // A request that was chosen while the endpoint was warm has no good permit.
+    const isPermitted = permit !== undefined &&
+      permit.expires_ms !== Infinity && permit.expires_ms > now();
+    if (!isPermitted && !await takePermit(endpoint, rateLimits)) {
+      return NOT_SENT;
+    }
+    const request = formRequest();
+    // A request that waits for a connection would be sent at any time.
+    if (request.agent.isFull) return NOT_SENT;
+    return await send(endpoint, () => request);
+  };
+}
+
+/** Takes a permit for a send at once; resolves to whether there was one. */
+export async function takePermit(
+  endpoint: RouteEndpoint,
+  rateLimits: Pick<RateLimitService, "coldWaitMs" | "takePermit">,
+): Promise<boolean> {
+  if (rateLimits.coldWaitMs(endpoint) > 0) return false;
+  const waiting = { priority: 0, max_wait_ms: 0 };
+  return await rateLimits.takePermit(endpoint, waiting) !== undefined;
+}
--- a/src/defaults.ts
+++ b/src/defaults.ts
@@ -56,6 +56,7 @@
   silence_ms: 3_000,
   readers: 8,
   repeats: { ratio: 0.1, slack: 10, window_s: 10 },
+  cold_endpoints: { over: 1.5, slack: 5 },
   drain_timeout_s: 30,
   log_lines_per_s: 500,
 } as const;
--- a/src/endpoint_reports/endpoint_notices.ts
+++ b/src/endpoint_reports/endpoint_notices.ts
@@ -30,6 +30,8 @@
   }).optional(),
   /** Whether it is leaving; missing from hosts of an earlier release. */
   leaving: z.boolean().optional(),
+  /** Time for which it stays cold, in milliseconds; missing from other notices. */
+  cold_ms: z.number().nonnegative().optional(),
 });
 
 /** What an endpoint has begun to say of itself. */
--- a/src/endpoint_reports/endpoint_report.ts
+++ b/src/endpoint_reports/endpoint_report.ts
@@ -18,6 +18,11 @@
   pause_ms: number;
   /** Whether this incarnation is leaving, which is final. */
   leaving: boolean;
+  /**
+   * Time for which it stays cold, in milliseconds; undefined if it named none
+   * that can be read.
+   */
+  cold_ms?: number | undefined;
 }
 
 /** The rate limit that a response of an endpoint names. */
--- a/src/endpoint_reports/endpoint_reports.ts
+++ b/src/endpoint_reports/endpoint_reports.ts
@@ -3,6 +3,10 @@
  * hosts pass on of that.
  */
 import type { EndpointPlaces } from "../endpoint_places/endpoint_places.ts";
+import {
+  type ColdEndpoints,
+  ColdSource,
+} from "../cold_endpoints/cold_endpoints.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { RateLimitService } from "../rate_limits/rate_limit_service.ts";
 import { addressOfIncarnation, incarnationOf } from "../routes/incarnation.ts";
@@ -23,6 +27,9 @@
   Peer = "peer",
 }
 
+/** Coldness that lasts this much longer than known is told to the other hosts. */
+const MIN_COLD_NEWS_MS = 500;
+
 /** Dependencies of an {@linkcode EndpointReports}. */
 export interface EndpointReportsOptions {
   /** Address at which peers reach this host. */
@@ -34,6 +41,8 @@
   rateLimits: RateLimitService;
   places: EndpointPlaces;
   endpoints: EndpointRegistry;
+  /** Undefined if requests to cold endpoints are not bounded. */
+  coldEndpoints?: ColdEndpoints | undefined;
   /** Called when this host learns that the endpoint at an address is leaving. */
   onLeaving: (address: string, source: LeavingSource) => void;
   /** Called when the endpoint at an address wants no requests for a while. */
@@ -83,6 +92,9 @@
         leaving: true,
       });
     }
+    if (report.cold_ms !== undefined) {
+      this.recordCold(endpoint, report.cold_ms);
+    }
     if (sent_ms === undefined) return;
     const { rate_limit, rejection_limit: named } = report;
     const notice = rateLimits.observe(endpoint, { rate_limit, sent_ms });
@@ -95,6 +107,22 @@
     }
   }
 
+  /**
+   * Records for how long an endpoint says that it stays cold, in milliseconds,
+   * and has all hosts told if that is news.
+   */
+  recordCold(endpoint: RouteEndpoint, cold_ms: number): void {
+    const { coldEndpoints, rateLimits, now } = this.#options;
+    if (coldEndpoints?.hasLimit(endpoint) !== true) return;
+    const longer_ms = coldEndpoints.observeAnswer(endpoint, cold_ms, now());
+    if (longer_ms < MIN_COLD_NEWS_MS) return;
+    this.#notices.report({
+      endpoint: incarnationOf(endpoint),
+      per_s: rateLimits.limitPerS(endpoint),
+      cold_ms,
+    });
+  }
+
   /**
    * Time until the endpoint takes requests of this host again, in milliseconds;
    * 0 if it does.
@@ -108,6 +136,8 @@
 
   /** Handles another host's report: tells all hosts. */
   handleReport(notice: EndpointNotice): void {
+    // Hosts that learn together that an endpoint is cold report it each.
+    if (notice.cold_ms !== undefined && !this.#isColdNews(notice)) return;
     this.#notices.handleReport(notice);
   }
 
@@ -121,9 +151,34 @@
       this.#markLeaving(notice.endpoint, LeavingSource.Peer);
     } else if (notice.rejection_limit !== undefined) {
       this.#options.places.apply(notice);
+    } else if (notice.cold_ms !== undefined) {
+      this.#applyCold(notice, notice.cold_ms);
     } else this.#options.rateLimits.apply(notice);
   }
 
+  #isColdNews({ endpoint: incarnation, cold_ms = 0 }: EndpointNotice): boolean {
+    const { coldEndpoints, now } = this.#options;
+    const endpoint = this.#findIncarnation(incarnation);
+    if (endpoint === undefined || coldEndpoints === undefined) return false;
+    const known_ms = coldEndpoints.remainingMs(endpoint, now());
+    return cold_ms - known_ms >= MIN_COLD_NEWS_MS;
+  }
+
+  #applyCold({ endpoint: incarnation }: EndpointNotice, cold_ms: number): void {
+    const endpoint = this.#findIncarnation(incarnation);
+    if (endpoint === undefined) return;
+    const { coldEndpoints, now } = this.#options;
+    coldEndpoints?.observeAnswer(endpoint, cold_ms, now(), ColdSource.Peer);
+  }
+
+  #findIncarnation(incarnation: string): RouteEndpoint | undefined {
+    const address = addressOfIncarnation(incarnation);
+    const endpoint = this.#options.endpoints.findByAddress(address);
+    return endpoint !== undefined && incarnationOf(endpoint) === incarnation
+      ? endpoint
+      : undefined;
+  }
+
   #beginPause(endpoint: RouteEndpoint, pause_ms: number): void {
     const { onPause, log, now } = this.#options;
     const incarnation = incarnationOf(endpoint);
--- a/src/forwarding/run_context.ts
+++ b/src/forwarding/run_context.ts
@@ -10,6 +10,7 @@
 import type { ForwardingDependencies } from "./dependencies.ts";
 import type { BufferedResponse } from "./relay.ts";
 import type { RequestProgress } from "./request_progress.ts";
+import type { SendPermit } from "../rate_limits/rate_limit_service.ts";
 import type { ReservedSend } from "./take_endpoint.ts";
 
 /** A caller's request and its pending response. */
@@ -79,6 +80,8 @@
   last_event_ms = -Infinity;
   /** Send that is already taken from its endpoint's rate limit. */
   reservedSend: ReservedSend | undefined;
+  /** Permit of its next send; each send takes it. */
+  sendPermit: SendPermit | undefined;
   /** Its place at the endpoint that it is sent to. */
   #place: Place | undefined;
   /**
--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -185,7 +185,9 @@
       signal,
     };
   };
-  return await send(endpoint, formRequest);
+  const permit = context.sendPermit;
+  context.sendPermit = undefined;
+  return await send(endpoint, formRequest, permit);
 }
 
 function logSend(
--- a/src/forwarding/send_result.ts
+++ b/src/forwarding/send_result.ts
@@ -1,5 +1,6 @@
 /** The result of one send of a request, and what it tells of the endpoint. */
 import type { StageResult } from "../batching/types.ts";
+import { COLD_ENDPOINT } from "../cold_endpoints/cold_sender.ts";
 import { ENDPOINT_UNAVAILABLE } from "../endpoints/endpoint_agents.ts";
 import {
   ExchangeOutcome,
@@ -61,6 +62,7 @@
 const FULL_REASONS: ReadonlySet<string> = new Set([
   ENDPOINT_UNAVAILABLE,
   NO_CONNECTION,
+  COLD_ENDPOINT,
 ]);
 /** Reasons of requests that got no response in time. */
 const TIMEOUT_REASONS: ReadonlySet<string> = new Set([
--- a/src/forwarding/take_endpoint.ts
+++ b/src/forwarding/take_endpoint.ts
@@ -2,6 +2,7 @@
  * Chooses the endpoint for the next send of a request, within the rates and the
  * pauses that endpoints name.
  */
+import type { SendPermit } from "../rate_limits/rate_limit_service.ts";
 import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 import {
@@ -18,22 +19,22 @@
 const MAX_PLACE_WAIT_MS = 200;
 
 /** A send that may be made, at once or later. */
-export interface ReservedSend {
+export interface ReservedSend extends SendPermit {
   endpoint: RouteEndpoint;
-  /** Earliest time of the send, on the monotonic clock. */
-  at_ms: number;
 }
 
 /**
  * Before the stages of a request whose endpoints all limit their rate or pause,
  * takes the send at one of them; false if there is none, or no endpoint, so that
- * no stage runs in vain.
+ * no stage runs in vain. A send to a cold endpoint can't be taken before the
+ * stages, as it lapses; it is enough that one may be permitted now.
  */
 export async function reserveIfLimited(context: RunContext): Promise<boolean> {
-  const { rateLimits, reports } = context.dependencies;
+  const { rateLimits } = context.dependencies;
   const takesAny = context.readyEndpoints()
     .some((endpoint) =>
-      !rateLimits.isLimited(endpoint) && reports.pauseMs(endpoint) === 0
+      rateLimits.limitPerS(endpoint) === undefined &&
+      sendWaitMs(context, endpoint) === 0
     );
   if (takesAny) return true;
   context.reservedSend = await reserveSend(context, new Set());
@@ -51,8 +52,8 @@
   const placeBy_ms = now() + MAX_PLACE_WAIT_MS;
   while (context.stopReason === undefined) {
     if (passedOver.size - tried.size >= MAX_PLACE_REQUESTS) return undefined;
-    const send = context.reservedSend ?? await reserveSend(context, passedOver);
-    context.reservedSend = undefined;
+    const send = takeReserved(context) ??
+      await reserveSend(context, passedOver);
     if (send === undefined) return undefined;
     const wait_ms = send.at_ms - now();
     if (wait_ms > 0) {
@@ -61,6 +62,7 @@
     }
     if (context.stopReason !== undefined) return undefined;
     if (!isReady(context, send.endpoint)) continue;
+    context.sendPermit = send;
     if (!places.isBounded(send.endpoint)) {
       context.holdPlace(places.takeUnbounded(send.endpoint));
       return send.endpoint;
@@ -73,6 +75,14 @@
   return undefined;
 }
 
+/** Takes the send that was reserved before the stages, unless it has lapsed. */
+function takeReserved(context: RunContext): ReservedSend | undefined {
+  const { reservedSend, dependencies } = context;
+  context.reservedSend = undefined;
+  const expires_ms = reservedSend?.expires_ms ?? -Infinity;
+  return expires_ms > dependencies.now() ? reservedSend : undefined;
+}
+
 /** Takes a place at the endpoint; resolves to whether there was one in time. */
 async function takePlace(
   context: RunContext,
@@ -111,9 +121,12 @@
   while (context.stopReason === undefined) {
     const endpoint = chooseEndpoint(context, tried);
     if (endpoint === undefined) return await reserveAhead(context, tried);
-    const mayBeSent = !rateLimits.isLimited(endpoint) ||
-      await rateLimits.tryTake(endpoint, priority);
-    if (mayBeSent) return { endpoint, at_ms: now() };
+    if (!rateLimits.isLimited(endpoint)) {
+      return { endpoint, at_ms: now(), expires_ms: Infinity };
+    }
+    const waiting = { priority, max_wait_ms: 0 };
+    const permit = await rateLimits.takePermit(endpoint, waiting);
+    if (permit !== undefined) return { endpoint, ...permit };
   }
   return undefined;
 }
@@ -136,7 +149,8 @@
     )
     .sort((a, b) => sendWaitMs(context, a) - sendWaitMs(context, b));
   if (endpoint === undefined || max_wait_ms <= 0) return undefined;
-  const wait_ms = await reserveAt(endpoint, context, max_wait_ms);
+  const permit = await reserveAt(endpoint, context, max_wait_ms);
+  const wait_ms = permit && permit.at_ms - now();
   log.info({
     event: "permit",
     attempt: metadata.attempt_id,
@@ -145,29 +159,29 @@
     wait_ms: wait_ms === undefined ? undefined : Math.round(wait_ms),
     granted: wait_ms !== undefined,
   });
-  return wait_ms === undefined
-    ? undefined
-    : { endpoint, at_ms: now() + wait_ms };
+  return permit && { endpoint, ...permit };
 }
 
 /**
- * Takes a later send at an endpoint. Resolves to the time until the send, in
- * milliseconds, or to undefined if there is none in time.
+ * Takes a later send at an endpoint; resolves to undefined if there is none in
+ * time.
  */
 async function reserveAt(
   endpoint: RouteEndpoint,
   { admitted, dependencies }: RunContext,
   max_wait_ms: number,
-): Promise<number | undefined> {
-  const { rateLimits, reports } = dependencies;
+): Promise<SendPermit | undefined> {
+  const { rateLimits, reports, now } = dependencies;
   const pause_ms = reports.pauseMs(endpoint);
   if (pause_ms === 0) {
     const { priority } = admitted;
-    return await rateLimits.reserve(endpoint, { priority, max_wait_ms });
+    return await rateLimits.takePermit(endpoint, { priority, max_wait_ms });
   }
   // A permit can't be asked for ahead for a time that others grant from now on.
   const isInTime = pause_ms <= max_wait_ms && !rateLimits.isLimited(endpoint);
-  return isInTime ? pause_ms : undefined;
+  return isInTime
+    ? { at_ms: now() + pause_ms, expires_ms: Infinity }
+    : undefined;
 }
 
 /** Whether an endpoint still accepts new work, and now. */
--- a/src/gateway/batching_components.ts
+++ b/src/gateway/batching_components.ts
@@ -6,7 +6,7 @@
 import { PoolWaits } from "../batching/pool_waits.ts";
 import { createCrashRecorder } from "../batching/crash_recorder.ts";
 import { createPieceClient } from "../batching/piece_client.ts";
-import type { RoutePool } from "../routes/types.ts";
+import type { RouteEndpoint, RoutePool } from "../routes/types.ts";
 import type { HostContext } from "./host_context.ts";
 
 /** Components that form batches and route jobs to the hosts that do. */
@@ -22,17 +22,26 @@
   const { configuration, endpoints, members, peers, log, now } = context;
   const pool = (name: string) =>
     configuration.routeTable?.configuration.pools.get(name);
+  /** Time until the endpoint takes a call, in milliseconds. */
+  const pauseMs = (endpoint: RouteEndpoint) =>
+    Math.max(
+      context.reports.pauseMs(endpoint),
+      context.rateLimits.coldWaitMs(endpoint),
+    );
   const batcher: Batcher = new Batcher({
     pool,
     endpoints: (name) => endpoints.inPool(name, now()),
-    pauseMs: (endpoint) => context.reports.pauseMs(endpoint),
+    pauseMs,
     client: createPieceClient({
       codec: context.adapter.codec,
       agents: context.agents,
       send: context.send,
       pool,
       endpointAt: (address) => endpoints.findByAddress(address),
-      reports: context.reports,
+      reports: {
+        record: (...report) => context.reports.record(...report),
+        pauseMs,
+      },
       responseLimits: context.responseLimits,
       log,
       now,
--- a/src/gateway/forwarding_components.ts
+++ b/src/gateway/forwarding_components.ts
@@ -31,6 +31,11 @@
       ...context,
       codec: context.adapter.codec,
       pool,
+      onReport(endpoint, { cold_ms }) {
+        if (cold_ms !== undefined) {
+          context.reports.recordCold(endpoint, cold_ms);
+        }
+      },
     }),
     stageGraph: {
       run: (job, signal) => jobRouter.run(job, signal),
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -42,6 +42,7 @@
 import type { GatewaySettings } from "../settings/gateway_settings.ts";
 import { formatAddress } from "../settings/settings.ts";
 import { abortableDelay } from "../utils/delay.ts";
+import { createColdComponents } from "./cold_components.ts";
 import { createReachability } from "./reachability_components.ts";
 import { createStreamOrigins } from "./stream_origin_components.ts";
 
@@ -147,10 +148,25 @@
     random,
     signal,
   });
+  const cold = createColdComponents({
+    bound: settings.cold_endpoints,
+    member,
+    members,
+    configuration,
+    endpoints,
+    peers,
+    metrics,
+    log,
+    now,
+    signal,
+  });
+  // First, as the others may send to endpoints.
+  if (cold !== undefined) endpointListeners.push(cold.observeEndpoints);
   const rateLimits = new RateLimitService({
     self,
     hosts: () => members.addresses(),
     peers,
+    cold: cold?.coldSends,
     log,
     now,
   });
@@ -184,6 +200,7 @@
     peers,
     load,
     metrics,
+    rateLimits,
     log,
     now,
     random,
@@ -197,6 +214,7 @@
     rateLimits,
     places,
     endpoints,
+    coldEndpoints: cold?.coldEndpoints,
     onPause(address) {
       metrics.endpointPauses.inc();
       agents.failQueued(address);
@@ -218,19 +236,23 @@
     readerCount: settings.object_store.readers,
     now,
   });
+  const feeds = createRelayedFeeds(store, {
+    feedClients,
+    readers,
+    self,
+    silence_ms: settings.object_store.silence_ms,
+    onSilence(silent) {
+      for (const feed of Object.values(FeedName)) {
+        if (feed !== silent) syncOptions.progress[feed].doubtConnection();
+      }
+    },
+    log,
+  });
   const syncOptions: StoreSyncOptions = {
-    feeds: createRelayedFeeds(store, {
-      feedClients,
-      readers,
-      self,
-      silence_ms: settings.object_store.silence_ms,
-      onSilence(silent) {
-        for (const feed of Object.values(FeedName)) {
-          if (feed !== silent) syncOptions.progress[feed].doubtConnection();
-        }
-      },
-      log,
-    }),
+    feeds: {
+      ...feeds,
+      gateways: cold?.confirmHosts(feeds.gateways, readers) ?? feeds.gateways,
+    },
     watchCaches: {
       configuration: new WatchCache(),
       endpoints: new WatchCache(),
@@ -299,6 +321,7 @@
     store,
     quarantine,
     rateLimits,
+    cold,
     places,
     load,
     requestLimits,
--- a/src/gateway/reachability_components.ts
+++ b/src/gateway/reachability_components.ts
@@ -1,4 +1,5 @@
 /** What a gateway host knows of its ways to endpoints, and how it sends to them. */
+import { createColdSender, takePermit } from "../cold_endpoints/cold_sender.ts";
 import { EndpointAgents } from "../endpoints/endpoint_agents.ts";
 import type { ProtocolCodec } from "../forwarding/protocol_codec.ts";
 import type { Logger } from "../logging/logger.ts";
@@ -12,6 +13,7 @@
 import { ReachabilityService } from "../reachability/reachability_service.ts";
 import { CarrierConnections } from "../relaying/carrier_connections.ts";
 import { createEndpointSender } from "../relaying/endpoint_sender.ts";
+import type { RateLimitService } from "../rate_limits/rate_limit_service.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 import type { ObservedLoad } from "../routing/observed_load.ts";
 import type { EndpointRegistry } from "../store_sync/endpoint_registry.ts";
@@ -33,6 +35,7 @@
   now: () => number;
   random: () => number;
   signal: AbortSignal;
+  rateLimits: RateLimitService;
 }
 
 /**
@@ -45,6 +48,7 @@
 export function createReachability(dependencies: ReachabilityDependencies) {
   const { codec, translateAddress, members, endpoints, load, metrics, now } =
     dependencies;
+  const { rateLimits } = dependencies;
   const lossListeners: ((endpoint: RouteEndpoint) => void)[] = [];
   const carriers = new CarrierConnections();
   const reachability = new ReachabilityService({
@@ -55,6 +59,8 @@
     readyIn: (pool) => endpoints.readyInPool(pool, now()),
     endpointAt: (address) => endpoints.findByAddress(address),
     probe: createProbeReach(codec, translateAddress),
+    mayProbe: async (endpoint) =>
+      !rateLimits.isCold(endpoint) || await takePermit(endpoint, rateLimits),
     onProbe: (outcome) => metrics.reachProbes.inc({ outcome }),
     onLost(endpoint) {
       load.forEndpoint(endpoint).forgetFailures();
@@ -71,11 +77,18 @@
       () => members.count / MAX_CARRIED_SHARES,
       translateAddress,
     ),
-    send: createEndpointSender({
-      routes: reachability,
-      carriers,
-      onCarried: (outcome) =>
-        metrics.carriedExchanges.inc({ side: CarriedSide.Sender, outcome }),
+    send: createColdSender({
+      send: createEndpointSender({
+        routes: reachability,
+        carriers,
+        mayBeCarried: (endpoint) => !rateLimits.isCold(endpoint),
+        onCarried: (outcome) =>
+          metrics.carriedExchanges.inc({ side: CarriedSide.Sender, outcome }),
+      }),
+      rateLimits,
+      isReached: (endpoint) =>
+        reachability.carrierFor(endpoint, { avoid: new Set() }) === undefined,
+      now,
     }),
   };
 }
--- a/src/gateway/relaying_components.ts
+++ b/src/gateway/relaying_components.ts
@@ -16,6 +16,7 @@
     agents: context.carriedAgents,
     pool,
     endpointAt: (address) => endpoints.findByAddress(address),
+    isCold: (endpoint) => context.rateLimits.isCold(endpoint),
     isShuttingDown: () => lifecycle.isShuttingDown,
     onResult: (outcome) =>
       metrics.carriedExchanges.inc({ side: CarriedSide.Carrier, outcome }),
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -29,6 +29,7 @@
     serveExchange: (request, response) => carrier.serve(request, response),
     reportLoad: (queue) => batcher.reportLoad(queue),
     reportReached: (endpoints) => context.reachability.answer(endpoints),
+    lists: (host) => context.members.lists(host),
     snapshot: () => createStateSnapshot(syncOptions),
     handlePermitRequest: (request) => context.rateLimits.handleRequest(request),
     handlePlaceRequest: (request) => context.places.handleRequest(request),
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -76,6 +76,7 @@
 
   function drain(): void {
     if (!context.lifecycle.handle(HostLifecycleEvent.Drain)) return;
+    context.cold?.shutDown();
     batching.batcher.drain();
     void drainGateway({
       lifecycle: context.lifecycle,
@@ -118,6 +119,7 @@
     void runStoreSync(context.syncOptions);
     void context.reachability.run();
     void context.ownEntry.announce();
+    void context.cold?.run();
     void context.storedVersions.run();
     void context.storedOrigins.run();
   }
--- a/src/membership/gateway_members.ts
+++ b/src/membership/gateway_members.ts
@@ -23,10 +23,26 @@
   /** Cached for `zoneOf`, and cleared when the members change. */
   #zones: Map<string, string> | undefined;
 
+  #listener: (hosts: readonly GatewayMember[]) => void = () => {};
+
   constructor(self: GatewayMember) {
     this.#self = self;
   }
 
+  /** Has a listener called after each change, with the registered hosts. */
+  onChange(listener: (hosts: readonly GatewayMember[]) => void): void {
+    this.#listener = listener;
+  }
+
+  /** Whether this process of a host is registered. */
+  lists(
+    { address, started_ms }: Pick<GatewayMember, "address" | "started_ms">,
+  ): boolean {
+    return [...this.#members.values()].some((member) =>
+      member.address === address && member.started_ms === started_ms
+    );
+  }
+
   /**
    * Replaces all entries. With `keepMissing`, the list may be older than what is
    * known: missing entries, and those of later starts, are kept.
@@ -44,6 +60,7 @@
         value.started_ms < known.started_ms;
       if (value !== undefined && !isOlder) this.#members.set(name, value);
     }
+    this.#listener([...this.#members.values()]);
   }
 
   /** Applies changed entries. */
@@ -54,6 +71,7 @@
       if (deleted || value === undefined) this.#members.delete(name);
       else this.#members.set(name, value);
     }
+    this.#listener([...this.#members.values()]);
   }
 
   /** Number of hosts, including this one. */
--- a/src/metrics/forward_metrics.ts
+++ b/src/metrics/forward_metrics.ts
@@ -57,6 +57,18 @@
     labelNames: ["outcome"],
     registers: [this.registry],
   });
+  readonly coldSpells = new Counter({
+    name: "sesamequay_cold_spells_total",
+    help: "Times that an endpoint turned cold, by how this host learned of it",
+    labelNames: ["source"],
+    registers: [this.registry],
+  });
+  readonly coldPermits = new Counter({
+    name: "sesamequay_cold_permits_total",
+    help: "Requests for permits to send to cold endpoints, by outcome",
+    labelNames: ["outcome"],
+    registers: [this.registry],
+  });
   readonly carriedExchanges = new Counter({
     name: "sesamequay_carried_exchanges_total",
     help: "Exchanges with endpoints through another host, by side and outcome",
--- a/src/peers/gateway_clients.ts
+++ b/src/peers/gateway_clients.ts
@@ -1,5 +1,10 @@
 /** Clients of other gateway hosts, one for each address. */
-import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
+import {
+  createTRPCClient,
+  httpLink,
+  type TRPCClient,
+  TRPCClientError,
+} from "@trpc/client";
 import type { BatcherPeers } from "../batching/job_router.ts";
 import type { PoolLoadReport } from "../batching/pool_load_report.ts";
 import type { FreedResults, JobOutcome, StageJob } from "../batching/types.ts";
@@ -30,6 +35,8 @@
   CrashReport,
   QuarantineNotice,
 } from "../quarantine/types.ts";
+import type { AwarenessPeers } from "../cold_endpoints/awareness.ts";
+import type { RegisteredHost } from "../cold_endpoints/host_standing.ts";
 import type { RateLimitPeers } from "../rate_limits/rate_limit_service.ts";
 import type { PermitReply, PermitRequest } from "../rate_limits/types.ts";
 import type { ReachabilityPeers } from "../reachability/reachability_service.ts";
@@ -60,6 +67,7 @@
  */
 export class GatewayClients
   implements
+    AwarenessPeers,
     BatcherPeers,
     EndpointNoticePeers,
     EndpointPlacesPeers,
@@ -107,6 +115,23 @@
     return await this.#connectionTo(address).trpc.reached.mutate(endpoints);
   }
 
+  /**
+   * Asks whether a host lists another one among the registered hosts; undefined
+   * if it is of a release that doesn't know the call.
+   */
+  async askListed(
+    address: string,
+    { address: registered, started_ms }: RegisteredHost,
+  ): Promise<boolean | undefined> {
+    const host = { address: registered, started_ms };
+    try {
+      return await this.#connectionTo(address).trpc.lists.query(host) === true;
+    } catch (error) {
+      if (isUnknownCall(error)) return undefined;
+      throw error;
+    }
+  }
+
   /** Fetches the last change revisions of another host. */
   async changeRevisions(address: string): Promise<ChangeRevisions> {
     return await this.#connectionTo(address).trpc.progress.query();
@@ -243,3 +268,9 @@
     return created;
   }
 }
+
+/** Whether a host responded that it has no such procedure. */
+function isUnknownCall(error: unknown): boolean {
+  return error instanceof TRPCClientError &&
+    (error.data as { code?: unknown } | undefined)?.code === "NOT_FOUND";
+}
--- a/src/peers/gateway_rpc_router.ts
+++ b/src/peers/gateway_rpc_router.ts
@@ -12,6 +12,8 @@
   type PlaceRequest,
   placeRequestSchema,
 } from "../endpoint_places/types.ts";
+import { registeredHostSchema } from "../cold_endpoints/awareness.ts";
+import type { RegisteredHost } from "../cold_endpoints/host_standing.ts";
 import type { PoolLoadReport } from "../batching/pool_load_report.ts";
 import type { NoticeRoute } from "../quarantine/quarantine_notices.ts";
 import type { ListenerCheck } from "../quarantine/probe_endpoint.ts";
@@ -48,6 +50,8 @@
   reportLoad: (queue: { pool: string; shard?: string }) => PoolLoadReport;
   /** Reports how long ago bytes came to this host directly from endpoints. */
   reportReached: (endpoints: AskedEndpoint[]) => Promise<ReachedAge[]>;
+  /** Whether this host lists another one among the registered hosts. */
+  lists: (host: RegisteredHost) => boolean;
   snapshot: () => StateSnapshot;
   changeRevisions: () => ChangeRevisions;
   /** Keeps copies of records of streams. */
@@ -103,6 +107,8 @@
     // In a body, as the names would make a long path.
     reached: trpc.procedure.input(reachedQuestionSchema)
       .mutation(({ input }) => handlers.reportReached(input)),
+    lists: trpc.procedure.input(registeredHostSchema)
+      .query(({ input }) => handlers.lists(input)),
     progress: trpc.procedure.query(() => handlers.changeRevisions()),
     beliefs: trpc.procedure.query(() => handlers.snapshot()),
     keep_origins: trpc.procedure.input(z.array(streamOriginSchema))
--- a/src/rate_limits/permit_issuer.ts
+++ b/src/rate_limits/permit_issuer.ts
@@ -3,7 +3,12 @@
  * Does no I/O and reads no clock: callers pass the time in.
  */
 import { ReservationLimits } from "./reservation_limits.ts";
-import { MIN_PER_S, type PermitReply, type PermitRequest } from "./types.ts";
+import {
+  MIN_PER_S,
+  type PermitReply,
+  type PermitRequest,
+  type SendPace,
+} from "./types.ts";
 
 /** Time whose permits may be granted at once. */
 const BURST_MS = 500;
@@ -19,6 +24,8 @@
   per_s: number;
   /** Time of the first send that is not granted yet. */
   next_send_ms: number;
+  /** Earliest next send while the endpoint is cold. */
+  next_cold_send_ms: number;
   reservationLimits: ReservationLimits;
   /** When the endpoint named the limit. */
   named_ms: number;
@@ -31,18 +38,35 @@
 export class PermitIssuer {
   #endpoints = new Map<string, EndpointPermits>();
 
-  /** Grants one send, now or soon, or tells when to ask again. */
-  request(request: PermitRequest, now_ms: number): PermitReply {
+  /**
+   * Grants one send, now or soon, or tells when to ask again. `cold` is the pace
+   * of this host's sends to an endpoint that is cold; undefined if it is warm.
+   */
+  request(
+    request: PermitRequest,
+    now_ms: number,
+    cold?: SendPace,
+  ): PermitReply {
     const permits = this.#permitsOf(request, now_ms);
-    const send_interval_ms = MS_PER_S / permits.per_s;
-    const send_ms = nextSendMs(permits, now_ms);
+    const named_interval_ms = MS_PER_S / permits.per_s;
+    const send_interval_ms = Math.max(
+      named_interval_ms,
+      cold?.interval_ms ?? 0,
+    );
+    const send_ms = Math.max(
+      nextSendMs(permits, now_ms),
+      cold === undefined ? -Infinity : nextColdSendMs(permits, cold, now_ms),
+    );
     const wait_ms = Math.max(0, send_ms - now_ms);
     const limit_ms = Math.min(
       MAX_WAIT_MS,
       permits.reservationLimits.limitMs(request, { now_ms, send_interval_ms }),
     );
     if (wait_ms <= limit_ms) {
-      permits.next_send_ms = send_ms + send_interval_ms;
+      permits.next_send_ms = send_ms + named_interval_ms;
+      if (cold !== undefined) {
+        permits.next_cold_send_ms = send_ms + cold.interval_ms;
+      }
       permits.reservationLimits.recordGrant(request.priority, now_ms);
       return { granted: true, wait_ms, retry_after_ms: 0 };
     }
@@ -54,9 +78,17 @@
     return { granted: false, wait_ms: 0, retry_after_ms };
   }
 
-  /** Forgets an endpoint whose limit has ended. */
+  /** Forgets the named limit of an endpoint, which has ended. */
   end(endpoint: string): void {
-    this.#endpoints.delete(endpoint);
+    const permits = this.#endpoints.get(endpoint);
+    if (permits === undefined) return;
+    // What was granted while it is cold counts on.
+    if (permits.next_cold_send_ms === -Infinity) {
+      this.#endpoints.delete(endpoint);
+      return;
+    }
+    permits.named_ms = -Infinity;
+    permits.next_send_ms = -Infinity;
   }
 
   #permitsOf(
@@ -72,6 +104,7 @@
         per_s,
         named_ms,
         next_send_ms: -Infinity,
+        next_cold_send_ms: -Infinity,
         next_retry_ms: 0,
         asked_ms: now_ms,
         reservationLimits: new ReservationLimits(),
@@ -106,3 +139,12 @@
   const burst_ms = Math.max(0, BURST_MS - MS_PER_S / per_s);
   return Math.max(next_send_ms, now_ms - burst_ms);
 }
+
+/** The next send's time at a cold endpoint; past if that send is a little late. */
+function nextColdSendMs(
+  { next_cold_send_ms }: EndpointPermits,
+  { burst_ms }: SendPace,
+  now_ms: number,
+): number {
+  return Math.max(next_cold_send_ms, now_ms - burst_ms);
+}
--- a/src/rate_limits/types.ts
+++ b/src/rate_limits/types.ts
@@ -4,6 +4,20 @@
 /** An endpoint that names less is still tried, to learn when that ends. */
 export const MIN_PER_S = 0.1;
 
+/** How closely the sends of one host may follow each other. */
+export interface SendPace {
+  /** Time from one send to the next, in milliseconds. */
+  interval_ms: number;
+  /** How late a send may be without losing its turn, in milliseconds. */
+  burst_ms: number;
+}
+
+/**
+ * Age, in milliseconds, that a request names for a rate that no endpoint has
+ * named: any that one has named is newer.
+ */
+export const NOT_NAMED_AGE_MS = 3_600_000;
+
 /** A request for permission to send one request to an endpoint. */
 export const permitRequestSchema = z.object({
   /** Incarnation of the endpoint. */
@@ -16,6 +30,11 @@
   priority: z.int().nonnegative().default(0),
   /** Longest time that the request may wait for its send, in milliseconds. */
   max_wait_ms: z.number().nonnegative().default(0),
+  /**
+   * Requests per second that the endpoint tolerates, as it is cold; missing if
+   * it is warm.
+   */
+  cold_per_s: z.number().positive().optional(),
 });
 
 /** The reply to a {@linkcode PermitRequest}. */
@@ -25,6 +44,13 @@
   wait_ms: z.number().nonnegative().default(0),
   /** Time after which to ask again, in milliseconds; 0 if granted. */
   retry_after_ms: z.number().nonnegative(),
+  /**
+   * Whether the request was held against the bound of a cold endpoint; missing
+   * from hosts that don't know it.
+   */
+  cold: z.boolean().optional(),
+  /** Whether the host may grant nothing for a cold endpoint; another one may. */
+  no_part: z.boolean().optional(),
 });
 
 /** A request for permission to send one request to an endpoint. */
--- a/src/reachability/reachability_service.ts
+++ b/src/reachability/reachability_service.ts
@@ -38,6 +38,8 @@
   endpointAt: (address: string) => RouteEndpoint | undefined;
   peers: ReachabilityPeers;
   probe: ProbeReach;
+  /** Resolves to whether an endpoint may be tried now; always if absent. */
+  mayProbe?: (endpoint: RouteEndpoint) => Promise<boolean>;
   /** Called with what came of each attempt. */
   onProbe: (outcome: ProbeOutcome) => void;
   log: Logger;
@@ -201,10 +203,15 @@
     if (this.#probesForOthers.size >= MAX_PROBES_FOR_OTHERS) {
       return Promise.resolve(ProbeOutcome.Silent);
     }
-    const started = probe(endpoint.address).then((outcome) => {
+    const started = this.#mayProbe(endpoint).then(async (mayProbe) => {
+      // An endpoint that may not be tried has told nothing.
+      if (!mayProbe) return ProbeOutcome.Silent;
+      const outcome = await probe(endpoint.address);
       onProbe(outcome);
       this.#endpoints.recordAttempt(endpoint, outcome, now());
       this.#stepSoon();
+      return outcome;
+    }).then((outcome) => {
       const lifetime_ms = outcome === ProbeOutcome.Reached
         ? 0
         : FAILED_PROBE_LIFETIME_MS;
@@ -246,8 +253,15 @@
     }
   }
 
+  async #mayProbe(endpoint: RouteEndpoint): Promise<boolean> {
+    return await this.#options.mayProbe?.(endpoint) ?? true;
+  }
+
   async #probe(endpoint: RouteEndpoint): Promise<void> {
     const { probe, now, onProbe } = this.#options;
+    if (!await this.#mayProbe(endpoint)) {
+      return this.#endpoints.recordInterrupted(endpoint, now());
+    }
     const started_ms = now();
     const outcome = await probe(endpoint.address);
     onProbe(outcome);
--- a/src/relaying/endpoint_sender.ts
+++ b/src/relaying/endpoint_sender.ts
@@ -13,6 +13,7 @@
   NO_CONNECTION,
   sendRequest,
 } from "../endpoints/exchange.ts";
+import type { SendPermit } from "../rate_limits/rate_limit_service.ts";
 import type { EndpointRoutes } from "../reachability/types.ts";
 import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
@@ -32,17 +33,21 @@
 /**
  * Sends a request to an endpoint, of which undefined is an unknown one at the
  * request's address. The request is formed anew for each way that is tried, as
- * it may tell the time that is left.
+ * it may tell the time that is left. `permit` was taken for this one send; a
+ * request without one is held against the bound of a cold endpoint as well.
  */
 export type SendToEndpoint = (
   endpoint: RouteEndpoint | undefined,
   formRequest: () => EndpointRequest,
+  permit?: SendPermit,
 ) => Promise<ExchangeResult>;
 
 /** Dependencies of an endpoint sender. */
 export interface EndpointSenderOptions {
   routes: EndpointRoutes;
   carriers: CarrierConnections;
+  /** Whether requests to an endpoint may go through another host; true if absent. */
+  mayBeCarried?: (endpoint: RouteEndpoint) => boolean;
   /** Called when an exchange through another host has a result. */
   onCarried: (outcome: CarriedResult) => void;
 }
@@ -89,6 +94,7 @@
       const request = formRequest();
       const result = await sendDirectly(routes, endpoint, request);
       if (!mayGoAnotherWay(result, request)) return result;
+      if (options.mayBeCarried?.(endpoint) === false) return result;
       if (routes.carrierFor(endpoint, { avoid }) === undefined) return result;
     }
     while (true) {
--- a/src/relaying/exchange_carrier.ts
+++ b/src/relaying/exchange_carrier.ts
@@ -53,6 +53,8 @@
   /** The endpoint at an address; undefined if it is unknown. */
   endpointAt: (address: string) => RouteEndpoint | undefined;
   reports: Pick<EndpointReports, "record" | "pauseMs">;
+  /** Whether the endpoint is cold, and takes requests directly only. */
+  isCold?: (endpoint: RouteEndpoint) => boolean;
   /** Whether this host takes no more work. */
   isShuttingDown: () => boolean;
   /** Limits of all bodies of requests that this host holds. */
@@ -198,13 +200,15 @@
 
   /** Why an exchange with an endpoint is not carried now; undefined if it is. */
   #refusalFor(endpoint: RouteEndpoint): CarrierRefusal | undefined {
-    const { routes, reports, isShuttingDown } = this.#options;
+    const { routes, reports, isCold, isShuttingDown } = this.#options;
     if (isShuttingDown()) return CarrierRefusal.CarrierDrains;
     if (this.#active > MAX_EXCHANGES) return CarrierRefusal.CarrierFull;
     if (endpoint.state === RouteEndpointState.Leaving) {
       return CarrierRefusal.EndpointLeaves;
     }
     if (reports.pauseMs(endpoint) > 0) return CarrierRefusal.EndpointPauses;
+    // Its sender may not know that it is cold, and may have no permit.
+    if (isCold?.(endpoint) === true) return CarrierRefusal.EndpointPauses;
     if (routes.isOutOfReach(endpoint)) return CarrierRefusal.OutOfReach;
     return undefined;
   }
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -85,6 +85,16 @@
   batch: BatchLimits | undefined;
   /** Whether its endpoints are model engines that cache prompt prefixes. */
   model_engine: boolean;
+  /** Its cold endpoints; undefined if the configuration says nothing of them. */
+  cold?: ColdLimits | undefined;
+}
+
+/** How long the endpoints of a pool are cold, and what they tolerate then. */
+export interface ColdLimits {
+  /** Time for which an endpoint is cold after its start, in milliseconds. */
+  start_ms: number;
+  /** Requests per second from all hosts together; 0 for no limit. */
+  per_s: number;
 }
 
 /** An organisation, identified by the API key of a request. */
@@ -141,6 +151,11 @@
   born_ms: number;
   /** Version of its software; undefined if it names none. */
   software_version?: string | undefined;
+  /**
+   * Time for which it stayed cold when its entry was written, in milliseconds;
+   * undefined if the entry names none.
+   */
+  cold_remaining_ms?: number | undefined;
 }
 
 /** A part of a prompt that an engine may cache. */
--- a/src/settings/gateway_settings.ts
+++ b/src/settings/gateway_settings.ts
@@ -36,6 +36,10 @@
     slack: z.number().nonnegative().optional(),
     window_s: z.number().positive().optional(),
   }).optional(),
+  cold_endpoints: z.strictObject({
+    over: z.number().nonnegative().optional(),
+    slack: z.number().nonnegative().optional(),
+  }).optional(),
   drain: z.strictObject({
     timeout_s: z.number().positive().optional(),
   }).optional(),
@@ -80,6 +84,12 @@
    * `slack`, both within `window_ms`.
    */
   repeats: { ratio: number; slack: number; window_ms: number };
+  /**
+   * Bound on the requests to a cold endpoint in any second, over all hosts:
+   * `over` times what it tolerates plus `slack`; missing if hosts don't bound
+   * them.
+   */
+  cold_endpoints?: { over: number; slack: number };
   drain: { timeout_ms: number };
   /** `lines_per_s` limits the lines below level `warn`. */
   log: { level: string; lines_per_s: number };
@@ -155,6 +165,7 @@
       slack: user.repeats?.slack ?? repeats.slack,
       window_ms: window_s * MS_PER_S,
     },
+    ...resolveColdEndpoints(user),
     drain: { timeout_ms: timeout_s * MS_PER_S },
     log: {
       level: user.log?.level ?? DEFAULT_LOG_LEVEL,
@@ -162,3 +173,13 @@
     },
   };
 }
+
+function resolveColdEndpoints(
+  { cold_endpoints: user }: UserGatewaySettings,
+): Pick<GatewaySettings, "cold_endpoints"> {
+  if (user === undefined) return {};
+  const { over, slack } = DEFAULT_GATEWAY_SETTINGS.cold_endpoints;
+  return {
+    cold_endpoints: { over: user.over ?? over, slack: user.slack ?? slack },
+  };
+}
--- a/src/store_sync/sound_values.ts
+++ b/src/store_sync/sound_values.ts
@@ -36,6 +36,7 @@
   state: z.enum(RouteEndpointState),
   born_ms: unixTimeSchema,
   software_version: nameSchema.optional(),
+  cold_remaining_ms: z.number().nonnegative().optional().catch(undefined),
 });
 
 const memberSchema = z.object({
--- a/src/stream_origins/start_check.ts
+++ b/src/stream_origins/start_check.ts
@@ -3,6 +3,7 @@
  * starts again under its id may run other software before its entry says so.
  */
 import { type BodyLimits, BytesReadKind } from "../bodies/read_bytes.ts";
+import type { EndpointReport } from "../endpoint_reports/endpoint_report.ts";
 import type { EndpointAgents } from "../endpoints/endpoint_agents.ts";
 import {
   discardResponse,
@@ -39,6 +40,8 @@
   /** The pool of this name; undefined if it is not configured. */
   pool: (name: string) => RoutePool | undefined;
   responseLimits: BodyLimits;
+  /** Called with what an endpoint says of itself in the response's headers. */
+  onReport?: (endpoint: RouteEndpoint, report: EndpointReport) => void;
 }
 
 /** Short, as a stream waits for it. */
@@ -64,7 +67,7 @@
 /** What the endpoint says of itself, empty if that is nothing; undefined if late. */
 async function askStatus(
   endpoint: RouteEndpoint,
-  { codec, agents, send, pool, responseLimits }: StartCheckOptions,
+  { codec, agents, send, pool, responseLimits, onReport }: StartCheckOptions,
 ): Promise<Buffer | undefined> {
   const { address, pool: name } = endpoint;
   const max_connections = pool(name)?.max_connections ?? 1;
@@ -76,7 +79,9 @@
     signal,
   }));
   if (result.kind !== ExchangeOutcome.ResponseReceived) return undefined;
-  if (result.response.status !== HTTP_OK) {
+  const { status, headers } = result.response;
+  onReport?.(endpoint, codec.decodeResponse(status, headers).report);
+  if (status !== HTTP_OK) {
     discardResponse(result.response);
     return NO_STATUS;
   }
--- a/test/platform/codec.test.ts
+++ b/test/platform/codec.test.ts
@@ -129,6 +129,23 @@
   }
 });
 
+test("a response names the time for which its endpoint stays cold, and an odd value names none", () => {
+  const read = (...values: string[]) =>
+    deploymentCodec.decodeResponse(
+      200,
+      values.flatMap((value) => ["X-Cold-Ms", value]),
+    ).report.cold_ms;
+  assert.equal(read("4000"), 4_000);
+  assert.equal(read(" 12.5 "), 12.5);
+  assert.equal(read("0"), 0);
+  assert.equal(read("100", "3000"), 3_000);
+  assert.equal(read(), undefined);
+  for (const value of ["", "-2", "+2", "1e3", "0x10", "NaN", "soon", "1,"]) {
+    assert.equal(read(value), undefined, value);
+    assert.equal(read("2", value), undefined, value);
+  }
+});
+
 test("a refusal names a pause in decimal seconds, and other values name none", () => {
   const read = (status: number, ...values: string[]) =>
     deploymentCodec.decodeResponse(
--- a/test/platform/odd_entries.test.ts
+++ b/test/platform/odd_entries.test.ts
@@ -17,6 +17,7 @@
 } from "../../src/quarantine/probe_endpoint.ts";
 import { parseAddress } from "../../src/settings/settings.ts";
 import { FeedResultKind } from "../../src/store_sync/object_feed.ts";
+import { readEndpoint } from "../../src/store_sync/sound_values.ts";
 
 const SPEC = {
   service: "desk",
@@ -105,6 +106,28 @@
   });
 }
 
+test("an entry with an odd number as its remaining time names an endpoint", () => {
+  const decode = (cold_remaining_ms: unknown) =>
+    decodeEndpoint("i-1", { ...SPEC, cold_remaining_ms });
+  assert.equal(decode(4_200)?.cold_remaining_ms, 4_200);
+  assert.equal(decode(0)?.cold_remaining_ms, 0);
+  for (const odd of [-1, -1e300, undefined]) {
+    const endpoint = decode(odd);
+    assert.equal(endpoint?.id, "i-1");
+    assert.equal(endpoint.cold_remaining_ms, undefined);
+  }
+});
+
+test("a value that a host passes on keeps its remaining time, and an odd one names none", () => {
+  const endpoint = decodeEndpoint("i-1", { ...SPEC, cold_remaining_ms: 70 });
+  assert.deepEqual(readEndpoint(endpoint), endpoint);
+  for (const odd of ["soon", -1, null]) {
+    const read = readEndpoint({ ...endpoint, cold_remaining_ms: odd });
+    assert.equal(read?.id, "i-1");
+    assert.equal(read.cold_remaining_ms, undefined);
+  }
+});
+
 test("an entry names no endpoint if its name can't be sent in a header", () => {
   for (const name of ["", "a\nb", "ł", MEGABYTE]) {
     assert.equal(decodeEndpoint(name, SPEC), undefined);
@@ -220,3 +243,22 @@
     ListenerCheck.Unknown,
   );
 });
+
+test("a configuration tells how long endpoints of a pool are cold, and what they tolerate", () => {
+  const coldOf = (service: object) =>
+    decodeConfiguration("main", {
+      version: 1,
+      routes: [],
+      limits: LIMITS,
+      services: [{ name: "desk", max_connections: 1, ...service }],
+    })?.pools.get("desk")?.cold;
+  assert.deepEqual(coldOf({ cold_start_s: 4, cold_per_s: 19 }), {
+    start_ms: 4_000,
+    per_s: 19,
+  });
+  assert.deepEqual(coldOf({ cold_start_s: 4 }), { start_ms: 4_000, per_s: 0 });
+  assert.deepEqual(coldOf({ cold_per_s: 0.5 }), { start_ms: 0, per_s: 0.5 });
+  for (const service of [{}, { cold_per_s: 0 }, { cold_per_s: null }]) {
+    assert.equal(coldOf(service), undefined);
+  }
+});
--- a/test/settings/gateway_settings.test.ts
+++ b/test/settings/gateway_settings.test.ts
@@ -36,19 +36,45 @@
   t.assert.snapshot(formatFindings(checked.findings).split("\n"));
 });
 
-test("the deployment template provides every required setting", () => {
+function fillTemplate({ has_cold }: { has_cold: boolean }): string {
   const root = join(import.meta.dirname, "../..");
   const template = readFileSync(
     join(root, "deploy/gateway.yaml.template"),
     "utf8",
   );
-  const filled = template
+  const section =
+    /\{\{#timing_bounds\.cold_over\}\}\n([^]*)\{\{\/timing_bounds\.cold_over\}\}\n/;
+  assert.match(template, section);
+  return template
+    .replace(section, has_cold ? "$1" : "")
     .replaceAll("{{seeds|json}}", '["10.0.0.2:90"]')
     .replaceAll(/\{\{(bind\.\w+|platform\.address)\}\}/g, "10.0.0.1:80")
     .replaceAll("{{ip}}", "10.0.0.1")
     .replaceAll("{{limits.cpu_share}}", "0.5")
+    .replaceAll("{{timing_bounds.cold_over}}", "1.5")
+    .replaceAll("{{timing_bounds.cold_slack}}", "5")
     .replaceAll(/\{\{(node_name|zone)\}\}/g, "text")
     .replaceAll(/\{\{[^}]+\}\}/g, "2");
-  const checked = checkGatewaySettings("template", filled);
-  assert.ok(checked.ok, checked.ok ? "" : formatFindings(checked.findings));
+}
+
+for (const has_cold of [false, true]) {
+  test(`the deployment template provides every required setting, ${has_cold ? "with" : "without"} a bound for cold endpoints`, () => {
+    const filled = fillTemplate({ has_cold });
+    const checked = checkGatewaySettings("template", filled);
+    assert.ok(checked.ok, checked.ok ? "" : formatFindings(checked.findings));
+    const expected = has_cold ? { over: 1.5, slack: 5 } : undefined;
+    assert.deepEqual(checked.value.cold_endpoints, expected);
+  });
+}
+
+test("a block for cold endpoints without values gets the defaults", () => {
+  const text = `${REQUIRED_SETTINGS}cold_endpoints: {}\n`;
+  const checked = checkGatewaySettings("gateway.yaml", text);
+  assert.ok(checked.ok);
+  assert.deepEqual(checked.value.cold_endpoints, { over: 1.5, slack: 5 });
+});
+
+test("a bound for cold endpoints below 0 is reported", () => {
+  const text = `${REQUIRED_SETTINGS}cold_endpoints: { over: -1 }\n`;
+  assert.ok(!checkGatewaySettings("gateway.yaml", text).ok);
 });
