--- a/src/rate_limits/permit_issuer.ts
+++ b/src/rate_limits/permit_issuer.ts
@@ -16,6 +16,8 @@
 const MAX_WAIT_MS = 1_000;
 /** Longest time after which a refused host asks again. */
 const MAX_RETRY_AFTER_MS = 5_000;
+/** The same for a cold endpoint, which may soon be warm or have another issuer. */
+const MAX_COLD_RETRY_AFTER_MS = 2_000;
 /** Endpoints that no host has asked for during this time are forgotten. */
 const LIFETIME_MS = 60_000;
 const MS_PER_S = 1_000;
@@ -73,7 +75,10 @@
     // Hosts that are refused get times of their own, one permit apart.
     const earliest_ms = Math.max(now_ms, permits.next_retry_ms) +
       send_interval_ms;
-    permits.next_retry_ms = Math.min(earliest_ms, now_ms + MAX_RETRY_AFTER_MS);
+    const max_retry_ms = cold === undefined
+      ? MAX_RETRY_AFTER_MS
+      : MAX_COLD_RETRY_AFTER_MS;
+    permits.next_retry_ms = Math.min(earliest_ms, now_ms + max_retry_ms);
     const retry_after_ms = permits.next_retry_ms - now_ms;
     return { granted: false, wait_ms: 0, retry_after_ms };
   }
