--- a/src/rate_limits/rate_limit_service.ts
+++ b/src/rate_limits/rate_limit_service.ts
@@ -282,7 +282,10 @@
   #recordCold(endpoint: RouteEndpoint, outcome: ColdPermitOutcome): void {
     const { cold, log } = this.#options;
     cold?.onPermit(outcome);
-    if (outcome === ColdPermitOutcome.Granted) return;
+    // Requests that wait, or are refused, have a line of their own.
+    const isUsual = outcome === ColdPermitOutcome.Granted ||
+      outcome === ColdPermitOutcome.Refused;
+    if (isUsual) return;
     log.info({
       event: "cold_permit",
       endpoint: endpoint.id,
--- a/stand_ins/deployment/engine.ts
+++ b/stand_ins/deployment/engine.ts
@@ -129,6 +129,8 @@
   retry_after: string | undefined;
   /** Whether its responses say that it is leaving; undefined says nothing. */
   leaving: string | undefined;
+  /** Time for which its responses say that it stays cold; undefined says nothing. */
+  cold_ms: string | undefined;
   /** Arrivals of requests and of calls for pieces, as `performance.now()`. */
   arrivals_ms: number[] = [];
   /** Until when it neither answers nor goes on, as `performance.now()`. */
@@ -253,6 +255,9 @@
     if (this.rate_limit_per_s !== undefined) {
       response.setHeader("server-limit", String(this.rate_limit_per_s));
     }
+    if (this.cold_ms !== undefined) {
+      response.setHeader("x-cold-ms", this.cold_ms);
+    }
     if (this.max_rejections_per_s !== undefined) {
       response.setHeader("server-brittle", String(this.max_rejections_per_s));
     }
--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -49,6 +49,10 @@
   readers?: number;
   /** Memory of a gateway host. */
   memory_mb?: number;
+  /** Requests a second that cold engines of all services tolerate. */
+  cold_per_s?: number;
+  /** `cold_endpoints` of the gateway hosts. */
+  cold_endpoints?: { over: number; slack: number };
 }
 
 /** Services of the deployment. */
@@ -211,6 +215,7 @@
           silence_ms: this.#options.silence_ms,
         },
         repeats: { ratio: 0.2, slack: 50, window_s: 10 },
+        cold_endpoints: this.#options.cold_endpoints,
         drain: { timeout_s: this.#options.drain_timeout_s ?? 8 },
       }),
       {
@@ -283,6 +288,7 @@
     call_ms = 20,
     timeout_ms = 2_000,
     target_latency_ms = 300,
+    cold_per_s,
   }: GatewayFleetOptions,
 ): Record<string, unknown> {
   const pieces = {
@@ -301,6 +307,7 @@
     max_connections,
     protocol: "h1",
     tls: false,
+    cold_per_s,
     ...extra,
   });
   const route = (name: string, kind: string, extra: object) => ({
--- a/test/cold_endpoints/cold_fleet.test.ts
+++ b/test/cold_endpoints/cold_fleet.test.ts
@@ -238,9 +238,9 @@
       () => fleet.cutFromStore.add(pick()),
       () => fleet.cutFromStore.clear(),
       () => {
-        const half = new Set([...fleet.hosts.keys()].filter(() =>
-          random() < 0.5
-        ));
+        const half = new Set(
+          [...fleet.hosts.keys()].filter(() => random() < 0.5),
+        );
         fleet.reaches = (from, to) => half.has(from) === half.has(to);
       },
       () => fleet.reaches = () => true,
