--- a/src/cold_endpoints/awareness.ts
+++ b/src/cold_endpoints/awareness.ts
@@ -43,8 +43,8 @@
 
 /** Interval of the questions. */
 const ASK_INTERVAL_MS = 250;
-/** Hosts that are asked at a time: 20 a second while any is missing. */
-const HOSTS_AT_A_TIME = 5;
+/** Hosts that are asked at a time: 40 a second while any is missing. */
+const HOSTS_AT_A_TIME = 10;
 /** Time until a host that did not know this one, or didn't respond, is asked again. */
 const ASK_AGAIN_MS = 1_000;
 
--- a/src/gateway/cold_components.ts
+++ b/src/gateway/cold_components.ts
@@ -84,9 +84,9 @@
     coldEndpoints,
     coldSends: {
       limitPerS: (endpoint) => coldEndpoints.limitPerS(endpoint, now()),
-      paceOf: (incarnation, per_s) =>
+      paceOf: (key, per_s) =>
         paceOf(divideBound(per_s, bound), {
-          rank: standing.rankOf(incarnation, now()),
+          rank: standing.rankOf(key, now()),
           hostCount: standing.hostCount(now()),
         }),
       max_delay_ms: MAX_SEND_DELAY_MS,
--- a/src/rate_limits/permit_issuer.ts
+++ b/src/rate_limits/permit_issuer.ts
@@ -22,6 +22,7 @@
 const LIFETIME_MS = 60_000;
 const MS_PER_S = 1_000;
 
+/** Permits for one key: the incarnation of an endpoint, or that of a cold one. */
 interface EndpointPermits {
   per_s: number;
   /** Time of the first send that is not granted yet. */
@@ -83,17 +84,9 @@
     return { granted: false, wait_ms: 0, retry_after_ms };
   }
 
-  /** Forgets the named limit of an endpoint, which has ended. */
+  /** Forgets an endpoint whose limit has ended. */
   end(endpoint: string): void {
-    const permits = this.#endpoints.get(endpoint);
-    if (permits === undefined) return;
-    // What was granted while it is cold counts on.
-    if (permits.next_cold_send_ms === -Infinity) {
-      this.#endpoints.delete(endpoint);
-      return;
-    }
-    permits.named_ms = -Infinity;
-    permits.next_send_ms = -Infinity;
+    this.#endpoints.delete(endpoint);
   }
 
   #permitsOf(
--- a/src/rate_limits/rate_limit_service.ts
+++ b/src/rate_limits/rate_limit_service.ts
@@ -47,7 +47,7 @@
    */
   limitPerS(endpoint: RouteEndpoint): number | undefined;
   /** Pace at which this host may grant sends; undefined if it may grant none. */
-  paceOf(incarnation: string, per_s: number): SendPace | undefined;
+  paceOf(key: string, per_s: number): SendPace | undefined;
   /** Longest time from the time that is granted to the send. */
   max_delay_ms: number;
   /** Called with what became of each request for a permit of this host. */
@@ -162,17 +162,17 @@
    * milliseconds.
    */
   coldWaitMs(endpoint: RouteEndpoint): number {
-    const until_ms = this.#coldRefusedUntil_ms.get(incarnationOf(endpoint));
+    const until_ms = this.#coldRefusedUntil_ms.get(coldKeyOf(endpoint));
     if (until_ms === undefined || !this.isCold(endpoint)) return 0;
     return Math.max(0, until_ms - this.#options.now());
   }
 
   /** Records that the endpoint gets no request of this host for a while. */
   refuse(endpoint: RouteEndpoint, wait_ms: number): void {
-    const incarnation = incarnationOf(endpoint);
+    const key = coldKeyOf(endpoint);
     const until_ms = this.#options.now() + wait_ms;
-    this.#coldRefusedUntil_ms.delete(incarnation);
-    this.#coldRefusedUntil_ms.set(incarnation, until_ms);
+    this.#coldRefusedUntil_ms.delete(key);
+    this.#coldRefusedUntil_ms.set(key, until_ms);
     dropOldest(this.#coldRefusedUntil_ms, MAX_REFUSED);
   }
 
@@ -227,7 +227,7 @@
     const incarnation = incarnationOf(endpoint);
     const limit = this.#known.find(incarnation, this.#options.now()) ??
       { per_s: waiting.cold_per_s, age_ms: NOT_NAMED_AGE_MS };
-    const request = { endpoint: incarnation, ...limit, ...waiting };
+    const request = { endpoint: coldKeyOf(endpoint), ...limit, ...waiting };
     const answered = await this.#askColdIssuer(request);
     if (answered === undefined) {
       this.refuse(endpoint, NO_ISSUER_RETRY_MS);
@@ -311,3 +311,11 @@
   if (reply.no_part === true) throw new Error("It may not grant now");
   return reply;
 }
+
+/**
+ * Key of the permits for a cold endpoint. It is the same for the incarnations at
+ * an address: hosts that don't know the newest one send to it as well.
+ */
+export function coldKeyOf({ address }: RouteEndpoint): string {
+  return `cold/${address}`;
+}
--- a/src/rate_limits/types.ts
+++ b/src/rate_limits/types.ts
@@ -20,7 +20,7 @@
 
 /** A request for permission to send one request to an endpoint. */
 export const permitRequestSchema = z.object({
-  /** Incarnation of the endpoint. */
+  /** Incarnation of the endpoint, or the key of a cold one. */
   endpoint: z.string(),
   /** The endpoint's limit, in requests per second, as the asking host knows it. */
   per_s: z.number().nonnegative(),
--- a/test/cold_endpoints/cold_fleet.test.ts
+++ b/test/cold_endpoints/cold_fleet.test.ts
@@ -256,3 +256,12 @@
     for (const endpoint of endpoints) assertWithin(fleet, endpoint);
   });
 }
+
+test("hosts that know different incarnations of an endpoint share one bound", async () => {
+  const fleet = createFleet(8);
+  const old = createEndpoint();
+  const next = { ...old, born_ms: 2 };
+  await fleet.run(SETTLING_MS, [old, next], { demand: 0.5 });
+  await fleet.run(5_000, [old, next], { demand: 0.5 });
+  assertWithin(fleet, old);
+});
--- /dev/null
+++ b/test/cold_endpoints/cold_sender.test.ts
@@ -0,0 +1,115 @@
+/** No request reaches a cold endpoint without a permit that is still good. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  COLD_ENDPOINT,
+  createColdSender,
+} from "../../src/cold_endpoints/cold_sender.ts";
+import {
+  type EndpointRequest,
+  ExchangeOutcome,
+  type ExchangeResult,
+} from "../../src/endpoints/exchange.ts";
+import { StrictKeepAliveAgent } from "../../src/endpoints/strict_keep_alive_agent.ts";
+import { createEndpoint } from "./cold_fleet.ts";
+
+const ENDPOINT = createEndpoint();
+const NOT_SENT = { kind: ExchangeOutcome.NotSent, reason: COLD_ENDPOINT };
+const LOST: ExchangeResult = {
+  kind: ExchangeOutcome.ResponseLost,
+  reason: "test",
+};
+const NOW_MS = 1_000;
+
+function formRequest({ isFull = false } = {}): EndpointRequest {
+  const agent = new StrictKeepAliveAgent(1);
+  Object.defineProperty(agent, "isFull", { value: isFull });
+  return {
+    address: ENDPOINT.address,
+    agent,
+    method: "GET",
+    target: "/",
+    headers: [],
+    body: undefined,
+    signal: new AbortController().signal,
+  };
+}
+
+function create(
+  { isCold = true, grants = true, wait_ms = 0, isReached = true } = {},
+) {
+  const calls = { sent: 0, asked: 0, refused: 0 };
+  const send = createColdSender({
+    send: () => {
+      calls.sent += 1;
+      return Promise.resolve(LOST);
+    },
+    rateLimits: {
+      isCold: () => isCold,
+      coldWaitMs: () => wait_ms,
+      refuse: () => calls.refused += 1,
+      takePermit: () => {
+        calls.asked += 1;
+        const permit = { at_ms: NOW_MS, expires_ms: NOW_MS + 100 };
+        return Promise.resolve(grants ? permit : undefined);
+      },
+    },
+    isReached: () => isReached,
+    now: () => NOW_MS,
+  });
+  return { calls, send };
+}
+
+test("a request to a warm or an unknown endpoint needs no permit", async () => {
+  const warm = create({ isCold: false });
+  assert.equal(await warm.send(ENDPOINT, () => formRequest()), LOST);
+  const unknown = create();
+  assert.equal(await unknown.send(undefined, () => formRequest()), LOST);
+  assert.equal(warm.calls.asked + unknown.calls.asked, 0);
+});
+
+test("a request with a good permit is sent without another one", async () => {
+  const { send, calls } = create();
+  const permit = { at_ms: NOW_MS, expires_ms: NOW_MS + 1 };
+  assert.equal(await send(ENDPOINT, () => formRequest(), permit), LOST);
+  assert.deepEqual(calls, { sent: 1, asked: 0, refused: 0 });
+});
+
+for (const expires_ms of [undefined, NOW_MS, Infinity]) {
+  test(`a request whose permit expires at ${expires_ms} needs a new one`, async () => {
+    const permit = expires_ms === undefined
+      ? undefined
+      : { at_ms: 0, expires_ms };
+    const granted = create();
+    assert.equal(
+      await granted.send(ENDPOINT, () => formRequest(), permit),
+      LOST,
+    );
+    assert.deepEqual(granted.calls, { sent: 1, asked: 1, refused: 0 });
+    const refused = create({ grants: false });
+    assert.deepEqual(
+      await refused.send(ENDPOINT, () => formRequest(), permit),
+      NOT_SENT,
+    );
+    assert.equal(refused.calls.sent, 0);
+  });
+}
+
+test("a host that was refused doesn't ask again before its time", async () => {
+  const { send, calls } = create({ wait_ms: 300 });
+  assert.deepEqual(await send(ENDPOINT, () => formRequest()), NOT_SENT);
+  assert.deepEqual(calls, { sent: 0, asked: 0, refused: 0 });
+});
+
+test("a request that would wait for a connection is not sent", async () => {
+  const { send, calls } = create();
+  const form = () => formRequest({ isFull: true });
+  assert.deepEqual(await send(ENDPOINT, form), NOT_SENT);
+  assert.equal(calls.sent, 0);
+});
+
+test("a cold endpoint that this host doesn't reach gets nothing by way of others", async () => {
+  const { send, calls } = create({ isReached: false });
+  assert.deepEqual(await send(ENDPOINT, () => formRequest()), NOT_SENT);
+  assert.deepEqual(calls, { sent: 0, asked: 0, refused: 1 });
+});
