Cold endpoints: fail the requests that wait for a connection as one turns cold

Cause: such requests were chosen while the endpoint was warm and have no permit. With one connection a host, three hosts sent 75 of them in a second beyond a bound of 20. They are failed as not sent, as in a pause of the endpoint, and are chosen anew; the new test fails without this.

--- a/src/cold_endpoints/cold_endpoints.ts
+++ b/src/cold_endpoints/cold_endpoints.ts
@@ -22,7 +22,7 @@
   limitsOf: (pool: string) => ColdLimits | undefined;
   /** Called when an endpoint with a limit turns cold. */
   onCold?: (
-    endpoint: string,
+    endpoint: RouteEndpoint,
     told: { remaining_ms: number; source: ColdSource },
   ) => void;
 }
@@ -194,7 +194,7 @@
     change();
     const remaining_ms = this.remainingMs(endpoint, now_ms);
     if (wasCold || remaining_ms === 0 || !this.hasLimit(endpoint)) return;
-    this.#options.onCold?.(endpoint.id, { remaining_ms, source });
+    this.#options.onCold?.(endpoint, { remaining_ms, source });
   }
 
   #knownOf(incarnation: string): KnownColdness {
--- a/src/gateway/cold_components.ts
+++ b/src/gateway/cold_components.ts
@@ -33,6 +33,8 @@
   endpoints: EndpointRegistry;
   peers: GatewayClients;
   metrics: ForwardMetrics;
+  /** Called when the endpoint at an address turns cold. */
+  onCold: (address: string) => void;
   log: Logger;
   /** Monotonic clock, in milliseconds. */
   now: () => number;
@@ -70,10 +72,11 @@
       metrics.coldSpells.inc({ source });
       log.info({
         event: "endpoint_cold",
-        endpoint,
+        endpoint: endpoint.id,
         remaining_ms: Math.round(remaining_ms),
         source,
       });
+      dependencies.onCold(endpoint.address);
     },
   });
   const { address, started_ms } = member;
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -150,6 +150,8 @@
   });
   const cold = createColdComponents({
     bound: settings.cold_endpoints,
+    // Requests that wait for a connection have no permits.
+    onCold: (address) => agents.failQueued(address),
     member,
     members,
     configuration,
--- a/test/cold_endpoints/cold_endpoints.test.ts
+++ b/test/cold_endpoints/cold_endpoints.test.ts
@@ -16,7 +16,7 @@
   const spells: [string, ColdSource][] = [];
   const cold = new ColdEndpoints({
     limitsOf: () => limits,
-    onCold: (endpoint, { source }) => spells.push([endpoint, source]),
+    onCold: (endpoint, { source }) => spells.push([endpoint.id, source]),
   });
   return { cold, spells };
 }
--- a/test/cold_endpoints/cold_hosts.test.ts
+++ b/test/cold_endpoints/cold_hosts.test.ts
@@ -37,11 +37,13 @@
 
 async function startFleet(
   service: Service,
-  { engines = 2, isBounded = true } = {},
+  { engines = 2, isBounded = true, max_connections = 100 } = {},
 ): Promise<void> {
   fleet = new GatewayFleet({
     gateways: GATEWAYS,
     cold_per_s: PER_S,
+    max_connections,
+    timeout_ms: 5_000,
     ...(isBounded ? { cold_endpoints: BOUND } : {}),
     engines: {
       ...defaultEngines(),
@@ -162,6 +164,21 @@
   }
 });
 
+test("requests that wait for a connection as the endpoint turns cold don't exceed the bound", async () => {
+  // One connection for each host.
+  await startFleet(Service.Desk, { engines: 1, max_connections: 3 });
+  const cold = fleet.engine(Service.Desk, 0);
+  const waiting = load("/stamp/x", { per_s: 200, for_s: 1 });
+  await sleep(800);
+  const learned = turnCold(Service.Desk, [cold]);
+  await learned;
+  const from_ms = performance.now();
+  await waiting;
+  await sleep(1_500);
+  const most = mostInSecond(cold, from_ms);
+  assert.ok(most <= MOST, `${most} in a second`);
+});
+
 test("one response that says so bounds the requests of all hosts", async () => {
   await startFleet(Service.Desk);
   const cold = fleet.engine(Service.Desk, 0);
