--- a/test/relaying/carried_exchanges.ts
+++ b/test/relaying/carried_exchanges.ts
@@ -79,6 +79,8 @@
   reports: { report: EndpointReport; sent_ms: number | undefined }[];
   /** Time for which the endpoint wants none of its requests. */
   pause_ms: number;
+  /** Whether the endpoint is cold. */
+  isCold: boolean;
   isShuttingDown: boolean;
   /** Closes all its connections, as when its process ends. */
   kill: () => void;
@@ -105,6 +107,7 @@
     address: "",
     reports: [],
     pause_ms: 0,
+    isCold: false,
     isShuttingDown: false,
     carrier: new ExchangeCarrier({
       codec: deploymentCodec,
@@ -118,6 +121,7 @@
           host.reports.push({ report, sent_ms }),
         pauseMs: () => host.pause_ms,
       },
+      isCold: () => host.isCold,
       isShuttingDown: () => host.isShuttingDown,
       requestLimits: limits(),
       responseLimits: limits(),
@@ -143,7 +147,11 @@
 }
 
 /** A host that sends through the given routes. */
-export function createSender(t: TestContext, routes: EndpointRoutes) {
+export function createSender(
+  t: TestContext,
+  routes: EndpointRoutes,
+  options: { mayBeCarried?: (endpoint: RouteEndpoint) => boolean } = {},
+) {
   const carriers = new CarrierConnections();
   const agents = new EndpointAgents(() => 1);
   t.after(() => {
@@ -154,6 +162,7 @@
   const send = createEndpointSender({
     routes,
     carriers,
+    ...options,
     onCarried: (result) => results.push(result),
   });
   return {
--- a/test/relaying/endpoint_sender.test.ts
+++ b/test/relaying/endpoint_sender.test.ts
@@ -413,6 +413,42 @@
   assert.equal(connections(), 3);
 });
 
+test("a host carries nothing to an endpoint that it knows to be cold", async (t) => {
+  const { endpoint, connections } = await startEndpoint(
+    t,
+    (_request, response) => void response.writeHead(200, own).end("a"),
+  );
+  const host = await startCarrier(t, endpoint);
+  const { send } = createSender(t, routesThrough([host.address]));
+  host.isCold = true;
+  const refused = await send(endpoint);
+  assert.equal(refused.kind, ExchangeOutcome.NotSent);
+  assert.equal(connections(), 0);
+  host.isCold = false;
+  discardResponse(responseOf(await send(endpoint)));
+  assert.equal(connections(), 1);
+});
+
+for (const mayBeCarried of [true, false]) {
+  test(`a request whose connection fails goes another way if it may be carried: ${mayBeCarried}`, async (t) => {
+    const { endpoint } = await startEndpoint(t, () => {});
+    const host = await startCarrier(t, endpoint);
+    const routes = routesThrough([host.address]);
+    let asked = 0;
+    const { send, results } = createSender(t, {
+      ...routes,
+      carrierFor(...question) {
+        asked += 1;
+        return asked === 1 ? undefined : routes.carrierFor(...question);
+      },
+    }, { mayBeCarried: () => mayBeCarried });
+    host.pause_ms = 1;
+    // Nothing listens at port 1.
+    await send({ ...endpoint, address: "127.0.0.1:1" });
+    assert.equal(results.length > 0, mayBeCarried);
+  });
+}
+
 test("exchanges in flight through a carrier are counted until they end", async (t) => {
   const { endpoint, open } = await startEndpoint(t, (_request, response) => {
     response.writeHead(200, own).write("a");
