--- a/src/cold_endpoints/cold_endpoints.ts
+++ b/src/cold_endpoints/cold_endpoints.ts
@@ -25,6 +25,8 @@
     endpoint: RouteEndpoint,
     told: { remaining_ms: number; source: ColdSource },
   ) => void;
+  /** Called when the endpoints of a zone are presumed to be cold. */
+  onPresumed?: (zone: string) => void;
 }
 
 interface KnownColdness {
@@ -127,6 +129,7 @@
       since_ms: now_ms,
       until_ms: now_ms + PRESUMED_MS,
     });
+    this.#options.onPresumed?.(zone);
   }
 
   /** Time for which the endpoint stays cold, in milliseconds; 0 if it is warm. */
--- a/src/cold_endpoints/host_standing.ts
+++ b/src/cold_endpoints/host_standing.ts
@@ -76,15 +76,16 @@
 
   /** Records the hosts that are registered now, this one included if it is. */
   updateHosts(hosts: readonly RegisteredHost[], now_ms: number): void {
-    const own = hosts.find(({ address }) => address === this.#self.address);
-    const isListed = own?.started_ms === this.#self.started_ms;
+    const isListed = hosts.some(({ address, started_ms }) =>
+      address === this.#self.address && started_ms === this.#self.started_ms
+    );
     const current = this.#lists.at(-1);
     if (current !== undefined) current.replaced_ms = now_ms;
     const addresses = [...new Set(hosts.map(({ address }) => address))];
     this.#lists.push({ addresses, isListed, replaced_ms: undefined });
     this.#dropOldLists(now_ms);
     this.#ranks.clear();
-    if (!isListed) return;
+    if (!isListed) return this.#forgetRegistration();
     if (this.#listed_ms === undefined) this.#recordFirstList(hosts, now_ms);
     else this.#forgetGone(hosts, now_ms);
   }
@@ -168,6 +169,13 @@
     this.#noteAware(now_ms);
   }
 
+  /** Once its entry is back, hosts that registered meanwhile may not know it. */
+  #forgetRegistration(): void {
+    this.#listed_ms = undefined;
+    this.#aware_ms = Infinity;
+    this.#unaware.clear();
+  }
+
   /** A host that left grants nothing, and one that started again knows more. */
   #forgetGone(hosts: readonly RegisteredHost[], now_ms: number): void {
     const present = new Map(
--- a/src/gateway/cold_components.ts
+++ b/src/gateway/cold_components.ts
@@ -78,6 +78,7 @@
       });
       dependencies.onCold(endpoint.address);
     },
+    onPresumed: (zone) => log.info({ event: "cold_presumed", zone }),
   });
   const { address, started_ms } = member;
   const self = { address, started_ms };
--- a/test/cold_endpoints/host_standing.test.ts
+++ b/test/cold_endpoints/host_standing.test.ts
@@ -91,7 +91,7 @@
   assert.equal(standing.rankOf(KEY, 20_000), 1);
 });
 
-test("a list that lacked this host for a moment makes it wait", () => {
+test("a list that lacked this host for a moment makes it ask all others again", () => {
   const standing = createEstablished();
   standing.updateHosts([FIRST], 10_000);
   assert.equal(standing.rankOf(KEY, 10_000), undefined);
@@ -99,6 +99,8 @@
   standing.updateHosts([FIRST, SECOND], 10_100);
   assert.equal(standing.rankOf(KEY, 10_200), undefined);
   assert.equal(standing.hostCount(10_200), undefined);
+  assert.deepEqual(standing.unaware, [FIRST]);
+  standing.recordAware(FIRST, 10_100);
   assert.equal(standing.rankOf(KEY, 10_100 + SETTLE_MS), 1);
 });
 
