--- a/test/cold_endpoints/cold_fleet.test.ts
+++ b/test/cold_endpoints/cold_fleet.test.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createRandom } from "../../stand_ins/seeded_random.ts";
+import { ColdEndpoints } from "../../src/cold_endpoints/cold_endpoints.ts";
 import type { RouteEndpoint } from "../../src/routes/types.ts";
 import {
   addressOf,
@@ -265,3 +266,102 @@
   await fleet.run(5_000, [old, next], { demand: 0.5 });
   assertWithin(fleet, old);
 });
+
+/** The coldness that each host knows of, by its reports. */
+class KnownColdness {
+  readonly #byHost = new Map<string, ColdEndpoints>();
+
+  constructor(fleet: ColdFleet) {
+    for (const host of fleet.hosts.keys()) {
+      this.#byHost.set(
+        host,
+        new ColdEndpoints({
+          limitsOf: () => ({ start_ms: 4_000, per_s: PER_S }),
+        }),
+      );
+    }
+    fleet.limitPerS = (host, endpoint) =>
+      this.#byHost.get(host)?.limitPerS(endpoint, fleet.now_ms);
+  }
+
+  tellAll(tell: (cold: ColdEndpoints) => void): void {
+    for (const cold of this.#byHost.values()) tell(cold);
+  }
+}
+
+for (const count of [8, 66]) {
+  test(`${count} hosts, a zone's endpoints are back at once, cold, under a burst`, async () => {
+    const fleet = createFleet(count);
+    await fleet.run(SETTLING_MS, []);
+    const known = new KnownColdness(fleet);
+    const endpoints = [1, 2, 3, 4, 5, 6].map(createEndpoint);
+    const back_ms = fleet.now_ms;
+    const warm_ms = back_ms + 3_500;
+    known.tellAll((cold) => cold.presume("az-1", back_ms));
+    // Their entries come within 1.2 s of each other, and say how long it lasts.
+    for (let step = 0; step < 12; step++) {
+      for (const [index, endpoint] of endpoints.entries()) {
+        if (step % 6 !== index) continue;
+        const cold_remaining_ms = warm_ms - fleet.now_ms;
+        known.tellAll((cold) =>
+          cold.observeEntry({ ...endpoint, cold_remaining_ms }, fleet.now_ms)
+        );
+      }
+      await fleet.run(200, endpoints, { demand: 0.5 });
+    }
+    await fleet.run(1_100, endpoints, { demand: 0.5 });
+    for (const endpoint of endpoints) {
+      const most = fleet.most(endpoint, { until_ms: warm_ms });
+      assert.ok(most <= MOST, `${most} in a second`);
+      const rate = fleet.ratePerS(endpoint, back_ms);
+      assert.ok(rate >= 0.8 * PER_S, `only ${rate} a second`);
+    }
+  });
+
+  test(`${count} hosts, an endpoint is cold longer than it said, again and again`, async () => {
+    const fleet = createFleet(count);
+    await fleet.run(SETTLING_MS, []);
+    const known = new KnownColdness(fleet);
+    const endpoint = createEndpoint();
+    const tell = (cold_remaining_ms: number) =>
+      known.tellAll((cold) =>
+        cold.observeEntry({ ...endpoint, cold_remaining_ms }, fleet.now_ms)
+      );
+    for (let spell = 0; spell < 3; spell++) {
+      const from_ms = fleet.now_ms;
+      // Each entry says that it is nearly over, and the next one that it is not.
+      for (const remaining_ms of [1_300, 1_300, 4_000, 2_800, 1_600]) {
+        tell(remaining_ms);
+        await fleet.run(1_200, [endpoint], { demand: 0.5 });
+      }
+      const until_ms = fleet.now_ms;
+      const most = fleet.most(endpoint, { from_ms, until_ms });
+      assert.ok(most <= MOST, `${most} in a second`);
+      tell(0);
+      await fleet.run(500, [endpoint], { demand: 0.1 });
+      const warm = fleet.most(endpoint, { from_ms: until_ms });
+      assert.ok(warm > MOST, `${warm} while it is warm`);
+      // What was sent while it was warm doesn't count.
+      await fleet.run(1_100, [], {});
+    }
+  });
+
+  test(`${count} hosts, entry and answer contradict each other`, async () => {
+    const fleet = createFleet(count);
+    await fleet.run(SETTLING_MS, []);
+    const known = new KnownColdness(fleet);
+    const endpoint = createEndpoint();
+    const from_ms = fleet.now_ms;
+    known.tellAll((cold) => cold.observeAnswer(endpoint, 5_000, fleet.now_ms));
+    for (let step = 0; step < 4; step++) {
+      known.tellAll((cold) => {
+        const warm = { ...endpoint, cold_remaining_ms: 0 };
+        cold.observeEntry(warm, fleet.now_ms);
+        cold.observeAnswer(endpoint, 0, fleet.now_ms);
+      });
+      await fleet.run(1_200, [endpoint], { demand: 0.5 });
+    }
+    const most = fleet.most(endpoint, { from_ms });
+    assert.ok(most <= MOST, `${most} in a second`);
+  });
+}
--- a/test/cold_endpoints/cold_fleet.ts
+++ b/test/cold_endpoints/cold_fleet.ts
@@ -65,6 +65,9 @@
   readonly cutFromStore = new Set<string>();
   /** Pairs of hosts that don't reach each other. */
   reaches: (from: string, to: string) => boolean = () => true;
+  /** What a host takes an endpoint to tolerate; undefined if it is warm. */
+  limitPerS: (host: string, endpoint: RouteEndpoint) => number | undefined =
+    () => PER_S;
   readonly arrivals_ms = new Map<string, number[]>();
   #registered = new Map<string, RegisteredHost>();
   #random: () => number;
@@ -96,7 +99,7 @@
         },
       },
       cold: {
-        limitPerS: () => PER_S,
+        limitPerS: (endpoint) => this.limitPerS(address, endpoint),
         paceOf: (key, per_s) =>
           paceOf(divideBound(per_s, BOUND), {
             rank: standing.rankOf(key, this.now_ms),
@@ -147,10 +150,13 @@
     }
   }
 
-  /** Most requests that arrived within a second since a time. */
-  most(endpoint: RouteEndpoint, from_ms = 0): number {
+  /** Most requests that arrived within a second between two times. */
+  most(
+    endpoint: RouteEndpoint,
+    { from_ms = 0, until_ms = Infinity } = {},
+  ): number {
     const arrivals_ms = this.#arrivalsAt(endpoint)
-      .filter((at_ms) => at_ms >= from_ms)
+      .filter((at_ms) => at_ms >= from_ms && at_ms < until_ms)
       .sort((a, b) => a - b);
     let most = 0;
     let first = 0;
