--- a/src/endpoint_reports/endpoint_notices.ts
+++ b/src/endpoint_reports/endpoint_notices.ts
@@ -64,9 +64,11 @@
   signal: AbortSignal;
 }
 
+/** An endpoint that stays cold this much longer than known is news. */
+export const MIN_COLD_NEWS_MS = 500;
 /** Pauses before a host that missed the notice of a leaving is told again. */
 const REDELIVERY_DELAYS_MS = [400, 1_200];
-/** Leaving endpoints that are remembered; the oldest are dropped. */
+/** Leaving, and cold, endpoints that are remembered; the oldest are dropped. */
 const MAX_ENDPOINTS = 4_096;
 
 /** Sends notices about endpoints to all hosts and applies them here. */
@@ -75,6 +77,8 @@
   #rankedHosts: RankedHosts;
   /** Endpoints of whose leaving this host has told all others. */
   #toldLeaving = new Set<string>();
+  /** Until when each endpoint is cold by what this host has told all others. */
+  #toldColdUntil_ms = new Map<string, number>();
 
   constructor(options: EndpointNoticesOptions) {
     this.#options = options;
@@ -95,6 +99,7 @@
   /** Handles another host's report: tells all hosts. */
   handleReport(notice: EndpointNotice): void {
     if (notice.leaving === true && !this.#isFirstToldOf(notice)) return;
+    if (notice.cold_ms !== undefined && !this.#isColdNews(notice)) return;
     const { self, hosts } = this.#options;
     const targets = hosts().filter((address) => address !== self);
     this.handleNotice(notice, targets);
@@ -117,6 +122,17 @@
     });
   }
 
+  /** Hosts that learn together that an endpoint is cold report it each. */
+  #isColdNews({ endpoint, cold_ms = 0 }: EndpointNotice): boolean {
+    const until_ms = this.#options.now() + cold_ms;
+    const told_ms = this.#toldColdUntil_ms.get(endpoint) ?? -Infinity;
+    if (until_ms - told_ms < MIN_COLD_NEWS_MS) return false;
+    this.#toldColdUntil_ms.delete(endpoint);
+    this.#toldColdUntil_ms.set(endpoint, until_ms);
+    dropOldest(this.#toldColdUntil_ms, MAX_ENDPOINTS);
+    return true;
+  }
+
   /** Hosts that learn of a leaving together report it each; true for the first. */
   #isFirstToldOf({ endpoint }: EndpointNotice): boolean {
     if (this.#toldLeaving.has(endpoint)) return false;
--- a/src/endpoint_reports/endpoint_reports.ts
+++ b/src/endpoint_reports/endpoint_reports.ts
@@ -17,6 +17,7 @@
   type EndpointNotice,
   type EndpointNoticePeers,
   EndpointNotices,
+  MIN_COLD_NEWS_MS,
 } from "./endpoint_notices.ts";
 import { EndpointPauses } from "./endpoint_pauses.ts";
 import type { EndpointReport } from "./endpoint_report.ts";
@@ -27,9 +28,6 @@
   Peer = "peer",
 }
 
-/** Coldness that lasts this much longer than known is told to the other hosts. */
-const MIN_COLD_NEWS_MS = 500;
-
 /** Dependencies of an {@linkcode EndpointReports}. */
 export interface EndpointReportsOptions {
   /** Address at which peers reach this host. */
@@ -136,8 +134,6 @@
 
   /** Handles another host's report: tells all hosts. */
   handleReport(notice: EndpointNotice): void {
-    // Hosts that learn together that an endpoint is cold report it each.
-    if (notice.cold_ms !== undefined && !this.#isColdNews(notice)) return;
     this.#notices.handleReport(notice);
   }
 
@@ -156,14 +152,6 @@
     } else this.#options.rateLimits.apply(notice);
   }
 
-  #isColdNews({ endpoint: incarnation, cold_ms = 0 }: EndpointNotice): boolean {
-    const { coldEndpoints, now } = this.#options;
-    const endpoint = this.#findIncarnation(incarnation);
-    if (endpoint === undefined || coldEndpoints === undefined) return false;
-    const known_ms = coldEndpoints.remainingMs(endpoint, now());
-    return cold_ms - known_ms >= MIN_COLD_NEWS_MS;
-  }
-
   #applyCold({ endpoint: incarnation }: EndpointNotice, cold_ms: number): void {
     const endpoint = this.#findIncarnation(incarnation);
     if (endpoint === undefined) return;
--- a/test/cold_endpoints/cold_hosts.test.ts
+++ b/test/cold_endpoints/cold_hosts.test.ts
@@ -183,7 +183,8 @@
   await startFleet(Service.Desk);
   const cold = fleet.engine(Service.Desk, 0);
   cold.cold_ms = "5000";
-  await load("/lookup/x", { per_s: 20, for_s: 0.5 });
+  // Through one host alone.
+  await load("/lookup/x", { per_s: 20, for_s: 0.5, gateways: 1 });
   await waitUntil(() =>
     fleet.gateways.every(({ logLines }) =>
       logLines.some((line) => line.includes("event=endpoint_cold"))
--- a/test/endpoint_reports/endpoint_notices.test.ts
+++ b/test/endpoint_reports/endpoint_notices.test.ts
@@ -12,7 +12,7 @@
 const HOSTS = 60;
 const LEAVING: EndpointNotice = { endpoint: "e/1/10.0.0.1:1", leaving: true };
 
-/** Hosts that know an endpoint to be leaving, and the messages sent. */
+/** Hosts that know an endpoint to be leaving or cold, and the messages sent. */
 function createCluster() {
   const notices = new Map<string, EndpointNotices>();
   const knowing = new Set<string>();
@@ -37,8 +37,8 @@
           announceEndpoint: async (address, notice, targets) =>
             await at(address).handleNotice(notice, targets),
         },
-        apply: ({ leaving }) => {
-          if (leaving === true) knowing.add(self);
+        apply: ({ leaving, cold_ms }) => {
+          if (leaving === true || cold_ms !== undefined) knowing.add(self);
         },
         log: createLogger({ level: "error", host: "h", writeLine: () => {} }),
         now: () => performance.now(),
@@ -57,6 +57,30 @@
   assert.ok(counts.messages <= 2 * HOSTS, `${counts.messages} messages`);
 });
 
+for (const reporting of [1, HOSTS]) {
+  test(`all hosts learn of a cold endpoint from ${reporting}, and again when it stays cold longer`, async () => {
+    const { notices, knowing, counts } = createCluster();
+    const cold = (cold_ms: number): EndpointNotice => ({
+      endpoint: LEAVING.endpoint,
+      cold_ms,
+    });
+    for (const cold_ms of [2_000, 4_000]) {
+      knowing.clear();
+      counts.messages = 0;
+      for (const each of [...notices.values()].slice(0, reporting)) {
+        each.report(cold(cold_ms));
+      }
+      await sleep(50);
+      assert.equal(knowing.size, HOSTS);
+      assert.ok(counts.messages <= 2 * HOSTS, `${counts.messages} messages`);
+    }
+    knowing.clear();
+    for (const each of notices.values()) each.report(cold(3_000));
+    await sleep(50);
+    assert.equal(knowing.size, 0);
+  });
+}
+
 test("a host that missed the notice is told again", async () => {
   const { notices, knowing, lost } = createCluster();
   const [first, second = ""] = notices.keys();
