--- a/src/cold_endpoints/cold_sender.ts
+++ b/src/cold_endpoints/cold_sender.ts
@@ -3,7 +3,10 @@
  * whichever path it comes.
  */
 import { ExchangeOutcome, type ExchangeResult } from "../endpoints/exchange.ts";
-import type { RateLimitService } from "../rate_limits/rate_limit_service.ts";
+import type {
+  RateLimitService,
+  SendPermit,
+} from "../rate_limits/rate_limit_service.ts";
 import type { SendToEndpoint } from "../relaying/endpoint_sender.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 
@@ -25,6 +28,8 @@
 
 /** Time for which an endpoint out of reach gets no request while it is cold. */
 const OUT_OF_REACH_WAIT_MS = 500;
+/** Where the endpoint has turned warm meanwhile, its permit does not expire. */
+const MAX_CONNECT_MS = 400;
 const NOT_SENT: ExchangeResult = {
   kind: ExchangeOutcome.NotSent,
   reason: COLD_ENDPOINT,
@@ -44,24 +49,26 @@
       return NOT_SENT;
     }
     // A request that was chosen while the endpoint was warm has no good permit.
-    const isPermitted = permit !== undefined &&
-      permit.expires_ms !== Infinity && permit.expires_ms > now();
-    if (!isPermitted && !await takePermit(endpoint, rateLimits)) {
-      return NOT_SENT;
-    }
+    const isGood = permit !== undefined && permit.expires_ms !== Infinity &&
+      permit.expires_ms > now();
+    const used = isGood ? permit : await takePermit(endpoint, rateLimits);
+    if (used === undefined) return NOT_SENT;
     const request = formRequest();
     // A request that waits for a connection would be sent at any time.
     if (request.agent.isFull) return NOT_SENT;
-    return await send(endpoint, () => request);
+    // Nor must it be written when a connection opens late.
+    const left_ms = Math.max(1, used.expires_ms - now());
+    const connect_timeout_ms = Math.min(MAX_CONNECT_MS, left_ms);
+    return await send(endpoint, () => ({ ...request, connect_timeout_ms }));
   };
 }
 
-/** Takes a permit for a send at once; resolves to whether there was one. */
+/** Takes a permit for a send at once; resolves to undefined if there is none. */
 export async function takePermit(
   endpoint: RouteEndpoint,
   rateLimits: Pick<RateLimitService, "coldWaitMs" | "takePermit">,
-): Promise<boolean> {
-  if (rateLimits.coldWaitMs(endpoint) > 0) return false;
+): Promise<SendPermit | undefined> {
+  if (rateLimits.coldWaitMs(endpoint) > 0) return undefined;
   const waiting = { priority: 0, max_wait_ms: 0 };
-  return await rateLimits.takePermit(endpoint, waiting) !== undefined;
+  return await rateLimits.takePermit(endpoint, waiting);
 }
--- a/src/endpoints/exchange.ts
+++ b/src/endpoints/exchange.ts
@@ -33,6 +33,8 @@
   attempt_id?: string | undefined;
   /** Called with informational responses (1xx) to the request. */
   onInformation?: () => void;
+  /** Longest time for opening a connection, in milliseconds; 400 by default. */
+  connect_timeout_ms?: number;
   /** Largest head section of the response; Node's own limit by default. */
   max_header_bytes?: number;
 }
@@ -131,7 +133,7 @@
       }
       const timer = setTimeout(
         () => clientRequest.destroy(new Error("connect_timeout")),
-        CONNECT_TIMEOUT_MS,
+        endpointRequest.connect_timeout_ms ?? CONNECT_TIMEOUT_MS,
       );
       socket.once("close", () => clearTimeout(timer));
       socket.once("connect", () => {
--- a/src/gateway/reachability_components.ts
+++ b/src/gateway/reachability_components.ts
@@ -60,7 +60,8 @@
     endpointAt: (address) => endpoints.findByAddress(address),
     probe: createProbeReach(codec, translateAddress),
     mayProbe: async (endpoint) =>
-      !rateLimits.isCold(endpoint) || await takePermit(endpoint, rateLimits),
+      !rateLimits.isCold(endpoint) ||
+      await takePermit(endpoint, rateLimits) !== undefined,
     onProbe: (outcome) => metrics.reachProbes.inc({ outcome }),
     onLost(endpoint) {
       load.forEndpoint(endpoint).forgetFailures();
--- a/test/cold_endpoints/cold_sender.test.ts
+++ b/test/cold_endpoints/cold_sender.test.ts
@@ -1,5 +1,7 @@
 /** No request reaches a cold endpoint without a permit that is still good. */
 import assert from "node:assert/strict";
+import { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import { test } from "node:test";
 import {
   COLD_ENDPOINT,
@@ -9,6 +11,7 @@
   type EndpointRequest,
   ExchangeOutcome,
   type ExchangeResult,
+  sendRequest,
 } from "../../src/endpoints/exchange.ts";
 import { StrictKeepAliveAgent } from "../../src/endpoints/strict_keep_alive_agent.ts";
 import { createEndpoint } from "./cold_fleet.ts";
@@ -38,10 +41,16 @@
 function create(
   { isCold = true, grants = true, wait_ms = 0, isReached = true } = {},
 ) {
-  const calls = { sent: 0, asked: 0, refused: 0 };
+  const calls: {
+    sent: number;
+    asked: number;
+    refused: number;
+    connect_timeout_ms?: number | undefined;
+  } = { sent: 0, asked: 0, refused: 0 };
   const send = createColdSender({
-    send: () => {
+    send: (_endpoint, form) => {
       calls.sent += 1;
+      calls.connect_timeout_ms = form().connect_timeout_ms;
       return Promise.resolve(LOST);
     },
     rateLimits: {
@@ -70,9 +79,11 @@
 
 test("a request with a good permit is sent without another one", async () => {
   const { send, calls } = create();
-  const permit = { at_ms: NOW_MS, expires_ms: NOW_MS + 1 };
+  const permit = { at_ms: NOW_MS, expires_ms: NOW_MS + 30 };
   assert.equal(await send(ENDPOINT, () => formRequest(), permit), LOST);
-  assert.deepEqual(calls, { sent: 1, asked: 0, refused: 0 });
+  const connect_timeout_ms = 30;
+  const expected = { sent: 1, asked: 0, refused: 0, connect_timeout_ms };
+  assert.deepEqual(calls, expected);
 });
 
 for (const expires_ms of [undefined, NOW_MS, Infinity]) {
@@ -85,7 +96,9 @@
       await granted.send(ENDPOINT, () => formRequest(), permit),
       LOST,
     );
-    assert.deepEqual(granted.calls, { sent: 1, asked: 1, refused: 0 });
+    const connect_timeout_ms = 100;
+    const expected = { sent: 1, asked: 1, refused: 0, connect_timeout_ms };
+    assert.deepEqual(granted.calls, expected);
     const refused = create({ grants: false });
     assert.deepEqual(
       await refused.send(ENDPOINT, () => formRequest(), permit),
@@ -113,3 +126,21 @@
   assert.deepEqual(await send(ENDPOINT, () => formRequest()), NOT_SENT);
   assert.deepEqual(calls, { sent: 0, asked: 0, refused: 1 });
 });
+
+/** Opens connections that never come about. */
+class PendingAgent extends StrictKeepAliveAgent {
+  override createConnection(): Duplex {
+    const socket = new Socket();
+    Object.defineProperty(socket, "connecting", { value: true });
+    return socket;
+  }
+}
+
+test("a request whose connection opens too late for its permit is not written", async () => {
+  const request = { ...formRequest(), agent: new PendingAgent(1) };
+  const started_ms = performance.now();
+  const result = await sendRequest({ ...request, connect_timeout_ms: 30 });
+  assert.equal(result.kind, ExchangeOutcome.NotSent);
+  const elapsed_ms = performance.now() - started_ms;
+  assert.ok(elapsed_ms >= 25 && elapsed_ms < 300, `${elapsed_ms} ms`);
+});
