--- a/test/reachability/reachability_service.test.ts
+++ b/test/reachability/reachability_service.test.ts
@@ -32,6 +32,7 @@
 /** What the host says that is asked. */
 let answer: (endpoints: AskedEndpoint[]) => Promise<unknown>;
 let probeOf: ((address: string) => Promise<ProbeOutcome>) | undefined;
+let mayProbe: boolean;
 
 beforeEach(async () => {
   stopping = new AbortController();
@@ -42,6 +43,7 @@
   logLines = [];
   probes = [];
   probeOf = undefined;
+  mayProbe = true;
   for (let n = 0; n < 3; n++) {
     const engine = new Engine({ id: `desk-${n}` });
     await engine.start();
@@ -82,6 +84,7 @@
       if (probeOf !== undefined) return probeOf(address);
       return probe(isLinked ? linked.get(address) ?? "" : address);
     },
+    mayProbe: () => Promise.resolve(mayProbe),
     onProbe: (outcome) => probes.push(outcome),
     onLost: () => {},
     log: createLogger({
@@ -210,6 +213,22 @@
   });
 }
 
+test("an endpoint that may not be tried is not, and is tried when it may", async () => {
+  answer = (asked) => Promise.resolve(asked.map(() => null));
+  mayProbe = false;
+  const host = createService(true);
+  const exchange = host.begin(endpoint(0));
+  exchange.recordFailure("ECONNRESET");
+  exchange.end();
+  const asked = { endpoint: incarnationOf(endpoint(1)), since_ago_ms: 0 };
+  assert.deepEqual(await host.answer([asked]), [null]);
+  await sleep(400);
+  assert.deepEqual(probes, []);
+  assert.equal(host.lostCount, 0);
+  mayProbe = true;
+  await waitUntil(() => probes.includes(ProbeOutcome.Reached), 2_000);
+});
+
 test("odd questions and answers do no harm", async () => {
   const odd = [null, "no", [-1], [{}], { ages: [] }];
   answer = () => Promise.resolve(odd.shift());
