--- a/src/evacuations/guarded_sender.ts
+++ b/src/evacuations/guarded_sender.ts
@@ -36,7 +36,7 @@
   send: SendToEndpoint,
   { guard, exchanges, onStopped }: GuardedSenderOptions,
 ): SendToEndpoint {
-  return async (endpoint, formRequest) => {
+  return async (endpoint, formRequest, permit) => {
     if (endpoint === undefined) return await send(endpoint, formRequest);
     if (!guard.isConfirmed) await guard.confirmed();
     if (guard.isEvacuated(endpoint)) {
@@ -44,10 +44,11 @@
       return EVACUATED;
     }
     const end = exchanges.begin(endpoint.availability_zone);
-    const result = await send(endpoint, () => ({
+    const formGuarded = () => ({
       ...formRequest(),
       mayBegin: () => guard.isConfirmed && !guard.isEvacuated(endpoint),
-    }));
+    });
+    const result = await send(endpoint, formGuarded, permit);
     if (result.kind === ExchangeOutcome.ResponseReceived) {
       result.response.body.once("close", end);
     } else end();
--- a/src/forwarding/take_endpoint.ts
+++ b/src/forwarding/take_endpoint.ts
@@ -2,6 +2,7 @@
  * Chooses the endpoint for the next send of a request, within the rates and the
  * pauses that endpoints name.
  */
+import type { SendPermit } from "../rate_limits/rate_limit_service.ts";
 import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 import {
@@ -20,10 +21,8 @@
 const MIN_RAMP_WAIT_MS = 10;
 
 /** A send that may be made, at once or later. */
-export interface ReservedSend {
+export interface ReservedSend extends SendPermit {
   endpoint: RouteEndpoint;
-  /** Earliest time of the send, on the monotonic clock. */
-  at_ms: number;
   /** Whether its endpoint limits its rate and a permit is still to be taken. */
   needsPermit?: boolean;
 }
@@ -31,13 +30,15 @@
 /**
  * Before the stages of a request whose endpoints all limit their rate or pause,
  * takes the send at one of them; false if there is none, or no endpoint, so that
- * no stage runs in vain.
+ * no stage runs in vain. A send to a cold endpoint can't be taken before the
+ * stages, as it lapses; it is enough that one may be permitted now.
  */
 export async function reserveIfLimited(context: RunContext): Promise<boolean> {
-  const { rateLimits, reports } = context.dependencies;
+  const { rateLimits } = context.dependencies;
   const takesAny = context.readyEndpoints()
     .some((endpoint) =>
-      !rateLimits.isLimited(endpoint) && reports.pauseMs(endpoint) === 0
+      rateLimits.limitPerS(endpoint) === undefined &&
+      sendWaitMs(context, endpoint) === 0
     );
   if (takesAny) return true;
   context.reservedSend = await reserveSend(context, new Set());
@@ -58,8 +59,7 @@
   while (context.stopReason === undefined) {
     if (passedOver.size - tried.size >= MAX_PLACE_REQUESTS) return undefined;
     const skipped = skippedEndpoints(context, passedOver, rampsWithoutPlace);
-    const send = context.reservedSend ?? await reserveSend(context, skipped);
-    context.reservedSend = undefined;
+    const send = takeReserved(context) ?? await reserveSend(context, skipped);
     if (send === undefined) {
       const options = { passedOver, placeBy_ms };
       if (!await waitForRamps(context, options)) return undefined;
@@ -73,6 +73,7 @@
     }
     if (context.stopReason !== undefined) return undefined;
     if (!isReady(context, send.endpoint)) continue;
+    context.sendPermit = send;
     if (!places.needsPlace(send.endpoint)) {
       context.holdPlace(places.takeUnbounded(send.endpoint));
       return send.endpoint;
@@ -146,6 +147,14 @@
   return true;
 }
 
+/** Takes the send that was reserved before the stages, unless it has lapsed. */
+function takeReserved(context: RunContext): ReservedSend | undefined {
+  const { reservedSend, dependencies } = context;
+  context.reservedSend = undefined;
+  const expires_ms = reservedSend?.expires_ms ?? -Infinity;
+  return expires_ms > dependencies.now() ? reservedSend : undefined;
+}
+
 /** Takes a place at the endpoint; resolves to whether there was one in time. */
 async function takePlace(
   context: RunContext,
@@ -183,9 +192,14 @@
   if (!needsPermit) return true;
   const { rateLimits } = context.dependencies;
   const { priority } = context.admitted;
-  if (await rateLimits.tryTake(endpoint, priority)) return true;
-  context.releasePlace(false);
-  return false;
+  const waiting = { priority, max_wait_ms: 0 };
+  const permit = await rateLimits.takePermit(endpoint, waiting);
+  if (permit === undefined) {
+    context.releasePlace(false);
+    return false;
+  }
+  context.sendPermit = permit;
+  return true;
 }
 
 /** Takes a send at an endpoint that has not been tried. */
@@ -200,12 +214,17 @@
     if (endpoint === undefined) return await reserveAhead(context, tried);
     const isLimited = rateLimits.isLimited(endpoint);
     // A permit for which there is no place would be lost.
-    if (isLimited && places.isRamping(endpoint)) {
-      return { endpoint, at_ms: now(), needsPermit: true };
+    if (!isLimited || places.isRamping(endpoint)) {
+      return {
+        endpoint,
+        at_ms: now(),
+        expires_ms: Infinity,
+        needsPermit: isLimited,
+      };
     }
-    const mayBeSent = !isLimited ||
-      await rateLimits.tryTake(endpoint, priority);
-    if (mayBeSent) return { endpoint, at_ms: now() };
+    const waiting = { priority, max_wait_ms: 0 };
+    const permit = await rateLimits.takePermit(endpoint, waiting);
+    if (permit !== undefined) return { endpoint, ...permit };
   }
   return undefined;
 }
@@ -228,7 +247,8 @@
     )
     .sort((a, b) => sendWaitMs(context, a) - sendWaitMs(context, b));
   if (endpoint === undefined || max_wait_ms <= 0) return undefined;
-  const wait_ms = await reserveAt(endpoint, context, max_wait_ms);
+  const permit = await reserveAt(endpoint, context, max_wait_ms);
+  const wait_ms = permit && permit.at_ms - now();
   log.info({
     event: "permit",
     attempt: metadata.attempt_id,
@@ -237,29 +257,29 @@
     wait_ms: wait_ms === undefined ? undefined : Math.round(wait_ms),
     granted: wait_ms !== undefined,
   });
-  return wait_ms === undefined
-    ? undefined
-    : { endpoint, at_ms: now() + wait_ms };
+  return permit && { endpoint, ...permit };
 }
 
 /**
- * Takes a later send at an endpoint. Resolves to the time until the send, in
- * milliseconds, or to undefined if there is none in time.
+ * Takes a later send at an endpoint; resolves to undefined if there is none in
+ * time.
  */
 async function reserveAt(
   endpoint: RouteEndpoint,
   { admitted, dependencies }: RunContext,
   max_wait_ms: number,
-): Promise<number | undefined> {
-  const { rateLimits, reports } = dependencies;
+): Promise<SendPermit | undefined> {
+  const { rateLimits, reports, now } = dependencies;
   const pause_ms = reports.pauseMs(endpoint);
   if (pause_ms === 0) {
     const { priority } = admitted;
-    return await rateLimits.reserve(endpoint, { priority, max_wait_ms });
+    return await rateLimits.takePermit(endpoint, { priority, max_wait_ms });
   }
   // A permit can't be asked for ahead for a time that others grant from now on.
   const isInTime = pause_ms <= max_wait_ms && !rateLimits.isLimited(endpoint);
-  return isInTime ? pause_ms : undefined;
+  return isInTime
+    ? { at_ms: now() + pause_ms, expires_ms: Infinity }
+    : undefined;
 }
 
 /** Whether an endpoint still accepts new work, and now. */
--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -45,6 +45,7 @@
 import { EvacuationService } from "../evacuations/evacuation_service.ts";
 import type { Evacuation } from "../evacuations/types.ts";
 import { createRampOptions } from "./ramp_components.ts";
+import { createColdComponents } from "./cold_components.ts";
 import { createReachability } from "./reachability_components.ts";
 import { createStreamOrigins } from "./stream_origin_components.ts";
 
@@ -172,10 +173,33 @@
     signal,
   });
   const load = new ObservedLoad();
+  const cold = createColdComponents({
+    bound: settings.cold_endpoints,
+    // Requests that wait for a connection have no permits.
+    onCold: (address) => agents.failQueued(address),
+    member,
+    members,
+    configuration,
+    endpoints,
+    peers,
+    metrics,
+    log,
+    now,
+    signal,
+  });
+  if (cold !== undefined) {
+    // First, as the others may send to endpoints.
+    endpointListeners.unshift(cold.observeEndpoints);
+    // Before the zone's endpoints are used again.
+    evacuationEndListeners.unshift((zone) =>
+      cold.coldEndpoints.presume(zone, now())
+    );
+  }
   const rateLimits = new RateLimitService({
     self,
     hosts: () => members.addresses(),
     peers,
+    cold: cold?.coldSends,
     log,
     now,
   });
@@ -227,6 +251,7 @@
     peers,
     load,
     metrics,
+    rateLimits,
     log,
     now,
     random,
@@ -240,6 +265,7 @@
     rateLimits,
     places,
     endpoints,
+    coldEndpoints: cold?.coldEndpoints,
     onPause(address) {
       metrics.endpointPauses.inc();
       agents.failQueued(address);
@@ -265,21 +291,25 @@
     readerCount: settings.object_store.readers,
     now,
   });
+  const feeds = createRelayedFeeds(feedsOf(store, settings), {
+    feedClients,
+    readers,
+    self,
+    silence_ms: settings.object_store.silence_ms,
+    in_force_ms: settings.evacuations?.in_force_ms,
+    mustListEvacuations: () => evacuations?.mustAskStore === true,
+    onSilence(silent) {
+      for (const feed of Object.values(FeedName)) {
+        if (feed !== silent) syncOptions.progress[feed]?.doubtConnection();
+      }
+    },
+    log,
+  });
   const syncOptions: StoreSyncOptions = {
-    feeds: createRelayedFeeds(feedsOf(store, settings), {
-      feedClients,
-      readers,
-      self,
-      silence_ms: settings.object_store.silence_ms,
-      in_force_ms: settings.evacuations?.in_force_ms,
-      mustListEvacuations: () => evacuations?.mustAskStore === true,
-      onSilence(silent) {
-        for (const feed of Object.values(FeedName)) {
-          if (feed !== silent) syncOptions.progress[feed]?.doubtConnection();
-        }
-      },
-      log,
-    }),
+    feeds: {
+      ...feeds,
+      gateways: cold?.confirmHosts(feeds.gateways, readers) ?? feeds.gateways,
+    },
     watchCaches: {
       configuration: new WatchCache(),
       endpoints: new WatchCache(),
@@ -351,6 +381,7 @@
     store,
     quarantine,
     rateLimits,
+    cold,
     places,
     load,
     requestLimits,
--- a/src/gateway/reachability_components.ts
+++ b/src/gateway/reachability_components.ts
@@ -1,4 +1,5 @@
 /** What a gateway host knows of its ways to endpoints, and how it sends to them. */
+import { createColdSender, takePermit } from "../cold_endpoints/cold_sender.ts";
 import { EndpointAgents } from "../endpoints/endpoint_agents.ts";
 import type { ProtocolCodec } from "../forwarding/protocol_codec.ts";
 import type { Logger } from "../logging/logger.ts";
@@ -18,6 +19,7 @@
   createEndpointSender,
   type SendToEndpoint,
 } from "../relaying/endpoint_sender.ts";
+import type { RateLimitService } from "../rate_limits/rate_limit_service.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 import type { ObservedLoad } from "../routing/observed_load.ts";
 import type { EndpointRegistry } from "../store_sync/endpoint_registry.ts";
@@ -41,6 +43,7 @@
   now: () => number;
   random: () => number;
   signal: AbortSignal;
+  rateLimits: RateLimitService;
 }
 
 /**
@@ -53,7 +56,7 @@
 export function createReachability(dependencies: ReachabilityDependencies) {
   const { codec, translateAddress, members, endpoints, load, metrics, now } =
     dependencies;
-  const { evacuations } = dependencies;
+  const { evacuations, rateLimits } = dependencies;
   const lossListeners: ((endpoint: RouteEndpoint) => void)[] = [];
   const carriers = new CarrierConnections();
   const reachability = new ReachabilityService({
@@ -63,11 +66,14 @@
     carriedInFlight: (address) => carriers.inFlight(address),
     readyIn: (pool) => endpoints.readyInPool(pool, now()),
     endpointAt: (address) => endpoints.findByAddress(address),
-    ...(evacuations && {
-      mayProbe: (endpoint: RouteEndpoint) =>
-        evacuations.isConfirmed && !endpoints.isEvacuated(endpoint, now()),
-    }),
     probe: createProbeReach(codec, translateAddress),
+    async mayProbe(endpoint) {
+      const isOpen = evacuations === undefined ||
+        evacuations.isConfirmed && !endpoints.isEvacuated(endpoint, now());
+      if (!isOpen) return false;
+      return !rateLimits.isCold(endpoint) ||
+        await takePermit(endpoint, rateLimits) !== undefined;
+    },
     onProbe: (outcome) => metrics.reachProbes.inc({ outcome }),
     onLost(endpoint) {
       load.forEndpoint(endpoint).forgetFailures();
@@ -75,11 +81,18 @@
     },
   });
   metrics.exportLostEndpoints(reachability);
-  const send = createEndpointSender({
-    routes: reachability,
-    carriers,
-    onCarried: (outcome) =>
-      metrics.carriedExchanges.inc({ side: CarriedSide.Sender, outcome }),
+  const send = createColdSender({
+    send: createEndpointSender({
+      routes: reachability,
+      carriers,
+      mayBeCarried: (endpoint) => !rateLimits.isCold(endpoint),
+      onCarried: (outcome) =>
+        metrics.carriedExchanges.inc({ side: CarriedSide.Sender, outcome }),
+    }),
+    rateLimits,
+    isReached: (endpoint) =>
+      reachability.carrierFor(endpoint, { avoid: new Set() }) === undefined,
+    now,
   });
   return {
     reachability,
--- a/src/gateway/relaying_components.ts
+++ b/src/gateway/relaying_components.ts
@@ -21,6 +21,7 @@
       return evacuations !== undefined &&
         (!evacuations.isConfirmed || endpoints.isEvacuated(endpoint, now()));
     },
+    isCold: (endpoint) => context.rateLimits.isCold(endpoint),
     isShuttingDown: () => lifecycle.isShuttingDown,
     onResult: (outcome) =>
       metrics.carriedExchanges.inc({ side: CarriedSide.Carrier, outcome }),
--- a/src/gateway_wiring.ts
+++ b/src/gateway_wiring.ts
@@ -80,6 +80,7 @@
 
   function drain(): void {
     if (!context.lifecycle.handle(HostLifecycleEvent.Drain)) return;
+    context.cold?.shutDown();
     batching.batcher.drain();
     void drainGateway({
       lifecycle: context.lifecycle,
@@ -123,6 +124,7 @@
     void runStoreSync(context.syncOptions);
     void context.reachability.run();
     void context.ownEntry.announce();
+    void context.cold?.run();
     void context.storedVersions.run();
     void context.storedOrigins.run();
   }
--- a/src/reachability/reachability_service.ts
+++ b/src/reachability/reachability_service.ts
@@ -37,9 +37,9 @@
   /** The endpoint at an address; undefined if it is unknown. */
   endpointAt: (address: string) => RouteEndpoint | undefined;
   peers: ReachabilityPeers;
-  /** Whether an endpoint may get an attempt now; always by default. */
-  mayProbe?: (endpoint: RouteEndpoint) => boolean;
   probe: ProbeReach;
+  /** Resolves to whether an endpoint may be tried now; always if absent. */
+  mayProbe?: (endpoint: RouteEndpoint) => Promise<boolean>;
   /** Called with what came of each attempt. */
   onProbe: (outcome: ProbeOutcome) => void;
   log: Logger;
@@ -186,7 +186,6 @@
     const reached_ms = this.#endpoints.reachedMs(endpoint) ?? -Infinity;
     if (reached_ms >= since_ms) return Math.round(now() - reached_ms);
     if (this.#endpoints.isOutOfReach(endpoint, now())) return null;
-    if (this.#options.mayProbe?.(endpoint) === false) return null;
     const outcome = await Promise.race([
       this.#probeForOthers(endpoint),
       abortableDelay(ANSWER_WITHIN_MS, signal),
@@ -204,10 +203,15 @@
     if (this.#probesForOthers.size >= MAX_PROBES_FOR_OTHERS) {
       return Promise.resolve(ProbeOutcome.Silent);
     }
-    const started = probe(endpoint.address).then((outcome) => {
+    const started = this.#mayProbe(endpoint).then(async (mayProbe) => {
+      // An endpoint that may not be tried has told nothing.
+      if (!mayProbe) return ProbeOutcome.Silent;
+      const outcome = await probe(endpoint.address);
       onProbe(outcome);
       this.#endpoints.recordAttempt(endpoint, outcome, now());
       this.#stepSoon();
+      return outcome;
+    }).then((outcome) => {
       const lifetime_ms = outcome === ProbeOutcome.Reached
         ? 0
         : FAILED_PROBE_LIFETIME_MS;
@@ -239,11 +243,8 @@
   #step(): void {
     const { now, otherHosts, signal } = this.#options;
     if (signal.aborted) return;
-    const { mayProbe } = this.#options;
     for (const endpoint of this.#endpoints.takeProbes(now())) {
-      if (mayProbe?.(endpoint) === false) {
-        this.#endpoints.recordInterrupted(endpoint, now());
-      } else void this.#probe(endpoint);
+      void this.#probe(endpoint);
     }
     const question = this.#endpoints.takeQuestion(otherHosts, now());
     if (question === undefined) return;
@@ -252,8 +253,15 @@
     }
   }
 
+  async #mayProbe(endpoint: RouteEndpoint): Promise<boolean> {
+    return await this.#options.mayProbe?.(endpoint) ?? true;
+  }
+
   async #probe(endpoint: RouteEndpoint): Promise<void> {
     const { probe, now, onProbe } = this.#options;
+    if (!await this.#mayProbe(endpoint)) {
+      return this.#endpoints.recordInterrupted(endpoint, now());
+    }
     const started_ms = now();
     const outcome = await probe(endpoint.address);
     onProbe(outcome);
--- a/src/relaying/exchange_carrier.ts
+++ b/src/relaying/exchange_carrier.ts
@@ -55,6 +55,8 @@
   reports: Pick<EndpointReports, "record" | "pauseMs">;
   /** Whether nothing may be sent to an endpoint, as its zone is evacuated. */
   isEvacuated?: (endpoint: RouteEndpoint) => boolean;
+  /** Whether the endpoint is cold, and takes requests directly only. */
+  isCold?: (endpoint: RouteEndpoint) => boolean;
   /** Whether this host takes no more work. */
   isShuttingDown: () => boolean;
   /** Limits of all bodies of requests that this host holds. */
@@ -202,7 +204,7 @@
 
   /** Why an exchange with an endpoint is not carried now; undefined if it is. */
   #refusalFor(endpoint: RouteEndpoint): CarrierRefusal | undefined {
-    const { routes, reports, isShuttingDown } = this.#options;
+    const { routes, reports, isCold, isShuttingDown } = this.#options;
     if (isShuttingDown()) return CarrierRefusal.CarrierDrains;
     if (this.#active > MAX_EXCHANGES) return CarrierRefusal.CarrierFull;
     // Senders of an earlier release know no reason of its own for an evacuation.
@@ -213,6 +215,8 @@
       return CarrierRefusal.EndpointLeaves;
     }
     if (reports.pauseMs(endpoint) > 0) return CarrierRefusal.EndpointPauses;
+    // Its sender may not know that it is cold, and may have no permit.
+    if (isCold?.(endpoint) === true) return CarrierRefusal.EndpointPauses;
     if (routes.isOutOfReach(endpoint)) return CarrierRefusal.OutOfReach;
     return undefined;
   }
--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -55,6 +55,10 @@
   service_changes?: Partial<Record<Service, object>>;
   /** `ramp_up.enabled` of the gateway hosts. */
   ramp_up?: boolean | undefined;
+  /** Requests a second that cold engines of all services tolerate. */
+  cold_per_s?: number;
+  /** `cold_endpoints` of the gateway hosts. */
+  cold_endpoints?: { over: number; slack: number };
 }
 
 /** Services of the deployment. */
@@ -220,6 +224,7 @@
           ? undefined
           : { in_force_ms: this.#options.in_force_ms },
         repeats: { ratio: 0.2, slack: 50, window_s: 10 },
+        cold_endpoints: this.#options.cold_endpoints,
         drain: { timeout_s: this.#options.drain_timeout_s ?? 8 },
         ramp_up: { enabled: this.#options.ramp_up },
       }),
@@ -294,6 +299,7 @@
     timeout_ms = 2_000,
     target_latency_ms = 300,
     service_changes = {},
+    cold_per_s,
   }: GatewayFleetOptions,
 ): Record<string, unknown> {
   const pieces = {
@@ -312,6 +318,7 @@
     max_connections,
     protocol: "h1",
     tls: false,
+    cold_per_s,
     ...extra,
     ...service_changes[name],
   });
--- a/test/relaying/carried_exchanges.ts
+++ b/test/relaying/carried_exchanges.ts
@@ -79,6 +79,8 @@
   reports: { report: EndpointReport; sent_ms: number | undefined }[];
   /** Time for which the endpoint wants none of its requests. */
   pause_ms: number;
+  /** Whether the endpoint is cold. */
+  isCold: boolean;
   isShuttingDown: boolean;
   /** Closes all its connections, as when its process ends. */
   kill: () => void;
@@ -106,6 +108,7 @@
     address: "",
     reports: [],
     pause_ms: 0,
+    isCold: false,
     isShuttingDown: false,
     carrier: new ExchangeCarrier({
       codec: deploymentCodec,
@@ -120,6 +123,7 @@
         pauseMs: () => host.pause_ms,
       },
       ...(isEvacuated && { isEvacuated }),
+      isCold: () => host.isCold,
       isShuttingDown: () => host.isShuttingDown,
       requestLimits: limits(),
       responseLimits: limits(),
@@ -145,7 +149,11 @@
 }
 
 /** A host that sends through the given routes. */
-export function createSender(t: TestContext, routes: EndpointRoutes) {
+export function createSender(
+  t: TestContext,
+  routes: EndpointRoutes,
+  options: { mayBeCarried?: (endpoint: RouteEndpoint) => boolean } = {},
+) {
   const carriers = new CarrierConnections();
   const agents = new EndpointAgents(() => 1);
   t.after(() => {
@@ -156,6 +164,7 @@
   const send = createEndpointSender({
     routes,
     carriers,
+    ...options,
     onCarried: (result) => results.push(result),
   });
   return {
--- a/test/settings/gateway_settings.test.ts
+++ b/test/settings/gateway_settings.test.ts
@@ -55,6 +55,8 @@
     .replaceAll(/\{\{(bind\.\w+|platform\.address)\}\}/g, "10.0.0.1:80")
     .replaceAll("{{ip}}", "10.0.0.1")
     .replaceAll("{{limits.cpu_share}}", "0.5")
+    .replaceAll("{{timing_bounds.cold_over}}", "1.5")
+    .replaceAll("{{timing_bounds.cold_slack}}", "5")
     .replaceAll(/\{\{(node_name|zone)\}\}/g, "text")
     .replaceAll(/\{\{[^}]+\}\}/g, "2");
   const checked = checkGatewaySettings("template", filled);
@@ -71,3 +73,23 @@
 test("the deployment template sets no evacuations without their bound", () => {
   assert.equal(checkTemplate({ sections: false }).evacuations, undefined);
 });
+
+test("the deployment template bounds cold endpoints where there is a bound", () => {
+  assert.deepEqual(checkTemplate({ sections: true }).cold_endpoints, {
+    over: 1.5,
+    slack: 5,
+  });
+  assert.equal(checkTemplate({ sections: false }).cold_endpoints, undefined);
+});
+
+test("a block for cold endpoints without values gets the defaults", () => {
+  const text = `${REQUIRED_SETTINGS}cold_endpoints: {}\n`;
+  const checked = checkGatewaySettings("gateway.yaml", text);
+  assert.ok(checked.ok);
+  assert.deepEqual(checked.value.cold_endpoints, { over: 1.5, slack: 5 });
+});
+
+test("a bound for cold endpoints below 0 is reported", () => {
+  const text = `${REQUIRED_SETTINGS}cold_endpoints: { over: -1 }\n`;
+  assert.ok(!checkGatewaySettings("gateway.yaml", text).ok);
+});
