--- a/test/forwarding/take_ramping_endpoint.test.ts
+++ b/test/forwarding/take_ramping_endpoint.test.ts
@@ -102,12 +102,13 @@
       rateLimits: {
         isLimited: ({ id }: RouteEndpoint) => permits[id] !== undefined,
         waitMs: ({ id }: RouteEndpoint) => permits[id] === 0 ? 50 : 0,
-        tryTake({ id }: RouteEndpoint) {
+        takePermit({ id }: RouteEndpoint) {
           const left = permits[id] ?? 0;
           permits[id] = Math.max(0, left - 1);
-          return Promise.resolve(left > 0);
+          const at_ms = performance.now();
+          const permit = { at_ms, expires_ms: Infinity };
+          return Promise.resolve(left > 0 ? permit : undefined);
         },
-        reserve: () => Promise.resolve(0),
       },
     },
   } as unknown as RunContext;
