Ramp-up: no more than a third of a pool recovers at a time

Cause: if most of a pool is late since it has too much to do, a ramp-up of each endpoint would refuse requests that these would take. Change: the issuer withholds a recovery while a third of the pool recovers, with a log line; incarnations that are still in use are not forgotten. Figures: 9 failing endpoints, 3 in ramp-up (test/endpoint_places/ramp_faults.test.ts).

--- a/src/endpoint_places/endpoint_ramps.ts
+++ b/src/endpoint_places/endpoint_ramps.ts
@@ -55,6 +55,12 @@
  * another one for the ramp-ups, which may have begun before.
  */
 const ASK_AFTER_MS = [500, 3_000];
+/**
+ * Share of a pool's endpoints that may recover at a time. If more are in trouble,
+ * it is the pool that has too much to do, and to take endpoints from it would
+ * refuse requests.
+ */
+const MAX_RECOVERING_SHARE = 1 / 3;
 
 /** The ramp-ups that a host knows of. */
 export class EndpointRamps {
@@ -166,15 +172,17 @@
    * the endpoint is in ramp-up if it has begun to fail.
    */
   recordTroubles({ endpoint: incarnation, released }: PlaceReport): void {
-    const { ramps, now } = this.#options;
+    const { ramps, log, now } = this.#options;
     const count = released.filter((each) => TROUBLES.has(each.outcome)).length;
     if (ramps === undefined || count === 0) return;
     const endpoint = this.#endpointOf(incarnation);
     if (endpoint === undefined || !ramps.isOn(endpoint.pool)) return;
     const expected_per_s = this.#expectedPerS(endpoint.pool);
-    if (this.#watch.record(incarnation, { count, expected_per_s }, now())) {
-      ramps.tellHosts(endpoint, RampReason.Recovery);
-    }
+    const troubles = { count, expected_per_s };
+    if (!this.#watch.record(incarnation, troubles, now())) return;
+    if (this.#isPoolInTrouble(endpoint.pool)) {
+      log.info({ event: "ramp_withheld", endpoint: incarnation });
+    } else ramps.tellHosts(endpoint, RampReason.Recovery);
   }
 
   /** The ramp-ups, for a host that has just started. */
@@ -191,6 +199,19 @@
     this.#known.forgetOld(this.#options.now());
   }
 
+  /** Whether as many endpoints of a pool recover as may at a time. */
+  #isPoolInTrouble(pool: string): boolean {
+    const { ramps, now } = this.#options;
+    const endpoints = ramps?.allEndpoints()
+      .filter((each) => each.pool === pool) ?? [];
+    const recovering = endpoints.filter((each) =>
+      this.#known.find(incarnationOf(each), now())?.reason ===
+        RampReason.Recovery
+    );
+    const max = Math.max(1, MAX_RECOVERING_SHARE * endpoints.length);
+    return recovering.length + 1 > max;
+  }
+
   /** Requests a second that an endpoint is expected to get from all hosts. */
   #expectedPerS(pool: string): number {
     const { ramps, hosts, now } = this.#options;
--- a/src/endpoint_places/endpoint_starts.ts
+++ b/src/endpoint_places/endpoint_starts.ts
@@ -24,10 +24,11 @@
     const started: RouteEndpoint[] = [];
     for (const endpoint of endpoints) {
       const incarnation = incarnationOf(endpoint);
-      if (this.#known.has(incarnation)) continue;
+      // The incarnation that was seen last stands last in the set.
+      const isKnown = this.#known.delete(incarnation);
       this.#known.add(incarnation);
       dropOldest(this.#known, MAX_INCARNATIONS);
-      if (!isFirst) started.push(endpoint);
+      if (!isKnown && !isFirst) started.push(endpoint);
     }
     return started;
   }
--- a/test/endpoint_places/ramp_faults.test.ts
+++ b/test/endpoint_places/ramp_faults.test.ts
@@ -182,6 +182,20 @@
   assert.equal(hostsInRamp(fleet), 0);
 });
 
+test("no more than a third of a pool recovers at a time", async (t) => {
+  const fleet = new RampedFleet(t, HOSTS);
+  const endpoints = Array.from({ length: 9 }, (_, n) => endpointOf(`e${n}`));
+  fleet.feed(endpoints);
+  const model = { serve: () => ({ elapsed_ms: 5, failed: true }) };
+  for (const endpoint of endpoints) {
+    await fleet.load(endpoint, { per_s: 100, for_ms: 300, model });
+  }
+  const [host = ""] = fleet.hosts;
+  const recovering = endpoints
+    .filter((endpoint) => fleet.host(host).isRamping(endpoint));
+  assert.equal(recovering.length, 3);
+});
+
 test("a ramp-up without demand ends at the issuer, then at the hosts", async (t) => {
   const fleet = await startFleet(t);
   await fleet.load(ENDPOINT, { ...DEMAND, per_s: 20, for_ms: 400 });
