Ramp-up: test that a real host that starts is told of the ramp-ups

Cause: the question of a host that starts was tested without its messages only. Change: a fifth host starts while an endpoint is in ramp-up.

--- a/test/endpoint_places/ramp_of_real_hosts.test.ts
+++ b/test/endpoint_places/ramp_of_real_hosts.test.ts
@@ -129,6 +129,20 @@
   assert.ok(used >= 50, `${used} requests after it recovered`);
 });
 
+test("a host that starts meanwhile is told of the ramp-up, and ramps nothing else", async () => {
+  const [engine] = await startFleet({ cold_start_s: COLD_START_S });
+  assert.ok(engine !== undefined);
+  await restartSilent(engine);
+  await waitUntil(() => lines("event=ramp_known").length >= GATEWAYS);
+  const { logLines } = await fleet.startGateway(GATEWAYS + 1);
+  const known = () =>
+    logLines.filter((line) => line.includes("event=ramp_known"));
+  await waitUntil(() => known().length > 0, 8_000);
+  const [line = ""] = known();
+  assert.equal(known().length, 1);
+  assert.match(line, /endpoint=desk-0\/\d+\/\S+ reason=start/);
+});
+
 for (
   const { title, options } of [
     { title: "pools without cold start", options: {} },
