A reader that alone has lost the store tries it again after 3 s, then 6 s

It keeps the pauses that it had until then; another host that has lost the store is asked again after 1 s as before.

The new test of its attempts failed before (1 of 1: 0, 1,000, 2,000 ... in place of 0, 3,000, 9,000, 15,000 ms).

--- a/src/membership/store_readers.ts
+++ b/src/membership/store_readers.ts
@@ -4,7 +4,11 @@
 const INITIAL_EXCLUSION_MS = 3_000;
 const MAX_EXCLUSION_MS = 6_000;
 
-/** A host that responds but has lost the store is asked again after this time. */
+/**
+ * Another host that responds but has lost the store is asked again after this time,
+ * which costs little. This host tries the store again after the longer times above,
+ * as it hears nothing meanwhile.
+ */
 const LOST_SOURCE_MS = 1_000;
 /** First and longest pause of a follower before it tries the store itself. */
 const INITIAL_STORE_PAUSE_MS = 500;
@@ -53,8 +57,8 @@
  */
 export class StoreReaders {
   #excluded = new Map<string, Exclusion>();
-  /** Until when a host that has lost the store is passed over. */
-  #lostUntil_ms = new Map<string, number>();
+  /** Hosts that have lost the store, and until when they are passed over. */
+  #lost = new Map<string, Exclusion>();
   #storeAttempts: StoreAttempts | undefined;
   /** Cached ranking; `hosts` is the joined list that it was computed for. */
   #ranked: { hosts: string; order: string[] } = { hosts: "", order: [] };
@@ -134,13 +138,16 @@
    * host can be one. Returns whether this was not known.
    */
   markSourceLost(address: string): boolean {
-    const { now, self } = this.#options;
-    if (address === self && this.#storeAttempts !== undefined) {
+    const isSelf = address === this.#options.self;
+    if (isSelf && this.#storeAttempts !== undefined) {
       this.#storeAttempts.succeeded = false;
     }
-    const isNew = !this.#lostUntil_ms.has(address);
-    this.#lostUntil_ms.set(address, now() + LOST_SOURCE_MS);
-    return isNew;
+    const now_ms = this.#options.now();
+    const previous = this.#lost.get(address);
+    if (previous !== undefined && previous.until_ms > now_ms) return false;
+    const duration_ms = isSelf ? nextExclusionMs(previous) : LOST_SOURCE_MS;
+    this.#lost.set(address, { until_ms: now_ms + duration_ms, duration_ms });
+    return previous === undefined;
   }
 
   /** Excludes a host for a while; this host can be excluded too. */
@@ -148,9 +155,7 @@
     const now_ms = this.#options.now();
     const previous = this.#excluded.get(address);
     if (previous !== undefined && previous.until_ms > now_ms) return;
-    const duration_ms = previous === undefined
-      ? INITIAL_EXCLUSION_MS
-      : Math.min(MAX_EXCLUSION_MS, previous.duration_ms * 2);
+    const duration_ms = nextExclusionMs(previous);
     this.#excluded.set(address, {
       until_ms: now_ms + duration_ms,
       duration_ms,
@@ -160,7 +165,7 @@
   /** Ends the exclusion of a host that told what the store has. */
   markResponsive(address: string): void {
     this.#excluded.delete(address);
-    this.#lostUntil_ms.delete(address);
+    this.#lost.delete(address);
     if (address !== this.#options.self) this.#storeAttempts = undefined;
     else if (this.#storeAttempts !== undefined) {
       this.#storeAttempts.succeeded = true;
@@ -180,7 +185,7 @@
   #connected(readers: readonly string[]): string[] {
     const now_ms = this.#options.now();
     return readers.filter((address) =>
-      (this.#lostUntil_ms.get(address) ?? 0) <= now_ms
+      (this.#lost.get(address)?.until_ms ?? 0) <= now_ms
     );
   }
 
@@ -197,3 +202,9 @@
     return this.#ranked.order;
   }
 }
+
+function nextExclusionMs(previous: Exclusion | undefined): number {
+  return previous === undefined
+    ? INITIAL_EXCLUSION_MS
+    : Math.min(MAX_EXCLUSION_MS, previous.duration_ms * 2);
+}
--- a/test/membership/store_readers.test.ts
+++ b/test/membership/store_readers.test.ts
@@ -93,6 +93,7 @@
     readers.markSourceLost(follower);
   }
   assert.deepEqual(attempts_ms, [500, 1_500, 3_500, 7_500, 11_500]);
+  for (const host of reading) readers.markSourceLost(host);
   readers.markResponsive(follower);
   assert.equal(readers.selfIsReader, true);
   readers.markSourceLost(follower);
@@ -109,3 +110,16 @@
   for (const host of reading) readers.markSourceLost(host);
   assert.equal(readers.selfIsReader, true);
 });
+
+test("a reader that alone has lost the store tries it again after 3 s, then 6 s", () => {
+  const clock = { now_ms: 0 };
+  const self = HOSTS.find((host) => readersAt(host).selfIsReader) ?? "";
+  const readers = readersAt(self, HOSTS, clock);
+  const tries_ms: number[] = [];
+  for (; clock.now_ms < 20_000; clock.now_ms += 100) {
+    if (!readers.selfIsReader) continue;
+    tries_ms.push(clock.now_ms);
+    readers.markSourceLost(self);
+  }
+  assert.deepEqual(tries_ms, [0, 3_000, 9_000, 15_000]);
+});
