--- a/src/peers/feed_stream_client.ts
+++ b/src/peers/feed_stream_client.ts
@@ -35,8 +35,6 @@
 const MAX_LINE_BYTES = 16_777_216;
 
 const HTTP_OK = 200;
-const HTTP_UNAVAILABLE = 503;
-const REFUSED = "refused";
 
 /** Options of {@linkcode FeedStreamClients}. */
 export interface FeedStreamClientsOptions {
@@ -67,18 +65,15 @@
     const { now } = this.#options;
     return {
       list: async (address, oldest) => {
-        const client = await this.#openClient(address, feed);
-        const cache = client.cacheOf(feed);
+        const cache = await this.#openCache(address, feed);
         if (cache === undefined) return NOT_KNOWN;
-        return client.explain(cache.list(oldest, now()) as FeedResult<T>);
+        return cache.list(oldest, now()) as FeedResult<T>;
       },
       watch: async (address, position, wait_ms) => {
-        const client = await this.#openClient(address, feed);
-        const cache = client.cacheOf(feed);
+        const cache = await this.#openCache(address, feed);
         if (cache === undefined) return NOT_KNOWN;
         await cache.waitForChanges(position, wait_ms);
-        const result = cache.changesSince(position, now());
-        return client.explain(result as FeedResult<T>);
+        return cache.changesSince(position, now()) as FeedResult<T>;
       },
     };
   }
@@ -89,11 +84,14 @@
     this.#clients.clear();
   }
 
-  /** Opens the stream if necessary and waits for its first result. */
-  async #openClient(
+  /**
+   * Opens the stream if necessary and waits for its first result; undefined if the
+   * host doesn't know the feed.
+   */
+  async #openCache(
     address: string,
     feed: FeedName,
-  ): Promise<FeedStreamClient> {
+  ): Promise<WatchCache<unknown> | undefined> {
     const now_ms = this.#options.now();
     this.#closeUnused(now_ms);
     let client = this.#clients.get(address);
@@ -102,8 +100,9 @@
       this.#clients.set(address, client);
     }
     client.last_used_ms = now_ms;
-    await client.caches[feed]?.waitForFirstUpdate(FIRST_RESULT_TIMEOUT_MS);
-    return client;
+    const cache: WatchCache<unknown> | undefined = client.caches[feed];
+    await cache?.waitForFirstUpdate(FIRST_RESULT_TIMEOUT_MS);
+    return client.isKnown(feed) ? cache : undefined;
   }
 
   #closeUnused(now_ms: number): void {
@@ -128,8 +127,6 @@
   };
   last_used_ms = 0;
   closed = false;
-  /** Whether the host refused or ended the stream, as it has lost the store. */
-  #lostSource = false;
   #address: string;
   #splitter = new RecordSplitter(["\n"]);
   #silenceTimer: NodeJS.Timeout;
@@ -159,9 +156,9 @@
     this.#request.end();
   }
 
-  /** The cache of a feed; undefined if the host has said that it lacks the feed. */
-  cacheOf(feed: FeedName): WatchCache<unknown> | undefined {
-    return this.#unknown.has(feed) ? undefined : this.caches[feed];
+  /** Whether the host has a feed, as far as it has said so. */
+  isKnown(feed: FeedName): boolean {
+    return !this.#unknown.has(feed);
   }
 
   #markUnknown(feed: FeedName): void {
@@ -179,8 +176,6 @@
     for (const cache of Object.values(this.caches)) {
       cache.markSourceUnavailable();
     }
-    // The failure of the reader is logged by the feed that asked it.
-    if (reason === REFUSED) return;
     this.#options.log.info({
       event: "stream_closed",
       peer: this.#address,
@@ -188,24 +183,9 @@
     });
   }
 
-  /** Adds to an unavailable result that the host has lost the store. */
-  explain<T>(result: FeedResult<T>): FeedResult<T> {
-    return result.kind === FeedResultKind.Unavailable && this.#lostSource
-      ? { ...result, lostSource: true }
-      : result;
-  }
-
   #read(response: IncomingMessage): void {
     response.on("error", (error) => this.close(error.message));
-    response.on("end", () => {
-      this.#lostSource = true;
-      this.close("ended");
-    });
-    response.on("close", () => this.close("closed"));
-    if (response.statusCode === HTTP_UNAVAILABLE) {
-      this.#lostSource = true;
-      return this.close(REFUSED);
-    }
+    response.on("close", () => this.close("ended"));
     if (response.statusCode !== HTTP_OK) {
       return this.close(`status ${response.statusCode}`);
     }
--- a/src/store_sync/relayed_feed.ts
+++ b/src/store_sync/relayed_feed.ts
@@ -174,16 +174,14 @@
     attempt < MAX_ATTEMPTS_PER_READ && !signal.aborted;
     attempt++
   ) {
-    const readsStore = readers.selfIsReader ||
-      (!storeFailed && readers.takeStoreAttempt());
-    if (readsStore) {
+    if (readers.selfIsReader) {
       if (storeFailed) break;
       const result = await fromStore();
       if (signal.aborted || result.kind !== FeedResultKind.Unavailable) {
         recordResponse(self, options);
         return result;
       }
-      recordFailure(self, { ...result, lostSource: true }, options);
+      recordFailure(self, result.reason, options);
       storeFailed = true;
       continue;
     }
@@ -215,10 +213,11 @@
   const call = async (address: string) => {
     const result = await callPeer(() => fromPeer(address));
     if (result.kind === FeedResultKind.Unavailable) {
+      const { reason } = result;
       isUnknown ||= result.isUnknown === true;
       isBehind ||= result.isBehind === true;
-      if (result.isUnknown !== true) recordFailure(address, result, options);
-      throw new Error(result.reason);
+      if (result.isUnknown !== true) recordFailure(address, reason, options);
+      throw new Error(reason);
     }
     recordResponse(address, options);
     return result;
@@ -249,14 +248,11 @@
   if (isOptional !== true) readers.markResponsive(address);
 }
 
-/** A host that has lost the store is logged once until it has it again. */
 function recordFailure<T>(
   address: string,
-  { reason, lostSource }: { reason: string; lostSource?: boolean },
+  reason: string,
   { readers, log, name, isOptional }: RelayedFeedOptions<T>,
 ): void {
-  if (lostSource === true) {
-    if (isOptional === true || !readers.markSourceLost(address)) return;
-  } else if (isOptional !== true) readers.markFailed(address);
+  if (isOptional !== true) readers.markFailed(address);
   log.info({ event: "reader_failed", source: name, reader: address, reason });
 }
