--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -46,7 +46,6 @@
   const { load, now, metrics, agents, serviceTimes } = context.dependencies;
   const endpointLoad = load.forEndpoint(endpoint);
   const started_ms = now();
-  const usual_ms = load.firstByteMs(endpoint.pool);
   const { progress } = context.inbound;
   const mayHaveRunBefore = progress.mayHaveRun;
   endpointLoad.in_flight += 1;
@@ -63,12 +62,15 @@
       sent_ms: started_ms,
       inputs,
       onResponse: () => clearTimeout(sendTimer),
-      onStreamBegun: () =>
-        context.beginAtPlace(outcomeOfAnswer(now() - started_ms, usual_ms)),
+      onStreamBegun() {
+        const usual_ms = load.firstByteMs(endpoint.pool);
+        context.beginAtPlace(outcomeOfAnswer(now() - started_ms, usual_ms));
+      },
     });
     const result = hasWayFailed(context, endpoint, { completed, exchange })
       ? { ...completed, observedOutcome: ObservedOutcome.Unreachable }
       : completed;
+    const usual_ms = load.firstByteMs(endpoint.pool);
     progress.mayHaveRun = mayHaveRunBefore || !isNotRun(result.outcome);
     endpointLoad.recordOutcome(result.observedOutcome, now());
     if (result.observedOutcome === ObservedOutcome.Success) {
