Ramp-up: late is judged by the route, and an unused ramp-up is forgotten after 10 s

A pool's usual time to the first byte is a mean over kinds of request of very different sizes, so that the large ones counted as late; and endpoints that had started with the fleet were still in ramp-up at the first requests 12 s later. Change: a response is late against its route's usual time; a ramp-up that no issuer confirms ends after 10 s.

--- a/src/endpoint_places/known_ramps.ts
+++ b/src/endpoint_places/known_ramps.ts
@@ -19,8 +19,11 @@
   aloneUntil_ms: number;
 }
 
-/** Time after which a ramp-up that no issuer confirms is forgotten. */
-const LIFETIME_MS = 30_000;
+/**
+ * Time after which a ramp-up that no issuer confirms is forgotten; an endpoint
+ * that has been idle for so long after its start is ready for its full load.
+ */
+const LIFETIME_MS = 10_000;
 /** Calls without a reply after which a host bounds its requests itself. */
 const MIN_UNANSWERED = 2;
 /** Calls that are given up within this time count as one. */
--- a/src/forwarding/place_outcome.ts
+++ b/src/forwarding/place_outcome.ts
@@ -4,7 +4,7 @@
 import { PlaceOutcome } from "../endpoint_places/types.ts";
 
 /**
- * A response is late from so many times its pool's usual time to the first byte.
+ * A response is late from so many times its route's usual time to the first byte.
  * Servers that share their machines are 2.5 times slower at times.
  */
 const LATE_FACTOR = 3;
@@ -16,7 +16,7 @@
   result: SendResult,
   { sent_ms, usual_ms }: {
     sent_ms: number;
-    /** The pool's usual time to the first byte; 0 if it isn't known. */
+    /** The route's usual time to the first byte; 0 if it isn't known. */
     usual_ms: number;
   },
 ): PlaceOutcome | undefined {
--- a/src/forwarding/send_once.ts
+++ b/src/forwarding/send_once.ts
@@ -47,6 +47,7 @@
   const endpointLoad = load.forEndpoint(endpoint);
   const started_ms = now();
   const { progress } = context.inbound;
+  const { route } = context.admitted;
   const mayHaveRunBefore = progress.mayHaveRun;
   endpointLoad.in_flight += 1;
   const sendAbort = new AbortController();
@@ -63,24 +64,26 @@
       inputs,
       onResponse: () => clearTimeout(sendTimer),
       onStreamBegun() {
-        const usual_ms = load.firstByteMs(endpoint.pool);
+        const usual_ms = load.routeFirstByteMs(route.name);
         context.beginAtPlace(outcomeOfAnswer(now() - started_ms, usual_ms));
       },
     });
     const result = hasWayFailed(context, endpoint, { completed, exchange })
       ? { ...completed, observedOutcome: ObservedOutcome.Unreachable }
       : completed;
-    const usual_ms = load.firstByteMs(endpoint.pool);
+    const usual_ms = load.routeFirstByteMs(route.name);
     progress.mayHaveRun = mayHaveRunBefore || !isNotRun(result.outcome);
     endpointLoad.recordOutcome(result.observedOutcome, now());
     if (result.observedOutcome === ObservedOutcome.Success) {
-      load.recordFirstByte(endpoint, result.first_byte_ms - started_ms);
+      const first_byte_ms = result.first_byte_ms - started_ms;
+      load.recordFirstByte(endpoint, first_byte_ms);
+      load.recordRouteFirstByte(route.name, first_byte_ms);
     }
     if (
       result.outcome === SendOutcome.Answered &&
       context.stopReason === undefined
     ) {
-      serviceTimes.record(context.admitted.route.name, now() - started_ms);
+      serviceTimes.record(route.name, now() - started_ms);
     }
     if (
       result.observedOutcome === ObservedOutcome.ConnectionFailed ||
--- a/src/routing/observed_load.ts
+++ b/src/routing/observed_load.ts
@@ -7,6 +7,7 @@
 import { EndpointSilence } from "../endpoints/endpoint_silence.ts";
 import { incarnationOf } from "../routes/incarnation.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
+import { dropOldest } from "../utils/drop_oldest.ts";
 import { Restarts } from "./restarts.ts";
 
 /** The load that an endpoint reported with a response. */
@@ -64,6 +65,8 @@
 const MAX_BACKOFF_MS = 4_000;
 /** Backoff after an endpoint rejected a request because it was at capacity. */
 const BACKOFF_WHEN_FULL_MS = 60;
+/** Routes whose times are remembered; beyond this the oldest are dropped. */
+const MAX_ROUTES = 4_096;
 /** Weight of the newest response in the moving average of response times. */
 const TIME_SMOOTHING = 0.1;
 
@@ -175,6 +178,7 @@
   readonly restarts = new Restarts();
   #endpoints = new Map<string, ObservedEndpoint>();
   #poolFirstByte_ms = new Map<string, number>();
+  #routeFirstByte_ms = new Map<string, number>();
   /** Pools whose endpoints report their speed. */
   #speedPools = new Set<string>();
 
@@ -194,6 +198,18 @@
     return this.#poolFirstByte_ms.get(pool) ?? 0;
   }
 
+  /** Records the time to the first byte of a successful response on a route. */
+  recordRouteFirstByte(route: string, elapsed_ms: number): void {
+    const route_ms = smoothTime(this.routeFirstByteMs(route), elapsed_ms);
+    this.#routeFirstByte_ms.set(route, route_ms);
+    dropOldest(this.#routeFirstByte_ms, MAX_ROUTES);
+  }
+
+  /** Like `firstByteMs`, for the requests of a route, whose size differs less. */
+  routeFirstByteMs(route: string): number {
+    return this.#routeFirstByte_ms.get(route) ?? 0;
+  }
+
   /** Records that an endpoint of a pool reports its speed. */
   recordSpeedReport(pool: string): void {
     this.#speedPools.add(pool);
