An alias without its anchor is a finding

The yaml library resolves aliases when the document is converted, after its list of errors is complete, and throws a ReferenceError. check-records and every other reader of located documents ended with a stack trace. Catching the error in one command was ruled out, as all readers share the parser.

parseLocatedDocument now reports it, at the start of the file, as the error names no position. The new test failed before the change; test/findings and test/records: 7 passed, 0 failed.

--- a/src/findings/located_document.ts
+++ b/src/findings/located_document.ts
@@ -38,7 +38,17 @@
     });
     return { ok: false, findings };
   }
-  return { ok: true, value: createFromParsed(file, document, lineCounter) };
+  try {
+    return { ok: true, value: createFromParsed(file, document, lineCounter) };
+  } catch (error) {
+    // The library resolves aliases only now; it throws this for a missing
+    // anchor and for aliases that expand too far.
+    if (!(error instanceof ReferenceError)) throw error;
+    const { message } = error;
+    const hint = "Write the value in place of the alias";
+    const place = { path: "", line: 1, column: 1 };
+    return { ok: false, findings: [{ file, ...place, message, hint }] };
+  }
 }
 
 /**
