config check: checks a configuration of gateway hosts before it is sent

A configuration with one invalid field is ignored by hosts as a whole, and entries that can't match or limits that contradict one another showed only in service. Checking in the hosts was ruled out: they must not reject what they accept today.

Options without a value exist now (--json), and the hint on wrong usage names commands of two words.

--- a/src/cli/command_line.ts
+++ b/src/cli/command_line.ts
@@ -1,9 +1,11 @@
 /** Builds the command line from the command definitions, using sade. */
 import sade from "sade";
+import type { ConfigurationFormat } from "../config_check/types.ts";
 import type { GatewayAdapter } from "../forwarding/adapter.ts";
 import { VERSION } from "../version.ts";
 import { checkCommand } from "./commands/check.ts";
 import { checkRecordsCommand } from "./commands/check_records.ts";
+import { createConfigCheckCommand } from "./commands/config_check.ts";
 import { drainCommand } from "./commands/drain.ts";
 import { entryCommand } from "./commands/entry.ts";
 import { createEvacuateCommand } from "./commands/evacuate.ts";
@@ -33,16 +35,23 @@
 const PROGRAM_NAME = "sesamequay";
 const FIRST_ARGUMENT_INDEX = 2;
 
+/** What the commands need of the deployment. */
+export interface CommandLineDeployment {
+  adapter: GatewayAdapter;
+  configurationFormat: ConfigurationFormat;
+}
+
 /** Parses the arguments, runs one command and sets the exit code. */
 export async function runCommandLine(
   argv: string[],
-  adapter: GatewayAdapter,
+  { adapter, configurationFormat }: CommandLineDeployment,
 ): Promise<void> {
   const program = sade(PROGRAM_NAME).version(VERSION);
   const commands = [
     ...COMMANDS,
     createGatewayCommand(adapter),
     createEvacuateCommand(adapter),
+    createConfigCheckCommand(configurationFormat),
   ];
   for (const command of commands) registerCommand(program, command);
   if (argv.length <= FIRST_ARGUMENT_INDEX) {
@@ -94,9 +103,11 @@
   command: CommandDefinition,
   values: unknown[],
 ): Promise<void> {
-  const options = values.pop() as Record<string, string | undefined> & {
-    _: string[];
-  };
+  const options = values.pop() as
+    & Record<string, string | boolean | undefined>
+    & {
+      _: string[];
+    };
   const positional = [...values, ...options._]
     .filter((value) => typeof value === "string");
   try {
@@ -110,7 +121,7 @@
     if (!(error instanceof UsageError)) throw error;
     process.stderr.write(
       `${error.message}; see ${PROGRAM_NAME} ${
-        command.usage.split(" ")[0]
+        command.usage.split(/ [<[]/)[0]
       } --help\n`,
     );
     process.exitCode = ExitCode.InvalidUsage;
--- a/src/cli/commands/host_option.ts
+++ b/src/cli/commands/host_option.ts
@@ -18,8 +18,10 @@
 ): Promise<ExitCode> {
   const settings = loadCommandSettings(invocation);
   if (settings === undefined) return ExitCode.Failure;
-  const address = invocation.options.host ??
-    formatAddress(settings.listen.peers);
+  const { host } = invocation.options;
+  const address = host === undefined
+    ? formatAddress(settings.listen.peers)
+    : String(host);
   const { PeerClients } = await import("../../peers/peer_client.ts");
   const clients = new PeerClients({
     secret: settings.operators.secret,
--- a/src/cli/define_command.ts
+++ b/src/cli/define_command.ts
@@ -5,7 +5,8 @@
 export interface OptionDefinition {
   flags: string;
   description: string;
-  default?: string;
+  /** False for an option without a value. */
+  default?: string | false;
 }
 
 /**
@@ -25,7 +26,8 @@
 export interface CommandInvocation {
   /** Positional arguments; omitted optional ones are left out. */
   positional: string[];
-  options: Record<string, string | undefined>;
+  /** Values of options; of those without a value, whether they are given. */
+  options: Record<string, string | boolean | undefined>;
   print: (line: string) => void;
   printError: (line: string) => void;
 }
--- a/src/findings/located_document.ts
+++ b/src/findings/located_document.ts
@@ -6,7 +6,8 @@
 import type { z } from "zod";
 import type { CheckResult, Finding } from "./finding.ts";
 
-type FieldPath = readonly (string | number)[];
+/** Names of fields and indices of entries, from the outermost inwards. */
+export type FieldPath = readonly (string | number)[];
 
 /** A parsed document in which fields can be located. */
 export interface LocatedDocument {
@@ -125,7 +126,8 @@
   return isNode(key) && "value" in key ? key.value : key;
 }
 
-function formatPath(path: FieldPath): string {
+/** Formats a path, such as `stages[0].pool`. */
+export function formatPath(path: FieldPath): string {
   return path
     .map((part) => typeof part === "number" ? `[${part}]` : `.${part}`)
     .join("")
