--- a/src/findings/located_document.ts
+++ b/src/findings/located_document.ts
@@ -6,7 +6,8 @@
 import type { z } from "zod";
 import type { CheckResult, Finding } from "./finding.ts";
 
-type FieldPath = readonly (string | number)[];
+/** Names of fields and indices of entries, from the outermost inwards. */
+export type FieldPath = readonly (string | number)[];
 
 /** A parsed document in which fields can be located. */
 export interface LocatedDocument {
@@ -38,7 +39,17 @@
     });
     return { ok: false, findings };
   }
-  return { ok: true, value: createFromParsed(file, document, lineCounter) };
+  try {
+    return { ok: true, value: createFromParsed(file, document, lineCounter) };
+  } catch (error) {
+    // The library resolves aliases only now; it throws this for a missing
+    // anchor and for aliases that expand too far.
+    if (!(error instanceof ReferenceError)) throw error;
+    const { message } = error;
+    const hint = "Write the value in place of the alias";
+    const place = { path: "", line: 1, column: 1 };
+    return { ok: false, findings: [{ file, ...place, message, hint }] };
+  }
 }
 
 /**
@@ -115,7 +126,8 @@
   return isNode(key) && "value" in key ? key.value : key;
 }
 
-function formatPath(path: FieldPath): string {
+/** Formats a path, such as `stages[0].pool`. */
+export function formatPath(path: FieldPath): string {
   return path
     .map((part) => typeof part === "number" ? `[${part}]` : `.${part}`)
     .join("")
