Responses 204 and 304 are complete although the request is still written

Cause: a response without a length or chunks counted as broken off if it ended before its request had been written. One with status 204 or 304 has no body, so nothing of it can be missing. Ruled out: a complete response on a kept connection that the next request writes to; Node keeps writableFinished once it is set. Change: isComplete takes both statuses as ones whose end is known. The rule of streams, which asks for an event without framing, stays.

--- a/src/endpoints/exchange.ts
+++ b/src/endpoints/exchange.ts
@@ -96,6 +96,8 @@
 /** Lower ones are informational: a response with another status follows. */
 const MIN_FINAL_STATUS = 200;
 const FRAMING_HEADERS = ["content-length", "transfer-encoding"];
+/** Final statuses whose responses have no body (RFC 9110, section 6.4.1). */
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 const INVALID_STATUS_TEXT = /[^\t\x20-\x7e\x80-\xff]/;
 
 /**
@@ -242,9 +244,10 @@
  * come later than the end.
  */
 export function isComplete(response: EndpointResponse): boolean {
-  const { body, socket, isRequestWritten } = response;
+  const { status, body, socket, isRequestWritten } = response;
+  const hasKnownEnd = STATUSES_WITHOUT_BODY.has(status) || isFramed(response);
   return body.complete && socket.errored === null &&
-    (isFramed(response) || isRequestWritten());
+    (hasKnownEnd || isRequestWritten());
 }
 
 /** Whether a response has a length or chunks, so that its end is told. */
