Ramp-up: what an issuer of an earlier release grants is given back

Cause: a host whose issuer replies without a ramp-up bounds its requests itself, with a place of its own; the place that the reply granted stayed taken at the issuer until it expired, up to 2 s. Change: such a place is given back, as one that is granted late.

--- a/src/endpoint_places/endpoint_places.ts
+++ b/src/endpoint_places/endpoint_places.ts
@@ -310,6 +310,7 @@
       // An issuer that has replied is of an earlier release.
       const isUrgent = max_wait_ms > 0 || reply !== NO_ISSUER;
       if (this.#ramps.recordUnanswered(endpoint, isUrgent)) {
+        if (reply.granted) this.#giveBackUnused(endpoint, number);
         return this.#takeAlone(endpoint);
       }
     }
@@ -393,11 +394,16 @@
     clearTimeout(timer);
     if (reply !== "late") return reply ?? NO_ISSUER;
     void asked.then((late) => {
-      if (late?.granted === true) this.#hold(endpoint, number).release(false);
+      if (late?.granted === true) this.#giveBackUnused(endpoint, number);
     });
     return NO_ISSUER;
   }
 
+  /** Gives back a place that was granted but serves no request. */
+  #giveBackUnused(endpoint: RouteEndpoint, number: number): void {
+    this.#hold(endpoint, number).release(false);
+  }
+
   #hold(endpoint: RouteEndpoint, number: number): Place {
     const incarnation = incarnationOf(endpoint);
     const place = this.#held.add(incarnation, number, this.#options.now());
