Endpoint places: the calls to issuers stand in a module of their own

A getter that ended ramp-ups as a side effect is now a method that says so. No change of behaviour. Runs: test/endpoint_places and take_ramping_endpoint, 92 of 94 pass. One failure stands without this change too (the decoding of a cold start of 0). The other, the recovery test in ramp_of_real_hosts, failed with eleven test files at once and passed when run again with one other file.

--- a/src/endpoint_places/endpoint_places.ts
+++ b/src/endpoint_places/endpoint_places.ts
@@ -12,7 +12,6 @@
   RateLimitKind,
 } from "../endpoint_reports/endpoint_report.ts";
 import type { Logger } from "../logging/logger.ts";
-import { RankedHosts } from "../membership/ranked_hosts.ts";
 import { rankCandidates } from "../membership/rendezvous_hash.ts";
 import { KnownLimits } from "../rate_limits/known_limits.ts";
 import { incarnationOf } from "../routes/incarnation.ts";
@@ -20,23 +19,23 @@
 import { dropOldest } from "../utils/drop_oldest.ts";
 import { EndpointRamps, type RampOptions } from "./endpoint_ramps.ts";
 import { type HeldPlace, HeldPlaces, type PlaceEnd } from "./held_places.ts";
+import {
+  type EndpointPlacesPeers,
+  IssuerCalls,
+  NO_ISSUER,
+} from "./issuer_calls.ts";
 import { PlaceIssuer } from "./place_issuer.ts";
 import { PoolLimits } from "./pool_limits.ts";
 import { RampReason } from "./ramp_reason.ts";
 import {
   type PlaceOutcome,
   type PlaceReply,
-  placeReplySchema,
   type PlaceReport,
   type PlaceRequest,
   type RampNews,
 } from "./types.ts";
 
-/** Calls to other hosts; they reject if the host does not respond. */
-export interface EndpointPlacesPeers {
-  requestPlace(address: string, request: PlaceRequest): Promise<PlaceReply>;
-  reportPlaces(address: string, report: PlaceReport): Promise<void>;
-}
+export type { EndpointPlacesPeers };
 
 /** Dependencies of an {@linkcode EndpointPlaces}. */
 export interface EndpointPlacesOptions {
@@ -70,10 +69,6 @@
 const REUSE_MS = 1_000;
 /** Time for which a place is kept for this host's next request. */
 const IDLE_MS = 10;
-/** Requests of this host that may ask for a place at an endpoint at a time. */
-const MAX_ASKING = 2;
-/** Hosts that are asked for a place, or told of one, before it is given up. */
-const MAX_ISSUER_TRIES = 1;
 /** Time after which a limit of rejections that no answer names is forgotten. */
 const LIMIT_LIFETIME_MS = 60_000;
 /**
@@ -85,35 +80,27 @@
 const MAX_REJECTING = 4_096;
 /** Interval of the reports of places that are held. */
 const REPORT_INTERVAL_MS = 500;
-/** Time in which the issuer of an endpoint in ramp-up must reply. */
-const RAMP_REPLY_MS = 150;
-/** Added to the time that a request may wait at the issuer. */
-const RAMP_REPLY_MARGIN_MS = 50;
-/** Reply if no host could be asked. */
-const NO_ISSUER: PlaceReply = {
-  granted: false,
-  ask_after_ms: 500,
-  retry_after_ms: 500,
-};
 
 /** Bounds the requests in flight at endpoints that can bear few rejections. */
 export class EndpointPlaces {
   #options: EndpointPlacesOptions;
-  #rankedHosts: RankedHosts;
+  #calls: IssuerCalls;
   #limits = new KnownLimits();
   #pools = new PoolLimits();
   #held = new HeldPlaces();
   #issuer: PlaceIssuer;
   #ramps: EndpointRamps;
-  /** Requests of this host that ask for a place, by endpoint. */
-  #asking = new Map<string, number>();
   /** When each endpoint's last rejection was learned of. */
   #rejected_ms = new Map<string, number>();
   #reportTimer: NodeJS.Timeout | undefined;
 
   constructor(options: EndpointPlacesOptions) {
     this.#options = options;
-    this.#rankedHosts = new RankedHosts(options);
+    this.#calls = new IssuerCalls({
+      ...options,
+      handleRequest: (request) => this.handleRequest(request),
+      handleReport: (report) => this.handleReport(report),
+    });
     this.#ramps = new EndpointRamps({ ramps: undefined, ...options });
     this.#issuer = new PlaceIssuer({
       isIssuerOf: (endpoint) => this.#isIssuerOf(endpoint),
@@ -237,8 +224,7 @@
       return Math.min(1, this.#held.numbers(incarnation).length);
     }
     const wait_ms = this.#held.waitMs(incarnation, this.#options.now());
-    const asking = this.#asking.get(incarnation) ?? 0;
-    return asking < MAX_ASKING ? wait_ms : Math.max(1, wait_ms);
+    return this.#calls.mayAsk(incarnation) ? wait_ms : Math.max(1, wait_ms);
   }
 
   /** Whether this host has a place there that no request uses. */
@@ -290,7 +276,7 @@
       return this.#takeAlone(endpoint);
     }
     const number = this.#held.nextNumber();
-    const asked = this.#request({
+    const request = {
       endpoint: incarnation,
       host: this.#options.self,
       place: number,
@@ -300,10 +286,13 @@
       priority,
       max_wait_ms: Math.max(0, max_wait_ms),
       ramp: this.#rampOf(endpoint),
-    });
+    };
     const reply = mayBeAlone
-      ? await this.#inTime(endpoint, { asked, number, max_wait_ms })
-      : await asked ?? NO_ISSUER;
+      ? await this.#calls.requestInTime(
+        request,
+        () => this.#giveBackUnused(endpoint, number),
+      )
+      : await this.#calls.request(request);
     if (reply.ramping !== undefined) {
       this.#ramps.confirm(endpoint, reply.ramping);
     } else if (mayBeAlone) {
@@ -372,33 +361,6 @@
     return held.length > 0 ? undefined : this.takeUnbounded(endpoint);
   }
 
-  /**
-   * The reply of an endpoint's issuer, if it comes in time; a place that is granted
-   * later is given back.
-   */
-  async #inTime(
-    endpoint: RouteEndpoint,
-    { asked, number, max_wait_ms }: {
-      asked: Promise<PlaceReply | undefined>;
-      number: number;
-      max_wait_ms: number;
-    },
-  ): Promise<PlaceReply> {
-    const wait_ms = Math.max(
-      RAMP_REPLY_MS,
-      max_wait_ms + RAMP_REPLY_MARGIN_MS,
-    );
-    const { promise, resolve } = Promise.withResolvers<"late">();
-    const timer = setTimeout(() => resolve("late"), wait_ms);
-    const reply = await Promise.race([asked, promise]);
-    clearTimeout(timer);
-    if (reply !== "late") return reply ?? NO_ISSUER;
-    void asked.then((late) => {
-      if (late?.granted === true) this.#giveBackUnused(endpoint, number);
-    });
-    return NO_ISSUER;
-  }
-
   /** Gives back a place that was granted but serves no request. */
   #giveBackUnused(endpoint: RouteEndpoint, number: number): void {
     this.#hold(endpoint, number).release(false);
@@ -422,7 +384,7 @@
         const end = { rejected, outcome };
         const age_ms = this.#options.now() - place.since_ms;
         const isKept = !rejected && age_ms < REUSE_MS &&
-          !this.#asking.has(incarnation) && this.isBounded(endpoint) &&
+          !this.#calls.isAsking(incarnation) && this.isBounded(endpoint) &&
           !this.isRamping(endpoint);
         if (!isKept) return this.#giveBack(endpoint, place, end);
         this.#held.keepIdle(incarnation, place);
@@ -461,57 +423,29 @@
     dropOldest(this.#rejected_ms, MAX_REJECTING);
   }
 
-  async #request(request: PlaceRequest): Promise<PlaceReply | undefined> {
-    const { peers } = this.#options;
-    this.#countAsking(request.endpoint, 1);
-    const [reply] = await this.#rankedHosts.call({
-      key: request.endpoint,
-      count: 1,
-      max_tries: MAX_ISSUER_TRIES,
-      local: () => this.handleRequest(request),
-      remote: async (issuer) =>
-        placeReplySchema.parse(await peers.requestPlace(issuer, request)),
-    });
-    this.#countAsking(request.endpoint, -1);
-    return reply;
-  }
-
-  #countAsking(incarnation: string, change: number): void {
-    const count = (this.#asking.get(incarnation) ?? 0) + change;
-    if (count === 0) this.#asking.delete(incarnation);
-    else this.#asking.set(incarnation, count);
-  }
-
   #scheduleReport(incarnation: string): void {
     if (!this.#held.startReport(incarnation)) return;
     setTimeout(() => this.#report(incarnation), REPORT_DELAY_MS).unref();
   }
 
   #report(incarnation: string): void {
-    const { self: host, peers } = this.#options;
+    const { self: host } = this.#options;
     const begun = this.#held.takeBegun(incarnation);
     const released = this.#held.takeReleased(incarnation);
     const held = this.#held.numbers(incarnation);
-    const report = { endpoint: incarnation, host, held, begun, released };
-    void this.#rankedHosts.call({
-      key: incarnation,
-      count: 1,
-      max_tries: MAX_ISSUER_TRIES,
-      local: () => this.handleReport(report),
-      remote: (issuer) => peers.reportPlaces(issuer, report),
-    });
+    this.#calls.report({ endpoint: incarnation, host, held, begun, released });
   }
 
   /** Reports at once what is in flight, and then at intervals. */
   #startReports(): void {
-    if (this.#reportTimer !== undefined || this.#isQuiet) return;
+    if (this.#reportTimer !== undefined || !this.#endRamps()) return;
     this.#reportHeld();
     this.#reportTimer = setInterval(() => {
       const oldest_ms = this.#options.now() - LIMIT_LIFETIME_MS;
       this.#limits.forgetBefore(oldest_ms);
       this.#pools.forgetBefore(oldest_ms);
       this.#ramps.forgetOld();
-      if (this.#isQuiet) {
+      if (!this.#endRamps()) {
         clearInterval(this.#reportTimer);
         this.#reportTimer = undefined;
       } else this.#reportHeld();
@@ -519,10 +453,10 @@
     this.#reportTimer.unref();
   }
 
-  /** Whether nothing is bounded, here or by this host. */
-  get #isQuiet(): boolean {
-    const hasRamps = this.#issuer.endRamps() || !this.#ramps.isEmpty;
-    return this.#limits.isEmpty && !hasRamps;
+  /** Ends the ramp-ups that are over; returns whether any bound goes on. */
+  #endRamps(): boolean {
+    const goesOn = this.#issuer.endRamps();
+    return goesOn || !this.#ramps.isEmpty || !this.#limits.isEmpty;
   }
 
   #reportHeld(): void {
