--- a/src/endpoint_places/place_ledger.ts
+++ b/src/endpoint_places/place_ledger.ts
@@ -2,10 +2,10 @@
  * The places at one endpoint: who holds them and who waits for one. Does no I/O
  * and reads no clock: callers pass the time in.
  */
-import { dropOldest } from "../utils/drop_oldest.ts";
 import { type EndpointCapacity, PlaceBound } from "./place_bound.ts";
 import { RampBound, type RampEnd } from "./ramp_bound.ts";
 import type { RampReason } from "./ramp_reason.ts";
+import { RefusalTimes } from "./refusal_times.ts";
 import {
   PlaceOutcome,
   type PlaceReply,
@@ -72,18 +72,6 @@
 const TAKEOVER_AGE_MS = 300;
 /** Share of the places that a substitute for the endpoint's issuer grants. */
 const SUBSTITUTE_SHARE = 0.25;
-/** Time between two hosts that ask again after a refusal. */
-const ASK_INTERVAL_MS = 20;
-const MAX_ASK_AFTER_MS = 1_000;
-/**
- * The same in a ramp-up. With the longer times, hosts that were refused during it
- * come back up to a second after the endpoint has become fast.
- */
-const RAMP_ASK_INTERVAL_MS = 10;
-const MAX_RAMP_ASK_AFTER_MS = 250;
-/** Hosts whose next time is remembered; the oldest are dropped. */
-const MAX_HOSTS = 4_096;
-const MAX_RETRY_AFTER_MS = 5_000;
 /** Weight of the newest request in the moving average of service times. */
 const TIME_SMOOTHING = 0.1;
 /** Assumed before the first request has ended. */
@@ -115,10 +103,7 @@
   #held = new Map<PlaceKey, HeldPlace>();
   #queue: QueuedRequest[] = [];
   #service_ms = INITIAL_SERVICE_MS;
-  #nextAsk_ms = 0;
-  /** When each host that was refused may ask again. */
-  #asksAt_ms = new Map<string, number>();
-  #nextRetry_ms = 0;
+  #refusals = new RefusalTimes();
 
   constructor(now_ms: number) {
     this.#bound = new PlaceBound(now_ms);
@@ -251,34 +236,22 @@
   refusal(host: string, now_ms: number): PlaceReply {
     const interval_ms = this.#service_ms / this.#capacity.slots;
     const queueEnd_ms = now_ms + this.#queue.length * interval_ms;
-    this.#nextRetry_ms = Math.min(
-      Math.max(queueEnd_ms, this.#nextRetry_ms) + interval_ms,
-      now_ms + MAX_RETRY_AFTER_MS,
-    );
     const pause_ms = this.#ramp?.bound.pauseMs(now_ms) ?? 0;
+    const isRamping = this.#ramp !== undefined;
+    const ask_after_ms = this.#refusals.askAfterMs(host, {
+      isRamping,
+      now_ms,
+    });
     return {
       granted: false,
-      ask_after_ms: Math.max(pause_ms, this.#askTimeOf(host, now_ms) - now_ms),
-      retry_after_ms: this.#nextRetry_ms - now_ms,
+      ask_after_ms: Math.max(pause_ms, ask_after_ms),
+      retry_after_ms: this.#refusals.retryAfterMs(
+        { queueEnd_ms, interval_ms },
+        now_ms,
+      ),
     };
   }
 
-  #askTimeOf(host: string, now_ms: number): number {
-    const known_ms = this.#asksAt_ms.get(host) ?? 0;
-    if (known_ms > now_ms) return known_ms;
-    const isRamping = this.#ramp !== undefined;
-    const interval_ms = isRamping ? RAMP_ASK_INTERVAL_MS : ASK_INTERVAL_MS;
-    const max_ms = isRamping ? MAX_RAMP_ASK_AFTER_MS : MAX_ASK_AFTER_MS;
-    this.#nextAsk_ms = Math.min(
-      Math.max(now_ms, this.#nextAsk_ms) + interval_ms,
-      now_ms + max_ms,
-    );
-    this.#asksAt_ms.delete(host);
-    this.#asksAt_ms.set(host, this.#nextAsk_ms);
-    dropOldest(this.#asksAt_ms, MAX_HOSTS);
-    return this.#nextAsk_ms;
-  }
-
   get #maxQueued(): number {
     return Math.ceil(this.#capacity.slots * MAX_QUEUED_SHARE);
   }
