--- a/src/batching/spread_pools.ts
+++ b/src/batching/spread_pools.ts
@@ -2,7 +2,8 @@
  * Assigns the pools to hosts that batch for them, so that no host gets a second
  * pool while another has none: a host that forms the batches of all pools runs
  * out of processor time first. Hosts that see the same hosts and pools assign them
- * alike, without a message.
+ * alike, without a message. The shards of a pool are not spread: each keeps its own
+ * rendezvous ranking.
  */
 import { rankCandidates } from "../membership/rendezvous_hash.ts";
 
--- a/src/endpoint_places/known_ramps.ts
+++ b/src/endpoint_places/known_ramps.ts
@@ -21,7 +21,7 @@
 
 /** Time after which a ramp-up that no issuer confirms is forgotten. */
 const LIFETIME_MS = 30_000;
-/** Calls without a reply after which a host bounds its requests itself. */
+/** Calls in a row without a reply after which a host bounds its requests itself. */
 const MIN_UNANSWERED = 2;
 /** Calls that are given up within this time count as one. */
 const UNANSWERED_INTERVAL_MS = 300;
--- a/src/endpoint_places/recovery_watch.ts
+++ b/src/endpoint_places/recovery_watch.ts
@@ -6,8 +6,9 @@
 import { dropOldest } from "../utils/drop_oldest.ts";
 
 /**
- * Times in which troubles are counted, and the least number from which an endpoint
- * counts as failing. The short one finds an endpoint early that gets many requests.
+ * Windows in which failed and late requests are counted, each with the least
+ * number at which an endpoint counts as failing. The short one detects an endpoint
+ * early that gets many requests.
  */
 const WINDOWS = [
   { window_ms: 500, min_troubles: 6 },
@@ -18,8 +19,8 @@
 /** Troubles of an endpoint that are remembered. */
 const MAX_TROUBLES = 1_024;
 /**
- * Share of the requests that the endpoint is expected to get in that time. Hosts
- * report no successes, so it takes the place of a row of failures.
+ * Share of the requests expected in a window that must fail or be late as well.
+ * Hosts report no successes, so the share of failures can't be counted directly.
  */
 const TROUBLE_SHARE = 0.25;
 /** Time after which the same endpoint may count as failing again. */
--- a/src/forwarding/place_outcome.ts
+++ b/src/forwarding/place_outcome.ts
@@ -4,11 +4,11 @@
 import { PlaceOutcome } from "../endpoint_places/types.ts";
 
 /**
- * A response is late from so many times its pool's usual time to the first byte.
- * Servers that share their machines are 2.5 times slower at times.
+ * Multiple of the pool's usual time to the first byte from which a response is
+ * late. Servers that share their machines are 2.5 times slower at times.
  */
 const LATE_FACTOR = 3;
-/** Added to it, so that a delay of this host does not count. */
+/** Added to that time, so that a delay of this host does not count. */
 const LATE_MARGIN_MS = 15;
 
 /** How a send ended; undefined if it tells nothing of the endpoint. */
