--- a/src/endpoint_places/known_ramps.ts
+++ b/src/endpoint_places/known_ramps.ts
@@ -24,7 +24,7 @@
  * that has been idle for so long after its start is ready for its full load.
  */
 const LIFETIME_MS = 10_000;
-/** Calls without a reply after which a host bounds its requests itself. */
+/** Calls in a row without a reply after which a host bounds its requests itself. */
 const MIN_UNANSWERED = 2;
 /** Calls that are given up within this time count as one. */
 const UNANSWERED_INTERVAL_MS = 300;
