Evacuations: a peer that has read nothing confirms nothing

Change: a peer confirms only if its feed is fresh or it has read a position. Test: fails without the change (evacuation_service.test.ts, 1 of 18 failed; 18 of 18 pass with it).

--- a/src/evacuations/evacuation_service.ts
+++ b/src/evacuations/evacuation_service.ts
@@ -181,6 +181,9 @@
       const added = this.zones.addFromPeer(zones, this.#options.now());
       this.#handleChanges(added, peer);
     }
+    // A peer that has just started as well may know of no evacuation yet.
+    const hasRead = fresh || comparePositions(position, START_POSITION) > 0;
+    if (!hasRead) return;
     this.#hasList = true;
     if (fresh || !this.#sourceAvailable) this.#confirm(peer);
   }
--- a/test/evacuations/evacuation_service.test.ts
+++ b/test/evacuations/evacuation_service.test.ts
@@ -85,6 +85,16 @@
   assert.equal(service.zones.share("a", now_ms), 0);
 });
 
+test("a peer that has just started as well, and knows nothing, confirms nothing", () => {
+  // All hosts started at once, and the list of the store is still due.
+  const ignorant = { zones: [], fresh: false, revision: 0 };
+  service.takeFromPeer("ignorant", ignorant);
+  assert.equal(service.isConfirmed, false);
+  service.takeFromPeer("peer", { ...report(["a"], at(10, 1)), fresh: false });
+  assert.ok(service.isConfirmed);
+  assert.equal(service.zones.share("a", now_ms), 0);
+});
+
 test("a host whose peers don't answer, or are of an earlier release, serves from what it has", () => {
   service.markSourceUnavailable();
   const recorded = JSON.parse(
