Rate limits: a send reserved in a ramp-up takes its permit after it

Cause: a send at an endpoint in ramp-up is reserved without its permit, which was taken only together with a place. If the ramp-up ended while the stages ran, no place was needed and the request went without a permit. Change: the permit is taken in both cases. Test: fails without the change (take_ramping_endpoint.test.ts, 1 of 8 failed; 8 of 8 pass with it).

--- a/src/forwarding/take_endpoint.ts
+++ b/src/forwarding/take_endpoint.ts
@@ -76,7 +76,10 @@
     context.sendPermit = send;
     if (!places.needsPlace(send.endpoint)) {
       context.holdPlace(places.takeUnbounded(send.endpoint));
-      return send.endpoint;
+      // A ramp-up may have ended since the send was reserved without a permit.
+      if (await takePermit(context, send)) return send.endpoint;
+      passedOver.add(send.endpoint.id);
+      continue;
     }
     const isRamping = places.isRamping(send.endpoint);
     const mayWait = !isRamping || !hasOthers(context, passedOver);
--- a/test/forwarding/take_ramping_endpoint.test.ts
+++ b/test/forwarding/take_ramping_endpoint.test.ts
@@ -176,6 +176,22 @@
   assert.equal(permits.ramp, 0);
 });
 
+test("a send that was reserved in a ramp-up needs its permit after it as well", async () => {
+  const permits = { ramped: 1 };
+  const request = createRequest(["ramped"], {}, permits);
+  const { context } = request;
+  const [endpoint] = context.readyEndpoints();
+  assert.ok(endpoint !== undefined);
+  const at_ms = performance.now();
+  // The ramp-up ended while the stages of the request ran.
+  const reserved = { endpoint, at_ms, expires_ms: Infinity, needsPermit: true };
+  context.reservedSend = { ...reserved };
+  assert.equal((await takeEndpoint(context, NONE))?.id, "ramped");
+  assert.equal(permits.ramped, 0);
+  context.reservedSend = { ...reserved };
+  assert.equal(await takeEndpoint(context, NONE), undefined);
+});
+
 test("what this host alone has seen fail is asked for once all hosts ramp it up", async () => {
   const ramps = { ramp: { freeAt_ms: 0 } };
   const request = createRequest(["ramp", "sound"], ramps);
