Reachability: an attempt asks again before its request is written

Cause: an attempt was checked once, before it took a permit and connected. If its zone was evacuated meanwhile, or the host was frozen in between, the request was sent all the same; at a cold endpoint, also after its permit had expired. Change: the check is made again once the attempt has its connection, as for other requests. What is stopped then tells nothing of the endpoint.

--- a/src/gateway/reachability_components.ts
+++ b/src/gateway/reachability_components.ts
@@ -59,6 +59,9 @@
   const { evacuations, rateLimits } = dependencies;
   const lossListeners: ((endpoint: RouteEndpoint) => void)[] = [];
   const carriers = new CarrierConnections();
+  const isOpen = (endpoint: RouteEndpoint) =>
+    evacuations === undefined ||
+    evacuations.isConfirmed && !endpoints.isEvacuated(endpoint, now());
   const reachability = new ReachabilityService({
     ...dependencies,
     zoneOf: (address) => members.zoneOf(address),
@@ -67,12 +70,11 @@
     readyIn: (pool) => endpoints.readyInPool(pool, now()),
     endpointAt: (address) => endpoints.findByAddress(address),
     probe: createProbeReach(codec, translateAddress),
-    async mayProbe(endpoint) {
-      const isOpen = evacuations === undefined ||
-        evacuations.isConfirmed && !endpoints.isEvacuated(endpoint, now());
-      if (!isOpen) return false;
-      return !rateLimits.isCold(endpoint) ||
-        await takePermit(endpoint, rateLimits) !== undefined;
+    async permitProbe(endpoint) {
+      if (!isOpen(endpoint)) return undefined;
+      if (!rateLimits.isCold(endpoint)) return () => isOpen(endpoint);
+      const permit = await takePermit(endpoint, rateLimits);
+      return permit && (() => isOpen(endpoint) && now() < permit.expires_ms);
     },
     onProbe: (outcome) => metrics.reachProbes.inc({ outcome }),
     onLost(endpoint) {
--- a/src/reachability/probe_reach.ts
+++ b/src/reachability/probe_reach.ts
@@ -1,4 +1,5 @@
 /** Tries whether bytes come from an endpoint, on a connection of its own. */
+import { ENDPOINT_UNAVAILABLE } from "../endpoints/endpoint_agents.ts";
 import {
   discardResponse,
   ExchangeOutcome,
@@ -12,8 +13,14 @@
 import type { ProtocolCodec } from "../forwarding/protocol_codec.ts";
 import { ProbeOutcome } from "./endpoint_reach.ts";
 
-/** Tries an endpoint; never rejects. */
-export type ProbeReach = (address: string) => Promise<ProbeOutcome>;
+/**
+ * Tries an endpoint; never rejects. `mayBegin` is asked once the attempt has its
+ * connection; if it returns false, nothing is sent, and the result is undefined.
+ */
+export type ProbeReach = (
+  address: string,
+  mayBegin?: () => boolean,
+) => Promise<ProbeOutcome | undefined>;
 
 /** A sound endpoint answers at once, as the request needs no slot. */
 const PROBE_TIMEOUT_MS = 800;
@@ -30,7 +37,7 @@
   codec: Pick<ProtocolCodec, "encodeStatusRequest">,
   translateAddress?: TranslateAddress,
 ): ProbeReach {
-  return async (address) => {
+  return async (address, mayBegin) => {
     const agent = new StrictKeepAliveAgent(1, translateAddress);
     const expiry = new AbortController();
     const timer = setTimeout(() => expiry.abort(PROBE_OVER), PROBE_TIMEOUT_MS);
@@ -40,6 +47,7 @@
         agent,
         ...codec.encodeStatusRequest(address),
         signal: expiry.signal,
+        ...(mayBegin && { mayBegin }),
       });
       return outcomeOf(result);
     } finally {
@@ -49,11 +57,12 @@
   };
 }
 
-function outcomeOf(result: ExchangeResult): ProbeOutcome {
+function outcomeOf(result: ExchangeResult): ProbeOutcome | undefined {
   if (result.kind === ExchangeOutcome.ResponseReceived) {
     discardResponse(result.response);
     return ProbeOutcome.Reached;
   }
+  if (result.reason === ENDPOINT_UNAVAILABLE) return undefined;
   if (REFUSED_REASONS.has(result.reason)) return ProbeOutcome.Refused;
   return result.kind === ExchangeOutcome.NotSent
     ? ProbeOutcome.NoConnection
--- a/src/reachability/reachability_service.ts
+++ b/src/reachability/reachability_service.ts
@@ -38,8 +38,13 @@
   endpointAt: (address: string) => RouteEndpoint | undefined;
   peers: ReachabilityPeers;
   probe: ProbeReach;
-  /** Resolves to whether an endpoint may be tried now; always if absent. */
-  mayProbe?: (endpoint: RouteEndpoint) => Promise<boolean>;
+  /**
+   * Resolves to undefined if an endpoint may not be tried now, else to what is
+   * asked again once the attempt has its connection. If absent, it may always.
+   */
+  permitProbe?: (
+    endpoint: RouteEndpoint,
+  ) => Promise<(() => boolean) | undefined>;
   /** Called with what came of each attempt. */
   onProbe: (outcome: ProbeOutcome) => void;
   log: Logger;
@@ -196,18 +201,16 @@
   }
 
   #probeForOthers(endpoint: RouteEndpoint): Promise<ProbeOutcome> {
-    const { probe, now, onProbe, signal } = this.#options;
+    const { now, signal } = this.#options;
     const incarnation = incarnationOf(endpoint);
     const known = this.#probesForOthers.get(incarnation);
     if (known !== undefined) return known;
     if (this.#probesForOthers.size >= MAX_PROBES_FOR_OTHERS) {
       return Promise.resolve(ProbeOutcome.Silent);
     }
-    const started = this.#mayProbe(endpoint).then(async (mayProbe) => {
+    const started = this.#attempt(endpoint).then((outcome) => {
       // An endpoint that may not be tried has told nothing.
-      if (!mayProbe) return ProbeOutcome.Silent;
-      const outcome = await probe(endpoint.address);
-      onProbe(outcome);
+      if (outcome === undefined) return ProbeOutcome.Silent;
       this.#endpoints.recordAttempt(endpoint, outcome, now());
       this.#stepSoon();
       return outcome;
@@ -253,18 +256,23 @@
     }
   }
 
-  async #mayProbe(endpoint: RouteEndpoint): Promise<boolean> {
-    return await this.#options.mayProbe?.(endpoint) ?? true;
+  /** Tries an endpoint; resolves to undefined if it may not be tried now. */
+  async #attempt(endpoint: RouteEndpoint): Promise<ProbeOutcome | undefined> {
+    const { probe, permitProbe = permitAlways, onProbe } = this.#options;
+    const mayBegin = await permitProbe(endpoint);
+    if (mayBegin === undefined) return undefined;
+    const outcome = await probe(endpoint.address, mayBegin);
+    if (outcome !== undefined) onProbe(outcome);
+    return outcome;
   }
 
   async #probe(endpoint: RouteEndpoint): Promise<void> {
-    const { probe, now, onProbe } = this.#options;
-    if (!await this.#mayProbe(endpoint)) {
+    const { now } = this.#options;
+    const started_ms = now();
+    const outcome = await this.#attempt(endpoint);
+    if (outcome === undefined) {
       return this.#endpoints.recordInterrupted(endpoint, now());
     }
-    const started_ms = now();
-    const outcome = await probe(endpoint.address);
-    onProbe(outcome);
     const tellsNothing = outcome !== ProbeOutcome.Reached &&
       this.#stoodStillSince(started_ms);
     if (tellsNothing) this.#endpoints.recordInterrupted(endpoint, now());
@@ -312,3 +320,7 @@
     });
   }
 }
+
+function permitAlways(): Promise<() => boolean> {
+  return Promise.resolve(() => true);
+}
--- a/test/reachability/reachability_service.test.ts
+++ b/test/reachability/reachability_service.test.ts
@@ -33,6 +33,8 @@
 let answer: (endpoints: AskedEndpoint[]) => Promise<unknown>;
 let probeOf: ((address: string) => Promise<ProbeOutcome>) | undefined;
 let mayProbe: boolean;
+/** Whether an attempt may begin once it has its connection. */
+let mayBegin: boolean;
 
 beforeEach(async () => {
   stopping = new AbortController();
@@ -44,6 +46,7 @@
   probes = [];
   probeOf = undefined;
   mayProbe = true;
+  mayBegin = true;
   for (let n = 0; n < 3; n++) {
     const engine = new Engine({ id: `desk-${n}` });
     await engine.start();
@@ -80,11 +83,11 @@
     readyIn: () => endpoints,
     endpointAt: (address) => endpoints.find((each) => each.address === address),
     peers: { askReached: (_address, asked) => answer(asked) },
-    probe: (address) => {
+    probe: (address, mayBegin) => {
       if (probeOf !== undefined) return probeOf(address);
-      return probe(isLinked ? linked.get(address) ?? "" : address);
+      return probe(isLinked ? linked.get(address) ?? "" : address, mayBegin);
     },
-    mayProbe: () => Promise.resolve(mayProbe),
+    permitProbe: () => Promise.resolve(mayProbe ? () => mayBegin : undefined),
     onProbe: (outcome) => probes.push(outcome),
     onLost: () => {},
     log: createLogger({
@@ -271,3 +274,19 @@
   mayProbe = true;
   await waitUntil(() => probes.includes(ProbeOutcome.Reached), 2_000);
 });
+
+test("an attempt that connects as the zone is evacuated sends nothing and tells nothing", async () => {
+  answer = (asked) => Promise.resolve(asked.map(() => 0));
+  mayBegin = false;
+  const host = createService(false);
+  const exchange = host.begin(endpoint(0));
+  exchange.recordFailure("ECONNRESET");
+  exchange.end();
+  const asked = { endpoint: incarnationOf(endpoint(1)), since_ago_ms: 0 };
+  assert.deepEqual(await host.answer([asked]), [null]);
+  await sleep(400);
+  assert.deepEqual(probes, []);
+  assert.equal(host.lostCount, 0);
+  mayBegin = true;
+  await waitUntil(() => probes.includes(ProbeOutcome.Reached), 2_000);
+});
