Cold endpoints: a permit is checked again before the request is written

Cause: only the connect timeout kept a request within its permit. After a pause of the event loop the connection can be handled before the timeout, so the request was written up to 2 s late, and arrived together with later grants. Change: the sender adds the permit's expiry to what is asked before a request is written, beside the check of evacuations.

--- a/src/cold_endpoints/cold_sender.ts
+++ b/src/cold_endpoints/cold_sender.ts
@@ -59,7 +59,14 @@
     // Nor must it be written when a connection opens late.
     const left_ms = Math.max(1, used.expires_ms - now());
     const connect_timeout_ms = Math.min(MAX_CONNECT_MS, left_ms);
-    return await send(endpoint, () => ({ ...request, connect_timeout_ms }));
+    // After a pause of the event loop, the connection may open before the timeout.
+    const mayBegin = () =>
+      (now() < used.expires_ms || !rateLimits.isCold(endpoint)) &&
+      request.mayBegin?.() !== false;
+    return await send(
+      endpoint,
+      () => ({ ...request, connect_timeout_ms, mayBegin }),
+    );
   };
 }
 
--- a/test/cold_endpoints/cold_sender.test.ts
+++ b/test/cold_endpoints/cold_sender.test.ts
@@ -144,3 +144,36 @@
   const elapsed_ms = performance.now() - started_ms;
   assert.ok(elapsed_ms >= 25 && elapsed_ms < 300, `${elapsed_ms} ms`);
 });
+
+for (const isColdThen of [true, false]) {
+  test(`a permit that expires before the request is written is ${isColdThen ? "not " : ""}enough if the endpoint is ${isColdThen ? "still cold" : "warm by then"}`, async () => {
+    let now_ms = NOW_MS;
+    let isCold = true;
+    let mayBegin: (() => boolean) | undefined;
+    const send = createColdSender({
+      send: (_endpoint, form) => {
+        mayBegin = form().mayBegin;
+        return Promise.resolve(LOST);
+      },
+      rateLimits: {
+        isCold: () => isCold,
+        coldWaitMs: () => 0,
+        refuse: () => {},
+        takePermit: () => Promise.resolve(undefined),
+      },
+      isReached: () => true,
+      now: () => now_ms,
+    });
+    let isOpen = true;
+    const form = () => ({ ...formRequest(), mayBegin: () => isOpen });
+    await send(ENDPOINT, form, { at_ms: now_ms, expires_ms: now_ms + 100 });
+    assert.equal(mayBegin?.(), true);
+    // The host stood still while the connection opened.
+    now_ms += 500;
+    isCold = isColdThen;
+    assert.equal(mayBegin?.(), !isColdThen);
+    now_ms = NOW_MS;
+    isOpen = false;
+    assert.equal(mayBegin?.(), false);
+  });
+}
