Evacuations: an exchange whose send throws no longer counts as running

Cause: the count of a zone's exchanges was lowered only if the send returned, so one that threw was shown to the operator as running until the host's end. Change: the count is lowered in both cases; the comment of confirmed() says when it resolves.

--- a/src/evacuations/guarded_sender.ts
+++ b/src/evacuations/guarded_sender.ts
@@ -12,7 +12,7 @@
 export interface SendGuard {
   /** Whether what is known of evacuations is not too old. */
   readonly isConfirmed: boolean;
-  /** Resolves once it isn't. */
+  /** Resolves once it is recent enough, or nobody can confirm it in time. */
   confirmed(): Promise<void>;
   /** Whether nothing may be sent to an endpoint. */
   isEvacuated(endpoint: RouteEndpoint): boolean;
@@ -48,10 +48,16 @@
       ...formRequest(),
       mayBegin: () => guard.isConfirmed && !guard.isEvacuated(endpoint),
     });
-    const result = await send(endpoint, formGuarded, permit);
-    if (result.kind === ExchangeOutcome.ResponseReceived) {
-      result.response.body.once("close", end);
-    } else end();
-    return result;
+    let isAnswered = false;
+    try {
+      const result = await send(endpoint, formGuarded, permit);
+      if (result.kind === ExchangeOutcome.ResponseReceived) {
+        isAnswered = true;
+        result.response.body.once("close", end);
+      }
+      return result;
+    } finally {
+      if (!isAnswered) end();
+    }
   };
 }
--- a/test/evacuations/guarded_sender.test.ts
+++ b/test/evacuations/guarded_sender.test.ts
@@ -150,6 +150,25 @@
   assert.deepEqual([...host.exchanges.running()], [["a", 0]]);
 });
 
+test("an exchange that fails before it is sent does not count as running", async () => {
+  const exchanges = new ZoneExchanges();
+  const send = createGuardedSender(
+    () => Promise.reject(new Error("no headers")),
+    {
+      guard: {
+        isConfirmed: true,
+        confirmed: () => Promise.resolve(),
+        isEvacuated: () => false,
+      },
+      exchanges,
+      onStopped: () => {},
+    },
+  );
+  const form = () => assert.fail("not formed");
+  await assert.rejects(send(endpointAt("127.0.0.1:1"), form), /no headers/);
+  assert.deepEqual([...exchanges.running()], [["a", 0]]);
+});
+
 test("a carrier refuses exchanges with an evacuated zone, in words that earlier releases know", async (t) => {
   const host = await startHost(t);
   let evacuated = true;
