--- a/stand_ins/deployment/gateway_fleet.ts
+++ b/stand_ins/deployment/gateway_fleet.ts
@@ -53,7 +53,7 @@
   memory_mb?: number;
   /** Merged into a service of the manifest. */
   service_changes?: Partial<Record<Service, object>>;
-  /** `ramp_up.enabled` of the gateway hosts. */
+  /** `ramp_up.enabled` of the gateway hosts; true by default. */
   ramp_up?: boolean | undefined;
   /** Requests a second that cold engines of all services tolerate. */
   cold_per_s?: number;
@@ -226,7 +226,7 @@
         repeats: { ratio: 0.2, slack: 50, window_s: 10 },
         cold_endpoints: this.#options.cold_endpoints,
         drain: { timeout_s: this.#options.drain_timeout_s ?? 8 },
-        ramp_up: { enabled: this.#options.ramp_up },
+        ramp_up: { enabled: this.#options.ramp_up ?? true },
       }),
       {
         adapter: deploymentAdapter,
