Gateway: evacuation components have a module of their own

Structure only: host_context.ts and reachability_components.ts shrink, the check of sender, probes and carrier stands once (maySendTo), and the list of listeners for the end of an evacuation, which had one listener, is gone.

--- a/src/gateway/host_context.ts
+++ b/src/gateway/host_context.ts
@@ -42,10 +42,10 @@
 import type { GatewaySettings } from "../settings/gateway_settings.ts";
 import { formatAddress } from "../settings/settings.ts";
 import { abortableDelay } from "../utils/delay.ts";
-import { EvacuationService } from "../evacuations/evacuation_service.ts";
 import type { Evacuation } from "../evacuations/types.ts";
 import { createRampOptions } from "./ramp_components.ts";
 import { createColdComponents } from "./cold_components.ts";
+import { createEvacuations } from "./evacuation_components.ts";
 import { createReachability } from "./reachability_components.ts";
 import { createStreamOrigins } from "./stream_origin_components.ts";
 
@@ -101,23 +101,18 @@
     lifecycle.handle(HostLifecycleEvent.Configured);
   });
   const evacuationListeners: (() => void)[] = [];
-  const evacuationEndListeners: ((zone: string) => void)[] = [];
-  const evacuations = settings.evacuations === undefined
-    ? undefined
-    : new EvacuationService({
-      ...settings.evacuations,
-      onChange() {
-        for (const listener of evacuationListeners) listener();
-      },
-      onEnded(zone) {
-        for (const listener of evacuationEndListeners) listener(zone);
-      },
-      onDoubt: () => syncOptions.progress.evacuations?.doubtConnection(),
-      isKnownZone: (zone) =>
-        endpoints.isEmpty ? undefined : endpoints.hasInZone(zone),
-      log,
-      now,
-    });
+  const evacuations = createEvacuations({
+    bound: settings.evacuations,
+    endpoints: () => endpoints,
+    onChange() {
+      for (const listener of evacuationListeners) listener();
+    },
+    // Called before the zone's endpoints are used again.
+    onEnded: (zone) => cold?.coldEndpoints.presume(zone, now()),
+    onDoubt: () => syncOptions.progress.evacuations?.doubtConnection(),
+    log,
+    now,
+  });
   const endpoints: EndpointRegistry = new EndpointRegistry(
     evacuations && { zones: evacuations.zones, host: host.name },
   );
@@ -190,10 +185,6 @@
   if (cold !== undefined) {
     // First, as the others may send to endpoints.
     endpointListeners.unshift(cold.observeEndpoints);
-    // Before the zone's endpoints are used again.
-    evacuationEndListeners.unshift((zone) =>
-      cold.coldEndpoints.presume(zone, now())
-    );
   }
   const rateLimits = new RateLimitService({
     self,
@@ -396,8 +387,6 @@
     evacuations,
     /** Called when the endpoints that may be used have changed with a zone. */
     evacuationListeners,
-    /** Called with a zone when its evacuation has ended. */
-    evacuationEndListeners,
     agents,
     retryBudget: new PoolRetryBudgets(settings.repeats, () => members.count),
     now,
--- a/src/gateway/reachability_components.ts
+++ b/src/gateway/reachability_components.ts
@@ -10,19 +10,15 @@
 } from "../metrics/forward_metrics.ts";
 import type { GatewayClients } from "../peers/gateway_clients.ts";
 import type { EvacuationService } from "../evacuations/evacuation_service.ts";
-import { createGuardedSender } from "../evacuations/guarded_sender.ts";
-import { ZoneExchanges } from "../evacuations/zone_exchanges.ts";
 import { createProbeReach } from "../reachability/probe_reach.ts";
 import { ReachabilityService } from "../reachability/reachability_service.ts";
 import { CarrierConnections } from "../relaying/carrier_connections.ts";
-import {
-  createEndpointSender,
-  type SendToEndpoint,
-} from "../relaying/endpoint_sender.ts";
+import { createEndpointSender } from "../relaying/endpoint_sender.ts";
 import type { RateLimitService } from "../rate_limits/rate_limit_service.ts";
 import type { RouteEndpoint } from "../routes/types.ts";
 import type { ObservedLoad } from "../routing/observed_load.ts";
 import type { EndpointRegistry } from "../store_sync/endpoint_registry.ts";
+import { guardSender, maySendTo } from "./evacuation_components.ts";
 
 /** What the components need of their host. */
 export interface ReachabilityDependencies {
@@ -56,12 +52,10 @@
 export function createReachability(dependencies: ReachabilityDependencies) {
   const { codec, translateAddress, members, endpoints, load, metrics, now } =
     dependencies;
-  const { evacuations, rateLimits } = dependencies;
+  const { rateLimits } = dependencies;
   const lossListeners: ((endpoint: RouteEndpoint) => void)[] = [];
   const carriers = new CarrierConnections();
-  const isOpen = (endpoint: RouteEndpoint) =>
-    evacuations === undefined ||
-    evacuations.isConfirmed && !endpoints.isEvacuated(endpoint, now());
+  const isOpen = (endpoint: RouteEndpoint) => maySendTo(endpoint, dependencies);
   const reachability = new ReachabilityService({
     ...dependencies,
     zoneOf: (address) => members.zoneOf(address),
@@ -74,7 +68,8 @@
       if (!isOpen(endpoint)) return undefined;
       if (!rateLimits.isCold(endpoint)) return () => isOpen(endpoint);
       const permit = await takePermit(endpoint, rateLimits);
-      return permit && (() => isOpen(endpoint) && now() < permit.expires_ms);
+      return permit &&
+        (() => isOpen(endpoint) && now() < permit.expires_ms);
     },
     onProbe: (outcome) => metrics.reachProbes.inc({ outcome }),
     onLost(endpoint) {
@@ -105,32 +100,6 @@
       () => members.count / MAX_CARRIED_SHARES,
       translateAddress,
     ),
-    send: evacuations === undefined
-      ? send
-      : guardSender(send, { ...dependencies, evacuations }),
+    send: guardSender(send, dependencies),
   };
 }
-
-function guardSender(
-  send: SendToEndpoint,
-  { endpoints, evacuations, metrics, now }: ReachabilityDependencies & {
-    evacuations: EvacuationService;
-  },
-): SendToEndpoint {
-  const exchanges = new ZoneExchanges();
-  metrics.exportZones({
-    exchanges: () => exchanges.running(),
-    shares: () => evacuations.zones.shares(now()),
-  });
-  return createGuardedSender(send, {
-    guard: {
-      get isConfirmed() {
-        return evacuations.isConfirmed;
-      },
-      confirmed: () => evacuations.confirmed(),
-      isEvacuated: (endpoint) => endpoints.isEvacuated(endpoint, now()),
-    },
-    exchanges,
-    onStopped: () => metrics.evacuatedSends.inc(),
-  });
-}
--- a/src/gateway/relaying_components.ts
+++ b/src/gateway/relaying_components.ts
@@ -2,6 +2,7 @@
 import { CarriedSide } from "../metrics/forward_metrics.ts";
 import { ExchangeCarrier } from "../relaying/exchange_carrier.ts";
 import type { BatchingComponents } from "./batching_components.ts";
+import { maySendTo } from "./evacuation_components.ts";
 import type { HostContext } from "./host_context.ts";
 
 /** Creates it. */
@@ -16,11 +17,7 @@
     agents: context.carriedAgents,
     pool,
     endpointAt: (address) => endpoints.findByAddress(address),
-    isEvacuated: (endpoint) => {
-      const { evacuations, now } = context;
-      return evacuations !== undefined &&
-        (!evacuations.isConfirmed || endpoints.isEvacuated(endpoint, now()));
-    },
+    isEvacuated: (endpoint) => !maySendTo(endpoint, context),
     isCold: (endpoint) => context.rateLimits.isCold(endpoint),
     isShuttingDown: () => lifecycle.isShuttingDown,
     onResult: (outcome) =>
