--- a/src/defaults.ts
+++ b/src/defaults.ts
@@ -58,8 +58,7 @@
   repeats: { ratio: 0.1, slack: 10, window_s: 10 },
   cold_endpoints: { over: 1.5, slack: 5 },
   drain_timeout_s: 30,
-  // A place is asked for before each send in a ramp-up, which costs busy hosts
-  // more processor time than it spares their callers late requests.
+  // Off, as each send in a ramp-up costs a message for its place.
   ramp_up_enabled: false,
   log_lines_per_s: 500,
 } as const;
--- a/src/forwarding/place_outcome.ts
+++ b/src/forwarding/place_outcome.ts
@@ -5,7 +5,8 @@
 
 /**
  * Multiple of a route's usual time to the first byte from which a response is
- * late. Endpoints that share their hardware are 2.5 times slower at times.
+ * late. Lower ones would count an endpoint whose neighbours on the same hardware
+ * are busy for a moment.
  */
 const LATE_FACTOR = 3;
 /** Added to that time, so that a delay of this host does not count. */
