--- a/src/cli/commands/records.ts
+++ b/src/cli/commands/records.ts
@@ -31,7 +31,7 @@
   usage: "get <kind> [name]",
   description: "Print the records of a kind, or one record by FLEET/NAME",
   options: [settingsOption],
-  example: "get Pipeline khuree/certify --settings entry-1.yaml",
+  example: "get Pipeline docks/certify --settings entry-1.yaml",
   run: (invocation) =>
     withPlatformClient(invocation, async (platform) => {
       const [kind, name] = invocation.positional;
@@ -78,7 +78,7 @@
   usage: "delete <kind> <name>",
   description: "Delete one record by FLEET/NAME",
   options: [settingsOption, versionOption],
-  example: "delete Endpoint khuree/encode-1 --settings entry-1.yaml",
+  example: "delete Endpoint docks/encode-1 --settings entry-1.yaml",
   run: (invocation) =>
     withPlatformClient(invocation, async (platform) => {
       const [kind, name] = invocation.positional;
