--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -5,14 +5,12 @@
 const LONGEST_MS = 115_000;
 export const Exit = { Held: 0, Broken: 1, CouldNotRun: 2 };
 
-/** Whether the disruption is played; not with `TROUBLE=0`. */
-export const trouble = process.env.TROUBLE !== "0";
-
 /**
- * Runs `play`, which returns whether the rule held. It gets `record`, which
- * writes a line to the record, and `atEnd`, for what ends what it started.
+ * Runs `play`, with or without the disruption as `trouble` says; it returns
+ * whether the rule held. It gets `record`, which writes a line to the record,
+ * and `atEnd`, for what ends what it started.
  */
-export async function runCase(folder, play) {
+export async function runCase({ folder, trouble }, play) {
   const file = createWriteStream(join(folder, "record.txt"));
   const started = Date.now();
   const ends = [];
